feat(core): add the workspace, the contracts and the protocol page

Cause: nothing existed; every part needs one toolchain and one set of types. Ruled out: compiling with a bundler (the type checker must run anyway and emits what Node runs); a clock that is passed around (tests pause the runtime's own clock).

--- /dev/null
+++ b/packages/core/src/configTable/index.ts
@@ -0,0 +1,2 @@
+/** The operators' configuration table. */
+export * from './rows.js';
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,7 @@
+/** Decision code of goldcrestscale; opens no sockets. */
+export * from './configTable/index.js';
+export * from './errors.js';
+export * from './ids.js';
+export * from './log/index.js';
+export * from './membership/index.js';
+export * from './verdict.js';
--- /dev/null
+++ b/packages/core/src/log/index.ts
@@ -0,0 +1,3 @@
+/** Contract of the append-only log and its in-memory form. */
+export * from './logStream.js';
+export * from './memoryLog.js';
--- /dev/null
+++ b/packages/core/src/membership/index.ts
@@ -0,0 +1,2 @@
+/** Which VMs are there, and which of them may get work. */
+export * from './vm.js';
--- /dev/null
+++ b/packages/core/src/verdict.ts
@@ -0,0 +1,18 @@
+/**
+ * Tells whether an upstream may have run a request.
+ *
+ * - `not-run`: no byte of the request reached an upstream, or the upstream proved that it did not run.
+ * - `may-have-run`: unknown.
+ * - `ran`: an upstream has run the request.
+ */
+export type Verdict = 'not-run' | 'may-have-run' | 'ran';
+
+const severity: Readonly<Record<Verdict, number>> = { 'not-run': 0, 'may-have-run': 1, ran: 2 };
+
+/** Gives the verdict on a request from the verdicts of two of its attempts. */
+export const combineVerdicts = (left: Verdict, right: Verdict): Verdict =>
+  severity[left] >= severity[right] ? left : right;
+
+/** Tells whether a request with this verdict may be sent again. */
+export const canRepeat = (verdict: Verdict, idempotent: boolean): boolean =>
+  verdict === 'not-run' || (idempotent && verdict === 'may-have-run');
