feat(core): add the router, filter and controller contracts

Cause: the parts are built side by side and need one set of interfaces. Ruled out: letting each part declare its own view of an upstream. Change: Router, UpstreamView, Route in core; Filter, Exchange, Controller in entry.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -37,9 +37,11 @@
   readonly retryAfterMs?: number;
 }
 
+const defaultFacts: ErrorFacts = { code: 'internal', status: 500, verdict: 'may-have-run' };
+
 /** Base of every error that the system raises on purpose. */
 export const GoldcrestError = ModernError.subclass('GoldcrestError', {
-  props: { code: 'internal', status: 500, verdict: 'may-have-run' } as ErrorFacts,
+  props: defaultFacts,
 });
 
 /** A refusal or failure whose facts are known. */
--- a/packages/core/src/log/memoryLog.ts
+++ b/packages/core/src/log/memoryLog.ts
@@ -1,6 +1,7 @@
 import { toLogOffset } from '../ids.js';
 import type { LogOffset } from '../ids.js';
-import { LogError, LogStream } from './logStream.js';
+import { LogError } from './logError.js';
+import { LogStream } from './logStream.js';
 import type { LogPage, LogReadOptions, LogRecord } from './logStream.js';
 
 const DEFAULT_READ_LIMIT = 1000;
@@ -59,15 +60,16 @@
 
   private waitForRecord(waitMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
+      const timers = new AbortController();
       const finish = (): void => {
         this.waiters.delete(finish);
-        clearTimeout(timer);
-        signal?.removeEventListener('abort', finish);
+        timers.abort();
         resolve();
       };
       const timer = setTimeout(finish, waitMs);
+      timers.signal.addEventListener('abort', () => clearTimeout(timer), { once: true });
+      signal?.addEventListener('abort', finish, { once: true, signal: timers.signal });
       this.waiters.add(finish);
-      signal?.addEventListener('abort', finish, { once: true });
     });
   }
 }
--- /dev/null
+++ b/packages/core/src/routing/index.ts
@@ -0,0 +1,2 @@
+/** Where a request goes. */
+export * from './router.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+/** The entry daemon. */
+export * from './controllers/controller.js';
+export * from './filters/exchange.js';
+export * from './filters/filter.js';
