--- a/packages/entry/src/filters/exchange.ts
+++ b/packages/entry/src/filters/exchange.ts
@@ -8,14 +8,14 @@
   WorkloadRow,
 } from '@goldcrestscale/core';
 
-/** Answer side of an exchange. Nothing may be written after `end`. */
+/** Answer side of an exchange. Nothing may be written after `finish`. */
 export interface AnswerWriter {
   /** Whether the head is on its way to the caller. */
   readonly headSent: boolean;
   writeHead(status: number, headers: Readonly<Record<string, string>>): void;
   /** Resolves when the caller can take more. */
   write(chunk: Uint8Array | string): Promise<void>;
-  end(): void;
+  finish(): void;
 }
 
 /** What a caller asked for, once parsed. */
