feat(entry): add the callers' listener, the filter chain and dispatch

Cause: the path from a caller to an upstream had no code. Ruled out: forwarding bodies unparsed (a broken stream could not be resumed at its token). Change: listener, parsing, account, deadline, weight version, verdict guard and dispatch filters, runners for engines and services, the upstreams and VM list controllers, the operators' listener.

--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -1,2 +1,3 @@
 /** Where a request goes. */
 export * from './router.js';
+export * from './leastLoadRouter.js';
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -48,6 +48,8 @@
   readonly workload: WorkloadRow;
   readonly blocks: readonly PromptBlock[];
   readonly promptTokens: number;
+  /** Weight version that the request must run on. */
+  readonly weightVersion?: WeightVersion;
   /** Upstreams that have failed this request already. */
   readonly excluded: ReadonlySet<UpstreamId>;
   /** Availability zones that a retry keeps away from where it can. */
--- /dev/null
+++ b/packages/entry/src/config.ts
@@ -0,0 +1,75 @@
+import type { AvailabilityZoneId, VmId } from '@goldcrestscale/core';
+import { z } from 'zod';
+import { ENTRIES_TTL_MS } from './constants.js';
+
+const MAX_PORT = 65_535;
+const MAX_ENTRIES_TTL_MS = 60_000;
+const ID_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+
+const portSchema = z.number().int().min(0).max(MAX_PORT);
+
+const addressSchema = z
+  .string()
+  .regex(/^[\w.:[\]-]+:\d{1,5}$/, 'use HOST:PORT, for example "10.0.0.4:8080"');
+
+const listenSchema = z.strictObject({
+  host: z.string().min(1).default('0.0.0.0').describe('IP number to listen on'),
+  port: portSchema.describe('TCP port to listen on; 0 picks a free one'),
+});
+
+/** Where a secret comes from; exactly one of the two. */
+const secretSchema = z
+  .union([
+    z.strictObject({ file: z.string().min(1).describe('file that holds the secret') }),
+    z.strictObject({
+      env: z.string().min(1).describe('environment variable that holds the secret'),
+    }),
+  ])
+  .describe('where the secret is read from');
+
+/** Settings file of the entry daemon. */
+export const entrySettingsSchema = z.strictObject({
+  vmId: z
+    .string()
+    .regex(ID_PATTERN)
+    .transform((value) => value as VmId)
+    .describe('name of this VM, unique in the fleet'),
+  availabilityZone: z
+    .string()
+    .regex(ID_PATTERN)
+    .transform((value) => value as AvailabilityZoneId)
+    .describe('availability zone of this VM'),
+  listen: listenSchema.describe('listener for callers'),
+  advertise: addressSchema.describe('address that callers are told to use'),
+  operations: listenSchema
+    .extend({ key: secretSchema })
+    .describe('listener for operators: health, metrics, state'),
+  mesh: listenSchema
+    .extend({ advertise: addressSchema, secret: secretSchema })
+    .describe('listener for the other entry VMs'),
+  platform: z
+    .strictObject({
+      logUrl: z.url().describe('append-only log service'),
+      vmListUrl: z.url().describe('VM list'),
+      weightStoreUrl: z.url().describe('weight store'),
+    })
+    .describe("the platform's services"),
+  fleetSecret: secretSchema.describe('secret from which the block keys of all accounts derive'),
+  entriesTtlMs: z
+    .number()
+    .int()
+    .min(100)
+    .max(MAX_ENTRIES_TTL_MS)
+    .default(ENTRIES_TTL_MS)
+    .describe('time that callers may keep an answer of /v1/entries, in milliseconds'),
+  log: z
+    .strictObject({
+      level: z.enum(['error', 'warn', 'info', 'debug']).default('info').describe('least severity'),
+      format: z.enum(['json', 'human']).default('json').describe('form of the log lines'),
+    })
+    .prefault({})
+    .describe('logs'),
+});
+
+/** Resolved settings of the entry daemon. */
+export type EntrySettings = Readonly<z.output<typeof entrySettingsSchema>>;
--- /dev/null
+++ b/packages/entry/src/constants.ts
@@ -0,0 +1,35 @@
+/** Largest body that a caller may send, in bytes. */
+export const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+/** Time between two reads of the VM list, in milliseconds. */
+export const VM_LIST_INTERVAL_MS = 1_000;
+
+/** Time between two reads of an upstream's load report, in milliseconds. */
+export const LOAD_INTERVAL_MS = 500;
+
+/** Time after which a load report without a successor makes its upstream ineligible, in milliseconds. */
+export const LOAD_EXPIRY_MS = 3_000;
+
+/** Longest wait for the answer to a control call, in milliseconds. */
+export const CONTROL_TIMEOUT_MS = 2_000;
+
+/** Time that a caller may keep an answer of `/v1/entries`, in milliseconds. */
+export const ENTRIES_TTL_MS = 2_000;
+
+/** Longest wait for a connection to an upstream, in milliseconds. */
+export const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Longest silence of a running upstream stream, in milliseconds. */
+export const STREAM_SILENCE_MS = 30_000;
+
+/** Most attempts at one request. */
+export const MAX_ATTEMPTS = 3;
+
+/** Most times that one broken stream is resumed. */
+export const MAX_RESUMES = 2;
+
+/** Time told to callers that are refused without a better estimate, in milliseconds. */
+export const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+/** Time that a caller may take to send its request, in milliseconds. */
+export const REQUEST_TIMEOUT_MS = 30_000;
--- /dev/null
+++ b/packages/entry/src/controllers/upstreams/upstreamState.ts
@@ -0,0 +1,97 @@
+import { toId } from '@goldcrestscale/core';
+import type {
+  ConfigTable,
+  UpstreamId,
+  UpstreamView,
+  VmRecord,
+} from '@goldcrestscale/core';
+import { LOAD_EXPIRY_MS } from '../../constants.js';
+import type { LoadReport } from './loadReport.js';
+
+/** Part of the configuration table that decides where work may go. */
+export type UpstreamTable = Pick<ConfigTable, 'getUpstream' | 'isZoneOut'>;
+
+interface Dispatch {
+  readonly atMs: number;
+  readonly promptTokens: number;
+}
+
+/** What this VM knows of one upstream. */
+export class UpstreamState {
+  private report: LoadReport | undefined;
+
+  /** Time at which the figures of the report were taken, by the runtime's clock. */
+  private takenAtMs = 0;
+
+  private receivedAtMs = 0;
+
+  private dispatches: Dispatch[] = [];
+
+  constructor(private vm: VmRecord) {}
+
+  get upstreamId(): UpstreamId {
+    return toId<UpstreamId>(this.vm.vmId);
+  }
+
+  get address(): string {
+    return this.vm.address;
+  }
+
+  get record(): VmRecord {
+    return this.vm;
+  }
+
+  updateVm(vm: VmRecord): void {
+    this.vm = vm;
+  }
+
+  updateLoad(report: LoadReport): void {
+    this.report = report;
+    this.receivedAtMs = Date.now();
+    this.takenAtMs = this.receivedAtMs - report.ageMs;
+    this.dispatches = this.dispatches.filter((dispatch) => dispatch.atMs > this.takenAtMs);
+  }
+
+  /** Notes a request that this VM sends, until a load report covers it. */
+  noteDispatch(promptTokens: number): void {
+    this.dispatches.push({ atMs: Date.now(), promptTokens });
+  }
+
+  /** Tells whether the upstream may get new work now. */
+  isEligible(table: UpstreamTable): boolean {
+    if (this.report === undefined || this.vm.state !== 'live') return false;
+    if (this.report.state !== 'serving') return false;
+    if (Date.now() - this.receivedAtMs > LOAD_EXPIRY_MS) return false;
+    if (table.isZoneOut(this.vm.availabilityZone)) return false;
+    return table.getUpstream(this.upstreamId)?.state !== 'leaving';
+  }
+
+  /** Gives the view that routing decides on; undefined before the first load report. */
+  buildView(table: UpstreamTable): UpstreamView | undefined {
+    const { report, vm } = this;
+    if (report === undefined) return undefined;
+    const row = table.getUpstream(this.upstreamId);
+    return {
+      upstreamId: this.upstreamId,
+      role: vm.role === 'service' ? 'service' : 'engine',
+      address: vm.address,
+      availabilityZone: vm.availabilityZone,
+      bootId: toId(report.bootId),
+      ...(report.model === undefined ? {} : { model: toId(report.model) }),
+      ...(report.weightVersion === undefined
+        ? {}
+        : { weightVersion: toId(report.weightVersion) }),
+      eligible: this.isEligible(table),
+      cold: report.cold,
+      running: report.running,
+      waiting: report.waiting,
+      waitingPromptTokens: report.waitingPromptTokens,
+      prefillTokensPerSecond: report.prefillTokensPerSecond,
+      maxConcurrent: row?.maxConcurrent ?? report.maxConcurrent,
+      coldConcurrent: row?.coldConcurrent ?? report.coldConcurrent,
+      ageMs: Date.now() - this.takenAtMs,
+      dispatchedSince: this.dispatches.length,
+      dispatchedTokensSince: this.dispatches.reduce((sum, one) => sum + one.promptTokens, 0),
+    };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/controllers/upstreams/upstreamsController.ts
@@ -0,0 +1,102 @@
+import { request } from 'undici';
+import type { UpstreamId, UpstreamView, VmRecord } from '@goldcrestscale/core';
+import type { Logger } from '@goldcrestscale/runtime';
+import { CONTROL_TIMEOUT_MS, LOAD_INTERVAL_MS } from '../../constants.js';
+import { repeatUntilAborted } from '../../repeat.js';
+import { Controller } from '../controller.js';
+import { loadReportSchema } from './loadReport.js';
+import { UpstreamState } from './upstreamState.js';
+import type { UpstreamTable } from './upstreamState.js';
+
+/** What the upstreams controller reads. */
+export interface UpstreamsOptions {
+  readonly table: () => UpstreamTable;
+  readonly listVms: () => readonly VmRecord[];
+  readonly logger: Logger;
+}
+
+/** Follows the load reports of the engines and plain services on the VM list. */
+export class UpstreamsController extends Controller {
+  override readonly name = 'upstreams';
+
+  private readonly states = new Map<UpstreamId, UpstreamState>();
+
+  constructor(private readonly options: UpstreamsOptions) {
+    super();
+  }
+
+  override async start(signal: AbortSignal): Promise<void> {
+    await this.refresh(signal);
+    void repeatUntilAborted(() => this.refresh(signal), LOAD_INTERVAL_MS, signal);
+  }
+
+  /** Gives the engines that hold a model. */
+  listEngines(model: string): readonly UpstreamView[] {
+    return this.listViews('engine').filter((view) => view.model === model);
+  }
+
+  /** Gives the upstreams of a plain service. */
+  listServices(service: string): readonly UpstreamView[] {
+    const names = [...this.states.values()]
+      .filter((state) => state.record.service === service)
+      .map((state) => state.upstreamId);
+    return this.listViews('service').filter((view) => names.includes(view.upstreamId));
+  }
+
+  /** Gives one upstream as it is known now. */
+  findView(upstreamId: UpstreamId): UpstreamView | undefined {
+    return this.states.get(upstreamId)?.buildView(this.options.table());
+  }
+
+  /** Notes a request that this VM sends to an upstream. */
+  noteDispatch(upstreamId: UpstreamId, promptTokens: number): void {
+    this.states.get(upstreamId)?.noteDispatch(promptTokens);
+  }
+
+  override dump(): unknown {
+    const table = this.options.table();
+    return [...this.states.values()].map((state) => state.buildView(table) ?? state.record);
+  }
+
+  private listViews(role: UpstreamView['role']): readonly UpstreamView[] {
+    const table = this.options.table();
+    return [...this.states.values()]
+      .filter((state) => state.record.role === role)
+      .map((state) => state.buildView(table))
+      .filter((view) => view !== undefined);
+  }
+
+  private async refresh(signal: AbortSignal): Promise<void> {
+    this.updateVms();
+    await Promise.all([...this.states.values()].map((state) => this.refreshLoad(state, signal)));
+  }
+
+  private updateVms(): void {
+    const vms = this.options.listVms().filter((vm) => vm.role === 'engine' || vm.role === 'service');
+    const listed = new Set<string>(vms.map((vm) => vm.vmId));
+    for (const vm of vms) {
+      const known = this.states.get(vm.vmId as string as UpstreamId);
+      if (known) known.updateVm(vm);
+      else this.states.set(vm.vmId as string as UpstreamId, new UpstreamState(vm));
+    }
+    for (const upstreamId of this.states.keys()) {
+      if (!listed.has(upstreamId)) this.states.delete(upstreamId);
+    }
+  }
+
+  private async refreshLoad(state: UpstreamState, signal: AbortSignal): Promise<void> {
+    try {
+      const response = await request(`http://${state.address}/load`, {
+        headersTimeout: CONTROL_TIMEOUT_MS,
+        bodyTimeout: CONTROL_TIMEOUT_MS,
+        signal,
+      });
+      state.updateLoad(loadReportSchema.parse(await response.body.json()));
+    } catch (cause) {
+      this.options.logger.debug('load report failed', {
+        upstreamId: state.upstreamId,
+        error: String(cause),
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/engineCall.ts
@@ -0,0 +1,62 @@
+import type { CompletionTarget } from '../filters/exchange.js';
+import { collectText } from '../upstream/completionPayload.js';
+import type { ReceivedText } from '../upstream/completionPayload.js';
+import type { UpstreamCall } from '../upstream/upstreamClient.js';
+import type { Attempt } from './attempt.js';
+
+/** Gives the completion target of an attempt. */
+export const getCompletionTarget = (attempt: Attempt): CompletionTarget => {
+  const { target } = attempt.exchange;
+  if (target.kind !== 'completion') throw new TypeError('not a completion');
+  return target;
+};
+
+const buildHeaders = (attempt: Attempt): Record<string, string> => {
+  const { workload, weightVersion, requestId } = attempt.exchange;
+  return {
+    'content-type': 'application/json',
+    'x-request-id': requestId,
+    'x-priority': String(workload?.priority ?? 0),
+    ...(weightVersion === undefined ? {} : { 'x-weight-version': weightVersion }),
+  };
+};
+
+const buildBody = (attempt: Attempt): string => {
+  const target = getCompletionTarget(attempt);
+  const blocks = attempt.exchange.blocks ?? [];
+  const resume = collectText(attempt.receivedEvents);
+  return JSON.stringify({
+    ...target.fields,
+    ...(blocks.length > 0 ? { kv: { blocks } } : {}),
+    ...(resume.tokens > 0 ? { resume } : {}),
+  });
+};
+
+/** Builds the call that starts a completion, or continues one that another engine broke off. */
+export const buildEngineCall = (attempt: Attempt): UpstreamCall => ({
+  attemptId: attempt.attemptId,
+  method: 'POST',
+  path: getCompletionTarget(attempt).path,
+  headers: buildHeaders(attempt),
+  body: buildBody(attempt),
+  signal: attempt.signal,
+});
+
+/** Builds the call that fetches the rest of an answer from the engine that runs it. */
+export const buildResumeCall = (attempt: Attempt, received: ReceivedText): UpstreamCall => ({
+  attemptId: attempt.attemptId,
+  method: 'POST',
+  path: `/v1/requests/${attempt.attemptId}/resume`,
+  headers: { 'content-type': 'application/json' },
+  body: JSON.stringify({ tokens: received.tokens }),
+  signal: attempt.signal,
+});
+
+/** Builds the call that cancels an attempt at its engine. */
+export const buildCancelCall = (attempt: Attempt, signal: AbortSignal): UpstreamCall => ({
+  attemptId: attempt.attemptId,
+  method: 'DELETE',
+  path: `/v1/requests/${attempt.attemptId}`,
+  headers: {},
+  signal,
+});
--- a/packages/entry/src/filters/exchange.ts
+++ b/packages/entry/src/filters/exchange.ts
@@ -5,6 +5,7 @@
   PromptBlock,
   RequestId,
   Verdict,
+  WeightVersion,
   WorkloadRow,
 } from '@goldcrestscale/core';
 
@@ -18,17 +19,29 @@
   finish(): void;
 }
 
+/** A call of the OpenAI-compatible completion API. */
+export interface CompletionTarget {
+  readonly kind: 'completion';
+  readonly path: '/v1/chat/completions' | '/v1/completions';
+  readonly model: string;
+  readonly adapter?: string;
+  readonly stream: boolean;
+  /** Whole prompt text, for prefix keys. */
+  readonly prompt: string;
+  /** Parsed body of the caller. */
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** A call of a plain service. */
+export interface ServiceTarget {
+  readonly kind: 'service';
+  readonly service: string;
+  /** Path at the service, with its query. */
+  readonly path: string;
+}
+
 /** What a caller asked for, once parsed. */
-export type ExchangeTarget =
-  | {
-      readonly kind: 'completion';
-      readonly path: '/v1/chat/completions' | '/v1/completions';
-      readonly model: string;
-      readonly stream: boolean;
-      /** Whole prompt text, for prefix keys. */
-      readonly prompt: string;
-    }
-  | { readonly kind: 'service'; readonly service: string; readonly path: string };
+export type ExchangeTarget = CompletionTarget | ServiceTarget;
 
 /** One caller request on its way through the filters. */
 export interface Exchange {
@@ -37,20 +50,30 @@
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
   readonly target: ExchangeTarget;
-  readonly answer: AnswerWriter;
-  /** Aborts when the caller has gone or the deadline has passed. */
+  /** A filter may put a recording writer in its place for the rest of the chain. */
+  answer: AnswerWriter;
+  /** Aborts when the caller has gone. */
   readonly signal: AbortSignal;
   readonly receivedAtMs: number;
   /** Set by the account filter. */
   account?: ClientAccountRow;
   /** Set by the account filter. */
   workload?: WorkloadRow;
+  /** Set by the account filter: whether the request may run more than once. */
+  idempotent: boolean;
   /** Set by the once filter for an unrepeatable request. */
   idempotencyKey?: IdempotencyKey;
-  /** Set by the deadline filter, in milliseconds of the runtime's clock. */
+  /** Set by the deadline filter: time by which the answer must have begun, by the runtime's clock. */
   deadlineAtMs?: number;
+  /** Set by the weight version filter: the version that every attempt must use. */
+  weightVersion?: WeightVersion;
   /** Set by the prefix filter. */
   blocks?: readonly PromptBlock[];
+  /**
+   * Asserts that the request may still be sent. Filters that own a right to run add their check;
+   * the dispatch filter calls it right before the first byte leaves.
+   */
+  assertSendable: () => void;
   /** Worst verdict of the attempts so far. */
   verdict: Verdict;
 }
--- /dev/null
+++ b/packages/entry/src/http/parseCompletion.ts
@@ -0,0 +1,80 @@
+import { createRefusal } from '@goldcrestscale/core';
+import { z } from 'zod';
+import type { CompletionTarget } from '../filters/exchange.js';
+
+const messageSchema = z.looseObject({
+  role: z.string(),
+  content: z
+    .union([z.string(), z.array(z.looseObject({ type: z.string(), text: z.string().optional() }))])
+    .nullish(),
+});
+
+const sharedFields = {
+  model: z.string().min(1),
+  stream: z.boolean().nullish(),
+  adapter: z.string().optional(),
+};
+
+const chatSchema = z.looseObject({ ...sharedFields, messages: z.array(messageSchema).min(1) });
+
+const completionSchema = z.looseObject({ ...sharedFields, prompt: z.string() });
+
+/** Fields of the engine protocol that only this system may set. */
+const RESERVED_FIELDS = ['kv', 'resume'] as const;
+
+const refuseBody = (reason: string): Error =>
+  createRefusal(`The body is not a valid completion request: ${reason}`, {
+    code: 'bad_request',
+    status: 400,
+  });
+
+const parseFields = (body: Buffer): unknown => {
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch {
+    throw refuseBody('it is not JSON.');
+  }
+};
+
+const describeIssue = (error: z.ZodError): string => {
+  const [issue] = error.issues;
+  return `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'invalid'}.`;
+};
+
+const joinMessage = (message: z.output<typeof messageSchema>): string => {
+  const { content } = message;
+  const text = Array.isArray(content)
+    ? content.map((part) => part.text ?? '').join('')
+    : (content ?? '');
+  return `${message.role}: ${text}\n`;
+};
+
+const omitReserved = (fields: Record<string, unknown>): Record<string, unknown> =>
+  Object.fromEntries(
+    Object.entries(fields).filter(([name]) => !RESERVED_FIELDS.some((one) => one === name)),
+  );
+
+/**
+ * Parses the body of a completion call.
+ *
+ * @throws GoldcrestError `bad_request` that names the first wrong field
+ */
+export const parseCompletion = (path: CompletionTarget['path'], body: Buffer): CompletionTarget => {
+  const fields = parseFields(body);
+  const parsed =
+    path === '/v1/chat/completions'
+      ? chatSchema.safeParse(fields)
+      : completionSchema.safeParse(fields);
+  if (!parsed.success) throw refuseBody(describeIssue(parsed.error));
+  const { data } = parsed;
+  const prompt = 'messages' in data ? chatSchema.parse(data).messages.map(joinMessage).join('') : '';
+  return {
+    kind: 'completion',
+    path,
+    model: data.model,
+    ...(data.adapter === undefined ? {} : { adapter: data.adapter }),
+    stream: data.stream ?? false,
+    prompt: path === '/v1/completions' ? String(data.prompt) : prompt,
+    fields: omitReserved(data),
+  };
+};
--- /dev/null
+++ b/packages/entry/src/upstream/completionPayload.ts
@@ -0,0 +1,56 @@
+import { z } from 'zod';
+
+const usageSchema = z.object({
+  prompt_tokens: z.number(),
+  completion_tokens: z.number(),
+  prompt_tokens_details: z.object({ cached_tokens: z.number() }).optional(),
+});
+
+const chunkSchema = z.object({
+  choices: z
+    .array(
+      z.object({
+        text: z.string().optional(),
+        delta: z.object({ content: z.string().nullish() }).optional(),
+      }),
+    )
+    .default([]),
+  usage: usageSchema.nullish(),
+});
+
+/** Token counts that an engine reports. */
+export interface TokenUsage {
+  readonly promptTokens: number;
+  readonly completionTokens: number;
+  readonly cachedTokens: number;
+}
+
+const readText = (data: string): string => {
+  const parsed = chunkSchema.safeParse(JSON.parse(data));
+  const choice = parsed.data?.choices[0];
+  return choice?.text ?? choice?.delta?.content ?? '';
+};
+
+/** Text received so far and its number of tokens; an engine sends one token an event. */
+export interface ReceivedText {
+  readonly text: string;
+  readonly tokens: number;
+}
+
+/** Joins the text of the events that were received. */
+export const collectText = (events: readonly string[]): ReceivedText => {
+  const texts = events.map(readText).filter((text) => text !== '');
+  return { text: texts.join(''), tokens: texts.length };
+};
+
+/** Reads the token counts of an answer or of the last event of a stream. */
+export const parseUsage = (data: string): TokenUsage | undefined => {
+  if (!data.includes('"usage"')) return undefined;
+  const usage = chunkSchema.safeParse(JSON.parse(data)).data?.usage;
+  if (!usage) return undefined;
+  return {
+    promptTokens: usage.prompt_tokens,
+    completionTokens: usage.completion_tokens,
+    cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
+  };
+};
--- /dev/null
+++ b/packages/entry/src/upstream/upstreamClient.ts
@@ -0,0 +1,110 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import { Agent, request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { createError } from '@goldcrestscale/core';
+import type { AttemptId, UpstreamView, Verdict } from '@goldcrestscale/core';
+import { CONNECT_TIMEOUT_MS, DEFAULT_RETRY_AFTER_MS, STREAM_SILENCE_MS } from '../constants.js';
+import { createAttemptError, decideCallVerdict } from './upstreamError.js';
+
+/** One HTTP call of an upstream. */
+export interface UpstreamCall {
+  readonly attemptId: AttemptId;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body?: Buffer | string;
+  readonly signal: AbortSignal;
+}
+
+/** Answer of an upstream whose head has been checked. */
+export interface UpstreamAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Dispatcher.ResponseData['body'];
+}
+
+/** Sends requests to upstreams. */
+export interface UpstreamClient {
+  /**
+   * Sends one attempt and checks the head of its answer.
+   *
+   * @throws GoldcrestError with the verdict on the attempt
+   */
+  send(upstream: Pick<UpstreamView, 'address' | 'upstreamId'>, call: UpstreamCall): Promise<UpstreamAnswer>;
+  /** Closes the connections. */
+  close(): Promise<void>;
+}
+
+const KEEP_ALIVE_MS = 4_000;
+const CONNECTIONS_PER_UPSTREAM = 256;
+const BUSY_STATUS = 503;
+const CONFLICT_STATUS = 409;
+
+const decideHeadVerdict = (answer: UpstreamAnswer): Verdict | undefined => {
+  if (answer.headers['x-not-run'] === 'true') return 'not-run';
+  if (answer.status >= 500) return 'may-have-run';
+  return undefined;
+};
+
+const isWeightConflict = (answer: UpstreamAnswer, call: UpstreamCall): boolean =>
+  answer.status === CONFLICT_STATUS && call.headers['x-weight-version'] !== undefined;
+
+const checkHead = async (answer: UpstreamAnswer, call: UpstreamCall): Promise<void> => {
+  const echoed = answer.headers['x-attempt-id'];
+  if (echoed !== undefined && echoed !== call.attemptId) {
+    answer.body.destroy();
+    throw createAttemptError('The upstream sent the answer of another request.', 'may-have-run');
+  }
+  if (isWeightConflict(answer, call)) {
+    await answer.body.dump();
+    throw createAttemptError('The upstream holds another weight version.', 'not-run');
+  }
+  const verdict = decideHeadVerdict(answer);
+  if (verdict === undefined) return;
+  await answer.body.dump();
+  throw createError(`The upstream answered with status ${answer.status}.`, {
+    code: 'upstream_failed',
+    status: answer.status === BUSY_STATUS ? BUSY_STATUS : 502,
+    verdict,
+    retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+  });
+};
+
+/** Creates a client with its own connection pools. */
+export const createUpstreamClient = (): UpstreamClient => {
+  const agent = new Agent({
+    connections: CONNECTIONS_PER_UPSTREAM,
+    pipelining: 1,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: STREAM_SILENCE_MS,
+  });
+  return {
+    async send(upstream, call) {
+      try {
+        const response = await request(`http://${upstream.address}${call.path}`, {
+          dispatcher: agent,
+          method: call.method as Dispatcher.HttpMethod,
+          headers: { ...call.headers, 'x-attempt-id': call.attemptId },
+          body: call.body ?? null,
+          signal: call.signal,
+        });
+        const answer = {
+          status: response.statusCode,
+          headers: response.headers,
+          body: response.body,
+        };
+        await checkHead(answer, call);
+        return answer;
+      } catch (cause) {
+        if (cause instanceof Error && 'verdict' in cause) throw cause;
+        throw createAttemptError(
+          `The call of upstream ${upstream.upstreamId} failed.`,
+          decideCallVerdict(cause),
+        );
+      }
+    },
+    close: () => agent.close(),
+  };
+};
--- /dev/null
+++ b/packages/entry/src/upstream/upstreamError.ts
@@ -0,0 +1,28 @@
+import { createError } from '@goldcrestscale/core';
+import type { GoldcrestErrorInstance, Verdict } from '@goldcrestscale/core';
+import { DEFAULT_RETRY_AFTER_MS } from '../constants.js';
+
+/** Codes of failures that happen before a byte of the request has left this VM. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const readCode = (cause: unknown): string =>
+  cause instanceof Error && 'code' in cause ? String(cause.code) : '';
+
+/** Gives the verdict on a request whose HTTP call failed. */
+export const decideCallVerdict = (cause: unknown): Verdict =>
+  NOT_SENT_CODES.has(readCode(cause)) ? 'not-run' : 'may-have-run';
+
+/** Creates the failure of one attempt at an upstream. */
+export const createAttemptError = (message: string, verdict: Verdict): GoldcrestErrorInstance =>
+  createError(message, {
+    code: 'upstream_failed',
+    status: 502,
+    verdict,
+    retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+  });
