feat(standin): add log, VM list, weight store, engine and service as processes

Cause: nothing speaks the platform protocol yet, so the entry daemon has no counterpart to run against. Ruled out: an HTTP framework (plain node:http with a small route table is enough for scaffolding); one timer a token (answers write all tokens due by then, with one event a token). Change: goldcrest-standin with the roles log, vmlist, weights, engine and service; faults over POST /faults.

--- /dev/null
+++ b/packages/standin/src/engine/engineRole.ts
@@ -0,0 +1,44 @@
+import { once } from 'node:events';
+import type { Reply, Route, StandInRole } from '../http/index.js';
+import { CompletionHandler } from './completionHandler.js';
+import type { EngineSettings } from './engineSettings.js';
+import { EngineState } from './engineState.js';
+import { LoadReporter } from './loadReporter.js';
+
+/** Model engine: completions, load reports and cache events. */
+export class EngineRole implements StandInRole {
+  readonly faults: StandInRole['faults'];
+
+  readonly routes: readonly Route[];
+
+  private readonly state: EngineState;
+
+  private readonly hangs = new AbortController();
+
+  constructor(settings: EngineSettings) {
+    this.state = new EngineState(settings);
+    this.faults = this.state.faults;
+    const load = new LoadReporter(this.state);
+    this.routes = [
+      ...new CompletionHandler(this.state).routes,
+      { method: 'GET', path: '/load', handle: () => ({ status: 200, body: load.report() }) },
+      { method: 'GET', path: '/events', handle: (request) => this.listEvents(request.query) },
+      { method: 'GET', path: '/counts', handle: () => this.reportCounts() },
+    ];
+  }
+
+  async check(): Promise<'drop' | undefined> {
+    if (this.state.faults.current.hang) await once(this.hangs.signal, 'abort');
+    return Date.now() < this.state.downUntilMs ? 'drop' : undefined;
+  }
+
+  private listEvents(query: URLSearchParams): Reply {
+    const page = this.state.events.list(Number(query.get('from') ?? 0));
+    return { status: 200, body: { bootId: this.state.bootId, ...page } };
+  }
+
+  private reportCounts(): Reply {
+    const { counts } = this.state;
+    return { status: 200, body: { ...counts, runs: Object.fromEntries(counts.runs) } };
+  }
+}
--- /dev/null
+++ b/packages/standin/src/engine/index.ts
@@ -0,0 +1,5 @@
+/** Model engine. */
+export * from './answerText.js';
+export { renderPrompt } from './completionRequest.js';
+export * from './engineRole.js';
+export * from './engineSettings.js';
--- /dev/null
+++ b/packages/standin/src/log/index.ts
@@ -0,0 +1,2 @@
+/** Append-only log. */
+export * from './logRole.js';
--- /dev/null
+++ b/packages/standin/src/service/index.ts
@@ -0,0 +1,2 @@
+/** Plain service. */
+export * from './serviceRole.js';
--- /dev/null
+++ b/packages/standin/src/service/serviceRole.ts
@@ -0,0 +1,119 @@
+import { randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { buildErrorReply, FaultSet } from '../http/index.js';
+import type { Reply, Route, RouteRequest, StandInRole } from '../http/index.js';
+
+const COLD_COMPLETIONS = 5;
+
+const defaultFaults = { loseAnswers: 0, resetBeforeRun: 0, delayMs: 0, restart: false };
+
+/** Faults of the plain service. */
+export type ServiceFaults = typeof defaultFaults;
+
+/** Settings of the plain service. */
+export interface ServiceSettings {
+  readonly maxConcurrent: number;
+  readonly coldConcurrent: number;
+  /** Time that one call takes, in milliseconds. */
+  readonly workMs: number;
+}
+
+interface StoredCall {
+  readonly id: string;
+  readonly echo: unknown;
+}
+
+/** Plain service with idempotent and unrepeatable calls; counts what it really ran. */
+export class ServiceRole implements StandInRole {
+  readonly faults = new FaultSet<ServiceFaults>(defaultFaults, (faults) => {
+    if (!faults.restart) return;
+    this.faults.set('restart', false);
+    this.bootId = randomUUID();
+    this.completed = 0;
+  });
+
+  readonly routes: readonly Route[] = [
+    { method: 'POST', path: '/tickets', handle: (request) => this.create(request) },
+    { method: 'POST', path: '/bookings', handle: (request) => this.create(request) },
+    { method: 'GET', path: '/tickets/:id', handle: (request) => this.findTicket(request) },
+    { method: 'GET', path: '/stock/:item', handle: (request) => this.checkStock(request) },
+    { method: 'GET', path: '/load', handle: () => this.reportLoad() },
+    {
+      method: 'GET',
+      path: '/counts',
+      handle: () => ({ status: 200, body: { runs: Object.fromEntries(this.runs) } }),
+    },
+  ];
+
+  private bootId: string = randomUUID();
+
+  private completed = 0;
+
+  private running = 0;
+
+  private readonly calls = new Map<string, StoredCall>();
+
+  private readonly runs = new Map<string, number>();
+
+  constructor(private readonly settings: ServiceSettings) {}
+
+  private async create(request: RouteRequest): Promise<Reply | undefined> {
+    return this.run(request, () => {
+      const echo = request.readJson();
+      const ref = String(echo.ref ?? '');
+      this.runs.set(ref, (this.runs.get(ref) ?? 0) + 1);
+      const call = { id: randomUUID(), echo };
+      this.calls.set(call.id, call);
+      return { status: 201, body: call };
+    });
+  }
+
+  private findTicket(request: RouteRequest): Promise<Reply | undefined> {
+    return this.run(request, () => {
+      const call = this.calls.get(request.params.id ?? '');
+      return call ? { status: 200, body: call } : buildErrorReply(404, 'not_found');
+    });
+  }
+
+  private checkStock(request: RouteRequest): Promise<Reply | undefined> {
+    const item = request.params.item ?? '';
+    return this.run(request, () => ({
+      status: 200,
+      body: { item, inStock: item.length % 2 === 0 },
+    }));
+  }
+
+  private async run(request: RouteRequest, work: () => Reply): Promise<Reply | undefined> {
+    if (this.faults.takeOne('resetBeforeRun')) {
+      request.drop();
+      return undefined;
+    }
+    this.running += 1;
+    const reply = work();
+    await sleep(this.settings.workMs + this.faults.current.delayMs);
+    this.running -= 1;
+    this.completed += 1;
+    if (this.faults.takeOne('loseAnswers')) {
+      request.drop();
+      return undefined;
+    }
+    return reply;
+  }
+
+  private reportLoad(): Reply {
+    const { maxConcurrent, coldConcurrent } = this.settings;
+    return {
+      status: 200,
+      body: {
+        bootId: this.bootId,
+        state: 'serving',
+        cold: this.completed < COLD_COMPLETIONS,
+        running: this.running,
+        waiting: 0,
+        maxConcurrent,
+        coldConcurrent,
+        ageMs: 0,
+      },
+    };
+  }
+}
--- /dev/null
+++ b/packages/standin/src/vmList/index.ts
@@ -0,0 +1,2 @@
+/** VM list. */
+export * from './vmListRole.js';
--- /dev/null
+++ b/packages/standin/src/weights/index.ts
@@ -0,0 +1,2 @@
+/** Weight store. */
+export * from './weightStoreRole.js';
