feat(runtime): add settings, command line, logs, metrics and bounded JSON

Cause: every binary needs the same habits, and the entry daemon waits for them. Ruled out: an edit-distance package (only transitive development packages have one; 20 lines do), winston's own levels for debug scopes (one level a logger, no scope a part). Change: loadSettings and parseSettings list every problem with path, masked value, what is allowed and the nearest known key; loadSecret; runCli on meow with exit codes and stop signals; createLogger with a redaction guard; createMetrics with log-linear buckets; parseJson.

--- /dev/null
+++ b/packages/runtime/src/cli/index.ts
@@ -0,0 +1,5 @@
+/** Command-line habits of every binary. */
+export * from './cliError.js';
+export * from './cli.js';
+export * from './exitCodes.js';
+export * from './cliHost.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+/** What every binary shares: settings, command line, logs, metrics and bounded JSON parsing. */
+export * from './cli/index.js';
+export * from './json/index.js';
+export * from './logger/index.js';
+export * from './metrics/index.js';
+export * from './settings/index.js';
--- /dev/null
+++ b/packages/runtime/src/json/index.ts
@@ -0,0 +1,2 @@
+/** Parsing of JSON from outside. */
+export * from './parseJson.js';
--- /dev/null
+++ b/packages/runtime/src/logger/index.ts
@@ -0,0 +1,4 @@
+/** Logs. */
+export * from './logger.js';
+export * from './logSettings.js';
+export * from './redact.js';
--- /dev/null
+++ b/packages/runtime/src/metrics/index.ts
@@ -0,0 +1,3 @@
+/** Metrics. */
+export * from './latencyBuckets.js';
+export * from './metrics.js';
--- /dev/null
+++ b/packages/runtime/src/settings/index.ts
@@ -0,0 +1,7 @@
+/** Settings files and secrets. */
+export * from './loadSecret.js';
+export * from './loadSettings.js';
+export * from './maskSecrets.js';
+export * from './nearestKey.js';
+export * from './schemaTree.js';
+export * from './settingsError.js';
--- /dev/null
+++ b/packages/runtime/src/settings/loadSettings.ts
@@ -0,0 +1,59 @@
+import { readFile } from 'node:fs/promises';
+import type { z } from 'zod';
+import { listProblems } from './listProblems.js';
+import { buildSchemaTree } from './schemaTree.js';
+import { SettingsError } from './settingsError.js';
+
+/** Largest settings file that is read, in bytes. */
+const MAX_SETTINGS_BYTES = 4 * 1024 * 1024;
+
+/** How settings are loaded. */
+export interface LoadSettingsOptions {
+  /** Ends the reading. */
+  readonly signal?: AbortSignal;
+}
+
+/** Parses a value by a schema. @throws SettingsError that lists every problem */
+export const parseSettings = <Schema extends z.ZodType>(
+  schema: Schema,
+  value: unknown,
+  source: string,
+): z.output<Schema> => {
+  const result = schema.safeParse(value);
+  if (result.success) return result.data;
+  const problems = listProblems(result.error.issues, value, buildSchemaTree(schema));
+  throw new SettingsError(source, problems);
+};
+
+const failReading = (file: string, found: string, allowed: string): never => {
+  throw new SettingsError(file, [{ path: '', found, allowed }]);
+};
+
+const readSettingsText = async (file: string, options: LoadSettingsOptions): Promise<string> => {
+  try {
+    const text = await readFile(file, { encoding: 'utf8', ...options });
+    if (Buffer.byteLength(text) <= MAX_SETTINGS_BYTES) return text;
+  } catch (error) {
+    const { code } = error as NodeJS.ErrnoException;
+    return failReading(file, `no readable file (${code ?? 'unknown'})`, 'allowed: a JSON file');
+  }
+  return failReading(file, 'a larger file', `allowed: at most ${MAX_SETTINGS_BYTES} bytes`);
+};
+
+const parseSettingsText = (file: string, text: string): unknown => {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch (error) {
+    // The engine's message may quote the text, which may hold a secret; only the place is shown.
+    const place = /position \d+( \(line \d+ column \d+\))?/.exec((error as Error).message)?.[0];
+    return failReading(file, `broken JSON${place ? ` at ${place}` : ''}`, 'allowed: a JSON object');
+  }
+};
+
+/** Reads a JSON settings file. @throws SettingsError that lists every problem */
+export const loadSettings = async <Schema extends z.ZodType>(
+  schema: Schema,
+  file: string,
+  options: LoadSettingsOptions = {},
+): Promise<z.output<Schema>> =>
+  parseSettings(schema, parseSettingsText(file, await readSettingsText(file, options)), file);
