feat(core): fold and edit the configuration table

Cause: every VM needs one table, decided by the log's order alone. Ruled out: last writer wins (an accepted edit could be undone) and saying accepted on the append's answer (the edit may have lost).

--- /dev/null
+++ b/packages/core/src/configTable/compareAndSetFold.ts
@@ -0,0 +1,24 @@
+import type { EditRecord } from './records.js';
+import { findLastEdit, getChangedKey } from './state.js';
+import type { TableState } from './state.js';
+import { TableFold } from './tableFold.js';
+import type { EditRejection } from './tableFold.js';
+import { validateChange } from './validate.js';
+
+/** Accepts an edit only if it was made on the row's last accepted version and is valid. */
+export class CompareAndSetFold extends TableFold {
+  // eslint-disable-next-line class-methods-use-this -- the decision depends on the state alone
+  protected override decide(state: TableState, edit: EditRecord): EditRejection | undefined {
+    const last = findLastEdit(state, getChangedKey(edit.change));
+    if ((last?.offset ?? null) !== edit.baseOffset) {
+      return last
+        ? { reason: 'conflict', beatenBy: last.editId, beatenAt: last.offset }
+        : { reason: 'conflict' };
+    }
+    if (state.invalidEdits.has(edit.editId)) {
+      return { reason: 'invalid', problems: ['the edit was refused before'] };
+    }
+    const problems = validateChange(state, edit.change);
+    return problems.length > 0 ? { reason: 'invalid', problems } : undefined;
+  }
+}
--- a/packages/core/src/configTable/index.ts
+++ b/packages/core/src/configTable/index.ts
@@ -1,2 +1,13 @@
-/** The operators' configuration table. */
+/** The operators' configuration table: its rows, the fold of the log, and the editor. */
+export * from './compareAndSetFold.js';
+export * from './readBackEditor.js';
+export * from './records.js';
+export * from './replica.js';
 export * from './rows.js';
+export * from './snapshotPolicy.js';
+export * from './state.js';
+export * from './tableEditor.js';
+export * from './tableFold.js';
+export * from './tableGapError.js';
+export * from './tableView.js';
+export * from './validate.js';
--- /dev/null
+++ b/packages/core/src/configTable/tableGapError.ts
@@ -0,0 +1,4 @@
+/** Raised where the log has trimmed records that no snapshot covers. */
+export class TableGapError extends Error {
+  override readonly name = 'TableGapError';
+}
