--- a/packages/core/src/configTable/snapshotPolicy.ts
+++ b/packages/core/src/configTable/snapshotPolicy.ts
@@ -1,3 +1,5 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { SNAPSHOT_AGE_SHARE, SNAPSHOT_JITTER_SHARE, SNAPSHOT_TAIL_RECORDS } from './constants.js';
 import type { TableReplica } from './replica.js';
 
@@ -9,6 +11,9 @@
   readonly jitter: number;
 }
 
+/** Draws the share by which a VM's snapshots come later than another's. */
+export const drawSnapshotJitter = (generator: RandomGenerator): number => uniformFloat64(generator);
+
 /** Tells whether a VM should write a snapshot now; one written twice does no harm. */
 export const isSnapshotDue = (
   replica: TableReplica,
--- a/packages/core/src/log/backoff.ts
+++ b/packages/core/src/log/backoff.ts
@@ -1,6 +1,8 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 
+export type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+
 /** Settings of a back-off. */
 export interface BackoffOptions {
   /** Largest first delay, in milliseconds. */
--- /dev/null
+++ b/packages/entry/src/controllers/tableController/index.ts
@@ -0,0 +1,2 @@
+/** Keeps the configuration table current. */
+export * from './tableController.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,5 @@
 /** The entry daemon. */
 export * from './controllers/controller.js';
+export * from './controllers/tableController/index.js';
 export * from './filters/exchange.js';
 export * from './filters/filter.js';
