--- a/packages/core/src/configTable/snapshotPolicy.ts
+++ b/packages/core/src/configTable/snapshotPolicy.ts
@@ -12,7 +12,7 @@
 }
 
 /** Draws the share by which a VM's snapshots come later than another's. */
-export const drawSnapshotJitter = (generator: RandomGenerator): number => uniformFloat64(generator);
+export const pickSnapshotJitter = (generator: RandomGenerator): number => uniformFloat64(generator);
 
 /** Tells whether a VM should write a snapshot now; one written twice does no harm. */
 export const isSnapshotDue = (
--- a/packages/entry/src/controllers/tableController/tableController.ts
+++ b/packages/entry/src/controllers/tableController/tableController.ts
@@ -5,7 +5,7 @@
   createBackoff,
   createConfigTable,
   createSnapshotRecord,
-  drawSnapshotJitter,
+  pickSnapshotJitter,
   isSnapshotDue,
   loadSnapshot,
   sleep,
@@ -68,7 +68,7 @@
     super();
     this.replica = new TableReplica(options.stream);
     this.view = createConfigTable(this.replica.state);
-    this.jitter = drawSnapshotJitter(options.generator);
+    this.jitter = pickSnapshotJitter(options.generator);
   }
 
   /** Newest known table. */
