feat(entry): compose the entry daemon

Cause: the parts existed but no process ran them. Ruled out: a dependency container (the composition is one short function). Conclusion: types and lint pass.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -20,6 +20,13 @@
       'import-x/prefer-default-export': 'off',
       'import-x/no-extraneous-dependencies': 'off',
       'no-await-in-loop': 'off',
+      'class-methods-use-this': 'off',
+      '@typescript-eslint/class-methods-use-this': ['error', { ignoreOverrideMethods: true }],
+      'no-void': ['error', { allowAsStatement: true }],
+      'no-param-reassign': [
+        'error',
+        { props: true, ignorePropertyModificationsFor: ['exchange', 'attempt'] },
+      ],
       'no-restricted-syntax': [
         'error',
         { selector: 'ForInStatement', message: 'Use Object.entries with for...of.' },
--- a/packages/core/src/configTable/compareAndSetFold.ts
+++ b/packages/core/src/configTable/compareAndSetFold.ts
@@ -7,7 +7,7 @@
 
 /** Accepts an edit only if it was made on the row's last accepted version and is valid. */
 export class CompareAndSetFold extends TableFold {
-  // eslint-disable-next-line class-methods-use-this -- the decision depends on the state alone
+   
   protected override decide(state: TableState, edit: EditRecord): EditRejection | undefined {
     const last = findLastEdit(state, getChangedKey(edit.change));
     if ((last?.offset ?? null) !== edit.baseOffset) {
--- a/packages/core/src/configTable/constants.ts
+++ b/packages/core/src/configTable/constants.ts
@@ -1,3 +1,6 @@
+import { toId } from '../ids.js';
+import type { StreamName } from '../ids.js';
+
 /** Time for which a deleted row's offset is remembered, by the log's clock, in milliseconds. */
 export const DELETED_ROW_MEMORY_MS = 24 * 60 * 60 * 1_000;
 
@@ -27,3 +30,6 @@
 
 /** Spread of that age over the VMs, as a share of the log's retention. */
 export const SNAPSHOT_JITTER_SHARE = 0.2;
+
+/** Stream that holds the table. */
+export const CONFIG_STREAM = toId<StreamName>('config');
--- a/packages/core/src/configTable/index.ts
+++ b/packages/core/src/configTable/index.ts
@@ -1,4 +1,5 @@
 /** The operators' configuration table: its rows, the fold of the log, and the editor. */
+export { CONFIG_STREAM } from './constants.js';
 export * from './compareAndSetFold.js';
 export * from './readBackEditor.js';
 export * from './records.js';
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -45,7 +45,7 @@
 });
 
 /** A refusal or failure whose facts are known. */
-export type GoldcrestErrorInstance = InstanceType<typeof GoldcrestError> & ErrorFacts;
+export type GoldcrestErrorInstance = Error & ErrorFacts;
 
 /** Creates an error that tells the caller what happened and how to cure it. */
 export const createError = (message: string, facts: ErrorFacts): GoldcrestErrorInstance =>
--- a/packages/entry/src/config.ts
+++ b/packages/entry/src/config.ts
@@ -1,6 +1,7 @@
 import type { AvailabilityZoneId, VmId } from '@goldcrestscale/core';
+import { logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
 import { z } from 'zod';
-import { ENTRIES_TTL_MS } from './constants.js';
+import { DEFAULT_LOG_RETENTION_MS, ENTRIES_TTL_MS } from './constants.js';
 
 const MAX_PORT = 65_535;
 const MAX_ENTRIES_TTL_MS = 60_000;
@@ -17,16 +18,6 @@
   port: portSchema.describe('TCP port to listen on; 0 picks a free one'),
 });
 
-/** Where a secret comes from; exactly one of the two. */
-const secretSchema = z
-  .union([
-    z.strictObject({ file: z.string().min(1).describe('file that holds the secret') }),
-    z.strictObject({
-      env: z.string().min(1).describe('environment variable that holds the secret'),
-    }),
-  ])
-  .describe('where the secret is read from');
-
 /** Settings file of the entry daemon. */
 export const entrySettingsSchema = z.strictObject({
   vmId: z
@@ -42,19 +33,27 @@
   listen: listenSchema.describe('listener for callers'),
   advertise: addressSchema.describe('address that callers are told to use'),
   operations: listenSchema
-    .extend({ key: secretSchema })
+    .extend({ key: secretReferenceSchema })
     .describe('listener for operators: health, metrics, state'),
   mesh: listenSchema
-    .extend({ advertise: addressSchema, secret: secretSchema })
+    .extend({ advertise: addressSchema, secret: secretReferenceSchema })
     .describe('listener for the other entry VMs'),
   platform: z
     .strictObject({
       logUrl: z.url().describe('append-only log service'),
       vmListUrl: z.url().describe('VM list'),
       weightStoreUrl: z.url().describe('weight store'),
+      logRetentionMs: z
+        .number()
+        .int()
+        .positive()
+        .default(DEFAULT_LOG_RETENTION_MS)
+        .describe('time for which the log keeps records, in milliseconds'),
     })
     .describe("the platform's services"),
-  fleetSecret: secretSchema.describe('secret from which the block keys of all accounts derive'),
+  fleetSecret: secretReferenceSchema.describe(
+    'secret from which the block keys of all accounts derive',
+  ),
   entriesTtlMs: z
     .number()
     .int()
@@ -62,13 +61,7 @@
     .max(MAX_ENTRIES_TTL_MS)
     .default(ENTRIES_TTL_MS)
     .describe('time that callers may keep an answer of /v1/entries, in milliseconds'),
-  log: z
-    .strictObject({
-      level: z.enum(['error', 'warn', 'info', 'debug']).default('info').describe('least severity'),
-      format: z.enum(['json', 'human']).default('json').describe('form of the log lines'),
-    })
-    .prefault({})
-    .describe('logs'),
+  log: logSettingsSchema,
 });
 
 /** Resolved settings of the entry daemon. */
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -33,3 +33,6 @@
 
 /** Time that a caller may take to send its request, in milliseconds. */
 export const REQUEST_TIMEOUT_MS = 30_000;
+
+/** Time for which the platform's log keeps records where the settings say nothing, in milliseconds. */
+export const DEFAULT_LOG_RETENTION_MS = 3_600_000;
--- a/packages/entry/src/controllers/upstreams/upstreamState.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamState.ts
@@ -1,10 +1,5 @@
 import { toId } from '@goldcrestscale/core';
-import type {
-  ConfigTable,
-  UpstreamId,
-  UpstreamView,
-  VmRecord,
-} from '@goldcrestscale/core';
+import type { ConfigTable, UpstreamId, UpstreamView, VmRecord } from '@goldcrestscale/core';
 import { LOAD_EXPIRY_MS } from '../../constants.js';
 import type { LoadReport } from './loadReport.js';
 
@@ -78,9 +73,7 @@
       availabilityZone: vm.availabilityZone,
       bootId: toId(report.bootId),
       ...(report.model === undefined ? {} : { model: toId(report.model) }),
-      ...(report.weightVersion === undefined
-        ? {}
-        : { weightVersion: toId(report.weightVersion) }),
+      ...(report.weightVersion === undefined ? {} : { weightVersion: toId(report.weightVersion) }),
       eligible: this.isEligible(table),
       cold: report.cold,
       running: report.running,
--- a/packages/entry/src/controllers/upstreams/upstreamsController.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamsController.ts
@@ -72,7 +72,9 @@
   }
 
   private updateVms(): void {
-    const vms = this.options.listVms().filter((vm) => vm.role === 'engine' || vm.role === 'service');
+    const vms = this.options
+      .listVms()
+      .filter((vm) => vm.role === 'engine' || vm.role === 'service');
     const listed = new Set<string>(vms.map((vm) => vm.vmId));
     for (const vm of vms) {
       const known = this.states.get(vm.vmId as string as UpstreamId);
--- a/packages/entry/src/dispatch/deadline.ts
+++ b/packages/entry/src/dispatch/deadline.ts
@@ -25,9 +25,7 @@
   const expiry = new AbortController();
   const isBound = exchange.deadlineAtMs !== undefined && !exchange.answer.headSent;
   const remainingMs = (exchange.deadlineAtMs ?? 0) - Date.now();
-  const timer = isBound
-    ? setTimeout(() => expiry.abort(), Math.max(remainingMs, 0))
-    : undefined;
+  const timer = isBound ? setTimeout(() => expiry.abort(), Math.max(remainingMs, 0)) : undefined;
   return {
     signal: AbortSignal.any([exchange.signal, expiry.signal]),
     clear: () => clearTimeout(timer),
--- a/packages/entry/src/filters/deadlineFilter.ts
+++ b/packages/entry/src/filters/deadlineFilter.ts
@@ -5,25 +5,25 @@
 
 const DEADLINE_HEADER = 'x-deadline-ms';
 
+const parseDeadline = (exchange: Exchange): number => {
+  const header = exchange.headers[DEADLINE_HEADER];
+  if (header === undefined) return Infinity;
+  const deadlineMs = Number(header);
+  if (Number.isFinite(deadlineMs) && deadlineMs > 0) return deadlineMs;
+  throw createRefusal(`${DEADLINE_HEADER} must be a positive number of milliseconds.`, {
+    code: 'bad_request',
+    status: 400,
+  });
+};
+
 /** Sets the time by which the answer must have begun: the workload's, or the caller's if shorter. */
 export class DeadlineFilter extends Filter {
   override readonly name = 'deadline';
 
   override async handle(exchange: Exchange, next: NextFilter): Promise<void> {
     const allowedMs = exchange.workload?.deadlineMs ?? Infinity;
-    const wantedMs = this.parseDeadline(exchange);
+    const wantedMs = parseDeadline(exchange);
     exchange.deadlineAtMs = exchange.receivedAtMs + Math.min(allowedMs, wantedMs);
     await next();
   }
-
-  private parseDeadline(exchange: Exchange): number {
-    const header = exchange.headers[DEADLINE_HEADER];
-    if (header === undefined) return Infinity;
-    const deadlineMs = Number(header);
-    if (Number.isFinite(deadlineMs) && deadlineMs > 0) return deadlineMs;
-    throw createRefusal(`${DEADLINE_HEADER} must be a positive number of milliseconds.`, {
-      code: 'bad_request',
-      status: 400,
-    });
-  }
 }
--- a/packages/entry/src/filters/dispatchFilter.ts
+++ b/packages/entry/src/filters/dispatchFilter.ts
@@ -72,6 +72,14 @@
     ? Math.ceil(Buffer.byteLength(exchange.target.prompt) / BYTES_PER_TOKEN)
     : 0;
 
+const canTryAgain = (exchange: Exchange, error: GoldcrestErrorInstance): boolean => {
+  if (exchange.signal.aborted || error.code === 'deadline') return false;
+  if (exchange.deadlineAtMs !== undefined && Date.now() >= exchange.deadlineAtMs) {
+    if (!exchange.answer.headSent) return false;
+  }
+  return canRepeat(error.verdict, exchange.idempotent);
+};
+
 /** Chooses an upstream, sends the request and repeats it as far as its verdict allows. */
 export class DispatchFilter extends Filter {
   override readonly name = 'dispatch';
@@ -94,7 +102,7 @@
       } catch (cause) {
         if (!isGoldcrestError(cause)) throw cause;
         this.noteFailure(exchange, choice, progress, cause);
-        if (count === MAX_ATTEMPTS || !this.canTryAgain(exchange, cause)) throw cause;
+        if (count === MAX_ATTEMPTS || !canTryAgain(exchange, cause)) throw cause;
       }
     }
   }
@@ -158,9 +166,7 @@
   }
 
   private getRunner(exchange: Exchange): AttemptRunner {
-    return exchange.target.kind === 'completion'
-      ? this.options.completions
-      : this.options.services;
+    return exchange.target.kind === 'completion' ? this.options.completions : this.options.services;
   }
 
   private noteFailure(
@@ -174,12 +180,4 @@
     exchange.verdict = combineVerdicts(exchange.verdict, error.verdict);
     this.options.observer.onFailure(exchange, upstream, error);
   }
-
-  private canTryAgain(exchange: Exchange, error: GoldcrestErrorInstance): boolean {
-    if (exchange.signal.aborted || error.code === 'deadline') return false;
-    if (exchange.deadlineAtMs !== undefined && Date.now() >= exchange.deadlineAtMs) {
-      if (!exchange.answer.headSent) return false;
-    }
-    return canRepeat(error.verdict, exchange.idempotent);
-  }
 }
--- /dev/null
+++ b/packages/entry/src/filters/index.ts
@@ -0,0 +1,35 @@
+/** The filters of a request, in their order. */
+import type { ConfigTable } from '@goldcrestscale/core';
+import type { Logger } from '@goldcrestscale/runtime';
+import type { EntryMetrics } from '../metrics.js';
+import { DeadlineFilter } from './deadlineFilter.js';
+import { DispatchFilter } from './dispatchFilter.js';
+import type { DispatchObserver, DispatchOptions } from './dispatchFilter.js';
+import type { Filter } from './filter.js';
+import { IdentifyAccountFilter } from './identifyAccountFilter.js';
+import { VerdictGuardFilter } from './verdictGuardFilter.js';
+import { WeightVersionFilter } from './weightVersionFilter.js';
+
+/** What the chain is built from. */
+export interface FilterOptions {
+  readonly logger: Logger;
+  readonly metrics: EntryMetrics;
+  readonly table: () => ConfigTable;
+  readonly dispatch: Omit<DispatchOptions, 'observer'>;
+}
+
+const createObserver = (metrics: EntryMetrics): DispatchObserver => ({
+  onFirstByte: (exchange) =>
+    metrics.recordFirstByte(exchange.account?.id, Date.now() - exchange.receivedAtMs),
+  onUsage: (exchange, _upstream, usage) => metrics.recordUsage(exchange.account?.id, usage),
+  onFailure: (_exchange, upstream, error) => metrics.recordFailure(upstream.upstreamId, error),
+});
+
+/** Creates the chain, outermost filter first. */
+export const createFilters = (options: FilterOptions): readonly Filter[] => [
+  new VerdictGuardFilter(options.logger, options.metrics),
+  new IdentifyAccountFilter(options.table),
+  new DeadlineFilter(),
+  new WeightVersionFilter(options.table),
+  new DispatchFilter({ ...options.dispatch, observer: createObserver(options.metrics) }),
+];
--- a/packages/entry/src/filters/verdictGuardFilter.ts
+++ b/packages/entry/src/filters/verdictGuardFilter.ts
@@ -1,6 +1,7 @@
 import { combineVerdicts, createError, isGoldcrestError } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
+import type { EntryMetrics } from '../metrics.js';
 import { sendError } from '../http/errorAnswer.js';
 import type { Exchange } from './exchange.js';
 import { Filter } from './filter.js';
@@ -19,13 +20,17 @@
 export class VerdictGuardFilter extends Filter {
   override readonly name = 'verdictGuard';
 
-  constructor(private readonly logger: Logger) {
+  constructor(
+    private readonly logger: Logger,
+    private readonly metrics: EntryMetrics,
+  ) {
     super();
   }
 
   override async handle(exchange: Exchange, next: NextFilter): Promise<void> {
     try {
       await next();
+      this.metrics.recordAnswer(exchange.account?.id, 'ok', exchange.verdict);
     } catch (cause) {
       if (!isGoldcrestError(cause)) {
         this.logger.error('unexpected failure', {
@@ -35,6 +40,7 @@
       }
       const error = toError(cause, exchange);
       const verdict = combineVerdicts(error.verdict, exchange.verdict);
+      this.metrics.recordAnswer(exchange.account?.id, error.code, verdict);
       await sendError(exchange, error, verdict);
     }
   }
--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -24,7 +24,9 @@
 
 const chooseRequestId = (request: IncomingMessage): RequestId => {
   const given = request.headers['x-request-id'];
-  return toId<RequestId>(typeof given === 'string' && REQUEST_ID.test(given) ? given : randomUUID());
+  return toId<RequestId>(
+    typeof given === 'string' && REQUEST_ID.test(given) ? given : randomUUID(),
+  );
 };
 
 const refusePath = (): GoldcrestErrorInstance =>
--- a/packages/entry/src/http/operationsServer.ts
+++ b/packages/entry/src/http/operationsServer.ts
@@ -15,6 +15,11 @@
   onWrongKey(): void;
 }
 
+const OK = 200;
+const UNAUTHORIZED = 401;
+const NOT_FOUND = 404;
+const UNAVAILABLE = 503;
+
 const hash = (value: string): Buffer => createHash('sha256').update(value).digest();
 
 const isAllowed = (request: IncomingMessage, key: string): boolean => {
@@ -46,18 +51,20 @@
   response: ServerResponse,
 ): Promise<void> => {
   const path = (request.url ?? '/').split('?')[0] ?? '/';
-  if (path === '/healthz') return sendJson(response, 200, { status: 'ok' });
-  if (path === '/readyz') {
+  if (path === '/healthz') {
+    sendJson(response, OK, { status: 'ok' });
+  } else if (path === '/readyz') {
     const ready = options.isReady();
-    return sendJson(response, ready ? 200 : 503, { ready });
-  }
-  if (path !== '/state' && path !== '/metrics') return sendJson(response, 404, {});
-  if (!isAllowed(request, options.key)) {
+    sendJson(response, ready ? OK : UNAVAILABLE, { ready });
+  } else if (path !== '/state' && path !== '/metrics') {
+    sendJson(response, NOT_FOUND, {});
+  } else if (isAllowed(request, options.key)) {
+    await answerProtected(options, path, response);
+  } else {
     options.onWrongKey();
     options.logger.warn('wrong operations key', { peer: request.socket.remoteAddress });
-    return sendJson(response, 401, {});
+    sendJson(response, UNAUTHORIZED, {});
   }
-  return answerProtected(options, path, response);
 };
 
 /** Creates the listener that operators use. */
--- a/packages/entry/src/http/parseCompletion.ts
+++ b/packages/entry/src/http/parseCompletion.ts
@@ -49,7 +49,7 @@
   return `${message.role}: ${text}\n`;
 };
 
-const omitReserved = (fields: Record<string, unknown>): Record<string, unknown> =>
+const removeReserved = (fields: Record<string, unknown>): Record<string, unknown> =>
   Object.fromEntries(
     Object.entries(fields).filter(([name]) => !RESERVED_FIELDS.some((one) => one === name)),
   );
@@ -67,7 +67,8 @@
       : completionSchema.safeParse(fields);
   if (!parsed.success) throw refuseBody(describeIssue(parsed.error));
   const { data } = parsed;
-  const prompt = 'messages' in data ? chatSchema.parse(data).messages.map(joinMessage).join('') : '';
+  const prompt =
+    'messages' in data ? chatSchema.parse(data).messages.map(joinMessage).join('') : '';
   return {
     kind: 'completion',
     path,
@@ -75,6 +76,6 @@
     ...(data.adapter === undefined ? {} : { adapter: data.adapter }),
     stream: data.stream ?? false,
     prompt: path === '/v1/completions' ? String(data.prompt) : prompt,
-    fields: omitReserved(data),
+    fields: removeReserved(data),
   };
 };
--- /dev/null
+++ b/packages/entry/src/listen.ts
@@ -0,0 +1,17 @@
+import type { Server } from 'node:http';
+
+/** Address on which a server listens. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Starts listening; rejects where the address is taken. */
+export const listen = (server: Server, { host, port }: ListenAddress): Promise<void> =>
+  new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
--- /dev/null
+++ b/packages/entry/src/metrics.ts
@@ -0,0 +1,61 @@
+import type { ClientAccountId, GoldcrestErrorInstance, Verdict } from '@goldcrestscale/core';
+import type { Metrics } from '@goldcrestscale/runtime';
+import type { TokenUsage } from './upstream/completionPayload.js';
+
+/** Metrics of the entry daemon. */
+export interface EntryMetrics {
+  recordAnswer(accountId: ClientAccountId | undefined, code: string, verdict: Verdict): void;
+  recordFirstByte(accountId: ClientAccountId | undefined, elapsedMs: number): void;
+  recordUsage(accountId: ClientAccountId | undefined, usage: TokenUsage): void;
+  recordFailure(upstreamId: string, error: GoldcrestErrorInstance): void;
+  recordWrongKey(listener: 'operations' | 'mesh'): void;
+}
+
+const UNKNOWN_ACCOUNT = 'unknown';
+
+/** Creates the metrics of the entry daemon in a registry. */
+export const createEntryMetrics = (metrics: Metrics): EntryMetrics => {
+  const answers = metrics.createCounter({
+    name: 'goldcrest_answers_total',
+    help: 'Answers to callers by client account, error code and verdict.',
+    labelNames: ['account', 'code', 'verdict'],
+  });
+  const firstByte = metrics.createLatencyHistogram({
+    name: 'goldcrest_first_byte_ms',
+    help: 'Time from the receipt of a request to the first byte of its answer.',
+    labelNames: ['account'],
+  });
+  const promptTokens = metrics.createCounter({
+    name: 'goldcrest_prompt_tokens_total',
+    help: 'Prompt tokens by client account and whether the engine had them cached.',
+    labelNames: ['account', 'source'],
+  });
+  const failures = metrics.createCounter({
+    name: 'goldcrest_attempt_failures_total',
+    help: 'Failed attempts by upstream, code and verdict.',
+    labelNames: ['upstream', 'code', 'verdict'],
+  });
+  const wrongKeys = metrics.createCounter({
+    name: 'goldcrest_wrong_keys_total',
+    help: 'Requests with a wrong key by listener.',
+    labelNames: ['listener'],
+  });
+  return {
+    recordAnswer: (account, code, verdict) =>
+      answers.inc({ account: account ?? UNKNOWN_ACCOUNT, code, verdict }),
+    recordFirstByte: (account, elapsedMs) =>
+      firstByte.observe({ account: account ?? UNKNOWN_ACCOUNT }, elapsedMs),
+    recordUsage(account, usage) {
+      promptTokens.inc(
+        { account: account ?? UNKNOWN_ACCOUNT, source: 'cached' },
+        usage.cachedTokens,
+      );
+      promptTokens.inc(
+        { account: account ?? UNKNOWN_ACCOUNT, source: 'computed' },
+        usage.promptTokens - usage.cachedTokens,
+      );
+    },
+    recordFailure: (upstream, { code, verdict }) => failures.inc({ upstream, code, verdict }),
+    recordWrongKey: (listener) => wrongKeys.inc({ listener }),
+  };
+};
--- a/packages/entry/src/repeat.ts
+++ b/packages/entry/src/repeat.ts
@@ -1,21 +1,4 @@
-/** Waits for a time; resolves early when the signal aborts. */
-export const sleep = (waitMs: number, signal: AbortSignal): Promise<void> =>
-  new Promise((resolve) => {
-    if (signal.aborted) {
-      resolve();
-      return;
-    }
-    const listener = new AbortController();
-    const timer = setTimeout(() => {
-      listener.abort();
-      resolve();
-    }, waitMs);
-    const cancel = (): void => {
-      clearTimeout(timer);
-      resolve();
-    };
-    signal.addEventListener('abort', cancel, { once: true, signal: listener.signal });
-  });
+import { sleep } from '@goldcrestscale/core';
 
 /** Repeats work with a pause before each run until the signal aborts; failures do not end it. */
 export const repeatUntilAborted = async (
@@ -24,7 +7,14 @@
   signal: AbortSignal,
 ): Promise<void> => {
   while (!signal.aborted) {
-    await sleep(pauseMs, signal);
+    await sleep(pauseMs, signal).catch(() => undefined);
     if (!signal.aborted) await work().catch(() => undefined);
   }
 };
+
+/** Resolves once the signal has aborted. */
+export const waitForAbort = (signal: AbortSignal): Promise<void> =>
+  new Promise((resolve) => {
+    if (signal.aborted) resolve();
+    else signal.addEventListener('abort', () => resolve(), { once: true });
+  });
--- a/packages/entry/src/upstream/upstreamClient.ts
+++ b/packages/entry/src/upstream/upstreamClient.ts
@@ -30,7 +30,10 @@
    *
    * @throws GoldcrestError with the verdict on the attempt
    */
-  send(upstream: Pick<UpstreamView, 'address' | 'upstreamId'>, call: UpstreamCall): Promise<UpstreamAnswer>;
+  send(
+    upstream: Pick<UpstreamView, 'address' | 'upstreamId'>,
+    call: UpstreamCall,
+  ): Promise<UpstreamAnswer>;
   /** Closes the connections. */
   close(): Promise<void>;
 }
@@ -85,7 +88,7 @@
       try {
         const response = await request(`http://${upstream.address}${call.path}`, {
           dispatcher: agent,
-          method: call.method as Dispatcher.HttpMethod,
+          method: call.method,
           headers: { ...call.headers, 'x-attempt-id': call.attemptId },
           body: call.body ?? null,
           signal: call.signal,
