feat(prefix): index who holds which block

Cause: routing needs to know where a returning prompt's blocks lie, from cache events that come late, crossed, twice and with gaps. Ruled out: a Map of Sets (several hundred bytes a location); a strict replicated index, since a wrong hint costs only time. Change: LocationTable (typed arrays, bounded; drops the least recently used locations of accounts above an even share), PrefixIndex with trust learned from reported usage, CacheEventFeed (a gap is asked for once, then distrusted; new boot clears), rendezvous ownership with 3 copies.

--- a/packages/core/src/prefix/constants.ts
+++ b/packages/core/src/prefix/constants.ts
@@ -21,3 +21,33 @@
 
 /** Bytes of an account secret. */
 export const ACCOUNT_SECRET_BYTES = 32;
+
+/** Most locations that an index holds unless told otherwise. */
+export const DEFAULT_MAX_LOCATIONS = 1_000_000;
+
+/** Slots of a new location table. */
+export const INITIAL_TABLE_SLOTS = 1024;
+
+/** Share of used slots above which a location table is rebuilt. */
+export const MAX_TABLE_LOAD = 0.75;
+
+/** Share of the locations that one pruning drops. */
+export const PRUNE_SHARE = 1 / 16;
+
+/** Locations looked at to find the age limit of a pruning. */
+export const PRUNE_SAMPLES = 2048;
+
+/** Factor on a holder's trust for each gap in its events that asking again did not fill. */
+export const GAP_TRUST_FACTOR = 0.7;
+
+/** Weight of one usage report in a holder's trust. */
+export const TRUST_LEARN_RATE = 0.1;
+
+/** Least trust in a holder; lets it recover by reports. */
+export const MIN_TRUST = 0.05;
+
+/** Earlier boots of an upstream whose late events are still recognised. */
+export const REMEMBERED_BOOTS = 8;
+
+/** Copies of each index entry in a fleet. */
+export const INDEX_COPIES = 3;
