feat(tiering): plan exports, imports and drops at store VMs

Cause: gaps outlast accelerator memory, so blocks must be kept at store VMs behind limited links, and a freed or half-written block must never be read. Ruled out: keeping by last use alone (does not tell workloads with other gaps apart); looking at a block's state only before the read. Change: ReturnModel (life table of gaps a workload), VisitTracker, StoreCatalog (drops the least expected returns x work / bytes of a sample), LinkBudget (imports at once, exports within a share behind them), TieringPlanner with two copies, SingleFlight, VerifyingBlockReader (length, checksum, generation, incarnation and state after the read), BlockReclaimer (tombstone, grace, delete). Five block failures are refused by the verifying reader, and the naive reader hands out wrong bytes in each of them.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,4 +6,5 @@
 export * from './membership/index.js';
 export * from './prefix/index.js';
 export * from './routing/index.js';
+export * from './tiering/index.js';
 export * from './verdict.js';
--- /dev/null
+++ b/packages/core/src/tiering/index.ts
@@ -0,0 +1,13 @@
+/** What is kept at store VMs, and how it is read back safely. */
+export * from './blockFaultError.js';
+export * from './blockReader.js';
+export * from './blockReclaimer.js';
+export * from './blockSeal.js';
+export * from './exportQueue.js';
+export * from './linkBudget.js';
+export * from './returnModel.js';
+export * from './singleFlight.js';
+export * from './storeCatalog.js';
+export * from './tieringPlanner.js';
+export * from './verifyingBlockReader.js';
+export * from './visitTracker.js';
--- /dev/null
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -0,0 +1,267 @@
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { BlockKey, UpstreamId, WorkloadId } from '../ids.js';
+import type { ImportSource, StoredCopy } from '../routing/importPlan.js';
+import type { PromptBlock } from '../routing/router.js';
+import type { StoredBlock } from './blockSeal.js';
+import {
+  BLOCK_COPIES,
+  IMPORT_OVERHEAD_MS,
+  MIN_EXPORT_RETURN,
+  SECOND_COPY_FILL,
+  SECOND_COPY_VALUE,
+} from './constants.js';
+import { ExportQueue } from './exportQueue.js';
+import type { ExportCandidate } from './exportQueue.js';
+import { LinkBudget } from './linkBudget.js';
+import type { LinkTransfer } from './linkBudget.js';
+import { ReturnModel } from './returnModel.js';
+import { StoreCatalog } from './storeCatalog.js';
+import type { CatalogEntry, StoreView } from './storeCatalog.js';
+import { VisitTracker } from './visitTracker.js';
+
+/** An order to copy a block from an upstream to a store VM. */
+export interface ExportOrder {
+  readonly candidate: ExportCandidate;
+  readonly storeId: UpstreamId;
+  /** Blocks to free first. */
+  readonly drops: readonly StoredBlock[];
+  readonly transfer: LinkTransfer;
+}
+
+/** Options of a planner. */
+export interface TieringPlannerOptions {
+  readonly random: RandomGenerator;
+  /** Bytes of the KV cache of one token. */
+  readonly bytesPerToken: number;
+}
+
+interface Store {
+  readonly catalog: StoreCatalog;
+  readonly link: LinkBudget;
+}
+
+/**
+ * Decides what goes to the store VMs, what is dropped there, and tells routing what can be
+ * imported and how fast. A block's value is its expected returns times the work of recomputing
+ * it, over its bytes. Prompts import at once; exports follow behind them.
+ */
+export class TieringPlanner implements ImportSource {
+  readonly returns = new ReturnModel();
+
+  private readonly visits = new VisitTracker(this.returns);
+
+  private readonly stores = new Map<UpstreamId, Store>();
+
+  private readonly queue = new ExportQueue();
+
+  /** Blocks under export, so that no block is copied twice to one store VM at once. */
+  private readonly exporting = new Set<string>();
+
+  constructor(private readonly options: TieringPlannerOptions) {}
+
+  /** Takes in the newest view of a store VM. */
+  updateStore(view: StoreView): void {
+    const known = this.stores.get(view.storeId);
+    if (known) {
+      known.catalog.view = view;
+      known.link.applyReport(view.linkBytesPerSecond, view.activeTransfers);
+      return;
+    }
+    const link = new LinkBudget(view.linkBytesPerSecond);
+    this.stores.set(view.storeId, { catalog: new StoreCatalog(view), link });
+  }
+
+  removeStore(storeId: UpstreamId): void {
+    this.stores.delete(storeId);
+  }
+
+  getCatalog(storeId: UpstreamId): StoreCatalog | undefined {
+    return this.stores.get(storeId)?.catalog;
+  }
+
+  /** Removes what waits for export from an upstream that lost its cache. */
+  removeUpstream(upstreamId: UpstreamId): void {
+    this.queue.removeUpstream(upstreamId);
+  }
+
+  listCopies(key: BlockKey): readonly StoredCopy[] {
+    const copies: StoredCopy[] = [];
+    for (const { catalog } of this.stores.values()) {
+      const block = catalog.usable ? catalog.get(key)?.block : undefined;
+      if (block) copies.push({ storeId: block.storeId, name: block.name, bytes: block.length });
+    }
+    return copies;
+  }
+
+  estimateImportMs(storeId: UpstreamId, _upstreamId: UpstreamId, bytes: number): number {
+    const store = this.stores.get(storeId);
+    if (!store?.catalog.usable) return Number.POSITIVE_INFINITY;
+    return store.link.estimateMs(bytes) + IMPORT_OVERHEAD_MS;
+  }
+
+  /** Notes that a prompt came: learns its gap and marks its stored blocks as used. */
+  noteVisit(workloadId: WorkloadId, blocks: readonly PromptBlock[]): void {
+    this.visits.noteVisit(workloadId, blocks);
+    const nowMs = Date.now();
+    for (const { key } of blocks) {
+      for (const { catalog } of this.stores.values()) {
+        const entry = catalog.get(key);
+        if (entry) entry.lastUsedMs = nowMs;
+      }
+    }
+  }
+
+  /** Notes that an upstream now holds a prompt's blocks, and queues those worth storing. */
+  noteHeld(upstreamId: UpstreamId, workloadId: WorkloadId, blocks: readonly PromptBlock[]): void {
+    const queuedAtMs = Date.now();
+    blocks.forEach(({ key, tokens }, position) => {
+      if (this.countCopies(key) >= Math.min(BLOCK_COPIES, this.stores.size)) return;
+      const bytes = tokens * this.options.bytesPerToken;
+      this.queue.add({ key, upstreamId, workloadId, position, tokens, bytes, queuedAtMs });
+    });
+  }
+
+  /** Takes the most valuable export that a link has room for now; undefined where there is none. */
+  takeNextExport(): ExportOrder | undefined {
+    for (const candidate of this.queue.rank((one) => this.weighCandidate(one))) {
+      const order = this.planExport(candidate);
+      if (order) return order;
+    }
+    return undefined;
+  }
+
+  /** Ends an export; `block` is the committed one where it succeeded. */
+  finishExport(order: ExportOrder, block: StoredBlock | undefined): void {
+    const { candidate, storeId, transfer } = order;
+    this.exporting.delete(`${storeId}/${candidate.key}`);
+    const store = this.stores.get(storeId);
+    if (!store) return;
+    store.link.finish(transfer, block !== undefined);
+    store.catalog.release(candidate.bytes);
+    store.catalog.noteOutcome(block !== undefined);
+    if (!block) return;
+    const { workloadId, position, tokens } = candidate;
+    store.catalog.add({ block, workloadId, position, tokens, lastUsedMs: candidate.queuedAtMs });
+    if (this.countCopies(candidate.key) < Math.min(BLOCK_COPIES, this.stores.size)) {
+      this.queue.add(candidate);
+    }
+  }
+
+  /** Starts an import over a store VM's link. */
+  beginImport(storeId: UpstreamId, bytes: number): LinkTransfer | undefined {
+    return this.stores.get(storeId)?.link.beginImport(bytes);
+  }
+
+  /** Ends an import; blocks that failed verification or are gone leave the catalog. */
+  finishImport(
+    storeId: UpstreamId,
+    transfer: LinkTransfer,
+    succeeded: boolean,
+    faulty: readonly BlockKey[] = [],
+  ): void {
+    const store = this.stores.get(storeId);
+    store?.link.finish(transfer, succeeded);
+    store?.catalog.noteOutcome(succeeded);
+    faulty.forEach((key) => store?.catalog.remove(key));
+  }
+
+  /** Lists the stored blocks with the best prospect of a return, for an upstream that warms up. */
+  planWarmUp(count: number): CatalogEntry[] {
+    const best = new Map<BlockKey, { entry: CatalogEntry; value: number }>();
+    for (const { catalog } of this.stores.values()) {
+      if (catalog.usable) {
+        catalog.list().forEach((entry) => {
+          best.set(entry.block.key, { entry, value: this.computeValue(entry) });
+        });
+      }
+    }
+    return [...best.values()]
+      .sort((left, right) => right.value - left.value)
+      .slice(0, count)
+      .map(({ entry }) => entry)
+      .sort((left, right) => left.position - right.position);
+  }
+
+  /** Gives counts for the state dump. */
+  dump(): unknown {
+    return {
+      waitingExports: this.queue.size,
+      runningExports: this.exporting.size,
+      stores: [...this.stores.values()].map(({ catalog, link }) => ({
+        storeId: catalog.view.storeId,
+        usable: catalog.usable,
+        blocks: catalog.size,
+        usedBytes: catalog.usedBytes,
+        capacityBytes: catalog.view.capacityBytes,
+        linkBytesPerSecond: Math.round(link.bytesPerSecond),
+      })),
+    };
+  }
+
+  private countCopies(key: BlockKey): number {
+    let copies = 0;
+    for (const { catalog } of this.stores.values()) {
+      if (catalog.usable && catalog.get(key)) copies += 1;
+    }
+    return copies;
+  }
+
+  private computeValue(entry: CatalogEntry): number {
+    const idleMs = Date.now() - entry.lastUsedMs;
+    const { returnsPerHour } = this.returns.estimateReturn(entry.workloadId, idleMs);
+    return (returnsPerHour * entry.tokens) / entry.block.length;
+  }
+
+  private weighCandidate(candidate: ExportCandidate): number {
+    const idleMs = Date.now() - candidate.queuedAtMs;
+    const prospect = this.returns.estimateReturn(candidate.workloadId, idleMs);
+    if (prospect.probability < MIN_EXPORT_RETURN) return 0;
+    const factor = this.countCopies(candidate.key) > 0 ? SECOND_COPY_VALUE : 1;
+    return (prospect.returnsPerHour * candidate.tokens * factor) / candidate.bytes;
+  }
+
+  private planExport(candidate: ExportCandidate): ExportOrder | undefined {
+    const value = this.weighCandidate(candidate);
+    const isSecond = this.countCopies(candidate.key) > 0;
+    if (value === 0) this.queue.delete(candidate.key);
+    for (const [storeId, { catalog, link }] of this.rankStores()) {
+      const flight = `${storeId}/${candidate.key}`;
+      const isWanted =
+        value > 0 && catalog.usable && !catalog.get(candidate.key) && !this.exporting.has(flight);
+      const drops = isWanted
+        ? this.planDrops(catalog, candidate.bytes, value, isSecond)
+        : undefined;
+      const transfer = drops && link.tryBeginExport(candidate.bytes);
+      if (drops && transfer) {
+        drops.forEach(({ key }) => catalog.remove(key));
+        catalog.reserve(candidate.bytes);
+        this.exporting.add(flight);
+        this.queue.delete(candidate.key);
+        return { candidate, storeId, drops, transfer };
+      }
+    }
+    return undefined;
+  }
+
+  private rankStores(): [UpstreamId, Store][] {
+    const getFill = ({ catalog }: Store): number => catalog.usedBytes / catalog.view.capacityBytes;
+    return [...this.stores].sort(([, left], [, right]) => getFill(left) - getFill(right));
+  }
+
+  /** Plans what makes room for a block; undefined where all that is stored is worth more. */
+  private planDrops(
+    catalog: StoreCatalog,
+    bytes: number,
+    value: number,
+    isSecond: boolean,
+  ): StoredBlock[] | undefined {
+    if (catalog.hasRoom(bytes, isSecond ? SECOND_COPY_FILL : 1)) return [];
+    if (isSecond) return undefined;
+    const least = catalog.findLeastValuable(this.options.random, (entry) => {
+      const factor = this.countCopies(entry.block.key) > 1 ? SECOND_COPY_VALUE : 1;
+      return this.computeValue(entry) * factor;
+    });
+    if (!least || least.value >= value || least.entry.block.length < bytes) return undefined;
+    return [least.entry.block];
+  }
+}
