feat(standin): add store VMs, KV transfer, orders and the cold fall of services

Cause: tiering, orders and at-most-once need upstreams that stage imports, check fencing numbers, lose memory and fall over when they are cold. Ruled out: a real file for the disk tier (a second capacity with its own link speed shows the same); restoring contents with an old manifest (a deleted block's memory is reused at once, so that a reader without checks gets it). Change: the store role with two tiers and a shared link; export and import over a stage; orders with fencing; weight loads that share the store's speed.

--- a/packages/standin/src/engine/completionHandler.ts
+++ b/packages/standin/src/engine/completionHandler.ts
@@ -57,7 +57,7 @@
 
   private refuse(request: CompletionRequest): Reply | undefined {
     const { state } = this;
-    if (request.model !== state.settings.model) {
+    if (request.model !== state.model) {
       return buildErrorReply(404, 'unknown_model', notRun);
     }
     if (request.weightVersion && request.weightVersion !== state.weightVersion) {
--- a/packages/standin/src/engine/engineRole.ts
+++ b/packages/standin/src/engine/engineRole.ts
@@ -3,7 +3,9 @@
 import { CompletionHandler } from './completionHandler.js';
 import type { EngineSettings } from './engineSettings.js';
 import { EngineState } from './engineState.js';
+import { KvHandler } from './kvHandler.js';
 import { LoadReporter } from './loadReporter.js';
+import { OrderHandler } from './orderHandler.js';
 
 /** Model engine: completions, load reports and cache events. */
 export class EngineRole implements StandInRole {
@@ -21,6 +23,8 @@
     const load = new LoadReporter(this.state);
     this.routes = [
       ...new CompletionHandler(this.state).routes,
+      ...new KvHandler(this.state).routes,
+      ...new OrderHandler(this.state).routes,
       { method: 'GET', path: '/load', handle: () => ({ status: 200, body: load.report() }) },
       { method: 'GET', path: '/events', handle: (request) => this.listEvents(request.query) },
       { method: 'GET', path: '/counts', handle: () => this.reportCounts() },
--- a/packages/standin/src/engine/engineState.ts
+++ b/packages/standin/src/engine/engineState.ts
@@ -20,6 +20,8 @@
   promptTokens: number;
   cachedTokens: number;
   falls: number;
+  ordersAccepted: number;
+  ordersRefused: number;
   /** Prompts served from a block whose bytes were not those of its key. */
   wrongBlockReads: number;
   /** Runs by the caller's reference. */
@@ -30,6 +32,8 @@
 export class EngineState {
   bootId: string = randomUUID();
 
+  model: string;
+
   weightVersion: string;
 
   readonly adapters: Set<string>;
@@ -58,11 +62,14 @@
     promptTokens: 0,
     cachedTokens: 0,
     falls: 0,
+    ordersAccepted: 0,
+    ordersRefused: 0,
     wrongBlockReads: 0,
     runs: new Map(),
   };
 
   constructor(readonly settings: EngineSettings) {
+    this.model = settings.model;
     this.weightVersion = settings.weightVersion;
     this.adapters = new Set(settings.adapters);
     this.role = settings.role;
@@ -86,9 +93,10 @@
     return this.loading ? 'loading' : 'serving';
   }
 
-  /** Swaps the weights; blocks of the old version are dropped. */
-  setWeightVersion(version: string): void {
-    if (version === this.weightVersion) return;
+  /** Swaps the weights; blocks of the old ones are dropped. */
+  setModel(model: string, version: string): void {
+    if (model === this.model && version === this.weightVersion) return;
+    this.model = model;
     this.weightVersion = version;
     this.cache.clear();
   }
--- a/packages/standin/src/engine/loadReporter.ts
+++ b/packages/standin/src/engine/loadReporter.ts
@@ -24,7 +24,7 @@
     return {
       bootId: state.bootId,
       state: state.activity,
-      model: settings.model,
+      model: state.model,
       weightVersion: state.weightVersion,
       adapters: [...state.adapters],
       role: state.role,
--- a/packages/standin/src/roles.ts
+++ b/packages/standin/src/roles.ts
@@ -4,6 +4,7 @@
 import type { StandInRole } from './http/index.js';
 import { LogRole } from './log/index.js';
 import { ServiceRole } from './service/index.js';
+import { StoreRole, storeSettingsSchema } from './store/index.js';
 import { VmListRole } from './vmList/index.js';
 import { WeightStoreRole } from './weights/index.js';
 
@@ -31,6 +32,7 @@
   vmlist: (settings) => new VmListRole(vmListSettingsSchema.parse(settings).vms),
   weights: (settings) => new WeightStoreRole(weightStoreSettingsSchema.parse(settings).loadMs),
   engine: (settings) => new EngineRole(engineSettingsSchema.parse(settings)),
+  store: (settings) => new StoreRole(storeSettingsSchema.parse(settings)),
   service: (settings) => new ServiceRole(serviceSettingsSchema.parse(settings)),
 };
 
--- a/packages/standin/src/service/serviceRole.ts
+++ b/packages/standin/src/service/serviceRole.ts
@@ -3,8 +3,6 @@
 import { buildErrorReply, FaultSet } from '../http/index.js';
 import type { Reply, Route, RouteRequest, StandInRole } from '../http/index.js';
 
-const COLD_COMPLETIONS = 5;
-
 const defaultFaults = { loseAnswers: 0, resetBeforeRun: 0, delayMs: 0, restart: false };
 
 /** Faults of the plain service. */
@@ -14,6 +12,8 @@
 export interface ServiceSettings {
   readonly maxConcurrent: number;
   readonly coldConcurrent: number;
+  /** Calls after which it is warm. */
+  readonly coldCompletions: number;
   /** Time that one call takes, in milliseconds. */
   readonly workMs: number;
 }
@@ -28,8 +28,7 @@
   readonly faults = new FaultSet<ServiceFaults>(defaultFaults, (faults) => {
     if (!faults.restart) return;
     this.faults.set('restart', false);
-    this.bootId = randomUUID();
-    this.completed = 0;
+    this.reset();
   });
 
   readonly routes: readonly Route[] = [
@@ -41,7 +40,10 @@
     {
       method: 'GET',
       path: '/counts',
-      handle: () => ({ status: 200, body: { runs: Object.fromEntries(this.runs) } }),
+      handle: () => ({
+        status: 200,
+        body: { runs: Object.fromEntries(this.runs), falls: this.falls },
+      }),
     },
   ];
 
@@ -51,6 +53,8 @@
 
   private running = 0;
 
+  private falls = 0;
+
   private readonly calls = new Map<string, StoredCall>();
 
   private readonly runs = new Map<string, number>();
@@ -88,18 +92,38 @@
       request.drop();
       return undefined;
     }
+    if (this.cold && this.running >= this.settings.coldConcurrent) {
+      this.falls += 1;
+      this.reset();
+      request.drop();
+      return undefined;
+    }
+    const { bootId } = this;
     this.running += 1;
     const reply = work();
     await sleep(this.settings.workMs + this.faults.current.delayMs);
-    this.running -= 1;
-    this.completed += 1;
-    if (this.faults.takeOne('loseAnswers')) {
+    if (bootId === this.bootId) {
+      this.running -= 1;
+      this.completed += 1;
+    }
+    if (bootId !== this.bootId || this.faults.takeOne('loseAnswers')) {
       request.drop();
       return undefined;
     }
     return reply;
   }
 
+  private get cold(): boolean {
+    return this.completed < this.settings.coldCompletions;
+  }
+
+  /** Falls over: drops every call that runs and starts again cold. */
+  private reset(): void {
+    this.bootId = randomUUID();
+    this.completed = 0;
+    this.running = 0;
+  }
+
   private reportLoad(): Reply {
     const { maxConcurrent, coldConcurrent } = this.settings;
     return {
@@ -107,7 +131,7 @@
       body: {
         bootId: this.bootId,
         state: 'serving',
-        cold: this.completed < COLD_COMPLETIONS,
+        cold: this.cold,
         running: this.running,
         waiting: 0,
         maxConcurrent,
--- /dev/null
+++ b/packages/standin/src/store/index.ts
@@ -0,0 +1,3 @@
+/** Store VM. */
+export * from './storeRole.js';
+export * from './storeSettings.js';
