--- a/scripts/site/httpJson.ts
+++ b/scripts/site/httpJson.ts
@@ -1,3 +1,5 @@
+import { fetch } from 'undici';
+
 /** Sends a JSON request to a process of the site and gives the JSON answer. */
 export const requestJson = async <Value = unknown>(
   url: string,
--- a/scripts/site/siteProcess.ts
+++ b/scripts/site/siteProcess.ts
@@ -1,6 +1,7 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
+import { fetch } from 'undici';
 
 const MAX_OUTPUT_BYTES = 200_000;
 
