feat(scripts): add open-loop traffic of returning conversations

Cause: the demo needs both users' workloads with answers checked whole. Ruled out: judging unrepeatable calls by what callers saw alone; the ledger compares it with the service's own counts. Conclusion: to be driven by the demo.

--- a/scripts/site/callers/index.ts
+++ b/scripts/site/callers/index.ts
@@ -3,3 +3,6 @@
 export * from './caller.js';
 export * from './entryDirectory.js';
 export * from './idempotencyKey.js';
+export * from './conversation.js';
+export * from './ledger.js';
+export * from './trafficSource.js';
