test(runtime): cover settings, logs, metrics, JSON and the command line

Ruled out: spawning a binary for signals and exit codes; runCommand takes a host, so they run in-process. Change: table and property tests; the redaction guard now matches camel-case names such as clientSecret, which the test of names caught, and text of the human form can't break a line.

--- a/packages/runtime/src/logger/logger.ts
+++ b/packages/runtime/src/logger/logger.ts
@@ -46,13 +46,16 @@
 
 type Level = LogSettings['level'];
 
+const formatFact = (value: unknown): string =>
+  typeof value === 'string' && /^\S+$/.test(value) ? value : JSON.stringify(value);
+
 const formatHumanLine = (info: winston.Logform.TransformableInfo): string => {
   const { timestamp, level, message, ...fields } = info;
   const facts = Object.entries(fields)
     .filter(([name, value]) => name !== 'part' && value !== undefined)
-    .map(([name, value]) => ` ${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`)
+    .map(([name, value]) => ` ${name}=${formatFact(value)}`)
     .join('');
-  return `${String(timestamp)} ${level} ${String(message)}${facts}`;
+  return `${String(timestamp)} ${level} ${String(message).replaceAll('\n', '\\n')}${facts}`;
 };
 
 const createFormat = (format: LogSettings['format']): winston.Logform.Format =>
--- a/packages/runtime/src/logger/redact.ts
+++ b/packages/runtime/src/logger/redact.ts
@@ -9,7 +9,9 @@
 const SHORTEST_SECRET_CHARS = 6;
 
 const PRIVATE_NAME =
-  /^(prompts?|messages|input|content|body|text|answer|completion|authorization|cookie|blocks?)$|(secret|password|passphrase|api_?keys?|[a-z]Keys?|_keys?|^keys?|token)$/;
+  /^(prompts?|messages|input|content|body|text|answer|completion|authorization|cookie|blocks?|keys?)$/i;
+const PRIVATE_ENDING = /((secret|password|passphrase|token|apikeys?)|[-_]keys?)$/i;
+const PRIVATE_CAMEL_ENDING = /[a-z]Keys?$/;
 const KEY_PATTERN = new RegExp(`(${API_KEY_PREFIX}[\\w-]+)|(Bearer\\s+\\S+)|(\\bsk-[\\w-]+)`, 'gi');
 
 const secrets = new Set<string>();
@@ -31,7 +33,8 @@
 };
 
 /** Tells whether a field of this name may hold a prompt, an answer or a key. */
-export const isPrivateName = (name: string): boolean => PRIVATE_NAME.test(name);
+export const isPrivateName = (name: string): boolean =>
+  [PRIVATE_NAME, PRIVATE_ENDING, PRIVATE_CAMEL_ENDING].some((pattern) => pattern.test(name));
 
 const redactError = (error: Error): unknown => ({
   name: error.name,
