feat(ctl): add goldcrestctl, the operators' tool

Cause: operators need to edit the table, take zones and upstreams out, make account keys and read the state of an entry. Ruled out: going through an entry VM (the tool folds the log by itself and works with no VM up); a base offset taken at the time of the edit, which the race test shows to overwrite a rival. Change: commands get, set, apply, diff, delete, zone, upstream, account, watch, state, entries; a TableClient over the log; table files with references first; accepted is printed after read-back only, a loser is told the winning edit and offset with exit code 3. The hint for a mistyped name also covers two exchanged letters. A naive client that takes the newest version as its base fails the race check.

--- /dev/null
+++ b/packages/ctl/src/config.ts
@@ -0,0 +1,44 @@
+import { z } from 'zod';
+import { logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
+import { DEFAULT_EDIT_TIMEOUT_MS, TABLE_STREAM } from './constants.js';
+
+const addressSchema = z
+  .string()
+  .regex(/^[\w.:[\]-]+:\d{1,5}$/, 'use HOST:PORT, for example "10.0.0.4:8080"');
+
+/** Settings file of goldcrestctl. */
+export const ctlSettingsSchema = z.strictObject({
+  platform: z
+    .strictObject({
+      logUrl: z.url().describe('Address of the append-only log service.'),
+      tableStream: z
+        .string()
+        .min(1)
+        .default(TABLE_STREAM)
+        .describe('Stream of the log that holds the configuration table.'),
+    })
+    .optional()
+    .describe('Services of the platform; needed by every command on the table.'),
+  entries: z
+    .array(addressSchema)
+    .default([])
+    .describe('Addresses of entry VMs that `entries` asks, in order.'),
+  operations: z
+    .strictObject({
+      address: addressSchema.describe("Address of an entry's operations listener."),
+      key: secretReferenceSchema.describe('Key of the operations listener.'),
+    })
+    .optional()
+    .describe('Operations listener that `state` reads.'),
+  editTimeoutMs: z
+    .number()
+    .int()
+    .min(100)
+    .max(600_000)
+    .default(DEFAULT_EDIT_TIMEOUT_MS)
+    .describe('Time that an edit may take until it is read back, in milliseconds.'),
+  log: logSettingsSchema,
+});
+
+/** Resolved settings of goldcrestctl. */
+export type CtlSettings = z.output<typeof ctlSettingsSchema>;
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+/** The operators' tool. */
+export * from './commands/index.js';
+export * from './config.js';
+export * from './constants.js';
+export * from './program.js';
+export * from './table/index.js';
--- /dev/null
+++ b/packages/ctl/src/output/index.ts
@@ -0,0 +1,3 @@
+/** What goldcrestctl prints. */
+export * from './formatTable.js';
+export * from './printer.js';
--- /dev/null
+++ b/packages/ctl/src/table/rowFields.ts
@@ -0,0 +1,58 @@
+import { rowSchema } from '@goldcrestscale/core';
+import type { Row, RowKind } from '@goldcrestscale/core';
+import { buildSchemaTree, CliError, exitCodes, parseSettings } from '@goldcrestscale/runtime';
+import type { SchemaNode } from '@goldcrestscale/runtime';
+import { z } from 'zod';
+
+/** Values of a row before the schema has checked them. */
+export type RowFields = Readonly<Record<string, unknown>>;
+
+const FIXED_FIELDS: ReadonlySet<string> = new Set(['kind', 'id']);
+
+const schemaByKind = new Map(rowSchema.options.map((schema) => [schema.shape.kind.value, schema]));
+
+const getRowSchema = (kind: RowKind): z.ZodType<Row> => schemaByKind.get(kind) as z.ZodType<Row>;
+
+/** Parses the fields of a row. @throws SettingsError that lists every problem */
+export const parseRow = (kind: RowKind, fields: RowFields, source: string): Row =>
+  parseSettings(getRowSchema(kind), { ...fields, kind }, source);
+
+const parseFieldValue = (text: string, node: SchemaNode | undefined): unknown => {
+  if (node?.type === 'string') return text;
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return text;
+  }
+};
+
+const failField = (message: string): never => {
+  throw new CliError(message, exitCodes.usage);
+};
+
+/**
+ * Parses "field=value" arguments; an empty value removes the field.
+ *
+ * @throws CliError `usage`
+ */
+export const parseFields = (kind: RowKind, args: readonly string[]): Map<string, unknown> => {
+  const properties = buildSchemaTree(getRowSchema(kind)).properties ?? {};
+  const fields = new Map<string, unknown>();
+  for (const arg of args) {
+    const [name = '', ...rest] = arg.split('=');
+    if (rest.length === 0 || name === '') failField(`"${arg}" is no field; use FIELD=VALUE`);
+    if (FIXED_FIELDS.has(name)) failField(`"${name}" can't be set; delete and create the row`);
+    const text = rest.join('=');
+    const node = Object.entries(properties).find(([known]) => known === name)?.[1];
+    fields.set(name, text === '' ? undefined : parseFieldValue(text, node));
+  }
+  return fields;
+};
+
+/** Merges fields into a row; an undefined value removes the field. */
+export const mergeFields = (row: RowFields, fields: ReadonlyMap<string, unknown>): RowFields =>
+  Object.fromEntries(
+    [...Object.entries(row).filter(([name]) => !fields.has(name)), ...fields].filter(
+      ([, value]) => value !== undefined,
+    ),
+  );
--- a/packages/runtime/src/settings/nearestKey.ts
+++ b/packages/runtime/src/settings/nearestKey.ts
@@ -1,6 +1,9 @@
 /** Largest edit distance at which a known key still counts as a likely meaning, as a share of its length. */
 const LARGEST_DISTANCE_SHARE = 0.5;
 
+/** Edit distance that counts as likely for short keys too: one pair of exchanged letters. */
+const EXCHANGE_DISTANCE = 2;
+
 /** Computes the Levenshtein distance of two strings. */
 export const computeEditDistance = (left: string, right: string): number => {
   let previous = Array.from({ length: right.length + 1 }, (_, index) => index);
@@ -32,5 +35,6 @@
   const best = ranked[0];
   if (!best) return undefined;
   const longest = Math.max(key.length, best.known.length);
-  return best.distance <= longest * LARGEST_DISTANCE_SHARE ? best.known : undefined;
+  const allowed = Math.max(EXCHANGE_DISTANCE, longest * LARGEST_DISTANCE_SHARE);
+  return best.distance <= allowed && best.distance < longest ? best.known : undefined;
 };
