--- /dev/null
+++ b/packages/core/src/log/__tests__/appends.spec.ts
@@ -0,0 +1,113 @@
+import { xorshift128plus } from 'pure-rand/generator/xorshift128plus';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { LogError, MemoryLog, createAppendBudget, createBackoff } from '../index.js';
+import { createBatchingAppender } from '../batchingAppender.js';
+import { toLogOffset } from '../../ids.js';
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const createLog = (delayMs: number) => {
+  const log = new MemoryLog();
+  const append = log.append.bind(log);
+  const spy = vi.spyOn(log, 'append').mockImplementation(async (values) => {
+    const first = await append(values);
+    await new Promise((resolve) => {
+      setTimeout(resolve, delayMs);
+    });
+    return first;
+  });
+  return { log, spy };
+};
+
+test('lone record goes at once', async () => {
+  const { log } = createLog(0);
+  createBatchingAppender({ stream: log, priority: 'once' }).append('a');
+  await Promise.resolve();
+  expect(log.headOffset).toBe(1);
+});
+
+test('records under load share appends and keep their order', async () => {
+  const { log, spy } = createLog(5);
+  const appender = createBatchingAppender({ stream: log, priority: 'once' });
+  const offsets: Promise<number>[] = [];
+  for (let index = 0; index < 1000; index += 1) {
+    offsets.push(appender.append(index, { lazy: index % 2 === 0 }));
+    await vi.advanceTimersByTimeAsync(1);
+  }
+  await vi.advanceTimersByTimeAsync(300);
+  expect(await Promise.all(offsets)).toEqual(offsets.map((_, index) => index));
+  expect(spy.mock.calls.length).toBeLessThanOrEqual(50);
+});
+
+test('unknown append is passed on and refusal stops the next ones at once', async () => {
+  const { log, spy } = createLog(1);
+  const appender = createBatchingAppender({ stream: log, priority: 'once' });
+  spy.mockRejectedValueOnce(new LogError('cut', 'unknown'));
+  await expect(appender.append('a')).rejects.toMatchObject({ failure: 'unknown' });
+  spy.mockRejectedValueOnce(new LogError('429', 'refused'));
+  const refused = expect(appender.append('b')).rejects.toMatchObject({ failure: 'refused' });
+  await vi.advanceTimersByTimeAsync(50);
+  await refused;
+  spy.mockClear();
+  await expect(appender.append('c')).rejects.toMatchObject({ failure: 'refused' });
+  expect(spy).not.toHaveBeenCalled();
+  await vi.advanceTimersByTimeAsync(2000);
+  const last = appender.append('d');
+  await vi.advanceTimersByTimeAsync(50);
+  expect(await last).toBe(toLogOffset(0));
+});
+
+test('closed appender refuses what waits', async () => {
+  const controller = new AbortController();
+  const { log } = createLog(5);
+  const { signal } = controller;
+  const appender = createBatchingAppender({ stream: log, priority: 'once', signal });
+  const waiting = expect(appender.append('a', { lazy: true })).rejects.toThrow('closed');
+  controller.abort();
+  await waiting;
+  await expect(appender.append('b')).rejects.toMatchObject({ failure: 'refused' });
+});
+
+test('less important streams give way first', () => {
+  const budget = createAppendBudget(100);
+  const taken = (['observation', 'snapshot', 'once', 'lease', 'table'] as const).map((priority) => {
+    let count = 0;
+    while (budget.tryTake(priority)) count += 1;
+    return count;
+  });
+  expect(taken).toEqual([30, 20, 20, 20, 10]);
+  expect(budget.getWaitMs('table')).toBeLessThan(budget.getWaitMs('once'));
+  vi.advanceTimersByTime(10);
+  expect(budget.tryTake('observation')).toBe(false);
+  expect(budget.tryTake('table')).toBe(true);
+});
+
+test('spent budget refuses a record after a bound', async () => {
+  const { log } = createLog(0);
+  const budget = createAppendBudget(0.1);
+  const appender = createBatchingAppender({ stream: log, priority: 'once', budget });
+  const first = appender.append('a');
+  await vi.advanceTimersByTimeAsync(1);
+  expect(await first).toBe(0);
+  const refused = expect(appender.append('b')).rejects.toThrow('budget');
+  await vi.advanceTimersByTimeAsync(2000);
+  await refused;
+});
+
+test('delays grow, jitter and begin again', () => {
+  const options = { initialMs: 100, maxMs: 1000, generator: xorshift128plus(1) };
+  const backoff = createBackoff(options);
+  const delays = [1, 2, 3, 4, 5, 6].map(() => backoff.nextDelayMs());
+  delays.forEach((delay, index) => {
+    const ceiling = Math.min(1000, 100 * 2 ** index);
+    expect(delay).toBeGreaterThanOrEqual(ceiling / 2);
+    expect(delay).toBeLessThanOrEqual(ceiling);
+  });
+  backoff.reset();
+  expect(backoff.nextDelayMs()).toBeLessThanOrEqual(100);
+});
