feat(mesh): add authenticated messages between entry VMs

Cause: controllers of different VMs have to talk to each other. Ruled out: one bearer token per VM (a lying listener learns it); TLS with client certificates (VMs keep nothing); a fixed dialing side (a VM that the list does not show yet could not be answered). Change: packages/entry/src/mesh has the abstract PeerLink with request, one-way messages and handlers per type, typed messages by schema, the WebSocket mesh with challenge-response greeting, back-off, bounds on bytes and requests, and an in-process network for tests. Conclusion: other controllers can register their message types.

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -2,3 +2,4 @@
 export * from './controllers/controller.js';
 export * from './filters/exchange.js';
 export * from './filters/filter.js';
+export * from './mesh/index.js';
--- /dev/null
+++ b/packages/entry/src/mesh/session.ts
@@ -0,0 +1,207 @@
+import type { RawData, WebSocket } from 'ws';
+import type { PeerIdentity } from './authentication.js';
+import {
+  KEEP_ALIVE_INTERVAL_MS,
+  MAX_BUFFERED_BYTES,
+  MAX_ERROR_TEXT_LENGTH,
+  MAX_HANDLED_REQUESTS,
+  MAX_MESSAGE_BYTES,
+} from './constants.js';
+import { encodeFrame, parseFrame } from './frames.js';
+import type { Frame, RequestFrame } from './frames.js';
+import { MeshError, toMeshFailure } from './meshError.js';
+import type { MeshFailure } from './meshError.js';
+import type { MeshStats } from './meshStats.js';
+import type { MessageContext } from './peerLink.js';
+import { PendingRequests } from './pendingRequests.js';
+
+/** What a session needs of the mesh. */
+export interface SessionOptions {
+  readonly peer: PeerIdentity;
+  readonly stats: MeshStats;
+  readonly handle: (type: string, payload: unknown, context: MessageContext) => Promise<unknown>;
+  readonly onClosed: () => void;
+}
+
+const toFailure = (error: unknown): MeshFailure =>
+  error instanceof MeshError ? error.failure : 'handler_failed';
+
+const toText = (error: unknown): string =>
+  (error instanceof Error ? error.message : String(error)).slice(0, MAX_ERROR_TEXT_LENGTH);
+
+/** One authenticated connection to a peer. */
+export class Session {
+  readonly peer: PeerIdentity;
+
+  /** Time of the last message in either direction, by the monotonic clock, in milliseconds. */
+  lastUsedMs = performance.now();
+
+  private readonly pending = new PendingRequests();
+
+  private readonly handled = new Map<number, AbortController>();
+
+  private readonly closed = new AbortController();
+
+  private isAlive = true;
+
+  private readonly keepAlive = setInterval(() => this.probe(), KEEP_ALIVE_INTERVAL_MS);
+
+  constructor(
+    private readonly socket: WebSocket,
+    private readonly options: SessionOptions,
+  ) {
+    this.peer = options.peer;
+    this.keepAlive.unref();
+    socket
+      .on('message', (data) => this.receive(data))
+      .on('pong', () => this.markAlive())
+      .on('close', () => this.finish());
+  }
+
+  /** Asks the peer and waits for its reply. */
+  request(
+    type: string,
+    payload: unknown,
+    signal: AbortSignal,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    return this.pending.add(
+      signal,
+      timeoutMs,
+      (id) => this.write({ kind: 'request', id, type, timeoutMs, payload }),
+      (id) => this.tryWrite({ kind: 'cancel', id }),
+    );
+  }
+
+  /** Sends a one-way message; false where it was not sent. */
+  send(type: string, payload: unknown): boolean {
+    return this.tryWrite({ kind: 'oneWay', type, payload });
+  }
+
+  /** Closes the connection. */
+  close(): void {
+    this.socket.terminate();
+    this.finish();
+  }
+
+  private probe(): void {
+    if (!this.isAlive) {
+      this.close();
+      return;
+    }
+    this.isAlive = false;
+    this.socket.ping();
+  }
+
+  private markAlive(): void {
+    this.isAlive = true;
+  }
+
+  private finish(): void {
+    if (this.closed.signal.aborted) return;
+    this.closed.abort();
+    clearInterval(this.keepAlive);
+    this.handled.forEach((controller) => controller.abort());
+    this.pending.failAll(new MeshError('connection lost', 'connection_lost'));
+    this.options.onClosed();
+  }
+
+  private write(frame: Frame): void {
+    const { stats } = this.options;
+    const bytes = encodeFrame(frame);
+    if (this.closed.signal.aborted || this.socket.readyState !== this.socket.OPEN) {
+      throw new MeshError('connection is closed', 'unreachable');
+    }
+    if (bytes.length > MAX_MESSAGE_BYTES) {
+      stats.refusedSends += 1;
+      throw new MeshError(`message of ${bytes.length} bytes is too large`, 'too_large');
+    }
+    if (this.socket.bufferedAmount + bytes.length > MAX_BUFFERED_BYTES) {
+      stats.refusedSends += 1;
+      throw new MeshError('too many bytes are waiting for this peer', 'overloaded');
+    }
+    this.socket.send(bytes);
+    this.lastUsedMs = performance.now();
+    stats.messagesSent += 1;
+    stats.bytesSent += bytes.length;
+  }
+
+  private tryWrite(frame: Frame): boolean {
+    try {
+      this.write(frame);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  private receive(data: RawData): void {
+    const { stats } = this.options;
+    const bytes = data as Buffer;
+    this.isAlive = true;
+    this.lastUsedMs = performance.now();
+    stats.messagesReceived += 1;
+    stats.bytesReceived += bytes.length;
+    const frame = parseFrame(bytes);
+    if (frame) this.accept(frame);
+    else stats.malformedMessages += 1;
+  }
+
+  private accept(frame: Frame): void {
+    switch (frame.kind) {
+      case 'request':
+        this.answer(frame).catch(() => this.close());
+        break;
+      case 'reply':
+        this.pending.complete(frame.id, frame.payload);
+        break;
+      case 'failure':
+        this.pending.fail(frame.id, new MeshError(frame.text, toMeshFailure(frame.failure)));
+        break;
+      case 'oneWay':
+        this.handle(frame.type, frame.payload, this.closed.signal).catch((error: unknown) =>
+          this.countFailure(error),
+        );
+        break;
+      default:
+        this.handled.get(frame.id)?.abort();
+    }
+  }
+
+  private handle(type: string, payload: unknown, signal: AbortSignal): Promise<unknown> {
+    return this.options.handle(type, payload, { from: this.peer, signal });
+  }
+
+  private async answer(frame: RequestFrame): Promise<void> {
+    const { id } = frame;
+    try {
+      const payload = await this.handleRequest(frame);
+      this.write({ kind: 'reply', id, payload });
+    } catch (error) {
+      this.countFailure(error);
+      this.tryWrite({ kind: 'failure', id, failure: toFailure(error), text: toText(error) });
+    } finally {
+      this.handled.delete(id);
+    }
+  }
+
+  private async handleRequest(frame: RequestFrame): Promise<unknown> {
+    if (this.handled.size >= MAX_HANDLED_REQUESTS) {
+      throw new MeshError('too many requests of this peer are being handled', 'overloaded');
+    }
+    const controller = new AbortController();
+    this.handled.set(frame.id, controller);
+    const timer = setTimeout(() => controller.abort(), frame.timeoutMs);
+    try {
+      return await this.handle(frame.type, frame.payload, controller.signal);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private countFailure(error: unknown): void {
+    const failure = toFailure(error);
+    if (failure === 'unknown_type') this.options.stats.unknownTypes += 1;
+    if (failure === 'malformed') this.options.stats.malformedMessages += 1;
+  }
+}
