--- a/packages/core/src/routing/__tests__/routing.spec.ts
+++ b/packages/core/src/routing/__tests__/routing.spec.ts
@@ -190,7 +190,6 @@
 });
 
 class NaiveLeastLoadRouter extends Router {
-   
   override choose(_request: RouteRequest, upstreams: readonly UpstreamView[]) {
     const best = [...upstreams].sort((l, r) => l.running + l.waiting - r.running - r.waiting)[0]!;
     return {
