--- a/packages/core/src/configTable/tableView.ts
+++ b/packages/core/src/configTable/tableView.ts
@@ -57,7 +57,9 @@
   const groups = new Map<ClientAccountId, WorkloadRow[]>();
   rows.forEach((row) => {
     if (row.kind !== 'workload') return;
-    groups.set(row.accountId, [...(groups.get(row.accountId) ?? []), row]);
+    const group = groups.get(row.accountId);
+    if (group) group.push(row);
+    else groups.set(row.accountId, [row]);
   });
   return groups;
 };
