--- a/scripts/site/callers/index.ts
+++ b/scripts/site/callers/index.ts
@@ -4,5 +4,6 @@
 export * from './entryDirectory.js';
 export * from './idempotencyKey.js';
 export * from './conversation.js';
-export * from './ledger.js';
+export * from './stretchFigures.js';
 export * from './trafficSource.js';
+export * from './unrepeatableLedger.js';
--- a/scripts/site/callers/trafficSource.ts
+++ b/scripts/site/callers/trafficSource.ts
@@ -6,8 +6,8 @@
 import type { AttemptResult } from './attemptResult.js';
 import type { Caller, CallResult } from './caller.js';
 import { Conversation } from './conversation.js';
-import { StretchFigures } from './ledger.js';
-import type { UnrepeatableLedger } from './ledger.js';
+import type { StretchFigures } from './stretchFigures.js';
+import type { UnrepeatableLedger } from './unrepeatableLedger.js';
 
 /** One workload's callers. */
 export interface TrafficProfile {
@@ -29,7 +29,7 @@
   readonly seed: number;
 }
 
-const delayUntilNext = (generator: RandomGenerator, perSecond: number): number =>
+const sampleDelayMs = (generator: RandomGenerator, perSecond: number): number =>
   (-Math.log(1 - uniformFloat64(generator)) / perSecond) * 1000;
 
 const isCertainlyNotRun = (attempt: AttemptResult): boolean =>
@@ -62,13 +62,13 @@
   async run(signal: AbortSignal): Promise<void> {
     const { completionRate, serviceRate } = this.profile;
     await Promise.all([
-      this.repeat(completionRate, signal, () => this.complete()),
-      this.repeat(serviceRate, signal, () => this.callService()),
+      this.sendRepeatedly(completionRate, signal, () => this.complete()),
+      this.sendRepeatedly(serviceRate, signal, () => this.callService()),
     ]);
     await Promise.all(this.pending);
   }
 
-  private async repeat(
+  private async sendRepeatedly(
     perSecond: number,
     signal: AbortSignal,
     send: () => Promise<void>,
@@ -76,7 +76,7 @@
     if (perSecond === 0) return;
     while (!signal.aborted) {
       await new Promise<void>((resolve) => {
-        setTimeout(resolve, delayUntilNext(this.generator, perSecond));
+        setTimeout(resolve, sampleDelayMs(this.generator, perSecond));
       });
       if (signal.aborted) return;
       const sent = send().finally(() => this.pending.delete(sent));
@@ -134,10 +134,10 @@
   private callService(): Promise<void> {
     this.serviceCalls += 1;
     const ref = `${this.profile.workload}-${this.profile.seed}-${this.serviceCalls}`;
-    return this.serviceCalls % 2 === 0 ? this.lookUp() : this.create(ref);
+    return this.serviceCalls % 2 === 0 ? this.findStock() : this.create(ref);
   }
 
-  private async lookUp(): Promise<void> {
+  private async findStock(): Promise<void> {
     const { service, lookupPath } = this.profile;
     const path = `${lookupPath}/${uniformInt(this.generator, 1, 100)}`;
     const request = { service, method: 'GET', path, unrepeatable: false } as const;
--- a/scripts/site/site.ts
+++ b/scripts/site/site.ts
@@ -108,6 +108,11 @@
     return requestJson<Counts>(`${this.getUrl(id)}/counts`);
   }
 
+  /** Gives the manifest of a store VM. */
+  readManifest<Manifest>(id: string): Promise<Manifest> {
+    return requestJson<Manifest>(`${this.getUrl(id)}/manifest`);
+  }
+
   /** Gives the state dump of an entry VM. */
   dumpState<State = unknown>(id: string): Promise<State> {
     return requestJson<State>(`${this.operationsUrls.get(id)}/state`, 'GET', undefined, {
--- a/scripts/site/siteTable.ts
+++ b/scripts/site/siteTable.ts
@@ -1,10 +1,8 @@
 import { createHash, randomBytes } from 'node:crypto';
-import { createTableEditor, rowSchema, toId } from '@goldcrestscale/core';
-import type { Row, StreamName, TableEditor } from '@goldcrestscale/core';
+import { CONFIG_STREAM, createTableEditor, rowSchema } from '@goldcrestscale/core';
+import type { Row, TableEditor } from '@goldcrestscale/core';
 import { createHttpLogStream } from '@goldcrestscale/platform';
 
-const TABLE_STREAM = toId<StreamName>('table');
-
 const hashKey = (key: string): string => createHash('sha256').update(key).digest('hex');
 
 /** Configuration table of a site, edited through the log as operators do. */
@@ -14,7 +12,7 @@
   private readonly apiKeys = new Map<string, string>();
 
   constructor(logUrl: string) {
-    this.editor = createTableEditor(createHttpLogStream(logUrl, TABLE_STREAM));
+    this.editor = createTableEditor(createHttpLogStream(logUrl, CONFIG_STREAM));
   }
 
   /** Gives the API key of a client account of the site. */
