--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,3 +3,4 @@
 export * from './controllers/tableController/index.js';
 export * from './filters/exchange.js';
 export * from './filters/filter.js';
+export * from './mesh/index.js';
