feat(load): add goldcrest-load, the load and experiment tool

Cause: returning prompts, unrepeatable calls and their answers have to be measured from the caller's side. Ruled out: a closed loop (hides queueing), random text that the tool has to keep (prompts are generated again from seed and session). Change: seeded Poisson arrivals with returns, recordings, entry directory with ttl and failover, Retry-After, whole-answer check, HDR latencies, sections by workload and window, judgement of unrepeatable calls by the services' own counts, compare. goldcrestctl edits the stream that core names.

--- a/packages/ctl/src/config.ts
+++ b/packages/ctl/src/config.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
-import { DEFAULT_EDIT_TIMEOUT_MS, TABLE_STREAM } from './constants.js';
+import { DEFAULT_EDIT_TIMEOUT_MS } from './constants.js';
 
 const addressSchema = z
   .string()
@@ -11,11 +11,6 @@
   platform: z
     .strictObject({
       logUrl: z.url().describe('Address of the append-only log service.'),
-      tableStream: z
-        .string()
-        .min(1)
-        .default(TABLE_STREAM)
-        .describe('Stream of the log that holds the configuration table.'),
     })
     .optional()
     .describe('Services of the platform; needed by every command on the table.'),
--- a/packages/ctl/src/constants.ts
+++ b/packages/ctl/src/constants.ts
@@ -1,6 +1,3 @@
-/** Stream of the log that holds the configuration table. */
-export const TABLE_STREAM = 'table';
-
 /** Time that an edit may take until it is read back, in milliseconds. */
 export const DEFAULT_EDIT_TIMEOUT_MS = 10_000;
 
--- a/packages/ctl/src/program.ts
+++ b/packages/ctl/src/program.ts
@@ -1,5 +1,4 @@
-import { toId } from '@goldcrestscale/core';
-import type { StreamName } from '@goldcrestscale/core';
+import { CONFIG_STREAM } from '@goldcrestscale/core';
 import { createHttpLogStream } from '@goldcrestscale/platform';
 import { CliError, exitCodes, findNearestKey } from '@goldcrestscale/runtime';
 import type { CliOptions, ExitCode } from '@goldcrestscale/runtime';
@@ -23,7 +22,7 @@
 /** Opens the table through the platform's log. @throws CliError `usage` without a log */
 export const openLogTable: OpenTable = ({ platform, editTimeoutMs }) => {
   if (!platform) throw new CliError('the settings name no "platform.logUrl"', exitCodes.usage);
-  const stream = createHttpLogStream(platform.logUrl, toId<StreamName>(platform.tableStream));
+  const stream = createHttpLogStream(platform.logUrl, CONFIG_STREAM);
   return createLogTableClient(stream, editTimeoutMs);
 };
 
--- /dev/null
+++ b/packages/load/bin/goldcrest-load.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/cli.js';
--- /dev/null
+++ b/packages/load/src/client/checkAnswer.ts
@@ -0,0 +1,42 @@
+import { z } from 'zod';
+import type { CompletionWorkload, Workload } from '../config.js';
+import { generateExpectedAnswer, generatePrompt } from '../workload/index.js';
+import type { PlannedRequest } from '../workload/index.js';
+import type { PayloadContext } from './buildPayload.js';
+import { getCallRef } from './buildPayload.js';
+
+const callSchema = z.object({ echo: z.object({ ref: z.string() }) });
+
+const isOwnCompletion = (
+  context: PayloadContext,
+  planned: PlannedRequest,
+  workload: CompletionWorkload,
+  text: string,
+): boolean => {
+  if (workload.weightVersions.length === 0) return true;
+  const prompt = generatePrompt(context.seed, planned.session, planned.promptTokens);
+  const rendered = workload.chat ? `user: ${prompt}` : prompt;
+  return workload.weightVersions.some(
+    (version) => generateExpectedAnswer(version, rendered, workload.answerTokens) === text,
+  );
+};
+
+const isOwnCall = (context: PayloadContext, planned: PlannedRequest, text: string): boolean => {
+  try {
+    const parsed = callSchema.safeParse(JSON.parse(text));
+    return parsed.success && parsed.data.echo.ref === getCallRef(context, planned);
+  } catch {
+    return false;
+  }
+};
+
+/** Tells whether a whole answer is the one to its own request. */
+export const isOwnAnswer = (
+  context: PayloadContext,
+  planned: PlannedRequest,
+  workload: Workload,
+  text: string,
+): boolean => {
+  if (workload.type === 'completion') return isOwnCompletion(context, planned, workload, text);
+  return workload.method === 'GET' ? text !== '' : isOwnCall(context, planned, text);
+};
--- /dev/null
+++ b/packages/load/src/config.ts
@@ -0,0 +1,155 @@
+import { z } from 'zod';
+import { logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
+import { MAX_DURATION_MS, MAX_IN_FLIGHT, MAX_REQUESTS } from './constants.js';
+
+const addressSchema = z
+  .string()
+  .regex(/^[\w.:[\]-]+:\d{1,5}$/, 'use HOST:PORT, for example "10.0.0.4:8080"');
+
+const MAX_PROMPT_TOKENS = 262_144;
+const MAX_ANSWER_TOKENS = 65_536;
+const MAX_RATE_PER_SECOND = 20_000;
+
+const accountSchema = z.strictObject({
+  id: z.string().min(1).describe('Name of the client account in the report.'),
+  key: secretReferenceSchema,
+  share: z.number().positive().default(1).describe('Share of the arrivals, against the others.'),
+});
+
+const sharedFields = {
+  name: z.string().min(1).describe('Name of the workload in the report.'),
+  accounts: z.array(z.string()).optional().describe('Accounts that use it; all where absent.'),
+  ratePerSecond: z
+    .number()
+    .positive()
+    .max(MAX_RATE_PER_SECOND)
+    .describe('Mean of the Poisson arrivals: new prompts, or service calls, a second.'),
+  workloadId: z.string().optional().describe('Workload row to use, where an account has several.'),
+};
+
+const completionWorkloadSchema = z.strictObject({
+  type: z.literal('completion'),
+  ...sharedFields,
+  model: z.string().min(1).describe('Model to ask for.'),
+  weightVersions: z
+    .array(z.string())
+    .default([])
+    .describe('Weight versions whose text an answer may have; empty checks no text.'),
+  promptTokens: z
+    .strictObject({
+      min: z.number().int().min(1).max(MAX_PROMPT_TOKENS),
+      max: z.number().int().min(1).max(MAX_PROMPT_TOKENS),
+    })
+    .describe('Size of a new prompt, uniform.'),
+  growthTokens: z
+    .number()
+    .int()
+    .min(0)
+    .max(MAX_PROMPT_TOKENS)
+    .default(256)
+    .describe('Tokens by which a prompt has grown when it returns.'),
+  maxPromptTokens: z
+    .number()
+    .int()
+    .min(1)
+    .max(MAX_PROMPT_TOKENS)
+    .default(65_536)
+    .describe('Size at which a prompt grows no further.'),
+  meanReturns: z
+    .number()
+    .min(0)
+    .max(1000)
+    .default(3)
+    .describe('Mean number of returns, geometric.'),
+  meanGapMs: z
+    .number()
+    .positive()
+    .default(600_000)
+    .describe('Mean gap before a return, exponential, before scaling, in milliseconds.'),
+  answerTokens: z.number().int().min(1).max(MAX_ANSWER_TOKENS).default(32).describe('Answer size.'),
+  stream: z.boolean().default(true).describe('Whether answers are streamed.'),
+  chat: z.boolean().default(true).describe('Whether the chat form is used.'),
+});
+
+const serviceWorkloadSchema = z.strictObject({
+  type: z.literal('service'),
+  ...sharedFields,
+  service: z.string().min(1).describe('Plain service to call.'),
+  method: z.enum(['GET', 'POST']).default('POST').describe('HTTP method.'),
+  path: z.string().startsWith('/').describe('Path within the service.'),
+  unrepeatable: z
+    .boolean()
+    .default(false)
+    .describe('Whether a call must run at most once; it then carries an idempotency key.'),
+  countsUrls: z
+    .array(z.url())
+    .default([])
+    .describe('Addresses of the stand-ins that tell how often each call ran.'),
+});
+
+/** Settings file of goldcrest-load. */
+export const loadToolSettingsSchema = z.strictObject({
+  name: z.string().default('run').describe('Name of the run in the report.'),
+  entries: z.array(addressSchema).default([]).describe('Entry VMs to ask first.'),
+  addressOrder: z
+    .enum(['preference', 'session'])
+    .default('preference')
+    .describe('Whether callers take the first address told, or each session begins at another.'),
+  seed: z.number().int().default(1).describe('Seed of the generated workloads.'),
+  durationMs: z
+    .number()
+    .int()
+    .min(100)
+    .max(MAX_DURATION_MS)
+    .default(30_000)
+    .describe('Time in which requests are sent, in milliseconds.'),
+  maxRequests: z
+    .number()
+    .int()
+    .min(1)
+    .max(MAX_REQUESTS)
+    .default(10_000)
+    .describe('Most requests of the run.'),
+  maxInFlight: z
+    .number()
+    .int()
+    .min(1)
+    .max(MAX_IN_FLIGHT)
+    .default(1_000)
+    .describe('Most requests under way; an arrival beyond is counted as not sent.'),
+  requestTimeoutMs: z
+    .number()
+    .int()
+    .min(10)
+    .max(600_000)
+    .default(30_000)
+    .describe('Longest time for one request with its retries, in milliseconds.'),
+  maxAttempts: z.number().int().min(1).max(20).default(4).describe('Most attempts at one request.'),
+  gapScale: z
+    .number()
+    .positive()
+    .default(1)
+    .describe('Factor on every gap, so that a day fits into a short run.'),
+  accounts: z.array(accountSchema).default([]).describe('Client accounts to send as.'),
+  workloads: z
+    .array(z.discriminatedUnion('type', [completionWorkloadSchema, serviceWorkloadSchema]))
+    .default([])
+    .describe('Workloads to send.'),
+  windows: z
+    .array(
+      z.strictObject({
+        name: z.string().min(1),
+        fromMs: z.number().min(0),
+        toMs: z.number().positive(),
+      }),
+    )
+    .default([])
+    .describe('Parts of the run with a section of their own in the report.'),
+  log: logSettingsSchema,
+});
+
+/** Resolved settings of goldcrest-load. */
+export type LoadToolSettings = z.output<typeof loadToolSettingsSchema>;
+export type Workload = LoadToolSettings['workloads'][number];
+export type CompletionWorkload = Extract<Workload, { type: 'completion' }>;
+export type ServiceWorkload = Extract<Workload, { type: 'service' }>;
--- /dev/null
+++ b/packages/load/src/workload/index.ts
@@ -0,0 +1,6 @@
+/** Which requests a run sends. */
+export * from './generateRequests.js';
+export * from './plannedRequest.js';
+export * from './promptText.js';
+export * from './randomSource.js';
+export * from './recording.js';
