feat(once): claims in the log, shards, guard, controller and filter

Cause: an unrepeatable request must run at most once over all entry VMs. Ruled out: keys in memory (lost with the VM), dispatch before read-back. Change: fold of claims, shard server, guard, link between VMs, filter. Conclusion: compiles; not tested yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,5 +4,6 @@
 export * from './ids.js';
 export * from './log/index.js';
 export * from './membership/index.js';
+export * from './once/index.js';
 export * from './routing/index.js';
 export * from './verdict.js';
--- /dev/null
+++ b/packages/entry/src/filters/onceFilter.ts
@@ -0,0 +1,117 @@
+import {
+  combineVerdicts,
+  computeRequestDigest,
+  createError,
+  createOnceKey,
+  createOutcomeUnknown,
+  createRefusal,
+  createUndecided,
+  isGoldcrestError,
+  parseOnceKey,
+} from '@goldcrestscale/core';
+import type {
+  IdempotencyKey,
+  OnceGuard,
+  OnceRequest,
+  RunOutcome,
+  RunPermit,
+} from '@goldcrestscale/core';
+import { AnswerRecorder } from '../controllers/onceController/answerRecorder.js';
+import {
+  IDEMPOTENCY_KEY_HEADER,
+  REPLAYED_HEADER,
+} from '../controllers/onceController/constants.js';
+import type { AnswerWriter, Exchange } from './exchange.js';
+import { Filter } from './filter.js';
+import type { NextFilter } from './filter.js';
+
+/** What the once filter needs. */
+export interface OnceFilterOptions {
+  readonly guard: OnceGuard;
+  readonly isUnrepeatable: (exchange: Exchange) => boolean;
+}
+
+const getKey = (exchange: Exchange): IdempotencyKey => {
+  const header = exchange.headers[IDEMPOTENCY_KEY_HEADER];
+  // Without a key of the caller the request still runs at most once, but can't be repeated.
+  if (header === undefined) return createOnceKey(Date.now());
+  const key = typeof header === 'string' ? parseOnceKey(header) : undefined;
+  if (key) return key;
+  throw createRefusal('Idempotency-Key must be one UUID of version 7', {
+    code: 'bad_request',
+    status: 400,
+  });
+};
+
+const createRequest = (exchange: Exchange): OnceRequest => {
+  const { account, body, method, target } = exchange;
+  if (!account) {
+    throw createRefusal('an unrepeatable request needs a client account', {
+      code: 'unauthorized',
+      status: 401,
+    });
+  }
+  const path = target.kind === 'service' ? `${target.service} ${target.path}` : target.path;
+  const digest = computeRequestDigest(method, path, body);
+  return { accountId: account.id, key: getKey(exchange), digest };
+};
+
+const repeatAnswer = async (exchange: Exchange, { verdict, answer }: RunOutcome): Promise<void> => {
+  exchange.verdict = combineVerdicts(exchange.verdict, verdict);
+  if (verdict !== 'ran') throw createOutcomeUnknown();
+  if (!answer) {
+    throw createError('the request has run; its answer was too large to keep', {
+      code: 'outcome_unknown',
+      status: 409,
+      verdict,
+    });
+  }
+  exchange.answer.writeHead(answer.status, { ...answer.headers, [REPLAYED_HEADER]: 'true' });
+  await exchange.answer.write(Buffer.from(answer.bodyBase64, 'base64'));
+  exchange.answer.finish();
+};
+
+const runOnce = async (exchange: Exchange, permit: RunPermit, next: NextFilter): Promise<void> => {
+  const recorder = new AnswerRecorder(exchange.answer);
+  const mutable: { answer: AnswerWriter } = exchange;
+  mutable.answer = recorder;
+  try {
+    await next();
+    permit.finish(recorder.getOutcome());
+  } catch (error) {
+    const own = isGoldcrestError(error) ? error.verdict : 'may-have-run';
+    const verdict = combineVerdicts(own, exchange.verdict);
+    if (verdict === 'not-run') permit.release();
+    else permit.finish({ verdict });
+    throw error;
+  }
+};
+
+/** Lets an unrepeatable request run at most once and repeats its answer. */
+export class OnceFilter extends Filter {
+  override readonly name = 'once';
+
+  constructor(private readonly options: OnceFilterOptions) {
+    super();
+  }
+
+  override async handle(exchange: Exchange, next: NextFilter): Promise<void> {
+    if (!this.options.isUnrepeatable(exchange)) {
+      await next();
+      return;
+    }
+    const request = createRequest(exchange);
+    exchange.idempotencyKey = request.key;
+    const claim = await this.options.guard.claim(request, exchange.signal);
+    if (claim.type === 'repeat') {
+      await repeatAnswer(exchange, claim.outcome);
+      return;
+    }
+    // Checked after the last await: the process may have been paused since the claim.
+    if (!claim.permit.begin()) throw createUndecided();
+    await runOnce(exchange, claim.permit, next);
+  }
+}
+
+/** Creates the once filter. */
+export const createOnceFilter = (options: OnceFilterOptions): Filter => new OnceFilter(options);
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,7 @@
 /** The entry daemon. */
 export * from './controllers/controller.js';
+export * from './controllers/onceController/index.js';
 export * from './controllers/tableController/index.js';
 export * from './filters/exchange.js';
 export * from './filters/filter.js';
+export * from './filters/onceFilter.js';
