--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,5 +5,8 @@
 export * from './log/index.js';
 export * from './membership/index.js';
 export * from './once/index.js';
+export * from './random.js';
+export * from './prefix/index.js';
 export * from './routing/index.js';
+export * from './tiering/index.js';
 export * from './verdict.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,3 +5,4 @@
 export * from './filters/exchange.js';
 export * from './filters/filter.js';
 export * from './filters/onceFilter.js';
+export * from './mesh/index.js';
