feat(entry): serve unrepeatable requests over the mesh's link

Cause: the shard server must be reachable from every entry VM. Ruled out: an own link class; the mesh's typed messages do it.

--- a/packages/core/src/configTable/index.ts
+++ b/packages/core/src/configTable/index.ts
@@ -5,6 +5,7 @@
 export * from './records.js';
 export * from './replica.js';
 export * from './rows.js';
+export * from './serviceCalls.js';
 export * from './snapshotPolicy.js';
 export * from './state.js';
 export * from './tableEditor.js';
--- a/packages/core/src/once/index.ts
+++ b/packages/core/src/once/index.ts
@@ -9,3 +9,4 @@
 export * from './shardMessages.js';
 export * from './shardServer.js';
 export * from './shardState.js';
+export * from './timeout.js';
--- a/packages/core/src/once/logOnceGuard.ts
+++ b/packages/core/src/once/logOnceGuard.ts
@@ -50,6 +50,12 @@
   attemptId,
 });
 
+const refuseReply = (reply: ClaimReply): never => {
+  if (reply.type === 'expired') throw createKeyExpired();
+  if (reply.type === 'future') throw createKeyInFuture();
+  throw createUndecided(reply);
+};
+
 /** Lets a request run only after its claim was read back as the first one in the log. */
 export class LogOnceGuard extends OnceGuard {
   private readonly attempts = createAttemptRegistry();
@@ -70,7 +76,7 @@
         return { type: 'run', permit: this.createPermit(request, attempt, startedAtMs, signal) };
       }
       this.abandon(request, attempt, reply);
-      if (reply.type !== 'held') this.refuseReply(reply);
+      if (reply.type !== 'held') refuseReply(reply);
       else {
         const decision = await this.decideRival(request, reply, signal);
         if (decision.type === 'repeat') return decision;
@@ -130,13 +136,6 @@
     }
   }
 
-  // eslint-disable-next-line class-methods-use-this -- maps replies to errors only
-  private refuseReply(reply: ClaimReply): never {
-    if (reply.type === 'expired') throw createKeyExpired();
-    if (reply.type === 'future') throw createKeyInFuture();
-    throw createUndecided(reply);
-  }
-
   private async decideRival(
     request: OnceRequest,
     { holder, outcome }: Extract<ClaimReply, { type: 'held' }>,
--- a/packages/entry/src/controllers/onceController/constants.ts
+++ b/packages/entry/src/controllers/onceController/constants.ts
@@ -15,3 +15,6 @@
 
 /** Headers of an answer that are repeated. */
 export const REPEATED_HEADERS = ['content-type', 'location', 'x-attempt-id'] as const;
+
+/** Longest time that a request waits for its claim or for another attempt's outcome, in milliseconds. */
+export const MAX_CLAIM_TIME_MS = 15_000;
--- a/packages/entry/src/controllers/onceController/linkedShardAccess.ts
+++ b/packages/entry/src/controllers/onceController/linkedShardAccess.ts
@@ -1,9 +1,4 @@
-import {
-  ShardAccess,
-  attemptStatusSchema,
-  claimReplySchema,
-  pickShard,
-} from '@goldcrestscale/core';
+import { ShardAccess, pickShard } from '@goldcrestscale/core';
 import type {
   AccountKey,
   AttemptStatus,
@@ -14,19 +9,12 @@
   ShardId,
   VmId,
 } from '@goldcrestscale/core';
+import { MeshError } from '../../mesh/index.js';
+import type { PeerLink } from '../../mesh/index.js';
 import { SHARD_PEER_TIMEOUT_MS } from './constants.js';
-import { PeerLinkError } from './peerLink.js';
-import type { PeerLink } from './peerLink.js';
+import { claimMessage, settleMessage, statusMessage, waitMessage } from './onceMessages.js';
 import type { ShardServers } from './shardServers.js';
 
-/** Types of the messages between entry VMs about unrepeatable requests. */
-export const ONCE_MESSAGES = {
-  claim: 'once/claim',
-  wait: 'once/wait',
-  settle: 'once/settle',
-  status: 'once/status',
-} as const;
-
 /** What the access to the shards needs. */
 export interface LinkedShardAccessOptions {
   readonly vmId: VmId;
@@ -42,86 +30,55 @@
   }
 
   override async claim(request: ClaimRequest, signal: AbortSignal): Promise<ClaimReply> {
+    const { link, servers } = this.options;
     const shard = this.pickShardOf(request.claim);
-    const serverVm = this.options.servers.pickServer(shard);
-    if (serverVm === this.options.vmId) return this.claimHere(shard, request);
+    const serverVm = this.findRemoteServer(shard);
+    if (!serverVm) return servers.getServer(shard).claim(request);
     try {
-      const reply = await this.requestPeer(serverVm, ONCE_MESSAGES.claim, request, signal);
-      return claimReplySchema.parse(reply);
+      return await claimMessage.request(link, serverVm, request, signal, SHARD_PEER_TIMEOUT_MS);
     } catch (error) {
-      const reply = await this.claimHere(shard, request);
-      const isUntouched = error instanceof PeerLinkError && error.delivered === 'no';
+      const reply = await servers.getServer(shard).claim(request);
       // The peer may have appended the claim although its answer did not come.
+      const isUntouched = error instanceof MeshError && !error.mayHaveBeenHandled;
       return reply.type === 'unavailable' && !isUntouched ? { type: 'unsettled' } : reply;
     }
   }
 
   override async waitForChange(holder: ClaimRecord, signal: AbortSignal): Promise<void> {
+    const { link, servers } = this.options;
     const shard = this.pickShardOf(holder);
-    const serverVm = this.options.servers.pickServer(shard);
-    if (serverVm === this.options.vmId) await this.waitHere(shard, holder, signal);
-    else await this.options.link.request(serverVm, ONCE_MESSAGES.wait, holder, signal);
+    const serverVm = this.findRemoteServer(shard);
+    if (serverVm) await waitMessage.request(link, serverVm, holder, signal);
+    else await servers.getServer(shard).waitForChange(holder, holder.attemptId, signal);
   }
 
   override async settle(record: SettlementRecord, signal: AbortSignal): Promise<void> {
+    const { link, servers } = this.options;
     const shard = this.pickShardOf(record);
-    const { servers, vmId } = this.options;
-    const serverVm = servers.pickServer(shard);
-    if (serverVm !== vmId) {
+    const serverVm = this.findRemoteServer(shard);
+    if (serverVm) {
       try {
-        await this.requestPeer(serverVm, ONCE_MESSAGES.settle, record, signal);
+        await settleMessage.request(link, serverVm, record, signal, SHARD_PEER_TIMEOUT_MS);
         return;
       } catch {
-        // Fall through: a second copy of a settlement changes nothing.
+        // Falls through to this VM: a second copy of a settlement changes nothing.
       }
     }
     await servers.getServer(shard).settle(record);
   }
 
-  override async askClaimant(holder: ClaimRecord, signal: AbortSignal): Promise<AttemptStatus> {
+  override askClaimant(holder: ClaimRecord, signal: AbortSignal): Promise<AttemptStatus> {
     const { attemptId, bootId, vmId } = holder;
-    const payload = { attemptId, bootId };
-    const reply = await this.options.link.request(vmId, ONCE_MESSAGES.status, payload, signal);
-    return attemptStatusSchema.parse(reply);
+    return statusMessage.request(this.options.link, vmId, { attemptId, bootId }, signal);
   }
 
   private pickShardOf(accountKey: AccountKey): ShardId {
     return pickShard(accountKey, this.options.shardCount);
   }
 
-  private claimHere(shard: ShardId, request: ClaimRequest): Promise<ClaimReply> {
-    return this.options.servers.getServer(shard).claim(request);
-  }
-
-  private waitHere(shard: ShardId, holder: ClaimRecord, signal: AbortSignal): Promise<void> {
-    const server = this.options.servers.getServer(shard);
-    return server.waitForChange(holder, holder.attemptId, signal);
-  }
-
-  /** Sends a request that must be answered soon, since this VM can do the work as well. */
-  private async requestPeer(
-    vmId: VmId,
-    type: string,
-    payload: unknown,
-    signal: AbortSignal,
-  ): Promise<unknown> {
-    const ending = new AbortController();
-    const abort = (): void => ending.abort();
-    signal.addEventListener('abort', abort, { once: true, signal: ending.signal });
-    const late = new Promise<never>((_, reject) => {
-      const refuse = (): void => reject(new PeerLinkError(`VM ${vmId} is late`, 'unknown'));
-      ending.signal.addEventListener('abort', refuse, { once: true });
-    });
-    const timer = setTimeout(abort, SHARD_PEER_TIMEOUT_MS);
-    try {
-      return await Promise.race([
-        this.options.link.request(vmId, type, payload, ending.signal),
-        late,
-      ]);
-    } finally {
-      clearTimeout(timer);
-      late.catch(() => undefined);
-      abort();
-    }
+  /** @returns undefined where this VM serves the shard */
+  private findRemoteServer(shard: ShardId): VmId | undefined {
+    const serverVm = this.options.servers.pickServer(shard);
+    return serverVm === this.options.vmId ? undefined : serverVm;
   }
 }
--- a/packages/entry/src/controllers/onceController/onceController.ts
+++ b/packages/entry/src/controllers/onceController/onceController.ts
@@ -2,34 +2,29 @@
   CLOCK_ALLOWANCE_MS,
   LogOnceGuard,
   ONCE_WINDOW_MS,
-  claimRecordSchema,
-  claimRequestSchema,
   pickShard,
-  settlementRecordSchema,
   sleep,
 } from '@goldcrestscale/core';
 import type {
+  AccountKey,
   AppendBudget,
-  AttemptId,
-  BootId,
   LogStream,
   OnceGuard,
   OnceWindow,
   RandomGenerator,
+  ShardServer,
   StreamName,
   VmId,
 } from '@goldcrestscale/core';
-import { z } from 'zod';
+import type { PeerLink } from '../../mesh/index.js';
 import { Controller } from '../controller.js';
 import { SHARD_REVIEW_INTERVAL_MS } from './constants.js';
-import { LinkedShardAccess, ONCE_MESSAGES } from './linkedShardAccess.js';
-import type { PeerLink } from './peerLink.js';
+import { LinkedShardAccess } from './linkedShardAccess.js';
+import { claimMessage, settleMessage, statusMessage, waitMessage } from './onceMessages.js';
 import { ShardServers } from './shardServers.js';
 
 /** What the controller of unrepeatable requests needs. */
 export interface OnceControllerOptions {
-  readonly vmId: VmId;
-  readonly bootId: BootId;
   readonly link: PeerLink;
   /** Number of log streams that hold the claims; the same on every VM. */
   readonly shardCount: number;
@@ -38,15 +33,13 @@
   /** Gives the entry VMs that are believed to live, this one included. */
   readonly listEntryVms: () => readonly VmId[];
   readonly budget?: AppendBudget;
-  /** The same on every VM. @default ONCE_WINDOW_MS and CLOCK_ALLOWANCE_MS */
+  /**
+   * The same on every VM; the log must keep records for longer than the window and twice the
+   * clock allowance. @default ONCE_WINDOW_MS and CLOCK_ALLOWANCE_MS
+   */
   readonly window?: OnceWindow;
 }
 
-const statusRequestSchema = z.strictObject({
-  attemptId: z.string().transform((value) => value as AttemptId),
-  bootId: z.string().transform((value) => value as BootId),
-});
-
 /** Serves shards of the claims and guards this VM's unrepeatable requests. */
 export class OnceController extends Controller {
   override readonly name = 'once';
@@ -59,13 +52,11 @@
 
   constructor(private readonly options: OnceControllerOptions) {
     super();
-    const { vmId, bootId, link, shardCount, generator } = options;
-    const window = options.window ?? {
-      windowMs: ONCE_WINDOW_MS,
-      clockAllowanceMs: CLOCK_ALLOWANCE_MS,
-    };
+    const { link, shardCount, generator } = options;
+    const { vmId, bootId } = link.self;
     const { signal } = this.closing;
-    this.servers = new ShardServers({ ...options, window, signal });
+    const window = { windowMs: ONCE_WINDOW_MS, clockAllowanceMs: CLOCK_ALLOWANCE_MS };
+    this.servers = new ShardServers({ window, ...options, vmId, signal });
     const access = new LinkedShardAccess({ vmId, shardCount, link, servers: this.servers });
     this.logGuard = new LogOnceGuard({ access, vmId, bootId, generator, signal });
   }
@@ -75,34 +66,13 @@
     return this.logGuard;
   }
 
-  override async start(signal: AbortSignal): Promise<void> {
+  override start(signal: AbortSignal): Promise<void> {
     signal.addEventListener('abort', () => this.closing.abort(), { once: true });
     if (signal.aborted) this.closing.abort();
+    this.registerHandlers();
     this.servers.updateShards();
-    this.reviewShards(signal).catch(() => undefined);
-  }
-
-  /** Handles a request of another entry VM; the link calls it for types that begin with "once/". */
-  async handlePeer(type: string, payload: unknown, signal: AbortSignal): Promise<unknown> {
-    if (type === ONCE_MESSAGES.claim) {
-      const request = claimRequestSchema.parse(payload);
-      return this.findServer(request.claim).claim(request);
-    }
-    if (type === ONCE_MESSAGES.wait) {
-      const holder = claimRecordSchema.parse(payload);
-      await this.findServer(holder).waitForChange(holder, holder.attemptId, signal);
-      return {};
-    }
-    if (type === ONCE_MESSAGES.settle) {
-      const record = settlementRecordSchema.parse(payload);
-      await this.findServer(record).settle(record);
-      return {};
-    }
-    if (type === ONCE_MESSAGES.status) {
-      const { attemptId, bootId } = statusRequestSchema.parse(payload);
-      return this.logGuard.getStatus(attemptId, bootId);
-    }
-    throw new Error(`unknown message type ${type}`);
+    this.watchShards(signal).catch(() => undefined);
+    return Promise.resolve();
   }
 
   /** Resolves once every outcome and release so far is in the log; part of a graceful shutdown. */
@@ -118,11 +88,27 @@
     };
   }
 
-  private findServer(accountKey: Parameters<typeof pickShard>[0]) {
+  private registerHandlers(): void {
+    const { link } = this.options;
+    claimMessage.register(link, (request) => this.findServer(request.claim).claim(request));
+    waitMessage.register(link, async (holder, { signal }) => {
+      await this.findServer(holder).waitForChange(holder, holder.attemptId, signal);
+      return {};
+    });
+    settleMessage.register(link, async (record) => {
+      await this.findServer(record).settle(record);
+      return {};
+    });
+    statusMessage.register(link, ({ attemptId, bootId }) =>
+      this.logGuard.getStatus(attemptId, bootId),
+    );
+  }
+
+  private findServer(accountKey: AccountKey): ShardServer {
     return this.servers.getServer(pickShard(accountKey, this.options.shardCount));
   }
 
-  private async reviewShards(signal: AbortSignal): Promise<void> {
+  private async watchShards(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await sleep(SHARD_REVIEW_INTERVAL_MS, signal);
       if (!signal.aborted) this.servers.updateShards();
--- a/packages/entry/src/filters/onceFilter.ts
+++ b/packages/entry/src/filters/onceFilter.ts
@@ -5,12 +5,14 @@
   createOnceKey,
   createOutcomeUnknown,
   createRefusal,
+  createTimeout,
   createUndecided,
   isGoldcrestError,
   parseOnceKey,
 } from '@goldcrestscale/core';
 import type {
   IdempotencyKey,
+  OnceClaim,
   OnceGuard,
   OnceRequest,
   RunOutcome,
@@ -19,16 +21,16 @@
 import { AnswerRecorder } from '../controllers/onceController/answerRecorder.js';
 import {
   IDEMPOTENCY_KEY_HEADER,
+  MAX_CLAIM_TIME_MS,
   REPLAYED_HEADER,
 } from '../controllers/onceController/constants.js';
-import type { AnswerWriter, Exchange } from './exchange.js';
+import type { Exchange } from './exchange.js';
 import { Filter } from './filter.js';
 import type { NextFilter } from './filter.js';
 
 /** What the once filter needs. */
 export interface OnceFilterOptions {
   readonly guard: OnceGuard;
-  readonly isUnrepeatable: (exchange: Exchange) => boolean;
 }
 
 const getKey = (exchange: Exchange): IdempotencyKey => {
@@ -56,7 +58,10 @@
   return { accountId: account.id, key: getKey(exchange), digest };
 };
 
-const repeatAnswer = async (exchange: Exchange, { verdict, answer }: RunOutcome): Promise<void> => {
+const sendStoredAnswer = async (
+  exchange: Exchange,
+  { verdict, answer }: RunOutcome,
+): Promise<void> => {
   exchange.verdict = combineVerdicts(exchange.verdict, verdict);
   if (verdict !== 'ran') throw createOutcomeUnknown();
   if (!answer) {
@@ -73,8 +78,7 @@
 
 const runOnce = async (exchange: Exchange, permit: RunPermit, next: NextFilter): Promise<void> => {
   const recorder = new AnswerRecorder(exchange.answer);
-  const mutable: { answer: AnswerWriter } = exchange;
-  mutable.answer = recorder;
+  exchange.answer = recorder;
   try {
     await next();
     permit.finish(recorder.getOutcome());
@@ -96,21 +100,32 @@
   }
 
   override async handle(exchange: Exchange, next: NextFilter): Promise<void> {
-    if (!this.options.isUnrepeatable(exchange)) {
+    if (exchange.idempotent) {
       await next();
       return;
     }
     const request = createRequest(exchange);
     exchange.idempotencyKey = request.key;
-    const claim = await this.options.guard.claim(request, exchange.signal);
+    const claim = await this.claimInTime(request, exchange);
     if (claim.type === 'repeat') {
-      await repeatAnswer(exchange, claim.outcome);
+      await sendStoredAnswer(exchange, claim.outcome);
       return;
     }
     // Checked after the last await: the process may have been paused since the claim.
     if (!claim.permit.begin()) throw createUndecided();
     await runOnce(exchange, claim.permit, next);
   }
+
+  private async claimInTime(request: OnceRequest, exchange: Exchange): Promise<OnceClaim> {
+    const { deadlineAtMs = Infinity, signal } = exchange;
+    const timeMs = Math.min(Math.max(deadlineAtMs - Date.now(), 0), MAX_CLAIM_TIME_MS);
+    const timeout = createTimeout(timeMs, [signal]);
+    try {
+      return await this.options.guard.claim(request, timeout.signal);
+    } finally {
+      timeout.clear();
+    }
+  }
 }
 
 /** Creates the once filter. */
