feat(bench): model returning prompts at today's sizes

Cause: the routing and tiering decisions need figures against plain policies and an oracle before they are worked on. Ruled out: a cluster simulator; small fakes of engine, link, store VM and entry drive the same decision code over virtual time.

--- /dev/null
+++ b/bench/model/cacheEvents.ts
@@ -0,0 +1,28 @@
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { CacheEventFeed } from '@goldcrestscale/core';
+import type { EngineModel } from './engine.js';
+import { EVENT_DROP_SHARE, EVENT_LAG_MS, EVENT_REPEAT_SHARE } from './sizes.js';
+import type { EventQueue } from './eventQueue.js';
+
+const MAX_PAGE_EVENTS = 256;
+const REPEATED_EVENTS = 5;
+
+/** Brings an engine's cache events to the index: late, with gaps and with repeats. */
+export const transferCacheEvents = (
+  engine: EngineModel,
+  feed: CacheEventFeed,
+  random: RandomGenerator,
+  queue: EventQueue,
+): void => {
+  const { bootId } = engine;
+  const from = feed.getNextSeq(engine.upstreamId);
+  const isRepeated = uniformFloat64(random) < EVENT_REPEAT_SHARE;
+  const start = Math.max(0, from - (isRepeated ? REPEATED_EVENTS : 0));
+  const events = engine.events
+    .slice(start, start + MAX_PAGE_EVENTS)
+    .filter(() => uniformFloat64(random) >= EVENT_DROP_SHARE);
+  queue.schedule(EVENT_LAG_MS, () => {
+    feed.applyPage(engine.upstreamId, { bootId, events });
+  });
+};
--- /dev/null
+++ b/bench/model/site.ts
@@ -0,0 +1,260 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import {
+  CacheEventFeed,
+  LeastTimeRouter,
+  PrefixIndex,
+  TieringPlanner,
+  toId,
+} from '@goldcrestscale/core';
+import type { Router, RouteRequest, UpstreamId } from '@goldcrestscale/core';
+import type { TraceRequest } from '../workloads/generate.js';
+import { LeastLoadRouter } from './leastLoadRouter.js';
+import { PrefixAffinityRouter } from './prefixAffinityRouter.js';
+import { RoundRobinRouter } from './roundRobinRouter.js';
+import { transferCacheEvents } from './cacheEvents.js';
+import { EngineModel } from './engine.js';
+import { EntryModel } from './entryModel.js';
+import { EventQueue } from './eventQueue.js';
+import { RunRecord } from './runRecord.js';
+import {
+  COLD_CONCURRENT,
+  ENGINE_ZONES,
+  ENTRIES,
+  EVENT_POLL_MS,
+  EXPORT_POLL_MS,
+  KV_BYTES_PER_TOKEN,
+  LOAD_LAG_MS,
+  LOAD_REPORT_MS,
+  NETWORK_MS,
+  STORE_ZONES,
+} from './sizes.js';
+import { StoreModel } from './storeModel.js';
+import { BlockTransfers } from './transfers.js';
+
+/** Ways to choose an upstream that the benchmarks compare. */
+export type Policy = 'round robin' | 'least load' | 'prefix affinity' | 'ours';
+
+/** Baselines of the benchmarks. */
+export const BASELINES: readonly Policy[] = ['round robin', 'least load', 'prefix affinity'];
+
+/** An availability zone taken out and back. */
+export interface ZoneMove {
+  readonly zone: string;
+  readonly outAtMs: number;
+  readonly backAtMs: number;
+}
+
+const START_MS = 1_700_000_000_000;
+const NO_SLOT_RETRY_MS = 50;
+const WARM_UP_BLOCKS = 100;
+
+/** Small fake of a site: entries with the real decision code, engines, store VMs and links. */
+export class SiteModel {
+  private readonly queue = new EventQueue(START_MS);
+
+  private readonly random: RandomGenerator = xoroshiro128plus(7);
+
+  private readonly index = new PrefixIndex();
+
+  private readonly feed = new CacheEventFeed(this.index);
+
+  private readonly planner = new TieringPlanner({
+    random: xoroshiro128plus(8),
+    bytesPerToken: KV_BYTES_PER_TOKEN,
+  });
+
+  private readonly engines = ENGINE_ZONES.map(
+    (zone, i) => new EngineModel(toId<UpstreamId>(`engine-${i}`), zone, this.queue),
+  );
+
+  private readonly stores: readonly StoreModel[];
+
+  private readonly transfers: BlockTransfers;
+
+  private readonly entries: readonly EntryModel[];
+
+  private readonly zonesOut = new Set<string>();
+
+  private readonly record = new RunRecord();
+
+  constructor(private readonly policy: Policy) {
+    this.stores =
+      policy === 'ours'
+        ? STORE_ZONES.map(
+            (zone, i) => new StoreModel(toId<UpstreamId>(`store-${i}`), zone, this.queue),
+          )
+        : [];
+    this.transfers = new BlockTransfers({
+      planner: this.planner,
+      engines: new Map(this.engines.map((engine) => [engine.upstreamId, engine])),
+      stores: new Map(this.stores.map((store) => [store.storeId, store])),
+    });
+    this.entries = Array.from(
+      { length: ENTRIES },
+      (_, i) =>
+        new EntryModel(this.createRouter(i), this.engines, (zone) => !this.zonesOut.has(zone)),
+    );
+  }
+
+  /** Runs a trace to its end and some time after. */
+  run(trace: readonly TraceRequest[], durationMs: number, move?: ZoneMove): RunRecord {
+    this.updateStores();
+    this.scheduleEvery(LOAD_REPORT_MS, () => this.publishLoad());
+    this.scheduleEvery(EVENT_POLL_MS, () => this.pollEvents());
+    if (this.policy === 'ours') {
+      this.scheduleEvery(EXPORT_POLL_MS, () => {
+        this.updateStores();
+        this.transfers.startExports();
+      });
+    }
+    if (move) this.scheduleMove(move);
+    this.scheduleTrace(trace, 0);
+    this.queue.runUntil(START_MS + durationMs);
+    this.record.linkBytes = this.stores.reduce((sum, store) => sum + store.link.carriedBytes, 0);
+    this.queue.close();
+    return this.record;
+  }
+
+  private createRouter(entry: number): Router {
+    switch (this.policy) {
+      case 'round robin':
+        return new RoundRobinRouter();
+      case 'least load':
+        return new LeastLoadRouter();
+      case 'prefix affinity':
+        return new PrefixAffinityRouter(this.index);
+      default:
+        return new LeastTimeRouter({
+          index: this.index,
+          random: xoroshiro128plus(100 + entry),
+          source: this.planner,
+        });
+    }
+  }
+
+  private scheduleEvery(everyMs: number, action: () => void): void {
+    this.queue.schedule(everyMs, () => {
+      action();
+      this.scheduleEvery(everyMs, action);
+    });
+  }
+
+  private scheduleTrace(trace: readonly TraceRequest[], next: number): void {
+    const request = trace[next];
+    if (!request) return;
+    this.queue.schedule(START_MS + request.atMs - Date.now(), () => {
+      const entry = this.entries[next % ENTRIES]!;
+      this.record.accepted += 1;
+      if (this.policy === 'ours') this.planner.noteVisit(request.workload.id, request.blocks);
+      this.dispatch(entry, request, new Set());
+      this.scheduleTrace(trace, next + 1);
+    });
+  }
+
+  private dispatch(
+    entry: EntryModel,
+    trace: TraceRequest,
+    excluded: ReadonlySet<UpstreamId>,
+  ): void {
+    const request: RouteRequest = {
+      accountId: trace.workload.accountId,
+      workload: trace.workload,
+      blocks: trace.blocks,
+      promptTokens: trace.promptTokens,
+      excluded,
+      avoidedZones: new Set(),
+    };
+    const route = entry.choose(request);
+    if (!route) {
+      this.queue.schedule(NO_SLOT_RETRY_MS, () => this.dispatch(entry, trace, new Set()));
+      return;
+    }
+    const engine = this.engines.find(({ upstreamId }) => upstreamId === route.upstreamId)!;
+    this.transfers.importBlocks(engine, route.imports, trace.blocks, () => {
+      if (this.canDispatch(engine)) this.startJob(engine, trace, route.expectedCachedTokens);
+      else this.dispatch(entry, trace, new Set([...excluded, engine.upstreamId]));
+    });
+  }
+
+  /** Checks again right before dispatch, as the daemon does; slots stand for the granter's. */
+  private canDispatch(engine: EngineModel): boolean {
+    if (this.zonesOut.has(engine.zone)) return false;
+    return !engine.cold || engine.inFlight < COLD_CONCURRENT;
+  }
+
+  private startJob(engine: EngineModel, trace: TraceRequest, expected: number): void {
+    engine.accept({
+      blocks: trace.blocks,
+      promptTokens: trace.promptTokens,
+      outputTokens: trace.outputTokens,
+      onFirstToken: (cached) => {
+        const nowMs = Date.now();
+        this.record.add(trace, nowMs - START_MS + NETWORK_MS - trace.atMs, cached);
+        this.index.learnUsage(engine.upstreamId, trace.blocks, cached, expected);
+        if (this.policy !== 'ours') return;
+        this.planner.noteHeld(engine.upstreamId, trace.workload.id, trace.blocks);
+        this.transfers.startExports();
+      },
+      onFinish: () => {
+        this.record.finished += 1;
+      },
+    });
+  }
+
+  private publishLoad(): void {
+    for (const engine of this.engines) {
+      const load = engine.sampleLoad();
+      this.queue.schedule(LOAD_LAG_MS, () => {
+        this.entries.forEach((entry) => entry.applyLoad(engine.upstreamId, load));
+      });
+    }
+  }
+
+  private pollEvents(): void {
+    this.engines.forEach((engine) =>
+      transferCacheEvents(engine, this.feed, this.random, this.queue),
+    );
+  }
+
+  private updateStores(): void {
+    this.stores.forEach((store) =>
+      this.planner.updateStore(store.getView(!this.zonesOut.has(store.zone))),
+    );
+  }
+
+  private scheduleMove(move: ZoneMove): void {
+    this.queue.schedule(move.outAtMs, () => this.zonesOut.add(move.zone));
+    this.queue.schedule(move.backAtMs, () => this.resumeZone(move.zone));
+  }
+
+  /** Brings a zone back with restarted engines and a store VM that kept only its disk. */
+  private resumeZone(zone: string): void {
+    this.zonesOut.delete(zone);
+    const engines = this.engines.filter((engine) => engine.zone === zone);
+    engines.forEach((engine) => {
+      engine.reset();
+      this.feed.noteBoot(engine.upstreamId, engine.bootId);
+      this.planner.removeUpstream(engine.upstreamId);
+    });
+    for (const store of this.stores.filter((one) => one.zone === zone)) {
+      store.reset();
+      const catalog = this.planner.getCatalog(store.storeId)!;
+      catalog.applyManifest(store.getIncarnation(), store.listManifest());
+    }
+    this.updateStores();
+    engines.forEach((engine) => this.warmUp(engine));
+  }
+
+  private warmUp(engine: EngineModel): void {
+    if (this.policy !== 'ours') return;
+    const imports = this.planner.planWarmUp(WARM_UP_BLOCKS).map(({ block }) => ({
+      key: block.key,
+      storeId: block.storeId,
+      name: block.name,
+      bytes: block.length,
+    }));
+    const blocks = imports.map(({ key, bytes }) => ({ key, tokens: bytes / KV_BYTES_PER_TOKEN }));
+    this.transfers.importBlocks(engine, imports, blocks, () => {});
+  }
+}
--- a/packages/core/src/tiering/__tests__/tieringPlanner.spec.ts
+++ b/packages/core/src/tiering/__tests__/tieringPlanner.spec.ts
@@ -37,16 +37,12 @@
   views.forEach((view) => planner.updateStore(view));
   return planner;
 };
-const finish = (planner: TieringPlanner, order: ExportOrder) =>
-  planner.finishExport(order, {
-    key: order.candidate.key,
-    storeId: order.storeId,
-    name: order.candidate.key,
-    length: order.candidate.bytes,
-    checksum: 'c',
-    generation: 1,
-    incarnation: 'i1',
-  });
+const finish = (planner: TieringPlanner, order: ExportOrder) => {
+  const { key, bytes } = order.candidate;
+  const seal = { length: bytes, checksum: 'c', generation: 1, incarnation: 'i1' };
+  const block = { key, storeId: order.storeId, name: key, ...seal };
+  planner.finishExport(order, { kind: 'stored', block });
+};
 const exportAll = (planner: TieringPlanner): ExportOrder[] => {
   const orders: ExportOrder[] = [];
   for (let order = planner.takeNextExport(); order; order = planner.takeNextExport()) {
--- a/packages/core/src/tiering/tieringPlanner.ts
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -28,6 +28,13 @@
   readonly transfer: LinkTransfer;
 }
 
+/** How an export ended. */
+export type ExportOutcome =
+  | { readonly kind: 'stored'; readonly block: StoredBlock }
+  /** The upstream no longer held the block. */
+  | { readonly kind: 'not-held' }
+  | { readonly kind: 'store-failed' };
+
 /** Options of a planner. */
 export interface TieringPlannerOptions {
   readonly random: RandomGenerator;
@@ -130,18 +137,19 @@
     return undefined;
   }
 
-  /** Ends an export; `block` is the committed one where it succeeded. */
-  finishExport(order: ExportOrder, block: StoredBlock | undefined): void {
+  /** Ends an export. */
+  finishExport(order: ExportOrder, outcome: ExportOutcome): void {
     const { candidate, storeId, transfer } = order;
     this.exporting.delete(`${storeId}/${candidate.key}`);
     const store = this.stores.get(storeId);
     if (!store) return;
-    store.link.finish(transfer, block !== undefined);
+    store.link.finish(transfer, outcome.kind === 'stored');
     store.catalog.release(candidate.bytes);
-    store.catalog.noteOutcome(block !== undefined);
-    if (!block) return;
-    const { workloadId, position, tokens } = candidate;
-    store.catalog.add({ block, workloadId, position, tokens, lastUsedMs: candidate.queuedAtMs });
+    if (outcome.kind !== 'not-held') store.catalog.noteOutcome(outcome.kind === 'stored');
+    if (outcome.kind !== 'stored') return;
+    const { workloadId, position, tokens, queuedAtMs } = candidate;
+    const { block } = outcome;
+    store.catalog.add({ block, workloadId, position, tokens, lastUsedMs: queuedAtMs });
     if (this.countCopies(candidate.key) < Math.min(BLOCK_COPIES, this.stores.size)) {
       this.queue.add(candidate);
     }
