--- a/packages/entry/src/controllers/onceController/__tests__/once.spec.ts
+++ b/packages/entry/src/controllers/onceController/__tests__/once.spec.ts
@@ -1,4 +1,4 @@
-import { createOnceKey, toId } from '@goldcrestscale/core';
+import { createOnceKey } from '@goldcrestscale/core';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { OnceWorld, settleIn } from './onceWorld.js';
 
