--- /dev/null
+++ b/packages/core/src/membership/grid.ts
@@ -0,0 +1,45 @@
+/* eslint-disable no-bitwise -- hashes are computed and cut on bits */
+import type { VmId } from '../ids.js';
+import { GRID_TARGET_REDUNDANCY } from './constants.js';
+import { hashText } from './rendezvous.js';
+
+/**
+ * Neighbour tables of square-root size, after SALAD with two dimensions (Douceur et al.,
+ * "Reclaiming Space from Duplicate Files in a Serverless Distributed File System", section 4).
+ * Members hash to cells of a square; a member's neighbours are those of its row and column, so
+ * any two members are at most two hops apart. The cell width takes the floor of the logarithm,
+ * which keeps the members per cell within the paper's own bounds (its equation 5).
+ */
+
+const DIMENSIONS = 2;
+
+interface Cell {
+  readonly row: number;
+  readonly column: number;
+}
+
+const computeCell = (vmId: VmId, width: number): Cell => {
+  const hash = hashText(vmId);
+  const coordinates = [0, 0];
+  for (let bit = 0; bit < width; bit += 1) {
+    const axis = bit % DIMENSIONS;
+    const value = (hash >>> bit) & 1;
+    coordinates[axis] = (coordinates[axis] as number) | (value << Math.floor(bit / DIMENSIONS));
+  }
+  return { row: coordinates[0] as number, column: coordinates[1] as number };
+};
+
+/** Computes the width of cell ids, in bits, for a number of members. */
+export const computeCellWidth = (memberCount: number): number =>
+  Math.max(0, Math.floor(Math.log2(memberCount / GRID_TARGET_REDUNDANCY)));
+
+/** Selects the members in the row or column of one; all of them at small sizes. */
+export const selectGridNeighbours = (self: VmId, members: readonly VmId[]): VmId[] => {
+  const width = computeCellWidth(members.length);
+  const own = computeCell(self, width);
+  return members.filter((vmId) => {
+    if (vmId === self) return false;
+    const cell = computeCell(vmId, width);
+    return cell.row === own.row || cell.column === own.column;
+  });
+};
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -1,2 +1,13 @@
 /** Which VMs are there, and which of them may get work. */
+export * from './constants.js';
+export * from './detectorMessage.js';
+export * from './entryOrder.js';
+export * from './failureDetector.js';
+export * from './freshness.js';
+export * from './fullMeshDetector.js';
+export * from './grid.js';
+export * from './gridHeartbeatDetector.js';
+export * from './gridProbingDetector.js';
+export * from './rendezvous.js';
+export * from './swimDetector.js';
 export * from './vm.js';
--- a/packages/entry/src/mesh/index.ts
+++ b/packages/entry/src/mesh/index.ts
@@ -1,5 +1,7 @@
 /** Authenticated messages between entry VMs. */
 export type { PeerIdentity } from './authentication.js';
+export { encodeFrame } from './frames.js';
+export type { Frame } from './frames.js';
 export { createMesh } from './mesh.js';
 export type { Mesh, MeshLogger, MeshOptions } from './mesh.js';
 export { MemoryNetwork } from './memoryNetwork.js';
