feat(dispatch): budget retries, hedge look-ups and eject failing upstreams

Cause: dispatch repeated up to three times at once, whatever the traffic, and an upstream that failed every request went on getting work until its load report expired. Ruled out: counting a busy or swapping upstream as a fault (it works; ejecting it under overload would take capacity away); ejecting without a cap. Change: RetryPolicy grants retries and hedges from one budget of a tenth of the first attempts, after jittered delays and as the verdict allows. EjectionPolicy opens after five failures in a row, at most half of a group, and closes by one probe. The dispatch filter is split into starter, progress and hedged run. An answer whose head names another weight version than the pinned one is cancelled and, where safe, repeated; engines must echo the attempt id; a whole answer that is not JSON counts as cut. The connection of a finished stream is kept.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Decision code of goldcrestscale; opens no sockets. */
+export * from './breaker/index.js';
 export * from './configTable/index.js';
 export * from './errors.js';
 export * from './ids.js';
@@ -6,6 +7,7 @@
 export * from './membership/index.js';
 export * from './random.js';
 export * from './prefix/index.js';
+export * from './retry/index.js';
 export * from './routing/index.js';
 export * from './tiering/index.js';
 export * from './verdict.js';
--- /dev/null
+++ b/packages/core/src/retry/budgetedRetryPolicy.ts
@@ -0,0 +1,46 @@
+import { createBackoff } from '../log/backoff.js';
+import type { RandomGenerator } from '../log/backoff.js';
+import { canRepeat } from '../verdict.js';
+import { MAX_ATTEMPTS, RETRY_INITIAL_MS, RETRY_MAX_MS } from './constants.js';
+import { RetryBudget } from './retryBudget.js';
+import { RetryPolicy } from './retryPolicy.js';
+import type { RetryDecision, RetryQuery, RetryRefusal } from './retryPolicy.js';
+
+/** Repeats as the verdict allows, after a jittered delay, within a share of traffic. */
+export class BudgetedRetryPolicy extends RetryPolicy {
+  private readonly budget = new RetryBudget();
+
+  constructor(private readonly generator: RandomGenerator) {
+    super();
+  }
+
+  override noteRequest(): void {
+    this.budget.add();
+  }
+
+  override decide(query: RetryQuery): RetryDecision {
+    const delayMs = this.computeDelayMs(query.attempts);
+    const reason = this.findRefusal(query, delayMs);
+    return reason === undefined ? { retry: true, delayMs } : { retry: false, reason };
+  }
+
+  override tryHedge(): boolean {
+    return this.budget.tryCharge();
+  }
+
+  private findRefusal(query: RetryQuery, delayMs: number): RetryRefusal | undefined {
+    if (!canRepeat(query.verdict, query.idempotent)) return 'verdict';
+    if (query.attempts >= MAX_ATTEMPTS) return 'attempts';
+    if (delayMs >= query.remainingMs) return 'deadline';
+    return this.budget.tryCharge() ? undefined : 'budget';
+  }
+
+  private computeDelayMs(attempts: number): number {
+    const initialMs = RETRY_INITIAL_MS * 2 ** (attempts - 1);
+    return createBackoff({
+      initialMs,
+      maxMs: RETRY_MAX_MS,
+      generator: this.generator,
+    }).nextDelayMs();
+  }
+}
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -22,9 +22,6 @@
 /** Longest silence of a running upstream stream, in milliseconds. */
 export const STREAM_SILENCE_MS = 30_000;
 
-/** Most attempts at one request. */
-export const MAX_ATTEMPTS = 3;
-
 /** Most times that one broken stream is resumed. */
 export const MAX_RESUMES = 2;
 
--- a/packages/entry/src/controllers/upstreams/upstreamState.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamState.ts
@@ -1,5 +1,11 @@
 import { toId } from '@goldcrestscale/core';
-import type { ConfigTable, UpstreamId, UpstreamView, VmRecord } from '@goldcrestscale/core';
+import type {
+  ConfigTable,
+  EjectionPolicy,
+  UpstreamId,
+  UpstreamView,
+  VmRecord,
+} from '@goldcrestscale/core';
 import { LOAD_EXPIRY_MS } from '../../constants.js';
 import type { LoadReport } from './loadReport.js';
 
@@ -52,8 +58,13 @@
     this.dispatches.push({ atMs: Date.now(), promptTokens });
   }
 
-  /** Tells whether the upstream may get new work now. */
-  isEligible(table: UpstreamTable): boolean {
+  /** Names the upstreams that stand in for this one. */
+  get group(): string {
+    return `${this.vm.role}/${this.report?.model ?? this.vm.service ?? ''}`;
+  }
+
+  /** Tells whether nothing but its breaker may keep the upstream from new work now. */
+  isServing(table: UpstreamTable): boolean {
     if (this.report === undefined || this.vm.state !== 'live') return false;
     if (this.report.state !== 'serving') return false;
     if (Date.now() - this.receivedAtMs > LOAD_EXPIRY_MS) return false;
@@ -62,7 +73,10 @@
   }
 
   /** Gives the view that routing decides on; undefined before the first load report. */
-  buildView(table: UpstreamTable): UpstreamView | undefined {
+  buildView(
+    table: UpstreamTable,
+    ejection: Pick<EjectionPolicy, 'getState'>,
+  ): UpstreamView | undefined {
     const { report, vm } = this;
     if (report === undefined) return undefined;
     const row = table.getUpstream(this.upstreamId);
@@ -74,7 +88,7 @@
       bootId: toId(report.bootId),
       ...(report.model === undefined ? {} : { model: toId(report.model) }),
       ...(report.weightVersion === undefined ? {} : { weightVersion: toId(report.weightVersion) }),
-      eligible: this.isEligible(table),
+      eligible: this.isServing(table) && ejection.getState(this.upstreamId) !== 'open',
       cold: report.cold,
       running: report.running,
       waiting: report.waiting,
--- a/packages/entry/src/controllers/upstreams/upstreamsController.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamsController.ts
@@ -1,9 +1,10 @@
 import { request } from 'undici';
-import type { UpstreamId, UpstreamView, VmRecord } from '@goldcrestscale/core';
+import type { EjectionPolicy, UpstreamId, UpstreamView, VmRecord } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { CONTROL_TIMEOUT_MS, LOAD_INTERVAL_MS } from '../../constants.js';
 import { repeatUntilAborted } from '../../repeat.js';
 import { Controller } from '../controller.js';
+import type { AttemptOutcome } from '../../dispatch/attemptOutcome.js';
 import { loadReportSchema } from './loadReport.js';
 import { UpstreamState } from './upstreamState.js';
 import type { UpstreamTable } from './upstreamState.js';
@@ -13,6 +14,7 @@
   readonly table: () => UpstreamTable;
   readonly listVms: () => readonly VmRecord[];
   readonly logger: Logger;
+  readonly ejection: EjectionPolicy;
 }
 
 /** Follows the load reports of the engines and plain services on the VM list. */
@@ -45,30 +47,50 @@
 
   /** Gives one upstream as it is known now. */
   findView(upstreamId: UpstreamId): UpstreamView | undefined {
-    return this.states.get(upstreamId)?.buildView(this.options.table());
+    return this.states.get(upstreamId)?.buildView(this.options.table(), this.options.ejection);
   }
 
   /** Notes a request that this VM sends to an upstream. */
   noteDispatch(upstreamId: UpstreamId, promptTokens: number): void {
+    this.options.ejection.noteStart(upstreamId);
     this.states.get(upstreamId)?.noteDispatch(promptTokens);
   }
 
+  /** Notes how an attempt at an upstream ended. */
+  noteEnd(upstreamId: UpstreamId, outcome: AttemptOutcome): void {
+    this.options.ejection.noteEnd(upstreamId, outcome);
+  }
+
   override dump(): unknown {
-    const table = this.options.table();
-    return [...this.states.values()].map((state) => state.buildView(table) ?? state.record);
+    const { table, ejection } = this.options;
+    return [...this.states.values()].map(
+      (state) => state.buildView(table(), ejection) ?? state.record,
+    );
   }
 
   private listViews(role: UpstreamView['role']): readonly UpstreamView[] {
+    const { ejection } = this.options;
     const table = this.options.table();
     return [...this.states.values()]
       .filter((state) => state.record.role === role)
-      .map((state) => state.buildView(table))
+      .map((state) => state.buildView(table, ejection))
       .filter((view) => view !== undefined);
   }
 
   private async refresh(signal: AbortSignal): Promise<void> {
     this.updateVms();
     await Promise.all([...this.states.values()].map((state) => this.refreshLoad(state, signal)));
+    this.updateGroups();
+  }
+
+  /** Counts as members of a group only the upstreams that nothing but their breaker keeps from work. */
+  private updateGroups(): void {
+    const { ejection } = this.options;
+    const table = this.options.table();
+    this.states.forEach((state, upstreamId) => {
+      if (state.isServing(table)) ejection.setGroup(upstreamId, state.group);
+      else ejection.remove(upstreamId);
+    });
   }
 
   private updateVms(): void {
@@ -81,9 +103,11 @@
       if (known) known.updateVm(vm);
       else this.states.set(vm.vmId as string as UpstreamId, new UpstreamState(vm));
     }
-    for (const upstreamId of this.states.keys()) {
-      if (!listed.has(upstreamId)) this.states.delete(upstreamId);
-    }
+    const gone = [...this.states.keys()].filter((upstreamId) => !listed.has(upstreamId));
+    gone.forEach((upstreamId) => {
+      this.states.delete(upstreamId);
+      this.options.ejection.remove(upstreamId);
+    });
   }
 
   private async refreshLoad(state: UpstreamState, signal: AbortSignal): Promise<void> {
--- a/packages/entry/src/dispatch/completionRunner.ts
+++ b/packages/entry/src/dispatch/completionRunner.ts
@@ -1,5 +1,6 @@
+import { isGoldcrestError } from '@goldcrestscale/core';
 import { CONTROL_TIMEOUT_MS, MAX_RESUMES } from '../constants.js';
-import { collectText, parseUsage } from '../upstream/completionPayload.js';
+import { collectText, isJson, parseUsage } from '../upstream/completionPayload.js';
 import { END_MARKER, readEventStream } from '../upstream/eventStream.js';
 import type { StreamEnd } from '../upstream/eventStream.js';
 import type { UpstreamAnswer, UpstreamClient } from '../upstream/upstreamClient.js';
@@ -14,7 +15,9 @@
 const relayWhole = async (attempt: Attempt, answer: UpstreamAnswer): Promise<void> => {
   const { exchange } = attempt;
   const text = await answer.body.text().catch(() => undefined);
-  if (text === undefined) throw createAttemptError('The engine cut its answer.', 'may-have-run');
+  if (text === undefined || (answer.status < 300 && !isJson(text))) {
+    throw createAttemptError('The engine cut its answer.', 'may-have-run');
+  }
   attempt.onFirstByte();
   const usage = answer.status < 300 ? parseUsage(text) : undefined;
   if (usage) attempt.onUsage(usage);
@@ -64,6 +67,11 @@
       } else {
         await relayWhole(attempt, answer);
       }
+    } catch (cause) {
+      // The engine may go on with a run that nobody reads.
+      if (!attempt.signal.aborted && isGoldcrestError(cause) && cause.verdict !== 'not-run')
+        cancel();
+      throw cause;
     } finally {
       attempt.signal.removeEventListener('abort', cancel);
     }
--- a/packages/entry/src/dispatch/engineCall.ts
+++ b/packages/entry/src/dispatch/engineCall.ts
@@ -40,6 +40,7 @@
   headers: buildHeaders(attempt),
   body: buildBody(attempt),
   signal: attempt.signal,
+  echoesAttempt: true,
 });
 
 /** Builds the call that fetches the rest of an answer from the engine that runs it. */
@@ -47,9 +48,10 @@
   attemptId: attempt.attemptId,
   method: 'POST',
   path: `/v1/requests/${attempt.attemptId}/resume`,
-  headers: { 'content-type': 'application/json' },
+  headers: buildHeaders(attempt),
   body: JSON.stringify({ tokens: received.tokens }),
   signal: attempt.signal,
+  echoesAttempt: true,
 });
 
 /** Builds the call that cancels an attempt at its engine. */
@@ -59,4 +61,5 @@
   path: `/v1/requests/${attempt.attemptId}`,
   headers: {},
   signal,
+  echoesAttempt: false,
 });
--- a/packages/entry/src/dispatch/serviceRunner.ts
+++ b/packages/entry/src/dispatch/serviceRunner.ts
@@ -38,8 +38,11 @@
       headers: selectHeaders(attempt),
       ...(exchange.body.length > 0 ? { body: exchange.body } : {}),
       signal: attempt.signal,
+      echoesAttempt: false,
     });
     const body = await readWhole(answer);
+    // Another attempt at the same look-up may have answered while the body came in.
+    if (attempt.signal.aborted) throw createAttemptError('The call was cancelled.', 'may-have-run');
     attempt.onFirstByte();
     exchange.verdict = 'ran';
     exchange.answer.writeHead(answer.status, {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,5 +1,12 @@
 import { randomUUID } from 'node:crypto';
-import { CONFIG_STREAM, LeastLoadRouter, createGenerator, toId } from '@goldcrestscale/core';
+import {
+  BudgetedRetryPolicy,
+  CONFIG_STREAM,
+  CappedEjection,
+  LeastLoadRouter,
+  createGenerator,
+  toId,
+} from '@goldcrestscale/core';
 import type { BootId, ConfigTable } from '@goldcrestscale/core';
 import { createHttpLogStream, createVmListClient } from '@goldcrestscale/platform';
 import { createMetrics } from '@goldcrestscale/runtime';
@@ -58,6 +65,7 @@
     table: (): ConfigTable => table.table,
     listVms: () => vmList.listVms(),
     logger: logger.createPart('upstreams'),
+    ejection: new CappedEjection(createGenerator()),
   });
   return { table, vmList, upstreams };
 };
@@ -95,6 +103,7 @@
     table: () => table.table,
     dispatch: {
       router: new LeastLoadRouter(),
+      retries: new BudgetedRetryPolicy(createGenerator()),
       directory: upstreams,
       completions: new CompletionRunner(client),
       services: new ServiceRunner(client),
--- a/packages/entry/src/filters/dispatchFilter.ts
+++ b/packages/entry/src/filters/dispatchFilter.ts
@@ -1,119 +1,77 @@
-import { randomUUID } from 'node:crypto';
-import {
-  canRepeat,
-  combineVerdicts,
-  createRefusal,
-  isGoldcrestError,
-  toId,
-} from '@goldcrestscale/core';
-import type {
-  AttemptId,
-  AvailabilityZoneId,
-  GoldcrestErrorInstance,
-  Route,
-  Router,
-  UpstreamId,
-  UpstreamView,
-} from '@goldcrestscale/core';
-import { DEFAULT_RETRY_AFTER_MS, MAX_ATTEMPTS } from '../constants.js';
-import type { Attempt, AttemptRunner } from '../dispatch/attempt.js';
-import { createDeadline } from '../dispatch/deadline.js';
-import type { TokenUsage } from '../upstream/completionPayload.js';
+import { HedgeDelay, isGoldcrestError, sleep } from '@goldcrestscale/core';
+import type { GoldcrestErrorInstance, RetryPolicy, Router } from '@goldcrestscale/core';
+import { AttemptStarter, countPromptTokens } from '../dispatch/attemptStarter.js';
+import type { AttemptOptions } from '../dispatch/attemptStarter.js';
+import { runHedged } from '../dispatch/hedgedRun.js';
+import type { StartAttempt } from '../dispatch/hedgedRun.js';
+import { addAvoided, createProgress } from '../dispatch/progress.js';
+import type { Choice, Progress } from '../dispatch/progress.js';
+import { createNoUpstreamRefusal, listUpstreams } from '../dispatch/upstreamDirectory.js';
 import type { Exchange } from './exchange.js';
 import { Filter } from './filter.js';
 
-/** Upstreams as the dispatch filter sees them. */
-export interface UpstreamDirectory {
-  listEngines(model: string): readonly UpstreamView[];
-  listServices(service: string): readonly UpstreamView[];
-  findView(upstreamId: UpstreamId): UpstreamView | undefined;
-  noteDispatch(upstreamId: UpstreamId, promptTokens: number): void;
-}
-
-/** Observes attempts, for metrics, breakers and the prefix index. */
-export interface DispatchObserver {
-  onFirstByte(exchange: Exchange, upstream: UpstreamView): void;
-  onUsage(exchange: Exchange, upstream: UpstreamView, usage: TokenUsage): void;
-  onFailure(exchange: Exchange, upstream: UpstreamView, error: GoldcrestErrorInstance): void;
-}
+export type { DispatchObserver, UpstreamDirectory } from '../dispatch/upstreamDirectory.js';
 
 /** What the dispatch filter is built from. */
-export interface DispatchOptions {
+export interface DispatchOptions extends AttemptOptions {
   readonly router: Router;
-  readonly directory: UpstreamDirectory;
-  readonly completions: AttemptRunner;
-  readonly services: AttemptRunner;
-  readonly observer: DispatchObserver;
-}
-
-const BYTES_PER_TOKEN = 4;
-
-interface Choice {
-  readonly upstream: UpstreamView;
-  readonly route: Route;
-}
-
-/** What has happened to one exchange so far. */
-interface Progress {
-  readonly excluded: Set<UpstreamId>;
-  readonly avoidedZones: Set<AvailabilityZoneId>;
-  readonly receivedEvents: string[];
+  readonly retries: RetryPolicy;
 }
 
-const refuseForUpstream = (): Error =>
-  createRefusal('No upstream can take the request now.', {
-    code: 'no_upstream',
-    status: 503,
-    retryAfterMs: DEFAULT_RETRY_AFTER_MS,
-  });
-
-const countPromptTokens = (exchange: Exchange): number =>
-  exchange.target.kind === 'completion'
-    ? Math.ceil(Buffer.byteLength(exchange.target.prompt) / BYTES_PER_TOKEN)
-    : 0;
-
-const canTryAgain = (exchange: Exchange, error: GoldcrestErrorInstance): boolean => {
-  if (exchange.signal.aborted || error.code === 'deadline') return false;
-  if (exchange.deadlineAtMs !== undefined && Date.now() >= exchange.deadlineAtMs) {
-    if (!exchange.answer.headSent) return false;
-  }
-  return canRepeat(error.verdict, exchange.idempotent);
-};
+const computeRemainingMs = (exchange: Exchange): number =>
+  exchange.answer.headSent ? Infinity : (exchange.deadlineAtMs ?? Infinity) - Date.now();
 
 /** Chooses an upstream, sends the request and repeats it as far as its verdict allows. */
 export class DispatchFilter extends Filter {
   override readonly name = 'dispatch';
 
+  private readonly starter: AttemptStarter;
+
+  private readonly hedgeDelays = new Map<string, HedgeDelay>();
+
   constructor(private readonly options: DispatchOptions) {
     super();
+    this.starter = new AttemptStarter(options);
   }
 
   override async handle(exchange: Exchange): Promise<void> {
-    const progress: Progress = {
-      excluded: new Set(),
-      avoidedZones: new Set(),
-      receivedEvents: [],
-    };
-    for (let count = 1; ; count += 1) {
+    const progress = createProgress();
+    this.options.retries.noteRequest();
+    for (let attempts = 1; ; attempts += 1) {
       const choice = this.choose(exchange, progress);
       try {
-        await this.runAttempt(exchange, choice, progress);
+        await this.runChoice(exchange, choice, progress);
         return;
       } catch (cause) {
         if (!isGoldcrestError(cause)) throw cause;
-        this.noteFailure(exchange, choice, progress, cause);
-        if (count === MAX_ATTEMPTS || !canTryAgain(exchange, cause)) throw cause;
+        addAvoided(progress, choice);
+        await this.waitForRetry(exchange, cause, attempts);
       }
     }
   }
 
+  /** @throws the failure itself where it is not to be repeated */
+  private async waitForRetry(
+    exchange: Exchange,
+    error: GoldcrestErrorInstance,
+    attempts: number,
+  ): Promise<void> {
+    if (exchange.signal.aborted || error.code === 'deadline') throw error;
+    const decision = this.options.retries.decide({
+      attempts,
+      verdict: error.verdict,
+      idempotent: exchange.idempotent,
+      remainingMs: computeRemainingMs(exchange),
+    });
+    if (!decision.retry) throw error;
+    await sleep(decision.delayMs, exchange.signal);
+    if (exchange.signal.aborted) throw error;
+  }
+
   private choose(exchange: Exchange, progress: Progress): Choice {
-    const { workload, account, target } = exchange;
+    const { workload, account } = exchange;
     if (!workload || !account) throw new TypeError('the account filter has not run');
-    const upstreams =
-      target.kind === 'completion'
-        ? this.options.directory.listEngines(target.model)
-        : this.options.directory.listServices(target.service);
+    const upstreams = listUpstreams(this.options.directory, exchange);
     const route = this.options.router.choose(
       {
         accountId: account.id,
@@ -127,57 +85,55 @@
       upstreams,
     );
     const upstream = upstreams.find((view) => view.upstreamId === route?.upstreamId);
-    if (!route || !upstream) throw refuseForUpstream();
+    if (!route || !upstream) throw createNoUpstreamRefusal();
     return { route, upstream };
   }
 
-  private async runAttempt(exchange: Exchange, choice: Choice, progress: Progress): Promise<void> {
-    const { upstream, route } = choice;
-    const deadline = createDeadline(exchange);
-    const attempt: Attempt = {
-      attemptId: toId<AttemptId>(randomUUID()),
-      exchange,
-      upstream,
-      route,
-      signal: deadline.signal,
-      receivedEvents: progress.receivedEvents,
-      onFirstByte: () => {
-        deadline.clear();
-        this.options.observer.onFirstByte(exchange, upstream);
-      },
-      onUsage: (usage) => this.options.observer.onUsage(exchange, upstream, usage),
-    };
-    try {
-      this.assertSendable(exchange, upstream);
-      const tokens = countPromptTokens(exchange) - route.expectedCachedTokens;
-      this.options.directory.noteDispatch(upstream.upstreamId, tokens);
-      await this.getRunner(exchange).run(attempt);
-    } catch (cause) {
-      throw deadline.explain(cause);
-    } finally {
-      deadline.clear();
-    }
-  }
-
-  /** Checks everything that may have changed since the choice; nothing awaits between this and the send. */
-  private assertSendable(exchange: Exchange, upstream: UpstreamView): void {
-    exchange.assertSendable();
-    if (!this.options.directory.findView(upstream.upstreamId)?.eligible) throw refuseForUpstream();
+  private async runChoice(exchange: Exchange, choice: Choice, progress: Progress): Promise<void> {
+    const { target } = exchange;
+    const isLookUp = target.kind === 'service' && exchange.method === 'GET' && exchange.idempotent;
+    if (isLookUp) await this.runLookUp(exchange, choice, progress, target.service);
+    else await this.starter.run({ exchange, choice, progress });
   }
 
-  private getRunner(exchange: Exchange): AttemptRunner {
-    return exchange.target.kind === 'completion' ? this.options.completions : this.options.services;
+  private async runLookUp(
+    exchange: Exchange,
+    choice: Choice,
+    progress: Progress,
+    service: string,
+  ): Promise<void> {
+    const hedgeDelay = this.hedgeDelays.get(service) ?? new HedgeDelay();
+    this.hedgeDelays.set(service, hedgeDelay);
+    const startedAtMs = Date.now();
+    const delayMs = hedgeDelay.computeMs();
+    if (delayMs === undefined) {
+      await this.starter.run({ exchange, choice, progress });
+    } else {
+      const startFirst = this.createStart(exchange, choice, progress);
+      const takeSecond = () => this.takeHedge(exchange, choice, progress);
+      await runHedged({ delayMs, startFirst, takeSecond });
+    }
+    hedgeDelay.observe(Date.now() - startedAtMs);
   }
 
-  private noteFailure(
+  private takeHedge(
     exchange: Exchange,
-    { upstream }: Choice,
+    first: Choice,
     progress: Progress,
-    error: GoldcrestErrorInstance,
-  ): void {
-    progress.excluded.add(upstream.upstreamId);
-    progress.avoidedZones.add(upstream.availabilityZone);
-    exchange.verdict = combineVerdicts(exchange.verdict, error.verdict);
-    this.options.observer.onFailure(exchange, upstream, error);
+  ): StartAttempt | undefined {
+    if (exchange.signal.aborted) return undefined;
+    addAvoided(progress, first);
+    try {
+      const choice = this.choose(exchange, progress);
+      if (!this.options.retries.tryHedge()) return undefined;
+      return this.createStart(exchange, choice, progress);
+    } catch {
+      // Without another upstream the first attempt goes on alone.
+      return undefined;
+    }
+  }
+
+  private createStart(exchange: Exchange, choice: Choice, progress: Progress): StartAttempt {
+    return (signal, onWin) => this.starter.run({ exchange, choice, progress, signal, onWin });
   }
 }
--- a/packages/entry/src/upstream/completionPayload.ts
+++ b/packages/entry/src/upstream/completionPayload.ts
@@ -25,8 +25,19 @@
   readonly cachedTokens: number;
 }
 
+const parseChunk = (data: string): unknown => {
+  try {
+    return JSON.parse(data);
+  } catch {
+    return undefined;
+  }
+};
+
+/** Tells whether a text is one whole JSON value. */
+export const isJson = (text: string): boolean => parseChunk(text) !== undefined;
+
 const readText = (data: string): string => {
-  const parsed = chunkSchema.safeParse(JSON.parse(data));
+  const parsed = chunkSchema.safeParse(parseChunk(data));
   const choice = parsed.data?.choices[0];
   return choice?.text ?? choice?.delta?.content ?? '';
 };
@@ -46,7 +57,7 @@
 /** Reads the token counts of an answer or of the last event of a stream. */
 export const parseUsage = (data: string): TokenUsage | undefined => {
   if (!data.includes('"usage"')) return undefined;
-  const usage = chunkSchema.safeParse(JSON.parse(data)).data?.usage;
+  const usage = chunkSchema.safeParse(parseChunk(data)).data?.usage;
   if (!usage) return undefined;
   return {
     promptTokens: usage.prompt_tokens,
--- a/packages/entry/src/upstream/eventStream.ts
+++ b/packages/entry/src/upstream/eventStream.ts
@@ -10,6 +10,12 @@
   /** The connection ended without it. */
   | 'broken';
 
+/** Reads to the end of a body after its end marker, so that its connection can be used again. */
+const finishBody = async (iterator: AsyncIterator<Uint8Array>): Promise<void> => {
+  const last = await iterator.next().catch(() => undefined);
+  if (last?.done === false) await iterator.return?.().catch(() => undefined);
+};
+
 /**
  * Reads server-sent events and hands on the payload of each.
  *
@@ -24,17 +30,22 @@
   const parser = createParser({ onEvent: (event) => pending.push(event.data) });
   const decoder = new TextDecoder();
   const iterator = body[Symbol.asyncIterator]();
+  let isWhole = false;
   try {
     for (;;) {
       const chunk = await iterator.next().catch(() => undefined);
       if (chunk === undefined || chunk.done) return 'broken';
       parser.feed(decoder.decode(chunk.value, { stream: true }));
       for (const data of pending.splice(0)) {
-        if (data === END_MARKER) return 'whole';
+        if (data === END_MARKER) {
+          isWhole = true;
+          return 'whole';
+        }
         await onData(data);
       }
     }
   } finally {
-    await iterator.return?.().catch(() => undefined);
+    if (isWhole) void finishBody(iterator);
+    else await iterator.return?.().catch(() => undefined);
   }
 };
--- a/packages/entry/src/upstream/upstreamClient.ts
+++ b/packages/entry/src/upstream/upstreamClient.ts
@@ -1,10 +1,9 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { Agent, request } from 'undici';
 import type { Dispatcher } from 'undici';
-import { createError } from '@goldcrestscale/core';
 import type { AttemptId, UpstreamView, Verdict } from '@goldcrestscale/core';
-import { CONNECT_TIMEOUT_MS, DEFAULT_RETRY_AFTER_MS, STREAM_SILENCE_MS } from '../constants.js';
-import { createAttemptError, decideCallVerdict } from './upstreamError.js';
+import { CONNECT_TIMEOUT_MS, STREAM_SILENCE_MS } from '../constants.js';
+import { createAttemptError, createUnavailableError, decideCallVerdict } from './upstreamError.js';
 
 /** One HTTP call of an upstream. */
 export interface UpstreamCall {
@@ -14,6 +13,8 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body?: Buffer | string;
   readonly signal: AbortSignal;
+  /** Whether a successful answer must carry the attempt id; plain services don't know it. */
+  readonly echoesAttempt: boolean;
 }
 
 /** Answer of an upstream whose head has been checked. */
@@ -52,25 +53,45 @@
 const isWeightConflict = (answer: UpstreamAnswer, call: UpstreamCall): boolean =>
   answer.status === CONFLICT_STATUS && call.headers['x-weight-version'] !== undefined;
 
-const checkHead = async (answer: UpstreamAnswer, call: UpstreamCall): Promise<void> => {
+const isOwnAnswer = (answer: UpstreamAnswer, call: UpstreamCall): boolean => {
   const echoed = answer.headers['x-attempt-id'];
-  if (echoed !== undefined && echoed !== call.attemptId) {
-    answer.body.destroy();
+  if (echoed !== undefined) return echoed === call.attemptId;
+  return !call.echoesAttempt || answer.status >= 300;
+};
+
+/** Tells whether the upstream has swapped its weights since it reported their version. */
+const hasSwapped = (answer: UpstreamAnswer, call: UpstreamCall): boolean => {
+  const wanted = call.headers['x-weight-version'];
+  const used = answer.headers['x-weight-version'];
+  return wanted !== undefined && used !== undefined && used !== wanted;
+};
+
+const discardBody = (answer: UpstreamAnswer): void => {
+  // The body ends with an error that nobody waits for.
+  answer.body.on('error', () => undefined);
+  answer.body.destroy();
+};
+
+const checkHead = async (answer: UpstreamAnswer, call: UpstreamCall): Promise<void> => {
+  if (!isOwnAnswer(answer, call)) {
+    discardBody(answer);
     throw createAttemptError('The upstream sent the answer of another request.', 'may-have-run');
   }
   if (isWeightConflict(answer, call)) {
     await answer.body.dump();
-    throw createAttemptError('The upstream holds another weight version.', 'not-run');
+    throw createUnavailableError('The upstream holds another weight version.', 'not-run');
+  }
+  if (hasSwapped(answer, call)) {
+    discardBody(answer);
+    throw createUnavailableError('The upstream has swapped its weights.', 'may-have-run');
   }
   const verdict = decideHeadVerdict(answer);
   if (verdict === undefined) return;
   await answer.body.dump();
-  throw createError(`The upstream answered with status ${answer.status}.`, {
-    code: 'upstream_failed',
-    status: answer.status === BUSY_STATUS ? BUSY_STATUS : 502,
-    verdict,
-    retryAfterMs: DEFAULT_RETRY_AFTER_MS,
-  });
+  const message = `The upstream answered with status ${answer.status}.`;
+  throw answer.status === BUSY_STATUS && verdict === 'not-run'
+    ? createUnavailableError(message, verdict)
+    : createAttemptError(message, verdict);
 };
 
 /** Creates a client with its own connection pools. */
--- a/packages/entry/src/upstream/upstreamError.ts
+++ b/packages/entry/src/upstream/upstreamError.ts
@@ -18,6 +18,15 @@
 export const decideCallVerdict = (cause: unknown): Verdict =>
   NOT_SENT_CODES.has(readCode(cause)) ? 'not-run' : 'may-have-run';
 
+/** Creates the failure of an attempt at an upstream that works but can't serve this request now. */
+export const createUnavailableError = (message: string, verdict: Verdict): GoldcrestErrorInstance =>
+  createError(message, {
+    code: 'upstream_failed',
+    status: 503,
+    verdict,
+    retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+  });
+
 /** Creates the failure of one attempt at an upstream. */
 export const createAttemptError = (message: string, verdict: Verdict): GoldcrestErrorInstance =>
   createError(message, {
