feat(entry): run the mesh and the claims of unrepeatable requests

Cause: unrepeatable requests were sent without a claim, and entry VMs did not talk to each other. Change: mesh listener, peers from the VM list, once controller and filter in the chain, entry order by rendezvous hashing, settings for claims with a check of the log's retention. Conclusion: types pass.

--- a/packages/entry/src/config.ts
+++ b/packages/entry/src/config.ts
@@ -1,9 +1,16 @@
+import { CLOCK_ALLOWANCE_MS, ONCE_WINDOW_MS } from '@goldcrestscale/core';
 import type { AvailabilityZoneId, VmId } from '@goldcrestscale/core';
 import { logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
 import { z } from 'zod';
-import { DEFAULT_LOG_RETENTION_MS, ENTRIES_TTL_MS } from './constants.js';
+import {
+  DEFAULT_LOG_RETENTION_MS,
+  DEFAULT_ONCE_APPENDS_PER_SECOND,
+  DEFAULT_ONCE_SHARDS,
+  ENTRIES_TTL_MS,
+} from './constants.js';
 
 const MAX_PORT = 65_535;
+const MAX_SHARDS = 1_024;
 const MAX_ENTRIES_TTL_MS = 60_000;
 const ID_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
 
@@ -18,8 +25,7 @@
   port: portSchema.describe('TCP port to listen on; 0 picks a free one'),
 });
 
-/** Settings file of the entry daemon. */
-export const entrySettingsSchema = z.strictObject({
+const settingsFields = z.strictObject({
   vmId: z
     .string()
     .regex(ID_PATTERN)
@@ -61,8 +67,40 @@
     .max(MAX_ENTRIES_TTL_MS)
     .default(ENTRIES_TTL_MS)
     .describe('time that callers may keep an answer of /v1/entries, in milliseconds'),
+  once: z
+    .strictObject({
+      shardCount: z
+        .number()
+        .int()
+        .min(1)
+        .max(MAX_SHARDS)
+        .default(DEFAULT_ONCE_SHARDS)
+        .describe('log streams that hold the claims; the same on every VM'),
+      appendsPerSecond: z
+        .number()
+        .positive()
+        .default(DEFAULT_ONCE_APPENDS_PER_SECOND)
+        .describe('most appends a second of this VM to those streams'),
+      windowMs: z
+        .number()
+        .int()
+        .positive()
+        .default(ONCE_WINDOW_MS)
+        .describe('age up to which an idempotency key is accepted; the same on every VM'),
+    })
+    .prefault({})
+    .describe('unrepeatable requests'),
   log: logSettingsSchema,
 });
 
+/** Settings file of the entry daemon. */
+export const entrySettingsSchema = settingsFields.refine(
+  (settings) => settings.platform.logRetentionMs > settings.once.windowMs + 2 * CLOCK_ALLOWANCE_MS,
+  {
+    path: ['platform', 'logRetentionMs'],
+    message: `must be more than once.windowMs and twice the clock allowance of ${CLOCK_ALLOWANCE_MS} ms`,
+  },
+);
+
 /** Resolved settings of the entry daemon. */
 export type EntrySettings = Readonly<z.output<typeof entrySettingsSchema>>;
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -32,4 +32,10 @@
 export const REQUEST_TIMEOUT_MS = 30_000;
 
 /** Time for which the platform's log keeps records where the settings say nothing, in milliseconds. */
-export const DEFAULT_LOG_RETENTION_MS = 3_600_000;
+export const DEFAULT_LOG_RETENTION_MS = 7_200_000;
+
+/** Log streams that hold the claims of unrepeatable requests. */
+export const DEFAULT_ONCE_SHARDS = 4;
+
+/** Most appends a second of one VM to the streams of claims. */
+export const DEFAULT_ONCE_APPENDS_PER_SECOND = 40;
--- a/packages/entry/src/controllers/vmList/vmListController.ts
+++ b/packages/entry/src/controllers/vmList/vmListController.ts
@@ -5,6 +5,14 @@
 import { repeatUntilAborted } from '../../repeat.js';
 import { Controller } from '../controller.js';
 
+/** What the VM list controller needs. */
+export interface VmListOptions {
+  readonly client: VmListClient;
+  readonly logger: Logger;
+  /** Called with each list that was read. */
+  readonly onUpdate: (vms: readonly VmRecord[]) => void;
+}
+
 /** Keeps the last known VM list; an outage of the list leaves the last one in force. */
 export class VmListController extends Controller {
   override readonly name = 'vmList';
@@ -13,10 +21,7 @@
 
   private readAtMs: number | undefined;
 
-  constructor(
-    private readonly reader: VmListClient,
-    private readonly logger: Logger,
-  ) {
+  constructor(private readonly options: VmListOptions) {
     super();
   }
 
@@ -35,10 +40,13 @@
 
   private async refresh(signal: AbortSignal): Promise<void> {
     try {
-      this.vms = await this.reader.listVms(signal);
+      this.vms = await this.options.client.listVms(signal);
       this.readAtMs = Date.now();
+      this.options.onUpdate(this.vms);
     } catch (cause) {
-      this.logger.warn('VM list not read; the last one stays in force', { error: String(cause) });
+      this.options.logger.warn('VM list not read; the last one stays in force', {
+        error: String(cause),
+      });
     }
   }
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,31 +1,28 @@
 import { randomUUID } from 'node:crypto';
-import {
-  BudgetedRetryPolicy,
-  CONFIG_STREAM,
-  CappedEjection,
-  LeastLoadRouter,
-  createGenerator,
-  toId,
-} from '@goldcrestscale/core';
-import type { BootId, ConfigTable } from '@goldcrestscale/core';
-import { createHttpLogStream, createVmListClient } from '@goldcrestscale/platform';
+import type { Server } from 'node:http';
+import { toId } from '@goldcrestscale/core';
+import type { BootId, VmId } from '@goldcrestscale/core';
 import { createMetrics } from '@goldcrestscale/runtime';
-import type { Logger } from '@goldcrestscale/runtime';
+import type { Logger, Metrics } from '@goldcrestscale/runtime';
+import {
+  createControllers,
+  listControllers,
+  startControllers,
+} from './compose/createControllers.js';
+import type { Controllers } from './compose/createControllers.js';
+import { createDataPath } from './compose/createDataPath.js';
+import { dumpControllers } from './compose/dumpControllers.js';
 import type { EntrySettings } from './config.js';
-import type { Controller } from './controllers/controller.js';
-import { createTableController } from './controllers/tableController/index.js';
-import type { TableController } from './controllers/tableController/index.js';
-import { UpstreamsController } from './controllers/upstreams/upstreamsController.js';
-import { VmListController } from './controllers/vmList/vmListController.js';
-import { CompletionRunner } from './dispatch/completionRunner.js';
-import { ServiceRunner } from './dispatch/serviceRunner.js';
 import { drainServer } from './drain.js';
-import { createFilters } from './filters/index.js';
 import { createCallerServer } from './http/callerServer.js';
 import type { EntriesAnswer } from './http/entriesAnswer.js';
+import { listEntries } from './http/entriesAnswer.js';
 import { createOperationsServer } from './http/operationsServer.js';
 import { listen } from './listen.js';
+import { createMesh } from './mesh/index.js';
+import type { Mesh } from './mesh/index.js';
 import { createEntryMetrics } from './metrics.js';
+import type { EntryMetrics } from './metrics.js';
 import { waitForAbort } from './repeat.js';
 import { createUpstreamClient } from './upstream/upstreamClient.js';
 
@@ -45,98 +42,88 @@
   readonly signal: AbortSignal;
 }
 
-interface Controllers {
-  readonly table: TableController;
-  readonly vmList: VmListController;
-  readonly upstreams: UpstreamsController;
+interface Daemon {
+  readonly bootId: BootId;
+  readonly metrics: Metrics;
+  readonly entryMetrics: EntryMetrics;
+  readonly mesh: Mesh;
+  readonly controllers: Controllers;
 }
 
-const createControllers = ({ settings, logger }: EntryOptions): Controllers => {
-  const table = createTableController({
-    stream: createHttpLogStream(settings.platform.logUrl, CONFIG_STREAM),
-    retentionMs: settings.platform.logRetentionMs,
-    generator: createGenerator(),
-  });
-  const vmList = new VmListController(
-    createVmListClient(settings.platform.vmListUrl),
-    logger.createPart('vmList'),
-  );
-  const upstreams = new UpstreamsController({
-    table: (): ConfigTable => table.table,
-    listVms: () => vmList.listVms(),
-    logger: logger.createPart('upstreams'),
-    ejection: new CappedEjection(createGenerator()),
+const openMesh = (options: EntryOptions, bootId: BootId, signal: AbortSignal): Promise<Mesh> =>
+  createMesh({
+    vmId: options.settings.vmId,
+    bootId,
+    listen: options.settings.mesh,
+    secret: Buffer.from(options.secrets.meshSecret),
+    logger: options.logger.createPart('mesh'),
+    signal,
   });
-  return { table, vmList, upstreams };
-};
 
-const listEntries = (settings: EntrySettings, controllers: Controllers): EntriesAnswer => {
-  const { table } = controllers.table;
-  const entries = controllers.vmList
-    .listVms()
-    .filter((vm) => vm.role === 'entry' && vm.state === 'live')
-    .filter((vm) => !table.isZoneOut(vm.availabilityZone))
-    .map(({ address, availabilityZone }) => ({ address, availabilityZone }));
-  return { entries, ttlMs: settings.entriesTtlMs };
+const createDaemon = async (options: EntryOptions, signal: AbortSignal): Promise<Daemon> => {
+  const { settings, logger } = options;
+  const bootId = toId<BootId>(randomUUID());
+  const metrics = createMetrics();
+  metrics.collectRuntime();
+  const entryMetrics = createEntryMetrics(metrics);
+  const mesh = await openMesh(options, bootId, signal);
+  const controllers = createControllers({ settings, logger, link: mesh });
+  return { bootId, metrics, entryMetrics, mesh, controllers };
 };
 
-const startControllers = async (
-  controllers: readonly Controller[],
-  signal: AbortSignal,
-): Promise<void> => {
-  for (const controller of controllers) await controller.start(signal);
+const createOperations = (options: EntryOptions, daemon: Daemon, isReady: () => boolean): Server =>
+  createOperationsServer({
+    key: options.secrets.operationsKey,
+    logger: options.logger.createPart('operations'),
+    isReady,
+    dumpState: () => ({
+      vmId: options.settings.vmId,
+      bootId: daemon.bootId,
+      mesh: { connected: daemon.mesh.listConnected(), stats: daemon.mesh.stats },
+      ...dumpControllers(listControllers(daemon.controllers)),
+    }),
+    renderMetrics: () => daemon.metrics.render(),
+    onWrongKey: () => daemon.entryMetrics.recordWrongKey('operations'),
+  });
+
+const answerEntries = (
+  { settings, signal }: EntryOptions,
+  { mesh, controllers }: Daemon,
+  affinityKey: string | undefined,
+): EntriesAnswer => {
+  const connected = new Set<VmId>(mesh.listConnected().map((peer) => peer.vmId));
+  if (!signal.aborted) connected.add(settings.vmId);
+  return listEntries({
+    vms: controllers.vmList.listVms(),
+    table: controllers.table.table,
+    isUsable: (vmId) => connected.has(vmId),
+    affinityKey,
+    ttlMs: settings.entriesTtlMs,
+  });
 };
 
 /** Runs the entry daemon until its signal aborts and every request has ended. */
 export const runEntry = async (options: EntryOptions): Promise<void> => {
-  const { settings, secrets, logger, signal } = options;
-  const bootId = toId<BootId>(randomUUID());
-  const metrics = createMetrics();
-  metrics.collectRuntime();
-  const entryMetrics = createEntryMetrics(metrics);
-  const controllers = createControllers(options);
-  const { table, vmList, upstreams } = controllers;
-  const client = createUpstreamClient();
-  const filters = createFilters({
-    logger: logger.createPart('filters'),
-    metrics: entryMetrics,
-    table: () => table.table,
-    dispatch: {
-      router: new LeastLoadRouter(),
-      retries: new BudgetedRetryPolicy(createGenerator()),
-      directory: upstreams,
-      completions: new CompletionRunner(client),
-      services: new ServiceRunner(client),
-    },
-  });
+  const { settings, logger, signal } = options;
   const work = new AbortController();
+  const client = createUpstreamClient();
+  const daemon = await createDaemon(options, work.signal);
+  const { controllers, entryMetrics, bootId } = daemon;
   let ready = false;
   const callers = createCallerServer({
-    filters,
-    answerEntries: () => listEntries(settings, controllers),
-  });
-  const operations = createOperationsServer({
-    key: secrets.operationsKey,
-    logger: logger.createPart('operations'),
-    isReady: () => ready && !signal.aborted,
-    dumpState: () => ({
-      vmId: settings.vmId,
-      bootId,
-      table: table.dump(),
-      vmList: vmList.dump(),
-      upstreams: upstreams.dump(),
-    }),
-    renderMetrics: () => metrics.render(),
-    onWrongKey: () => entryMetrics.recordWrongKey('operations'),
+    filters: createDataPath({ controllers, client, logger, metrics: entryMetrics }),
+    answerEntries: (affinityKey) => answerEntries(options, daemon, affinityKey),
   });
+  const operations = createOperations(options, daemon, () => ready && !signal.aborted);
   await listen(operations, settings.operations);
-  await startControllers([table, vmList, upstreams], work.signal);
+  await startControllers(listControllers(controllers), work.signal);
   await listen(callers, settings.listen);
   ready = true;
   logger.info('listening', { address: settings.advertise, bootId });
   await waitForAbort(signal);
   logger.info('draining');
   await drainServer(callers, settings.entriesTtlMs);
+  await controllers.once.flush();
   work.abort();
   await client.close();
   operations.close();
--- a/packages/entry/src/filters/index.ts
+++ b/packages/entry/src/filters/index.ts
@@ -1,5 +1,5 @@
 /** The filters of a request, in their order. */
-import type { ConfigTable } from '@goldcrestscale/core';
+import type { ConfigTable, OnceGuard } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { EntryMetrics } from '../metrics.js';
 import { DeadlineFilter } from './deadlineFilter.js';
@@ -7,6 +7,7 @@
 import type { DispatchObserver, DispatchOptions } from './dispatchFilter.js';
 import type { Filter } from './filter.js';
 import { IdentifyAccountFilter } from './identifyAccountFilter.js';
+import { createOnceFilter } from './onceFilter.js';
 import { VerdictGuardFilter } from './verdictGuardFilter.js';
 import { WeightVersionFilter } from './weightVersionFilter.js';
 
@@ -14,6 +15,7 @@
 export interface FilterOptions {
   readonly logger: Logger;
   readonly metrics: EntryMetrics;
+  readonly onceGuard: OnceGuard;
   readonly table: () => ConfigTable;
   readonly dispatch: Omit<DispatchOptions, 'observer'>;
 }
@@ -30,6 +32,7 @@
   new VerdictGuardFilter(options.logger, options.metrics),
   new IdentifyAccountFilter(options.table),
   new DeadlineFilter(),
+  createOnceFilter({ guard: options.onceGuard }),
   new WeightVersionFilter(options.table),
   new DispatchFilter({ ...options.dispatch, observer: createObserver(options.metrics) }),
 ];
