feat(membership): add the membership controller

Cause: the detectors need the VM list, the mesh and the log's head. Ruled out: stamps on one-way heartbeats (a paused receiver reads an old one as new); the report travels on answers and its age counts from the question. Change: MembershipController, LogReports, VmListSource. Conclusion: /v1/entries and the freshness guard can read the controller.

--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -8,6 +8,8 @@
 export * from './grid.js';
 export * from './gridHeartbeatDetector.js';
 export * from './gridProbingDetector.js';
+export * from './logReports.js';
 export * from './rendezvous.js';
 export * from './swimDetector.js';
 export * from './vm.js';
+export * from './vmListSource.js';
--- /dev/null
+++ b/packages/entry/src/controllers/membership/__tests__/membershipController.spec.ts
@@ -0,0 +1,124 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { toId, toLogOffset, VmListSource } from '@goldcrestscale/core';
+import type { AvailabilityZoneId, BootId, VmId, VmRecord } from '@goldcrestscale/core';
+import { MemoryNetwork } from '../../../mesh/index.js';
+import { MembershipController } from '../index.js';
+
+let stop = new AbortController();
+
+beforeEach(() => {
+  vi.useFakeTimers();
+  stop = new AbortController();
+});
+
+afterEach(() => {
+  stop.abort();
+  vi.useRealTimers();
+});
+
+const makeVm = (index: number): VmRecord => ({
+  vmId: toId<VmId>(`entry-${index}`),
+  role: 'entry',
+  address: `127.0.0.1:${8_000 + index}`,
+  meshAddress: `127.0.0.1:${9_000 + index}`,
+  availabilityZone: toId<AvailabilityZoneId>(`zone-${index % 3}`),
+  state: 'live',
+});
+
+class FixedList extends VmListSource {
+  isDown = false;
+
+  vms = Array.from({ length: 9 }, (_, index) => makeVm(index));
+
+  override list(): Promise<readonly VmRecord[]> {
+    return this.isDown ? Promise.reject(new Error('down')) : Promise.resolve(this.vms);
+  }
+}
+
+const startFleet = async () => {
+  const network = new MemoryNetwork();
+  const vmList = new FixedList();
+  const zonesOut = new Set<AvailabilityZoneId>();
+  const logDownFor = new Set<VmId>();
+  const controllers = vmList.vms.map(({ vmId }) => {
+    const controller = new MembershipController({
+      link: network.join({ vmId, bootId: toId<BootId>(`${vmId}-1`) }),
+      vmList,
+      getZonesOut: () => zonesOut,
+      getFoldedOffset: () => toLogOffset(5),
+      random: Math.random,
+    });
+    setInterval(() => {
+      if (logDownFor.has(vmId)) controller.logReports.noteFailure();
+      else controller.logReports.noteRead(toLogOffset(5), performance.now());
+    }, 500);
+    return controller;
+  });
+  await Promise.all(controllers.map((controller) => controller.start(stop.signal)));
+  await vi.advanceTimersByTimeAsync(3_000);
+  const [first] = controllers as [MembershipController];
+  const vmIds = vmList.vms.map((vm) => vm.vmId);
+  return { network, vmList, zonesOut, logDownFor, controllers, first, vmIds };
+};
+
+test('a dead VM leaves the entries while the VM list still has it', async () => {
+  const { network, controllers, vmIds } = await startFleet();
+  const dead = vmIds[8] as VmId;
+  network.remove(dead);
+  await vi.advanceTimersByTimeAsync(9_000);
+  controllers.slice(0, 8).forEach((controller) => {
+    const offered = Array.from({ length: 50 }, (_, index) => controller.rankEntries(`k${index}`));
+    expect(offered.flat().map((vm) => vm.vmId)).not.toContain(dead);
+  });
+});
+
+test('a leaving VM leaves the entries at once', async () => {
+  const { controllers, vmIds } = await startFleet();
+  controllers[3]?.leave();
+  await vi.advanceTimersByTimeAsync(1_000);
+  controllers.forEach((controller) => {
+    const offered = Array.from({ length: 50 }, (_, index) => controller.rankEntries(`k${index}`));
+    expect(offered.flat().map((vm) => vm.vmId)).not.toContain(vmIds[3]);
+  });
+});
+
+test('entries stay while the VM list is down', async () => {
+  const { vmList, first } = await startFleet();
+  vmList.isDown = true;
+  await vi.advanceTimersByTimeAsync(30_000);
+  expect(first.rankEntries('k')).toHaveLength(3);
+});
+
+test('cut from the log: fresh by peers; cut from the peers as well: refuses', async () => {
+  const { network, logDownFor, first, vmIds } = await startFleet();
+  logDownFor.add(vmIds[0] as VmId);
+  await vi.advanceTimersByTimeAsync(20_000);
+  expect(first.decideFreshness()).toEqual({ accept: true, reason: 'fresh' });
+  network.split([vmIds[0] as VmId]);
+  await vi.advanceTimersByTimeAsync(20_000);
+  expect(first.decideFreshness()).toEqual({ accept: false, reason: 'alone' });
+});
+
+test('log down for all: a majority goes on, a minority refuses', async () => {
+  const { network, logDownFor, controllers, vmIds } = await startFleet();
+  vmIds.forEach((vmId) => logDownFor.add(vmId));
+  await vi.advanceTimersByTimeAsync(20_000);
+  controllers.forEach((controller) =>
+    expect(controller.decideFreshness().reason).toBe('log_down_for_majority'),
+  );
+  network.split(vmIds.slice(0, 4));
+  await vi.advanceTimersByTimeAsync(20_000);
+  expect(controllers.map((controller) => controller.decideFreshness().accept)).toEqual(
+    vmIds.map((_, index) => index >= 4),
+  );
+});
+
+test('a minority is never fresh by the others once the zone move may have passed', async () => {
+  const { network, logDownFor, controllers, vmIds } = await startFleet();
+  network.split(vmIds.slice(0, 2));
+  vmIds.slice(0, 2).forEach((vmId) => logDownFor.add(vmId));
+  await vi.advanceTimersByTimeAsync(4_000);
+  expect(controllers.map((controller) => controller.decideFreshness().accept)).toEqual(
+    vmIds.map((_, index) => index >= 2),
+  );
+});
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,6 @@
 /** The entry daemon. */
 export * from './controllers/controller.js';
+export * from './controllers/membership/index.js';
 export * from './filters/exchange.js';
 export * from './filters/filter.js';
 export * from './mesh/index.js';
