--- /dev/null
+++ b/packages/entry/src/repeat.ts
@@ -0,0 +1,20 @@
+import { sleep } from '@goldcrestscale/core';
+
+/** Repeats work with a pause before each run until the signal aborts; failures do not end it. */
+export const repeatUntilAborted = async (
+  work: () => Promise<void>,
+  pauseMs: number,
+  signal: AbortSignal,
+): Promise<void> => {
+  while (!signal.aborted) {
+    await sleep(pauseMs, signal).catch(() => undefined);
+    if (!signal.aborted) await work().catch(() => undefined);
+  }
+};
+
+/** Resolves once the signal has aborted. */
+export const waitForAbort = (signal: AbortSignal): Promise<void> =>
+  new Promise((resolve) => {
+    if (signal.aborted) resolve();
+    else signal.addEventListener('abort', () => resolve(), { once: true });
+  });
