test(once): explore faults at every step and with several at once

Cause: at most once must hold through kills, freezes, lost, late and refused appends, two callers with one key, splits and retention. Ruled out: sampling only; a small case has few enough steps to take all. Change: world of VMs on the paused clock, exploration, property, naive guards; a second VM follows each shard, so that a repeat after the loss of the serving VM is answered at once (before: refused while replaying).

--- a/packages/core/src/once/constants.ts
+++ b/packages/core/src/once/constants.ts
@@ -10,8 +10,8 @@
 /** Time that a claim whose append answer was lost may take to be read back, in milliseconds. */
 export const CLAIM_SETTLE_MS = 500;
 
-/** Time given to another VM that serves a shard, in milliseconds. */
-export const SHARD_REQUEST_TIMEOUT_MS = 3_000;
+/** Time given to one claim, over all VMs that are asked, in milliseconds. */
+export const SHARD_REQUEST_TIMEOUT_MS = 4_000;
 
 /** Time given to a claimant to tell the state of its attempt, in milliseconds. */
 export const CLAIMANT_TIMEOUT_MS = 1_000;
--- /dev/null
+++ b/packages/entry/src/controllers/onceController/__tests__/naiveGuards.ts
@@ -0,0 +1,52 @@
+import { OnceGuard, formatAccountKey } from '@goldcrestscale/core';
+import type { MemoryLog, OnceClaim, OnceRequest, RunOutcome } from '@goldcrestscale/core';
+
+/** Remembers keys in this VM's memory only. */
+export class MemoryOnceGuard extends OnceGuard {
+  private readonly outcomes = new Map<string, RunOutcome | undefined>();
+
+  override claim(request: OnceRequest): Promise<OnceClaim> {
+    const name = formatAccountKey(request);
+    const outcome = this.outcomes.get(name);
+    if (outcome) return Promise.resolve({ type: 'repeat', outcome });
+    return Promise.resolve({
+      type: 'run',
+      permit: {
+        begin: () => true,
+        finish: (ended) => this.outcomes.set(name, ended),
+        release: () => this.outcomes.delete(name),
+      },
+    });
+  }
+}
+
+interface NaiveRecord {
+  readonly name: string;
+  readonly outcome?: RunOutcome;
+}
+
+/** Looks for a claim in the log, appends its own and runs without reading it back. */
+export class EarlyDispatchGuard extends OnceGuard {
+  constructor(private readonly log: MemoryLog) {
+    super();
+  }
+
+  override async claim(request: OnceRequest): Promise<OnceClaim> {
+    const name = formatAccountKey(request);
+    const page = await this.log.read(0 as never);
+    const known = page.records.map((record) => record.value as NaiveRecord);
+    const outcome = known.find((record) => record.name === name && record.outcome)?.outcome;
+    if (outcome) return { type: 'repeat', outcome };
+    if (known.some((record) => record.name === name)) {
+      return { type: 'repeat', outcome: { verdict: 'may-have-run' } };
+    }
+    await new Promise((resolve) => {
+      setTimeout(resolve, 2);
+    });
+    await this.log.append([{ name }]);
+    const finish = (ended: RunOutcome): void => {
+      this.log.append([{ name, outcome: ended }]).catch(() => undefined);
+    };
+    return { type: 'run', permit: { begin: () => true, finish, release: () => undefined } };
+  }
+}
--- a/packages/entry/src/controllers/onceController/__tests__/onceWorld.ts
+++ b/packages/entry/src/controllers/onceController/__tests__/onceWorld.ts
@@ -2,7 +2,6 @@
   LogError,
   LogStream,
   MemoryLog,
-  computeRequestDigest,
   createError,
   createGenerator,
   isGoldcrestError,
@@ -17,9 +16,11 @@
   LogReadOptions,
   OnceGuard,
   OnceWindow,
+  RandomGenerator,
   Verdict,
   VmId,
 } from '@goldcrestscale/core';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { vi } from 'vitest';
 import type { AnswerWriter, Exchange } from '../../../filters/exchange.js';
 import { OnceFilter } from '../../../filters/onceFilter.js';
@@ -32,9 +33,9 @@
 export type Fault =
   'none' | 'killBefore' | 'killAfter' | 'freeze' | 'loseAnswer' | 'refuse' | 'lateEffect';
 
-export interface Plan {
+/** A fault at one step, counted from 0 over all VMs. */
+export interface PlannedFault {
   readonly fault: Fault;
-  /** Number of the step at which the fault happens, from 0. */
   readonly step: number;
 }
 
@@ -49,6 +50,9 @@
 export interface WorldOptions {
   readonly vms?: number;
   readonly window?: OnceWindow;
+  /** Longest time that a step takes, in milliseconds; drawn at random. @default fixed times */
+  readonly jitterMs?: number;
+  readonly seed?: number;
   /** Makes the guard of a VM; the naive checks put their own here. */
   readonly createGuard?: (vm: SimulatedVm) => OnceGuard;
 }
@@ -67,7 +71,10 @@
   new Promise((resolve) => {
     setTimeout(resolve, ms);
   });
-const never = (): Promise<never> => new Promise(() => undefined);
+const never = (): Promise<never> =>
+  new Promise(() => {
+    // A dead process never goes on.
+  });
 
 /** Stream of one VM: each call is a step at which the plan's fault may happen. */
 class SteppedStream extends LogStream {
@@ -143,10 +150,14 @@
     await this.waitUntilRunning();
     if (fault === 'refuse' && isAppend) throw new LogError('429', 'refused');
     if (fault === 'lateEffect' && isAppend) {
-      setTimeout(() => void effect().catch(() => undefined), LATE_MS);
+      setTimeout(() => {
+        effect().catch(() => undefined);
+      }, LATE_MS);
       throw new LogError('cut', 'unknown');
     }
+    await this.world.sleepAtRandom();
     const value = await effect();
+    await this.world.sleepAtRandom();
     if (fault === 'killAfter') this.kill();
     await this.waitUntilRunning();
     if (fault === 'loseAnswer' && isAppend) throw new LogError('cut', 'unknown');
@@ -161,6 +172,27 @@
   }
 }
 
+const createExchange = (request: CallerRequest, answer: AnswerWriter): Exchange => ({
+  requestId: toId('request'),
+  method: 'POST',
+  headers: request.key ? { 'idempotency-key': request.key } : {},
+  body: Buffer.from(request.body ?? 'body'),
+  target: { kind: 'service', service: 'tickets', path: '/tickets' },
+  answer,
+  signal: new AbortController().signal,
+  receivedAtMs: Date.now(),
+  deadlineAtMs: Date.now() + 10_000,
+  account: {
+    kind: 'account',
+    id: request.account ?? 'yard',
+    keyHashes: [],
+    weight: 1,
+  } as unknown as ClientAccountRow,
+  idempotent: false,
+  assertSendable: () => undefined,
+  verdict: 'not-run',
+});
+
 export class OnceWorld {
   readonly log = new MemoryLog();
 
@@ -184,10 +216,13 @@
 
   private boots = 0;
 
+  private readonly generator: RandomGenerator;
+
   constructor(
-    readonly plan: Plan = { fault: 'none', step: -1 },
+    private readonly plan: readonly PlannedFault[] = [],
     private readonly options: WorldOptions = {},
   ) {
+    this.generator = createGenerator(options.seed ?? 1);
     const count = options.vms ?? 2;
     for (let index = 0; index < count; index += 1) this.vmIds.push(toId<VmId>(`vm-${index}`));
     this.vmIds.forEach((vmId) => this.startVm(vmId));
@@ -206,10 +241,15 @@
     return vm;
   }
 
+  async sleepAtRandom(): Promise<void> {
+    const { jitterMs = 0 } = this.options;
+    if (jitterMs > 0) await pause(uniformInt(this.generator, 0, jitterMs));
+  }
+
   takeFault(): Fault {
     const step = this.stepCount;
     this.stepCount += 1;
-    return step === this.plan.step ? this.plan.fault : 'none';
+    return this.plan.find((planned) => planned.step === step)?.fault ?? 'none';
   }
 
   /** Sends a request to one VM as a caller does; a VM that dies gives no verdict. */
@@ -241,15 +281,19 @@
       finish: () => undefined,
     };
     const exchange = createExchange(request, answer);
-    const sent = { count: 0 };
+    let sent = false;
     try {
-      await vm.filter.handle(exchange, () => this.dispatch(vm, exchange, request, sent));
+      await vm.filter.handle(exchange, () =>
+        this.dispatch(vm, exchange, request, () => {
+          sent = true;
+        }),
+      );
       await vm.runStep(async () => undefined, false);
       return { verdict: 'ran', status, body: chunks.join('') };
     } catch (error) {
       if (!isGoldcrestError(error)) throw error;
       const { verdict, code, retryAfterMs } = error;
-      if (verdict === 'not-run' && sent.count > 0) this.lies.push(request.ref ?? '');
+      if (verdict === 'not-run' && sent) this.lies.push(request.ref ?? '');
       const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
       return { verdict, code, status: error.status, body: error.message, ...retry };
     }
@@ -260,7 +304,7 @@
     vm: SimulatedVm,
     exchange: Exchange,
     { ref = 'ref' }: CallerRequest,
-    sent: { count: number },
+    onSent: () => void,
   ): Promise<void> {
     exchange.assertSendable();
     const text = await vm.runStep(async () => {
@@ -273,7 +317,7 @@
       }
       await pause(1);
       this.runs.set(ref, (this.runs.get(ref) ?? 0) + 1);
-      sent.count += 1;
+      onSent();
       await pause(5);
       if (this.serviceFault === 'loseAnswer') {
         const facts = { code: 'upstream_failed', status: 502, verdict: 'may-have-run' } as const;
@@ -288,27 +332,6 @@
   }
 }
 
-const createExchange = (request: CallerRequest, answer: AnswerWriter): Exchange => ({
-  requestId: toId('request'),
-  method: 'POST',
-  headers: request.key ? { 'idempotency-key': request.key } : {},
-  body: Buffer.from(request.body ?? 'body'),
-  target: { kind: 'service', service: 'tickets', path: '/tickets' },
-  answer,
-  signal: new AbortController().signal,
-  receivedAtMs: Date.now(),
-  deadlineAtMs: Date.now() + 10_000,
-  account: {
-    kind: 'account',
-    id: request.account ?? 'yard',
-    keyHashes: [],
-    weight: 1,
-  } as unknown as ClientAccountRow,
-  idempotent: false,
-  assertSendable: () => undefined,
-  verdict: 'not-run',
-});
-
 /** Advances the paused clock until a promise settles. */
 export const settleIn = async <Value>(
   pending: Promise<Value>,
@@ -324,5 +347,3 @@
   }
   return watched;
 };
-
-export { computeRequestDigest };
--- a/packages/entry/src/controllers/onceController/constants.ts
+++ b/packages/entry/src/controllers/onceController/constants.ts
@@ -4,8 +4,8 @@
 /** Time after which a shard that another VM serves is no longer followed here, in milliseconds. */
 export const SHARD_IDLE_MS = 60_000;
 
-/** Time given to another VM that serves a shard before this VM serves it itself, in milliseconds. */
-export const SHARD_PEER_TIMEOUT_MS = 1_500;
+/** Time given to another VM that serves a shard before the next one is asked, in milliseconds. */
+export const SHARD_PEER_TIMEOUT_MS = 1_000;
 
 /** Header with which a caller names its unrepeatable request. */
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
@@ -18,3 +18,6 @@
 
 /** Longest time that a request waits for its claim or for another attempt's outcome, in milliseconds. */
 export const MAX_CLAIM_TIME_MS = 15_000;
+
+/** VMs that follow a shard: the one that serves it and those that stand by. */
+export const SHARD_FOLLOWERS = 2;
--- a/packages/entry/src/controllers/onceController/linkedShardAccess.ts
+++ b/packages/entry/src/controllers/onceController/linkedShardAccess.ts
@@ -7,6 +7,7 @@
   ClaimRequest,
   SettlementRecord,
   ShardId,
+  ShardServer,
   VmId,
 } from '@goldcrestscale/core';
 import { MeshError } from '../../mesh/index.js';
@@ -30,41 +31,41 @@
   }
 
   override async claim(request: ClaimRequest, signal: AbortSignal): Promise<ClaimReply> {
-    const { link, servers } = this.options;
+    const { link } = this.options;
     const shard = this.pickShardOf(request.claim);
-    const serverVm = this.findRemoteServer(shard);
-    if (!serverVm) return servers.getServer(shard).claim(request);
-    try {
-      return await claimMessage.request(link, serverVm, request, signal, SHARD_PEER_TIMEOUT_MS);
-    } catch (error) {
-      const reply = await servers.getServer(shard).claim(request);
-      // The peer may have appended the claim although its answer did not come.
-      const isUntouched = error instanceof MeshError && !error.mayHaveBeenHandled;
-      return reply.type === 'unavailable' && !isUntouched ? { type: 'unsettled' } : reply;
+    let isUntouched = true;
+    for (const vmId of this.listRemoteServers(shard)) {
+      try {
+        return await claimMessage.request(link, vmId, request, signal, SHARD_PEER_TIMEOUT_MS);
+      } catch (error) {
+        isUntouched &&= error instanceof MeshError && !error.mayHaveBeenHandled;
+      }
     }
+    const reply = await this.getLocalServer(shard).claim(request);
+    // A peer may have appended the claim although its answer did not come.
+    return reply.type === 'unavailable' && !isUntouched ? { type: 'unsettled' } : reply;
   }
 
   override async waitForChange(holder: ClaimRecord, signal: AbortSignal): Promise<void> {
-    const { link, servers } = this.options;
+    const { link } = this.options;
     const shard = this.pickShardOf(holder);
-    const serverVm = this.findRemoteServer(shard);
-    if (serverVm) await waitMessage.request(link, serverVm, holder, signal);
-    else await servers.getServer(shard).waitForChange(holder, holder.attemptId, signal);
+    const [vmId] = this.listRemoteServers(shard);
+    if (vmId) await waitMessage.request(link, vmId, holder, signal);
+    else await this.getLocalServer(shard).waitForChange(holder, holder.attemptId, signal);
   }
 
   override async settle(record: SettlementRecord, signal: AbortSignal): Promise<void> {
-    const { link, servers } = this.options;
+    const { link } = this.options;
     const shard = this.pickShardOf(record);
-    const serverVm = this.findRemoteServer(shard);
-    if (serverVm) {
+    for (const vmId of this.listRemoteServers(shard)) {
       try {
-        await settleMessage.request(link, serverVm, record, signal, SHARD_PEER_TIMEOUT_MS);
+        await settleMessage.request(link, vmId, record, signal, SHARD_PEER_TIMEOUT_MS);
         return;
       } catch {
-        // Falls through to this VM: a second copy of a settlement changes nothing.
+        // The next VM appends it: a second copy of a settlement changes nothing.
       }
     }
-    await servers.getServer(shard).settle(record);
+    await this.getLocalServer(shard).settle(record);
   }
 
   override askClaimant(holder: ClaimRecord, signal: AbortSignal): Promise<AttemptStatus> {
@@ -76,9 +77,14 @@
     return pickShard(accountKey, this.options.shardCount);
   }
 
-  /** @returns undefined where this VM serves the shard */
-  private findRemoteServer(shard: ShardId): VmId | undefined {
-    const serverVm = this.options.servers.pickServer(shard);
-    return serverVm === this.options.vmId ? undefined : serverVm;
+  private getLocalServer(shard: ShardId): ShardServer {
+    return this.options.servers.getServer(shard);
+  }
+
+  /** Lists the VMs to ask before this VM serves the shard itself. */
+  private listRemoteServers(shard: ShardId): readonly VmId[] {
+    const ranked = this.options.servers.rankServers(shard);
+    const own = ranked.indexOf(this.options.vmId);
+    return own < 0 ? ranked : ranked.slice(0, own);
   }
 }
--- a/packages/entry/src/controllers/onceController/shardServers.ts
+++ b/packages/entry/src/controllers/onceController/shardServers.ts
@@ -9,7 +9,7 @@
   StreamName,
   VmId,
 } from '@goldcrestscale/core';
-import { SHARD_IDLE_MS } from './constants.js';
+import { SHARD_FOLLOWERS, SHARD_IDLE_MS } from './constants.js';
 
 /** What the shards of a VM need. */
 export interface ShardServersOptions {
@@ -49,10 +49,9 @@
 
   constructor(private readonly options: ShardServersOptions) {}
 
-  /** Tells which VM serves a shard, by rendezvous hashing over the live entry VMs. */
-  pickServer(shard: ShardId): VmId {
-    const { vmId, listEntryVms } = this.options;
-    return rankShardServers(shard, listEntryVms())[0] ?? vmId;
+  /** Ranks the VMs that follow a shard by rendezvous hashing; the first one serves it. */
+  rankServers(shard: ShardId): readonly VmId[] {
+    return rankShardServers(shard, this.options.listEntryVms()).slice(0, SHARD_FOLLOWERS);
   }
 
   /** Gives the local server of a shard; starts it where it does not run. */
@@ -62,11 +61,11 @@
     return running.server;
   }
 
-  /** Starts the shards that this VM serves and stops the others once they are idle. */
+  /** Starts the shards that this VM serves or stands by for, and stops the others once they are idle. */
   updateShards(): void {
     const { shardCount, vmId } = this.options;
     for (let shard = 0 as ShardId; shard < shardCount; shard = (shard + 1) as ShardId) {
-      if (this.pickServer(shard) === vmId) this.getServer(shard);
+      if (this.rankServers(shard).includes(vmId)) this.getServer(shard);
     }
     const idleBeforeMs = performance.now() - SHARD_IDLE_MS;
     this.running.forEach((running, shard) => {
--- a/packages/entry/src/filters/onceFilter.ts
+++ b/packages/entry/src/filters/onceFilter.ts
@@ -39,16 +39,19 @@
   if (header === undefined) return createOnceKey(Date.now());
   const key = typeof header === 'string' ? parseOnceKey(header) : undefined;
   if (key) return key;
-  throw createRefusal('Idempotency-Key must be one UUID of version 7', {
-    code: 'bad_request',
-    status: 400,
-  });
+  throw createRefusal(
+    'Idempotency-Key must be one UUID of version 7, made when the request is made.',
+    {
+      code: 'bad_request',
+      status: 400,
+    },
+  );
 };
 
 const createRequest = (exchange: Exchange): OnceRequest => {
   const { account, body, method, target } = exchange;
   if (!account) {
-    throw createRefusal('an unrepeatable request needs a client account', {
+    throw createRefusal('An unrepeatable request needs a client account.', {
       code: 'unauthorized',
       status: 401,
     });
@@ -65,7 +68,7 @@
   exchange.verdict = combineVerdicts(exchange.verdict, verdict);
   if (verdict !== 'ran') throw createOutcomeUnknown();
   if (!answer) {
-    throw createError('the request has run; its answer was too large to keep', {
+    throw createError('The request has run; its answer was too large to keep.', {
       code: 'outcome_unknown',
       status: 409,
       verdict,
