test(configTable): racing operators, lost answers, restarts and trims

Cause: one state everywhere and no accepted edit undone must hold under any interleaving. Ruled out: checking the fold alone; a told outcome can be wrong while the states agree. Change: property over 400 seeded runs, with an independent judge of the told outcomes; naive fold and naive editor caught by the same check.

--- /dev/null
+++ b/packages/core/src/configTable/__tests__/tableProperty.spec.ts
@@ -0,0 +1,111 @@
+import fc from 'fast-check';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { createGenerator } from '../../random.js';
+import { createTableEditor } from '../index.js';
+import type { EditOutcome } from '../index.js';
+import { LastWriterWinsFold, TrustingEditor } from './naiveTables.js';
+import { TableWorld, createChange } from './tableWorld.js';
+import type { Action, AppendFault, TableWorldOptions } from './tableWorld.js';
+
+const JUDGE_MS = 60_000;
+
+beforeEach(() => {
+  vi.useFakeTimers({ now: 1_700_000_000_000 });
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const arbitraryEdit = fc
+  .record({
+    operator: fc.integer({ min: 0, max: 2 }),
+    row: fc.integer({ min: 0, max: 1 }),
+    value: fc.integer({ min: 0, max: 9 }),
+  })
+  .map(({ operator, row, value }): Action => ({
+    type: 'edit',
+    operator,
+    change: createChange(row, value),
+  }));
+const arbitraryOther = fc.oneof(
+  fc
+    .record({
+      type: fc.constantFrom('restart' as const, 'snapshot' as const, 'follow' as const),
+      vm: fc.integer({ min: 0, max: 2 }),
+    })
+    .map((action): Action => action),
+  fc.constant<Action>({ type: 'trim' }),
+);
+const arbitraryRun = fc.record({
+  seed: fc.integer({ min: 1, max: 1_000_000 }),
+  faults: fc.array(fc.constantFrom<AppendFault>('none', 'none', 'loseAnswer', 'late', 'refuse'), {
+    maxLength: 12,
+  }),
+  steps: fc.array(
+    fc.record({
+      action: fc.oneof({ weight: 3, arbitrary: arbitraryEdit }, arbitraryOther),
+      gapMs: fc.integer({ min: 0, max: 60 }),
+    }),
+    { minLength: 2, maxLength: 25 },
+  ),
+});
+
+const checkTable = (
+  createOptions: (seed: number) => Pick<TableWorldOptions, 'createEditor' | 'fold'>,
+  numRuns: number,
+  onOutcome: (outcome: EditOutcome) => void = () => undefined,
+) =>
+  fc.check(
+    fc.asyncProperty(arbitraryRun, async ({ seed, faults, steps }) => {
+      const world = new TableWorld({ seed, faults, ...createOptions(seed) });
+      for (const { action, gapMs } of steps) {
+        world.start(action);
+        await vi.advanceTimersByTimeAsync(gapMs);
+      }
+      const judged = world.judge();
+      await vi.advanceTimersByTimeAsync(JUDGE_MS);
+      expect(await judged).toEqual([]);
+      world.outcomes.forEach(onOutcome);
+    }),
+    { seed: 1, numRuns },
+  );
+
+const createRealEditor = (seed: number): TableWorldOptions['createEditor'] => {
+  const generator = createGenerator(seed);
+  return (stream) => createTableEditor(stream, { generator });
+};
+
+test('one state everywhere and no accepted edit undone', async () => {
+  const counts = { accepted: 0, rejected: 0, unknown: 0 };
+  const result = await checkTable(
+    (seed) => ({ createEditor: createRealEditor(seed) }),
+    400,
+    ({ type }) => {
+      counts[type] += 1;
+    },
+  );
+  expect(fc.defaultReportMessage(result) ?? 'passed').toBe('passed');
+  expect(counts.accepted).toBeGreaterThan(1000);
+  expect(counts.rejected).toBeGreaterThan(100);
+});
+
+test('the same check catches last writer wins', async () => {
+  const fold = new LastWriterWinsFold();
+  const result = await checkTable(
+    (seed) => ({
+      fold,
+      createEditor: (stream) =>
+        createTableEditor(stream, { generator: createGenerator(seed), fold }),
+    }),
+    400,
+  );
+  expect(String(result.errorInstance)).toContain('undone unseen');
+});
+
+test('the same check catches an editor without read-back', async () => {
+  const result = await checkTable(
+    () => ({ createEditor: (stream) => new TrustingEditor(stream) }),
+    400,
+  );
+  expect(String(result.errorInstance)).toContain('accepted edit without effect');
+});
--- a/packages/core/src/configTable/readBackEditor.ts
+++ b/packages/core/src/configTable/readBackEditor.ts
@@ -38,7 +38,7 @@
   private last: Promise<unknown> = Promise.resolve();
 
   constructor(stream: LogStream, options: TableEditorOptions) {
-    super(stream);
+    super(stream, options.fold);
     this.generator = options.generator ?? xorshift128plus(createSeed());
     this.timeoutMs = options.timeoutMs ?? EDIT_TIMEOUT_MS;
   }
--- a/packages/core/src/configTable/tableEditor.ts
+++ b/packages/core/src/configTable/tableEditor.ts
@@ -3,7 +3,7 @@
 import type { LogStream } from '../log/index.js';
 import type { BaseOffset, RowChange } from './records.js';
 import { TableReplica } from './replica.js';
-import type { EditRejection } from './tableFold.js';
+import type { EditRejection, TableFold } from './tableFold.js';
 import { createConfigTable } from './tableView.js';
 import type { ConfigTable } from './tableView.js';
 
@@ -27,14 +27,19 @@
   readonly generator?: RandomGenerator;
   /** @default EDIT_TIMEOUT_MS */
   readonly timeoutMs?: number;
+  /** @default compare-and-set */
+  readonly fold?: TableFold;
 }
 
 /** Edits the table through its log stream. */
 export abstract class TableEditor {
   protected readonly replica: TableReplica;
 
-  constructor(protected readonly stream: LogStream) {
-    this.replica = new TableReplica(stream);
+  constructor(
+    protected readonly stream: LogStream,
+    fold?: TableFold,
+  ) {
+    this.replica = new TableReplica(stream, fold);
   }
 
   /**
