--- a/packages/load/src/workload/generateRequests.ts
+++ b/packages/load/src/workload/generateRequests.ts
@@ -74,9 +74,9 @@
 /** Generates the requests of a run in order of time; the same settings give the same requests. */
 export const generateRequests = (settings: GeneratorSettings): PlannedRequest[] =>
   settings.workloads
-    .flatMap((workload, index) =>
+    .flatMap((workload) =>
       // Each workload has its own draws, so that changing one leaves the others as they were.
-      generateWorkload(workload, settings, createRandomSource(settings.seed + index * 7919)),
+      generateWorkload(workload, settings, createRandomSource(settings.seed, workload.name)),
     )
     .sort(comparePlanned)
     .slice(0, settings.maxRequests);
