fix(load): render a chat prompt as the engines do

Cause: in a trial against the daemon and stand-ins 45 of 45 streamed answers counted as wrong text; the stand-in renders a message with a line end after it. Ruled out: dropped or reordered tokens (a direct call to the engine gives the same text). Change: renderChatPrompt, and a test that compares it with the stand-in's.

--- a/packages/load/src/__tests__/workload.spec.ts
+++ b/packages/load/src/__tests__/workload.spec.ts
@@ -5,7 +5,7 @@
 import { afterAll, expect, test } from 'vitest';
 import { isGoldcrestError } from '@goldcrestscale/core';
 import { SettingsError } from '@goldcrestscale/runtime';
-import { generateAnswer } from '@goldcrestscale/standin';
+import { generateAnswer, renderPrompt } from '@goldcrestscale/standin';
 import {
   createRandomSource,
   encodeRecording,
@@ -14,6 +14,7 @@
   generateRequests,
   loadRecording,
   loadToolSettingsSchema,
+  renderChatPrompt,
   parseRecordLine,
   saveRecording,
 } from '../index.js';
@@ -101,6 +102,7 @@
 });
 
 test('expected answer is the stand-in engine answer', () => {
+  expect(renderChatPrompt('x')).toBe(renderPrompt([{ role: 'user', content: 'x' }]));
   expect(generateExpectedAnswer('1', 'user: x', 9)).toBe(generateAnswer('1', 'user: x', 9));
 });
 
--- a/packages/load/src/client/checkAnswer.ts
+++ b/packages/load/src/client/checkAnswer.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { CompletionWorkload, Workload } from '../config.js';
-import { generateExpectedAnswer, generatePrompt } from '../workload/index.js';
+import { generateExpectedAnswer, generatePrompt, renderChatPrompt } from '../workload/index.js';
 import type { PlannedRequest } from '../workload/index.js';
 import type { PayloadContext } from './buildPayload.js';
 import { getCallRef } from './buildPayload.js';
@@ -15,7 +15,7 @@
 ): boolean => {
   if (workload.weightVersions.length === 0) return true;
   const prompt = generatePrompt(context.seed, planned.session, planned.promptTokens);
-  const rendered = workload.chat ? `user: ${prompt}` : prompt;
+  const rendered = workload.chat ? renderChatPrompt(prompt) : prompt;
   return workload.weightVersions.some(
     (version) => generateExpectedAnswer(version, rendered, workload.answerTokens) === text,
   );
--- a/packages/load/src/workload/promptText.ts
+++ b/packages/load/src/workload/promptText.ts
@@ -20,6 +20,9 @@
   return chunks.join('').slice(0, wanted);
 };
 
+/** Renders one user message as the prompt text that an engine's answer is a function of. */
+export const renderChatPrompt = (content: string): string => `user: ${content}\n`;
+
 const HASH_BYTES = 4;
 const TOKEN_RADIX = 36;
 
