feat(runtime): generate the settings reference and write the operators' pages

Cause: operators need every setting, flag, exit code and error on a page, and the pages must stay true. Ruled out: a hand-written settings page (drifts); a generator of its own for each binary.

--- a/packages/load/src/config.ts
+++ b/packages/load/src/config.ts
@@ -37,8 +37,8 @@
     .describe('Weight versions whose text an answer may have; empty checks no text.'),
   promptTokens: z
     .strictObject({
-      min: z.number().int().min(1).max(MAX_PROMPT_TOKENS),
-      max: z.number().int().min(1).max(MAX_PROMPT_TOKENS),
+      min: z.number().int().min(1).max(MAX_PROMPT_TOKENS).describe('Smallest size.'),
+      max: z.number().int().min(1).max(MAX_PROMPT_TOKENS).describe('Largest size.'),
     })
     .describe('Size of a new prompt, uniform.'),
   growthTokens: z
@@ -138,9 +138,9 @@
   windows: z
     .array(
       z.strictObject({
-        name: z.string().min(1),
-        fromMs: z.number().min(0),
-        toMs: z.number().positive(),
+        name: z.string().min(1).describe('Name of the section.'),
+        fromMs: z.number().min(0).describe('Begin, since the start of the run, in milliseconds.'),
+        toMs: z.number().positive().describe('End, since the start of the run, in milliseconds.'),
       }),
     )
     .default([])
--- a/packages/runtime/src/json/parseJson.ts
+++ b/packages/runtime/src/json/parseJson.ts
@@ -20,7 +20,7 @@
     throw createRefusal(`The body has ${bytes} bytes; send at most ${maxBytes}.`, {
       code: 'body_too_large',
       status: HTTP_BODY_TOO_LARGE,
-    }) as Error;
+    });
   }
   try {
     return JSON.parse(text.toString()) as unknown;
@@ -28,6 +28,6 @@
     throw createRefusal('The body is not valid JSON; send one JSON value.', {
       code: 'bad_request',
       status: HTTP_BAD_REQUEST,
-    }) as Error;
+    });
   }
 };
--- a/packages/runtime/src/settings/index.ts
+++ b/packages/runtime/src/settings/index.ts
@@ -5,3 +5,4 @@
 export * from './nearestKey.js';
 export * from './schemaTree.js';
 export * from './settingsError.js';
+export * from './settingsReference.js';
