--- a/scripts/demo/traffic.ts
+++ b/scripts/demo/traffic.ts
@@ -1,4 +1,10 @@
-import { Caller, EntryDirectory, StretchFigures, TrafficSource, UnrepeatableLedger } from '../site/callers/index.js';
+import {
+  Caller,
+  EntryDirectory,
+  StretchFigures,
+  TrafficSource,
+  UnrepeatableLedger,
+} from '../site/callers/index.js';
 import type { Site } from '../site/index.js';
 import type { DemoProfile } from './profiles.js';
 
--- a/scripts/site/callers/entryDirectory.ts
+++ b/scripts/site/callers/entryDirectory.ts
@@ -20,10 +20,11 @@
   constructor(
     /** Addresses that the caller knows from its own settings. */
     private readonly knownUrls: readonly string[],
-    /** Whether the answer is kept for ever, as careless callers do. */
-    private readonly keepsOldAnswers = false,
+    /** Whether it uses the known addresses alone and never asks. */
+    isFixed = false,
   ) {
     this.urls = knownUrls;
+    if (isFixed) this.expiresAtMs = Number.POSITIVE_INFINITY;
   }
 
   /** Gives the entry VM to use next; `turn` spreads callers over them. */
@@ -46,14 +47,13 @@
   }
 
   private async refresh(): Promise<void> {
+    const askedAtMs = Date.now();
     for (const url of [...this.urls, ...this.knownUrls]) {
       try {
         const answer = await requestJson<EntriesAnswer>(`${url}/v1/entries`);
         if (answer.entries.length > 0) {
           this.urls = answer.entries.map((entry) => `http://${entry.address}`);
-          this.expiresAtMs = this.keepsOldAnswers
-            ? Number.POSITIVE_INFINITY
-            : Date.now() + answer.ttlMs;
+          this.expiresAtMs = askedAtMs + answer.ttlMs;
           return;
         }
       } catch {
