--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from './ids.js';
 export * from './log/index.js';
 export * from './membership/index.js';
+export * from './once/index.js';
 export * from './random.js';
 export * from './prefix/index.js';
 export * from './routing/index.js';
