refactor(scripts): let the callers of a site use the load tool's client

Cause: the site's callers stood beside the load tool's sender, directory and keys, which do the same. Ruled out: the load tool's runner as a whole (conversations carry the answers of earlier turns, and tests name the entry VM of each call). Chat prompts are joined without a trailing line break, as the load tool checks them.

--- a/packages/standin/src/engine/completionRequest.ts
+++ b/packages/standin/src/engine/completionRequest.ts
@@ -53,11 +53,11 @@
 type Message = z.output<typeof messageSchema>;
 
 const renderMessage = ({ role, content }: Message): string =>
-  `${role}: ${typeof content === 'string' ? content : content.map((part) => part.text).join('')}\n`;
+  `${role}: ${typeof content === 'string' ? content : content.map((part) => part.text).join('')}`;
 
 /** Renders chat messages as the prompt that the answer is a function of. */
 export const renderPrompt = (messages: readonly Message[]): string =>
-  messages.map(renderMessage).join('');
+  messages.map(renderMessage).join('\n');
 
 const getHeader = (request: RouteRequest, name: string): string | undefined => {
   const value = request.headers[name];
--- a/packages/standin/src/engine/engineRole.ts
+++ b/packages/standin/src/engine/engineRole.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events';
 import type { Reply, Route, StandInRole } from '../http/index.js';
 import { CompletionHandler } from './completionHandler.js';
 import type { EngineSettings } from './engineSettings.js';
@@ -7,6 +6,8 @@
 import { LoadReporter } from './loadReporter.js';
 import { OrderHandler } from './orderHandler.js';
 
+const never = new Promise<void>(() => {});
+
 /** Model engine: completions, load reports and cache events. */
 export class EngineRole implements StandInRole {
   readonly faults: StandInRole['faults'];
@@ -15,8 +16,6 @@
 
   private readonly state: EngineState;
 
-  private readonly hangs = new AbortController();
-
   constructor(settings: EngineSettings) {
     this.state = new EngineState(settings);
     this.faults = this.state.faults;
@@ -32,7 +31,7 @@
   }
 
   async check(): Promise<'drop' | undefined> {
-    if (this.state.faults.current.hang) await once(this.hangs.signal, 'abort');
+    if (this.state.faults.current.hang) await never;
     return Date.now() < this.state.downUntilMs ? 'drop' : undefined;
   }
 
--- a/scripts/demo/traffic.ts
+++ b/scripts/demo/traffic.ts
@@ -1,6 +1,6 @@
+import { createAttemptSender, createEntryDirectory } from '@goldcrestscale/load';
 import {
   Caller,
-  EntryDirectory,
   StretchFigures,
   TrafficSource,
   UnrepeatableLedger,
@@ -18,15 +18,17 @@
 
   private readonly sources: readonly TrafficSource[];
 
+  private readonly sender = createAttemptSender();
+
   private turn = 0;
 
   constructor(site: Site, profiles: readonly DemoProfile[]) {
     this.sources = profiles.map((profile) => {
-      const directory = new EntryDirectory(site.entryUrls);
+      const directory = createEntryDirectory(site.entryAddresses);
       const apiKey = site.table.getApiKey(profile.accountId);
       const createCaller = (): Caller => {
         this.turn += 1;
-        const options = { apiKey, directory, timeoutMs: CALLER_TIMEOUT_MS };
+        const options = { apiKey, directory, timeoutMs: CALLER_TIMEOUT_MS, sender: this.sender };
         return new Caller({ ...options, firstTurn: this.turn });
       };
       return new TrafficSource(createCaller, profile, ['v1'], this.ledger, () => this.figures);
@@ -42,5 +44,6 @@
   /** Sends requests until the signal aborts and the last one has ended. */
   async run(signal: AbortSignal): Promise<void> {
     await Promise.all(this.sources.map((source) => source.run(signal)));
+    await this.sender.close();
   }
 }
--- a/scripts/site/callers/caller.ts
+++ b/scripts/site/callers/caller.ts
@@ -1,20 +1,26 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { AttemptResult } from './attemptResult.js';
-import { streamCompletion } from './completionCall.js';
-import type { EntryDirectory } from './entryDirectory.js';
-import { generateIdempotencyKey } from './idempotencyKey.js';
-import { callService } from './serviceCall.js';
+import { combineVerdicts } from '@goldcrestscale/core';
+import type { Verdict } from '@goldcrestscale/core';
+import { generateIdempotencyKey, getVerdict } from '@goldcrestscale/load';
+import type {
+  Attempt,
+  AttemptEnd,
+  AttemptSender,
+  EntryDirectory,
+  RequestPayload,
+} from '@goldcrestscale/load';
 
 const DEFAULT_RETRY_MS = 200;
 const ATTEMPT_TIMEOUT_MS = 20_000;
 
 /** How a caller's request ended after its retries. */
 export interface CallResult {
-  /** The last attempt. */
-  readonly last: AttemptResult;
-  /** Every attempt before it. */
-  readonly earlier: readonly AttemptResult[];
-  /** Time from the first attempt to the first token, in milliseconds. */
+  readonly last: Attempt;
+  /** How each attempt ended, the last one included. */
+  readonly ends: readonly AttemptEnd[];
+  /** Worst verdict of the attempts. */
+  readonly verdict: Verdict;
+  /** Time from the first attempt to the first part of the answer, in milliseconds. */
   readonly firstTokenMs: number;
 }
 
@@ -22,6 +28,7 @@
 export interface CallerOptions {
   readonly apiKey: string;
   readonly directory: EntryDirectory;
+  readonly sender: AttemptSender;
   readonly timeoutMs: number;
   /** Makes callers begin at different entry VMs. */
   readonly firstTurn?: number;
@@ -37,11 +44,19 @@
   readonly idempotencyKey?: string;
 }
 
-/** An idempotency key makes a repeat of an unrepeatable call safe, unless the key was refused. */
-const canRetry = (last: AttemptResult, idempotent: boolean): boolean => {
-  if (last.type !== 'error') return true;
-  if (last.retryAfterMs === undefined && last.status < 500) return false;
-  return idempotent || last.verdict === 'not-run' || last.retryAfterMs !== undefined;
+/** Creates a directory that knows some entry VMs and never asks. */
+export const createFixedDirectory = (addresses: readonly string[]): EntryDirectory => ({
+  getAddresses: () => Promise.resolve(addresses),
+});
+
+/** Decides how long to wait before the next attempt; undefined ends the request. */
+const decideDelayMs = (end: AttemptEnd, idempotent: boolean): number | undefined => {
+  if (end.type === 'whole') return undefined;
+  if (end.type !== 'refused') return end.type === 'unreachable' ? 0 : DEFAULT_RETRY_MS;
+  const { retryAfterMs, verdict } = end.error;
+  // The idempotency key makes a repeat of an unrepeatable call safe.
+  if (retryAfterMs !== undefined) return retryAfterMs;
+  return end.status >= 500 && (idempotent || verdict === 'not-run') ? DEFAULT_RETRY_MS : undefined;
 };
 
 /** A caller that retries as the verdicts allow. */
@@ -54,48 +69,62 @@
 
   /** Streams a chat completion until it has a whole answer. */
   complete(workload: string, body: Readonly<Record<string, unknown>>): Promise<CallResult> {
-    const { apiKey } = this.options;
-    return this.run(true, (entryUrl, timeoutMs) =>
-      streamCompletion({ entryUrl, apiKey, workload, body, timeoutMs }),
-    );
+    const payload: RequestPayload = {
+      method: 'POST',
+      path: '/v1/chat/completions',
+      headers: { ...this.buildHeaders(), 'x-workload': workload },
+      body: JSON.stringify({ ...body, stream: true }),
+      stream: true,
+      completion: true,
+    };
+    return this.run(payload, true);
   }
 
   /** Calls a service; an unrepeatable call keeps its idempotency key over all attempts. */
   call(request: CallerServiceRequest): Promise<CallResult> {
-    const { apiKey } = this.options;
-    const { unrepeatable, idempotencyKey, ...call } = request;
+    const { service, method, path, body, unrepeatable, idempotencyKey } = request;
     const key = idempotencyKey ?? generateIdempotencyKey();
-    return this.run(!unrepeatable, (entryUrl, timeoutMs) =>
-      callService({
-        ...call,
-        entryUrl,
-        apiKey,
-        timeoutMs,
-        ...(unrepeatable && { idempotencyKey: key }),
-      }),
-    );
+    const payload: RequestPayload = {
+      method,
+      path: `/v1/services/${service}${path}`,
+      headers: { ...this.buildHeaders(), ...(unrepeatable && { 'idempotency-key': key }) },
+      ...(body !== undefined && { body: JSON.stringify(body) }),
+      stream: false,
+      completion: false,
+    };
+    return this.run(payload, !unrepeatable);
+  }
+
+  private buildHeaders(): Record<string, string> {
+    return {
+      authorization: `Bearer ${this.options.apiKey}`,
+      'content-type': 'application/json',
+    };
   }
 
-  private async run(
-    idempotent: boolean,
-    send: (entryUrl: string, timeoutMs: number) => Promise<AttemptResult>,
-  ): Promise<CallResult> {
+  private async run(payload: RequestPayload, idempotent: boolean): Promise<CallResult> {
+    const { timeoutMs } = this.options;
     const startMs = performance.now();
-    const earlier: AttemptResult[] = [];
+    const ends: AttemptEnd[] = [];
     for (;;) {
-      const attemptMs = performance.now();
-      const entryUrl = await this.options.directory.choose(this.turn);
-      const last = await send(entryUrl, Math.min(this.options.timeoutMs, ATTEMPT_TIMEOUT_MS));
-      const waitedMs = attemptMs - startMs;
-      if (last.type === 'whole') {
-        return { last, earlier, firstTokenMs: waitedMs + last.firstTokenMs };
+      const last = await this.send(payload);
+      ends.push(last.end);
+      const delayMs = decideDelayMs(last.end, idempotent);
+      if (delayMs === undefined || performance.now() - startMs > timeoutMs) {
+        const [firstMs = performance.now()] = last.tokenTimesMs;
+        const verdict = ends.map(getVerdict).reduce(combineVerdicts, 'not-run');
+        return { last, ends, verdict, firstTokenMs: firstMs - startMs };
       }
-      if (last.type !== 'error') this.options.directory.markFailed(entryUrl);
-      const isOver = performance.now() - startMs > this.options.timeoutMs;
-      if (isOver || !canRetry(last, idempotent)) return { last, earlier, firstTokenMs: 0 };
-      earlier.push(last);
       this.turn += 1;
-      await sleep(last.type === 'error' ? (last.retryAfterMs ?? DEFAULT_RETRY_MS) : 0);
+      await sleep(delayMs);
     }
   }
+
+  private async send(payload: RequestPayload): Promise<Attempt> {
+    const { directory, sender, timeoutMs } = this.options;
+    const signal = AbortSignal.timeout(Math.min(timeoutMs, ATTEMPT_TIMEOUT_MS));
+    const addresses = await directory.getAddresses('caller', signal);
+    const address = addresses[this.turn % Math.max(addresses.length, 1)] ?? '';
+    return sender.send(address, payload, signal);
+  }
 }
--- a/scripts/site/callers/stretchFigures.ts
+++ b/scripts/site/callers/stretchFigures.ts
@@ -1,3 +1,4 @@
+import type { AttemptEnd } from '@goldcrestscale/load';
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 import type { CallResult } from './caller.js';
@@ -46,11 +47,9 @@
 
   /** Records the attempts of one request and whether it ended well. */
   recordEnd(result: CallResult, isRight: boolean): void {
-    result.earlier.forEach((attempt) => this.recordAttempt(attempt));
-    if (result.last.type !== 'whole') {
-      this.failed += 1;
-      this.recordAttempt(result.last);
-    } else if (isRight) this.whole += 1;
+    result.ends.forEach((end) => this.recordAttempt(end));
+    if (result.last.end.type !== 'whole') this.failed += 1;
+    else if (isRight) this.whole += 1;
     else this.wrong += 1;
   }
 
@@ -60,10 +59,11 @@
     this.recomputedTokens += Math.max(seenTokens - cachedTokens, 0);
   }
 
-  private recordAttempt(attempt: CallResult['last']): void {
-    if (attempt.type === 'error') this.refusedAttempts += 1;
+  private recordAttempt(end: AttemptEnd): void {
+    if (end.type === 'whole') return;
+    if (end.type === 'refused') this.refusedAttempts += 1;
     else this.brokenAttempts += 1;
-    const name = attempt.type === 'error' ? attempt.code : attempt.type;
+    const name = end.type === 'refused' ? end.error.code : end.type;
     this.errors.set(name, (this.errors.get(name) ?? 0) + 1);
   }
 }
--- a/scripts/site/callers/trafficSource.ts
+++ b/scripts/site/callers/trafficSource.ts
@@ -3,7 +3,6 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
-import type { AttemptResult } from './attemptResult.js';
 import type { Caller, CallResult } from './caller.js';
 import { Conversation } from './conversation.js';
 import type { StretchFigures } from './stretchFigures.js';
@@ -32,9 +31,6 @@
 const sampleDelayMs = (generator: RandomGenerator, perSecond: number): number =>
   (-Math.log(1 - uniformFloat64(generator)) / perSecond) * 1000;
 
-const isCertainlyNotRun = (attempt: AttemptResult): boolean =>
-  attempt.type === 'unreachable' || (attempt.type === 'error' && attempt.verdict === 'not-run');
-
 /** Open-loop traffic of one workload: conversations that return, lookups, unrepeatable calls. */
 export class TrafficSource {
   private readonly generator: RandomGenerator;
@@ -111,9 +107,9 @@
   private recordCompletion(conversation: Conversation, result: CallResult): void {
     const figures = this.getFigures();
     const { last } = result;
-    const isRight = last.type === 'whole' && this.isRight(conversation.getPrompt(), last.text);
+    const isRight = last.end.type === 'whole' && this.isRight(conversation.getPrompt(), last.text);
     figures.recordEnd(result, isRight);
-    if (last.type !== 'whole') {
+    if (last.end.type !== 'whole') {
       conversation.withdrawTurn();
       return;
     }
@@ -143,7 +139,7 @@
     const request = { service, method: 'GET', path, unrepeatable: false } as const;
     const result = await this.caller().call(request);
     const isRight =
-      result.last.type === 'whole' && result.last.text.includes(path.split('/').pop() ?? '');
+      result.last.end.type === 'whole' && result.last.text.includes(path.split('/').pop() ?? '');
     this.getFigures().recordEnd(result, isRight);
   }
 
@@ -153,14 +149,13 @@
     const request = { service, method: 'POST', path, body, unrepeatable: true } as const;
     const result = await this.caller().call(request);
     const { last } = result;
-    const isRight = last.type === 'whole' && last.text.includes(`"ref":"${ref}"`);
+    const isRight = last.end.type === 'whole' && last.text.includes(`"ref":"${ref}"`);
     this.getFigures().recordEnd(result, isRight);
-    if (last.type === 'whole') {
+    if (last.end.type === 'whole') {
       this.ledger.record(ref, 'answered');
       this.getFigures().serviceCalls.recordValue(Math.max(Math.round(result.firstTokenMs), 1));
       return;
     }
-    const isRefused = [...result.earlier, last].every(isCertainlyNotRun);
-    this.ledger.record(ref, isRefused ? 'not-run' : 'unknown');
+    this.ledger.record(ref, result.verdict === 'not-run' ? 'not-run' : 'unknown');
   }
 }
--- a/scripts/site/site.ts
+++ b/scripts/site/site.ts
@@ -49,8 +49,8 @@
   }
 
   /** Addresses of the entry VMs for callers. */
-  get entryUrls(): string[] {
-    return this.settings.entries.map((vm) => this.getUrl(vm.vmId));
+  get entryAddresses(): string[] {
+    return this.settings.entries.map((vm) => this.getAddress(vm.vmId));
   }
 
   /** Starts every process and waits until each is ready. */
@@ -72,6 +72,11 @@
     return this.getProcess(id).url;
   }
 
+  /** Gives the host and port of a process. */
+  getAddress(id: string): string {
+    return new URL(this.getUrl(id)).host;
+  }
+
   /** Ends a process at once, as a lost VM does. */
   async kill(id: string): Promise<ProcessExit> {
     this.getProcess(id).send('SIGKILL');
--- a/tests/entryLoss.spec.ts
+++ b/tests/entryLoss.spec.ts
@@ -1,10 +1,9 @@
 import { afterAll, beforeAll, expect, test } from 'vitest';
+import { generateIdempotencyKey } from '@goldcrestscale/load';
 import {
-  generateIdempotencyKey,
   issueTicket,
   judgeCalls,
   keptPromises,
-  listAttempts,
   runCompletion,
   TestSite,
   waitUntil,
@@ -47,8 +46,8 @@
   await site.kill('entry-1');
   const ended = await Promise.all(streams);
   expect(ended.filter(({ isRight }) => !isRight)).toEqual([]);
-  const broken = ended.flatMap(({ result }) => listAttempts(result));
-  expect(broken.some((attempt) => attempt.type !== 'whole')).toBe(true);
+  const ends = ended.flatMap(({ result }) => result.ends);
+  expect(ends.some(({ type }) => type !== 'whole')).toBe(true);
   await restartEntry('entry-1');
 });
 
--- a/tests/harness/judge.ts
+++ b/tests/harness/judge.ts
@@ -1,6 +1,5 @@
 import type { CallResult, UnrepeatableJudgement } from '../../scripts/site/callers/index.js';
 import { UnrepeatableLedger } from '../../scripts/site/callers/index.js';
-import { listAttempts } from './load.js';
 
 /** An unrepeatable call with its reference. */
 export interface ReferencedCall {
@@ -8,15 +7,9 @@
   readonly result: CallResult;
 }
 
-const isCertainlyNotRun = (result: CallResult): boolean =>
-  listAttempts(result).every(
-    (attempt) =>
-      attempt.type === 'unreachable' || (attempt.type === 'error' && attempt.verdict === 'not-run'),
-  );
-
 const decideEnd = (result: CallResult): 'answered' | 'not-run' | 'unknown' => {
-  if (result.last.type === 'whole') return 'answered';
-  return isCertainlyNotRun(result) ? 'not-run' : 'unknown';
+  if (result.last.end.type === 'whole') return 'answered';
+  return result.verdict === 'not-run' ? 'not-run' : 'unknown';
 };
 
 /** Compares what callers were told with what the service ran. */
--- a/tests/harness/load.ts
+++ b/tests/harness/load.ts
@@ -1,7 +1,7 @@
 import { onTestFinished } from 'vitest';
 import { generateAnswer, renderPrompt } from '@goldcrestscale/standin';
 import { waitUntil } from '../../scripts/site/index.js';
-import type { AttemptResult, Caller, CallResult } from '../../scripts/site/callers/index.js';
+import type { Caller, CallResult } from '../../scripts/site/callers/index.js';
 import type { TestSite } from './testSite.js';
 
 const MODEL = 'house';
@@ -24,7 +24,7 @@
   const body = { model: MODEL, messages, max_tokens: maxTokens };
   const result = await caller.complete('yard.summary', body);
   const expected = generateAnswer('v1', renderPrompt(messages), maxTokens);
-  return { result, isRight: result.last.type === 'whole' && result.last.text === expected };
+  return { result, isRight: result.last.end.type === 'whole' && result.last.text === expected };
 };
 
 /** Issues one ticket under an idempotency key. */
@@ -42,9 +42,6 @@
     idempotencyKey,
   });
 
-/** Lists every attempt of a call. */
-export const listAttempts = ({ earlier, last }: CallResult): AttemptResult[] => [...earlier, last];
-
 /** Keeps a number of callers busy, one request after the other, until stopped. */
 export class SteadyLoad {
   readonly ended: CheckedCompletion[] = [];
@@ -86,7 +83,7 @@
 /** Lists what a load's callers must not have met: wrong, missing and cut answers. */
 export const listFaults = (ended: readonly CheckedCompletion[]): string[] =>
   ended.flatMap(({ result, isRight }) => {
-    const cuts = listAttempts(result).filter((attempt) => attempt.type === 'cut');
+    const cuts = result.ends.filter(({ type }) => type === 'cut' || type === 'truncated');
     const faults = cuts.map(() => 'cut');
-    return isRight ? faults : [...faults, `no right answer: ${JSON.stringify(result.last)}`];
+    return isRight ? faults : [...faults, `no right answer: ${JSON.stringify(result.ends)}`];
   });
--- a/tests/harness/testSite.ts
+++ b/tests/harness/testSite.ts
@@ -1,4 +1,6 @@
-import { Caller, EntryDirectory } from '../../scripts/site/callers/index.js';
+import { createAttemptSender, createEntryDirectory } from '@goldcrestscale/load';
+import type { EntryDirectory } from '@goldcrestscale/load';
+import { Caller, createFixedDirectory } from '../../scripts/site/callers/index.js';
 import { requestJson, Site } from '../../scripts/site/index.js';
 import type { SiteSettings } from '../../scripts/site/index.js';
 
@@ -69,20 +71,22 @@
 export class TestSite {
   readonly site: Site;
 
+  private readonly sender = createAttemptSender();
+
   constructor(options: TestSiteOptions = {}) {
     this.site = new Site(createSettings(options));
   }
 
   /** Creates a caller that begins at one of the entry VMs. */
   createCaller(firstTurn = 0, timeoutMs = 20_000): Caller {
-    const directory = new EntryDirectory(this.site.entryUrls);
+    const directory = createEntryDirectory(this.site.entryAddresses);
     return this.createCallerOf(directory, firstTurn, timeoutMs);
   }
 
   /** Creates a caller that knows only the given entry VMs. */
   createCallerAt(ids: readonly string[], timeoutMs = 20_000): Caller {
-    const urls = ids.map((id) => this.site.getUrl(id));
-    return this.createCallerOf(new EntryDirectory(urls, true), 0, timeoutMs);
+    const directory = createFixedDirectory(ids.map((id) => this.site.getAddress(id)));
+    return this.createCallerOf(directory, 0, timeoutMs);
   }
 
   readServiceCounts(): Promise<ServiceCounts> {
@@ -101,6 +105,6 @@
 
   private createCallerOf(directory: EntryDirectory, firstTurn: number, timeoutMs: number): Caller {
     const apiKey = this.site.table.getApiKey('yard');
-    return new Caller({ apiKey, directory, timeoutMs, firstTurn });
+    return new Caller({ apiKey, directory, sender: this.sender, timeoutMs, firstTurn });
   }
 }
--- a/tests/logOutage.spec.ts
+++ b/tests/logOutage.spec.ts
@@ -1,12 +1,6 @@
 import { afterAll, beforeAll, expect, test } from 'vitest';
-import {
-  generateIdempotencyKey,
-  issueTicket,
-  judgeCalls,
-  keptPromises,
-  runCompletion,
-  TestSite,
-} from './harness/index.js';
+import { generateIdempotencyKey } from '@goldcrestscale/load';
+import { issueTicket, judgeCalls, keptPromises, runCompletion, TestSite } from './harness/index.js';
 import type { ReferencedCall } from './harness/index.js';
 
 const TICKETS = 30;
@@ -62,5 +56,5 @@
   );
   const { runs } = await started.readServiceCounts();
   expect(judgeCalls(ended, runs)).toMatchObject({ ...keptPromises, unknown: 0 });
-  expect(ended.every(({ result }) => result.last.type === 'whole')).toBe(true);
+  expect(ended.every(({ result }) => result.last.end.type === 'whole')).toBe(true);
 });
