--- a/packages/core/src/membership/heartbeatDetector.ts
+++ b/packages/core/src/membership/heartbeatDetector.ts
@@ -29,12 +29,12 @@
     this.neighbours = this.selectNeighbours([this.self, ...members]);
   }
 
-  // eslint-disable-next-line class-methods-use-this -- a heartbeat says no more than that its sender lives
+   
   protected override handleMessage(): void {
     // Nothing is left to do.
   }
 
-  // eslint-disable-next-line class-methods-use-this -- missed heartbeats tell in time
+   
   protected override handleOldDeath(): void {
     // Nothing is left to do.
   }
