fix(tiering): keep the cost of planning an export small

Each poll weighed 256 waiting exports and walked the whole life table for each, also while no link had room. Ruled out: polling less often, which only hides the cost. Change: links are asked for room first; prospects are kept by idle span and computed anew after 64 learned visits.

--- a/packages/core/src/tiering/constants.ts
+++ b/packages/core/src/tiering/constants.ts
@@ -63,3 +63,6 @@
 
 /** Copies of a block over all store VMs. */
 export const BLOCK_COPIES = 2;
+
+/** Visits learned after which the prospects are computed anew. */
+export const REFRESH_VISITS = 64;
--- a/packages/core/src/tiering/linkBudget.ts
+++ b/packages/core/src/tiering/linkBudget.ts
@@ -59,14 +59,18 @@
     return this.begin('import', bytes);
   }
 
+  /** Tells whether the link has room for an export now. */
+  canExport(bytes: number): boolean {
+    this.refreshBudget();
+    const exports = this.countExports();
+    if (exports >= MAX_EXPORTS_PER_LINK) return false;
+    const isIdle = exports === this.transfers.size && this.otherTransfers === 0;
+    return isIdle || this.exportBytes >= bytes;
+  }
+
   /** Starts an export where the link has room for it; undefined where it has to wait. */
   tryBeginExport(bytes: number): LinkTransfer | undefined {
-    this.refreshBudget();
-    const kinds = [...this.transfers].map((transfer) => transfer.kind);
-    const exports = kinds.filter((kind) => kind === 'export').length;
-    if (exports >= MAX_EXPORTS_PER_LINK) return undefined;
-    const isIdle = exports === kinds.length && this.otherTransfers === 0;
-    if (!isIdle && this.exportBytes < bytes) return undefined;
+    if (!this.canExport(bytes)) return undefined;
     this.exportBytes = Math.max(0, this.exportBytes - bytes);
     return this.begin('export', bytes);
   }
@@ -81,6 +85,12 @@
     this.learnedFactor += LINK_LEARN_RATE * (factor - this.learnedFactor);
   }
 
+  private countExports(): number {
+    let count = 0;
+    for (const { kind } of this.transfers) if (kind === 'export') count += 1;
+    return count;
+  }
+
   private begin(kind: LinkTransfer['kind'], bytes: number): LinkTransfer {
     const sharers = this.transfers.size + this.otherTransfers + 1;
     const transfer: LinkTransfer = { kind, bytes, startedAtMs: Date.now(), sharers };
--- a/packages/core/src/tiering/returnModel.ts
+++ b/packages/core/src/tiering/returnModel.ts
@@ -3,11 +3,13 @@
   BUCKETS_PER_OCTAVE,
   PRIOR_RETURN_SHARE,
   PRIOR_VISITS,
+  REFRESH_VISITS,
   RETURN_HORIZON_MS,
   TRACKED_OCTAVES,
 } from './constants.js';
 
 const MS_PER_S = 1000;
+const MS_PER_HOUR = 3_600_000;
 const BUCKETS = TRACKED_OCTAVES * BUCKETS_PER_OCTAVE;
 
 const computeBucket = (idleMs: number): number => {
@@ -18,26 +20,44 @@
 const computeStartMs = (bucket: number): number =>
   bucket === 0 ? 0 : 2 ** (bucket / BUCKETS_PER_OCTAVE) * MS_PER_S;
 
+/** Prospect of a prompt that has been idle for some time. */
+export interface ReturnProspect {
+  /** Probability of a return within the horizon. */
+  readonly probability: number;
+  /** Returns expected an hour of keeping it; orders what to keep. */
+  readonly returnsPerHour: number;
+}
+
 interface WorkloadGaps {
   /** Visits that were still idle when a bucket began. */
   readonly atRisk: Float64Array;
   /** Visits that returned within a bucket. */
   readonly returned: Float64Array;
+  /** Prospects computed since the last refresh, by bucket. */
+  readonly prospects: Map<number, ReturnProspect>;
+  learnedSince: number;
 }
 
-const computeHazard = (gaps: WorkloadGaps | undefined, bucket: number): number => {
-  const returned = gaps?.returned[bucket] ?? 0;
-  const atRisk = gaps?.atRisk[bucket] ?? 0;
-  return (returned + PRIOR_RETURN_SHARE * PRIOR_VISITS) / (atRisk + PRIOR_VISITS);
-};
+const computeHazard = (gaps: WorkloadGaps, bucket: number): number =>
+  (gaps.returned[bucket]! + PRIOR_RETURN_SHARE * PRIOR_VISITS) /
+  (gaps.atRisk[bucket]! + PRIOR_VISITS);
 
-/** Prospect of a prompt that has been idle for some time. */
-export interface ReturnProspect {
-  /** Probability of a return within the horizon. */
-  readonly probability: number;
-  /** Returns expected an hour of keeping it; orders what to keep. */
-  readonly returnsPerHour: number;
-}
+/** Computes the prospect of a prompt whose idle time has reached a bucket. */
+const computeProspect = (gaps: WorkloadGaps, first: number): ReturnProspect => {
+  let survival = 1;
+  let keptMs = 0;
+  let startMs = computeStartMs(first);
+  const endMs = startMs + RETURN_HORIZON_MS;
+  for (let bucket = first; bucket < BUCKETS && startMs < endMs; bucket += 1) {
+    const nextMs = computeStartMs(bucket + 1);
+    const hazard = computeHazard(gaps, bucket);
+    keptMs += survival * (1 - hazard / 2) * (nextMs - startMs);
+    survival *= 1 - hazard;
+    startMs = nextMs;
+  }
+  const probability = 1 - survival;
+  return { probability, returnsPerHour: (probability * MS_PER_HOUR) / Math.max(1, keptMs) };
+};
 
 /**
  * Learns from observed gaps when prompts return, by workload. The estimate is a life table: for
@@ -59,37 +79,40 @@
   }
 
   /** Estimates the prospect of a prompt that has been idle for a time. */
-  estimateReturn(
-    workloadId: WorkloadId,
-    idleMs: number,
-    horizonMs: number = RETURN_HORIZON_MS,
-  ): ReturnProspect {
-    const gaps = this.workloads.get(workloadId);
-    let survival = 1;
-    let keptMs = 0;
-    let fromMs = idleMs;
-    const endMs = idleMs + horizonMs;
-    for (let bucket = computeBucket(idleMs); bucket < BUCKETS && fromMs < endMs; bucket += 1) {
-      const startMs = computeStartMs(bucket);
-      const nextMs = computeStartMs(bucket + 1);
-      const part = (Math.min(nextMs, endMs) - fromMs) / (nextMs - startMs);
-      const hazard = 1 - (1 - computeHazard(gaps, bucket)) ** part;
-      keptMs += survival * (1 - hazard / 2) * (Math.min(nextMs, endMs) - fromMs);
-      survival *= 1 - hazard;
-      fromMs = nextMs;
+  estimateReturn(workloadId: WorkloadId, idleMs: number): ReturnProspect {
+    const gaps = this.ensureGaps(workloadId);
+    if (gaps.learnedSince >= REFRESH_VISITS) {
+      gaps.prospects.clear();
+      gaps.learnedSince = 0;
     }
-    const probability = 1 - survival;
-    return { probability, returnsPerHour: (probability * 3_600_000) / Math.max(1, keptMs) };
+    const bucket = computeBucket(idleMs);
+    let prospect = gaps.prospects.get(bucket);
+    if (!prospect) {
+      prospect = computeProspect(gaps, bucket);
+      gaps.prospects.set(bucket, prospect);
+    }
+    return prospect;
   }
 
-  private learnIdle(workloadId: WorkloadId, idleMs: number): WorkloadGaps {
+  private ensureGaps(workloadId: WorkloadId): WorkloadGaps {
     let gaps = this.workloads.get(workloadId);
     if (!gaps) {
-      gaps = { atRisk: new Float64Array(BUCKETS), returned: new Float64Array(BUCKETS) };
+      gaps = {
+        atRisk: new Float64Array(BUCKETS),
+        returned: new Float64Array(BUCKETS),
+        prospects: new Map(),
+        learnedSince: 0,
+      };
       this.workloads.set(workloadId, gaps);
     }
+    return gaps;
+  }
+
+  private learnIdle(workloadId: WorkloadId, idleMs: number): WorkloadGaps {
+    const gaps = this.ensureGaps(workloadId);
     const last = computeBucket(idleMs);
     for (let bucket = 0; bucket <= last; bucket += 1) gaps.atRisk[bucket]! += 1;
+    gaps.learnedSince += 1;
     return gaps;
   }
 }
--- a/packages/core/src/tiering/tieringPlanner.ts
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -130,8 +130,12 @@
 
   /** Takes the most valuable export that a link has room for now; undefined where there is none. */
   takeNextExport(): ExportOrder | undefined {
+    const open = this.rankStores().filter(
+      ([, { catalog, link }]) => catalog.usable && link.canExport(0),
+    );
+    if (open.length === 0 || this.queue.size === 0) return undefined;
     for (const candidate of this.queue.rank((one) => this.weighCandidate(one))) {
-      const order = this.planExport(candidate);
+      const order = this.planExport(candidate, open);
       if (order) return order;
     }
     return undefined;
@@ -228,29 +232,45 @@
     return (prospect.returnsPerHour * candidate.tokens * factor) / candidate.bytes;
   }
 
-  private planExport(candidate: ExportCandidate): ExportOrder | undefined {
+  private planExport(
+    candidate: ExportCandidate,
+    open: readonly (readonly [UpstreamId, Store])[],
+  ): ExportOrder | undefined {
     const value = this.weighCandidate(candidate);
+    if (value === 0) {
+      this.queue.delete(candidate.key);
+      return undefined;
+    }
     const isSecond = this.countCopies(candidate.key) > 0;
-    if (value === 0) this.queue.delete(candidate.key);
-    for (const [storeId, { catalog, link }] of this.rankStores()) {
-      const flight = `${storeId}/${candidate.key}`;
+    for (const [storeId, store] of open) {
+      const { catalog, link } = store;
       const isWanted =
-        value > 0 && catalog.usable && !catalog.get(candidate.key) && !this.exporting.has(flight);
+        !catalog.get(candidate.key) &&
+        !this.exporting.has(`${storeId}/${candidate.key}`) &&
+        link.canExport(candidate.bytes);
       const drops = isWanted
         ? this.planDrops(catalog, candidate.bytes, value, isSecond)
         : undefined;
-      const transfer = drops && link.tryBeginExport(candidate.bytes);
-      if (drops && transfer) {
-        drops.forEach(({ key }) => catalog.remove(key));
-        catalog.reserve(candidate.bytes);
-        this.exporting.add(flight);
-        this.queue.delete(candidate.key);
-        return { candidate, storeId, drops, transfer };
-      }
+      if (drops) return this.beginExport(candidate, storeId, store, drops);
     }
     return undefined;
   }
 
+  private beginExport(
+    candidate: ExportCandidate,
+    storeId: UpstreamId,
+    { catalog, link }: Store,
+    drops: readonly StoredBlock[],
+  ): ExportOrder | undefined {
+    const transfer = link.tryBeginExport(candidate.bytes);
+    if (!transfer) return undefined;
+    drops.forEach(({ key }) => catalog.remove(key));
+    catalog.reserve(candidate.bytes);
+    this.exporting.add(`${storeId}/${candidate.key}`);
+    this.queue.delete(candidate.key);
+    return { candidate, storeId, drops, transfer };
+  }
+
   private rankStores(): [UpstreamId, Store][] {
     const getFill = ({ catalog }: Store): number => catalog.usedBytes / catalog.view.capacityBytes;
     return [...this.stores].sort(([, left], [, right]) => getFill(left) - getFill(right));
