feat(entry): take membership, entry order and freshness from the failure detector

Cause: a VM that was cut off from the log went on under an old table, and /v1/entries listed dead VMs until the VM list noticed. Ruled out: a second reader of the VM list beside the membership controller; the earlier one is removed.

--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -2,20 +2,22 @@
   CLOCK_ALLOWANCE_MS,
   CONFIG_STREAM,
   CappedEjection,
+  LogReports,
   createAppendBudget,
   createGenerator,
 } from '@goldcrestscale/core';
-import type { ConfigTable, StreamName, VmId, VmRecord } from '@goldcrestscale/core';
+import type { AvailabilityZoneId, ConfigTable, StreamName } from '@goldcrestscale/core';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { createHttpLogStream, createVmListClient } from '@goldcrestscale/platform';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { EntrySettings } from '../config.js';
 import type { Controller } from '../controllers/controller.js';
+import { MembershipController } from '../controllers/membership/index.js';
 import { createOnceController } from '../controllers/onceController/index.js';
 import type { OnceController } from '../controllers/onceController/index.js';
 import { createTableController } from '../controllers/tableController/index.js';
 import type { TableController } from '../controllers/tableController/index.js';
 import { UpstreamsController } from '../controllers/upstreams/upstreamsController.js';
-import { VmListController } from '../controllers/vmList/vmListController.js';
 import type { PeerLink } from '../mesh/index.js';
 
 /** What the controllers are built from. */
@@ -28,48 +30,45 @@
 /** The controllers of the entry daemon. */
 export interface Controllers {
   readonly table: TableController;
-  readonly vmList: VmListController;
+  readonly membership: MembershipController;
   readonly upstreams: UpstreamsController;
   readonly once: OnceController;
 }
 
-const isEntry = (vm: VmRecord): boolean => vm.role === 'entry';
-
-const listEntryVms = (vmList: VmListController, self: VmId): readonly VmId[] => {
-  const listed = vmList
-    .listVms()
-    .filter(isEntry)
-    .map((vm) => vm.vmId);
-  return listed.includes(self) ? listed : [...listed, self];
-};
-
-const setPeers = (link: PeerLink, vms: readonly VmRecord[]): void => {
-  const peers = vms
-    .filter((vm) => isEntry(vm) && vm.vmId !== link.self.vmId)
-    .flatMap(({ vmId, meshAddress }) =>
-      meshAddress === undefined ? [] : [{ vmId, address: meshAddress, keepOpen: true }],
-    );
-  link.setPeers(peers);
-};
+const listZonesOut = (table: ConfigTable): ReadonlySet<AvailabilityZoneId> =>
+  new Set(
+    table
+      .listRows('zone')
+      .filter((zone) => zone.state === 'out')
+      .map((zone) => zone.id),
+  );
 
 /** Creates the controllers. */
 export const createControllers = ({ settings, logger, link }: ControllersOptions): Controllers => {
   const { platform } = settings;
   const generator = createGenerator();
   const openStream = (name: StreamName) => createHttpLogStream(platform.logUrl, name);
+  const logReports = new LogReports();
+  const vmListClient = createVmListClient(platform.vmListUrl);
   const table = createTableController({
     stream: openStream(CONFIG_STREAM),
     retentionMs: platform.logRetentionMs,
     generator,
+    onRead: (headOffset, startedAtMs) => logReports.noteRead(headOffset, startedAtMs),
+    onReadFailure: () => logReports.noteFailure(),
   });
-  const vmList = new VmListController({
-    client: createVmListClient(platform.vmListUrl),
-    logger: logger.createPart('vmList'),
-    onUpdate: (vms) => setPeers(link, vms),
+  const membership = new MembershipController({
+    link,
+    vmList: { list: (signal) => vmListClient.listVms(signal) },
+    logReports,
+    getZonesOut: () => listZonesOut(table.table),
+    getFoldedOffset: () => table.offset,
+    onPeerHead: (headOffset) => table.noteOffset(headOffset),
+    random: () => uniformFloat64(generator),
   });
   const upstreams = new UpstreamsController({
     table: (): ConfigTable => table.table,
-    listVms: () => vmList.listVms(),
+    listVms: () => membership.listVms(),
     ejection: new CappedEjection(generator),
     logger: logger.createPart('upstreams'),
   });
@@ -78,17 +77,17 @@
     shardCount: settings.once.shardCount,
     openStream,
     generator,
-    listEntryVms: () => listEntryVms(vmList, settings.vmId),
+    listEntryVms: () => membership.listLive(),
     window: { windowMs: settings.once.windowMs, clockAllowanceMs: CLOCK_ALLOWANCE_MS },
     budget: createAppendBudget(settings.once.appendsPerSecond),
   });
-  return { table, vmList, upstreams, once };
+  return { table, membership, upstreams, once };
 };
 
 /** Lists the controllers in the order in which they start. */
 export const listControllers = (controllers: Controllers): readonly Controller[] => [
   controllers.table,
-  controllers.vmList,
+  controllers.membership,
   controllers.upstreams,
   controllers.once,
 ];
--- a/packages/entry/src/compose/createDataPath.ts
+++ b/packages/entry/src/compose/createDataPath.ts
@@ -23,6 +23,7 @@
     logger: logger.createPart('filters'),
     metrics,
     table: () => controllers.table.table,
+    decideFreshness: () => controllers.membership.decideFreshness(),
     onceGuard: controllers.once.guard,
     dispatch: {
       router: new LeastLoadRouter(),
--- a/packages/entry/src/controllers/membership/membershipController.ts
+++ b/packages/entry/src/controllers/membership/membershipController.ts
@@ -36,8 +36,12 @@
   readonly getZonesOut: () => ReadonlySet<AvailabilityZoneId>;
   /** Offset up to which the table is folded. */
   readonly getFoldedOffset: () => LogOffset;
+  /** Told where a peer found the head of the log. */
+  readonly onPeerHead?: (headOffset: LogOffset) => void;
   /** Uniform in [0, 1). */
   readonly random: () => number;
+  /** Shared with the reader of the log. @default an empty one */
+  readonly logReports?: LogReports;
   /** @default a GridProbingDetector */
   readonly createDetector?: (options: DetectorOptions) => FailureDetector;
 }
@@ -47,7 +51,7 @@
   override readonly name = 'membership';
 
   /** Reports of the log's head; the log's reader notes its reads here. */
-  readonly logReports = new LogReports();
+  readonly logReports: LogReports;
 
   private readonly detector: FailureDetector;
 
@@ -61,6 +65,7 @@
 
   constructor(private readonly options: MembershipOptions) {
     super();
+    this.logReports = options.logReports ?? new LogReports();
     const create = options.createDetector ?? ((given) => new GridProbingDetector(given));
     this.detector = create({
       self: options.link.self.vmId,
@@ -200,6 +205,7 @@
     const askedAtMs = this.pingsSentAtMs.get(`${from} ${detector.sequence}`);
     if (detector.kind === 'ack' && report && askedAtMs !== undefined) {
       this.logReports.addPeerReport(from, report, askedAtMs);
+      if (report.stamp) this.options.onPeerHead?.(report.stamp.headOffset);
     }
     this.detector.receive(from, detector);
   }
--- a/packages/entry/src/controllers/tableController/tableController.ts
+++ b/packages/entry/src/controllers/tableController/tableController.ts
@@ -35,6 +35,10 @@
   readonly generator: RandomGenerator;
   /** Told of each new table; the mesh passes the offset on to the other VMs. */
   readonly onTable?: (table: ConfigTable) => void;
+  /** Told of each read that reached the head, with the monotonic time at which it was begun. */
+  readonly onRead?: (headOffset: LogOffset, startedAtMs: number) => void;
+  /** Told of each read that failed. */
+  readonly onReadFailure?: () => void;
 }
 
 /** Freshness that a peer gives of its own table. */
@@ -160,6 +164,7 @@
       } catch (error) {
         if (!(error instanceof LogError) && !(error instanceof TableGapError)) throw error;
         this.logReadable = error instanceof TableGapError;
+        if (!this.logReadable) this.options.onReadFailure?.();
         await sleep(backoff.nextDelayMs(), signal);
       }
     }
@@ -182,7 +187,10 @@
     }
     this.logReadable = true;
     this.publishTable();
-    if (atHead) this.noteFreshAt(askedAtMs);
+    if (atHead) {
+      this.noteFreshAt(askedAtMs);
+      this.options.onRead?.(this.offset, askedAtMs);
+    }
     if (atHead) await this.saveSnapshot(signal);
     return atHead;
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
 import { toId } from '@goldcrestscale/core';
-import type { BootId, VmId } from '@goldcrestscale/core';
+import type { BootId } from '@goldcrestscale/core';
 import { createMetrics } from '@goldcrestscale/runtime';
 import type { Logger, Metrics } from '@goldcrestscale/runtime';
 import {
@@ -15,8 +15,7 @@
 import type { EntrySettings } from './config.js';
 import { drainServer } from './drain.js';
 import { createCallerServer } from './http/callerServer.js';
-import type { EntriesAnswer } from './http/entriesAnswer.js';
-import { listEntries } from './http/entriesAnswer.js';
+import { buildEntriesAnswer } from './http/entriesAnswer.js';
 import { createOperationsServer } from './http/operationsServer.js';
 import { listen } from './listen.js';
 import { createMesh } from './mesh/index.js';
@@ -86,22 +85,6 @@
     onWrongKey: () => daemon.entryMetrics.recordWrongKey('operations'),
   });
 
-const answerEntries = (
-  { settings, signal }: EntryOptions,
-  { mesh, controllers }: Daemon,
-  affinityKey: string | undefined,
-): EntriesAnswer => {
-  const connected = new Set<VmId>(mesh.listConnected().map((peer) => peer.vmId));
-  if (!signal.aborted) connected.add(settings.vmId);
-  return listEntries({
-    vms: controllers.vmList.listVms(),
-    table: controllers.table.table,
-    isUsable: (vmId) => connected.has(vmId),
-    affinityKey,
-    ttlMs: settings.entriesTtlMs,
-  });
-};
-
 /** Runs the entry daemon until its signal aborts and every request has ended. */
 export const runEntry = async (options: EntryOptions): Promise<void> => {
   const { settings, logger, signal } = options;
@@ -112,7 +95,8 @@
   let ready = false;
   const callers = createCallerServer({
     filters: createDataPath({ controllers, client, logger, metrics: entryMetrics }),
-    answerEntries: (affinityKey) => answerEntries(options, daemon, affinityKey),
+    answerEntries: (affinityKey) =>
+      buildEntriesAnswer(controllers.membership.rankEntries(affinityKey), settings.entriesTtlMs),
   });
   const operations = createOperations(options, daemon, () => ready && !signal.aborted);
   await listen(operations, settings.operations);
@@ -122,6 +106,7 @@
   logger.info('listening', { address: settings.advertise, bootId });
   await waitForAbort(signal);
   logger.info('draining');
+  controllers.membership.leave();
   await drainServer(callers, settings.entriesTtlMs);
   await controllers.once.flush();
   work.abort();
--- a/packages/entry/src/filters/index.ts
+++ b/packages/entry/src/filters/index.ts
@@ -1,11 +1,12 @@
 /** The filters of a request, in their order. */
-import type { ConfigTable, OnceGuard } from '@goldcrestscale/core';
+import type { ConfigTable, Freshness, OnceGuard } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { EntryMetrics } from '../metrics.js';
 import { DeadlineFilter } from './deadlineFilter.js';
 import { DispatchFilter } from './dispatchFilter.js';
 import type { DispatchObserver, DispatchOptions } from './dispatchFilter.js';
 import type { Filter } from './filter.js';
+import { FreshnessFilter } from './freshnessFilter.js';
 import { IdentifyAccountFilter } from './identifyAccountFilter.js';
 import { createOnceFilter } from './onceFilter.js';
 import { VerdictGuardFilter } from './verdictGuardFilter.js';
@@ -15,6 +16,7 @@
 export interface FilterOptions {
   readonly logger: Logger;
   readonly metrics: EntryMetrics;
+  readonly decideFreshness: () => Freshness;
   readonly onceGuard: OnceGuard;
   readonly table: () => ConfigTable;
   readonly dispatch: Omit<DispatchOptions, 'observer'>;
@@ -30,6 +32,7 @@
 /** Creates the chain, outermost filter first. */
 export const createFilters = (options: FilterOptions): readonly Filter[] => [
   new VerdictGuardFilter(options.logger, options.metrics),
+  new FreshnessFilter(options.decideFreshness),
   new IdentifyAccountFilter(options.table),
   new DeadlineFilter(),
   createOnceFilter({ guard: options.onceGuard }),
