--- a/packages/ctl/src/config.ts
+++ b/packages/ctl/src/config.ts
@@ -1,11 +1,7 @@
 import { z } from 'zod';
-import { logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
+import { addressSchema, logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
 import { DEFAULT_EDIT_TIMEOUT_MS } from './constants.js';
 
-const addressSchema = z
-  .string()
-  .regex(/^[\w.:[\]-]+:\d{1,5}$/, 'use HOST:PORT, for example "10.0.0.4:8080"');
-
 /** Settings file of goldcrestctl. */
 export const ctlSettingsSchema = z.strictObject({
   platform: z
--- a/packages/ctl/src/output/formatTable.ts
+++ b/packages/ctl/src/output/formatTable.ts
@@ -1,3 +1,5 @@
+import { formatColumns } from '@goldcrestscale/runtime';
+
 /** Formats a value for one cell of a table. */
 export const formatCell = (value: unknown): string => {
   if (value === undefined) return '-';
@@ -7,12 +9,6 @@
 /** Formats rows as a table with aligned columns; columns come in the order of their first use. */
 export const formatTable = (rows: readonly Readonly<Record<string, unknown>>[]): string => {
   const columns = [...new Set(rows.flatMap((row) => Object.keys(row)))];
-  const lines = [columns, ...rows.map((row) => columns.map((column) => formatCell(row[column])))];
-  const widths = columns.map((_, index) =>
-    Math.max(...lines.map((line) => line[index]?.length ?? 0)),
-  );
-  return lines
-    .map((line) => line.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  '))
-    .map((line) => line.trimEnd())
-    .join('\n');
+  const cells = rows.map((row) => columns.map((column) => formatCell(row[column])));
+  return formatColumns([columns, ...cells]);
 };
--- a/packages/load/src/config.ts
+++ b/packages/load/src/config.ts
@@ -1,11 +1,7 @@
 import { z } from 'zod';
-import { logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
+import { addressSchema, logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
 import { MAX_DURATION_MS, MAX_IN_FLIGHT, MAX_REQUESTS } from './constants.js';
 
-const addressSchema = z
-  .string()
-  .regex(/^[\w.:[\]-]+:\d{1,5}$/, 'use HOST:PORT, for example "10.0.0.4:8080"');
-
 const MAX_PROMPT_TOKENS = 262_144;
 const MAX_ANSWER_TOKENS = 65_536;
 const MAX_RATE_PER_SECOND = 20_000;
--- a/packages/load/src/report/compareReports.ts
+++ b/packages/load/src/report/compareReports.ts
@@ -1,4 +1,4 @@
-import { formatColumns } from './formatReport.js';
+import { formatColumns } from '@goldcrestscale/runtime';
 import type { Report } from './report.js';
 import type { ReportSection } from './section.js';
 
--- a/packages/load/src/report/formatReport.ts
+++ b/packages/load/src/report/formatReport.ts
@@ -1,3 +1,4 @@
+import { formatColumns } from '@goldcrestscale/runtime';
 import type { LatencySummary } from './latency.js';
 import type { Report } from './report.js';
 import type { Counts, ReportSection } from './section.js';
@@ -34,17 +35,6 @@
   ],
 ];
 
-/** Formats lines of cells with aligned columns. */
-export const formatColumns = (lines: readonly (readonly string[])[]): string => {
-  const widths = (lines[0] ?? []).map((_, index) =>
-    Math.max(...lines.map((line) => line[index]?.length ?? 0)),
-  );
-  return lines
-    .map((line) => line.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  '))
-    .map((line) => line.trimEnd())
-    .join('\n');
-};
-
 /** Formats a report for a person. */
 export const formatReport = (report: Report): string => {
   const [total] = report.sections;
--- a/packages/runtime/src/settings/index.ts
+++ b/packages/runtime/src/settings/index.ts
@@ -1,4 +1,5 @@
 /** Settings files and secrets. */
+export * from './addressSchema.js';
 export * from './loadSecret.js';
 export * from './loadSettings.js';
 export * from './maskSecrets.js';
