fix(load): count requests without an answer as a fault

Cause: in a trial whose daemon had refused its settings and never started, 88 of 88 requests failed and the verdict still said good. Ruled out: counting refusals as well; a refusal with a true verdict is an answer. Conclusion: good now means that every request was answered.

--- a/packages/load/src/__tests__/runLoad.spec.ts
+++ b/packages/load/src/__tests__/runLoad.spec.ts
@@ -185,6 +185,7 @@
   const report = await runAgainst(entry, completion, { maxInFlight: 2, requestTimeoutMs: 500 });
   expect(report.sections[0]).toMatchObject({ sent: 2, outcomes: { failed: 2 } });
   expect(report.sections[0]?.notSent).toBe(report.planned - 2);
+  expect(report.faults).toEqual(['2 requests without an answer']);
 });
 
 test('unrepeatable call keeps its key and is judged by the service', async () => {
@@ -215,6 +216,9 @@
   const report = await runAgainst(entry, ticket, { maxRequests: 3 });
   expect(report.once).toMatchObject({ calls: 3, counted: true, lost: [], falseNotRun: [] });
   expect(report.once.doubled).toHaveLength(3);
+  expect(report.faults).toEqual(['3 unrepeatable calls that ran more than once']);
+  const uncounted = await runAgainst(entry, { ...ticket, countsUrls: [] }, { maxRequests: 3 });
+  expect(uncounted.faults).toEqual(['3 unrepeatable calls that no service counted']);
   expect([...keys.values()].every((seen) => seen.size === 1 && !seen.has(undefined))).toBe(true);
 });
 
--- a/packages/load/src/report/report.ts
+++ b/packages/load/src/report/report.ts
@@ -80,7 +80,9 @@
 const listFaults = (total: ReportSection, once: OnceJudgement): string[] =>
   [
     [total.outcomes.wrong, 'answers to another request or with other text'],
+    [total.outcomes.failed, 'requests without an answer'],
     [total.attempts.truncated, 'answers that ended in silence'],
+    [once.counted ? 0 : once.calls, 'unrepeatable calls that no service counted'],
     [once.doubled.length, 'unrepeatable calls that ran more than once'],
     [once.lost.length, 'unrepeatable calls that were answered but did not run'],
     [once.falseNotRun.length, 'calls that ran although "not run" was told'],
