feat(bench): appends and latency of claims

Cause: the log bears several hundred appends a second. Ruled out: spacing appends at any rate: at 10 requests a second it cost 50 ms at p99 and saved nothing, so spacing begins where two records are expected within it. Change: benchmark in virtual time at 10, 100 and 400 requests a second on two shards; listeners' limit lifted on the two long-lived signals.

--- /dev/null
+++ b/bench/slowShardAccess.ts
@@ -0,0 +1,47 @@
+import { ShardAccess, pickShard } from '@goldcrestscale/core';
+import type {
+  AccountKey,
+  AttemptStatus,
+  ClaimRecord,
+  ClaimReply,
+  ClaimRequest,
+  SettlementRecord,
+  ShardServer,
+} from '@goldcrestscale/core';
+import { pause } from './pause.js';
+
+const LINK_MS = 1;
+
+/** Reaches the shards' servers over links that take time. */
+export class SlowShardAccess extends ShardAccess {
+  constructor(private readonly servers: readonly ShardServer[]) {
+    super();
+  }
+
+  override async claim(request: ClaimRequest): Promise<ClaimReply> {
+    await pause(LINK_MS);
+    const reply = await this.findServer(request.claim).claim(request);
+    await pause(LINK_MS);
+    return reply;
+  }
+
+  override async waitForChange(holder: ClaimRecord, signal: AbortSignal): Promise<void> {
+    await this.findServer(holder).waitForChange(holder, holder.attemptId, signal);
+  }
+
+  override async settle(record: SettlementRecord): Promise<void> {
+    await pause(LINK_MS);
+    await this.findServer(record).settle(record);
+    await pause(LINK_MS);
+  }
+
+  override askClaimant(): Promise<AttemptStatus> {
+    return Promise.resolve({ type: 'gone' });
+  }
+
+  private findServer(accountKey: AccountKey): ShardServer {
+    const server = this.servers[pickShard(accountKey, this.servers.length)];
+    if (!server) throw new RangeError('no such shard');
+    return server;
+  }
+}
--- a/packages/core/src/log/batchingAppender.ts
+++ b/packages/core/src/log/batchingAppender.ts
@@ -13,6 +13,7 @@
   MAX_BUDGET_WAIT_MS,
   MAX_GROUP_RECORDS,
   MAX_QUEUED_RECORDS,
+  MIN_GROUP_RECORDS,
   REFUSAL_BACKOFF_INITIAL_MS,
   REFUSAL_BACKOFF_MAX_MS,
   TARGET_GROUP_RECORDS,
@@ -100,7 +101,11 @@
 
   private computeDueAtMs(): number {
     const perMs = this.arrivals.getPerMs();
-    const spacingMs = Math.min(MAX_APPEND_SPACING_MS, TARGET_GROUP_RECORDS / perMs);
+    // Where few records arrive, waiting for more of them costs time and saves nothing.
+    const isWorthwhile = perMs * MAX_APPEND_SPACING_MS >= MIN_GROUP_RECORDS;
+    const spacingMs = isWorthwhile
+      ? Math.min(MAX_APPEND_SPACING_MS, TARGET_GROUP_RECORDS / perMs)
+      : 0;
     // A group that is full already gains nothing by waiting.
     if (this.queue.length >= MAX_GROUP_RECORDS) return performance.now();
     const spacedAtMs = this.lastAppendAtMs + spacingMs;
--- a/packages/core/src/log/constants.ts
+++ b/packages/core/src/log/constants.ts
@@ -7,6 +7,9 @@
 /** Records that the adaptive window aims to put into one append. */
 export const TARGET_GROUP_RECORDS = 25;
 
+/** Records expected within the longest spacing from which on appends are spaced. */
+export const MIN_GROUP_RECORDS = 2;
+
 /** Longest time between two appends of one stream under load, in milliseconds. */
 export const MAX_APPEND_SPACING_MS = 50;
 
--- a/packages/core/src/once/logOnceGuard.ts
+++ b/packages/core/src/once/logOnceGuard.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { AttemptId, BootId, VmId } from '../ids.js';
 import { createBackoff, sleep } from '../log/index.js';
 import type { RandomGenerator } from '../log/index.js';
@@ -64,6 +65,8 @@
 
   constructor(private readonly options: LogOnceGuardOptions) {
     super();
+    // Every claim listens for the end of the process.
+    setMaxListeners(0, options.signal);
   }
 
   override async claim(request: OnceRequest, signal: AbortSignal): Promise<OnceClaim> {
--- a/packages/entry/src/controllers/onceController/shardServers.ts
+++ b/packages/entry/src/controllers/onceController/shardServers.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { ShardServer, createBatchingAppender, rankShardServers, toId } from '@goldcrestscale/core';
 import type {
   AppendBudget,
@@ -87,6 +88,7 @@
   private startServer(shard: ShardId): RunningServer {
     const { openStream, window, generator, signal } = this.options;
     const stopping = new AbortController();
+    setMaxListeners(0, stopping.signal);
     const stop = (): void => stopping.abort();
     signal.addEventListener('abort', stop, { once: true, signal: stopping.signal });
     const stream = openStream(toId<StreamName>(`once-${shard}`));
