--- a/packages/entry/src/controllers/tableController/tableController.ts
+++ b/packages/entry/src/controllers/tableController/tableController.ts
@@ -33,8 +33,6 @@
   /** Time for which the log keeps records, in milliseconds. */
   readonly retentionMs: number;
   readonly generator: RandomGenerator;
-  /** Told of each new table; the mesh passes the offset on to the other VMs. */
-  readonly onTable?: (table: ConfigTable) => void;
 }
 
 /** Freshness that a peer gives of its own table. */
@@ -64,6 +62,8 @@
 
   private wakeRead: AbortController | undefined;
 
+  private readonly listeners = new Set<(table: ConfigTable) => void>();
+
   constructor(private readonly options: TableControllerOptions) {
     super();
     this.replica = new TableReplica(options.stream);
@@ -102,6 +102,12 @@
     });
   }
 
+  /** Tells a listener of each new table until the signal aborts. */
+  subscribe(listener: (table: ConfigTable) => void, signal: AbortSignal): void {
+    this.listeners.add(listener);
+    signal.addEventListener('abort', () => this.listeners.delete(listener), { once: true });
+  }
+
   /** Gives the age of the table's freshness, in milliseconds; infinite before the first read. */
   getAgeMs(): number {
     return this.freshSinceMs === undefined ? Infinity : performance.now() - this.freshSinceMs;
@@ -194,7 +200,7 @@
   private publishTable(): void {
     if (this.replica.state.nextOffset === this.view.nextOffset) return;
     this.view = createConfigTable(this.replica.state);
-    this.options.onTable?.(this.view);
+    this.listeners.forEach((listener) => listener(this.view));
   }
 
   /** Writes a snapshot when one is due; a failed or doubled one does no harm. */
--- a/packages/platform/src/__tests__/clients.spec.ts
+++ b/packages/platform/src/__tests__/clients.spec.ts
@@ -61,6 +61,11 @@
   await expect(read).rejects.toMatchObject({ failure: 'trimmed', firstOffset: 7 });
 });
 
+test('append without a connection was not sent', async () => {
+  const stream = createHttpLogStream('http://127.0.0.1:1', toId('table'));
+  await expect(stream.append([1])).rejects.toMatchObject({ failure: 'refused' });
+});
+
 test('aborted append was not sent', async () => {
   const stream = createHttpLogStream('http://127.0.0.1:1', toId('table'));
   await expect(stream.append([1], AbortSignal.abort())).rejects.toMatchObject({
--- a/packages/platform/src/httpLogStream.ts
+++ b/packages/platform/src/httpLogStream.ts
@@ -13,6 +13,13 @@
   firstOffset: offsetSchema,
 });
 
+const CONNECT_FAILURES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
 const HTTP_OK = 200;
 const HTTP_GONE = 410;
 const HTTP_TOO_MANY = 429;
@@ -21,13 +28,18 @@
 const describeCause = (error: unknown): string =>
   error instanceof Error ? error.message : String(error);
 
+/** Tells whether a call failed before a connection was there, so that nothing was sent. */
+const isConnectFailure = (error: unknown): boolean =>
+  error instanceof Error && 'code' in error && CONNECT_FAILURES.has(String(error.code));
+
 /** Sends a call and turns its failure into a `LogError`. */
 const sendLogCall = async (call: HttpCall): Promise<HttpAnswer> => {
   let answer: HttpAnswer;
   try {
     answer = await sendCall(call);
   } catch (error) {
-    throw new LogError(`log not reached: ${describeCause(error)}`, 'unknown');
+    const failure = isConnectFailure(error) ? 'refused' : 'unknown';
+    throw new LogError(`log not reached: ${describeCause(error)}`, failure);
   }
   if (answer.status === HTTP_TOO_MANY || answer.status === HTTP_UNAVAILABLE) {
     throw new LogError(`log refused with status ${answer.status}`, 'refused');
