--- a/packages/core/src/tiering/tieringPlanner.ts
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -28,6 +28,13 @@
   readonly transfer: LinkTransfer;
 }
 
+/** How an export ended. */
+export type ExportOutcome =
+  | { readonly kind: 'stored'; readonly block: StoredBlock }
+  /** The upstream no longer held the block. */
+  | { readonly kind: 'not-held' }
+  | { readonly kind: 'store-failed' };
+
 /** Options of a planner. */
 export interface TieringPlannerOptions {
   readonly random: RandomGenerator;
@@ -123,25 +130,30 @@
 
   /** Takes the most valuable export that a link has room for now; undefined where there is none. */
   takeNextExport(): ExportOrder | undefined {
+    const open = this.rankStores().filter(
+      ([, { catalog, link }]) => catalog.usable && link.canExport(0),
+    );
+    if (open.length === 0 || this.queue.size === 0) return undefined;
     for (const candidate of this.queue.rank((one) => this.weighCandidate(one))) {
-      const order = this.planExport(candidate);
+      const order = this.planExport(candidate, open);
       if (order) return order;
     }
     return undefined;
   }
 
-  /** Ends an export; `block` is the committed one where it succeeded. */
-  finishExport(order: ExportOrder, block: StoredBlock | undefined): void {
+  /** Ends an export. */
+  finishExport(order: ExportOrder, outcome: ExportOutcome): void {
     const { candidate, storeId, transfer } = order;
     this.exporting.delete(`${storeId}/${candidate.key}`);
     const store = this.stores.get(storeId);
     if (!store) return;
-    store.link.finish(transfer, block !== undefined);
+    store.link.finish(transfer, outcome.kind === 'stored');
     store.catalog.release(candidate.bytes);
-    store.catalog.noteOutcome(block !== undefined);
-    if (!block) return;
-    const { workloadId, position, tokens } = candidate;
-    store.catalog.add({ block, workloadId, position, tokens, lastUsedMs: candidate.queuedAtMs });
+    if (outcome.kind !== 'not-held') store.catalog.noteOutcome(outcome.kind === 'stored');
+    if (outcome.kind !== 'stored') return;
+    const { workloadId, position, tokens, queuedAtMs } = candidate;
+    const { block } = outcome;
+    store.catalog.add({ block, workloadId, position, tokens, lastUsedMs: queuedAtMs });
     if (this.countCopies(candidate.key) < Math.min(BLOCK_COPIES, this.stores.size)) {
       this.queue.add(candidate);
     }
@@ -220,29 +232,45 @@
     return (prospect.returnsPerHour * candidate.tokens * factor) / candidate.bytes;
   }
 
-  private planExport(candidate: ExportCandidate): ExportOrder | undefined {
+  private planExport(
+    candidate: ExportCandidate,
+    open: readonly (readonly [UpstreamId, Store])[],
+  ): ExportOrder | undefined {
     const value = this.weighCandidate(candidate);
+    if (value === 0) {
+      this.queue.delete(candidate.key);
+      return undefined;
+    }
     const isSecond = this.countCopies(candidate.key) > 0;
-    if (value === 0) this.queue.delete(candidate.key);
-    for (const [storeId, { catalog, link }] of this.rankStores()) {
-      const flight = `${storeId}/${candidate.key}`;
+    for (const [storeId, store] of open) {
+      const { catalog, link } = store;
       const isWanted =
-        value > 0 && catalog.usable && !catalog.get(candidate.key) && !this.exporting.has(flight);
+        !catalog.get(candidate.key) &&
+        !this.exporting.has(`${storeId}/${candidate.key}`) &&
+        link.canExport(candidate.bytes);
       const drops = isWanted
         ? this.planDrops(catalog, candidate.bytes, value, isSecond)
         : undefined;
-      const transfer = drops && link.tryBeginExport(candidate.bytes);
-      if (drops && transfer) {
-        drops.forEach(({ key }) => catalog.remove(key));
-        catalog.reserve(candidate.bytes);
-        this.exporting.add(flight);
-        this.queue.delete(candidate.key);
-        return { candidate, storeId, drops, transfer };
-      }
+      if (drops) return this.beginExport(candidate, storeId, store, drops);
     }
     return undefined;
   }
 
+  private beginExport(
+    candidate: ExportCandidate,
+    storeId: UpstreamId,
+    { catalog, link }: Store,
+    drops: readonly StoredBlock[],
+  ): ExportOrder | undefined {
+    const transfer = link.tryBeginExport(candidate.bytes);
+    if (!transfer) return undefined;
+    drops.forEach(({ key }) => catalog.remove(key));
+    catalog.reserve(candidate.bytes);
+    this.exporting.add(`${storeId}/${candidate.key}`);
+    this.queue.delete(candidate.key);
+    return { candidate, storeId, drops, transfer };
+  }
+
   private rankStores(): [UpstreamId, Store][] {
     const getFill = ({ catalog }: Store): number => catalog.usedBytes / catalog.view.capacityBytes;
     return [...this.stores].sort(([, left], [, right]) => getFill(left) - getFill(right));
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -22,9 +22,6 @@
 /** Longest silence of a running upstream stream, in milliseconds. */
 export const STREAM_SILENCE_MS = 30_000;
 
-/** Most attempts at one request. */
-export const MAX_ATTEMPTS = 3;
-
 /** Most times that one broken stream is resumed. */
 export const MAX_RESUMES = 2;
 
@@ -35,4 +32,10 @@
 export const REQUEST_TIMEOUT_MS = 30_000;
 
 /** Time for which the platform's log keeps records where the settings say nothing, in milliseconds. */
-export const DEFAULT_LOG_RETENTION_MS = 3_600_000;
+export const DEFAULT_LOG_RETENTION_MS = 7_200_000;
+
+/** Log streams that hold the claims of unrepeatable requests. */
+export const DEFAULT_ONCE_SHARDS = 4;
+
+/** Most appends a second of one VM to the streams of claims. */
+export const DEFAULT_ONCE_APPENDS_PER_SECOND = 40;
