feat(admission): share the fleet among client accounts

Cause: every request was sent on at once, whoever asked and however late. Ruled out: strict priority over all accounts (one account could mark everything as priority 0 and starve the rest); a lease a slot (warm engines queue, so a bounded overshoot does no harm there). Change: weighted max-min shares over the fleet's usage; a VM gets the part of an account's share that it has of its demand, fractions rounded in turns over the VMs. Demand that peers have not heard of starts only within an even part of the fair share or of what is spare. Refused at once with a time from the drain rate; limits on rate and concurrency hold over the fleet; without peers each VM keeps to an even part. Conclusion: FIFO and a static split fail the same checks.

--- /dev/null
+++ b/packages/core/src/admission/__tests__/admission.spec.ts
@@ -0,0 +1,257 @@
+import fc from 'fast-check';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { isGoldcrestError } from '../../errors.js';
+import { toId } from '../../ids.js';
+import type { WorkloadId } from '../../ids.js';
+import type { AdmissionPolicy } from '../admissionPolicy.js';
+import { FairSharePolicy } from '../fairSharePolicy.js';
+import { computeShares } from '../shares.js';
+import { AdmissionFleet, advanceFleet, makeRequest } from './admissionFleet.js';
+import type { FleetOptions } from './admissionFleet.js';
+import { FifoPolicy, StaticSplitPolicy } from './naivePolicies.js';
+
+beforeEach(() => vi.useFakeTimers());
+afterEach(() => vi.useRealTimers());
+
+const VMS = 9;
+const CAPACITY = 64;
+const SERVICE_MS = 1_000;
+
+const createFleet = (createPolicy: () => AdmissionPolicy, options: Partial<FleetOptions> = {}) =>
+  new AdmissionFleet({
+    vmCount: VMS,
+    capacity: CAPACITY,
+    reportDelayMs: 5,
+    createPolicy,
+    ...options,
+  });
+
+/** Runs an action at a steady rate, with one timer at a time. */
+const repeatEvery = (intervalMs: number, count: number, act: (index: number) => void): void => {
+  let index = 0;
+  const timer = setInterval(() => {
+    act(index);
+    index += 1;
+    if (index === count) clearInterval(timer);
+  }, intervalMs);
+};
+
+const REFUSED_MS = 2_000;
+
+/** Offers requests at a steady rate, spread over the VMs; a refused one counts as a long wait. */
+const offer = (fleet: AdmissionFleet, account: string, perSecond: number, durationMs: number) => {
+  const seen = { started: 0, refused: 0, waits: [] as number[] };
+  repeatEvery(1_000 / perSecond, (perSecond * durationMs) / 1_000, (index) => {
+    const arrivedAtMs = Date.now();
+    const request = makeRequest(account, { deadlineAtMs: arrivedAtMs + REFUSED_MS });
+    fleet.acquire((index * 5) % fleet.queues.length, request).then(
+      (permit) => {
+        seen.started += 1;
+        seen.waits.push(Date.now() - arrivedAtMs);
+        setTimeout(() => fleet.release(permit), SERVICE_MS);
+      },
+      () => {
+        seen.refused += 1;
+        seen.waits.push(REFUSED_MS);
+      },
+    );
+  });
+  return seen;
+};
+
+const getP95 = (values: readonly number[]): number =>
+  values.toSorted((left, right) => left - right)[Math.floor(values.length * 0.95)] ?? 0;
+
+const measureOverload = async (createPolicy: () => AdmissionPolicy) => {
+  const fleet = createFleet(createPolicy);
+  const large = offer(fleet, 'large', 2 * CAPACITY, 20_000);
+  const small = offer(fleet, 'small', 5, 20_000);
+  await advanceFleet(30_000);
+  fleet.close();
+  return { fleet, large, small, goodput: (large.started + small.started) / (CAPACITY * 20) };
+};
+
+test('a small account does not wait for a large one', async () => {
+  const fair = await measureOverload(() => new FairSharePolicy());
+  expect(fair.small.refused).toBe(0);
+  expect(getP95(fair.small.waits)).toBeLessThanOrEqual(100);
+  expect(fair.goodput).toBeGreaterThan(0.9);
+  const fifo = await measureOverload(() => new FifoPolicy());
+  expect(getP95(fifo.small.waits)).toBeGreaterThan(100);
+});
+
+test('what one account leaves another uses', async () => {
+  const measureAlone = async (createPolicy: () => AdmissionPolicy) => {
+    const fleet = createFleet(createPolicy);
+    const seen = offer(fleet, 'large', 2 * CAPACITY, 20_000);
+    await advanceFleet(30_000);
+    fleet.close();
+    return seen.started / (CAPACITY * 20);
+  };
+  expect(await measureAlone(() => new FairSharePolicy())).toBeGreaterThan(0.9);
+  expect(await measureAlone(() => new StaticSplitPolicy(10))).toBeLessThan(0.9);
+});
+
+test('the fleet overshoots its capacity by a bounded amount', async () => {
+  const measurePeak = async (createPolicy: () => AdmissionPolicy, reportDelayMs?: number) => {
+    const fleet = createFleet(createPolicy, { reportDelayMs });
+    for (let vm = 0; vm < VMS; vm += 1) {
+      for (let index = 0; index < 3 * CAPACITY; index += 1) {
+        fleet.run(vm, makeRequest(`account-${index % 3}`), SERVICE_MS).catch(() => undefined);
+      }
+    }
+    await advanceFleet(300);
+    const first = fleet.peak;
+    fleet.peak = 0;
+    await advanceFleet(10_000);
+    fleet.close();
+    return { first, later: fleet.peak };
+  };
+  const fair = await measurePeak(() => new FairSharePolicy(), 5);
+  expect(fair.first).toBeLessThanOrEqual(2 * CAPACITY + 3 * VMS);
+  expect(fair.later).toBeLessThanOrEqual(CAPACITY + VMS);
+  const isolated = await measurePeak(() => new FairSharePolicy());
+  expect(isolated.later).toBeLessThanOrEqual(CAPACITY + 3 * VMS);
+  expect(isolated.later).toBeGreaterThan(CAPACITY / 2);
+});
+
+test('limits of an account hold over the fleet', async () => {
+  const measure = async (createPolicy: () => AdmissionPolicy) => {
+    const fleet = createFleet(createPolicy);
+    let started = 0;
+    repeatEvery(5, 4_000, (index) => {
+      const request = makeRequest('limited', { maxRequestsPerSecond: 20 });
+      fleet.run(index % VMS, request, 1).then(
+        () => {
+          started += 1;
+        },
+        () => undefined,
+      );
+    });
+    await advanceFleet(25_000);
+    fleet.close();
+    return started / 20;
+  };
+  const fair = await measure(() => new FairSharePolicy());
+  expect(fair).toBeLessThanOrEqual(20 * 1.1);
+  expect(fair).toBeGreaterThan(20 * 0.8);
+  expect(await measure(() => new FifoPolicy())).toBeGreaterThan(20 * 1.1);
+});
+
+test('concurrency of an account is limited over the fleet', async () => {
+  const measure = async (createPolicy: () => AdmissionPolicy) => {
+    const fleet = createFleet(createPolicy);
+    repeatEvery(10, 2_000, (index) => {
+      const request = makeRequest('limited', { maxConcurrent: 10 });
+      fleet.run(index % VMS, request, 500).catch(() => undefined);
+    });
+    await advanceFleet(2_000);
+    fleet.peak = 0;
+    await advanceFleet(15_000);
+    fleet.close();
+    return fleet.peak;
+  };
+  const peak = await measure(() => new FairSharePolicy());
+  expect(peak).toBeLessThanOrEqual(10 + VMS);
+  expect(peak).toBeGreaterThanOrEqual(8);
+  expect(await measure(() => new FifoPolicy())).toBeGreaterThan(10 + VMS);
+});
+
+test('a refusal comes at once and its time is honest', async () => {
+  const fleet = createFleet(() => new FairSharePolicy(), { vmCount: 1, capacity: 8 });
+  offer(fleet, 'large', 8, 6_000);
+  await advanceFleet(3_000);
+  for (let index = 0; index < 40; index += 1) {
+    fleet.run(0, makeRequest('large'), SERVICE_MS).catch(() => undefined);
+  }
+  await advanceFleet(300);
+  const askedAtMs = Date.now();
+  const ask = () => fleet.run(0, makeRequest('large', { deadlineAtMs: Date.now() + 1_000 }), 1);
+  const error: unknown = await ask().catch((cause: unknown) => cause);
+  expect(Date.now() - askedAtMs).toBe(0);
+  if (!isGoldcrestError(error)) throw new Error('no refusal');
+  expect(error).toMatchObject({ code: 'overloaded', status: 503, verdict: 'not-run' });
+  await advanceFleet(error.retryAfterMs! * 1.5);
+  const again = ask();
+  await advanceFleet(1_500);
+  await expect(again).resolves.toBeUndefined();
+  fleet.close();
+});
+
+test('a waiting request is refused once its deadline is out of reach', async () => {
+  const fleet = createFleet(() => new FairSharePolicy(), { vmCount: 1, capacity: 2 });
+  const hold = makeRequest('a');
+  fleet.run(0, hold, 60_000).catch(() => undefined);
+  fleet.run(0, hold, 60_000).catch(() => undefined);
+  const waiting = fleet.run(0, makeRequest('a', { deadlineAtMs: Date.now() + 1_000 }), 1);
+  const caught = waiting.catch((cause: unknown) => cause);
+  await advanceFleet(1_050);
+  expect(await caught).toMatchObject({ code: 'overloaded', verdict: 'not-run' });
+  fleet.close();
+});
+
+test('priority classes go first, workloads take turns by weight', async () => {
+  const fleet = createFleet(() => new FairSharePolicy(), { vmCount: 1, capacity: 1 });
+  const order: string[] = [];
+  const add = (workload: string, priority: number, workloadWeight: number) => {
+    const workloadId = toId<WorkloadId>(workload);
+    const request = makeRequest('a', { workloadId, priority, workloadWeight });
+    fleet.run(0, request, 100).then(
+      () => order.push(workload),
+      () => undefined,
+    );
+  };
+  add('first', 5, 1);
+  for (let index = 0; index < 6; index += 1) {
+    add('light', 5, 1);
+    add('heavy', 5, 2);
+  }
+  add('urgent', 0, 1);
+  await advanceFleet(5_000);
+  expect(order.slice(0, 2)).toEqual(['first', 'urgent']);
+  expect(order.slice(2, 8).filter((one) => one === 'heavy')).toHaveLength(4);
+  fleet.close();
+});
+
+test('an aborted request leaves the queue and a permit is released once', async () => {
+  const fleet = createFleet(() => new FairSharePolicy(), { vmCount: 1, capacity: 1 });
+  const [queue] = fleet.queues;
+  const permit = await queue!.acquire(makeRequest('a'), new AbortController().signal);
+  const caller = new AbortController();
+  const waiting = queue!.acquire(makeRequest('a'), caller.signal).catch(() => 'gone');
+  caller.abort();
+  expect(await waiting).toBe('gone');
+  permit.release();
+  permit.release();
+  await queue!.acquire(makeRequest('a'), new AbortController().signal);
+  expect(queue!.publishUsage()).toMatchObject([{ running: 1, waiting: 0 }]);
+  fleet.close();
+});
+
+test('shares are max-min fair', () => {
+  const demand = fc.record({
+    weight: fc.integer({ min: 1, max: 10 }),
+    demand: fc.integer({ min: 0, max: 100 }),
+  });
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 0, max: 200 }),
+      fc.array(demand, { maxLength: 12 }),
+      (capacity, demands) => {
+        const shares = computeShares(capacity, demands);
+        const sum = shares.reduce((total, share) => total + share, 0);
+        const wanted = demands.reduce((total, one) => total + one.demand, 0);
+        expect(sum).toBeCloseTo(Math.min(capacity, wanted), 6);
+        const levels = demands.map((one, index) => shares[index]! / one.weight);
+        demands.forEach((one, index) => {
+          expect(shares[index]!).toBeLessThanOrEqual(one.demand + 1e-9);
+          // Whoever gets less than it wants has the highest level of all.
+          if (shares[index]! < one.demand - 1e-6) {
+            expect(levels[index]!).toBeGreaterThanOrEqual(Math.max(...levels) - 1e-6);
+          }
+        });
+      },
+    ),
+    { seed: 1, numRuns: 300 },
+  );
+});
--- /dev/null
+++ b/packages/core/src/admission/__tests__/admissionFleet.ts
@@ -0,0 +1,126 @@
+import { vi } from 'vitest';
+import { toId } from '../../ids.js';
+import type { ClientAccountId, VmId, WorkloadId } from '../../ids.js';
+import type { AdmissionPolicy } from '../admissionPolicy.js';
+import { AdmissionQueue } from '../admissionQueue.js';
+import type { AdmissionPermit, AdmissionRequest } from '../admissionRequest.js';
+import { USAGE_INTERVAL_MS } from '../constants.js';
+import { PeerUsageExchange } from '../peerUsageExchange.js';
+import type { PoolId } from '../usage.js';
+
+export const POOL = toId<PoolId>('small');
+
+/** Options of a fleet of admission queues on the paused clock. */
+export interface FleetOptions {
+  readonly vmCount: number;
+  readonly capacity: number;
+  /** Time that a report takes to the other VMs, in milliseconds; undefined: none arrives. */
+  readonly reportDelayMs?: number | undefined;
+  createPolicy(): AdmissionPolicy;
+}
+
+/** Several admission queues that report to one another. */
+export class AdmissionFleet {
+  readonly queues: readonly AdmissionQueue[];
+
+  running = 0;
+
+  peak = 0;
+
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  constructor(readonly options: FleetOptions) {
+    const { vmCount } = options;
+    const exchanges = Array.from(
+      { length: vmCount },
+      (_none, rank) => new PeerUsageExchange(() => ({ vmCount, rank })),
+    );
+    this.queues = exchanges.map(
+      (exchange) =>
+        new AdmissionQueue({
+          policy: options.createPolicy(),
+          exchange,
+          countCapacity: () => options.capacity,
+        }),
+    );
+    this.queues.forEach((queue, index) => {
+      // Each VM reports in its own rhythm.
+      const phaseMs = (index * 37) % USAGE_INTERVAL_MS;
+      setTimeout(() => {
+        this.timers.push(
+          setInterval(() => this.report(queue, index, exchanges), USAGE_INTERVAL_MS),
+        );
+      }, phaseMs);
+    });
+  }
+
+  /** Runs one request for a time at one VM. */
+  async run(vm: number, request: AdmissionRequest, serviceMs: number): Promise<void> {
+    const permit = await this.acquire(vm, request);
+    await new Promise((resolve) => {
+      setTimeout(resolve, serviceMs);
+    });
+    this.release(permit);
+  }
+
+  async acquire(vm: number, request: AdmissionRequest): Promise<AdmissionPermit> {
+    const permit = await this.queues[vm]!.acquire(request, new AbortController().signal);
+    this.running += 1;
+    this.peak = Math.max(this.peak, this.running);
+    return permit;
+  }
+
+  release(permit: AdmissionPermit): void {
+    this.running -= 1;
+    permit.release();
+  }
+
+  close(): void {
+    this.timers.forEach((timer) => clearInterval(timer));
+  }
+
+  private report(
+    queue: AdmissionQueue,
+    index: number,
+    exchanges: readonly PeerUsageExchange[],
+  ): void {
+    const { reportDelayMs } = this.options;
+    const usage = queue.publishUsage();
+    exchanges[index]!.prune();
+    queue.drain();
+    if (reportDelayMs === undefined) return;
+    setTimeout(() => {
+      exchanges.forEach((exchange, other) => {
+        if (other === index) return;
+        exchange.receive(toId<VmId>(`vm-${index}`), usage);
+        this.queues[other]!.drain();
+      });
+    }, reportDelayMs);
+  }
+}
+
+const STEP_MS = 5;
+const TURNS_PER_STEP = 12;
+
+/** Advances the paused clock in small steps and lets promises settle after each. */
+export const advanceFleet = async (durationMs: number): Promise<void> => {
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+    vi.advanceTimersByTime(STEP_MS);
+    for (let turn = 0; turn < TURNS_PER_STEP; turn += 1) await Promise.resolve();
+  }
+};
+
+/** Makes a request of an account. */
+export const makeRequest = (
+  account: string,
+  rest: Partial<AdmissionRequest> = {},
+): AdmissionRequest => ({
+  poolId: POOL,
+  accountId: toId<ClientAccountId>(account),
+  accountWeight: 1,
+  workloadId: toId<WorkloadId>(`${account}-work`),
+  workloadWeight: 1,
+  priority: 5,
+  deadlineAtMs: Date.now() + 30_000,
+  ...rest,
+});
--- /dev/null
+++ b/packages/core/src/admission/index.ts
@@ -0,0 +1,16 @@
+/** Who runs now: shares, limits, priorities and deadlines of client accounts. */
+export type { AccountState } from './accountState.js';
+export { AdmissionPolicy } from './admissionPolicy.js';
+export { AdmissionQueue } from './admissionQueue.js';
+export type { AdmissionQueueOptions } from './admissionQueue.js';
+export type { AdmissionPermit, AdmissionRequest } from './admissionRequest.js';
+export { FairSharePolicy } from './fairSharePolicy.js';
+export { IsolatedUsageExchange } from './isolatedUsageExchange.js';
+export { PeerUsageExchange } from './peerUsageExchange.js';
+export type { FleetPlace } from './peerUsageExchange.js';
+export type { PoolState } from './poolState.js';
+export { USAGE_INTERVAL_MS } from './constants.js';
+export { computeShares } from './shares.js';
+export type { ShareDemand } from './shares.js';
+export { UsageExchange } from './usage.js';
+export type { AccountUsage, OthersUsage, PoolId } from './usage.js';
--- /dev/null
+++ b/packages/core/src/admission/peerUsageExchange.ts
@@ -0,0 +1,78 @@
+import type { ClientAccountId, VmId } from '../ids.js';
+import { USAGE_EXPIRY_MS } from './constants.js';
+import { UsageExchange } from './usage.js';
+import type { AccountUsage, OthersUsage, PoolId } from './usage.js';
+
+/** Place of this VM among the entry VMs. */
+export interface FleetPlace {
+  /** Entry VMs, this one included. */
+  readonly vmCount: number;
+  /** Place of this VM in the order of their names, from 0. */
+  readonly rank: number;
+}
+
+interface PeerReport {
+  receivedAtMs: number;
+  usage: readonly AccountUsage[];
+}
+
+type PoolUsage = Map<ClientAccountId, AccountUsage>;
+
+const addUsage = (sum: AccountUsage | undefined, usage: AccountUsage): AccountUsage => ({
+  ...usage,
+  running: usage.running + (sum?.running ?? 0),
+  waiting: usage.waiting + (sum?.waiting ?? 0),
+  offeredPerSecond: usage.offeredPerSecond + (sum?.offeredPerSecond ?? 0),
+});
+
+const sumReports = (reports: Iterable<PeerReport>): ReadonlyMap<PoolId, PoolUsage> => {
+  const pools = new Map<PoolId, PoolUsage>();
+  for (const { usage } of reports) {
+    usage.forEach((one) => {
+      const pool = pools.get(one.poolId) ?? new Map<ClientAccountId, AccountUsage>();
+      pool.set(one.accountId, addUsage(pool.get(one.accountId), one));
+      pools.set(one.poolId, pool);
+    });
+  }
+  return pools;
+};
+
+/** Sums up the reports of the peers that are heard; a silent peer falls out after a while. */
+export class PeerUsageExchange extends UsageExchange {
+  private readonly reports = new Map<VmId, PeerReport>();
+
+  private sums: ReadonlyMap<PoolId, PoolUsage> | undefined;
+
+  constructor(private readonly getPlace: () => FleetPlace) {
+    super();
+  }
+
+  /** Takes in the newest report of a peer. */
+  receive(from: VmId, usage: readonly AccountUsage[]): void {
+    this.reports.set(from, { receivedAtMs: Date.now(), usage });
+    this.sums = undefined;
+  }
+
+  /** Drops the reports of silent peers. */
+  prune(): void {
+    const expiredAtMs = Date.now() - USAGE_EXPIRY_MS;
+    [...this.reports]
+      .filter(([, report]) => report.receivedAtMs < expiredAtMs)
+      .forEach(([vmId]) => this.reports.delete(vmId));
+    this.sums = undefined;
+  }
+
+  override getOthers(): OthersUsage {
+    this.sums ??= sumReports(this.reports.values());
+    const { sums } = this;
+    const { vmCount, rank } = this.getPlace();
+    const heardCount = this.reports.size;
+    return {
+      vmCount: Math.max(vmCount, heardCount + 1),
+      heardCount,
+      rank,
+      listAccounts: (poolId) => [...(sums.get(poolId)?.values() ?? [])],
+      findAccount: (poolId, accountId) => sums.get(poolId)?.get(accountId),
+    };
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Decision code of goldcrestscale; opens no sockets. */
+export * from './admission/index.js';
 export * from './breaker/index.js';
 export * from './configTable/index.js';
 export * from './errors.js';
