--- a/scripts/site/callers/trafficSource.ts
+++ b/scripts/site/callers/trafficSource.ts
@@ -3,11 +3,10 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
-import type { AttemptResult } from './attemptResult.js';
 import type { Caller, CallResult } from './caller.js';
 import { Conversation } from './conversation.js';
-import { StretchFigures } from './ledger.js';
-import type { UnrepeatableLedger } from './ledger.js';
+import type { StretchFigures } from './stretchFigures.js';
+import type { UnrepeatableLedger } from './unrepeatableLedger.js';
 
 /** One workload's callers. */
 export interface TrafficProfile {
@@ -29,12 +28,9 @@
   readonly seed: number;
 }
 
-const delayUntilNext = (generator: RandomGenerator, perSecond: number): number =>
+const sampleDelayMs = (generator: RandomGenerator, perSecond: number): number =>
   (-Math.log(1 - uniformFloat64(generator)) / perSecond) * 1000;
 
-const isCertainlyNotRun = (attempt: AttemptResult): boolean =>
-  attempt.type === 'unreachable' || (attempt.type === 'error' && attempt.verdict === 'not-run');
-
 /** Open-loop traffic of one workload: conversations that return, lookups, unrepeatable calls. */
 export class TrafficSource {
   private readonly generator: RandomGenerator;
@@ -62,13 +58,13 @@
   async run(signal: AbortSignal): Promise<void> {
     const { completionRate, serviceRate } = this.profile;
     await Promise.all([
-      this.repeat(completionRate, signal, () => this.complete()),
-      this.repeat(serviceRate, signal, () => this.callService()),
+      this.sendRepeatedly(completionRate, signal, () => this.complete()),
+      this.sendRepeatedly(serviceRate, signal, () => this.callService()),
     ]);
     await Promise.all(this.pending);
   }
 
-  private async repeat(
+  private async sendRepeatedly(
     perSecond: number,
     signal: AbortSignal,
     send: () => Promise<void>,
@@ -76,7 +72,7 @@
     if (perSecond === 0) return;
     while (!signal.aborted) {
       await new Promise<void>((resolve) => {
-        setTimeout(resolve, delayUntilNext(this.generator, perSecond));
+        setTimeout(resolve, sampleDelayMs(this.generator, perSecond));
       });
       if (signal.aborted) return;
       const sent = send().finally(() => this.pending.delete(sent));
@@ -111,9 +107,9 @@
   private recordCompletion(conversation: Conversation, result: CallResult): void {
     const figures = this.getFigures();
     const { last } = result;
-    const isRight = last.type === 'whole' && this.isRight(conversation.getPrompt(), last.text);
+    const isRight = last.end.type === 'whole' && this.isRight(conversation.getPrompt(), last.text);
     figures.recordEnd(result, isRight);
-    if (last.type !== 'whole') {
+    if (last.end.type !== 'whole') {
       conversation.withdrawTurn();
       return;
     }
@@ -134,16 +130,16 @@
   private callService(): Promise<void> {
     this.serviceCalls += 1;
     const ref = `${this.profile.workload}-${this.profile.seed}-${this.serviceCalls}`;
-    return this.serviceCalls % 2 === 0 ? this.lookUp() : this.create(ref);
+    return this.serviceCalls % 2 === 0 ? this.findStock() : this.create(ref);
   }
 
-  private async lookUp(): Promise<void> {
+  private async findStock(): Promise<void> {
     const { service, lookupPath } = this.profile;
     const path = `${lookupPath}/${uniformInt(this.generator, 1, 100)}`;
     const request = { service, method: 'GET', path, unrepeatable: false } as const;
     const result = await this.caller().call(request);
     const isRight =
-      result.last.type === 'whole' && result.last.text.includes(path.split('/').pop() ?? '');
+      result.last.end.type === 'whole' && result.last.text.includes(path.split('/').pop() ?? '');
     this.getFigures().recordEnd(result, isRight);
   }
 
@@ -153,14 +149,13 @@
     const request = { service, method: 'POST', path, body, unrepeatable: true } as const;
     const result = await this.caller().call(request);
     const { last } = result;
-    const isRight = last.type === 'whole' && last.text.includes(`"ref":"${ref}"`);
+    const isRight = last.end.type === 'whole' && last.text.includes(`"ref":"${ref}"`);
     this.getFigures().recordEnd(result, isRight);
-    if (last.type === 'whole') {
+    if (last.end.type === 'whole') {
       this.ledger.record(ref, 'answered');
       this.getFigures().serviceCalls.recordValue(Math.max(Math.round(result.firstTokenMs), 1));
       return;
     }
-    const isRefused = [...result.earlier, last].every(isCertainlyNotRun);
-    this.ledger.record(ref, isRefused ? 'not-run' : 'unknown');
+    this.ledger.record(ref, result.verdict === 'not-run' ? 'not-run' : 'unknown');
   }
 }
