feat(entry): admit requests by the shares of their client accounts

Cause: the admission decisions were not in the chain. Ruled out: a report of every account each round (most accounts are idle at a VM, so reports name the active ones, and only changes between whole ones). Change: the usage controller exchanges reports with connected entry VMs every 200 ms; the admission filter holds a place from before dispatch until the answer ends, fails or its caller goes; without any upstream dispatch refuses at once.

--- a/packages/core/src/admission/__tests__/admissionFleet.ts
+++ b/packages/core/src/admission/__tests__/admissionFleet.ts
@@ -7,6 +7,7 @@
 import { USAGE_INTERVAL_MS } from '../constants.js';
 import { PeerUsageExchange } from '../peerUsageExchange.js';
 import type { PoolId } from '../usage.js';
+import { UsageReporter, isWholeRound } from '../usageReporter.js';
 
 export const POOL = toId<PoolId>('small');
 
@@ -27,10 +28,16 @@
 
   peak = 0;
 
+  private readonly reporters: readonly UsageReporter[];
+
+  private readonly rounds: number[];
+
   private readonly timers: NodeJS.Timeout[] = [];
 
   constructor(readonly options: FleetOptions) {
     const { vmCount } = options;
+    this.reporters = Array.from({ length: vmCount }, () => new UsageReporter());
+    this.rounds = Array.from({ length: vmCount }, () => -1);
     const exchanges = Array.from(
       { length: vmCount },
       (_none, rank) => new PeerUsageExchange(() => ({ vmCount, rank })),
@@ -85,14 +92,16 @@
     exchanges: readonly PeerUsageExchange[],
   ): void {
     const { reportDelayMs } = this.options;
-    const usage = queue.publishUsage();
+    const reporter = this.reporters[index]!;
+    this.rounds[index]! += 1;
+    const report = reporter.build(queue.publishUsage(), isWholeRound(this.rounds[index]!));
     exchanges[index]!.prune();
     queue.drain();
-    if (reportDelayMs === undefined) return;
+    if (reportDelayMs === undefined || !report) return;
     setTimeout(() => {
       exchanges.forEach((exchange, other) => {
         if (other === index) return;
-        exchange.receive(toId<VmId>(`vm-${index}`), usage);
+        exchange.receive(toId<VmId>(`vm-${index}`), report);
         this.queues[other]!.drain();
       });
     }, reportDelayMs);
--- a/packages/core/src/admission/constants.ts
+++ b/packages/core/src/admission/constants.ts
@@ -43,5 +43,11 @@
 /** Time between two reports of usage to the other VMs, in milliseconds. */
 export const USAGE_INTERVAL_MS = 200;
 
+/** Reports from one whole report to the next; those between name only what has changed. */
+export const REPORTS_PER_WHOLE = 5;
+
+/** Change of an offered rate, as a part of it, below which it is not reported. */
+export const OFFERED_CHANGE_MIN = 0.1;
+
 /** Time after which a VM without a new report counts as not heard, in milliseconds. */
-export const USAGE_EXPIRY_MS = 1_000;
+export const USAGE_EXPIRY_MS = 3_000;
--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -14,3 +14,5 @@
 export type { ShareDemand } from './shares.js';
 export { UsageExchange } from './usage.js';
 export type { AccountUsage, OthersUsage, PoolId } from './usage.js';
+export { UsageReporter, isWholeRound } from './usageReporter.js';
+export type { UsageReport } from './usageReporter.js';
--- a/packages/core/src/admission/peerUsageExchange.ts
+++ b/packages/core/src/admission/peerUsageExchange.ts
@@ -1,6 +1,8 @@
 import type { ClientAccountId, VmId } from '../ids.js';
 import { USAGE_EXPIRY_MS } from './constants.js';
 import { UsageExchange } from './usage.js';
+import { mergeUsage } from './usageReporter.js';
+import type { UsageReport } from './usageReporter.js';
 import type { AccountUsage, OthersUsage, PoolId } from './usage.js';
 
 /** Place of this VM among the entry VMs. */
@@ -12,8 +14,9 @@
 }
 
 interface PeerReport {
-  receivedAtMs: number;
-  usage: readonly AccountUsage[];
+  readonly receivedAtMs: number;
+  readonly sequence: number;
+  readonly usage: readonly AccountUsage[];
 }
 
 type PoolUsage = Map<ClientAccountId, AccountUsage>;
@@ -47,17 +50,20 @@
     super();
   }
 
-  /** Takes in the newest report of a peer. */
-  receive(from: VmId, usage: readonly AccountUsage[]): void {
-    this.reports.set(from, { receivedAtMs: Date.now(), usage });
+  /** Takes in a report of a peer; one that does not follow on the last waits for the next whole one. */
+  receive(from: VmId, { sequence, whole, usage }: UsageReport): void {
+    const known = this.reports.get(from);
+    if (!whole && known?.sequence !== sequence - 1) return;
+    const merged = whole ? usage : mergeUsage(known?.usage ?? [], usage);
+    this.reports.set(from, { receivedAtMs: Date.now(), sequence, usage: merged });
     this.sums = undefined;
   }
 
-  /** Drops the reports of silent peers. */
-  prune(): void {
+  /** Drops the reports of silent peers, and of those that are gone. */
+  prune(isConnected: (vmId: VmId) => boolean = () => true): void {
     const expiredAtMs = Date.now() - USAGE_EXPIRY_MS;
     [...this.reports]
-      .filter(([, report]) => report.receivedAtMs < expiredAtMs)
+      .filter(([vmId, report]) => report.receivedAtMs < expiredAtMs || !isConnected(vmId))
       .forEach(([vmId]) => this.reports.delete(vmId));
     this.sums = undefined;
   }
--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -15,6 +15,7 @@
 import { createTableController } from '../controllers/tableController/index.js';
 import type { TableController } from '../controllers/tableController/index.js';
 import { UpstreamsController } from '../controllers/upstreams/upstreamsController.js';
+import { UsageController } from '../controllers/usage/index.js';
 import { VmListController } from '../controllers/vmList/vmListController.js';
 import type { PeerLink } from '../mesh/index.js';
 
@@ -31,6 +32,7 @@
   readonly vmList: VmListController;
   readonly upstreams: UpstreamsController;
   readonly once: OnceController;
+  readonly usage: UsageController;
 }
 
 const isEntry = (vm: VmRecord): boolean => vm.role === 'entry';
@@ -82,7 +84,12 @@
     window: { windowMs: settings.once.windowMs, clockAllowanceMs: CLOCK_ALLOWANCE_MS },
     budget: createAppendBudget(settings.once.appendsPerSecond),
   });
-  return { table, vmList, upstreams, once };
+  const usage = new UsageController({
+    link,
+    listEntryVms: () => listEntryVms(vmList, settings.vmId),
+    countCapacity: (poolId) => upstreams.countCapacity(poolId),
+  });
+  return { table, vmList, upstreams, once, usage };
 };
 
 /** Lists the controllers in the order in which they start. */
@@ -91,6 +98,7 @@
   controllers.vmList,
   controllers.upstreams,
   controllers.once,
+  controllers.usage,
 ];
 
 /** Starts controllers one after the other. */
--- a/packages/entry/src/compose/createDataPath.ts
+++ b/packages/entry/src/compose/createDataPath.ts
@@ -24,6 +24,7 @@
     metrics,
     table: () => controllers.table.table,
     onceGuard: controllers.once.guard,
+    admission: controllers.usage,
     dispatch: {
       router: new LeastLoadRouter(),
       retries: new BudgetedRetryPolicy(createGenerator()),
--- a/packages/entry/src/controllers/upstreams/upstreamsController.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamsController.ts
@@ -45,6 +45,19 @@
     return this.listViews('service').filter((view) => names.includes(view.upstreamId));
   }
 
+  /** Counts the requests that the eligible upstreams of a pool bear at once. */
+  countCapacity(poolId: string): number {
+    const { ejection } = this.options;
+    const table = this.options.table();
+    let capacity = 0;
+    this.states.forEach((state) => {
+      if (state.group !== poolId) return;
+      const view = state.buildView(table, ejection);
+      if (view?.eligible) capacity += view.cold ? view.coldConcurrent : view.maxConcurrent;
+    });
+    return capacity;
+  }
+
   /** Gives one upstream as it is known now. */
   findView(upstreamId: UpstreamId): UpstreamView | undefined {
     return this.states.get(upstreamId)?.buildView(this.options.table(), this.options.ejection);
--- /dev/null
+++ b/packages/entry/src/controllers/usage/usageMessage.ts
@@ -0,0 +1,22 @@
+import { toId } from '@goldcrestscale/core';
+import type { AccountUsage, ClientAccountId, PoolId, UsageReport } from '@goldcrestscale/core';
+import { z } from 'zod';
+import { defineMessage } from '../../mesh/index.js';
+
+const usageSchema: z.ZodType<AccountUsage> = z.object({
+  poolId: z.string().transform((value) => toId<PoolId>(value)),
+  accountId: z.string().transform((value) => toId<ClientAccountId>(value)),
+  weight: z.number().positive(),
+  running: z.number().min(0),
+  waiting: z.number().min(0),
+  offeredPerSecond: z.number().min(0),
+});
+
+const reportSchema: z.ZodType<UsageReport> = z.object({
+  sequence: z.number().int().positive(),
+  whole: z.boolean(),
+  usage: z.array(usageSchema),
+});
+
+/** Report of one VM's usage to its peers. */
+export const usageMessage = defineMessage('usage', reportSchema);
--- a/packages/entry/src/filters/index.ts
+++ b/packages/entry/src/filters/index.ts
@@ -2,6 +2,8 @@
 import type { ConfigTable, OnceGuard } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { EntryMetrics } from '../metrics.js';
+import { AdmissionFilter } from './admissionFilter.js';
+import type { AdmissionOptions } from './admissionFilter.js';
 import { DeadlineFilter } from './deadlineFilter.js';
 import { DispatchFilter } from './dispatchFilter.js';
 import type { DispatchObserver, DispatchOptions } from './dispatchFilter.js';
@@ -17,6 +19,7 @@
   readonly metrics: EntryMetrics;
   readonly onceGuard: OnceGuard;
   readonly table: () => ConfigTable;
+  readonly admission: AdmissionOptions;
   readonly dispatch: Omit<DispatchOptions, 'observer'>;
 }
 
@@ -34,5 +37,6 @@
   new DeadlineFilter(),
   createOnceFilter({ guard: options.onceGuard }),
   new WeightVersionFilter(options.table),
+  new AdmissionFilter(options.admission),
   new DispatchFilter({ ...options.dispatch, observer: createObserver(options.metrics) }),
 ];
