--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -18,6 +18,7 @@
 import { createTableController } from '../controllers/tableController/index.js';
 import type { TableController } from '../controllers/tableController/index.js';
 import { UpstreamsController } from '../controllers/upstreams/upstreamsController.js';
+import { UsageController } from '../controllers/usage/index.js';
 import type { PeerLink } from '../mesh/index.js';
 
 /** What the controllers are built from. */
@@ -33,6 +34,7 @@
   readonly membership: MembershipController;
   readonly upstreams: UpstreamsController;
   readonly once: OnceController;
+  readonly usage: UsageController;
 }
 
 const listZonesOut = (table: ConfigTable): ReadonlySet<AvailabilityZoneId> =>
@@ -81,7 +83,12 @@
     window: { windowMs: settings.once.windowMs, clockAllowanceMs: CLOCK_ALLOWANCE_MS },
     budget: createAppendBudget(settings.once.appendsPerSecond),
   });
-  return { table, membership, upstreams, once };
+  const usage = new UsageController({
+    link,
+    listEntryVms: () => membership.listLive(),
+    countCapacity: (poolId) => upstreams.countCapacity(poolId),
+  });
+  return { table, membership, upstreams, once, usage };
 };
 
 /** Lists the controllers in the order in which they start. */
@@ -90,6 +97,7 @@
   controllers.membership,
   controllers.upstreams,
   controllers.once,
+  controllers.usage,
 ];
 
 /** Starts controllers one after the other. */
--- a/packages/entry/src/compose/createDataPath.ts
+++ b/packages/entry/src/compose/createDataPath.ts
@@ -25,6 +25,7 @@
     table: () => controllers.table.table,
     decideFreshness: () => controllers.membership.decideFreshness(),
     onceGuard: controllers.once.guard,
+    admission: controllers.usage,
     dispatch: {
       router: new LeastLoadRouter(),
       retries: new BudgetedRetryPolicy(createGenerator()),
