fix(tiering): count prompts that never return, and weigh drops once

Cause: over 8 h the stores fill. No visit was ever given up, so the life table saw returns only, held dead sessions to be worth as much as live ones, and refused new blocks; planning drops for every waiting export on every poll took minutes of wall clock. Ruled out: a shorter horizon, which leaves the bias in place.

--- a/packages/core/src/tiering/__tests__/tieringPlanner.spec.ts
+++ b/packages/core/src/tiering/__tests__/tieringPlanner.spec.ts
@@ -56,7 +56,7 @@
 test('return model learns the gap', () => {
   const model = new ReturnModel();
   for (let i = 0; i < 500; i += 1) model.learnReturn(w, 20 * MINUTE_MS);
-  for (let i = 0; i < 500; i += 1) model.learnLoss(w, 24 * 60 * MINUTE_MS);
+  for (let i = 0; i < 500; i += 1) model.learnIdle(w, 24 * 60 * MINUTE_MS);
   expect(model.estimateReturn(w, MINUTE_MS).probability).toBeCloseTo(0.5, 1);
   expect(model.estimateReturn(w, 60 * MINUTE_MS).probability).toBeLessThan(0.1);
   const near = model.estimateReturn(w, 15 * MINUTE_MS).returnsPerHour;
@@ -93,7 +93,7 @@
 test('full store VM drops the least likely return, and nothing for a worse block', () => {
   const planner = createPlanner(createView('s1', { capacityBytes: 400 }));
   for (let i = 0; i < 200; i += 1) planner.returns.learnReturn(w, MINUTE_MS);
-  for (let i = 0; i < 20; i += 1) planner.returns.learnLoss(w, 240 * MINUTE_MS);
+  for (let i = 0; i < 20; i += 1) planner.returns.learnIdle(w, 240 * MINUTE_MS);
   planner.noteHeld(engine, w, createBlocks('old', 2));
   exportAll(planner);
   vi.advanceTimersByTime(120 * MINUTE_MS);
--- a/packages/core/src/tiering/constants.ts
+++ b/packages/core/src/tiering/constants.ts
@@ -66,3 +66,6 @@
 
 /** Visits learned after which the prospects are computed anew. */
 export const REFRESH_VISITS = 64;
+
+/** Earlier visits whose idle time is counted with each new one. */
+export const IDLE_CHECKS_PER_VISIT = 16;
--- a/packages/core/src/tiering/returnModel.ts
+++ b/packages/core/src/tiering/returnModel.ts
@@ -67,15 +67,23 @@
 export class ReturnModel {
   private readonly workloads = new Map<WorkloadId, WorkloadGaps>();
 
-  /** Learns that a prompt returned after a gap. */
-  learnReturn(workloadId: WorkloadId, gapMs: number): void {
-    const gaps = this.learnIdle(workloadId, gapMs);
-    gaps.returned[computeBucket(gapMs)]! += 1;
+  /**
+   * Learns that a prompt returned after a gap.
+   *
+   * @param countedMs idle time of this visit that `learnIdle` has counted already
+   */
+  learnReturn(workloadId: WorkloadId, gapMs: number, countedMs?: number): void {
+    this.learnIdle(workloadId, gapMs, countedMs);
+    this.ensureGaps(workloadId).returned[computeBucket(gapMs)]! += 1;
   }
 
-  /** Learns that a prompt had not returned when it was given up after an idle time. */
-  learnLoss(workloadId: WorkloadId, idleMs: number): void {
-    this.learnIdle(workloadId, idleMs);
+  /** Learns that a prompt has been idle for a time without a return so far. */
+  learnIdle(workloadId: WorkloadId, idleMs: number, countedMs?: number): void {
+    const gaps = this.ensureGaps(workloadId);
+    const first = countedMs === undefined ? 0 : computeBucket(countedMs) + 1;
+    const last = computeBucket(idleMs);
+    for (let bucket = first; bucket <= last; bucket += 1) gaps.atRisk[bucket]! += 1;
+    gaps.learnedSince += 1;
   }
 
   /** Estimates the prospect of a prompt that has been idle for a time. */
@@ -107,12 +115,4 @@
     }
     return gaps;
   }
-
-  private learnIdle(workloadId: WorkloadId, idleMs: number): WorkloadGaps {
-    const gaps = this.ensureGaps(workloadId);
-    const last = computeBucket(idleMs);
-    for (let bucket = 0; bucket <= last; bucket += 1) gaps.atRisk[bucket]! += 1;
-    gaps.learnedSince += 1;
-    return gaps;
-  }
 }
--- a/packages/core/src/tiering/tieringPlanner.ts
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -136,7 +136,8 @@
     if (open.length === 0 || this.queue.size === 0) return undefined;
     for (const candidate of this.queue.rank((one) => this.weighCandidate(one))) {
       const order = this.planExport(candidate, open);
-      if (order) return order;
+      if (order === 'not-worth') this.queue.delete(candidate.key);
+      else if (order !== 'skip') return order;
     }
     return undefined;
   }
@@ -232,28 +233,26 @@
     return (prospect.returnsPerHour * candidate.tokens * factor) / candidate.bytes;
   }
 
+  /** Plans one export; undefined where it has to wait for a link, `skip` where others go first. */
   private planExport(
     candidate: ExportCandidate,
     open: readonly (readonly [UpstreamId, Store])[],
-  ): ExportOrder | undefined {
+  ): ExportOrder | 'not-worth' | 'skip' | undefined {
     const value = this.weighCandidate(candidate);
-    if (value === 0) {
-      this.queue.delete(candidate.key);
-      return undefined;
-    }
     const isSecond = this.countCopies(candidate.key) > 0;
-    for (const [storeId, store] of open) {
-      const { catalog, link } = store;
-      const isWanted =
-        !catalog.get(candidate.key) &&
-        !this.exporting.has(`${storeId}/${candidate.key}`) &&
-        link.canExport(candidate.bytes);
-      const drops = isWanted
-        ? this.planDrops(catalog, candidate.bytes, value, isSecond)
-        : undefined;
+    const wanted = open.filter(([storeId, { catalog }]) => {
+      const flight = `${storeId}/${candidate.key}`;
+      return !catalog.get(candidate.key) && !this.exporting.has(flight);
+    });
+    if (value === 0) return 'not-worth';
+    if (wanted.length === 0) return 'skip';
+    const free = wanted.filter(([, { link }]) => link.canExport(candidate.bytes));
+    if (free.length === 0) return undefined;
+    for (const [storeId, store] of free) {
+      const drops = this.planDrops(store.catalog, candidate.bytes, value, isSecond);
       if (drops) return this.beginExport(candidate, storeId, store, drops);
     }
-    return undefined;
+    return 'not-worth';
   }
 
   private beginExport(
