fix(load): render a chat prompt without a line end again

Ruled out: changing the stand-in once more; its callers and tests use its form now. Change: renderChatPrompt joins without a trailing line end, as renderPrompt of the stand-in does. Conclusion: the test holds the two forms together from here on.

--- a/packages/load/src/__tests__/runLoad.spec.ts
+++ b/packages/load/src/__tests__/runLoad.spec.ts
@@ -66,7 +66,7 @@
   change = (text: string) => text,
 ): void => {
   const { messages, max_tokens: tokens } = JSON.parse(body) as CompletionBody;
-  const text = generateExpectedAnswer('1', `user: ${messages[0]?.content}\n`, tokens);
+  const text = generateExpectedAnswer('1', `user: ${messages[0]?.content}`, tokens);
   const usage = { prompt_tokens: 100, prompt_tokens_details: { cached_tokens: 75 } };
   response.writeHead(200, { 'content-type': 'text/event-stream' });
   text.match(/ \S+/g)?.forEach((token) => {
--- a/packages/load/src/workload/promptText.ts
+++ b/packages/load/src/workload/promptText.ts
@@ -21,7 +21,7 @@
 };
 
 /** Renders one user message as the prompt text that an engine's answer is a function of. */
-export const renderChatPrompt = (content: string): string => `user: ${content}\n`;
+export const renderChatPrompt = (content: string): string => `user: ${content}`;
 
 const HASH_BYTES = 4;
 const TOKEN_RADIX = 36;
