--- a/packages/entry/src/config.ts
+++ b/packages/entry/src/config.ts
@@ -42,7 +42,10 @@
     .extend({ key: secretReferenceSchema })
     .describe('listener for operators: health, metrics, state'),
   mesh: listenSchema
-    .extend({ advertise: addressSchema, secret: secretReferenceSchema })
+    .extend({
+      advertise: addressSchema.describe('address that the other entry VMs use'),
+      secret: secretReferenceSchema,
+    })
     .describe('listener for the other entry VMs'),
   platform: z
     .strictObject({
