fix(once): forget settled attempts behind a running one

Cause: the registry stopped forgetting at the first attempt still running, so a long stream kept every later attempt in memory; and a trimmed read without a first offset would have been repeated without a delay. Ruled out: a timer for each attempt. Change: a queue in the order of settlement; back-off after a trimmed read. Conclusion: a test covers the registry; none covers the delay.

--- a/packages/core/src/once/__tests__/shard.spec.ts
+++ b/packages/core/src/once/__tests__/shard.spec.ts
@@ -13,6 +13,8 @@
   pickShard,
   rankShardServers,
 } from '../index.js';
+import { createAttemptRegistry } from '../attemptRegistry.js';
+import { SETTLED_ATTEMPT_MEMORY_MS } from '../constants.js';
 import type { ClaimRecord, ShardId } from '../index.js';
 
 const NOW_MS = 1_700_000_000_000;
@@ -167,3 +169,17 @@
   expect(await reply).toEqual({ type: 'unsettled' });
   ending.abort();
 });
+
+test('settled attempts are forgotten, running ones are not', () => {
+  const attempts = createAttemptRegistry();
+  const [running, settled] = [attempts.open(), attempts.open()];
+  running.begin();
+  settled.finish({ verdict: 'ran' });
+  attempts.settle(settled);
+  expect(attempts.getStatus(settled.attemptId).type).toBe('done');
+  vi.advanceTimersByTime(SETTLED_ATTEMPT_MEMORY_MS + 1);
+  attempts.open();
+  expect(attempts.getStatus(settled.attemptId).type).toBe('gone');
+  expect(attempts.getStatus(running.attemptId).type).toBe('active');
+  expect(attempts.countStates()).toEqual({ pending: 1, running: 1, abandoned: 0, done: 0 });
+});
--- a/packages/core/src/once/attemptRegistry.ts
+++ b/packages/core/src/once/attemptRegistry.ts
@@ -16,8 +16,6 @@
 
   private runOutcome: RunOutcome | undefined;
 
-  private settledAt: number | undefined;
-
   get state(): AttemptState {
     return this.current;
   }
@@ -26,11 +24,6 @@
     return this.runOutcome;
   }
 
-  /** Time since which nobody needs to ask for it, by the monotonic clock, in milliseconds. */
-  get settledAtMs(): number | undefined {
-    return this.settledAt;
-  }
-
   begin(): void {
     this.current = 'running';
   }
@@ -44,15 +37,13 @@
     this.current = 'done';
     this.runOutcome = outcome;
   }
-
-  markSettled(): void {
-    this.settledAt = performance.now();
-  }
 }
 
 /** The attempts of this process; lost with it on purpose. */
 export interface AttemptRegistry {
   open(): Attempt;
+  /** Notes that the log holds the end of an attempt, or that nobody needs to ask for it. */
+  settle(attempt: Attempt): void;
   getStatus(attemptId: AttemptId): AttemptStatus;
   /** Counts the attempts in each state. */
   countStates(): Readonly<Record<AttemptState, number>>;
@@ -61,12 +52,13 @@
 /** Creates an empty registry. */
 export const createAttemptRegistry = (): AttemptRegistry => {
   const attempts = new Map<AttemptId, Attempt>();
+  /** Settled attempts in the order in which they were settled. */
+  const settled: { readonly attemptId: AttemptId; readonly atMs: number }[] = [];
   const prune = (): void => {
-    const nowMs = performance.now();
-    for (const [attemptId, { settledAtMs }] of attempts) {
-      if (settledAtMs === undefined || nowMs - settledAtMs < SETTLED_ATTEMPT_MEMORY_MS) break;
-      attempts.delete(attemptId);
-    }
+    const beforeMs = performance.now() - SETTLED_ATTEMPT_MEMORY_MS;
+    const kept = settled.findIndex(({ atMs }) => atMs >= beforeMs);
+    const dropped = settled.splice(0, kept < 0 ? settled.length : kept);
+    dropped.forEach(({ attemptId }) => attempts.delete(attemptId));
   };
   return {
     open() {
@@ -75,6 +67,9 @@
       attempts.set(attempt.attemptId, attempt);
       return attempt;
     },
+    settle({ attemptId }) {
+      settled.push({ attemptId, atMs: performance.now() });
+    },
     getStatus(attemptId) {
       const attempt = attempts.get(attemptId);
       if (!attempt) return { type: 'gone' };
--- a/packages/core/src/once/logOnceGuard.ts
+++ b/packages/core/src/once/logOnceGuard.ts
@@ -135,7 +135,7 @@
       this.settle(createRelease(request, attempt.attemptId), attempt);
     } else {
       // Either nothing was appended or the log has decided against the attempt.
-      attempt.markSettled();
+      this.attempts.settle(attempt);
     }
   }
 
@@ -213,7 +213,7 @@
   /** Has a record appended in the background. */
   private settle(record: SettlementRecord, attempt: Attempt): void {
     const settlement = this.retrySettle(record).finally(() => {
-      attempt.markSettled();
+      this.attempts.settle(attempt);
       this.settlements.delete(settlement);
     });
     this.settlements.add(settlement);
--- a/packages/core/src/once/shardServer.ts
+++ b/packages/core/src/once/shardServer.ts
@@ -80,10 +80,8 @@
       } catch (error) {
         if (!(error instanceof LogError)) throw error;
         if (error.failure === 'trimmed') this.reset(error.firstOffset);
-        else {
-          this.logDown = true;
-          await sleep(backoff.nextDelayMs(), signal);
-        }
+        else this.logDown = true;
+        await sleep(backoff.nextDelayMs(), signal);
       }
     }
   }
