--- /dev/null
+++ b/packages/entry/src/__tests__/entryHarness.ts
@@ -0,0 +1,276 @@
+import { createHash } from 'node:crypto';
+import type { AddressInfo } from 'node:net';
+import { fetch } from 'undici';
+import type { Response } from 'undici';
+import {
+  AdmissionQueue,
+  BudgetedRetryPolicy,
+  FairSharePolicy,
+  IsolatedUsageExchange,
+  LeastLoadRouter,
+  createConfigTable,
+  createGenerator,
+  createTableState,
+  getRowKey,
+  rowSchema,
+  toId,
+  toLogOffset,
+} from '@goldcrestscale/core';
+import type {
+  AvailabilityZoneId,
+  BootId,
+  EditId,
+  ModelId,
+  RetryPolicy,
+  UpstreamId,
+  UpstreamView,
+  WeightVersion,
+} from '@goldcrestscale/core';
+import { createMetrics } from '@goldcrestscale/runtime';
+import type { Logger } from '@goldcrestscale/runtime';
+import { CompletionRunner } from '../dispatch/completionRunner.js';
+import type { AttemptRunner } from '../dispatch/attempt.js';
+import { ServiceRunner } from '../dispatch/serviceRunner.js';
+import { AdmissionFilter } from '../filters/admissionFilter.js';
+import { DeadlineFilter } from '../filters/deadlineFilter.js';
+import { DispatchFilter } from '../filters/dispatchFilter.js';
+import type { UpstreamDirectory } from '../filters/dispatchFilter.js';
+import { IdentifyAccountFilter } from '../filters/identifyAccountFilter.js';
+import { VerdictGuardFilter } from '../filters/verdictGuardFilter.js';
+import { WeightVersionFilter } from '../filters/weightVersionFilter.js';
+import { createCallerServer } from '../http/callerServer.js';
+import { createEntryMetrics } from '../metrics.js';
+import { createUpstreamClient } from '../upstream/upstreamClient.js';
+import type { UpstreamClient } from '../upstream/upstreamClient.js';
+import type { FakeUpstream } from './fakeUpstream.js';
+
+export const API_KEY = 'key-1';
+export const LIMITED_KEY = 'key-2';
+
+const hashKey = (key: string): string => createHash('sha256').update(key).digest('hex');
+
+const ROWS = [
+  { kind: 'account', id: 'mill', keyHashes: [hashKey(API_KEY)] },
+  { kind: 'account', id: 'yard', keyHashes: [hashKey(LIMITED_KEY)], maxRequestsPerSecond: 2 },
+  { kind: 'workload', id: 'summaries', accountId: 'mill', model: 'small' },
+  { kind: 'workload', id: 'notes', accountId: 'yard', model: 'small' },
+  { kind: 'workload', id: 'tickets', accountId: 'mill', service: 'tickets' },
+  { kind: 'model', id: 'small', version: 'v1' },
+  {
+    kind: 'service',
+    id: 'tickets',
+    unrepeatable: [{ method: 'POST', pathPrefix: '/tickets' }],
+  },
+].map((row) => rowSchema.parse(row));
+
+const createTable = () =>
+  createConfigTable({
+    ...createTableState(),
+    rows: new Map(
+      ROWS.map((row) => [
+        getRowKey(row),
+        { row, offset: toLogOffset(0), editId: toId<EditId>('edit') },
+      ]),
+    ),
+  });
+
+const logger = {
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+  debug: () => undefined,
+  createPart: () => logger,
+} as unknown as Logger;
+
+/** Options of an entry composed in this process. */
+export interface HarnessOptions {
+  readonly upstreams: readonly (FakeUpstream | string)[];
+  readonly retries?: RetryPolicy;
+  createCompletions?(client: UpstreamClient): AttemptRunner;
+  createServices?(client: UpstreamClient): AttemptRunner;
+}
+
+/** The filters of an entry over fake upstreams, on a loopback socket. */
+export interface Harness {
+  readonly baseUrl: string;
+  readonly directory: UpstreamDirectory;
+  /** Ends of attempts, in order. */
+  readonly ends: string[];
+  /** Upstreams that get no work, by their place. */
+  readonly ineligible: Set<number>;
+  close(): Promise<void>;
+}
+
+const createView = (address: string, index: number, role: UpstreamView['role']): UpstreamView => ({
+  upstreamId: toId<UpstreamId>(`${role}-${index}`),
+  role,
+  address,
+  availabilityZone: toId<AvailabilityZoneId>(`zone-${index}`),
+  bootId: toId<BootId>('boot'),
+  model: toId<ModelId>('small'),
+  weightVersion: toId<WeightVersion>('v1'),
+  eligible: true,
+  cold: false,
+  running: index,
+  waiting: 0,
+  waitingPromptTokens: 0,
+  prefillTokensPerSecond: 1_000,
+  maxConcurrent: 8,
+  coldConcurrent: 2,
+  ageMs: 0,
+  dispatchedSince: 0,
+  dispatchedTokensSince: 0,
+});
+
+const createDirectory = (options: HarnessOptions, ends: string[], ineligible: Set<number>) => {
+  const list = (role: UpstreamView['role']): readonly UpstreamView[] =>
+    options.upstreams.map((one, index) => ({
+      ...createView(typeof one === 'string' ? one : one.address, index, role),
+      eligible: !ineligible.has(index),
+    }));
+  const directory: UpstreamDirectory = {
+    listEngines: () => list('engine'),
+    listServices: () => list('service'),
+    findView: (upstreamId) =>
+      [...list('engine'), ...list('service')].find((view) => view.upstreamId === upstreamId),
+    noteDispatch: () => undefined,
+    noteEnd: (_upstreamId, outcome) => ends.push(outcome),
+  };
+  return directory;
+};
+
+const createFilters = (
+  options: HarnessOptions,
+  client: UpstreamClient,
+  directory: UpstreamDirectory,
+) => {
+  const table = createTable();
+  const metrics = createEntryMetrics(createMetrics());
+  const countCapacity = () => 64;
+  const queue = new AdmissionQueue({
+    policy: new FairSharePolicy(),
+    exchange: new IsolatedUsageExchange(() => 1),
+    countCapacity,
+  });
+  return [
+    new VerdictGuardFilter(logger, metrics),
+    new IdentifyAccountFilter(() => table),
+    new DeadlineFilter(),
+    new WeightVersionFilter(() => table),
+    new AdmissionFilter({ queue, countCapacity }),
+    new DispatchFilter({
+      router: new LeastLoadRouter(),
+      retries: options.retries ?? new BudgetedRetryPolicy(createGenerator(1)),
+      directory,
+      completions: options.createCompletions?.(client) ?? new CompletionRunner(client),
+      services: options.createServices?.(client) ?? new ServiceRunner(client),
+      observer: { onFirstByte() {}, onUsage() {}, onFailure() {} },
+    }),
+  ];
+};
+
+/** Starts an entry over fake upstreams. */
+export const startHarness = async (options: HarnessOptions): Promise<Harness> => {
+  const client = createUpstreamClient();
+  const ends: string[] = [];
+  const ineligible = new Set<number>();
+  const directory = createDirectory(options, ends, ineligible);
+  const server = createCallerServer({
+    filters: createFilters(options, client, directory),
+    answerEntries: () => ({ entries: [], ttlMs: 1 }),
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return {
+    baseUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    directory,
+    ends,
+    ineligible,
+    async close() {
+      server.closeAllConnections();
+      await new Promise((resolve) => {
+        server.close(resolve);
+      });
+      await client.close();
+    },
+  };
+};
+
+/** Answer as a caller reads it. */
+export interface Received {
+  readonly status: number;
+  readonly verdict: string | null;
+  readonly retryAfter: string | null;
+  /** Text of the completion. */
+  readonly text: string;
+  readonly whole: boolean;
+  /** Code of the typed error, in the body or as the last event. */
+  readonly errorCode: string | undefined;
+}
+
+interface Payload {
+  readonly choices?: readonly { readonly text: string }[];
+  readonly error?: { readonly code: string };
+}
+
+const parsePayloads = (body: string, isStream: boolean): readonly Payload[] => {
+  const texts = isStream
+    ? body.split('\n\n').filter((event) => event.startsWith('data: {'))
+    : [`data: ${body}`];
+  return texts.flatMap((text) => {
+    try {
+      return [JSON.parse(text.slice('data: '.length)) as Payload];
+    } catch {
+      return [];
+    }
+  });
+};
+
+const receive = async (response: Response): Promise<Received> => {
+  const body = await response.text().catch(() => '');
+  const isStream = String(response.headers.get('content-type')).startsWith('text/event-stream');
+  const payloads = parsePayloads(body, isStream);
+  return {
+    status: response.status,
+    verdict: response.headers.get('x-goldcrest-verdict'),
+    retryAfter: response.headers.get('retry-after'),
+    text: payloads.map((payload) => payload.choices?.[0]?.text ?? '').join(''),
+    whole: isStream ? body.includes('data: [DONE]') : payloads.length === 1,
+    errorCode: payloads.find((payload) => payload.error)?.error?.code,
+  };
+};
+
+/** Asks for a completion as a plain HTTP caller. */
+export const askCompletion = async (
+  { baseUrl }: Harness,
+  { stream = true, headers = {}, signal }: AskOptions = {},
+): Promise<Received> =>
+  receive(
+    await fetch(`${baseUrl}/v1/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${API_KEY}`, ...headers },
+      body: JSON.stringify({ model: 'small', prompt: 'hello', stream }),
+      ...(signal ? { signal } : {}),
+    }),
+  );
+
+/** How a completion is asked for. */
+export interface AskOptions {
+  readonly stream?: boolean;
+  readonly headers?: Record<string, string>;
+  readonly signal?: AbortSignal;
+}
+
+/** Calls the plain service. */
+export const callService = async (
+  { baseUrl }: Harness,
+  method: 'GET' | 'POST',
+): Promise<Received> =>
+  receive(
+    await fetch(`${baseUrl}/v1/services/tickets/tickets/1`, {
+      method,
+      headers: { authorization: `Bearer ${API_KEY}` },
+      ...(method === 'POST' ? { body: '{}' } : {}),
+    }),
+  );
--- /dev/null
+++ b/packages/entry/src/__tests__/httpInput.spec.ts
@@ -0,0 +1,144 @@
+import { connect } from 'node:net';
+import fc from 'fast-check';
+import { afterAll, beforeAll, expect, test } from 'vitest';
+import { isGoldcrestError } from '@goldcrestscale/core';
+import { MAX_BODY_BYTES } from '../constants.js';
+import { parseTarget } from '../http/parseTarget.js';
+import { API_KEY, startHarness } from './entryHarness.js';
+import type { Harness } from './entryHarness.js';
+import { FakeUpstream } from './fakeUpstream.js';
+
+let engine: FakeUpstream;
+let harness: Harness;
+
+beforeAll(async () => {
+  engine = await new FakeUpstream().listen();
+  harness = await startHarness({ upstreams: [engine] });
+});
+
+afterAll(async () => {
+  await harness.close();
+  await engine.close();
+});
+
+const PATHS = ['/v1/completions', '/v1/chat/completions', '/v1/services/tickets/x', '/other'];
+
+const isTyped = (act: () => unknown): boolean => {
+  try {
+    act();
+    return true;
+  } catch (error) {
+    return isGoldcrestError(error) && error.status < 500 && error.verdict === 'not-run';
+  }
+};
+
+const parseNaively = (body: Buffer): unknown =>
+  (JSON.parse(body.toString()) as { messages: { content: string }[] }).messages[0]!.content;
+
+const bodies = fc.oneof(
+  fc.json(),
+  fc.string(),
+  fc
+    .record(
+      {
+        model: fc.oneof(fc.string(), fc.constant(null)),
+        prompt: fc.oneof(fc.string(), fc.integer(), fc.array(fc.string())),
+        messages: fc.array(fc.record({ role: fc.string(), content: fc.jsonValue() })),
+        stream: fc.oneof(fc.boolean(), fc.string()),
+        kv: fc.jsonValue(),
+      },
+      { requiredKeys: [] },
+    )
+    .map((value) => JSON.stringify(value)),
+);
+
+test('any body is parsed or refused with a typed error', () => {
+  const listBroken = (parse: (path: string, body: Buffer) => unknown): number => {
+    let broken = 0;
+    fc.assert(
+      fc.property(fc.constantFrom(...PATHS), bodies, (path, body) => {
+        if (!isTyped(() => parse(path, Buffer.from(body)))) broken += 1;
+      }),
+      { seed: 1, numRuns: 500 },
+    );
+    return broken;
+  };
+  expect(listBroken((path, body) => parseTarget('POST', path, body))).toBe(0);
+  expect(listBroken((_path, body) => parseNaively(body))).toBeGreaterThan(0);
+});
+
+test('fields of the engine protocol are taken out of a body', () => {
+  fc.assert(
+    fc.property(fc.jsonValue(), fc.jsonValue(), (kv, resume) => {
+      const body = JSON.stringify({ model: 'small', prompt: 'p', kv, resume, seed: 1 });
+      const target = parseTarget('POST', '/v1/completions', Buffer.from(body));
+      if (target?.kind !== 'completion') throw new Error('no completion');
+      expect(Object.keys(target.fields).sort()).toEqual(['model', 'prompt', 'seed']);
+    }),
+    { seed: 1, numRuns: 50 },
+  );
+});
+
+test('any path is found or not, without a failure', () => {
+  fc.assert(
+    fc.property(fc.webUrl({ withQueryParameters: true }), fc.string(), (url, tail) => {
+      const body = Buffer.from('{}');
+      expect(isTyped(() => parseTarget('GET', new URL(url).pathname + tail, body))).toBe(true);
+    }),
+    { seed: 1, numRuns: 300 },
+  );
+});
+
+/** Sends raw bytes and gives the status line of the answer; undefined where there is none. */
+const sendRaw = (text: string): Promise<string | undefined> =>
+  new Promise((resolve) => {
+    const socket = connect(Number(new URL(harness.baseUrl).port), '127.0.0.1');
+    let received = '';
+    socket.on('data', (chunk) => {
+      received += chunk.toString();
+      if (received.includes('\r\n')) socket.destroy();
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve(received.split('\r\n')[0] || undefined));
+    socket.write(text);
+  });
+
+const buildRaw = (headers: string, body: string): string =>
+  `POST /v1/completions HTTP/1.1\r\nhost: entry\r\n${headers}content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`;
+
+const AUTHORIZED = `authorization: Bearer ${API_KEY}\r\n`;
+const GOOD = JSON.stringify({ model: 'small', prompt: 'p', stream: true });
+
+const CASES: readonly [string, string, number][] = [
+  ['broken JSON', buildRaw(AUTHORIZED, '{"model":'), 400],
+  ['unknown model', buildRaw(AUTHORIZED, '{"model":"none","prompt":"p"}'), 404],
+  ['wrong key', buildRaw('authorization: Bearer no\r\n', GOOD), 401],
+  ['no key', buildRaw('', GOOD), 401],
+  ['bad deadline', buildRaw(`${AUTHORIZED}x-deadline-ms: soon\r\n`, GOOD), 400],
+  ['bad header', buildRaw(`${AUTHORIZED}bad header\u0001: x\r\n`, GOOD), 400],
+  ['wrong method', 'GET /v1/completions HTTP/1.1\r\nhost: entry\r\n\r\n', 405],
+  ['unknown path', 'GET /none HTTP/1.1\r\nhost: entry\r\n\r\n', 404],
+  ['bad target', 'GET //[ HTTP/1.1\r\nhost: entry\r\n\r\n', 404],
+  [
+    'long body',
+    `POST /v1/completions HTTP/1.1\r\nhost: entry\r\n${AUTHORIZED}content-length: ${MAX_BODY_BYTES + 1}\r\n\r\n${'x'.repeat(MAX_BODY_BYTES + 1)}`,
+    413,
+  ],
+];
+
+for (const [name, raw, status] of CASES) {
+  test(`${name} gets ${status}`, async () => {
+    expect(await sendRaw(raw)).toContain(` ${status} `);
+  });
+}
+
+test('a caller that stops sending does no harm', async () => {
+  const runs = engine.calls.length;
+  const socket = connect(Number(new URL(harness.baseUrl).port), '127.0.0.1');
+  socket.write(buildRaw(AUTHORIZED, GOOD).slice(0, -5), () => socket.destroy());
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  expect(await sendRaw(buildRaw(AUTHORIZED, GOOD))).toContain(' 200 ');
+  expect(engine.calls).toHaveLength(runs + 1);
+});
--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -82,9 +82,10 @@
   response: ServerResponse,
 ): Promise<void> => {
   const requestId = chooseRequestId(request);
-  const url = new URL(request.url ?? '/', 'http://entry');
-  if (url.pathname === '/v1/entries') {
-    const entries = options.answerEntries(url.searchParams.get('key') ?? undefined);
+  const [path, query] = (request.url ?? '/').split('?', 2);
+  if (path === '/v1/entries') {
+    const key = new URLSearchParams(query).get('key') ?? undefined;
+    const entries = options.answerEntries(key);
     response.writeHead(200, { 'content-type': 'application/json', 'x-request-id': requestId });
     response.end(JSON.stringify(entries));
     return;
--- a/packages/entry/src/http/parseCompletion.ts
+++ b/packages/entry/src/http/parseCompletion.ts
@@ -54,6 +54,19 @@
     Object.entries(fields).filter(([name]) => !RESERVED_FIELDS.some((one) => one === name)),
   );
 
+const parseChat = (fields: unknown) => {
+  const parsed = chatSchema.safeParse(fields);
+  if (!parsed.success) throw refuseBody(describeIssue(parsed.error));
+  const { data } = parsed;
+  return { data, prompt: data.messages.map(joinMessage).join('') };
+};
+
+const parsePrompt = (fields: unknown) => {
+  const parsed = completionSchema.safeParse(fields);
+  if (!parsed.success) throw refuseBody(describeIssue(parsed.error));
+  return { data: parsed.data, prompt: parsed.data.prompt };
+};
+
 /**
  * Parses the body of a completion call.
  *
@@ -61,21 +74,15 @@
  */
 export const parseCompletion = (path: CompletionTarget['path'], body: Buffer): CompletionTarget => {
   const fields = parseFields(body);
-  const parsed =
-    path === '/v1/chat/completions'
-      ? chatSchema.safeParse(fields)
-      : completionSchema.safeParse(fields);
-  if (!parsed.success) throw refuseBody(describeIssue(parsed.error));
-  const { data } = parsed;
-  const prompt =
-    'messages' in data ? chatSchema.parse(data).messages.map(joinMessage).join('') : '';
+  const { data, prompt } =
+    path === '/v1/chat/completions' ? parseChat(fields) : parsePrompt(fields);
   return {
     kind: 'completion',
     path,
     model: data.model,
     ...(data.adapter === undefined ? {} : { adapter: data.adapter }),
     stream: data.stream ?? false,
-    prompt: path === '/v1/completions' ? String(data.prompt) : prompt,
+    prompt,
     fields: removeReserved(data),
   };
 };
