--- a/packages/standin/src/__tests__/store.spec.ts
+++ b/packages/standin/src/__tests__/store.spec.ts
@@ -80,6 +80,18 @@
   expect((await engines[1].call('GET', '/counts')).json.wrongBlockReads).toBe(0);
 });
 
+test('an engine counts a prompt served from bytes that are not its block', async () => {
+  const store = await startRole('store');
+  const engine = await startRole('engine', { blockBytes: 100 });
+  await put(store, 'reused');
+  const names = { blocks: [{ key: 'k0', name: 'reused' }], storeUrl: store.url };
+  const { importId } = (await engine.call('POST', '/kv/import', names)).json;
+  await engine.call('POST', `/kv/import/${importId}/commit`, { keys: ['k0'] });
+  const kv = { blocks: [{ key: 'k0', tokens: 10 }] };
+  await engine.call('POST', '/v1/completions', { model: 'house', prompt: 'p', kv });
+  expect((await engine.call('GET', '/counts')).json.wrongBlockReads).toBe(1);
+});
+
 test('the service counts what ran though its answer was lost', async () => {
   const service = await startRole('service');
   await service.call('POST', '/faults', { loseAnswers: 1 });
--- a/tests/harness/testSite.ts
+++ b/tests/harness/testSite.ts
@@ -11,9 +11,11 @@
 export interface TestSiteOptions {
   readonly engine?: Readonly<Record<string, unknown>>;
   readonly service?: Readonly<Record<string, unknown>>;
+  /** Settings of each of two store VMs; absent: there are none. */
+  readonly store?: Readonly<Record<string, unknown>>;
 }
 
-const createSettings = ({ engine = {}, service = {} }: TestSiteOptions): SiteSettings => ({
+const createSettings = ({ engine = {}, service = {}, store }: TestSiteOptions): SiteSettings => ({
   name: 'test',
   entries: zones.map((availabilityZone, index) => ({
     vmId: `entry-${index + 1}`,
@@ -25,7 +27,13 @@
     availabilityZone,
     settings: { coldCompletions: 0, ...engine },
   })),
-  stores: [],
+  stores: store
+    ? ['store-1', 'store-2'].map((vmId, index) => ({
+        vmId,
+        availabilityZone: zones[index] ?? '',
+        settings: store,
+      }))
+    : [],
   services: [
     {
       vmId: 'service-1',
@@ -58,6 +66,7 @@
 export interface EngineCounts {
   readonly completions: number;
   readonly falls: number;
+  readonly wrongBlockReads: number;
 }
 
 /** Load report of an engine. */
