--- a/packages/entry/src/controllers/tableController/tableController.ts
+++ b/packages/entry/src/controllers/tableController/tableController.ts
@@ -33,17 +33,10 @@
   /** Time for which the log keeps records, in milliseconds. */
   readonly retentionMs: number;
   readonly generator: RandomGenerator;
-  /** Told of each new table; the mesh passes the offset on to the other VMs. */
-  readonly onTable?: (table: ConfigTable) => void;
-}
-
-/** Freshness that a peer gives of its own table. */
-export interface PeerFreshness {
-  readonly nextOffset: LogOffset;
-  /** Time since the peer knew the head of the log, in milliseconds. */
-  readonly ageMs: number;
-  /** Time of this VM's monotonic clock at which it asked the peer, in milliseconds. */
-  readonly askedAtMs: number;
+  /** Told of each read that reached the head, with the monotonic time at which it was begun. */
+  readonly onRead?: (headOffset: LogOffset, startedAtMs: number) => void;
+  /** Told of each read that failed. */
+  readonly onReadFailure?: () => void;
 }
 
 /** Keeps the configuration table current from the log and from peers. */
@@ -64,6 +57,8 @@
 
   private wakeRead: AbortController | undefined;
 
+  private readonly listeners = new Set<(table: ConfigTable) => void>();
+
   constructor(private readonly options: TableControllerOptions) {
     super();
     this.replica = new TableReplica(options.stream);
@@ -102,6 +97,12 @@
     });
   }
 
+  /** Tells a listener of each new table until the signal aborts. */
+  subscribe(listener: (table: ConfigTable) => void, signal: AbortSignal): void {
+    this.listeners.add(listener);
+    signal.addEventListener('abort', () => this.listeners.delete(listener), { once: true });
+  }
+
   /** Gives the age of the table's freshness, in milliseconds; infinite before the first read. */
   getAgeMs(): number {
     return this.freshSinceMs === undefined ? Infinity : performance.now() - this.freshSinceMs;
@@ -112,15 +113,6 @@
     if (nextOffset > this.offset) this.wakeRead?.abort();
   }
 
-  /** Takes a peer's freshness over where its table is not newer than this one; ages add up. */
-  noteFreshness({ nextOffset, ageMs, askedAtMs }: PeerFreshness): void {
-    if (nextOffset > this.offset) {
-      this.noteOffset(nextOffset);
-      return;
-    }
-    this.noteFreshAt(askedAtMs - ageMs);
-  }
-
   /** Gives the folded state for a peer. */
   exportState(): SnapshotRecord {
     return createSnapshotRecord(this.replica.state);
@@ -160,6 +152,7 @@
       } catch (error) {
         if (!(error instanceof LogError) && !(error instanceof TableGapError)) throw error;
         this.logReadable = error instanceof TableGapError;
+        if (!this.logReadable) this.options.onReadFailure?.();
         await sleep(backoff.nextDelayMs(), signal);
       }
     }
@@ -182,7 +175,10 @@
     }
     this.logReadable = true;
     this.publishTable();
-    if (atHead) this.noteFreshAt(askedAtMs);
+    if (atHead) {
+      this.noteFreshAt(askedAtMs);
+      this.options.onRead?.(this.offset, askedAtMs);
+    }
     if (atHead) await this.saveSnapshot(signal);
     return atHead;
   }
@@ -194,7 +190,7 @@
   private publishTable(): void {
     if (this.replica.state.nextOffset === this.view.nextOffset) return;
     this.view = createConfigTable(this.replica.state);
-    this.options.onTable?.(this.view);
+    this.listeners.forEach((listener) => listener(this.view));
   }
 
   /** Writes a snapshot when one is due; a failed or doubled one does no harm. */
