fix(tiering): drop prompts from their end

Cause: sampled drops took blocks out of the middle of a prompt, and all that follows a missing block is worthless though it still takes room. Change: entries know the block that follows them, also as a prompt grows; an only copy is dropped from the prompt's end.

--- a/packages/core/src/tiering/exportQueue.ts
+++ b/packages/core/src/tiering/exportQueue.ts
@@ -9,6 +9,8 @@
   readonly position: number;
   readonly tokens: number;
   readonly bytes: number;
+  /** Block that follows in the prompt; undefined for the last one. */
+  readonly next: BlockKey | undefined;
   readonly queuedAtMs: number;
 }
 
--- a/packages/core/src/tiering/storeCatalog.ts
+++ b/packages/core/src/tiering/storeCatalog.ts
@@ -24,6 +24,8 @@
   /** Place in the prompt; a later block is worthless without the earlier ones. */
   readonly position: number;
   readonly tokens: number;
+  /** Block that followed in the prompt; undefined for the last one. */
+  next: BlockKey | undefined;
   lastUsedMs: number;
 }
 
@@ -108,7 +110,18 @@
     this.reservedBytes = Math.max(0, this.reservedBytes - bytes);
   }
 
-  /** Finds the entry of least value among a sample; later blocks of a prompt go first. */
+  /** Finds the last stored block of the prompt that an entry belongs to. */
+  findTail(entry: CatalogEntry): CatalogEntry {
+    let tail = entry;
+    for (;;) {
+      const following = tail.next === undefined ? undefined : this.byKey.get(tail.next);
+      if (!following || following.position <= tail.position) break;
+      tail = following;
+    }
+    return tail;
+  }
+
+  /** Finds the entry of least value among a sample. */
   findLeastValuable(
     random: RandomGenerator,
     computeValue: (entry: CatalogEntry) => number,
--- a/packages/core/src/tiering/tieringPlanner.ts
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -122,9 +122,11 @@
   noteHeld(upstreamId: UpstreamId, workloadId: WorkloadId, blocks: readonly PromptBlock[]): void {
     const queuedAtMs = Date.now();
     blocks.forEach(({ key, tokens }, position) => {
+      const next = blocks[position + 1]?.key;
+      if (next) this.linkNext(key, next);
       if (this.countCopies(key) >= Math.min(BLOCK_COPIES, this.stores.size)) return;
       const bytes = tokens * this.options.bytesPerToken;
-      this.queue.add({ key, upstreamId, workloadId, position, tokens, bytes, queuedAtMs });
+      this.queue.add({ key, upstreamId, workloadId, position, tokens, bytes, next, queuedAtMs });
     });
   }
 
@@ -152,9 +154,9 @@
     store.catalog.release(candidate.bytes);
     if (outcome.kind !== 'not-held') store.catalog.noteOutcome(outcome.kind === 'stored');
     if (outcome.kind !== 'stored') return;
-    const { workloadId, position, tokens, queuedAtMs } = candidate;
+    const { workloadId, position, tokens, next, queuedAtMs } = candidate;
     const { block } = outcome;
-    store.catalog.add({ block, workloadId, position, tokens, lastUsedMs: queuedAtMs });
+    store.catalog.add({ block, workloadId, position, tokens, next, lastUsedMs: queuedAtMs });
     if (this.countCopies(candidate.key) < Math.min(BLOCK_COPIES, this.stores.size)) {
       this.queue.add(candidate);
     }
@@ -211,6 +213,13 @@
     };
   }
 
+  private linkNext(key: BlockKey, next: BlockKey): void {
+    for (const { catalog } of this.stores.values()) {
+      const entry = catalog.get(key);
+      if (entry) entry.next = next;
+    }
+  }
+
   private countCopies(key: BlockKey): number {
     let copies = 0;
     for (const { catalog } of this.stores.values()) {
@@ -288,7 +297,11 @@
       const factor = this.countCopies(entry.block.key) > 1 ? SECOND_COPY_VALUE : 1;
       return this.computeValue(entry) * factor;
     });
-    if (!least || least.value >= value || least.entry.block.length < bytes) return undefined;
-    return [least.entry.block];
+    if (!least || least.value >= value) return undefined;
+    // A prompt is dropped from its end, so that what is left of it stays usable; a block with
+    // another copy is dropped where it is.
+    const isOnly = this.countCopies(least.entry.block.key) < 2;
+    const { block } = isOnly ? catalog.findTail(least.entry) : least.entry;
+    return block.length < bytes ? undefined : [block];
   }
 }
