--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -5,4 +5,5 @@
 export * from './importPlan.js';
 export * from './leastTimeRouter.js';
 export * from './router.js';
+export * from './leastLoadRouter.js';
 export * from './upstreamPool.js';
--- /dev/null
+++ b/packages/entry/src/compose/createControllers.ts
@@ -0,0 +1,109 @@
+import {
+  CLOCK_ALLOWANCE_MS,
+  CONFIG_STREAM,
+  CappedEjection,
+  LogReports,
+  createAppendBudget,
+  createGenerator,
+} from '@goldcrestscale/core';
+import type { AvailabilityZoneId, ConfigTable, StreamName } from '@goldcrestscale/core';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { createHttpLogStream, createVmListClient } from '@goldcrestscale/platform';
+import type { Logger } from '@goldcrestscale/runtime';
+import type { EntrySettings } from '../config.js';
+import type { Controller } from '../controllers/controller.js';
+import { MembershipController } from '../controllers/membership/index.js';
+import { createOnceController } from '../controllers/onceController/index.js';
+import type { OnceController } from '../controllers/onceController/index.js';
+import { createTableController } from '../controllers/tableController/index.js';
+import type { TableController } from '../controllers/tableController/index.js';
+import { UpstreamsController } from '../controllers/upstreams/upstreamsController.js';
+import { UsageController } from '../controllers/usage/index.js';
+import type { PeerLink } from '../mesh/index.js';
+
+/** What the controllers are built from. */
+export interface ControllersOptions {
+  readonly settings: EntrySettings;
+  readonly logger: Logger;
+  readonly link: PeerLink;
+}
+
+/** The controllers of the entry daemon. */
+export interface Controllers {
+  readonly table: TableController;
+  readonly membership: MembershipController;
+  readonly upstreams: UpstreamsController;
+  readonly once: OnceController;
+  readonly usage: UsageController;
+}
+
+const listZonesOut = (table: ConfigTable): ReadonlySet<AvailabilityZoneId> =>
+  new Set(
+    table
+      .listRows('zone')
+      .filter((zone) => zone.state === 'out')
+      .map((zone) => zone.id),
+  );
+
+/** Creates the controllers. */
+export const createControllers = ({ settings, logger, link }: ControllersOptions): Controllers => {
+  const { platform } = settings;
+  const generator = createGenerator();
+  const openStream = (name: StreamName) => createHttpLogStream(platform.logUrl, name);
+  const logReports = new LogReports();
+  const vmListClient = createVmListClient(platform.vmListUrl);
+  const table = createTableController({
+    stream: openStream(CONFIG_STREAM),
+    retentionMs: platform.logRetentionMs,
+    generator,
+    onRead: (headOffset, startedAtMs) => logReports.noteRead(headOffset, startedAtMs),
+    onReadFailure: () => logReports.noteFailure(),
+  });
+  const membership = new MembershipController({
+    link,
+    vmList: { list: (signal) => vmListClient.listVms(signal) },
+    logReports,
+    getZonesOut: () => listZonesOut(table.table),
+    getFoldedOffset: () => table.offset,
+    onPeerHead: (headOffset) => table.noteOffset(headOffset),
+    random: () => uniformFloat64(generator),
+  });
+  const upstreams = new UpstreamsController({
+    table: (): ConfigTable => table.table,
+    listVms: () => membership.listVms(),
+    ejection: new CappedEjection(generator),
+    logger: logger.createPart('upstreams'),
+  });
+  const once = createOnceController({
+    link,
+    shardCount: settings.once.shardCount,
+    openStream,
+    generator,
+    listEntryVms: () => membership.listLive(),
+    window: { windowMs: settings.once.windowMs, clockAllowanceMs: CLOCK_ALLOWANCE_MS },
+    budget: createAppendBudget(settings.once.appendsPerSecond),
+  });
+  const usage = new UsageController({
+    link,
+    listEntryVms: () => membership.listLive(),
+    countCapacity: (poolId) => upstreams.countCapacity(poolId),
+  });
+  return { table, membership, upstreams, once, usage };
+};
+
+/** Lists the controllers in the order in which they start. */
+export const listControllers = (controllers: Controllers): readonly Controller[] => [
+  controllers.table,
+  controllers.membership,
+  controllers.upstreams,
+  controllers.once,
+  controllers.usage,
+];
+
+/** Starts controllers one after the other. */
+export const startControllers = async (
+  controllers: readonly Controller[],
+  signal: AbortSignal,
+): Promise<void> => {
+  for (const controller of controllers) await controller.start(signal);
+};
--- /dev/null
+++ b/packages/entry/src/controllers/tableController/tableMessages.ts
@@ -0,0 +1,20 @@
+import { snapshotRecordSchema, toLogOffset } from '@goldcrestscale/core';
+import { z } from 'zod';
+import { defineMessage } from '../../mesh/index.js';
+
+/** Messages between entry VMs about the configuration table. */
+
+const offsetSchema = z.number().int().nonnegative().transform(toLogOffset);
+
+/** Tells a peer that the table's stream has records up to an offset. */
+export const offsetMessage = defineMessage(
+  'table/offset',
+  z.strictObject({ nextOffset: offsetSchema }),
+);
+
+/** Asks a peer for its folded state; null where that is not newer than the offset. */
+export const stateMessage = defineMessage(
+  'table/state',
+  z.strictObject({ aboveOffset: offsetSchema }),
+  z.strictObject({ state: snapshotRecordSchema.nullable() }),
+);
--- /dev/null
+++ b/packages/runtime/src/settings/index.ts
@@ -0,0 +1,9 @@
+/** Settings files and secrets. */
+export * from './addressSchema.js';
+export * from './loadSecret.js';
+export * from './loadSettings.js';
+export * from './maskSecrets.js';
+export * from './nearestKey.js';
+export * from './schemaTree.js';
+export * from './settingsError.js';
+export * from './settingsReference.js';
--- /dev/null
+++ b/scripts/site/callers/index.ts
@@ -0,0 +1,6 @@
+/** Callers of a site, for the demo and the process tests. */
+export * from './caller.js';
+export * from './conversation.js';
+export * from './stretchFigures.js';
+export * from './trafficSource.js';
+export * from './unrepeatableLedger.js';
