--- a/scripts/site/siteProcess.ts
+++ b/scripts/site/siteProcess.ts
@@ -37,6 +37,13 @@
     return this.child !== undefined && this.child.exitCode === null && !this.child.signalCode;
   }
 
+  /** Process id while it runs. */
+  get pid(): number {
+    const pid = this.child?.pid;
+    if (pid === undefined) throw new Error(`${this.id} has not started`);
+    return pid;
+  }
+
   /** Last part of what it has written, for diagnosis. */
   get tail(): string {
     return this.output;
