feat(entry): pass table offsets between peers and take calls of unlisted services as unrepeatable

Cause: a VM learned of an edit only from its own poll; a service call written as //tickets or /%74ickets passed as idempotent; the runtime warned of listeners on the daemon's long-lived signal. Ruled out: trusting the method alone for services that have a row (their row says more). Change: TablePeers started, isUnrepeatableCall in the account filter, calls of a service without a row are idempotent only for GET and HEAD, setMaxListeners on the two long-lived signals.

--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -15,8 +15,8 @@
 import { MembershipController } from '../controllers/membership/index.js';
 import { createOnceController } from '../controllers/onceController/index.js';
 import type { OnceController } from '../controllers/onceController/index.js';
-import { createTableController } from '../controllers/tableController/index.js';
-import type { TableController } from '../controllers/tableController/index.js';
+import { createTableController, createTablePeers } from '../controllers/tableController/index.js';
+import type { TableController, TablePeers } from '../controllers/tableController/index.js';
 import { UpstreamsController } from '../controllers/upstreams/upstreamsController.js';
 import { UsageController } from '../controllers/usage/index.js';
 import type { PeerLink } from '../mesh/index.js';
@@ -31,6 +31,7 @@
 /** The controllers of the entry daemon. */
 export interface Controllers {
   readonly table: TableController;
+  readonly tablePeers: TablePeers;
   readonly membership: MembershipController;
   readonly upstreams: UpstreamsController;
   readonly once: OnceController;
@@ -88,7 +89,8 @@
     listEntryVms: () => membership.listLive(),
     countCapacity: (poolId) => upstreams.countCapacity(poolId),
   });
-  return { table, membership, upstreams, once, usage };
+  const tablePeers = createTablePeers({ table, link, generator });
+  return { table, tablePeers, membership, upstreams, once, usage };
 };
 
 /** Lists the controllers in the order in which they start. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import { toId } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
@@ -89,6 +90,8 @@
 export const runEntry = async (options: EntryOptions): Promise<void> => {
   const { settings, logger, signal } = options;
   const work = new AbortController();
+  // Every connection and controller listens to it for as long as the daemon runs.
+  setMaxListeners(0, work.signal, signal);
   const client = createUpstreamClient();
   const daemon = await createDaemon(options, work.signal);
   const { controllers, entryMetrics, bootId } = daemon;
@@ -101,6 +104,7 @@
   const operations = createOperations(options, daemon, () => ready && !signal.aborted);
   await listen(operations, settings.operations);
   await startControllers(listControllers(controllers), work.signal);
+  controllers.tablePeers.start(work.signal);
   await listen(callers, settings.listen);
   ready = true;
   logger.info('listening', { address: settings.advertise, bootId });
--- a/packages/entry/src/filters/identifyAccountFilter.ts
+++ b/packages/entry/src/filters/identifyAccountFilter.ts
@@ -1,5 +1,5 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
-import { createRefusal } from '@goldcrestscale/core';
+import { createRefusal, isUnrepeatableCall } from '@goldcrestscale/core';
 import type { ClientAccountRow, ConfigTable, WorkloadRow } from '@goldcrestscale/core';
 import type { Exchange } from './exchange.js';
 import { Filter } from './filter.js';
@@ -18,13 +18,14 @@
 const isSameDigest = (left: string, right: string): boolean =>
   left.length === right.length && timingSafeEqual(Buffer.from(left), Buffer.from(right));
 
+/** Methods that are idempotent at a service of which the table says nothing. */
+const SAFE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD']);
+
 const isIdempotentCall = (exchange: Exchange, directory: AccountDirectory): boolean => {
-  const { target } = exchange;
+  const { target, method } = exchange;
   if (target.kind !== 'service') return true;
   const service = directory.getService(target.service);
-  return !service?.unrepeatable.some(
-    (call) => call.method === exchange.method && target.path.startsWith(call.pathPrefix),
-  );
+  return service ? !isUnrepeatableCall(service, method, target.path) : SAFE_METHODS.has(method);
 };
 
 const refuseTarget = ({ target }: Exchange): Error =>
