feat(slots): grant the slots of upstreams by leased granters

Cause: a freshly started upstream must not get more than it bears from all VMs together, whatever fails. Ruled out: a lease for each upstream (2,600 renewals; upstreams share 64 groups, so at most 64 VMs renew); a check of record times (leases use rates of clocks and compare-and-set in log order); one charge for a VM's restart (sequence numbers begin above those of earlier runs). MemoryNetwork can pause a VM.

--- a/packages/core/src/membership/heartbeatDetector.ts
+++ b/packages/core/src/membership/heartbeatDetector.ts
@@ -29,12 +29,10 @@
     this.neighbours = this.selectNeighbours([this.self, ...members]);
   }
 
-   
   protected override handleMessage(): void {
     // Nothing is left to do.
   }
 
-   
   protected override handleOldDeath(): void {
     // Nothing is left to do.
   }
--- /dev/null
+++ b/packages/core/src/slots/index.ts
@@ -0,0 +1,9 @@
+/** How many requests the VMs together may have in flight at an upstream. */
+export * from './constants.js';
+export * from './fairLimit.js';
+export * from './localLimit.js';
+export * from './slotAccount.js';
+export * from './slotGroup.js';
+export * from './slotLedger.js';
+export * from './slotMessages.js';
+export * from './slotPolicy.js';
--- /dev/null
+++ b/packages/core/src/slots/slotGroup.ts
@@ -0,0 +1,11 @@
+import type { UpstreamId } from '../ids.js';
+import { hashText } from '../membership/index.js';
+import { SLOT_GROUP_COUNT } from './constants.js';
+
+/** Lease resource of the group that an upstream belongs to, for example "slots/17". */
+export const getSlotGroup = (upstreamId: UpstreamId): string =>
+  `slots/${hashText(upstreamId) % SLOT_GROUP_COUNT}`;
+
+/** Lists the lease resources of all groups. */
+export const listSlotGroups = (): readonly string[] =>
+  Array.from({ length: SLOT_GROUP_COUNT }, (_, index) => `slots/${index}`);
--- a/packages/entry/src/mesh/memoryNetwork.ts
+++ b/packages/entry/src/mesh/memoryNetwork.ts
@@ -16,6 +16,8 @@
 
   private readonly groups = new Map<VmId, number>();
 
+  private readonly paused = new Map<VmId, Set<() => void>>();
+
   private readonly delayMs: number;
 
   constructor(options: MemoryNetworkOptions = {}) {
@@ -40,6 +42,27 @@
     groups.forEach((group, index) => group.forEach((vmId) => this.groups.set(vmId, index + 1)));
   }
 
+  /** Holds up every message from and to a VM, as a paused process does. */
+  pause(vmId: VmId): void {
+    if (!this.paused.has(vmId)) this.paused.set(vmId, new Set());
+  }
+
+  /** Lets the messages of a paused VM go on. */
+  resume(vmId: VmId): void {
+    const waiting = this.paused.get(vmId);
+    this.paused.delete(vmId);
+    waiting?.forEach((wake) => wake());
+  }
+
+  async waitWhilePaused(vmId: VmId): Promise<void> {
+    const waiting = this.paused.get(vmId);
+    if (!waiting) return;
+    await new Promise<void>((resolve) => {
+      waiting.add(resolve);
+    });
+    await this.waitWhilePaused(vmId);
+  }
+
   findReachable(from: VmId, to: VmId): MemoryPeerLink | undefined {
     const isSplit = (this.groups.get(from) ?? 0) !== (this.groups.get(to) ?? 0);
     return isSplit || !this.links.has(from) ? undefined : this.links.get(to);
--- a/packages/entry/src/mesh/memoryPeerLink.ts
+++ b/packages/entry/src/mesh/memoryPeerLink.ts
@@ -12,6 +12,8 @@
   findReachable(from: VmId, to: VmId): MemoryPeerLink | undefined;
   /** Lists the VMs that one reaches at this moment. */
   listReachable(from: VmId): readonly PeerIdentity[];
+  /** Waits until a VM is not paused. */
+  waitWhilePaused(vmId: VmId): Promise<void>;
   /** Waits as long as one message takes. */
   sleep(): Promise<void>;
 }
@@ -86,12 +88,19 @@
     payload: unknown,
     signal: AbortSignal,
   ): Promise<unknown> {
-    await this.network.sleep();
+    await this.sleepOnWay(vmId);
     const peer = this.network.findReachable(this.self.vmId, vmId);
     if (!peer) return waitForever();
     const context: MessageContext = { from: this.self, signal };
     const reply = cloneAsMessage(await peer.receive(type, payload, context));
-    await this.network.sleep();
+    await this.sleepOnWay(vmId);
     return this.network.findReachable(this.self.vmId, vmId) ? reply : waitForever();
   }
+
+  private async sleepOnWay(vmId: VmId): Promise<void> {
+    await this.network.waitWhilePaused(this.self.vmId);
+    await this.network.sleep();
+    await this.network.waitWhilePaused(vmId);
+    await this.network.waitWhilePaused(this.self.vmId);
+  }
 }
