--- a/packages/entry/src/controllers/slots/__tests__/slotWorld.ts
+++ b/packages/entry/src/controllers/slots/__tests__/slotWorld.ts
@@ -145,7 +145,7 @@
   constructor(
     vmCount: number,
     private readonly createPolicy: (parts: VmParts) => SlotPolicy,
-    private readonly requestIntervalMs = 400,
+    private readonly getRequestIntervalMs: (index: number) => number = () => 400,
   ) {
     const generator = xorshift128plus(11);
     this.random = () => uniformFloat64(generator);
@@ -197,7 +197,7 @@
     });
     setInterval(() => {
       this.sendRequest(vmId, policy).catch(() => undefined);
-    }, this.requestIntervalMs);
+    }, this.getRequestIntervalMs(index));
   }
 
   private async sendRequest(vmId: VmId, policy: SlotPolicy): Promise<void> {
--- a/packages/entry/src/controllers/slots/__tests__/slots.spec.ts
+++ b/packages/entry/src/controllers/slots/__tests__/slots.spec.ts
@@ -107,7 +107,7 @@
 });
 
 test('warm upstream is used up, and goes on through a log outage', async () => {
-  const world = new SlotWorld(VM_COUNT, createLeased, 200);
+  const world = new SlotWorld(VM_COUNT, createLeased, () => 200);
   await vi.advanceTimersByTimeAsync(60_000);
   const samples: number[] = [];
   world.applyFault({ kind: 'logOutage', index: 0, atMs: 10_000, forMs: 60_000 });
@@ -127,7 +127,7 @@
     controller.start(signal).catch(() => undefined);
     return controller.slots;
   };
-  const world = new SlotWorld(1, createAlone, 150);
+  const world = new SlotWorld(1, createAlone, () => 150);
   world.applyFault({ kind: 'reboot', index: 0, atMs: 30_000, forMs: 1 });
   await vi.advanceTimersByTimeAsync(60_000);
   world.close();
