feat(orders): plan weight loads under a lease

Cause: more than two weight loads at once slow each other down, and some engines ignore fencing numbers. Ruled out: trust in lagging load reports (the naive planner of the test runs more than two loads). Change: core/src/orders: OrderPlanner, LeasedOrderPlanner (orders given count as loads until read back, a new giver waits and needs reports of every engine), LoadBudget for the weight store's rate. Conclusion: the decision is there; a controller sends the orders.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from './log/index.js';
 export * from './membership/index.js';
 export * from './once/index.js';
+export * from './orders/index.js';
 export * from './random.js';
 export * from './prefix/index.js';
 export * from './retry/index.js';
--- /dev/null
+++ b/packages/core/src/orders/__tests__/orders.spec.ts
@@ -0,0 +1,131 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { toId } from '../../ids.js';
+import type { ModelId, UpstreamId, WeightVersion } from '../../ids.js';
+import { getNow } from '../../lease/index.js';
+import type { HeldLease } from '../../lease/index.js';
+import { LeasedOrderPlanner, OrderPlanner } from '../index.js';
+import type { DesiredWeights, EngineReport, LoadOrder, OrderInput } from '../index.js';
+
+beforeEach(() => vi.useFakeTimers());
+afterEach(() => vi.useRealTimers());
+
+const model = toId<ModelId>('m');
+const LOAD_MS = 1_500;
+const ORDER_DELAY_MS = 400;
+const REPORT_LAG_MS = 1_000;
+
+/** An engine that loads what it is told and ignores fencing numbers. */
+class FakeEngine {
+  version = toId<WeightVersion>('v1');
+
+  loadingUntilMs = 0;
+
+  constructor(readonly upstreamId: UpstreamId) {}
+
+  get isLoading(): boolean {
+    return performance.now() < this.loadingUntilMs;
+  }
+
+  load(version: WeightVersion): void {
+    this.loadingUntilMs = performance.now() + LOAD_MS;
+    this.version = version;
+  }
+
+  report(): EngineReport {
+    const { upstreamId, version, isLoading } = this;
+    return { upstreamId, model, weightVersion: version, isLoading, takenAt: getNow() };
+  }
+}
+
+/** Looks at the newest reports only and forgets what it has ordered. */
+class NaivePlanner extends OrderPlanner {
+  private turn = 0;
+
+  override plan({ desired, engines, held }: OrderInput): readonly LoadOrder[] {
+    const loading = engines.filter((engine) => engine.isLoading).length;
+    const open = desired.filter((one) =>
+      engines.some(
+        (engine) =>
+          engine.upstreamId === one.upstreamId &&
+          !engine.isLoading &&
+          engine.weightVersion !== one.version,
+      ),
+    );
+    this.turn += 1;
+    const start = open.length > 0 ? this.turn % open.length : 0;
+    return [...open.slice(start), ...open.slice(0, start)]
+      .slice(0, Math.max(0, 2 - loading))
+      .map((one) => ({ ...one, fencing: held?.epoch ?? 0, decidedAt: getNow() }));
+  }
+
+  override canSend(order: LoadOrder): boolean {
+    return order.fencing >= 0;
+  }
+}
+
+/** Two order givers, the second of which takes over in the middle while the first is paused. */
+const runFleet = async (createPlanner: () => OrderPlanner, takeoverAtMs: number) => {
+  const engines = Array.from({ length: 8 }, (_, i) => new FakeEngine(toId<UpstreamId>(`e${i}`)));
+  const desired: DesiredWeights[] = engines.map(({ upstreamId }) => ({
+    upstreamId,
+    model,
+    version: toId<WeightVersion>('v2'),
+  }));
+  const known = { reports: engines.map((engine) => engine.report()) };
+  const first: HeldLease = { epoch: 1, heldSince: getNow() };
+  let second: HeldLease | undefined;
+  const findHeld = (giver: number): HeldLease | undefined => {
+    if (giver === 1) return second;
+    return second ? undefined : first;
+  };
+  let most = 0;
+  let sent = 0;
+  const giveOrder = async (planner: OrderPlanner, giver: number, order: LoadOrder) => {
+    const isPausedNow = giver === 0 && performance.now() > takeoverAtMs - 1_000;
+    await vi.waitFor(() => expect(isPausedNow && !second).toBe(false), {
+      interval: 100,
+      timeout: 60_000,
+    });
+    if (!planner.canSend(order, findHeld(giver))) return;
+    sent += 1;
+    setTimeout(
+      () => engines.find((one) => one.upstreamId === order.upstreamId)?.load(order.version),
+      ORDER_DELAY_MS,
+    );
+  };
+  const planners = [createPlanner(), createPlanner()];
+  for (let nowMs = 0; nowMs < 120_000; nowMs += 250) {
+    if (nowMs >= takeoverAtMs) second ??= { epoch: 2, heldSince: getNow() };
+    planners.forEach((planner, giver) =>
+      planner.plan({ held: findHeld(giver), desired, engines: known.reports }).forEach((order) => {
+        giveOrder(planner, giver, order).catch(() => undefined);
+      }),
+    );
+    const taken = engines.map((engine) => engine.report());
+    setTimeout(() => {
+      known.reports = taken;
+    }, REPORT_LAG_MS);
+    await vi.advanceTimersByTimeAsync(250);
+    most = Math.max(most, engines.filter((engine) => engine.isLoading).length);
+  }
+  const loaded = engines.filter((engine) => engine.version === 'v2').length;
+  return { most, loaded, sent };
+};
+
+test.each([9_000, 10_500, 13_000, 17_000, 90_000])(
+  'never more than two loads at once, taken over at %i ms',
+  async (takeoverAtMs) => {
+    const result = await runFleet(() => new LeasedOrderPlanner(60), takeoverAtMs);
+    expect(result.most).toBeLessThanOrEqual(2);
+    expect(result.loaded).toBe(8);
+  },
+);
+
+test('the check catches a planner that forgets its orders', async () => {
+  expect((await runFleet(() => new NaivePlanner(), 10_000)).most).toBeGreaterThan(2);
+});
+
+test('loads stay under the rate of the weight store', async () => {
+  const { sent } = await runFleet(() => new LeasedOrderPlanner(2), 500_000);
+  expect(sent).toBeLessThanOrEqual(4);
+});
