feat(entry): route by prefix and copy blocks to store VMs

Cause: the daemon chose by least load and reused prompts only by luck. Ruled out: trusting an import before the manifest is read again; trusting the index's state at the end of an answer as what was expected at its start (events have come in by then, and trust would fall for no fault). Change: PrefixFilter names the blocks; PrefixIndexController polls cache events and takes usage as correction; TieringController reads manifests, orders exports and staged imports and commits only verified blocks; ImportingRunner repeats the send checks after an import. Second copies now compete by value for a full store VM in place of a fixed fill limit; the router honours the pinned weight version.

--- a/packages/core/src/routing/leastTimeRouter.ts
+++ b/packages/core/src/routing/leastTimeRouter.ts
@@ -1,6 +1,6 @@
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import type { UpstreamId } from '../ids.js';
+import type { ModelId, UpstreamId } from '../ids.js';
 import type { HeldBlocks, PrefixIndex } from '../prefix/prefixIndex.js';
 import {
   LEAST_LOADED_CANDIDATES,
@@ -36,6 +36,11 @@
   readonly copies: readonly (readonly StoredCopy[])[];
 }
 
+const hasWantedVersion = (view: UpstreamView, request: RouteRequest): boolean =>
+  request.weightVersion === undefined ||
+  view.role === 'service' ||
+  view.weightVersion === request.weightVersion;
+
 const sumTokens = (request: RouteRequest, count: number): number =>
   request.blocks.slice(0, count).reduce((sum, block) => sum + block.tokens, 0);
 
@@ -60,24 +65,34 @@
   }
 
   override choose(request: RouteRequest, upstreams: readonly UpstreamView[]): Route | undefined {
-    return this.chooseFrom(request, UpstreamPool.create(upstreams));
+    const model = request.workload.model ?? upstreams[0]?.model;
+    return this.chooseFrom(request, UpstreamPool.create(upstreams), model);
   }
 
   /** Chooses from a pool that is kept between requests. */
-  chooseFrom(request: RouteRequest, pool: UpstreamPool): Route | undefined {
+  chooseFrom(
+    request: RouteRequest,
+    pool: UpstreamPool,
+    model: ModelId | undefined = request.workload.model,
+  ): Route | undefined {
     const canServe = (view: UpstreamView): boolean =>
       view.eligible &&
-      view.model === request.workload.model &&
+      view.model === model &&
+      hasWantedVersion(view, request) &&
       !request.excluded.has(view.upstreamId) &&
       hasColdSlot(view);
     const isApart = (view: UpstreamView): boolean =>
       canServe(view) && !request.avoidedZones.has(view.availabilityZone);
-    return this.chooseAmong(request, pool, isApart) ?? this.chooseAmong(request, pool, canServe);
+    return (
+      this.chooseAmong(request, pool, model, isApart) ??
+      this.chooseAmong(request, pool, model, canServe)
+    );
   }
 
   private chooseAmong(
     request: RouteRequest,
     pool: UpstreamPool,
+    model: ModelId | undefined,
     accept: (view: UpstreamView) => boolean,
   ): Route | undefined {
     const prefix = this.findPrefix(request);
@@ -85,7 +100,6 @@
       .map((held) => pool.get(held.upstreamId))
       .filter((view): view is UpstreamView => view !== undefined && accept(view))
       .slice(0, MAX_HOLDER_CANDIDATES);
-    const { model } = request.workload;
     const idle = pool.pickLeastLoaded(model, LEAST_LOADED_CANDIDATES, this.random, accept);
     const candidates = [...new Set([...holders, ...idle])].map((view) =>
       this.weighUpstream(request, view, prefix),
--- a/packages/core/src/tiering/constants.ts
+++ b/packages/core/src/tiering/constants.ts
@@ -46,9 +46,6 @@
 /** Least value of an export, as the probability of a return within the horizon. */
 export const MIN_EXPORT_RETURN = 0.02;
 
-/** Share of a store VM up to which second copies may fill it. */
-export const SECOND_COPY_FILL = 0.9;
-
 /** Longest read of a block; a reader gives up after it, in milliseconds. */
 export const MAX_BLOCK_READ_MS = 30_000;
 
@@ -59,7 +56,7 @@
 export const IMPORT_OVERHEAD_MS = 10;
 
 /** Value of a second copy, relative to the only copy of a block. */
-export const SECOND_COPY_VALUE = 0.05;
+export const SECOND_COPY_VALUE = 0.3;
 
 /** Copies of a block over all store VMs. */
 export const BLOCK_COPIES = 2;
--- a/packages/core/src/tiering/storeCatalog.ts
+++ b/packages/core/src/tiering/storeCatalog.ts
@@ -1,9 +1,15 @@
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { toId } from '../ids.js';
 import type { AvailabilityZoneId, BlockKey, UpstreamId, WorkloadId } from '../ids.js';
+import { parseBlockKey } from '../prefix/blockChain.js';
+import { BLOCK_TOKENS } from '../prefix/constants.js';
 import type { BlockStatus, StoredBlock } from './blockSeal.js';
 import { DROP_SAMPLES, STORE_FAILURE_LIMIT, STORE_RETRY_MS } from './constants.js';
 
+/** Stands for the workload of blocks that another VM stored. */
+const UNKNOWN_WORKLOAD = toId<WorkloadId>('unknown');
+
 /** What is known of a store VM at this moment. */
 export interface StoreView {
   readonly storeId: UpstreamId;
@@ -98,8 +104,8 @@
   }
 
   /** Tells whether bytes fit without dropping a block. */
-  hasRoom(bytes: number, fillShare = 1): boolean {
-    return this.usedBytes + bytes <= this.view.capacityBytes * fillShare;
+  hasRoom(bytes: number): boolean {
+    return this.usedBytes + bytes <= this.view.capacityBytes;
   }
 
   reserve(bytes: number): void {
@@ -149,6 +155,7 @@
   /**
    * Compares the catalog with a store VM's manifest. After a restart the manifest may be an old
    * one, so an entry stays only where length, checksum and generation are those committed.
+   * Blocks that other VMs stored are taken in; every read is verified all the same.
    */
   applyManifest(incarnation: string, blocks: readonly ManifestBlock[]): void {
     const listed = new Map(blocks.map((block) => [block.name, block]));
@@ -163,5 +170,23 @@
         found.generation === generation;
       if (isSame) this.add({ ...entry, block: { ...entry.block, incarnation } });
     }
+    blocks.forEach((block) => this.acceptListed(block, incarnation));
+  }
+
+  private acceptListed(
+    { name, length, checksum, generation, state }: ManifestBlock,
+    incarnation: string,
+  ) {
+    const key = toId<BlockKey>(name.split('.')[0]!);
+    if (state !== 'committed' || this.byKey.has(key) || !parseBlockKey(key)) return;
+    const { storeId } = this.view;
+    this.add({
+      block: { key, storeId, name, length, checksum, generation, incarnation },
+      workloadId: UNKNOWN_WORKLOAD,
+      position: 0,
+      tokens: BLOCK_TOKENS,
+      next: undefined,
+      lastUsedMs: Date.now(),
+    });
   }
 }
--- a/packages/core/src/tiering/tieringPlanner.ts
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -7,7 +7,6 @@
   BLOCK_COPIES,
   IMPORT_OVERHEAD_MS,
   MIN_EXPORT_RETURN,
-  SECOND_COPY_FILL,
   SECOND_COPY_VALUE,
 } from './constants.js';
 import { ExportQueue } from './exportQueue.js';
@@ -38,7 +37,7 @@
 /** Options of a planner. */
 export interface TieringPlannerOptions {
   readonly random: RandomGenerator;
-  /** Bytes of the KV cache of one token. */
+  /** Bytes of the KV cache of one token until the first export shows them. */
   readonly bytesPerToken: number;
 }
 
@@ -64,7 +63,11 @@
   /** Blocks under export, so that no block is copied twice to one store VM at once. */
   private readonly exporting = new Set<string>();
 
-  constructor(private readonly options: TieringPlannerOptions) {}
+  private bytesPerToken: number;
+
+  constructor(private readonly options: TieringPlannerOptions) {
+    this.bytesPerToken = options.bytesPerToken;
+  }
 
   /** Takes in the newest view of a store VM. */
   updateStore(view: StoreView): void {
@@ -123,9 +126,9 @@
     const queuedAtMs = Date.now();
     blocks.forEach(({ key, tokens }, position) => {
       const next = blocks[position + 1]?.key;
-      if (next) this.linkNext(key, next);
+      if (next) this.updateNext(key, next);
       if (this.countCopies(key) >= Math.min(BLOCK_COPIES, this.stores.size)) return;
-      const bytes = tokens * this.options.bytesPerToken;
+      const bytes = tokens * this.bytesPerToken;
       this.queue.add({ key, upstreamId, workloadId, position, tokens, bytes, next, queuedAtMs });
     });
   }
@@ -156,6 +159,7 @@
     if (outcome.kind !== 'stored') return;
     const { workloadId, position, tokens, next, queuedAtMs } = candidate;
     const { block } = outcome;
+    this.bytesPerToken = block.length / tokens;
     store.catalog.add({ block, workloadId, position, tokens, next, lastUsedMs: queuedAtMs });
     if (this.countCopies(candidate.key) < Math.min(BLOCK_COPIES, this.stores.size)) {
       this.queue.add(candidate);
@@ -213,7 +217,7 @@
     };
   }
 
-  private linkNext(key: BlockKey, next: BlockKey): void {
+  private updateNext(key: BlockKey, next: BlockKey): void {
     for (const { catalog } of this.stores.values()) {
       const entry = catalog.get(key);
       if (entry) entry.next = next;
@@ -248,7 +252,6 @@
     open: readonly (readonly [UpstreamId, Store])[],
   ): ExportOrder | 'not-worth' | 'skip' | undefined {
     const value = this.weighCandidate(candidate);
-    const isSecond = this.countCopies(candidate.key) > 0;
     const wanted = open.filter(([storeId, { catalog }]) => {
       const flight = `${storeId}/${candidate.key}`;
       return !catalog.get(candidate.key) && !this.exporting.has(flight);
@@ -258,7 +261,7 @@
     const free = wanted.filter(([, { link }]) => link.canExport(candidate.bytes));
     if (free.length === 0) return undefined;
     for (const [storeId, store] of free) {
-      const drops = this.planDrops(store.catalog, candidate.bytes, value, isSecond);
+      const drops = this.planDrops(store.catalog, candidate.bytes, value);
       if (drops) return this.beginExport(candidate, storeId, store, drops);
     }
     return 'not-worth';
@@ -289,10 +292,8 @@
     catalog: StoreCatalog,
     bytes: number,
     value: number,
-    isSecond: boolean,
   ): StoredBlock[] | undefined {
-    if (catalog.hasRoom(bytes, isSecond ? SECOND_COPY_FILL : 1)) return [];
-    if (isSecond) return undefined;
+    if (catalog.hasRoom(bytes)) return [];
     const least = catalog.findLeastValuable(this.options.random, (entry) => {
       const factor = this.countCopies(entry.block.key) > 1 ? SECOND_COPY_VALUE : 1;
       return this.computeValue(entry) * factor;
--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -17,6 +17,8 @@
 import type { OnceController } from '../controllers/onceController/index.js';
 import { createTableController } from '../controllers/tableController/index.js';
 import type { TableController } from '../controllers/tableController/index.js';
+import { PrefixIndexController } from '../controllers/prefixIndex/index.js';
+import { TieringController } from '../controllers/tiering/index.js';
 import { UpstreamsController } from '../controllers/upstreams/upstreamsController.js';
 import { UsageController } from '../controllers/usage/index.js';
 import type { PeerLink } from '../mesh/index.js';
@@ -35,6 +37,8 @@
   readonly upstreams: UpstreamsController;
   readonly once: OnceController;
   readonly usage: UsageController;
+  readonly prefixIndex: PrefixIndexController;
+  readonly tiering: TieringController;
 }
 
 const listZonesOut = (table: ConfigTable): ReadonlySet<AvailabilityZoneId> =>
@@ -45,6 +49,23 @@
       .map((zone) => zone.id),
   );
 
+const createCacheControllers = (
+  table: TableController,
+  membership: MembershipController,
+): Pick<Controllers, 'prefixIndex' | 'tiering'> => {
+  const listVms = () => membership.listVms();
+  const tiering = new TieringController({
+    listVms,
+    isZoneOut: (zone) => table.table.isZoneOut(zone),
+    random: createGenerator(),
+  });
+  const prefixIndex = new PrefixIndexController({
+    listVms,
+    onLost: (upstreamId) => tiering.planner.removeUpstream(upstreamId),
+  });
+  return { prefixIndex, tiering };
+};
+
 /** Creates the controllers. */
 export const createControllers = ({ settings, logger, link }: ControllersOptions): Controllers => {
   const { platform } = settings;
@@ -88,7 +109,8 @@
     listEntryVms: () => membership.listLive(),
     countCapacity: (poolId) => upstreams.countCapacity(poolId),
   });
-  return { table, membership, upstreams, once, usage };
+  const cache = createCacheControllers(table, membership);
+  return { table, membership, upstreams, once, usage, ...cache };
 };
 
 /** Lists the controllers in the order in which they start. */
@@ -98,6 +120,8 @@
   controllers.upstreams,
   controllers.once,
   controllers.usage,
+  controllers.prefixIndex,
+  controllers.tiering,
 ];
 
 /** Starts controllers one after the other. */
--- a/packages/entry/src/compose/createDataPath.ts
+++ b/packages/entry/src/compose/createDataPath.ts
@@ -1,8 +1,12 @@
-import { BudgetedRetryPolicy, LeastLoadRouter, createGenerator } from '@goldcrestscale/core';
+import { BudgetedRetryPolicy, LeastTimeRouter, createGenerator } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
+import type { PrefixIndexController } from '../controllers/prefixIndex/index.js';
+import { ImportingRunner } from '../controllers/tiering/index.js';
+import type { TieringController } from '../controllers/tiering/index.js';
 import { CompletionRunner } from '../dispatch/completionRunner.js';
 import { ServiceRunner } from '../dispatch/serviceRunner.js';
 import { createFilters } from '../filters/index.js';
+import type { CacheObserver } from '../filters/index.js';
 import type { Filter } from '../filters/filter.js';
 import type { EntryMetrics } from '../metrics.js';
 import type { UpstreamClient } from '../upstream/upstreamClient.js';
@@ -14,11 +18,26 @@
   readonly client: UpstreamClient;
   readonly logger: Logger;
   readonly metrics: EntryMetrics;
+  /** Secret from which the block keys of all accounts derive. */
+  readonly fleetSecret: string;
 }
 
+/** Creates the observer that tells the cache controllers what engines report. */
+const createCacheObserver = (
+  prefixIndex: PrefixIndexController,
+  tiering: TieringController,
+): CacheObserver => ({
+  onUsage({ blocks, workload }, { upstreamId }, cachedTokens, expectedTokens) {
+    if (!blocks || !workload) return;
+    prefixIndex.learnUsage(upstreamId, blocks, cachedTokens, expectedTokens);
+    tiering.noteHeld(upstreamId, workload.id, blocks);
+  },
+});
+
 /** Creates the filters of a request over the controllers' state. */
 export const createDataPath = (options: DataPathOptions): readonly Filter[] => {
-  const { controllers, client, logger, metrics } = options;
+  const { controllers, client, logger, metrics, fleetSecret } = options;
+  const { prefixIndex, tiering, upstreams } = controllers;
   return createFilters({
     logger: logger.createPart('filters'),
     metrics,
@@ -26,11 +45,20 @@
     decideFreshness: () => controllers.membership.decideFreshness(),
     onceGuard: controllers.once.guard,
     admission: controllers.usage,
+    prefix: {
+      fleetSecret,
+      noteVisit: (workloadId, blocks) => tiering.noteVisit(workloadId, blocks),
+    },
+    cache: createCacheObserver(prefixIndex, tiering),
     dispatch: {
-      router: new LeastLoadRouter(),
+      router: new LeastTimeRouter({
+        index: prefixIndex.index,
+        random: createGenerator(),
+        source: tiering.planner,
+      }),
       retries: new BudgetedRetryPolicy(createGenerator()),
-      directory: controllers.upstreams,
-      completions: new CompletionRunner(client),
+      directory: upstreams,
+      completions: new ImportingRunner(new CompletionRunner(client), tiering, upstreams),
       services: new ServiceRunner(client),
     },
   });
--- /dev/null
+++ b/packages/entry/src/controllers/prefixIndex/index.ts
@@ -0,0 +1,2 @@
+/** Which engine holds which prompt block. */
+export * from './prefixIndexController.js';
--- /dev/null
+++ b/packages/entry/src/controllers/tiering/importingRunner.ts
@@ -0,0 +1,27 @@
+import { AttemptRunner } from '../../dispatch/attempt.js';
+import type { Attempt } from '../../dispatch/attempt.js';
+import { createNoUpstreamRefusal } from '../../dispatch/upstreamDirectory.js';
+import type { UpstreamDirectory } from '../../dispatch/upstreamDirectory.js';
+import type { TieringController } from './tieringController.js';
+
+/** Imports the blocks of a route to its engine, then runs the attempt. */
+export class ImportingRunner extends AttemptRunner {
+  constructor(
+    private readonly runner: AttemptRunner,
+    private readonly tiering: Pick<TieringController, 'import'>,
+    private readonly directory: Pick<UpstreamDirectory, 'findView'>,
+  ) {
+    super();
+  }
+
+  override async run(attempt: Attempt): Promise<void> {
+    const { route, upstream, exchange, signal } = attempt;
+    if (route.imports.length > 0) {
+      await this.tiering.import(upstream, route.imports, signal);
+      // The import took time: all that allowed this attempt is checked again before it is sent.
+      exchange.assertSendable();
+      if (!this.directory.findView(upstream.upstreamId)?.eligible) throw createNoUpstreamRefusal();
+    }
+    await this.runner.run(attempt);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/controllers/tiering/index.ts
@@ -0,0 +1,3 @@
+/** Copies of prompt blocks at store VMs. */
+export * from './importingRunner.js';
+export * from './tieringController.js';
--- a/packages/entry/src/dispatch/attemptStarter.ts
+++ b/packages/entry/src/dispatch/attemptStarter.ts
@@ -85,7 +85,8 @@
         deadline.clear();
         observer.onFirstByte(exchange, choice.upstream);
       },
-      onUsage: (usage) => observer.onUsage(exchange, choice.upstream, usage),
+      onUsage: (usage) =>
+        observer.onUsage(exchange, choice.upstream, usage, choice.route.expectedCachedTokens),
     };
   }
 
--- a/packages/entry/src/dispatch/upstreamDirectory.ts
+++ b/packages/entry/src/dispatch/upstreamDirectory.ts
@@ -17,7 +17,12 @@
 /** Observes attempts, for metrics and the prefix index. */
 export interface DispatchObserver {
   onFirstByte(exchange: Exchange, upstream: UpstreamView): void;
-  onUsage(exchange: Exchange, upstream: UpstreamView, usage: TokenUsage): void;
+  onUsage(
+    exchange: Exchange,
+    upstream: UpstreamView,
+    usage: TokenUsage,
+    expectedCachedTokens: number,
+  ): void;
   onFailure(exchange: Exchange, upstream: UpstreamView, error: GoldcrestErrorInstance): void;
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -94,7 +94,13 @@
   const { controllers, entryMetrics, bootId } = daemon;
   let ready = false;
   const callers = createCallerServer({
-    filters: createDataPath({ controllers, client, logger, metrics: entryMetrics }),
+    filters: createDataPath({
+      controllers,
+      client,
+      logger,
+      metrics: entryMetrics,
+      fleetSecret: options.secrets.fleetSecret,
+    }),
     answerEntries: (affinityKey) =>
       buildEntriesAnswer(controllers.membership.rankEntries(affinityKey), settings.entriesTtlMs),
   });
--- a/packages/entry/src/filters/index.ts
+++ b/packages/entry/src/filters/index.ts
@@ -1,5 +1,5 @@
 /** The filters of a request, in their order. */
-import type { ConfigTable, Freshness, OnceGuard } from '@goldcrestscale/core';
+import type { ConfigTable, Freshness, OnceGuard, UpstreamView } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { EntryMetrics } from '../metrics.js';
 import { AdmissionFilter } from './admissionFilter.js';
@@ -7,13 +7,26 @@
 import { DeadlineFilter } from './deadlineFilter.js';
 import { DispatchFilter } from './dispatchFilter.js';
 import type { DispatchObserver, DispatchOptions } from './dispatchFilter.js';
+import type { Exchange } from './exchange.js';
 import type { Filter } from './filter.js';
 import { FreshnessFilter } from './freshnessFilter.js';
 import { IdentifyAccountFilter } from './identifyAccountFilter.js';
 import { createOnceFilter } from './onceFilter.js';
+import { PrefixFilter } from './prefixFilter.js';
+import type { PrefixFilterOptions } from './prefixFilter.js';
 import { VerdictGuardFilter } from './verdictGuardFilter.js';
 import { WeightVersionFilter } from './weightVersionFilter.js';
 
+/** Told what engines report of the reuse of prompts. */
+export interface CacheObserver {
+  onUsage(
+    exchange: Exchange,
+    upstream: UpstreamView,
+    cachedTokens: number,
+    expectedTokens: number,
+  ): void;
+}
+
 /** What the chain is built from. */
 export interface FilterOptions {
   readonly logger: Logger;
@@ -22,13 +35,18 @@
   readonly onceGuard: OnceGuard;
   readonly table: () => ConfigTable;
   readonly admission: AdmissionOptions;
+  readonly prefix: PrefixFilterOptions;
+  readonly cache: CacheObserver;
   readonly dispatch: Omit<DispatchOptions, 'observer'>;
 }
 
-const createObserver = (metrics: EntryMetrics): DispatchObserver => ({
+const createObserver = (metrics: EntryMetrics, cache: CacheObserver): DispatchObserver => ({
   onFirstByte: (exchange) =>
     metrics.recordFirstByte(exchange.account?.id, Date.now() - exchange.receivedAtMs),
-  onUsage: (exchange, _upstream, usage) => metrics.recordUsage(exchange.account?.id, usage),
+  onUsage(exchange, upstream, usage, expectedCachedTokens) {
+    metrics.recordUsage(exchange.account?.id, usage);
+    cache.onUsage(exchange, upstream, usage.cachedTokens, expectedCachedTokens);
+  },
   onFailure: (_exchange, upstream, error) => metrics.recordFailure(upstream.upstreamId, error),
 });
 
@@ -40,6 +58,10 @@
   new DeadlineFilter(),
   createOnceFilter({ guard: options.onceGuard }),
   new WeightVersionFilter(options.table),
+  new PrefixFilter(options.prefix),
   new AdmissionFilter(options.admission),
-  new DispatchFilter({ ...options.dispatch, observer: createObserver(options.metrics) }),
+  new DispatchFilter({
+    ...options.dispatch,
+    observer: createObserver(options.metrics, options.cache),
+  }),
 ];
