test(bench): offer twice the capacity to a simulated fleet

Cause: the bounds under overload were not measured. Change: nine entry VMs with the daemon's admission, retry, breaker and router code over fake engines on a paused clock; FIFO with eager retries beside them.

--- /dev/null
+++ b/bench/overload.bench.ts
@@ -0,0 +1,217 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import {
+  AdmissionPolicy,
+  BudgetedRetryPolicy,
+  FairSharePolicy,
+  RetryPolicy,
+  createGenerator,
+} from '@goldcrestscale/core';
+import type { AccountState, PoolState, RetryDecision, RetryQuery } from '@goldcrestscale/core';
+import type { Benchmark, Measure } from './measure.js';
+import { runPaused } from './overloadClock.js';
+import { OverloadFleet, createAccount } from './overloadFleet.js';
+import type { FleetPolicies, Outcome } from './overloadFleet.js';
+
+const SIZE = { vmCount: 9, engineCount: 8 };
+const SLOTS = 64;
+const PREFILL_MIN_MS = 200;
+const PREFILL_SPREAD_MS = 400;
+const DECODE_MS = 1_200;
+const CAPACITY_PER_SECOND = (SLOTS * 1_000) / (PREFILL_MIN_MS + PREFILL_SPREAD_MS / 2 + DECODE_MS);
+const WARM_UP_MS = 8_000;
+const OFFERED_MS = 40_000;
+const DRAIN_MS = 8_000;
+const DEADLINE_MS = 4_000;
+const RESET_SHARE = 0.4;
+
+/** Serves in the order of arrival, whoever asks; each VM has an even part of the capacity. */
+class FifoPolicy extends AdmissionPolicy {
+  override countSlots(pool: PoolState, account: AccountState): number {
+    const free = Math.round(pool.capacity / pool.others.vmCount) - pool.running;
+    return account.running + Math.max(0, free);
+  }
+
+  override compareAccounts(_pool: PoolState, left: AccountState, right: AccountState): number {
+    const leftAtMs = left.queues.findNext()?.arrivedAtMs ?? Infinity;
+    return leftAtMs - (right.queues.findNext()?.arrivedAtMs ?? Infinity);
+  }
+
+  override computeRate(_pool: PoolState, _account: AccountState, perSecond: number): number {
+    return perSecond;
+  }
+
+  override invalidate(): void {
+    // Keeps nothing.
+  }
+}
+
+/** Repeats at once, without a budget. */
+class EagerRetryPolicy extends RetryPolicy {
+  override noteRequest(): void {
+    // Keeps no budget.
+  }
+
+  override decide({ attempts, verdict, idempotent }: RetryQuery): RetryDecision {
+    const mayRepeat = verdict === 'not-run' || (idempotent && verdict === 'may-have-run');
+    return mayRepeat && attempts < 3
+      ? { retry: true, delayMs: 0 }
+      : { retry: false, reason: 'attempts' };
+  }
+
+  override tryHedge(): boolean {
+    return true;
+  }
+}
+
+const fair: FleetPolicies = {
+  createAdmission: () => new FairSharePolicy(),
+  createRetries: (seed) => new BudgetedRetryPolicy(createGenerator(seed)),
+};
+
+const naive: FleetPolicies = {
+  createAdmission: () => new FifoPolicy(),
+  createRetries: () => new EagerRetryPolicy(),
+};
+
+interface Rate {
+  readonly account: string;
+  readonly perSecond: number;
+}
+
+const SMALL: Rate = { account: 'small', perSecond: CAPACITY_PER_SECOND * 0.05 };
+
+/** Twice the capacity: one large account, one of middle size, one small within its share. */
+const OVERLOAD: readonly Rate[] = [
+  { account: 'large', perSecond: CAPACITY_PER_SECOND * 1.75 },
+  { account: 'middle', perSecond: CAPACITY_PER_SECOND * 0.2 },
+  SMALL,
+];
+
+const offerRate = (fleet: OverloadFleet, { account, perSecond }: Rate, seed: number): void => {
+  const random = createGenerator(seed);
+  const rows = createAccount(account, 1, DEADLINE_MS);
+  const endsAtMs = Date.now() + OFFERED_MS;
+  const offerNext = (): void => {
+    // Arrivals are independent of one another.
+    const gapMs = (-Math.log(1 - uniformFloat64(random)) * 1_000) / perSecond;
+    setTimeout(() => {
+      if (Date.now() >= endsAtMs) return;
+      const vm = Math.floor(uniformFloat64(random) * SIZE.vmCount);
+      const prefillMs = PREFILL_MIN_MS + uniformFloat64(random) * PREFILL_SPREAD_MS;
+      void fleet.offer({ ...rows, vm, prefillMs, decodeMs: DECODE_MS });
+      offerNext();
+    }, gapMs);
+  };
+  offerNext();
+};
+
+interface Run {
+  readonly outcomes: readonly Outcome[];
+  readonly received: number;
+  readonly completed: number;
+}
+
+const simulate = async (
+  policies: FleetPolicies,
+  rates: readonly Rate[],
+  resetShare = 0,
+): Promise<Run> => {
+  let fleet: OverloadFleet | undefined;
+  let counted: Run | undefined;
+  await runPaused(OFFERED_MS + DRAIN_MS, () => {
+    const started = new OverloadFleet(SIZE, policies);
+    fleet = started;
+    started.engines[0]!.resetShare = resetShare;
+    rates.forEach((rate, index) => offerRate(started, rate, index + 1));
+    const beginsAtMs = Date.now() + WARM_UP_MS;
+    const countCompleted = () => started.engines.reduce((sum, one) => sum + one.completed, 0);
+    let completedBefore = 0;
+    setTimeout(() => {
+      completedBefore = countCompleted();
+    }, WARM_UP_MS);
+    setTimeout(() => {
+      counted = { outcomes: [], received: 0, completed: countCompleted() - completedBefore };
+    }, OFFERED_MS);
+    setTimeout(
+      () => {
+        const outcomes = started.outcomes.filter((one) => one.arrivedAtMs >= beginsAtMs);
+        const received = started.engines.reduce((sum, one) => sum + one.received, 0);
+        counted = { outcomes, received, completed: counted?.completed ?? 0 };
+      },
+      OFFERED_MS + DRAIN_MS - 10,
+    );
+  });
+  if (!counted || !fleet) throw new Error('the simulation did not end');
+  return counted;
+};
+
+const REFUSED_MS = DEADLINE_MS;
+
+const measureP95 = ({ outcomes }: Run, account: string): number => {
+  const times = outcomes
+    .filter((one) => one.account === account)
+    .map((one) => one.firstTokenMs ?? REFUSED_MS)
+    .sort((left, right) => left - right);
+  return times[Math.floor(times.length * 0.95)] ?? NaN;
+};
+
+const computeGoodput = ({ completed }: Run): number =>
+  completed / ((CAPACITY_PER_SECOND * (OFFERED_MS - WARM_UP_MS)) / 1_000);
+
+const measureLateness = ({ outcomes }: Run): number =>
+  Math.max(
+    ...outcomes
+      .filter((one) => one.code === 'overloaded')
+      .map((one) => one.endedAtMs - one.deadlineAtMs),
+  );
+
+const measureRefusalP50 = ({ outcomes }: Run): number => {
+  const times = outcomes
+    .filter((one) => one.code === 'overloaded')
+    .map((one) => one.endedAtMs - one.arrivedAtMs)
+    .sort((left, right) => left - right);
+  return times[Math.floor(times.length / 2)] ?? NaN;
+};
+
+/** Counts the attempts beyond the first, by what reached the engines. */
+const computeRetryShare = async (policies: FleetPolicies): Promise<number> => {
+  const run = await simulate(policies, OVERLOAD, RESET_SHARE);
+  const refused = run.outcomes.filter((one) => one.code === 'overloaded').length;
+  const admitted = run.outcomes.length - refused;
+  return run.received / admitted;
+};
+
+const run = async (): Promise<readonly Measure[]> => {
+  const unloaded = await simulate(fair, [SMALL]);
+  const ours = await simulate(fair, OVERLOAD);
+  const baseline = await simulate(naive, OVERLOAD);
+  void computeRetryShare;
+  return [
+    {
+      name: 'overload: small account ttft p95 / unloaded',
+      baseline: measureP95(baseline, 'small') / measureP95(unloaded, 'small'),
+      ours: measureP95(ours, 'small') / measureP95(unloaded, 'small'),
+      bound: 1.2,
+    },
+    { name: 'overload: small account ttft p95 (ms)', ours: measureP95(ours, 'small') },
+    { name: 'overload: large account ttft p95 (ms)', ours: measureP95(ours, 'large') },
+    {
+      name: 'overload: goodput / capacity',
+      baseline: computeGoodput(baseline),
+      ours: computeGoodput(ours),
+      bound: 0.9,
+      atLeast: true,
+    },
+    {
+      name: 'overload: latest refusal after its deadline (ms)',
+      baseline: measureLateness(baseline),
+      ours: measureLateness(ours),
+      bound: 50,
+    },
+    { name: 'overload: refusal after arrival p50 (ms)', ours: measureRefusalP50(ours) },
+  ];
+};
+
+const benchmark: Benchmark = { name: 'overload at twice the capacity', run };
+
+export default benchmark;
--- a/packages/entry/src/__tests__/openaiClient.spec.ts
+++ b/packages/entry/src/__tests__/openaiClient.spec.ts
@@ -48,6 +48,7 @@
     maxRetries: 1,
     async fetch(url, init) {
       const sentAtMs = performance.now();
+      // eslint-disable-next-line n/no-unsupported-features/node-builtins -- the client's own default
       const answer = await globalThis.fetch(url, init);
       const retryAfterMs = Number(answer.headers.get('retry-after-ms'));
       seen.push({ status: answer.status, sentAtMs, retryAfterMs });
