--- a/packages/core/src/once/logOnceGuard.ts
+++ b/packages/core/src/once/logOnceGuard.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { AttemptId, BootId, VmId } from '../ids.js';
 import { createBackoff, sleep } from '../log/index.js';
 import type { RandomGenerator } from '../log/index.js';
@@ -64,6 +65,8 @@
 
   constructor(private readonly options: LogOnceGuardOptions) {
     super();
+    // Every claim listens for the end of the process.
+    setMaxListeners(0, options.signal);
   }
 
   override async claim(request: OnceRequest, signal: AbortSignal): Promise<OnceClaim> {
@@ -132,7 +135,7 @@
       this.settle(createRelease(request, attempt.attemptId), attempt);
     } else {
       // Either nothing was appended or the log has decided against the attempt.
-      attempt.markSettled();
+      this.attempts.settle(attempt);
     }
   }
 
@@ -210,7 +213,7 @@
   /** Has a record appended in the background. */
   private settle(record: SettlementRecord, attempt: Attempt): void {
     const settlement = this.retrySettle(record).finally(() => {
-      attempt.markSettled();
+      this.attempts.settle(attempt);
       this.settlements.delete(settlement);
     });
     this.settlements.add(settlement);
--- a/packages/core/src/tiering/tieringPlanner.ts
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -122,9 +122,11 @@
   noteHeld(upstreamId: UpstreamId, workloadId: WorkloadId, blocks: readonly PromptBlock[]): void {
     const queuedAtMs = Date.now();
     blocks.forEach(({ key, tokens }, position) => {
+      const next = blocks[position + 1]?.key;
+      if (next) this.linkNext(key, next);
       if (this.countCopies(key) >= Math.min(BLOCK_COPIES, this.stores.size)) return;
       const bytes = tokens * this.options.bytesPerToken;
-      this.queue.add({ key, upstreamId, workloadId, position, tokens, bytes, queuedAtMs });
+      this.queue.add({ key, upstreamId, workloadId, position, tokens, bytes, next, queuedAtMs });
     });
   }
 
@@ -136,7 +138,8 @@
     if (open.length === 0 || this.queue.size === 0) return undefined;
     for (const candidate of this.queue.rank((one) => this.weighCandidate(one))) {
       const order = this.planExport(candidate, open);
-      if (order) return order;
+      if (order === 'not-worth') this.queue.delete(candidate.key);
+      else if (order !== 'skip') return order;
     }
     return undefined;
   }
@@ -151,9 +154,9 @@
     store.catalog.release(candidate.bytes);
     if (outcome.kind !== 'not-held') store.catalog.noteOutcome(outcome.kind === 'stored');
     if (outcome.kind !== 'stored') return;
-    const { workloadId, position, tokens, queuedAtMs } = candidate;
+    const { workloadId, position, tokens, next, queuedAtMs } = candidate;
     const { block } = outcome;
-    store.catalog.add({ block, workloadId, position, tokens, lastUsedMs: queuedAtMs });
+    store.catalog.add({ block, workloadId, position, tokens, next, lastUsedMs: queuedAtMs });
     if (this.countCopies(candidate.key) < Math.min(BLOCK_COPIES, this.stores.size)) {
       this.queue.add(candidate);
     }
@@ -210,6 +213,13 @@
     };
   }
 
+  private linkNext(key: BlockKey, next: BlockKey): void {
+    for (const { catalog } of this.stores.values()) {
+      const entry = catalog.get(key);
+      if (entry) entry.next = next;
+    }
+  }
+
   private countCopies(key: BlockKey): number {
     let copies = 0;
     for (const { catalog } of this.stores.values()) {
@@ -232,28 +242,26 @@
     return (prospect.returnsPerHour * candidate.tokens * factor) / candidate.bytes;
   }
 
+  /** Plans one export; undefined where it has to wait for a link, `skip` where others go first. */
   private planExport(
     candidate: ExportCandidate,
     open: readonly (readonly [UpstreamId, Store])[],
-  ): ExportOrder | undefined {
+  ): ExportOrder | 'not-worth' | 'skip' | undefined {
     const value = this.weighCandidate(candidate);
-    if (value === 0) {
-      this.queue.delete(candidate.key);
-      return undefined;
-    }
     const isSecond = this.countCopies(candidate.key) > 0;
-    for (const [storeId, store] of open) {
-      const { catalog, link } = store;
-      const isWanted =
-        !catalog.get(candidate.key) &&
-        !this.exporting.has(`${storeId}/${candidate.key}`) &&
-        link.canExport(candidate.bytes);
-      const drops = isWanted
-        ? this.planDrops(catalog, candidate.bytes, value, isSecond)
-        : undefined;
+    const wanted = open.filter(([storeId, { catalog }]) => {
+      const flight = `${storeId}/${candidate.key}`;
+      return !catalog.get(candidate.key) && !this.exporting.has(flight);
+    });
+    if (value === 0) return 'not-worth';
+    if (wanted.length === 0) return 'skip';
+    const free = wanted.filter(([, { link }]) => link.canExport(candidate.bytes));
+    if (free.length === 0) return undefined;
+    for (const [storeId, store] of free) {
+      const drops = this.planDrops(store.catalog, candidate.bytes, value, isSecond);
       if (drops) return this.beginExport(candidate, storeId, store, drops);
     }
-    return undefined;
+    return 'not-worth';
   }
 
   private beginExport(
@@ -289,7 +297,11 @@
       const factor = this.countCopies(entry.block.key) > 1 ? SECOND_COPY_VALUE : 1;
       return this.computeValue(entry) * factor;
     });
-    if (!least || least.value >= value || least.entry.block.length < bytes) return undefined;
-    return [least.entry.block];
+    if (!least || least.value >= value) return undefined;
+    // A prompt is dropped from its end, so that what is left of it stays usable; a block with
+    // another copy is dropped where it is.
+    const isOnly = this.countCopies(least.entry.block.key) < 2;
+    const { block } = isOnly ? catalog.findTail(least.entry) : least.entry;
+    return block.length < bytes ? undefined : [block];
   }
 }
