--- a/bench/overload.bench.ts
+++ b/bench/overload.bench.ts
@@ -22,7 +22,7 @@
 const OFFERED_MS = 40_000;
 const DRAIN_MS = 8_000;
 const DEADLINE_MS = 4_000;
-const RESET_SHARE = 0.4;
+const RESET_SHARE = 0.9;
 
 /** Serves in the order of arrival, whoever asks; each VM has an even part of the capacity. */
 class FifoPolicy extends AdmissionPolicy {
@@ -107,7 +107,10 @@
 
 interface Run {
   readonly outcomes: readonly Outcome[];
+  /** Attempts that reached the engines, over the whole run. */
   readonly received: number;
+  /** Requests that were let in, over the whole run. */
+  readonly admitted: number;
   readonly completed: number;
 }
 
@@ -116,32 +119,32 @@
   rates: readonly Rate[],
   resetShare = 0,
 ): Promise<Run> => {
-  let fleet: OverloadFleet | undefined;
   let counted: Run | undefined;
   await runPaused(OFFERED_MS + DRAIN_MS, () => {
     const started = new OverloadFleet(SIZE, policies);
-    fleet = started;
     started.engines[0]!.resetShare = resetShare;
     rates.forEach((rate, index) => offerRate(started, rate, index + 1));
     const beginsAtMs = Date.now() + WARM_UP_MS;
     const countCompleted = () => started.engines.reduce((sum, one) => sum + one.completed, 0);
     let completedBefore = 0;
+    let completedWhileOffered = 0;
     setTimeout(() => {
       completedBefore = countCompleted();
     }, WARM_UP_MS);
     setTimeout(() => {
-      counted = { outcomes: [], received: 0, completed: countCompleted() - completedBefore };
+      completedWhileOffered = countCompleted() - completedBefore;
     }, OFFERED_MS);
     setTimeout(
       () => {
         const outcomes = started.outcomes.filter((one) => one.arrivedAtMs >= beginsAtMs);
         const received = started.engines.reduce((sum, one) => sum + one.received, 0);
-        counted = { outcomes, received, completed: counted?.completed ?? 0 };
+        const admitted = started.outcomes.filter((one) => one.code !== 'overloaded').length;
+        counted = { outcomes, received, admitted, completed: completedWhileOffered };
       },
       OFFERED_MS + DRAIN_MS - 10,
     );
   });
-  if (!counted || !fleet) throw new Error('the simulation did not end');
+  if (!counted) throw new Error('the simulation did not end');
   return counted;
 };
 
@@ -173,19 +176,15 @@
   return times[Math.floor(times.length / 2)] ?? NaN;
 };
 
-/** Counts the attempts beyond the first, by what reached the engines. */
-const computeRetryShare = async (policies: FleetPolicies): Promise<number> => {
-  const run = await simulate(policies, OVERLOAD, RESET_SHARE);
-  const refused = run.outcomes.filter((one) => one.code === 'overloaded').length;
-  const admitted = run.outcomes.length - refused;
-  return run.received / admitted;
-};
+/** Gives the attempts beyond the first, as a share of the requests that were let in. */
+const computeRetryShare = ({ received, admitted }: Run): number => received / admitted - 1;
 
 const run = async (): Promise<readonly Measure[]> => {
   const unloaded = await simulate(fair, [SMALL]);
   const ours = await simulate(fair, OVERLOAD);
   const baseline = await simulate(naive, OVERLOAD);
-  void computeRetryShare;
+  const faulty = await simulate(fair, OVERLOAD, RESET_SHARE);
+  const faultyBaseline = await simulate(naive, OVERLOAD, RESET_SHARE);
   return [
     {
       name: 'overload: small account ttft p95 / unloaded',
@@ -208,6 +207,12 @@
       ours: measureLateness(ours),
       bound: 50,
     },
+    {
+      name: 'overload: retries / traffic, one engine resetting',
+      baseline: computeRetryShare(faultyBaseline),
+      ours: computeRetryShare(faulty),
+      bound: 0.1,
+    },
     { name: 'overload: refusal after arrival p50 (ms)', ours: measureRefusalP50(ours) },
   ];
 };
--- a/bench/overloadFleet.ts
+++ b/bench/overloadFleet.ts
@@ -2,8 +2,9 @@
 import {
   AdmissionQueue,
   CappedEjection,
-  LeastLoadRouter,
+  LeastTimeRouter,
   PeerUsageExchange,
+  PrefixIndex,
   USAGE_INTERVAL_MS,
   UsageReporter,
   createGenerator,
@@ -36,6 +37,9 @@
 const LOAD_LAG_MS = 200;
 const MESH_DELAY_MS = 2;
 
+/** Bytes of prompt that an engine computes in a millisecond. */
+const BYTES_PER_MS = 4;
+
 /** Policies under comparison. */
 export interface FleetPolicies {
   createAdmission(): AdmissionPolicy;
@@ -115,7 +119,10 @@
     this.filters = [
       new AdmissionFilter({ queue: this.queue, countCapacity }),
       new DispatchFilter({
-        router: new LeastLoadRouter(),
+        router: new LeastTimeRouter({
+          index: new PrefixIndex(),
+          random: createGenerator(index + 101),
+        }),
         retries: policies.createRetries(index + 1),
         directory: this.createDirectory(),
         completions: runner,
@@ -157,7 +164,10 @@
         this.ejection.noteStart(upstreamId);
         find(upstreamId)?.noteDispatch(tokens);
       },
-      noteEnd: (upstreamId, outcome) => this.ejection.noteEnd(upstreamId, outcome),
+      noteEnd: (upstreamId, outcome) => {
+        this.ejection.noteEnd(upstreamId, outcome);
+        find(upstreamId)?.noteEnd();
+      },
     };
   }
 
@@ -267,7 +277,7 @@
       path: '/v1/completions',
       model: MODEL,
       stream: true,
-      prompt: '',
+      prompt: 'x'.repeat(offer.prefillMs * BYTES_PER_MS),
       fields: { prefillMs: offer.prefillMs, decodeMs: offer.decodeMs },
     },
     answer: {
--- a/packages/entry/src/controllers/upstreams/upstreamState.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamState.ts
@@ -28,6 +28,9 @@
 
   private dispatches: Dispatch[] = [];
 
+  /** Times at which attempts of this VM have ended. */
+  private endsAtMs: number[] = [];
+
   constructor(private vm: VmRecord) {}
 
   get upstreamId(): UpstreamId {
@@ -51,6 +54,7 @@
     this.receivedAtMs = Date.now();
     this.takenAtMs = this.receivedAtMs - report.ageMs;
     this.dispatches = this.dispatches.filter((dispatch) => dispatch.atMs > this.takenAtMs);
+    this.endsAtMs = this.endsAtMs.filter((atMs) => atMs > this.takenAtMs);
   }
 
   /** Notes a request that this VM sends, until a load report covers it. */
@@ -58,6 +62,11 @@
     this.dispatches.push({ atMs: Date.now(), promptTokens });
   }
 
+  /** Notes that an attempt of this VM has ended. */
+  noteEnd(): void {
+    this.endsAtMs.push(Date.now());
+  }
+
   /** Names the upstreams that stand in for this one. */
   get group(): string {
     return `${this.vm.role}/${this.report?.model ?? this.vm.service ?? ''}`;
@@ -80,6 +89,7 @@
     const { report, vm } = this;
     if (report === undefined) return undefined;
     const row = table.getUpstream(this.upstreamId);
+    const { running, waiting } = this.countReported(report);
     return {
       upstreamId: this.upstreamId,
       role: vm.role === 'service' ? 'service' : 'engine',
@@ -90,8 +100,8 @@
       ...(report.weightVersion === undefined ? {} : { weightVersion: toId(report.weightVersion) }),
       eligible: this.isServing(table) && ejection.getState(this.upstreamId) !== 'open',
       cold: report.cold,
-      running: report.running,
-      waiting: report.waiting,
+      running,
+      waiting,
       waitingPromptTokens: report.waitingPromptTokens,
       prefillTokensPerSecond: report.prefillTokensPerSecond,
       maxConcurrent: row?.maxConcurrent ?? report.maxConcurrent,
@@ -101,4 +111,12 @@
       dispatchedTokensSince: this.dispatches.reduce((sum, one) => sum + one.promptTokens, 0),
     };
   }
+
+  /** Takes what has ended since off the reported figures; a waiting request starts in its place. */
+  private countReported(report: LoadReport): Pick<UpstreamView, 'running' | 'waiting'> {
+    const ended = this.endsAtMs.length;
+    const waiting = Math.max(0, report.waiting - ended);
+    const left = ended - (report.waiting - waiting);
+    return { waiting, running: Math.max(0, report.running - left) };
+  }
 }
--- a/packages/entry/src/controllers/upstreams/upstreamsController.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamsController.ts
@@ -72,6 +72,7 @@
   /** Notes how an attempt at an upstream ended. */
   noteEnd(upstreamId: UpstreamId, outcome: AttemptOutcome): void {
     this.options.ejection.noteEnd(upstreamId, outcome);
+    this.states.get(upstreamId)?.noteEnd();
   }
 
   override dump(): unknown {
