fix(tests): bound a caller's retries apart from its attempts

Cause: the log outage test failed once in three runs: a caller that gives up after 500 ms also cut its own attempt then, and a cut attempt is unknown, not "not run". The next test failed after it, because the outage stayed on. Ruled out: a false verdict of the entry VM (the service's counts were 0). Change: an attempt has its own bound of 20 s; timeoutMs ends the retries alone; faults of the log end with their test; waits are bounded at 30 s. Conclusion: the verdict no longer hangs on the clock.

--- a/scripts/site/callers/caller.ts
+++ b/scripts/site/callers/caller.ts
@@ -29,6 +29,7 @@
   readonly apiKey: string;
   readonly directory: EntryDirectory;
   readonly sender: AttemptSender;
+  /** Time after which no further attempt is made. */
   readonly timeoutMs: number;
   /** Makes callers begin at different entry VMs. */
   readonly firstTurn?: number;
@@ -121,8 +122,8 @@
   }
 
   private async send(payload: RequestPayload): Promise<Attempt> {
-    const { directory, sender, timeoutMs } = this.options;
-    const signal = AbortSignal.timeout(Math.min(timeoutMs, ATTEMPT_TIMEOUT_MS));
+    const { directory, sender } = this.options;
+    const signal = AbortSignal.timeout(ATTEMPT_TIMEOUT_MS);
     const addresses = await directory.getAddresses('caller', signal);
     const address = addresses[this.turn % Math.max(addresses.length, 1)] ?? '';
     return sender.send(address, payload, signal);
--- a/scripts/site/httpJson.ts
+++ b/scripts/site/httpJson.ts
@@ -21,7 +21,7 @@
 export const waitUntil = async (
   reason: string,
   isTrue: () => Promise<boolean> | boolean,
-  timeoutMs = 20_000,
+  timeoutMs = 30_000,
   intervalMs = 25,
 ): Promise<void> => {
   const deadlineAtMs = Date.now() + timeoutMs;
--- a/tests/logOutage.spec.ts
+++ b/tests/logOutage.spec.ts
@@ -1,4 +1,4 @@
-import { afterAll, beforeAll, expect, test } from 'vitest';
+import { afterAll, beforeAll, expect, onTestFinished, test } from 'vitest';
 import { generateIdempotencyKey } from '@goldcrestscale/load';
 import { issueTicket, judgeCalls, keptPromises, runCompletion, TestSite } from './harness/index.js';
 import type { ReferencedCall } from './harness/index.js';
@@ -23,6 +23,7 @@
 
 test('a ticket whose append answer is lost runs exactly once', async () => {
   await site.setFaults('log', { loseAppendAnswers: -1 });
+  onTestFinished(() => site.setFaults('log', { loseAppendAnswers: 0 }));
   const ended = await issueTickets('lost');
   await site.setFaults('log', { loseAppendAnswers: 0 });
   const { runs } = await started.readServiceCounts();
@@ -31,6 +32,7 @@
 
 test('a log outage refuses tickets as not run and serves idempotent work', async () => {
   await site.setFaults('log', { outage: true });
+  onTestFinished(() => site.setFaults('log', { outage: false }));
   const ended = await issueTickets('outage', GIVE_UP_MS);
   const { runs } = await started.readServiceCounts();
   expect(judgeCalls(ended, runs)).toMatchObject({ ...keptPromises, answered: 0, unknown: 0 });
