feat(dispatch): take a leased slot for each attempt, over a connection bound to one run

Cause: entry VMs sent to cold engines on lagged load reports; each fall spread the load to the next engine. Ruled out: waiting for a slot until the deadline (another upstream may be free; the wait is 500 ms); trusting the load report's boot id at the send (an engine that restarted since has another one). Change: SlotRunner around both runners; connections that never reconnect in silence and that learn the boot id of the other end before the first request; the slot, the zone, the freshness and the claim are checked after the last await before the write; slots, prefix and tiering controllers are in force; an expired wait that sent nothing says not-run.

--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -5,6 +5,7 @@
   LogReports,
   createAppendBudget,
   createGenerator,
+  toId,
 } from '@goldcrestscale/core';
 import type { AvailabilityZoneId, ConfigTable, StreamName } from '@goldcrestscale/core';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
@@ -15,6 +16,7 @@
 import { MembershipController } from '../controllers/membership/index.js';
 import { createOnceController } from '../controllers/onceController/index.js';
 import type { OnceController } from '../controllers/onceController/index.js';
+import { SlotsController } from '../controllers/slots/index.js';
 import { createTableController, createTablePeers } from '../controllers/tableController/index.js';
 import type { TableController, TablePeers } from '../controllers/tableController/index.js';
 import { PrefixIndexController } from '../controllers/prefixIndex/index.js';
@@ -23,6 +25,9 @@
 import { UsageController } from '../controllers/usage/index.js';
 import type { PeerLink } from '../mesh/index.js';
 
+/** Stream that holds the leases. */
+const LEASE_STREAM = toId<StreamName>('leases');
+
 /** What the controllers are built from. */
 export interface ControllersOptions {
   readonly settings: EntrySettings;
@@ -38,6 +43,7 @@
   readonly upstreams: UpstreamsController;
   readonly once: OnceController;
   readonly usage: UsageController;
+  readonly slots: SlotsController;
   readonly prefixIndex: PrefixIndexController;
   readonly tiering: TieringController;
 }
@@ -111,8 +117,17 @@
     countCapacity: (poolId) => upstreams.countCapacity(poolId),
   });
   const tablePeers = createTablePeers({ table, link, generator });
+  const slots = new SlotsController({
+    self: link.self,
+    fleet: {
+      link,
+      leaseStream: openStream(LEASE_STREAM),
+      listLive: () => membership.listLive(),
+      listEntryVms: () => membership.listEntryVms(),
+    },
+  });
   const cache = createCacheControllers(table, membership);
-  return { table, tablePeers, membership, upstreams, once, usage, ...cache };
+  return { table, tablePeers, membership, upstreams, once, usage, slots, ...cache };
 };
 
 /** Lists the controllers in the order in which they start. */
@@ -122,6 +137,7 @@
   controllers.upstreams,
   controllers.once,
   controllers.usage,
+  controllers.slots,
   controllers.prefixIndex,
   controllers.tiering,
 ];
--- a/packages/entry/src/compose/createDataPath.ts
+++ b/packages/entry/src/compose/createDataPath.ts
@@ -5,6 +5,7 @@
 import type { TieringController } from '../controllers/tiering/index.js';
 import { CompletionRunner } from '../dispatch/completionRunner.js';
 import { ServiceRunner } from '../dispatch/serviceRunner.js';
+import { SlotRunner } from '../dispatch/slotRunner.js';
 import { createFilters } from '../filters/index.js';
 import type { CacheObserver } from '../filters/index.js';
 import type { Filter } from '../filters/filter.js';
@@ -38,6 +39,7 @@
 export const createDataPath = (options: DataPathOptions): readonly Filter[] => {
   const { controllers, client, logger, metrics, fleetSecret } = options;
   const { prefixIndex, tiering, upstreams } = controllers;
+  const { slots } = controllers.slots;
   return createFilters({
     logger: logger.createPart('filters'),
     metrics,
@@ -58,8 +60,12 @@
       }),
       retries: new BudgetedRetryPolicy(createGenerator()),
       directory: upstreams,
-      completions: new ImportingRunner(new CompletionRunner(client), tiering, upstreams),
-      services: new ServiceRunner(client),
+      completions: new ImportingRunner(
+        new SlotRunner(new CompletionRunner(client), slots, upstreams),
+        tiering,
+        upstreams,
+      ),
+      services: new SlotRunner(new ServiceRunner(client), slots, upstreams),
     },
   });
 };
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -39,3 +39,6 @@
 
 /** Most appends a second of one VM to the streams of claims. */
 export const DEFAULT_ONCE_APPENDS_PER_SECOND = 40;
+
+/** Longest wait for a slot of one upstream, in milliseconds. */
+export const SLOT_WAIT_MS = 500;
--- a/packages/entry/src/controllers/membership/membershipController.ts
+++ b/packages/entry/src/controllers/membership/membershipController.ts
@@ -113,6 +113,12 @@
     return this.detector.listLive();
   }
 
+  /** Lists the entry VMs of the VM list, this one included. */
+  listEntryVms(): readonly VmId[] {
+    const listed = this.listEntries().map((vm) => vm.vmId);
+    return [...new Set([...listed, this.options.link.self.vmId])];
+  }
+
   /** Lists the VMs of every role as the VM list last showed them. */
   listVms(): readonly VmRecord[] {
     return this.vms;
@@ -120,8 +126,7 @@
 
   /** Decides whether new work may be accepted under the configuration at hand. */
   decideFreshness(): Freshness {
-    const known = new Set(this.listEntries().map((vm) => vm.vmId));
-    known.add(this.options.link.self.vmId);
+    const known = new Set(this.listEntryVms());
     return decideFreshness({
       foldedOffset: this.options.getFoldedOffset(),
       own: this.logReports.getOwn(),
--- a/packages/entry/src/dispatch/attempt.ts
+++ b/packages/entry/src/dispatch/attempt.ts
@@ -1,4 +1,4 @@
-import type { AttemptId, Route, UpstreamView } from '@goldcrestscale/core';
+import type { AttemptId, BootId, Route, UpstreamView } from '@goldcrestscale/core';
 import type { Exchange } from '../filters/exchange.js';
 import type { TokenUsage } from '../upstream/completionPayload.js';
 
@@ -12,6 +12,11 @@
   readonly signal: AbortSignal;
   /** Payloads of the stream events that the caller has received, over all attempts. */
   readonly receivedEvents: string[];
+  /**
+   * Checks, right before the request is written, that it may be sent to the run of the upstream
+   * at the other end of the connection; throws where it may not. Absent where nothing binds it.
+   */
+  readonly beginSend?: (connectionBootId: BootId) => void;
   /** Called once, when the first part of the answer has come. */
   onFirstByte(): void;
   /** Called with the token counts that the engine reports. */
--- a/packages/entry/src/dispatch/deadline.ts
+++ b/packages/entry/src/dispatch/deadline.ts
@@ -1,4 +1,4 @@
-import { createError } from '@goldcrestscale/core';
+import { createError, isGoldcrestError } from '@goldcrestscale/core';
 import { DEFAULT_RETRY_AFTER_MS } from '../constants.js';
 import type { Exchange } from '../filters/exchange.js';
 
@@ -12,11 +12,11 @@
   explain(cause: unknown): unknown;
 }
 
-const createDeadlineError = (): Error =>
+const createDeadlineError = (cause: unknown): Error =>
   createError('The answer had not begun by the deadline.', {
     code: 'deadline',
     status: 504,
-    verdict: 'may-have-run',
+    verdict: isGoldcrestError(cause) ? cause.verdict : 'may-have-run',
     retryAfterMs: DEFAULT_RETRY_AFTER_MS,
   });
 
@@ -29,6 +29,6 @@
   return {
     signal: AbortSignal.any([exchange.signal, expiry.signal]),
     clear: () => clearTimeout(timer),
-    explain: (cause) => (expiry.signal.aborted ? createDeadlineError() : cause),
+    explain: (cause) => (expiry.signal.aborted ? createDeadlineError(cause) : cause),
   };
 };
--- a/packages/entry/src/dispatch/engineCall.ts
+++ b/packages/entry/src/dispatch/engineCall.ts
@@ -40,6 +40,7 @@
   headers: buildHeaders(attempt),
   body: buildBody(attempt),
   signal: attempt.signal,
+  beginSend: attempt.beginSend,
   echoesAttempt: true,
 });
 
--- a/packages/entry/src/dispatch/serviceRunner.ts
+++ b/packages/entry/src/dispatch/serviceRunner.ts
@@ -39,6 +39,7 @@
       ...(exchange.body.length > 0 ? { body: exchange.body } : {}),
       signal: attempt.signal,
       echoesAttempt: false,
+      beginSend: attempt.beginSend,
     });
     const body = await readWhole(answer);
     // Another attempt at the same look-up may have answered while the body came in.
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -119,6 +119,7 @@
   controllers.membership.leave();
   await drainServer(callers, settings.entriesTtlMs);
   await controllers.once.flush();
+  await controllers.slots.leave(work.signal);
   work.abort();
   await client.close();
   operations.close();
--- a/packages/entry/src/upstream/upstreamClient.ts
+++ b/packages/entry/src/upstream/upstreamClient.ts
@@ -1,9 +1,19 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import { isGoldcrestError } from '@goldcrestscale/core';
 import { Agent, request } from 'undici';
 import type { Dispatcher } from 'undici';
-import type { AttemptId, UpstreamView, Verdict } from '@goldcrestscale/core';
+import type { AttemptId, BootId, UpstreamView, Verdict } from '@goldcrestscale/core';
 import { CONNECT_TIMEOUT_MS, STREAM_SILENCE_MS } from '../constants.js';
-import { createAttemptError, createUnavailableError, decideCallVerdict } from './upstreamError.js';
+import type { BoundConnection } from './boundConnection.js';
+import { createConnectionPool } from './connectionPool.js';
+import type { ConnectionPool } from './connectionPool.js';
+import {
+  CONNECTION_CLOSED,
+  createAttemptError,
+  createCodedError,
+  createUnavailableError,
+  decideCallVerdict,
+} from './upstreamError.js';
 
 /** One HTTP call of an upstream. */
 export interface UpstreamCall {
@@ -15,6 +25,11 @@
   readonly signal: AbortSignal;
   /** Whether a successful answer must carry the attempt id; plain services don't know it. */
   readonly echoesAttempt: boolean;
+  /**
+   * Called with the run of the upstream at the other end of the connection, right before the
+   * request is written; what it throws ends the call with nothing sent.
+   */
+  readonly beginSend?: ((connectionBootId: BootId) => void) | undefined;
 }
 
 /** Answer of an upstream whose head has been checked. */
@@ -94,9 +109,17 @@
     : createAttemptError(message, verdict);
 };
 
-/** Creates a client with its own connection pools. */
-export const createUpstreamClient = (): UpstreamClient => {
-  const agent = new Agent({
+type Target = Pick<UpstreamView, 'address' | 'upstreamId'>;
+
+const buildRequest = (call: UpstreamCall) => ({
+  method: call.method,
+  headers: { ...call.headers, 'x-attempt-id': call.attemptId },
+  body: call.body ?? null,
+  signal: call.signal,
+});
+
+const createAgent = (): Agent =>
+  new Agent({
     connections: CONNECTIONS_PER_UPSTREAM,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
@@ -104,31 +127,68 @@
     headersTimeout: 0,
     bodyTimeout: STREAM_SILENCE_MS,
   });
-  return {
-    async send(upstream, call) {
-      try {
-        const response = await request(`http://${upstream.address}${call.path}`, {
+
+const openConnection = async (pool: ConnectionPool, target: Target): Promise<BoundConnection> => {
+  try {
+    return await pool.acquire(target.address);
+  } catch {
+    throw createAttemptError(`No connection to upstream ${target.upstreamId}.`, 'not-run');
+  }
+};
+
+/** Sends over a connection that is known to lead to one run of the upstream. */
+const sendBound = async (
+  pool: ConnectionPool,
+  target: Target,
+  call: UpstreamCall,
+): Promise<Dispatcher.ResponseData> => {
+  const connection = await openConnection(pool, target);
+  try {
+    call.beginSend?.(connection.bootId);
+  } catch (error) {
+    pool.release(target.address, connection);
+    throw error;
+  }
+  if (!connection.isOpen) throw createCodedError('the connection has ended', CONNECTION_CLOSED);
+  try {
+    const response = await connection.client.request({ ...buildRequest(call), path: call.path });
+    response.body.once('end', () => pool.release(target.address, connection));
+    return response;
+  } catch (error) {
+    connection.close();
+    throw error;
+  }
+};
+
+/** Creates a client with its own connection pools. */
+export const createUpstreamClient = (): UpstreamClient => {
+  const agent = createAgent();
+  const pool = createConnectionPool();
+  const sendCall = (target: Target, call: UpstreamCall): Promise<Dispatcher.ResponseData> =>
+    call.beginSend
+      ? sendBound(pool, target, call)
+      : request(`http://${target.address}${call.path}`, {
+          ...buildRequest(call),
           dispatcher: agent,
-          method: call.method,
-          headers: { ...call.headers, 'x-attempt-id': call.attemptId },
-          body: call.body ?? null,
-          signal: call.signal,
         });
-        const answer = {
-          status: response.statusCode,
-          headers: response.headers,
-          body: response.body,
-        };
+  return {
+    async send(target, call) {
+      try {
+        const { statusCode: status, headers, body } = await sendCall(target, call);
+        const answer = { status, headers, body };
         await checkHead(answer, call);
         return answer;
       } catch (cause) {
-        if (cause instanceof Error && 'verdict' in cause) throw cause;
+        if (isGoldcrestError(cause)) throw cause;
         throw createAttemptError(
-          `The call of upstream ${upstream.upstreamId} failed.`,
+          `The call of upstream ${target.upstreamId} failed.`,
           decideCallVerdict(cause),
         );
       }
     },
-    close: () => agent.close(),
+    async close() {
+      pool.close();
+      await agent.close();
+    },
   };
 };
--- a/packages/entry/src/upstream/upstreamError.ts
+++ b/packages/entry/src/upstream/upstreamError.ts
@@ -2,6 +2,9 @@
 import type { GoldcrestErrorInstance, Verdict } from '@goldcrestscale/core';
 import { DEFAULT_RETRY_AFTER_MS } from '../constants.js';
 
+/** Code of a call on a connection that had ended before the call was written. */
+export const CONNECTION_CLOSED = 'GOLDCREST_CONNECTION_CLOSED';
+
 /** Codes of failures that happen before a byte of the request has left this VM. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -9,8 +12,13 @@
   'ENETUNREACH',
   'EADDRNOTAVAIL',
   'UND_ERR_CONNECT_TIMEOUT',
+  CONNECTION_CLOSED,
 ]);
 
+/** Creates an error with a code, as the runtime's own socket errors have. */
+export const createCodedError = (message: string, code: string): Error =>
+  Object.assign(new Error(message), { code });
+
 const readCode = (cause: unknown): string =>
   cause instanceof Error && 'code' in cause ? String(cause.code) : '';
 
