--- a/packages/entry/src/controllers/slots/slotsController.ts
+++ b/packages/entry/src/controllers/slots/slotsController.ts
@@ -1,4 +1,9 @@
-import { getSlotGroup, GRANT_ANSWER_BOUND_MS, LeaseKeeper } from '@goldcrestscale/core';
+import {
+  getSlotGroup,
+  GRANT_ANSWER_BOUND_MS,
+  LeaseKeeper,
+  ORDERS_RESOURCE,
+} from '@goldcrestscale/core';
 import type { LogStream, SlotGrant, SlotPolicy, SlotReport, VmId } from '@goldcrestscale/core';
 import type { PeerIdentity, PeerLink } from '../../mesh/index.js';
 import { Controller } from '../controller.js';
@@ -55,7 +60,12 @@
       isAlone: fleet === undefined,
     });
     if (!fleet || !this.leases) return;
-    this.groups = new GroupKeeper({ self, leases: this.leases, listLive: fleet.listLive });
+    this.groups = new GroupKeeper({
+      self,
+      leases: this.leases,
+      listLive: fleet.listLive,
+      resources: [ORDERS_RESOURCE],
+    });
     slotReportMessage.register(fleet.link, (report, { from }) =>
       Promise.resolve(this.granter.accept(from, report) ?? null),
     );
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -2,6 +2,7 @@
 export * from './controllers/controller.js';
 export * from './controllers/membership/index.js';
 export * from './controllers/onceController/index.js';
+export * from './controllers/orders/index.js';
 export * from './controllers/slots/index.js';
 export * from './controllers/tableController/index.js';
 export * from './filters/exchange.js';
