--- a/packages/core/src/log/batchingAppender.ts
+++ b/packages/core/src/log/batchingAppender.ts
@@ -13,6 +13,7 @@
   MAX_BUDGET_WAIT_MS,
   MAX_GROUP_RECORDS,
   MAX_QUEUED_RECORDS,
+  MIN_GROUP_RECORDS,
   REFUSAL_BACKOFF_INITIAL_MS,
   REFUSAL_BACKOFF_MAX_MS,
   TARGET_GROUP_RECORDS,
@@ -100,7 +101,11 @@
 
   private computeDueAtMs(): number {
     const perMs = this.arrivals.getPerMs();
-    const spacingMs = Math.min(MAX_APPEND_SPACING_MS, TARGET_GROUP_RECORDS / perMs);
+    // Where few records arrive, waiting for more of them costs time and saves nothing.
+    const isWorthwhile = perMs * MAX_APPEND_SPACING_MS >= MIN_GROUP_RECORDS;
+    const spacingMs = isWorthwhile
+      ? Math.min(MAX_APPEND_SPACING_MS, TARGET_GROUP_RECORDS / perMs)
+      : 0;
     // A group that is full already gains nothing by waiting.
     if (this.queue.length >= MAX_GROUP_RECORDS) return performance.now();
     const spacedAtMs = this.lastAppendAtMs + spacingMs;
@@ -129,6 +134,8 @@
     const refused = this.queue.filter(isTooLate);
     this.queue = this.queue.filter((record) => !isTooLate(record));
     refuseAll(refused, new LogError('the append budget is used up', 'refused'));
+    // Those that come next are told at once instead of after the same wait.
+    if (refused.length > 0) this.refuseUntilMs = nowMs + this.backoff.nextDelayMs();
     if (this.queue.length > 0) this.timer = setTimeout(() => this.flush(), Math.max(1, waitMs));
   }
 
--- a/packages/core/src/tiering/tieringPlanner.ts
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -7,7 +7,6 @@
   BLOCK_COPIES,
   IMPORT_OVERHEAD_MS,
   MIN_EXPORT_RETURN,
-  SECOND_COPY_FILL,
   SECOND_COPY_VALUE,
 } from './constants.js';
 import { ExportQueue } from './exportQueue.js';
@@ -38,7 +37,7 @@
 /** Options of a planner. */
 export interface TieringPlannerOptions {
   readonly random: RandomGenerator;
-  /** Bytes of the KV cache of one token. */
+  /** Bytes of the KV cache of one token until the first export shows them. */
   readonly bytesPerToken: number;
 }
 
@@ -64,7 +63,11 @@
   /** Blocks under export, so that no block is copied twice to one store VM at once. */
   private readonly exporting = new Set<string>();
 
-  constructor(private readonly options: TieringPlannerOptions) {}
+  private bytesPerToken: number;
+
+  constructor(private readonly options: TieringPlannerOptions) {
+    this.bytesPerToken = options.bytesPerToken;
+  }
 
   /** Takes in the newest view of a store VM. */
   updateStore(view: StoreView): void {
@@ -122,17 +125,24 @@
   noteHeld(upstreamId: UpstreamId, workloadId: WorkloadId, blocks: readonly PromptBlock[]): void {
     const queuedAtMs = Date.now();
     blocks.forEach(({ key, tokens }, position) => {
+      const next = blocks[position + 1]?.key;
+      if (next) this.updateNext(key, next);
       if (this.countCopies(key) >= Math.min(BLOCK_COPIES, this.stores.size)) return;
-      const bytes = tokens * this.options.bytesPerToken;
-      this.queue.add({ key, upstreamId, workloadId, position, tokens, bytes, queuedAtMs });
+      const bytes = tokens * this.bytesPerToken;
+      this.queue.add({ key, upstreamId, workloadId, position, tokens, bytes, next, queuedAtMs });
     });
   }
 
   /** Takes the most valuable export that a link has room for now; undefined where there is none. */
   takeNextExport(): ExportOrder | undefined {
+    const open = this.rankStores().filter(
+      ([, { catalog, link }]) => catalog.usable && link.canExport(0),
+    );
+    if (open.length === 0 || this.queue.size === 0) return undefined;
     for (const candidate of this.queue.rank((one) => this.weighCandidate(one))) {
-      const order = this.planExport(candidate);
-      if (order) return order;
+      const order = this.planExport(candidate, open);
+      if (order === 'not-worth') this.queue.delete(candidate.key);
+      else if (order !== 'skip') return order;
     }
     return undefined;
   }
@@ -147,9 +157,10 @@
     store.catalog.release(candidate.bytes);
     if (outcome.kind !== 'not-held') store.catalog.noteOutcome(outcome.kind === 'stored');
     if (outcome.kind !== 'stored') return;
-    const { workloadId, position, tokens, queuedAtMs } = candidate;
+    const { workloadId, position, tokens, next, queuedAtMs } = candidate;
     const { block } = outcome;
-    store.catalog.add({ block, workloadId, position, tokens, lastUsedMs: queuedAtMs });
+    this.bytesPerToken = block.length / tokens;
+    store.catalog.add({ block, workloadId, position, tokens, next, lastUsedMs: queuedAtMs });
     if (this.countCopies(candidate.key) < Math.min(BLOCK_COPIES, this.stores.size)) {
       this.queue.add(candidate);
     }
@@ -206,6 +217,13 @@
     };
   }
 
+  private updateNext(key: BlockKey, next: BlockKey): void {
+    for (const { catalog } of this.stores.values()) {
+      const entry = catalog.get(key);
+      if (entry) entry.next = next;
+    }
+  }
+
   private countCopies(key: BlockKey): number {
     let copies = 0;
     for (const { catalog } of this.stores.values()) {
@@ -228,27 +246,40 @@
     return (prospect.returnsPerHour * candidate.tokens * factor) / candidate.bytes;
   }
 
-  private planExport(candidate: ExportCandidate): ExportOrder | undefined {
+  /** Plans one export; undefined where it has to wait for a link, `skip` where others go first. */
+  private planExport(
+    candidate: ExportCandidate,
+    open: readonly (readonly [UpstreamId, Store])[],
+  ): ExportOrder | 'not-worth' | 'skip' | undefined {
     const value = this.weighCandidate(candidate);
-    const isSecond = this.countCopies(candidate.key) > 0;
-    if (value === 0) this.queue.delete(candidate.key);
-    for (const [storeId, { catalog, link }] of this.rankStores()) {
+    const wanted = open.filter(([storeId, { catalog }]) => {
       const flight = `${storeId}/${candidate.key}`;
-      const isWanted =
-        value > 0 && catalog.usable && !catalog.get(candidate.key) && !this.exporting.has(flight);
-      const drops = isWanted
-        ? this.planDrops(catalog, candidate.bytes, value, isSecond)
-        : undefined;
-      const transfer = drops && link.tryBeginExport(candidate.bytes);
-      if (drops && transfer) {
-        drops.forEach(({ key }) => catalog.remove(key));
-        catalog.reserve(candidate.bytes);
-        this.exporting.add(flight);
-        this.queue.delete(candidate.key);
-        return { candidate, storeId, drops, transfer };
-      }
+      return !catalog.get(candidate.key) && !this.exporting.has(flight);
+    });
+    if (value === 0) return 'not-worth';
+    if (wanted.length === 0) return 'skip';
+    const free = wanted.filter(([, { link }]) => link.canExport(candidate.bytes));
+    if (free.length === 0) return undefined;
+    for (const [storeId, store] of free) {
+      const drops = this.planDrops(store.catalog, candidate.bytes, value);
+      if (drops) return this.beginExport(candidate, storeId, store, drops);
     }
-    return undefined;
+    return 'not-worth';
+  }
+
+  private beginExport(
+    candidate: ExportCandidate,
+    storeId: UpstreamId,
+    { catalog, link }: Store,
+    drops: readonly StoredBlock[],
+  ): ExportOrder | undefined {
+    const transfer = link.tryBeginExport(candidate.bytes);
+    if (!transfer) return undefined;
+    drops.forEach(({ key }) => catalog.remove(key));
+    catalog.reserve(candidate.bytes);
+    this.exporting.add(`${storeId}/${candidate.key}`);
+    this.queue.delete(candidate.key);
+    return { candidate, storeId, drops, transfer };
   }
 
   private rankStores(): [UpstreamId, Store][] {
@@ -261,15 +292,17 @@
     catalog: StoreCatalog,
     bytes: number,
     value: number,
-    isSecond: boolean,
   ): StoredBlock[] | undefined {
-    if (catalog.hasRoom(bytes, isSecond ? SECOND_COPY_FILL : 1)) return [];
-    if (isSecond) return undefined;
+    if (catalog.hasRoom(bytes)) return [];
     const least = catalog.findLeastValuable(this.options.random, (entry) => {
       const factor = this.countCopies(entry.block.key) > 1 ? SECOND_COPY_VALUE : 1;
       return this.computeValue(entry) * factor;
     });
-    if (!least || least.value >= value || least.entry.block.length < bytes) return undefined;
-    return [least.entry.block];
+    if (!least || least.value >= value) return undefined;
+    // A prompt is dropped from its end, so that what is left of it stays usable; a block with
+    // another copy is dropped where it is.
+    const isOnly = this.countCopies(least.entry.block.key) < 2;
+    const { block } = isOnly ? catalog.findTail(least.entry) : least.entry;
+    return block.length < bytes ? undefined : [block];
   }
 }
--- /dev/null
+++ b/packages/entry/src/compose/createDataPath.ts
@@ -0,0 +1,65 @@
+import { BudgetedRetryPolicy, LeastTimeRouter, createGenerator } from '@goldcrestscale/core';
+import type { Logger } from '@goldcrestscale/runtime';
+import type { PrefixIndexController } from '../controllers/prefixIndex/index.js';
+import { ImportingRunner } from '../controllers/tiering/index.js';
+import type { TieringController } from '../controllers/tiering/index.js';
+import { CompletionRunner } from '../dispatch/completionRunner.js';
+import { ServiceRunner } from '../dispatch/serviceRunner.js';
+import { createFilters } from '../filters/index.js';
+import type { CacheObserver } from '../filters/index.js';
+import type { Filter } from '../filters/filter.js';
+import type { EntryMetrics } from '../metrics.js';
+import type { UpstreamClient } from '../upstream/upstreamClient.js';
+import type { Controllers } from './createControllers.js';
+
+/** What the way of a request is built from. */
+export interface DataPathOptions {
+  readonly controllers: Controllers;
+  readonly client: UpstreamClient;
+  readonly logger: Logger;
+  readonly metrics: EntryMetrics;
+  /** Secret from which the block keys of all accounts derive. */
+  readonly fleetSecret: string;
+}
+
+/** Creates the observer that tells the cache controllers what engines report. */
+const createCacheObserver = (
+  prefixIndex: PrefixIndexController,
+  tiering: TieringController,
+): CacheObserver => ({
+  onUsage({ blocks, workload }, { upstreamId }, cachedTokens, expectedTokens) {
+    if (!blocks || !workload) return;
+    prefixIndex.learnUsage(upstreamId, blocks, cachedTokens, expectedTokens);
+    tiering.noteHeld(upstreamId, workload.id, blocks);
+  },
+});
+
+/** Creates the filters of a request over the controllers' state. */
+export const createDataPath = (options: DataPathOptions): readonly Filter[] => {
+  const { controllers, client, logger, metrics, fleetSecret } = options;
+  const { prefixIndex, tiering, upstreams } = controllers;
+  return createFilters({
+    logger: logger.createPart('filters'),
+    metrics,
+    table: () => controllers.table.table,
+    decideFreshness: () => controllers.membership.decideFreshness(),
+    onceGuard: controllers.once.guard,
+    admission: controllers.usage,
+    prefix: {
+      fleetSecret,
+      noteVisit: (workloadId, blocks) => tiering.noteVisit(workloadId, blocks),
+    },
+    cache: createCacheObserver(prefixIndex, tiering),
+    dispatch: {
+      router: new LeastTimeRouter({
+        index: prefixIndex.index,
+        random: createGenerator(),
+        source: tiering.planner,
+      }),
+      retries: new BudgetedRetryPolicy(createGenerator()),
+      directory: upstreams,
+      completions: new ImportingRunner(new CompletionRunner(client), tiering, upstreams),
+      services: new ServiceRunner(client),
+    },
+  });
+};
--- a/packages/entry/src/http/entriesAnswer.ts
+++ b/packages/entry/src/http/entriesAnswer.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityZoneId } from '@goldcrestscale/core';
+import type { AvailabilityZoneId, VmRecord } from '@goldcrestscale/core';
 
 /** One entry VM that a caller may use. */
 export interface EntryAddress {
@@ -12,3 +12,9 @@
   /** Time for which the answer may be kept, in milliseconds. */
   readonly ttlMs: number;
 }
+
+/** Builds the answer from ranked entry VMs. */
+export const buildEntriesAnswer = (ranked: readonly VmRecord[], ttlMs: number): EntriesAnswer => ({
+  entries: ranked.map(({ address, availabilityZone }) => ({ address, availabilityZone })),
+  ttlMs,
+});
--- a/packages/load/src/config.ts
+++ b/packages/load/src/config.ts
@@ -1,11 +1,7 @@
 import { z } from 'zod';
-import { logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
+import { addressSchema, logSettingsSchema, secretReferenceSchema } from '@goldcrestscale/runtime';
 import { MAX_DURATION_MS, MAX_IN_FLIGHT, MAX_REQUESTS } from './constants.js';
 
-const addressSchema = z
-  .string()
-  .regex(/^[\w.:[\]-]+:\d{1,5}$/, 'use HOST:PORT, for example "10.0.0.4:8080"');
-
 const MAX_PROMPT_TOKENS = 262_144;
 const MAX_ANSWER_TOKENS = 65_536;
 const MAX_RATE_PER_SECOND = 20_000;
@@ -37,8 +33,8 @@
     .describe('Weight versions whose text an answer may have; empty checks no text.'),
   promptTokens: z
     .strictObject({
-      min: z.number().int().min(1).max(MAX_PROMPT_TOKENS),
-      max: z.number().int().min(1).max(MAX_PROMPT_TOKENS),
+      min: z.number().int().min(1).max(MAX_PROMPT_TOKENS).describe('Smallest size.'),
+      max: z.number().int().min(1).max(MAX_PROMPT_TOKENS).describe('Largest size.'),
     })
     .describe('Size of a new prompt, uniform.'),
   growthTokens: z
@@ -138,9 +134,9 @@
   windows: z
     .array(
       z.strictObject({
-        name: z.string().min(1),
-        fromMs: z.number().min(0),
-        toMs: z.number().positive(),
+        name: z.string().min(1).describe('Name of the section.'),
+        fromMs: z.number().min(0).describe('Begin, since the start of the run, in milliseconds.'),
+        toMs: z.number().positive().describe('End, since the start of the run, in milliseconds.'),
       }),
     )
     .default([])
