fix(mesh): make the tests independent of the machine's load

Cause: on the busy machine 'abort reaches the handler' failed once in a run of all own folders: its abort came 20 ms after the request, before the connection was open, so the handler was never reached. The code was right; the test was timed. Ruled out: a longer time (still a race). Change: the abort is made inside the handler, and the kind of failure is checked as well; the short timeout is tested on an open connection; polls have a limit of 30 s. Conclusion: as strict as before, without a race.

--- a/packages/core/src/membership/__tests__/decisions.spec.ts
+++ b/packages/core/src/membership/__tests__/decisions.spec.ts
@@ -42,14 +42,13 @@
   const few = makeVms(9);
   few.forEach((vmId) => expect(selectGridNeighbours(vmId, few)).toHaveLength(8));
   const many = makeVms(860);
-  const neighbours = many.map((vmId) => selectGridNeighbours(vmId, many));
-  const mean = neighbours.reduce((sum, list) => sum + list.length, 0) / many.length;
-  expect(mean).toBeLessThan(120);
-  neighbours.forEach((list, index) =>
-    list.forEach((vmId) => {
-      expect(neighbours[many.indexOf(vmId)]).toContain(many[index]);
-    }),
+  const neighbours = new Map(many.map((vmId) => [vmId, new Set(selectGridNeighbours(vmId, many))]));
+  const sizes = [...neighbours.values()].map((set) => set.size);
+  expect(sizes.reduce((sum, size) => sum + size, 0) / many.length).toBeLessThan(120);
+  const oneSided = [...neighbours].flatMap(([vmId, set]) =>
+    [...set].filter((other) => !neighbours.get(other)?.has(vmId)),
   );
+  expect(oneSided).toEqual([]);
 });
 
 test('rendezvous moves only the keys of a VM that left', () => {
--- a/packages/entry/src/mesh/__tests__/mesh.spec.ts
+++ b/packages/entry/src/mesh/__tests__/mesh.spec.ts
@@ -19,6 +19,10 @@
   stops = [];
 });
 
+/** Polls until an assertion holds; the limit only ends a test that would never pass. */
+const waitUntil = (check: () => void): Promise<void> =>
+  vi.waitFor(check, { timeout: 30_000, interval: 10 });
+
 const startMesh = (
   vmId: string,
   options: { bootId?: string; secret?: Buffer; port?: number } = {},
@@ -70,7 +74,7 @@
   expect(a.send(b.self.vmId, 'note', 1)).toBe(false);
   await a.request(b.self.vmId, 'ping', null, never);
   expect(a.send(b.self.vmId, 'note', 2)).toBe(true);
-  await vi.waitFor(() =>
+  await waitUntil(() =>
     expect(received.mock.calls.map(([payload]) => payload as unknown)).toEqual([2]),
   );
 });
@@ -94,17 +98,16 @@
   b.register('die', () => {
     b.stop.abort();
   });
-  const abort = new AbortController();
-  const aborted = a.request(b.self.vmId, 'hang', null, abort.signal);
+  b.register('ping', () => 'pong');
+  // With the connection open, the short time below is spent on the peer alone.
+  await a.request(b.self.vmId, 'ping', null, never);
   const cases: [Promise<unknown>, string, boolean][] = [
     [a.request(b.self.vmId, 'nobody', null, never), 'unknown_type', false],
     [a.request(b.self.vmId, 'hang', null, never, 50), 'timeout', true],
     [a.request(b.self.vmId, 'throw', null, never), 'handler_failed', true],
     [a.request(b.self.vmId, 'throw', Buffer.alloc(2_000_000), never), 'too_large', false],
     [a.request(toId('nowhere'), 'hang', null, never), 'unreachable', false],
-    [aborted, 'aborted', true],
   ];
-  setTimeout(() => abort.abort(), 20);
   await Promise.all(
     cases.map(([promise, failure, mayHaveBeenHandled]) =>
       expect(promise).rejects.toMatchObject({ failure, mayHaveBeenHandled }),
@@ -117,23 +120,27 @@
 
 test('abort reaches the handler', async () => {
   const { a, b } = await startPair();
-  const gone = vi.fn();
-  b.register('hang', (_payload, { signal }) => once(signal, 'abort').then(gone));
   const abort = new AbortController();
-  setTimeout(() => abort.abort(), 20);
-  await a.request(b.self.vmId, 'hang', null, abort.signal).catch(() => undefined);
-  await vi.waitFor(() => expect(gone).toHaveBeenCalledOnce());
+  const gone = vi.fn();
+  b.register('hang', (_payload, { signal }) => {
+    const ended = once(signal, 'abort').then(gone);
+    abort.abort();
+    return ended;
+  });
+  const request = a.request(b.self.vmId, 'hang', null, abort.signal, 30_000);
+  await expect(request).rejects.toMatchObject({ failure: 'aborted', mayHaveBeenHandled: true });
+  await waitUntil(() => expect(gone).toHaveBeenCalledOnce());
 });
 
 test('connection comes back after a restart with a new boot id', async () => {
   const { a, b } = await startPair();
   a.setPeers([toPeer(b)]);
-  await vi.waitFor(() => expect(a.listConnected()).toHaveLength(1));
+  await waitUntil(() => expect(a.listConnected()).toHaveLength(1));
   const { port } = b;
   b.stop.abort();
-  await vi.waitFor(() => expect(a.listConnected()).toHaveLength(0));
+  await waitUntil(() => expect(a.listConnected()).toHaveLength(0));
   await startMesh('b', { bootId: 'b-boot-2', port });
-  await vi.waitFor(() => expect(a.listConnected()[0]?.bootId).toBe('b-boot-2'), 10_000);
+  await waitUntil(() => expect(a.listConnected()[0]?.bootId).toBe('b-boot-2'));
 });
 
 test('wrong secret is counted and told nothing', async () => {
@@ -173,7 +180,7 @@
   await once(relay, 'listening');
   const { port } = relay.address() as AddressInfo;
   a.setPeers([{ vmId: b.self.vmId, address: `127.0.0.1:${port}`, keepOpen: true }]);
-  await vi.waitFor(() => expect(a.listConnected()).toHaveLength(1));
+  await waitUntil(() => expect(a.listConnected()).toHaveLength(1));
   relay.close();
   return recorded;
 };
@@ -226,9 +233,9 @@
 test('peers out of the address book are disconnected', async () => {
   const { a, b } = await startPair();
   a.setPeers([toPeer(b)]);
-  await vi.waitFor(() => expect(b.listConnected()).toHaveLength(1));
+  await waitUntil(() => expect(b.listConnected()).toHaveLength(1));
   a.setPeers([]);
-  await vi.waitFor(() => expect(b.listConnected()).toHaveLength(0));
+  await waitUntil(() => expect(b.listConnected()).toHaveLength(0));
   await sleep(300);
   expect(a.listConnected()).toHaveLength(0);
 });
