feat(tiering): keep a prompt's first copies at one store VM

Cause: first copies went to the emptier store VM block by block, so one store VM's loss broke nearly every prompt without second copies in its middle. Change: a first copy goes where the block before it lies.

--- a/packages/core/src/tiering/exportQueue.ts
+++ b/packages/core/src/tiering/exportQueue.ts
@@ -9,6 +9,8 @@
   readonly position: number;
   readonly tokens: number;
   readonly bytes: number;
+  /** Block before it in the prompt; undefined for the first one. */
+  readonly previous: BlockKey | undefined;
   /** Block that follows in the prompt; undefined for the last one. */
   readonly next: BlockKey | undefined;
   readonly queuedAtMs: number;
--- a/packages/core/src/tiering/tieringPlanner.ts
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -125,11 +125,13 @@
   noteHeld(upstreamId: UpstreamId, workloadId: WorkloadId, blocks: readonly PromptBlock[]): void {
     const queuedAtMs = Date.now();
     blocks.forEach(({ key, tokens }, position) => {
+      const previous = blocks[position - 1]?.key;
       const next = blocks[position + 1]?.key;
       if (next) this.updateNext(key, next);
       if (this.countCopies(key) >= Math.min(BLOCK_COPIES, this.stores.size)) return;
       const bytes = tokens * this.bytesPerToken;
-      this.queue.add({ key, upstreamId, workloadId, position, tokens, bytes, next, queuedAtMs });
+      const place = { position, previous, next };
+      this.queue.add({ key, upstreamId, workloadId, ...place, tokens, bytes, queuedAtMs });
     });
   }
 
@@ -258,7 +260,12 @@
     });
     if (value === 0) return 'not-worth';
     if (wanted.length === 0) return 'skip';
-    const free = wanted.filter(([, { link }]) => link.canExport(candidate.bytes));
+    const home = this.findHome(candidate);
+    const free = wanted.filter(
+      ([storeId, { link }]) =>
+        (home === undefined || home === storeId) && link.canExport(candidate.bytes),
+    );
+    if (free.length === 0 && home !== undefined) return 'skip';
     if (free.length === 0) return undefined;
     for (const [storeId, store] of free) {
       const drops = this.planDrops(store.catalog, candidate.bytes, value);
@@ -267,6 +274,19 @@
     return 'not-worth';
   }
 
+  /**
+   * Finds the store VM that has to take a first copy: the one that holds the block before it, so
+   * that the loss of a store VM breaks few prompts wholly and not every prompt in the middle.
+   */
+  private findHome({ key, previous }: ExportCandidate): UpstreamId | undefined {
+    if (previous === undefined || this.countCopies(key) > 0) return undefined;
+    const holders = [...this.stores].filter(
+      ([storeId, { catalog }]) =>
+        catalog.usable && (catalog.get(previous) ?? this.exporting.has(`${storeId}/${previous}`)),
+    );
+    return holders.length === 1 ? holders[0]![0] : undefined;
+  }
+
   private beginExport(
     candidate: ExportCandidate,
     storeId: UpstreamId,
