--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -15,8 +15,8 @@
 import { MembershipController } from '../controllers/membership/index.js';
 import { createOnceController } from '../controllers/onceController/index.js';
 import type { OnceController } from '../controllers/onceController/index.js';
-import { createTableController } from '../controllers/tableController/index.js';
-import type { TableController } from '../controllers/tableController/index.js';
+import { createTableController, createTablePeers } from '../controllers/tableController/index.js';
+import type { TableController, TablePeers } from '../controllers/tableController/index.js';
 import { PrefixIndexController } from '../controllers/prefixIndex/index.js';
 import { TieringController } from '../controllers/tiering/index.js';
 import { UpstreamsController } from '../controllers/upstreams/upstreamsController.js';
@@ -33,6 +33,7 @@
 /** The controllers of the entry daemon. */
 export interface Controllers {
   readonly table: TableController;
+  readonly tablePeers: TablePeers;
   readonly membership: MembershipController;
   readonly upstreams: UpstreamsController;
   readonly once: OnceController;
@@ -109,8 +110,9 @@
     listEntryVms: () => membership.listLive(),
     countCapacity: (poolId) => upstreams.countCapacity(poolId),
   });
+  const tablePeers = createTablePeers({ table, link, generator });
   const cache = createCacheControllers(table, membership);
-  return { table, membership, upstreams, once, usage, ...cache };
+  return { table, tablePeers, membership, upstreams, once, usage, ...cache };
 };
 
 /** Lists the controllers in the order in which they start. */
