--- /dev/null
+++ b/bench/overloadFifo.ts
@@ -0,0 +1,23 @@
+import { AdmissionPolicy } from '@goldcrestscale/core';
+import type { AccountState, PoolState } from '@goldcrestscale/core';
+
+/** Serves in the order of arrival, whoever asks; each VM has an even part of the capacity. */
+export class FifoPolicy extends AdmissionPolicy {
+  override countSlots(pool: PoolState, account: AccountState): number {
+    const free = Math.round(pool.capacity / pool.others.vmCount) - pool.running;
+    return account.running + Math.max(0, free);
+  }
+
+  override compareAccounts(_pool: PoolState, left: AccountState, right: AccountState): number {
+    const leftAtMs = left.queues.findNext()?.arrivedAtMs ?? Infinity;
+    return leftAtMs - (right.queues.findNext()?.arrivedAtMs ?? Infinity);
+  }
+
+  override computeRate(_pool: PoolState, _account: AccountState, perSecond: number): number {
+    return perSecond;
+  }
+
+  override invalidate(): void {
+    // Keeps nothing.
+  }
+}
--- /dev/null
+++ b/bench/overloadRunner.ts
@@ -0,0 +1,23 @@
+import { AttemptRunner } from '@goldcrestscale/entry';
+import type { Attempt } from '@goldcrestscale/entry';
+import type { FakeEngine } from './overloadEngine.js';
+
+/** Runs attempts at fake engines. */
+export class FakeEngineRunner extends AttemptRunner {
+  constructor(private readonly getEngine: (upstreamId: string) => FakeEngine) {
+    super();
+  }
+
+  override async run(attempt: Attempt): Promise<void> {
+    const { exchange, upstream } = attempt;
+    if (exchange.target.kind !== 'completion') throw new TypeError('not a completion');
+    const { prefillMs, decodeMs } = exchange.target.fields as {
+      prefillMs: number;
+      decodeMs: number;
+    };
+    await this.getEngine(upstream.upstreamId).run(prefillMs, decodeMs, () => {
+      attempt.onFirstByte();
+      if (!exchange.answer.headSent) exchange.answer.writeHead(200, {});
+    });
+  }
+}
--- /dev/null
+++ b/bench/overloadVm.ts
@@ -0,0 +1,147 @@
+import {
+  AdmissionQueue,
+  CappedEjection,
+  LeastTimeRouter,
+  PeerUsageExchange,
+  PrefixIndex,
+  UsageReporter,
+  createGenerator,
+  isWholeRound,
+  toId,
+} from '@goldcrestscale/core';
+import type {
+  AdmissionPolicy,
+  RetryPolicy,
+  UpstreamId,
+  UsageReport,
+  VmId,
+  VmRecord,
+} from '@goldcrestscale/core';
+import { AdmissionFilter, DispatchFilter, UpstreamState } from '@goldcrestscale/entry';
+import type { Filter, UpstreamDirectory } from '@goldcrestscale/entry';
+import type { FakeEngine } from './overloadEngine.js';
+import { FakeEngineRunner } from './overloadRunner.js';
+
+const LOAD_LAG_MS = 200;
+
+/** Policies under comparison. */
+export interface FleetPolicies {
+  createAdmission(): AdmissionPolicy;
+  createRetries(seed: number): RetryPolicy;
+}
+
+/** Sizes of a simulated fleet. */
+export interface FleetSize {
+  readonly vmCount: number;
+  readonly engineCount: number;
+}
+
+const table = {
+  getUpstream: () => undefined,
+  isZoneOut: () => false,
+};
+
+const createVmRecord = (index: number): VmRecord => ({
+  vmId: toId<VmId>(`engine-${index}`),
+  role: 'engine',
+  address: '',
+  availabilityZone: toId(`zone-${index % 3}`),
+  state: 'live',
+});
+
+/** One entry VM: the daemon's admission and dispatch over fake engines. */
+export class EntryVm {
+  readonly exchange: PeerUsageExchange;
+
+  readonly queue: AdmissionQueue;
+
+  readonly filters: readonly Filter[];
+
+  private readonly reporter = new UsageReporter();
+
+  private readonly states: readonly UpstreamState[];
+
+  private readonly ejection: CappedEjection;
+
+  private round = 0;
+
+  constructor(
+    private readonly index: number,
+    size: FleetSize,
+    private readonly engines: readonly FakeEngine[],
+    policies: FleetPolicies,
+  ) {
+    this.ejection = new CappedEjection(createGenerator(index + 1));
+    this.states = engines.map((_engine, place) => new UpstreamState(createVmRecord(place)));
+    this.exchange = new PeerUsageExchange(() => ({ vmCount: size.vmCount, rank: index }));
+    const countCapacity = () => this.countCapacity();
+    this.queue = new AdmissionQueue({
+      policy: policies.createAdmission(),
+      exchange: this.exchange,
+      countCapacity,
+    });
+    const runner = new FakeEngineRunner((id) => engines[Number(id.split('-')[1])]!);
+    this.filters = [
+      new AdmissionFilter({ queue: this.queue, countCapacity }),
+      new DispatchFilter({
+        router: new LeastTimeRouter({
+          index: new PrefixIndex(),
+          random: createGenerator(index + 101),
+        }),
+        retries: policies.createRetries(index + 1),
+        directory: this.createDirectory(),
+        completions: runner,
+        services: runner,
+        observer: { onFirstByte() {}, onUsage() {}, onFailure() {} },
+      }),
+    ];
+  }
+
+  /** Reads the engines' load reports, which lag. */
+  readLoads(): void {
+    this.engines.forEach((engine, place) => {
+      const state = this.states[place]!;
+      if (engine.isUp) state.updateLoad(engine.describeLoad(LOAD_LAG_MS));
+      this.ejection.setGroup(state.upstreamId, state.group);
+    });
+  }
+
+  report(send: (vmId: VmId, report: UsageReport) => void) {
+    this.exchange.prune();
+    const report = this.reporter.build(this.queue.publishUsage(), isWholeRound(this.round));
+    this.round += 1;
+    if (report) send(toId<VmId>(`vm-${this.index}`), report);
+    this.queue.drain();
+  }
+
+  private createDirectory(): UpstreamDirectory {
+    const list = () =>
+      this.states
+        .map((state) => state.buildView(table, this.ejection))
+        .filter((view) => view !== undefined);
+    const find = (upstreamId: UpstreamId) =>
+      this.states.find((state) => state.upstreamId === upstreamId);
+    return {
+      listEngines: list,
+      listServices: () => [],
+      findView: (upstreamId) => find(upstreamId)?.buildView(table, this.ejection),
+      noteDispatch: (upstreamId, tokens) => {
+        this.ejection.noteStart(upstreamId);
+        find(upstreamId)?.noteDispatch(tokens);
+      },
+      noteEnd: (upstreamId, outcome) => {
+        this.ejection.noteEnd(upstreamId, outcome);
+        find(upstreamId)?.noteEnd();
+      },
+    };
+  }
+
+  private countCapacity(): number {
+    return this.states
+      .map((state) => state.buildView(table, this.ejection))
+      .reduce((sum, view) => {
+        if (!view?.eligible) return sum;
+        return sum + (view.cold ? view.coldConcurrent : view.maxConcurrent);
+      }, 0);
+  }
+}
