feat(entry): tell peers what is in flight at each upstream

Cause: with load reports 200 to 700 ms old, entries sent to full engines while others had free slots: engines held 0 to 12 requests at 8 slots each, and the small account waited there (its wait for admission was 1 ms at p95). Change: up to 32 entry VMs tell one another their own attempts in flight at each upstream with the usage reports; where all are heard, routing goes by these sums, else by load reports as before. Retries are paid by 8 % of first attempts and three in reserve: with one in reserve a test that needs two retries on a new entry failed rightly (dispatch.spec, "busy engine are no faults"). The retry spec's payer now follows RETRY_SHARE; its bounds are unchanged.

--- a/bench/overloadVm.ts
+++ b/bench/overloadVm.ts
@@ -108,7 +108,11 @@
 
   report(send: (vmId: VmId, report: UsageReport) => void) {
     this.exchange.prune();
-    const report = this.reporter.build(this.queue.publishUsage(), isWholeRound(this.round));
+    const report = this.reporter.build(
+      this.queue.publishUsage(),
+      isWholeRound(this.round),
+      this.states.map(({ upstreamId, inFlight }) => ({ upstreamId, inFlight })),
+    );
     this.round += 1;
     if (report) send(toId<VmId>(`vm-${this.index}`), report);
     this.queue.drain();
@@ -116,15 +120,16 @@
 
   private createDirectory(): UpstreamDirectory {
     const list = () =>
-      this.states
-        .map((state) => state.buildView(table, this.ejection))
-        .filter((view) => view !== undefined);
+      this.states.map((state) => this.buildView(state)).filter((view) => view !== undefined);
     const find = (upstreamId: UpstreamId) =>
       this.states.find((state) => state.upstreamId === upstreamId);
     return {
       listEngines: list,
       listServices: () => [],
-      findView: (upstreamId) => find(upstreamId)?.buildView(table, this.ejection),
+      findView: (upstreamId) => {
+        const state = find(upstreamId);
+        return state && this.buildView(state);
+      },
       noteDispatch: (upstreamId, tokens) => {
         this.ejection.noteStart(upstreamId);
         find(upstreamId)?.noteDispatch(tokens);
@@ -136,9 +141,14 @@
     };
   }
 
+  private buildView(state: UpstreamState) {
+    const others = this.exchange.countInFlight(state.upstreamId);
+    return state.buildView(table, this.ejection, others);
+  }
+
   private countCapacity(): number {
     return this.states
-      .map((state) => state.buildView(table, this.ejection))
+      .map((state) => this.buildView(state))
       .reduce((sum, view) => {
         if (!view?.eligible) return sum;
         return sum + (view.cold ? view.coldConcurrent : view.maxConcurrent);
--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -15,4 +15,4 @@
 export { UsageExchange } from './usage.js';
 export type { AccountUsage, OthersUsage, PoolId } from './usage.js';
 export { UsageReporter, isWholeRound } from './usageReporter.js';
-export type { UsageReport } from './usageReporter.js';
+export type { UpstreamUsage, UsageReport } from './usageReporter.js';
--- a/packages/core/src/admission/peerUsageExchange.ts
+++ b/packages/core/src/admission/peerUsageExchange.ts
@@ -1,8 +1,8 @@
-import type { ClientAccountId, VmId } from '../ids.js';
+import type { ClientAccountId, UpstreamId, VmId } from '../ids.js';
 import { USAGE_EXPIRY_MS } from './constants.js';
 import { UsageExchange } from './usage.js';
 import { mergeUsage } from './usageReporter.js';
-import type { UsageReport } from './usageReporter.js';
+import type { UpstreamUsage, UsageReport } from './usageReporter.js';
 import type { AccountUsage, OthersUsage, PoolId } from './usage.js';
 
 /** Place of this VM among the entry VMs. */
@@ -17,6 +17,7 @@
   readonly receivedAtMs: number;
   readonly sequence: number;
   readonly usage: readonly AccountUsage[];
+  readonly upstreams: readonly UpstreamUsage[];
 }
 
 type PoolUsage = Map<ClientAccountId, AccountUsage>;
@@ -40,23 +41,35 @@
   return pools;
 };
 
+const sumInFlight = (reports: Iterable<PeerReport>): ReadonlyMap<UpstreamId, number> => {
+  const sums = new Map<UpstreamId, number>();
+  for (const { upstreams } of reports) {
+    upstreams.forEach(({ upstreamId, inFlight }) => {
+      sums.set(upstreamId, (sums.get(upstreamId) ?? 0) + inFlight);
+    });
+  }
+  return sums;
+};
+
 /** Sums up the reports of the peers that are heard; a silent peer falls out after a while. */
 export class PeerUsageExchange extends UsageExchange {
   private readonly reports = new Map<VmId, PeerReport>();
 
   private sums: ReadonlyMap<PoolId, PoolUsage> | undefined;
 
+  private inFlight: ReadonlyMap<UpstreamId, number> | undefined;
+
   constructor(private readonly getPlace: () => FleetPlace) {
     super();
   }
 
   /** Takes in a report of a peer; one that does not follow on the last waits for the next whole one. */
-  receive(from: VmId, { sequence, whole, usage }: UsageReport): void {
+  receive(from: VmId, { sequence, whole, usage, upstreams }: UsageReport): void {
     const known = this.reports.get(from);
     if (!whole && known?.sequence !== sequence - 1) return;
     const merged = whole ? usage : mergeUsage(known?.usage ?? [], usage);
-    this.reports.set(from, { receivedAtMs: Date.now(), sequence, usage: merged });
-    this.sums = undefined;
+    this.reports.set(from, { receivedAtMs: Date.now(), sequence, usage: merged, upstreams });
+    this.clear();
   }
 
   /** Drops the reports of silent peers, and of those that are gone. */
@@ -65,7 +78,14 @@
     [...this.reports]
       .filter(([vmId, report]) => report.receivedAtMs < expiredAtMs || !isConnected(vmId))
       .forEach(([vmId]) => this.reports.delete(vmId));
-    this.sums = undefined;
+    this.clear();
+  }
+
+  /** Counts what the other VMs have in flight at an upstream; undefined unless all are heard. */
+  countInFlight(upstreamId: UpstreamId): number | undefined {
+    if (this.reports.size < this.getPlace().vmCount - 1) return undefined;
+    this.inFlight ??= sumInFlight(this.reports.values());
+    return this.inFlight.get(upstreamId) ?? 0;
   }
 
   override getOthers(): OthersUsage {
@@ -81,4 +101,9 @@
       findAccount: (poolId, accountId) => sums.get(poolId)?.get(accountId),
     };
   }
+
+  private clear(): void {
+    this.sums = undefined;
+    this.inFlight = undefined;
+  }
 }
--- a/packages/core/src/admission/usageReporter.ts
+++ b/packages/core/src/admission/usageReporter.ts
@@ -1,6 +1,13 @@
 import { OFFERED_CHANGE_MIN, REPORTS_PER_WHOLE } from './constants.js';
+import type { UpstreamId } from '../ids.js';
 import type { AccountUsage } from './usage.js';
 
+/** Requests of one VM that an upstream has in flight. */
+export interface UpstreamUsage {
+  readonly upstreamId: UpstreamId;
+  readonly inFlight: number;
+}
+
 /** Usage of one VM as it is told to the others. */
 export interface UsageReport {
   /** Grows by one with each report of a run of the daemon. */
@@ -8,6 +15,8 @@
   /** Whether the report names every active account, not only the changed ones. */
   readonly whole: boolean;
   readonly usage: readonly AccountUsage[];
+  /** All upstreams with requests of this VM in flight. */
+  readonly upstreams: readonly UpstreamUsage[];
 }
 
 const getKey = ({ poolId, accountId }: AccountUsage): string => `${poolId}/${accountId}`;
@@ -37,22 +46,32 @@
 export class UsageReporter {
   private sent = new Map<string, AccountUsage>();
 
+  private sentUpstreams = '';
+
   private sequence = 0;
 
   /** @returns undefined where nothing has changed and no whole report is due */
-  build(usage: readonly AccountUsage[], isWholeDue: boolean): UsageReport | undefined {
+  build(
+    usage: readonly AccountUsage[],
+    isWholeDue: boolean,
+    upstreams: readonly UpstreamUsage[] = [],
+  ): UsageReport | undefined {
     const current = new Map(usage.map((one) => [getKey(one), one]));
     const gone = [...this.sent]
       .filter(([key]) => !current.has(key))
       .map(([, one]) => ({ ...one, running: 0, waiting: 0, offeredPerSecond: 0 }));
     const changed = usage.filter((one) => hasChanged(this.sent.get(getKey(one)), one));
     const changes = [...changed, ...gone];
-    if (!isWholeDue && changes.length === 0) return undefined;
+    const described = JSON.stringify(upstreams);
+    const isSame = changes.length === 0 && described === this.sentUpstreams;
+    if (!isWholeDue && isSame) return undefined;
+    this.sentUpstreams = described;
     changed.forEach((one) => this.sent.set(getKey(one), one));
     gone.forEach((one) => this.sent.delete(getKey(one)));
     if (isWholeDue) this.sent = current;
     this.sequence += 1;
-    return { sequence: this.sequence, whole: isWholeDue, usage: isWholeDue ? usage : changes };
+    const { sequence } = this;
+    return { sequence, whole: isWholeDue, usage: isWholeDue ? usage : changes, upstreams };
   }
 }
 
--- a/packages/core/src/retry/__tests__/retry.spec.ts
+++ b/packages/core/src/retry/__tests__/retry.spec.ts
@@ -81,7 +81,7 @@
 test('delays are jittered and bounded', () => {
   const policy = createPolicy();
   const delays = Array.from({ length: 40 }, () => {
-    for (let count = 0; count < 10; count += 1) policy.noteRequest();
+    for (let count = 0; count < 1 / RETRY_SHARE; count += 1) policy.noteRequest();
     const decision = policy.decide(failure);
     return decision.retry ? decision.delayMs : NaN;
   });
--- a/packages/core/src/retry/constants.ts
+++ b/packages/core/src/retry/constants.ts
@@ -1,8 +1,8 @@
 /** Extra attempts that each first attempt pays for. */
-export const RETRY_SHARE = 0.09;
+export const RETRY_SHARE = 0.08;
 
 /** Extra attempts allowed before any traffic has paid for them. */
-export const RETRY_RESERVE = 1;
+export const RETRY_RESERVE = 3;
 
 /** Most extra attempts that unspent traffic can save up. */
 export const RETRY_SAVED_MAX = 50;
--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -87,7 +87,9 @@
     link,
     listEntryVms: () => membership.listLive(),
     countCapacity: (poolId) => upstreams.countCapacity(poolId),
+    listInFlight: () => upstreams.listInFlight(),
   });
+  upstreams.setFleetLoad(usage);
   return { table, membership, upstreams, once, usage };
 };
 
--- a/packages/entry/src/controllers/upstreams/upstreamState.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamState.ts
@@ -17,6 +17,11 @@
   readonly promptTokens: number;
 }
 
+const splitInFlight = (inFlight: number, slots: number) => ({
+  running: Math.min(inFlight, slots),
+  waiting: Math.max(0, inFlight - slots),
+});
+
 /** What this VM knows of one upstream. */
 export class UpstreamState {
   private report: LoadReport | undefined;
@@ -28,6 +33,9 @@
 
   private dispatches: Dispatch[] = [];
 
+  /** Attempts of this VM that have not ended. */
+  private ownInFlight = 0;
+
   /** Times at which attempts of this VM have ended. */
   private endsAtMs: number[] = [];
 
@@ -59,14 +67,20 @@
 
   /** Notes a request that this VM sends, until a load report covers it. */
   noteDispatch(promptTokens: number): void {
+    this.ownInFlight += 1;
     this.dispatches.push({ atMs: Date.now(), promptTokens });
   }
 
   /** Notes that an attempt of this VM has ended. */
   noteEnd(): void {
+    this.ownInFlight -= 1;
     this.endsAtMs.push(Date.now());
   }
 
+  get inFlight(): number {
+    return this.ownInFlight;
+  }
+
   /** Names the upstreams that stand in for this one. */
   get group(): string {
     return `${this.vm.role}/${this.report?.model ?? this.vm.service ?? ''}`;
@@ -85,11 +99,16 @@
   buildView(
     table: UpstreamTable,
     ejection: Pick<EjectionPolicy, 'getState'>,
+    othersInFlight?: number,
   ): UpstreamView | undefined {
     const { report, vm } = this;
     if (report === undefined) return undefined;
     const row = table.getUpstream(this.upstreamId);
-    const { running, waiting } = this.countReported(report);
+    const maxConcurrent = row?.maxConcurrent ?? report.maxConcurrent;
+    const isKnown = othersInFlight !== undefined;
+    const { running, waiting } = isKnown
+      ? splitInFlight(this.ownInFlight + othersInFlight, maxConcurrent)
+      : this.countReported(report);
     return {
       upstreamId: this.upstreamId,
       role: vm.role === 'service' ? 'service' : 'engine',
@@ -104,10 +123,10 @@
       waiting,
       waitingPromptTokens: report.waitingPromptTokens,
       prefillTokensPerSecond: report.prefillTokensPerSecond,
-      maxConcurrent: row?.maxConcurrent ?? report.maxConcurrent,
+      maxConcurrent,
       coldConcurrent: row?.coldConcurrent ?? report.coldConcurrent,
       ageMs: Date.now() - this.takenAtMs,
-      dispatchedSince: this.dispatches.length,
+      dispatchedSince: isKnown ? 0 : this.dispatches.length,
       dispatchedTokensSince: this.dispatches.reduce((sum, one) => sum + one.promptTokens, 0),
     };
   }
--- a/packages/entry/src/controllers/upstreams/upstreamsController.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamsController.ts
@@ -1,5 +1,11 @@
 import { request } from 'undici';
-import type { EjectionPolicy, UpstreamId, UpstreamView, VmRecord } from '@goldcrestscale/core';
+import type {
+  EjectionPolicy,
+  UpstreamId,
+  UpstreamUsage,
+  UpstreamView,
+  VmRecord,
+} from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { CONTROL_TIMEOUT_MS, LOAD_INTERVAL_MS } from '../../constants.js';
 import { repeatUntilAborted } from '../../repeat.js';
@@ -17,12 +23,20 @@
   readonly ejection: EjectionPolicy;
 }
 
+/** What the other entry VMs have in flight. */
+export interface FleetLoad {
+  /** @returns undefined where it is not known of every VM */
+  countInFlight(upstreamId: UpstreamId): number | undefined;
+}
+
 /** Follows the load reports of the engines and plain services on the VM list. */
 export class UpstreamsController extends Controller {
   override readonly name = 'upstreams';
 
   private readonly states = new Map<UpstreamId, UpstreamState>();
 
+  private fleetLoad: FleetLoad | undefined;
+
   constructor(private readonly options: UpstreamsOptions) {
     super();
   }
@@ -58,9 +72,22 @@
     return capacity;
   }
 
+  /** Prefers the other VMs' own counts to the lagged load reports. */
+  setFleetLoad(fleetLoad: FleetLoad): void {
+    this.fleetLoad = fleetLoad;
+  }
+
+  /** Lists the upstreams with requests of this VM in flight. */
+  listInFlight(): readonly UpstreamUsage[] {
+    return [...this.states.values()]
+      .map(({ upstreamId, inFlight }) => ({ upstreamId, inFlight }))
+      .filter(({ inFlight }) => inFlight > 0);
+  }
+
   /** Gives one upstream as it is known now. */
   findView(upstreamId: UpstreamId): UpstreamView | undefined {
-    return this.states.get(upstreamId)?.buildView(this.options.table(), this.options.ejection);
+    const state = this.states.get(upstreamId);
+    return state && this.buildView(state, this.options.table());
   }
 
   /** Notes a request that this VM sends to an upstream. */
@@ -76,18 +103,20 @@
   }
 
   override dump(): unknown {
-    const { table, ejection } = this.options;
-    return [...this.states.values()].map(
-      (state) => state.buildView(table(), ejection) ?? state.record,
-    );
+    const table = this.options.table();
+    return [...this.states.values()].map((state) => this.buildView(state, table) ?? state.record);
+  }
+
+  private buildView(state: UpstreamState, table: UpstreamTable): UpstreamView | undefined {
+    const others = this.fleetLoad?.countInFlight(state.upstreamId);
+    return state.buildView(table, this.options.ejection, others);
   }
 
   private listViews(role: UpstreamView['role']): readonly UpstreamView[] {
-    const { ejection } = this.options;
     const table = this.options.table();
     return [...this.states.values()]
       .filter((state) => state.record.role === role)
-      .map((state) => state.buildView(table, ejection))
+      .map((state) => this.buildView(state, table))
       .filter((view) => view !== undefined);
   }
 
--- a/packages/entry/src/controllers/usage/__tests__/usage.spec.ts
+++ b/packages/entry/src/controllers/usage/__tests__/usage.spec.ts
@@ -26,6 +26,7 @@
         link: network.join({ vmId, bootId: toId<BootId>(`${vmId}-boot`) }),
         listEntryVms: () => VMS,
         countCapacity: () => CAPACITY,
+        listInFlight: () => [],
       }),
   );
   for (const controller of controllers) await controller.start(signal);
--- a/packages/entry/src/controllers/usage/usageController.ts
+++ b/packages/entry/src/controllers/usage/usageController.ts
@@ -6,11 +6,21 @@
   UsageReporter,
   isWholeRound,
 } from '@goldcrestscale/core';
-import type { AdmissionPolicy, FleetPlace, PoolId, VmId } from '@goldcrestscale/core';
+import type {
+  AdmissionPolicy,
+  FleetPlace,
+  PoolId,
+  UpstreamId,
+  UpstreamUsage,
+  VmId,
+} from '@goldcrestscale/core';
 import type { PeerLink } from '../../mesh/index.js';
 import { Controller } from '../controller.js';
 import { usageMessage } from './usageMessage.js';
 
+/** Most entry VMs that tell one another what they have in flight at each upstream. */
+const MAX_VMS_IN_FLIGHT = 32;
+
 /** What the usage controller needs. */
 export interface UsageOptions {
   readonly link: PeerLink;
@@ -18,6 +28,8 @@
   listEntryVms(): readonly VmId[];
   /** Counts the requests that the upstreams of a pool bear at once. */
   countCapacity(poolId: PoolId): number;
+  /** Lists the upstreams with requests of this VM in flight. */
+  listInFlight(): readonly UpstreamUsage[];
   /** @default a FairSharePolicy */
   readonly policy?: AdmissionPolicy;
 }
@@ -70,6 +82,12 @@
     return capacity;
   }
 
+  /** Counts what the other VMs have in flight at an upstream; undefined where that is not known. */
+  countInFlight(upstreamId: UpstreamId): number | undefined {
+    if (this.place.vmCount > MAX_VMS_IN_FLIGHT) return undefined;
+    return this.exchange.countInFlight(upstreamId);
+  }
+
   override dump(): unknown {
     const { vmCount, heardCount, rank } = this.exchange.getOthers();
     return { vmCount, heardCount, rank, pools: this.queue.dump() };
@@ -82,7 +100,12 @@
     const connected = link.listConnected().map((peer) => peer.vmId);
     const names = new Set(connected);
     this.exchange.prune((vmId) => names.has(vmId));
-    const report = this.reporter.build(this.queue.publishUsage(), isWholeRound(this.round));
+    const report = this.reporter.build(
+      this.queue.publishUsage(),
+      isWholeRound(this.round),
+      // A large fleet hears only neighbours and goes by load reports.
+      this.place.vmCount <= MAX_VMS_IN_FLIGHT ? this.options.listInFlight() : [],
+    );
     this.round += 1;
     if (report) connected.forEach((vmId) => usageMessage.send(link, vmId, report));
     this.queue.drain();
--- a/packages/entry/src/controllers/usage/usageMessage.ts
+++ b/packages/entry/src/controllers/usage/usageMessage.ts
@@ -1,5 +1,11 @@
 import { toId } from '@goldcrestscale/core';
-import type { AccountUsage, ClientAccountId, PoolId, UsageReport } from '@goldcrestscale/core';
+import type {
+  AccountUsage,
+  ClientAccountId,
+  PoolId,
+  UpstreamId,
+  UsageReport,
+} from '@goldcrestscale/core';
 import { z } from 'zod';
 import { defineMessage } from '../../mesh/index.js';
 
@@ -16,6 +22,12 @@
   sequence: z.number().int().positive(),
   whole: z.boolean(),
   usage: z.array(usageSchema),
+  upstreams: z.array(
+    z.object({
+      upstreamId: z.string().transform((value) => toId<UpstreamId>(value)),
+      inFlight: z.number().min(0),
+    }),
+  ),
 });
 
 /** Report of one VM's usage to its peers. */
