--- a/packages/core/src/retry/constants.ts
+++ b/packages/core/src/retry/constants.ts
@@ -1,5 +1,5 @@
 /** Extra attempts that each first attempt pays for. */
-export const RETRY_SHARE = 0.1;
+export const RETRY_SHARE = 0.08;
 
 /** Extra attempts allowed before any traffic has paid for them. */
 export const RETRY_RESERVE = 3;
--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -115,7 +115,9 @@
     link,
     listEntryVms: () => membership.listLive(),
     countCapacity: (poolId) => upstreams.countCapacity(poolId),
+    listInFlight: () => upstreams.listInFlight(),
   });
+  upstreams.setFleetLoad(usage);
   const tablePeers = createTablePeers({ table, link, generator });
   const slots = new SlotsController({
     self: link.self,
