test(site): free and reuse the blocks of store VMs that come back with an old manifest

Cause: without freed blocks the store test could not fail: a store VM that merely forgets answers 404. Ruled out: corrupting bytes by a fault of their own (freed and reused memory with an old manifest is what really happens). Change: before the old manifest every block is deleted behind the system's back, so that the listed blocks hold other bytes.

--- a/tests/storeFaults.spec.ts
+++ b/tests/storeFaults.spec.ts
@@ -1,5 +1,5 @@
 import { afterAll, beforeAll, expect, test } from 'vitest';
-import { ReturningLoad, TestSite, waitUntil } from './harness/index.js';
+import { requestJson, ReturningLoad, TestSite, waitUntil } from './harness/index.js';
 
 const ENGINES = ['engine-1', 'engine-2', 'engine-3'] as const;
 const STORES = ['store-1', 'store-2'] as const;
@@ -29,6 +29,18 @@
   return counts.reduce((sum, { wrongBlockReads }) => sum + wrongBlockReads, 0);
 };
 
+interface Manifest {
+  readonly blocks: readonly { readonly name: string }[];
+}
+
+/** Frees every block; the store VM uses the memory for something else. */
+const deleteBlocks = async (id: string): Promise<void> => {
+  const { blocks } = await site.readManifest<Manifest>(id);
+  await Promise.all(
+    blocks.map(({ name }) => requestJson(`${site.getUrl(id)}/blocks/${name}`, 'DELETE')),
+  );
+};
+
 const faults: readonly (readonly [string, Readonly<Record<string, unknown>>])[] = [
   ['keep half of what is written', { partialWrites: 5 }],
   ['lose their memory', { restart: true }],
@@ -44,6 +56,7 @@
   await load.runRound();
   expect(await sumStores('gets')).toBeGreaterThan(0);
   for (const [name, fault] of faults) {
+    if (fault.oldManifest) await Promise.all(STORES.map(deleteBlocks));
     await Promise.all(STORES.map((id) => site.setFaults(id, fault)));
     await load.runRound();
     expect([name, await countWrongReads(), load.wrong]).toEqual([name, 0, 0]);
