--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import { toId } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
@@ -89,18 +90,27 @@
 export const runEntry = async (options: EntryOptions): Promise<void> => {
   const { settings, logger, signal } = options;
   const work = new AbortController();
+  // Every connection and controller listens to it for as long as the daemon runs.
+  setMaxListeners(0, work.signal, signal);
   const client = createUpstreamClient();
   const daemon = await createDaemon(options, work.signal);
   const { controllers, entryMetrics, bootId } = daemon;
   let ready = false;
   const callers = createCallerServer({
-    filters: createDataPath({ controllers, client, logger, metrics: entryMetrics }),
+    filters: createDataPath({
+      controllers,
+      client,
+      logger,
+      metrics: entryMetrics,
+      fleetSecret: options.secrets.fleetSecret,
+    }),
     answerEntries: (affinityKey) =>
       buildEntriesAnswer(controllers.membership.rankEntries(affinityKey), settings.entriesTtlMs),
   });
   const operations = createOperations(options, daemon, () => ready && !signal.aborted);
   await listen(operations, settings.operations);
   await startControllers(listControllers(controllers), work.signal);
+  controllers.tablePeers.start(work.signal);
   await listen(callers, settings.listen);
   ready = true;
   logger.info('listening', { address: settings.advertise, bootId });
