feat(entry): order engines to load the weight version of the table

Cause: an edit of a model's version reached no engine. Ruled out: an order over a shared connection pool (the check must be made after the connection stands). Change: HttpOrderSender, orders controller under the lease, platform.weightLoadsPerMinute; controllers under leases are created apart.

--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -7,7 +7,13 @@
   createGenerator,
   toId,
 } from '@goldcrestscale/core';
-import type { AvailabilityZoneId, ConfigTable, StreamName } from '@goldcrestscale/core';
+import type {
+  AvailabilityZoneId,
+  ConfigTable,
+  DesiredWeights,
+  EngineReport,
+  StreamName,
+} from '@goldcrestscale/core';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { createHttpLogStream, createVmListClient } from '@goldcrestscale/platform';
 import type { Logger } from '@goldcrestscale/runtime';
@@ -16,6 +22,7 @@
 import { MembershipController } from '../controllers/membership/index.js';
 import { createOnceController } from '../controllers/onceController/index.js';
 import type { OnceController } from '../controllers/onceController/index.js';
+import { HttpOrderSender, OrdersController } from '../controllers/orders/index.js';
 import { SlotsController } from '../controllers/slots/index.js';
 import { createTableController, createTablePeers } from '../controllers/tableController/index.js';
 import type { TableController, TablePeers } from '../controllers/tableController/index.js';
@@ -44,6 +51,7 @@
   readonly once: OnceController;
   readonly usage: UsageController;
   readonly slots: SlotsController;
+  readonly orders: OrdersController;
   readonly prefixIndex: PrefixIndexController;
   readonly tiering: TieringController;
 }
@@ -56,6 +64,16 @@
       .map((zone) => zone.id),
   );
 
+/** Lists the weights that the table wants on engines which hold another version of their model. */
+const listDesiredWeights = (
+  table: ConfigTable,
+  engines: readonly EngineReport[],
+): readonly DesiredWeights[] =>
+  engines.flatMap(({ upstreamId, model }) => {
+    const row = model === undefined ? undefined : table.getModel(model);
+    return row ? [{ upstreamId, model: row.id, version: row.version }] : [];
+  });
+
 const createCacheControllers = (
   table: TableController,
   membership: MembershipController,
@@ -73,6 +91,31 @@
   return { prefixIndex, tiering };
 };
 
+/** Creates the controllers that act under leases. */
+const createLeaseControllers = (
+  settings: EntrySettings,
+  link: PeerLink,
+  { table, membership, upstreams }: Pick<Controllers, 'table' | 'membership' | 'upstreams'>,
+): Pick<Controllers, 'slots' | 'orders'> => {
+  const slots = new SlotsController({
+    self: link.self,
+    fleet: {
+      link,
+      leaseStream: createHttpLogStream(settings.platform.logUrl, LEASE_STREAM),
+      listLive: () => membership.listLive(),
+      listEntryVms: () => membership.listEntryVms(),
+    },
+  });
+  const orders = new OrdersController({
+    leases: slots.leases,
+    sender: new HttpOrderSender((upstreamId) => upstreams.findAddress(upstreamId)),
+    listDesired: () => listDesiredWeights(table.table, upstreams.listEngineReports()),
+    listEngines: () => upstreams.listEngineReports(),
+    loadsPerMinute: settings.platform.weightLoadsPerMinute,
+  });
+  return { slots, orders };
+};
+
 /** Creates the controllers. */
 export const createControllers = ({ settings, logger, link }: ControllersOptions): Controllers => {
   const { platform } = settings;
@@ -119,17 +162,13 @@
   });
   upstreams.setFleetLoad(usage);
   const tablePeers = createTablePeers({ table, link, generator });
-  const slots = new SlotsController({
-    self: link.self,
-    fleet: {
-      link,
-      leaseStream: openStream(LEASE_STREAM),
-      listLive: () => membership.listLive(),
-      listEntryVms: () => membership.listEntryVms(),
-    },
+  const { slots, orders } = createLeaseControllers(settings, link, {
+    table,
+    membership,
+    upstreams,
   });
   const cache = createCacheControllers(table, membership);
-  return { table, tablePeers, membership, upstreams, once, usage, slots, ...cache };
+  return { table, tablePeers, membership, upstreams, once, usage, slots, orders, ...cache };
 };
 
 /** Lists the controllers in the order in which they start. */
@@ -140,6 +179,7 @@
   controllers.once,
   controllers.usage,
   controllers.slots,
+  controllers.orders,
   controllers.prefixIndex,
   controllers.tiering,
 ];
--- a/packages/entry/src/config.ts
+++ b/packages/entry/src/config.ts
@@ -6,6 +6,7 @@
   DEFAULT_LOG_RETENTION_MS,
   DEFAULT_ONCE_APPENDS_PER_SECOND,
   DEFAULT_ONCE_SHARDS,
+  DEFAULT_WEIGHT_LOADS_PER_MINUTE,
   ENTRIES_TTL_MS,
 } from './constants.js';
 
@@ -58,6 +59,11 @@
         .positive()
         .default(DEFAULT_LOG_RETENTION_MS)
         .describe('time for which the log keeps records, in milliseconds'),
+      weightLoadsPerMinute: z
+        .number()
+        .positive()
+        .default(DEFAULT_WEIGHT_LOADS_PER_MINUTE)
+        .describe('loads a minute that the weight store allows over the whole fleet'),
     })
     .describe("the platform's services"),
   fleetSecret: secretReferenceSchema.describe(
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -42,3 +42,6 @@
 
 /** Longest wait for a slot of one upstream, in milliseconds. */
 export const SLOT_WAIT_MS = 500;
+
+/** Loads a minute that the weight store allows where the settings say nothing. */
+export const DEFAULT_WEIGHT_LOADS_PER_MINUTE = 30;
--- a/packages/entry/src/controllers/orders/index.ts
+++ b/packages/entry/src/controllers/orders/index.ts
@@ -2,3 +2,4 @@
 export { OrderSender } from './orderSender.js';
 export { OrdersController } from './ordersController.js';
 export type { OrdersOptions } from './ordersController.js';
+export * from './httpOrderSender.js';
--- a/packages/entry/src/controllers/upstreams/upstreamState.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamState.ts
@@ -2,9 +2,12 @@
 import type {
   ConfigTable,
   EjectionPolicy,
+  EngineReport,
+  ModelId,
   UpstreamId,
   UpstreamView,
   VmRecord,
+  WeightVersion,
 } from '@goldcrestscale/core';
 import { LOAD_EXPIRY_MS } from '../../constants.js';
 import type { LoadReport } from './loadReport.js';
@@ -131,6 +134,21 @@
     };
   }
 
+  /** Gives an engine's own account of its weights; undefined before the first load report. */
+  buildEngineReport(): EngineReport | undefined {
+    const { report } = this;
+    if (report === undefined || this.vm.role !== 'engine') return undefined;
+    const age = Date.now() - this.takenAtMs;
+    return {
+      upstreamId: this.upstreamId,
+      model: report.model === undefined ? undefined : toId<ModelId>(report.model),
+      weightVersion:
+        report.weightVersion === undefined ? undefined : toId<WeightVersion>(report.weightVersion),
+      isLoading: report.state === 'loading',
+      takenAt: { wallMs: this.takenAtMs, monotonicMs: performance.now() - age },
+    };
+  }
+
   /** Takes what has ended since off the reported figures; a waiting request starts in its place. */
   private countReported(report: LoadReport): Pick<UpstreamView, 'running' | 'waiting'> {
     const ended = this.endsAtMs.length;
--- a/packages/entry/src/controllers/upstreams/upstreamsController.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamsController.ts
@@ -5,6 +5,7 @@
   UpstreamUsage,
   UpstreamView,
   VmRecord,
+  EngineReport,
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { CONTROL_TIMEOUT_MS, LOAD_INTERVAL_MS } from '../../constants.js';
@@ -84,6 +85,18 @@
       .filter(({ inFlight }) => inFlight > 0);
   }
 
+  /** Lists the engines' own accounts of their weights. */
+  listEngineReports(): readonly EngineReport[] {
+    return [...this.states.values()]
+      .map((state) => state.buildEngineReport())
+      .filter((report) => report !== undefined);
+  }
+
+  /** Gives the address of an upstream. */
+  findAddress(upstreamId: UpstreamId): string | undefined {
+    return this.states.get(upstreamId)?.address;
+  }
+
   /** Gives one upstream as it is known now. */
   findView(upstreamId: UpstreamId): UpstreamView | undefined {
     const state = this.states.get(upstreamId);
