--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -15,8 +15,10 @@
 import { MembershipController } from '../controllers/membership/index.js';
 import { createOnceController } from '../controllers/onceController/index.js';
 import type { OnceController } from '../controllers/onceController/index.js';
-import { createTableController } from '../controllers/tableController/index.js';
-import type { TableController } from '../controllers/tableController/index.js';
+import { createTableController, createTablePeers } from '../controllers/tableController/index.js';
+import type { TableController, TablePeers } from '../controllers/tableController/index.js';
+import { PrefixIndexController } from '../controllers/prefixIndex/index.js';
+import { TieringController } from '../controllers/tiering/index.js';
 import { UpstreamsController } from '../controllers/upstreams/upstreamsController.js';
 import { UsageController } from '../controllers/usage/index.js';
 import type { PeerLink } from '../mesh/index.js';
@@ -31,10 +33,13 @@
 /** The controllers of the entry daemon. */
 export interface Controllers {
   readonly table: TableController;
+  readonly tablePeers: TablePeers;
   readonly membership: MembershipController;
   readonly upstreams: UpstreamsController;
   readonly once: OnceController;
   readonly usage: UsageController;
+  readonly prefixIndex: PrefixIndexController;
+  readonly tiering: TieringController;
 }
 
 const listZonesOut = (table: ConfigTable): ReadonlySet<AvailabilityZoneId> =>
@@ -45,6 +50,23 @@
       .map((zone) => zone.id),
   );
 
+const createCacheControllers = (
+  table: TableController,
+  membership: MembershipController,
+): Pick<Controllers, 'prefixIndex' | 'tiering'> => {
+  const listVms = () => membership.listVms();
+  const tiering = new TieringController({
+    listVms,
+    isZoneOut: (zone) => table.table.isZoneOut(zone),
+    random: createGenerator(),
+  });
+  const prefixIndex = new PrefixIndexController({
+    listVms,
+    onLost: (upstreamId) => tiering.planner.removeUpstream(upstreamId),
+  });
+  return { prefixIndex, tiering };
+};
+
 /** Creates the controllers. */
 export const createControllers = ({ settings, logger, link }: ControllersOptions): Controllers => {
   const { platform } = settings;
@@ -90,7 +112,9 @@
     listInFlight: () => upstreams.listInFlight(),
   });
   upstreams.setFleetLoad(usage);
-  return { table, membership, upstreams, once, usage };
+  const tablePeers = createTablePeers({ table, link, generator });
+  const cache = createCacheControllers(table, membership);
+  return { table, tablePeers, membership, upstreams, once, usage, ...cache };
 };
 
 /** Lists the controllers in the order in which they start. */
@@ -100,6 +124,8 @@
   controllers.upstreams,
   controllers.once,
   controllers.usage,
+  controllers.prefixIndex,
+  controllers.tiering,
 ];
 
 /** Starts controllers one after the other. */
