--- a/packages/core/src/admission/admissionQueue.ts
+++ b/packages/core/src/admission/admissionQueue.ts
@@ -106,21 +106,22 @@
     signal: AbortSignal,
   ): Promise<AdmissionPermit> {
     return new Promise((resolve, reject) => {
-      const settled = new AbortController();
       const entry: WaitingRequest = {
         request,
         arrivedAtMs: Date.now(),
         start: () => {
-          settled.abort();
+          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each ends the other
+          signal.removeEventListener('abort', cancel);
           resolve(this.createPermit(pool, account));
         },
         refuse: (error) => {
-          settled.abort();
+          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- each ends the other
+          signal.removeEventListener('abort', cancel);
           reject(error);
         },
       };
       const cancel = (): void => refuse(account, entry, refuseOverload(0));
-      signal.addEventListener('abort', cancel, { once: true, signal: settled.signal });
+      signal.addEventListener('abort', cancel, { once: true });
       const ahead = account.queues.countAhead(request.priority);
       account.queues.add(entry);
       this.drainPool(pool);
