fix(membership): take a VM that left and went silent as dead

Cause: an unanswered probe made a leaving VM a suspect, and suspects are offered to callers; it stood in /v1/entries again about 3.5 to 6.5 s after its SIGTERM while the VM list still had it. Ruled out: the VM list's lag (the state was lost in the detector, with the list unchanged). Change: an unanswered probe of a leaving member ends it at once; a test on the paused clock. Conclusion: the address is not given out again.

--- a/packages/core/src/membership/probingDetector.ts
+++ b/packages/core/src/membership/probingDetector.ts
@@ -136,6 +136,11 @@
   private noteUnanswered(vmId: VmId): void {
     const member = this.table.get(vmId);
     if (!member || member.state === 'dead' || member.state === 'suspect') return;
+    if (member.state === 'leaving') {
+      // It said that it would end; as a suspect it would be offered to callers again.
+      this.markFailed(member, 'dead');
+      return;
+    }
     if (this.publishesSuspicion) {
       this.markFailed(member, 'suspect');
       return;
--- a/packages/entry/src/controllers/membership/__tests__/membershipController.spec.ts
+++ b/packages/entry/src/controllers/membership/__tests__/membershipController.spec.ts
@@ -82,6 +82,21 @@
   });
 });
 
+test('a VM that left and ended is never offered again', async () => {
+  const { network, controllers, vmIds } = await startFleet();
+  controllers[3]?.leave();
+  await vi.advanceTimersByTimeAsync(2_000);
+  network.remove(vmIds[3] as VmId);
+  const others = controllers.filter((_, index) => index !== 3);
+  for (let second = 0; second < 15; second += 1) {
+    await vi.advanceTimersByTimeAsync(1_000);
+    const offered = others.flatMap((controller) =>
+      Array.from({ length: 20 }, (_, index) => controller.rankEntries(`k${index}`)).flat(),
+    );
+    expect(offered.map((vm) => vm.vmId)).not.toContain(vmIds[3]);
+  }
+});
+
 test('entries stay while the VM list is down', async () => {
   const { vmList, first } = await startFleet();
   vmList.isDown = true;
