feat(entry): close an entry VM whose zone is out; tell of log outages; refuse a misspelt zone

Ruled out: closing at once (callers keep the address for entriesTtlMs and would be refused for nothing). Change: ZoneFilter, goldcrestctl zone out needs a row, headers of repeated answers, two log lines, and VMs that leave are no longer chosen to keep leases.

--- a/packages/ctl/src/__tests__/ctl.spec.ts
+++ b/packages/ctl/src/__tests__/ctl.spec.ts
@@ -137,6 +137,10 @@
     { id: 'z2', state: 'out' },
     { id: 'engine-1', state: 'leaving' },
   ]);
+  const misspelt = await run('zone', 'out', 'z3');
+  expect(misspelt).toMatchObject({ code: 3, out: '' });
+  expect(misspelt.err).toContain('zone/z3 is not in the table');
+  expect(await readRows()).toHaveLength(3);
   const dark = await run('zone', 'out', 'z1');
   expect(dark).toMatchObject({ code: 3, out: '' });
   expect(dark.err).toContain('no availability zone would be in');
--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -25,7 +25,11 @@
 import { HttpOrderSender, OrdersController } from '../controllers/orders/index.js';
 import { SlotsController } from '../controllers/slots/index.js';
 import { createTableController, createTablePeers } from '../controllers/tableController/index.js';
-import type { TableController, TablePeers } from '../controllers/tableController/index.js';
+import type {
+  TableController,
+  TableControllerOptions,
+  TablePeers,
+} from '../controllers/tableController/index.js';
 import { PrefixIndexController } from '../controllers/prefixIndex/index.js';
 import { TieringController } from '../controllers/tiering/index.js';
 import { UpstreamsController } from '../controllers/upstreams/upstreamsController.js';
@@ -102,7 +106,7 @@
     fleet: {
       link,
       leaseStream: createHttpLogStream(settings.platform.logUrl, LEASE_STREAM),
-      listLive: () => membership.listLive(),
+      listLive: () => membership.listStaying(),
       listEntryVms: () => membership.listEntryVms(),
     },
   });
@@ -116,6 +120,26 @@
   return { slots, orders };
 };
 
+/** Creates the hooks that note reads of the log and tell when it goes down and comes back. */
+const createLogWatch = (
+  reports: LogReports,
+  logger: Logger,
+): Pick<TableControllerOptions, 'onRead' | 'onReadFailure'> => {
+  let isDown = false;
+  return {
+    onRead(headOffset, startedAtMs) {
+      if (isDown) logger.info('log answers again', { headOffset });
+      isDown = false;
+      reports.noteRead(headOffset, startedAtMs);
+    },
+    onReadFailure() {
+      if (!isDown) logger.warn('log does not answer');
+      isDown = true;
+      reports.noteFailure();
+    },
+  };
+};
+
 /** Creates the controllers. */
 export const createControllers = ({ settings, logger, link }: ControllersOptions): Controllers => {
   const { platform } = settings;
@@ -127,8 +151,7 @@
     stream: openStream(CONFIG_STREAM),
     retentionMs: platform.logRetentionMs,
     generator,
-    onRead: (headOffset, startedAtMs) => logReports.noteRead(headOffset, startedAtMs),
-    onReadFailure: () => logReports.noteFailure(),
+    ...createLogWatch(logReports, logger.createPart('log')),
   });
   const membership = new MembershipController({
     link,
--- a/packages/entry/src/compose/createDataPath.ts
+++ b/packages/entry/src/compose/createDataPath.ts
@@ -1,14 +1,17 @@
 import { BudgetedRetryPolicy, LeastTimeRouter, createGenerator } from '@goldcrestscale/core';
+import type { ConfigTable } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { PrefixIndexController } from '../controllers/prefixIndex/index.js';
 import { ImportingRunner } from '../controllers/tiering/index.js';
 import type { TieringController } from '../controllers/tiering/index.js';
+import type { EntrySettings } from '../config.js';
 import { CompletionRunner } from '../dispatch/completionRunner.js';
 import { ServiceRunner } from '../dispatch/serviceRunner.js';
 import { SlotRunner } from '../dispatch/slotRunner.js';
 import { createFilters } from '../filters/index.js';
 import type { CacheObserver } from '../filters/index.js';
 import type { Filter } from '../filters/filter.js';
+import { ZoneFilter } from '../filters/zoneFilter.js';
 import type { EntryMetrics } from '../metrics.js';
 import type { UpstreamClient } from '../upstream/upstreamClient.js';
 import type { Controllers } from './createControllers.js';
@@ -21,6 +24,9 @@
   readonly metrics: EntryMetrics;
   /** Secret from which the block keys of all accounts derive. */
   readonly fleetSecret: string;
+  readonly settings: EntrySettings;
+  /** Ends the filters' own work. */
+  readonly signal: AbortSignal;
 }
 
 /** Creates the observer that tells the cache controllers what engines report. */
@@ -35,6 +41,14 @@
   },
 });
 
+const createZoneFilter = ({ controllers, settings, signal }: DataPathOptions): ZoneFilter => {
+  const { availabilityZone, entriesTtlMs } = settings;
+  const getTable = (): ConfigTable => controllers.table.table;
+  const filter = new ZoneFilter({ availabilityZone, entriesTtlMs, table: getTable });
+  controllers.table.subscribe(() => filter.noteTable(), signal);
+  return filter;
+};
+
 /** Creates the filters of a request over the controllers' state. */
 export const createDataPath = (options: DataPathOptions): readonly Filter[] => {
   const { controllers, client, logger, metrics, fleetSecret } = options;
@@ -44,6 +58,7 @@
     logger: logger.createPart('filters'),
     metrics,
     table: () => controllers.table.table,
+    zoneFilter: createZoneFilter(options),
     decideFreshness: () => controllers.membership.decideFreshness(),
     onceGuard: controllers.once.guard,
     admission: controllers.usage,
--- a/packages/entry/src/controllers/membership/membershipController.ts
+++ b/packages/entry/src/controllers/membership/membershipController.ts
@@ -113,6 +113,11 @@
     return this.detector.listLive();
   }
 
+  /** Lists the entry VMs that are neither dead nor about to leave. */
+  listStaying(): readonly VmId[] {
+    return this.listLive().filter((vmId) => this.detector.getState(vmId) !== 'leaving');
+  }
+
   /** Lists the entry VMs of the VM list, this one included. */
   listEntryVms(): readonly VmId[] {
     const listed = this.listEntries().map((vm) => vm.vmId);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -103,6 +103,8 @@
       logger,
       metrics: entryMetrics,
       fleetSecret: options.secrets.fleetSecret,
+      settings,
+      signal: work.signal,
     }),
     answerEntries: (affinityKey) =>
       buildEntriesAnswer(controllers.membership.rankEntries(affinityKey), settings.entriesTtlMs),
--- a/packages/entry/src/filters/index.ts
+++ b/packages/entry/src/filters/index.ts
@@ -16,6 +16,7 @@
 import type { PrefixFilterOptions } from './prefixFilter.js';
 import { VerdictGuardFilter } from './verdictGuardFilter.js';
 import { WeightVersionFilter } from './weightVersionFilter.js';
+import type { ZoneFilter } from './zoneFilter.js';
 
 /** Told what engines report of the reuse of prompts. */
 export interface CacheObserver {
@@ -31,6 +32,7 @@
 export interface FilterOptions {
   readonly logger: Logger;
   readonly metrics: EntryMetrics;
+  readonly zoneFilter: ZoneFilter;
   readonly decideFreshness: () => Freshness;
   readonly onceGuard: OnceGuard;
   readonly table: () => ConfigTable;
@@ -53,6 +55,7 @@
 /** Creates the chain, outermost filter first. */
 export const createFilters = (options: FilterOptions): readonly Filter[] => [
   new VerdictGuardFilter(options.logger, options.metrics),
+  options.zoneFilter,
   new FreshnessFilter(options.decideFreshness),
   new IdentifyAccountFilter(options.table),
   new DeadlineFilter(),
--- a/packages/entry/src/filters/onceFilter.ts
+++ b/packages/entry/src/filters/onceFilter.ts
@@ -74,7 +74,12 @@
       verdict,
     });
   }
-  exchange.answer.writeHead(answer.status, { ...answer.headers, [REPLAYED_HEADER]: 'true' });
+  exchange.answer.writeHead(answer.status, {
+    ...answer.headers,
+    'x-request-id': exchange.requestId,
+    'x-goldcrest-verdict': verdict,
+    [REPLAYED_HEADER]: 'true',
+  });
   await exchange.answer.write(Buffer.from(answer.bodyBase64, 'base64'));
   exchange.answer.finish();
 };
--- a/packages/entry/src/mesh/mesh.ts
+++ b/packages/entry/src/mesh/mesh.ts
@@ -196,7 +196,7 @@
   private noteGreetingFailure(failure: GreetingFailure, peer: string): void {
     if (failure === 'closed' || failure === 'timeout') return;
     this.stats.authenticationFailures += 1;
-    this.logger.warn(`mesh: greeting with ${peer} failed: ${failure}`);
+    this.logger.warn(`greeting with ${peer} failed: ${failure}`);
   }
 
   private addSession(socket: WebSocket, peer: PeerIdentity): void {
@@ -208,7 +208,7 @@
     });
     this.stats.connectionsOpened += 1;
     this.sessions.add(session);
-    this.logger.info(`mesh: connected to ${peer.vmId}`);
+    this.logger.info(`connected to ${peer.vmId}`);
   }
 
   private removeSession(session: Session): void {
