test(routing): an engine of another weight version is not chosen

Cause: a reading of the router by its contract missed the check; it is there, under another name, and had no test of its own. Ruled out: a second check in the router (tried, removed). Change: one test, which the naive router fails. Conclusion: the rule has a test.

--- a/packages/core/src/routing/__tests__/routing.spec.ts
+++ b/packages/core/src/routing/__tests__/routing.spec.ts
@@ -222,3 +222,12 @@
   expect(ours).toBeLessThanOrEqual(12);
   expect(countHerd(() => new NaiveLeastLoadRouter())).toBe(200);
 });
+
+test('an engine of another weight version is not chosen', () => {
+  const old = view(1, { weightVersion: toId<WeightVersion>('v0') });
+  const wanted = view(2, { running: 5, weightVersion: toId<WeightVersion>('v1') });
+  const asked = request({ weightVersion: toId<WeightVersion>('v1') });
+  expect(createRouter().choose(asked, [old, wanted])?.upstreamId).toBe(wanted.upstreamId);
+  expect(createRouter().choose(asked, [old])).toBeUndefined();
+  expect(new NaiveLeastLoadRouter().choose(asked, [old, wanted]).upstreamId).toBe(old.upstreamId);
+});
