fix(upstreams): take a new run as cold until its own figures say otherwise

Cause: a lagged load report can carry the new boot id with figures of the run before; the first report after a restart then made the new run warm, and the slots let three requests at an engine that bears two. Ruled out: the slot account and the granter (with consistent reports the peak is 2); a longer lag bound. Change: figures taken before the run was first heard of count as cold; the cold-restart benchmark runs with the leased slots, 60 s after the start so that granters are ready, and its requests go over connections bound to one run.

--- a/bench/coldRestart.bench.ts
+++ b/bench/coldRestart.bench.ts
@@ -5,6 +5,7 @@
 import { FifoPolicy } from './overloadFifo.js';
 import { OverloadFleet, createAccount } from './overloadFleet.js';
 import type { FleetPolicies } from './overloadFleet.js';
+import { createFleetSlots } from './overloadSlots.js';
 import { EagerRetryPolicy } from './overloadRetries.js';
 
 const SIZE = { vmCount: 9, engineCount: 8 };
@@ -14,14 +15,15 @@
 const DECODE_MS = 1_200;
 const ENGINE_PER_SECOND = (ENGINE_SLOTS * 1_000) / (PREFILL_MS + DECODE_MS);
 const OFFERED_PER_SECOND = ENGINE_PER_SECOND * SIZE.engineCount * 1.2;
-const RESTART_AT_MS = 12_000;
+const RESTART_AT_MS = 60_000;
 const WINDOW_MS = 20_000;
 const DEADLINE_MS = 4_000;
 
-const fair: FleetPolicies = {
+const createFair = (): FleetPolicies => ({
   createAdmission: () => new FairSharePolicy(),
   createRetries: (seed) => new BudgetedRetryPolicy(createGenerator(seed)),
-};
+  createSlots: createFleetSlots(),
+});
 
 const naive: FleetPolicies = {
   createAdmission: () => new FifoPolicy(),
@@ -69,7 +71,7 @@
 };
 
 const run = async (): Promise<readonly Measure[]> => {
-  const [ours, baseline] = [await simulate(fair), await simulate(naive)];
+  const [ours, baseline] = [await simulate(createFair()), await simulate(naive)];
   return [
     {
       name: 'coldRestart: most in flight at the cold engine',
--- a/bench/overloadEngine.ts
+++ b/bench/overloadEngine.ts
@@ -1,4 +1,5 @@
-import { createError } from '@goldcrestscale/core';
+import { createError, toId } from '@goldcrestscale/core';
+import type { BootId } from '@goldcrestscale/core';
 import type { LoadReport } from '@goldcrestscale/entry';
 
 const SLOTS = 8;
@@ -52,6 +53,11 @@
     return this.coldLeft > 0;
   }
 
+  /** Run that a new connection leads to. */
+  get currentBootId(): BootId {
+    return toId<BootId>(this.bootId);
+  }
+
   /** Sets the share of requests whose connection is reset. */
   setResetShare(share: number): void {
     this.resetShare = share;
--- a/bench/overloadRunner.ts
+++ b/bench/overloadRunner.ts
@@ -15,7 +15,9 @@
       prefillMs: number;
       decodeMs: number;
     };
-    await this.getEngine(upstream.upstreamId).run(prefillMs, decodeMs, () => {
+    const engine = this.getEngine(upstream.upstreamId);
+    attempt.beginSend?.(engine.currentBootId);
+    await engine.run(prefillMs, decodeMs, () => {
       attempt.onFirstByte();
       if (!exchange.answer.headSent) exchange.answer.writeHead(200, {});
     });
--- a/bench/overloadVm.ts
+++ b/bench/overloadVm.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import {
   AdmissionQueue,
   CappedEjection,
@@ -17,8 +18,8 @@
   VmId,
   VmRecord,
 } from '@goldcrestscale/core';
-import { AdmissionFilter, DispatchFilter, UpstreamState } from '@goldcrestscale/entry';
-import type { Filter, UpstreamDirectory } from '@goldcrestscale/entry';
+import { AdmissionFilter, DispatchFilter, SlotRunner, UpstreamState } from '@goldcrestscale/entry';
+import type { Filter, SlotsController, UpstreamDirectory } from '@goldcrestscale/entry';
 import type { FakeEngine } from './overloadEngine.js';
 import { FakeEngineRunner } from './overloadRunner.js';
 
@@ -28,6 +29,8 @@
 export interface FleetPolicies {
   createAdmission(): AdmissionPolicy;
   createRetries(seed: number): RetryPolicy;
+  /** Creates the slots of one entry VM; without them it goes by load reports alone. */
+  createSlots?(index: number, size: FleetSize): SlotsController;
 }
 
 /** Sizes of a simulated fleet. */
@@ -81,6 +84,12 @@
       countCapacity,
     });
     const runner = new FakeEngineRunner((id) => engines[Number(id.split('-')[1])]!);
+    const directory = this.createDirectory();
+    const slots = policies.createSlots?.(index, size);
+    const running = new AbortController();
+    setMaxListeners(0, running.signal);
+    void slots?.start(running.signal);
+    const completions = slots ? new SlotRunner(runner, slots.slots, directory) : runner;
     this.filters = [
       new AdmissionFilter({ queue: this.queue, countCapacity }),
       new DispatchFilter({
@@ -89,8 +98,8 @@
           random: createGenerator(index + 101),
         }),
         retries: policies.createRetries(index + 1),
-        directory: this.createDirectory(),
-        completions: runner,
+        directory,
+        completions,
         services: runner,
         observer: { onFirstByte() {}, onUsage() {}, onFailure() {} },
       }),
--- a/packages/entry/src/controllers/upstreams/upstreamState.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamState.ts
@@ -34,6 +34,9 @@
 
   private receivedAtMs = 0;
 
+  /** Time at which this run of the upstream was first heard of. */
+  private bootSeenAtMs = 0;
+
   private dispatches: Dispatch[] = [];
 
   /** Attempts of this VM that have not ended. */
@@ -61,8 +64,9 @@
   }
 
   updateLoad(report: LoadReport): void {
-    this.report = report;
     this.receivedAtMs = Date.now();
+    if (this.report?.bootId !== report.bootId) this.bootSeenAtMs = this.receivedAtMs;
+    this.report = report;
     this.takenAtMs = this.receivedAtMs - report.ageMs;
     this.dispatches = this.dispatches.filter((dispatch) => dispatch.atMs > this.takenAtMs);
     this.endsAtMs = this.endsAtMs.filter((atMs) => atMs > this.takenAtMs);
@@ -121,7 +125,7 @@
       ...(report.model === undefined ? {} : { model: toId(report.model) }),
       ...(report.weightVersion === undefined ? {} : { weightVersion: toId(report.weightVersion) }),
       eligible: this.isServing(table) && ejection.getState(this.upstreamId) !== 'open',
-      cold: report.cold,
+      cold: this.isCold(report),
       running,
       waiting,
       waitingPromptTokens: report.waitingPromptTokens,
@@ -149,6 +153,11 @@
     };
   }
 
+  /** Figures from before a run was first heard of may be those of the run before it. */
+  private isCold(report: LoadReport): boolean {
+    return report.cold || this.takenAtMs < this.bootSeenAtMs;
+  }
+
   /** Takes what has ended since off the reported figures; a waiting request starts in its place. */
   private countReported(report: LoadReport): Pick<UpstreamView, 'running' | 'waiting'> {
     const ended = this.endsAtMs.length;
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -17,3 +17,4 @@
 export * from './filters/chain.js';
 export { DispatchFilter } from './filters/dispatchFilter.js';
 export type { DispatchOptions } from './filters/dispatchFilter.js';
+export * from './dispatch/slotRunner.js';
