fix(upstreams): let a hanging upstream hold up no other's reports

Cause: each round of reads awaited all of its calls, so one upstream that hung made the load reports, cache events and manifests of all others up to 2.5 s old, close to the 3 s at which they lose their work; found by reading the code. Ruled out: a shorter timeout (a slow answer is still an answer). Change: PollSet starts a read of each VM unless one of that VM is under way, in three controllers. Eligibility stood twice: core's decideEligibility is now the only one, knows 'loading', and /state gives its reason. MAX_LOAD_AGE_MS is 3 s, as the daemon's own bound was. Conclusion: mended where it was found and in its two twins.

--- a/packages/core/src/routing/__tests__/routing.spec.ts
+++ b/packages/core/src/routing/__tests__/routing.spec.ts
@@ -96,6 +96,7 @@
   ['all good', {}, undefined],
   ['zone out', { zoneState: 'out' }, 'zone-out'],
   ['leaving', { leaving: true }, 'leaving'],
+  ['loading weights', { loading: true }, 'loading'],
   ['store', { role: 'store' }, 'role'],
   ['other model', { model: toId<ModelId>('n') }, 'model'],
   ['old version', { weightVersion: toId<WeightVersion>('v0') }, 'weight-version'],
--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -26,4 +26,4 @@
 export const LOAD_BUCKETS = 16;
 
 /** Age above which load figures no longer make an upstream eligible, in milliseconds. */
-export const MAX_LOAD_AGE_MS = 10_000;
+export const MAX_LOAD_AGE_MS = 3_000;
--- a/packages/core/src/routing/eligibility.ts
+++ b/packages/core/src/routing/eligibility.ts
@@ -5,6 +5,7 @@
 export type IneligibleReason =
   | 'zone-out'
   | 'leaving'
+  | 'loading'
   | 'role'
   | 'model'
   | 'weight-version'
@@ -17,6 +18,8 @@
   readonly zoneState: 'in' | 'out';
   /** From the VM list, the upstream's own signal or its row, whichever came first. */
   readonly leaving: boolean;
+  /** Whether it loads weights and serves nothing meanwhile. */
+  readonly loading?: boolean;
   readonly role: 'engine' | 'service' | 'store' | 'entry';
   readonly wantedRole: 'engine' | 'service';
   readonly model?: ModelId | undefined;
@@ -40,6 +43,7 @@
 const findReason = (input: EligibilityInput): IneligibleReason | undefined => {
   if (input.zoneState === 'out') return 'zone-out';
   if (input.leaving) return 'leaving';
+  if (input.loading) return 'loading';
   if (input.role !== input.wantedRole) return 'role';
   if (input.wantedModel !== undefined && input.model !== input.wantedModel) return 'model';
   if (input.wantedVersion !== undefined && input.weightVersion !== input.wantedVersion) {
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -1,15 +1,9 @@
 /** Largest body that a caller may send, in bytes. */
 export const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
-/** Time between two reads of the VM list, in milliseconds. */
-export const VM_LIST_INTERVAL_MS = 1_000;
-
 /** Time between two reads of an upstream's load report, in milliseconds. */
 export const LOAD_INTERVAL_MS = 500;
 
-/** Time after which a load report without a successor makes its upstream ineligible, in milliseconds. */
-export const LOAD_EXPIRY_MS = 3_000;
-
 /** Longest wait for the answer to a control call, in milliseconds. */
 export const CONTROL_TIMEOUT_MS = 2_000;
 
--- a/packages/entry/src/controllers/prefixIndex/prefixIndexController.ts
+++ b/packages/entry/src/controllers/prefixIndex/prefixIndexController.ts
@@ -1,9 +1,17 @@
 import { CacheEventFeed, PrefixIndex, toId } from '@goldcrestscale/core';
-import type { BlockKey, BootId, PromptBlock, UpstreamId, VmRecord } from '@goldcrestscale/core';
+import type {
+  BlockKey,
+  BootId,
+  PromptBlock,
+  UpstreamId,
+  VmId,
+  VmRecord,
+} from '@goldcrestscale/core';
 import { request } from 'undici';
 import { z } from 'zod';
 import { CONTROL_TIMEOUT_MS } from '../../constants.js';
-import { repeatUntilAborted } from '../../repeat.js';
+import { PollSet } from '../../pollSet.js';
+import { repeatWhileRunning } from '../../repeat.js';
 import { Controller } from '../controller.js';
 import { EVENT_POLL_MS } from './constants.js';
 
@@ -33,6 +41,8 @@
 
   private readonly feed = new CacheEventFeed(this.index);
 
+  private readonly polls = new PollSet<VmId>();
+
   private readonly known = new Map<UpstreamId, string>();
 
   constructor(private readonly options: PrefixIndexOptions) {
@@ -40,7 +50,7 @@
   }
 
   override start(signal: AbortSignal): Promise<void> {
-    void repeatUntilAborted(() => this.refresh(signal), EVENT_POLL_MS, signal);
+    repeatWhileRunning(() => this.refresh(signal), EVENT_POLL_MS, signal);
     return Promise.resolve();
   }
 
@@ -62,7 +72,9 @@
     const engines = this.options.listVms().filter((vm) => vm.role === 'engine');
     this.removeMissing(new Set(engines.map((vm) => vm.vmId)));
     // An engine that does not answer keeps its entries; a wrong hint costs time only.
-    await Promise.allSettled(engines.map((vm) => this.pollEngine(vm, signal)));
+    await Promise.all(
+      engines.map((vm) => this.polls.run(vm.vmId, () => this.pollEngine(vm, signal))),
+    );
   }
 
   private removeMissing(listed: ReadonlySet<string>): void {
--- a/packages/entry/src/controllers/tiering/tieringController.ts
+++ b/packages/entry/src/controllers/tiering/tieringController.ts
@@ -4,11 +4,13 @@
   BlockImport,
   PromptBlock,
   UpstreamId,
+  VmId,
   VmRecord,
   WorkloadId,
 } from '@goldcrestscale/core';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
-import { repeatUntilAborted } from '../../repeat.js';
+import { PollSet } from '../../pollSet.js';
+import { repeatUntilAborted, repeatWhileRunning } from '../../repeat.js';
 import { Controller } from '../controller.js';
 import { blockCalls } from './blockCalls.js';
 import type { BlockCalls } from './blockCalls.js';
@@ -30,6 +32,8 @@
 export class TieringController extends Controller {
   override readonly name = 'tiering';
 
+  private readonly polls = new PollSet<VmId>();
+
   readonly planner: TieringPlanner;
 
   private readonly calls: BlockCalls;
@@ -60,7 +64,7 @@
 
   override async start(signal: AbortSignal): Promise<void> {
     await this.refresh(signal);
-    void repeatUntilAborted(() => this.refresh(signal), MANIFEST_POLL_MS, signal);
+    repeatWhileRunning(() => this.refresh(signal), MANIFEST_POLL_MS, signal);
     void repeatUntilAborted(() => this.exporter.run(signal), EXPORT_POLL_MS, signal);
   }
 
@@ -94,7 +98,9 @@
       }
     }
     // A store VM that does not answer is left alone by its failures in a row.
-    await Promise.allSettled(stores.map((vm) => this.refreshStore(vm, signal)));
+    await Promise.all(
+      stores.map((vm) => this.polls.run(vm.vmId, () => this.refreshStore(vm, signal))),
+    );
   }
 
   override dump(): unknown {
--- a/packages/entry/src/controllers/upstreams/upstreamState.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamState.ts
@@ -1,7 +1,9 @@
-import { toId } from '@goldcrestscale/core';
+import { decideEligibility, toId } from '@goldcrestscale/core';
 import type {
+  BreakerState,
   ConfigTable,
   EjectionPolicy,
+  Eligibility,
   EngineReport,
   ModelId,
   UpstreamId,
@@ -9,7 +11,6 @@
   VmRecord,
   WeightVersion,
 } from '@goldcrestscale/core';
-import { LOAD_EXPIRY_MS } from '../../constants.js';
 import type { LoadReport } from './loadReport.js';
 
 /** Part of the configuration table that decides where work may go. */
@@ -51,6 +52,10 @@
     return toId<UpstreamId>(this.vm.vmId);
   }
 
+  get role(): UpstreamView['role'] {
+    return this.vm.role === 'service' ? 'service' : 'engine';
+  }
+
   get address(): string {
     return this.vm.address;
   }
@@ -93,13 +98,23 @@
     return `${this.vm.role}/${this.report?.model ?? this.vm.service ?? ''}`;
   }
 
-  /** Tells whether nothing but its breaker may keep the upstream from new work now. */
-  isServing(table: UpstreamTable): boolean {
-    if (this.report === undefined || this.vm.state !== 'live') return false;
-    if (this.report.state !== 'serving') return false;
-    if (Date.now() - this.receivedAtMs > LOAD_EXPIRY_MS) return false;
-    if (table.isZoneOut(this.vm.availabilityZone)) return false;
-    return table.getUpstream(this.upstreamId)?.state !== 'leaving';
+  /** Decides whether the upstream may get new work now, as far as no single request matters. */
+  decideEligibility(table: UpstreamTable, breaker: BreakerState): Eligibility {
+    const { vm, report } = this;
+    if (report === undefined) return { eligible: false, reason: 'load-unknown' };
+    const row = table.getUpstream(this.upstreamId);
+    return decideEligibility({
+      zoneState: table.isZoneOut(vm.availabilityZone) ? 'out' : 'in',
+      leaving: vm.state !== 'live' || report.state === 'leaving' || row?.state === 'leaving',
+      loading: report.state === 'loading',
+      role: this.role,
+      wantedRole: this.role,
+      breaker,
+      cold: false,
+      coldConcurrent: report.coldConcurrent,
+      inFlight: 0,
+      ageMs: Date.now() - this.receivedAtMs,
+    });
   }
 
   /** Gives the view that routing decides on; undefined before the first load report. */
@@ -118,13 +133,13 @@
       : this.countReported(report);
     return {
       upstreamId: this.upstreamId,
-      role: vm.role === 'service' ? 'service' : 'engine',
+      role: this.role,
       address: vm.address,
       availabilityZone: vm.availabilityZone,
       bootId: toId(report.bootId),
       ...(report.model === undefined ? {} : { model: toId(report.model) }),
       ...(report.weightVersion === undefined ? {} : { weightVersion: toId(report.weightVersion) }),
-      eligible: this.isServing(table) && ejection.getState(this.upstreamId) !== 'open',
+      eligible: this.decideEligibility(table, ejection.getState(this.upstreamId)).eligible,
       cold: this.isCold(report),
       running,
       waiting,
--- a/packages/entry/src/controllers/upstreams/upstreamsController.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamsController.ts
@@ -9,7 +9,8 @@
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { CONTROL_TIMEOUT_MS, LOAD_INTERVAL_MS } from '../../constants.js';
-import { repeatUntilAborted } from '../../repeat.js';
+import { PollSet } from '../../pollSet.js';
+import { repeatWhileRunning } from '../../repeat.js';
 import { Controller } from '../controller.js';
 import type { AttemptOutcome } from '../../dispatch/attemptOutcome.js';
 import { loadReportSchema } from './loadReport.js';
@@ -36,6 +37,8 @@
 
   private readonly states = new Map<UpstreamId, UpstreamState>();
 
+  private readonly polls = new PollSet<UpstreamState>();
+
   private fleetLoad: FleetLoad | undefined;
 
   constructor(private readonly options: UpstreamsOptions) {
@@ -43,8 +46,10 @@
   }
 
   override async start(signal: AbortSignal): Promise<void> {
-    await this.refresh(signal);
-    void repeatUntilAborted(() => this.refresh(signal), LOAD_INTERVAL_MS, signal);
+    const first = this.refresh(signal);
+    repeatWhileRunning(() => this.refresh(signal), LOAD_INTERVAL_MS, signal);
+    await first;
+    this.updateGroups();
   }
 
   /** Gives the engines that hold a model. */
@@ -116,8 +121,12 @@
   }
 
   override dump(): unknown {
+    const { ejection } = this.options;
     const table = this.options.table();
-    return [...this.states.values()].map((state) => this.buildView(state, table) ?? state.record);
+    return [...this.states.values()].map((state) => ({
+      ...(this.buildView(state, table) ?? state.record),
+      eligibility: state.decideEligibility(table, ejection.getState(state.upstreamId)),
+    }));
   }
 
   private buildView(state: UpstreamState, table: UpstreamTable): UpstreamView | undefined {
@@ -135,8 +144,11 @@
 
   private async refresh(signal: AbortSignal): Promise<void> {
     this.updateVms();
-    await Promise.all([...this.states.values()].map((state) => this.refreshLoad(state, signal)));
     this.updateGroups();
+    const reads = [...this.states.values()].map((state) =>
+      this.polls.run(state, () => this.refreshLoad(state, signal)),
+    );
+    await Promise.all(reads);
   }
 
   /** Counts as members of a group only the upstreams that nothing but their breaker keeps from work. */
@@ -144,7 +156,8 @@
     const { ejection } = this.options;
     const table = this.options.table();
     this.states.forEach((state, upstreamId) => {
-      if (state.isServing(table)) ejection.setGroup(upstreamId, state.group);
+      if (state.decideEligibility(table, 'closed').eligible)
+        ejection.setGroup(upstreamId, state.group);
       else ejection.remove(upstreamId);
     });
   }
--- a/packages/entry/src/drain.ts
+++ b/packages/entry/src/drain.ts
@@ -6,7 +6,7 @@
  * this VM's address, then closes and waits for the requests that run.
  */
 export const drainServer = async (server: Server, keptAnswerMs: number): Promise<void> => {
-  await sleep(keptAnswerMs, new AbortController().signal);
+  await sleep(keptAnswerMs);
   await new Promise<void>((resolve) => {
     server.close(() => resolve());
   });
--- a/packages/entry/src/repeat.ts
+++ b/packages/entry/src/repeat.ts
@@ -12,6 +12,18 @@
   }
 };
 
+/** Starts work at an interval until the signal aborts, without awaiting the run before. */
+export const repeatWhileRunning = (
+  work: () => Promise<void>,
+  intervalMs: number,
+  signal: AbortSignal,
+): void => {
+  const timer = setInterval(() => {
+    work().catch(() => undefined);
+  }, intervalMs);
+  signal.addEventListener('abort', () => clearInterval(timer), { once: true });
+};
+
 /** Resolves once the signal has aborted. */
 export const waitForAbort = (signal: AbortSignal): Promise<void> =>
   new Promise((resolve) => {
