feat(entry): go on with the loaded weight version until an engine has the wanted one

Cause: an edit of a model's version left no engine for new requests until the first had loaded it; tried as an operator would, 15 of 82 requests were refused for 1.8 s.

--- a/packages/entry/src/__tests__/entryHarness.ts
+++ b/packages/entry/src/__tests__/entryHarness.ts
@@ -156,7 +156,7 @@
     new VerdictGuardFilter(logger, metrics),
     new IdentifyAccountFilter(() => table),
     new DeadlineFilter(),
-    new WeightVersionFilter(() => table),
+    new WeightVersionFilter({ table: () => table, listServedVersions: () => [] }),
     new AdmissionFilter({ queue, countCapacity }),
     new DispatchFilter({
       router: new LeastLoadRouter(),
--- a/packages/entry/src/filters/index.ts
+++ b/packages/entry/src/filters/index.ts
@@ -1,6 +1,13 @@
 /** The filters of a request, in their order. */
-import type { ConfigTable, Freshness, OnceGuard, UpstreamView } from '@goldcrestscale/core';
+import type {
+  ConfigTable,
+  Freshness,
+  OnceGuard,
+  UpstreamView,
+  WeightVersion,
+} from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
+import type { UpstreamDirectory } from '../dispatch/upstreamDirectory.js';
 import type { EntryMetrics } from '../metrics.js';
 import { AdmissionFilter } from './admissionFilter.js';
 import type { AdmissionOptions } from './admissionFilter.js';
@@ -52,6 +59,15 @@
   onFailure: (_exchange, upstream, error) => metrics.recordFailure(upstream.upstreamId, error),
 });
 
+const listServedVersions = (
+  directory: UpstreamDirectory,
+  model: string,
+): readonly WeightVersion[] =>
+  directory
+    .listEngines(model)
+    .filter((view) => view.eligible)
+    .flatMap((view) => view.weightVersion ?? []);
+
 /** Creates the chain, outermost filter first. */
 export const createFilters = (options: FilterOptions): readonly Filter[] => [
   new VerdictGuardFilter(options.logger, options.metrics),
@@ -60,7 +76,10 @@
   new IdentifyAccountFilter(options.table),
   new DeadlineFilter(),
   createOnceFilter({ guard: options.onceGuard }),
-  new WeightVersionFilter(options.table),
+  new WeightVersionFilter({
+    table: options.table,
+    listServedVersions: (model) => listServedVersions(options.dispatch.directory, model),
+  }),
   new PrefixFilter(options.prefix),
   new AdmissionFilter(options.admission),
   new DispatchFilter({
