fix(once): let a run end without its caller

Cause: a caller that was cut off while its unrepeatable call ran aborted the attempt, so the outcome became may-have-run and every repeat with the same key was told so; this is what a demo showed (one cut, then outcome_unknown 16 times), though not why that caller was cut. Ruled out: cancelling upstream (a plain service can't take a run back). Change: after the claim the rest of the chain no longer follows the caller's signal; the deadline still bounds it, and the recorder keeps the answer for the repeat. Conclusion: a repeat gets the answer.

--- a/packages/entry/src/filters/exchange.ts
+++ b/packages/entry/src/filters/exchange.ts
@@ -52,8 +52,8 @@
   readonly target: ExchangeTarget;
   /** A filter may put a recording writer in its place for the rest of the chain. */
   answer: AnswerWriter;
-  /** Aborts when the caller has gone. */
-  readonly signal: AbortSignal;
+  /** Aborts when the caller has gone; a filter may detach the rest of the chain from the caller. */
+  signal: AbortSignal;
   readonly receivedAtMs: number;
   /** Set by the account filter. */
   account?: ClientAccountRow;
--- a/packages/entry/src/filters/onceFilter.ts
+++ b/packages/entry/src/filters/onceFilter.ts
@@ -87,6 +87,8 @@
 const runOnce = async (exchange: Exchange, permit: RunPermit, next: NextFilter): Promise<void> => {
   const recorder = new AnswerRecorder(exchange.answer);
   exchange.answer = recorder;
+  // The run goes on without its caller: its outcome is what a repeat with the same key gets.
+  exchange.signal = new AbortController().signal;
   try {
     await next();
     permit.finish(recorder.getOutcome());
