--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -11,8 +11,29 @@
     ],
   },
   test: {
-    include: ['packages/*/src/**/__tests__/**/*.spec.ts', 'tests/**/*.spec.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
+    projects: [
+      {
+        extends: true,
+        test: {
+          name: 'modules',
+          include: ['packages/*/src/**/__tests__/**/*.spec.ts', 'tests/docs/**/*.spec.ts'],
+          sequence: { groupOrder: 0 },
+        },
+      },
+      {
+        // Whole sites of processes: one at a time, so that they don't take each other's processor time.
+        extends: true,
+        test: {
+          name: 'sites',
+          include: ['tests/*.spec.ts'],
+          maxWorkers: 1,
+          fileParallelism: false,
+          testTimeout: 120_000,
+          sequence: { groupOrder: 1 },
+        },
+      },
+    ],
   },
 });
