--- /dev/null
+++ b/packages/core/src/deployment/index.ts
@@ -0,0 +1,13 @@
+/** Operators' configuration of routes, services, accounts and weights. */
+export type {
+  BlockStoreSettings,
+  CallerLimits,
+  DeployedAccount,
+  Deployment,
+  EngineSettings,
+  ServiceSettings,
+} from './deployment.js';
+export { DeploymentView, pickDestination } from './deploymentView.js';
+export { OperatorState } from './operatorState.js';
+export type { OperatorChange, WantedWeights } from './operatorState.js';
+export type { Destination, RouteRule } from './routeRule.js';
--- /dev/null
+++ b/packages/core/src/fleet/constants.ts
@@ -0,0 +1,14 @@
+/** Time for which entries that lapsed during a log outage count as present after it, in milliseconds. */
+export const LAPSE_GRACE_MS = 2_000;
+
+/** Requests per second above which a connection failure makes an upstream count as restarted. */
+export const SUSPECT_MS = 2_500;
+
+/** Age up to which a load report is weighed in full, in milliseconds. */
+export const LOAD_FRESH_MS = 1_000;
+
+/** Silence after which an entry VM counts as dead, in milliseconds. */
+export const ENTRY_SILENCE_MS = 3_400;
+
+/** Time for which an entry VM that fell silent is still counted when shares are divided, in milliseconds. */
+export const ENTRY_SHARE_MS = 15_000;
--- /dev/null
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -0,0 +1,74 @@
+import type { AvailabilityZoneId, BootId, VmId } from '../ids.js';
+import { ENTRY_SHARE_MS, ENTRY_SILENCE_MS } from './constants.js';
+
+/** What an entry VM tells the others through the log. */
+export interface EntryHeartbeat {
+  readonly vmId: VmId;
+  readonly bootId: BootId;
+  readonly availabilityZone: AvailabilityZoneId;
+  /** HOST:PORT for callers. */
+  readonly address: string;
+  /** Whether it shuts down and takes no new callers. */
+  readonly leaving: boolean;
+  /** Engines that it has ordered to load weights; only their order giver names any. */
+  readonly loading: readonly string[];
+}
+
+interface KnownEntry {
+  readonly heartbeat: EntryHeartbeat;
+  readonly seenAtMs: number;
+}
+
+/**
+ * Entry VMs by their heartbeats in the log. While the log does not answer, time stands still
+ * here: silence then says nothing of a VM.
+ */
+export class EntryRoster {
+  private readonly entries = new Map<VmId, KnownEntry>();
+
+  private outageMs = 0;
+
+  private downSinceMs: number | undefined;
+
+  noteLogDown(): void {
+    this.downSinceMs ??= performance.now();
+  }
+
+  noteLogUp(): void {
+    if (this.downSinceMs === undefined) return;
+    this.outageMs += performance.now() - this.downSinceMs;
+    this.downSinceMs = undefined;
+  }
+
+  noteHeartbeat(heartbeat: EntryHeartbeat): void {
+    this.entries.set(heartbeat.vmId, { heartbeat, seenAtMs: this.readClock() });
+  }
+
+  /** Lists the VMs that callers may use. */
+  listServing(): readonly EntryHeartbeat[] {
+    return this.listSeenWithin(ENTRY_SILENCE_MS).filter(({ leaving }) => !leaving);
+  }
+
+  /** Lists the engines that are being loaded, as their order giver tells. */
+  listLoading(): ReadonlySet<string> {
+    const live = this.listSeenWithin(ENTRY_SILENCE_MS);
+    return new Set(live.flatMap(({ loading }) => loading));
+  }
+
+  /** Lists every VM that may still be sending, for shares that must not be exceeded. */
+  listSharing(): readonly VmId[] {
+    return this.listSeenWithin(ENTRY_SHARE_MS).map(({ vmId }) => vmId);
+  }
+
+  private listSeenWithin(silenceMs: number): readonly EntryHeartbeat[] {
+    const nowMs = this.readClock();
+    return [...this.entries.values()]
+      .filter(({ seenAtMs }) => nowMs - seenAtMs < silenceMs)
+      .map(({ heartbeat }) => heartbeat);
+  }
+
+  private readClock(): number {
+    const nowMs = performance.now();
+    return nowMs - this.outageMs - (this.downSinceMs === undefined ? 0 : nowMs - this.downSinceMs);
+  }
+}
--- /dev/null
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -0,0 +1,134 @@
+import type { ModelId, UpstreamId, WeightNumber } from '../ids.js';
+import { LOAD_FRESH_MS, SUSPECT_MS } from './constants.js';
+import type { RegisteredUpstream } from './registeredUpstream.js';
+
+/** Load that an upstream told with an answer. */
+export interface ToldLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** One upstream as this VM knows it: its registry entry and what answers have told since. */
+export class TrackedUpstream {
+  /** Requests of this VM in flight there. */
+  inFlight = 0;
+
+  /** Prompt tokens of this VM's requests whose answers have not begun. */
+  pendingTokens = 0;
+
+  private toldLoad: ToldLoad | undefined;
+
+  private toldAtMs = -Infinity;
+
+  private sentSinceTold = 0;
+
+  private coldUntilMs: number;
+
+  private suspectUntilMs = -Infinity;
+
+  private busyUntilMs = -Infinity;
+
+  private readonly learnedWeights = new Map<ModelId, WeightNumber>();
+
+  constructor(private entry: RegisteredUpstream) {
+    this.coldUntilMs = performance.now() + entry.coldRemainingMs;
+  }
+
+  get registered(): RegisteredUpstream {
+    return this.entry;
+  }
+
+  get upstreamId(): UpstreamId {
+    return this.entry.upstreamId;
+  }
+
+  /** Whether it started a moment ago and bears little, or may have. */
+  get isCold(): boolean {
+    const nowMs = performance.now();
+    return nowMs < this.coldUntilMs || nowMs < this.suspectUntilMs;
+  }
+
+  /** Whether it said a moment ago that it takes no request. */
+  get isBusy(): boolean {
+    return performance.now() < this.busyUntilMs;
+  }
+
+  /** Requests that it runs or has waiting, as far as known. */
+  estimateLoad(): number {
+    const isFresh = performance.now() - this.toldAtMs < LOAD_FRESH_MS;
+    if (!this.toldLoad || !isFresh) return this.inFlight;
+    const told = this.toldLoad.running + this.toldLoad.waiting + this.sentSinceTold;
+    return Math.max(told, this.inFlight);
+  }
+
+  /** @returns whether more than the heartbeat has changed */
+  update(next: RegisteredUpstream): boolean {
+    const before = this.entry;
+    this.entry = next;
+    const isRestarted = next.startedAtMs !== before.startedAtMs;
+    if (isRestarted) this.learnedWeights.clear();
+    if (next.coldRemainingMs > 0 || isRestarted) {
+      this.coldUntilMs = performance.now() + next.coldRemainingMs;
+    }
+    next.weights.forEach(({ model, held }) => {
+      if ((this.learnedWeights.get(model) ?? held) <= held) this.learnedWeights.delete(model);
+    });
+    return (
+      isRestarted ||
+      next.draining !== before.draining ||
+      next.address !== before.address ||
+      next.weights.some(({ held }, index) => held !== before.weights[index]?.held)
+    );
+  }
+
+  /** Gives the weights of a model that it runs on; answers are newer than heartbeats. */
+  findWeights(model: ModelId): WeightNumber | undefined {
+    const listed = this.entry.weights.find((weights) => weights.model === model)?.held;
+    const learned = this.learnedWeights.get(model);
+    if (learned === undefined || listed === undefined) return learned ?? listed;
+    return learned > listed ? learned : listed;
+  }
+
+  noteWeights(model: ModelId, held: WeightNumber): void {
+    this.learnedWeights.set(model, held);
+  }
+
+  noteLoad(load: ToldLoad): void {
+    this.toldLoad = load;
+    this.toldAtMs = performance.now();
+    this.sentSinceTold = 0;
+  }
+
+  noteSent(tokens: number): void {
+    this.inFlight += 1;
+    this.sentSinceTold += 1;
+    this.pendingTokens += tokens;
+  }
+
+  noteAnswerBegun(tokens: number): void {
+    this.pendingTokens -= tokens;
+  }
+
+  noteEnd(): void {
+    this.inFlight -= 1;
+  }
+
+  /** Counts it as cold for a while: a broken connection may mean that it has restarted. */
+  noteBroken(): void {
+    this.suspectUntilMs = performance.now() + SUSPECT_MS;
+  }
+
+  noteCold(remainingMs: number): void {
+    this.coldUntilMs = Math.max(this.coldUntilMs, performance.now() + remainingMs);
+  }
+
+  /** Keeps requests away from it for a moment. */
+  noteBusy(forMs: number): void {
+    this.busyUntilMs = performance.now() + forMs;
+  }
+
+  noteFree(): void {
+    this.busyUntilMs = -Infinity;
+  }
+}
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -53,3 +53,18 @@
 
 /** Converts a checked number to a log offset. */
 export const toLogOffset = (value: number): LogOffset => value as LogOffset;
+
+/** Names a service: upstreams that stand in for one another. */
+export type ServiceName = Brand<string, 'ServiceName'>;
+
+/** Names one piece of a prompt, as the caller counts it. */
+export type PromptPartId = Brand<string, 'PromptPartId'>;
+
+/** Names a region of availability zones. */
+export type RegionId = Brand<string, 'RegionId'>;
+
+/** Number of a model's weights; a higher one is newer. */
+export type WeightNumber = Brand<number, 'WeightNumber'>;
+
+/** Converts a checked number to the number of a model's weights. */
+export const toWeightNumber = (value: number): WeightNumber => value as WeightNumber;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,8 +1,13 @@
 /** Decision code of goldcrestscale; opens no sockets. */
 export * from './admission/index.js';
+export * from './blockStores/index.js';
 export * from './breaker/index.js';
+export * from './chain/index.js';
+export * from './coldStart/index.js';
 export * from './configTable/index.js';
+export * from './deployment/index.js';
 export * from './errors.js';
+export * from './fleet/index.js';
 export * from './ids.js';
 export * from './lease/index.js';
 export * from './log/index.js';
@@ -11,6 +16,7 @@
 export * from './orders/index.js';
 export * from './random.js';
 export * from './prefix/index.js';
+export * from './promptRouting/index.js';
 export * from './retry/index.js';
 export * from './routing/index.js';
 export * from './slots/index.js';
--- a/packages/core/src/lease/index.ts
+++ b/packages/core/src/lease/index.ts
@@ -4,3 +4,4 @@
 export * from './leaseKeeper.js';
 export * from './leaseRecord.js';
 export * from './leaseTable.js';
+export * from './conditionalLease.js';
--- a/packages/core/src/orders/index.ts
+++ b/packages/core/src/orders/index.ts
@@ -3,3 +3,4 @@
 export * from './leasedOrderPlanner.js';
 export * from './loadBudget.js';
 export * from './orderPlanner.js';
+export * from './rolloutPlanner.js';
--- /dev/null
+++ b/packages/core/src/promptRouting/constants.ts
@@ -0,0 +1,20 @@
+/** Prompt tokens that an engine reads in a millisecond, until a site's own rate is known. */
+export const PREFILL_TOKENS_PER_MS = 80;
+
+/** Time that one more request at an engine adds to the first token of the next, in milliseconds. */
+export const LOAD_COST_MS = 4;
+
+/** Time to bring a token back from a store, relative to reading it again. */
+export const FETCH_COST_SHARE = 0.2;
+
+/** Time for which a prompt part counts as cached where this VM has sent it, in milliseconds. */
+export const SENT_MEMORY_MS = 15_000;
+
+/** Prompt parts whose last engine a VM remembers. */
+export const SENT_MEMORY_PARTS = 20_000;
+
+/** Age of newer weights from which older ones are worth less, in milliseconds. */
+export const OLD_WEIGHTS_GRACE_MS = 1_500;
+
+/** Extra cost of older weights after the grace, in milliseconds of waiting. */
+export const OLD_WEIGHTS_COST_MS = 150;
--- /dev/null
+++ b/packages/core/src/promptRouting/index.ts
@@ -0,0 +1,7 @@
+/** Where a prompt whose parts the caller names goes. */
+export * from './constants.js';
+export { findSessionPart, listSharedParts } from './prompt.js';
+export type { Prompt, PromptPart } from './prompt.js';
+export { PromptRouter } from './promptRouter.js';
+export type { PromptRequest } from './promptRouter.js';
+export { SentParts } from './sentParts.js';
--- a/packages/core/src/retry/index.ts
+++ b/packages/core/src/retry/index.ts
@@ -5,3 +5,5 @@
 export { RetryBudget } from './retryBudget.js';
 export { RetryPolicy } from './retryPolicy.js';
 export type { RetryDecision, RetryQuery, RetryRefusal } from './retryPolicy.js';
+export { FleetRetryBudget } from './fleetRetryBudget.js';
+export type { RetryBound } from './fleetRetryBudget.js';
--- a/packages/entry/src/filters/filter.ts
+++ b/packages/entry/src/filters/filter.ts
@@ -1,11 +1,7 @@
+import { ChainFilter } from '@goldcrestscale/core';
 import type { Exchange } from './exchange.js';
 
-/** Hands the exchange to the rest of the chain; resolves once it is answered. */
-export type NextFilter = () => Promise<void>;
+export type { NextFilter } from '@goldcrestscale/core';
 
-/** One step of a request's way. Throws a GoldcrestError to refuse. */
-export abstract class Filter {
-  abstract readonly name: string;
-
-  abstract handle(exchange: Exchange, next: NextFilter): Promise<void>;
-}
+/** One step of a completion's or service call's way. */
+export abstract class Filter extends ChainFilter<Exchange> {}
--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -1,10 +1,9 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createRefusal, isGoldcrestError, toId } from '@goldcrestscale/core';
+import { createRefusal, isGoldcrestError, runChain, toId } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance, RequestId } from '@goldcrestscale/core';
 import { MAX_BODY_BYTES, REQUEST_TIMEOUT_MS } from '../constants.js';
-import { runChain } from '../filters/chain.js';
 import type { Exchange } from '../filters/exchange.js';
 import type { Filter } from '../filters/filter.js';
 import { createAnswerWriter } from './answerWriter.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -14,7 +14,7 @@
 export * from './dispatch/attempt.js';
 export * from './dispatch/upstreamDirectory.js';
 export * from './filters/admissionFilter.js';
-export * from './filters/chain.js';
+export { runChain } from '@goldcrestscale/core';
 export { DispatchFilter } from './filters/dispatchFilter.js';
 export type { DispatchOptions } from './filters/dispatchFilter.js';
 export * from './dispatch/slotRunner.js';
--- /dev/null
+++ b/packages/gateway/src/config.ts
@@ -0,0 +1,123 @@
+import { readFileSync } from 'node:fs';
+import { z } from 'zod';
+import type { AvailabilityZoneId, RegionId, VmId } from '@goldcrestscale/core';
+
+const SECOND_MS = 1_000;
+
+const addressSchema = z
+  .string()
+  .regex(/^[\w.:[\]-]+:\d{1,5}$/, 'use HOST:PORT, for example "10.0.0.4:8080"');
+
+const positive = z.number().positive();
+
+// Fields that this version does not know are left out, so that newer platforms can add some.
+const settingsSchema = z.object({
+  vmId: z.string().min(1).describe('name of this VM, unique in the fleet'),
+  availabilityZone: z.string().min(1).describe('availability zone of this VM'),
+  zones: z.record(z.string(), z.string()).describe('region of each availability zone'),
+  listen: z.object({
+    callers: addressSchema.describe('listener for callers'),
+    readiness: addressSchema.describe("listener for the platform's readiness checks"),
+    directory: addressSchema.describe('listener for callers that ask which address to use'),
+  }),
+  log: z.object({
+    address: addressSchema.describe("address of the platform's log"),
+    leaseMs: positive.describe('time for which a lease lasts, in milliseconds'),
+  }),
+  bounds: z.object({
+    shutdownSeconds: positive.describe('time from the signal to the end of the process'),
+    retryRatio: z.number().nonnegative().describe('repeats for each first request'),
+    retryAllowance: z.number().nonnegative().describe('repeats beside the ratio, over the fleet'),
+    retryWindowSeconds: positive.describe('window in which repeats are counted'),
+    coldOverrun: positive.describe("factor on the rate of a cold upstream's requests"),
+    coldSlack: z.number().nonnegative().describe('requests above that rate in a second'),
+    weightsInForceMs: positive.describe('time within which new weights are in force'),
+    directoryTtlSeconds: positive.describe('longest time for which callers keep an address'),
+  }),
+});
+
+/** Bounds that the whole fleet keeps to. */
+export interface FleetBounds {
+  readonly shutdownMs: number;
+  readonly retryRatio: number;
+  readonly retryAllowance: number;
+  readonly retryWindowMs: number;
+  readonly coldOverrun: number;
+  readonly coldSlack: number;
+  readonly weightsInForceMs: number;
+  readonly directoryTtlMs: number;
+}
+
+/** Settings of the gateway, checked. */
+export interface GatewaySettings {
+  readonly vmId: VmId;
+  readonly availabilityZone: AvailabilityZoneId;
+  readonly regions: ReadonlyMap<AvailabilityZoneId, RegionId>;
+  readonly listen: {
+    readonly callers: string;
+    readonly readiness: string;
+    readonly directory: string;
+  };
+  readonly logAddress: string;
+  readonly leaseMs: number;
+  readonly bounds: FleetBounds;
+}
+
+/** The settings can't be used; the message tells each problem and its place. */
+export class GatewaySettingsError extends Error {
+  override readonly name = 'GatewaySettingsError';
+}
+
+/**
+ * Checks settings and gives them as one read-only object.
+ *
+ * @throws GatewaySettingsError
+ */
+export const resolveGatewaySettings = (value: unknown): GatewaySettings => {
+  const parsed = settingsSchema.safeParse(value);
+  if (!parsed.success) {
+    const problems = parsed.error.issues.map(
+      ({ path, message }) => `${path.join('.')}: ${message}`,
+    );
+    throw new GatewaySettingsError(`The settings are not usable. ${problems.join('; ')}`);
+  }
+  const { vmId, availabilityZone, zones, listen, log, bounds } = parsed.data;
+  return {
+    vmId: vmId as VmId,
+    availabilityZone: availabilityZone as AvailabilityZoneId,
+    regions: new Map(
+      Object.entries(zones).map(([zone, region]) => [
+        zone as AvailabilityZoneId,
+        region as RegionId,
+      ]),
+    ),
+    listen,
+    logAddress: log.address,
+    leaseMs: log.leaseMs,
+    bounds: {
+      shutdownMs: bounds.shutdownSeconds * SECOND_MS,
+      retryRatio: bounds.retryRatio,
+      retryAllowance: bounds.retryAllowance,
+      retryWindowMs: bounds.retryWindowSeconds * SECOND_MS,
+      coldOverrun: bounds.coldOverrun,
+      coldSlack: bounds.coldSlack,
+      weightsInForceMs: bounds.weightsInForceMs,
+      directoryTtlMs: bounds.directoryTtlSeconds * SECOND_MS,
+    },
+  };
+};
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @throws GatewaySettingsError
+ */
+export const loadGatewaySettings = (path: string): GatewaySettings => {
+  let value: unknown;
+  try {
+    value = JSON.parse(readFileSync(path, 'utf8'));
+  } catch (cause) {
+    throw new GatewaySettingsError(`${path} can't be read as JSON: ${String(cause)}`, { cause });
+  }
+  return resolveGatewaySettings(value);
+};
--- /dev/null
+++ b/packages/gateway/src/constants.ts
@@ -0,0 +1,80 @@
+/** Largest body before the configuration is known, in bytes. */
+export const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+
+/** When to come back while no configuration is known, in milliseconds: about one read of the log. */
+export const NOT_READY_RETRY_MS = 500;
+
+/** When to come back where every upstream is busy or out for a moment, in milliseconds. */
+export const BUSY_RETRY_MS = 400;
+
+/** Longest wait for a connection to an upstream, in milliseconds. */
+export const CONNECT_TIMEOUT_MS = 800;
+
+/** Age at which an idle connection is no longer used, in milliseconds. */
+export const IDLE_CONNECTION_MS = 8_000;
+
+/** Time before an upstream's own idle limit at which a connection is no longer used, in milliseconds. */
+export const IDLE_MARGIN_MS = 400;
+
+/** Part of an upstream's connection limit that the fleet uses. */
+export const CONNECTION_SHARE = 0.9;
+
+/** Largest answer that is held until it is whole, in bytes. */
+export const MAX_WHOLE_BYTES = 1024 * 1024;
+
+/** Sends of one request beyond its route's bound that may follow proofs that it has not run. */
+export const MAX_EXTRA_SENDS = 2;
+
+/** Time for which an upstream that refused a request gets no other, in milliseconds. */
+export const REFUSED_PAUSE_MS = 150;
+
+/** Time for which an upstream that can't be reached gets no request, in milliseconds. */
+export const UNREACHABLE_PAUSE_MS = 700;
+
+/** Time that one long read of the operators' records waits, in milliseconds. */
+export const OPERATOR_WAIT_MS = 1_600;
+
+/** Interval at which the upstreams' records are read, in milliseconds. */
+export const UPSTREAM_READ_MS = 800;
+
+/** Interval at which entry VMs write and read heartbeats, in milliseconds. */
+export const ENTRY_HEARTBEAT_MS = 1_400;
+
+/** Interval of both while engines load weights, in milliseconds. */
+export const ENTRY_ROLLOUT_MS = 350;
+
+/** Pause after a failed call of the log, in milliseconds. */
+export const LOG_RETRY_MS = 250;
+
+/** Interval at which a change of weights is driven, in milliseconds. */
+export const ROLLOUT_TICK_MS = 120;
+
+/** Time after which the next VM takes over a change of weights that does not move on, in milliseconds. */
+export const ROLLOUT_TAKEOVER_MS = 1_500;
+
+/** Longest wait for an engine's answer to an order or a report, in milliseconds. */
+export const ORDER_TIMEOUT_MS = 700;
+
+/** Time after an order from which its end is asked for, in milliseconds. */
+export const LOAD_FIRST_CHECK_MS = 700;
+
+/** Interval of checks for the end of a load, in milliseconds. */
+export const LOAD_CHECK_MS = 150;
+
+/** Longest time that one load is followed, in milliseconds. */
+export const LOAD_FOLLOW_MS = 4_000;
+
+/** Age of newer weights from which older ones serve no request any more, as a share of the bound. */
+export const OLD_WEIGHTS_SHARE = 0.85;
+
+/** Time that one read of a store's events waits, in milliseconds. */
+export const BLOCK_EVENTS_WAIT_MS = 900;
+
+/** Time for which callers keep an answer of the directory, in milliseconds. */
+export const DIRECTORY_TTL_MS = 1_500;
+
+/** Part of the shutdown time after which new requests are refused. */
+export const REFUSE_SHARE = 0.4;
+
+/** Part of the shutdown time at which the process ends, whatever still runs. */
+export const EXIT_SHARE = 0.94;
--- /dev/null
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -0,0 +1,75 @@
+import { sleep } from '@goldcrestscale/core';
+import type { BlockDirectory } from '@goldcrestscale/core';
+import type { Logger } from '@goldcrestscale/runtime';
+import { BLOCK_EVENTS_WAIT_MS, LOG_RETRY_MS } from '../constants.js';
+import type { UpstreamProtocol } from '../ports/index.js';
+
+const FROM_START = 0;
+
+/** What the controller is built from. */
+export interface BlockStoresOptions {
+  readonly blocks: BlockDirectory;
+  readonly protocol: UpstreamProtocol;
+  readonly logger: Logger;
+}
+
+/** Follows the events of every store. */
+export class BlockStoresController {
+  private readonly readers = new Map<string, AbortController>();
+
+  constructor(private readonly options: BlockStoresOptions) {}
+
+  /** Follows the stores that the directory lists now, and no others. */
+  refresh(signal: AbortSignal): void {
+    const addresses = this.options.blocks.listStores().map(({ address }) => address);
+    [...this.readers.keys()]
+      .filter((address) => !addresses.includes(address))
+      .forEach((address) => {
+        this.readers.get(address)?.abort();
+        this.readers.delete(address);
+      });
+    addresses
+      .filter((address) => !this.readers.has(address))
+      .forEach((address) => {
+        const reader = new AbortController();
+        this.readers.set(address, reader);
+        void this.follow(address, AbortSignal.any([signal, reader.signal]));
+      });
+  }
+
+  private async follow(address: string, signal: AbortSignal): Promise<void> {
+    let next = FROM_START;
+    let isDown = false;
+    while (!signal.aborted) {
+      try {
+        next = await this.readOnce(address, next, signal);
+        if (isDown) this.options.logger.info('store answers again', { address });
+        isDown = false;
+      } catch (cause) {
+        if (signal.aborted) return;
+        if (!isDown) {
+          this.options.logger.warn('store does not answer', { address, error: String(cause) });
+          // What it holds is known again from the events that it still has.
+          this.options.blocks.clearStore(address);
+          next = FROM_START;
+        }
+        isDown = true;
+        await sleep(LOG_RETRY_MS, signal);
+      }
+    }
+  }
+
+  /** @returns the position of the next read */
+  private async readOnce(address: string, since: number, signal: AbortSignal): Promise<number> {
+    const { blocks, protocol, logger } = this.options;
+    const query = { address, since, waitMs: BLOCK_EVENTS_WAIT_MS, signal };
+    const events = await protocol.readBlockEvents(query);
+    if (blocks.noteEpoch(address, events.epoch)) {
+      logger.info('store in a new run', { address, epoch: events.epoch });
+      // The events of the new run are numbered anew.
+      if (since !== FROM_START) return FROM_START;
+    }
+    events.changes.forEach((change) => blocks.applyChange(address, change));
+    return events.next;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -0,0 +1,118 @@
+import { sleep } from '@goldcrestscale/core';
+import type { BootId, EntryHeartbeat, EntryRoster } from '@goldcrestscale/core';
+import type { Logger } from '@goldcrestscale/runtime';
+import type { GatewaySettings } from '../config.js';
+import { ENTRY_HEARTBEAT_MS, ENTRY_ROLLOUT_MS, LOG_RETRY_MS } from '../constants.js';
+import type { KeyedRecord, SharedLog } from '../ports/index.js';
+import { decodeHeartbeat, encodeHeartbeat } from './heartbeatRecord.js';
+import { LogWatch } from './logWatch.js';
+import { TopicReader } from './topicReader.js';
+
+/** What the controller is built from. */
+export interface EntriesOptions {
+  readonly log: SharedLog;
+  readonly logger: Logger;
+  readonly settings: GatewaySettings;
+  readonly bootId: BootId;
+  readonly roster: EntryRoster;
+  /** Engines that this VM has ordered to load weights. */
+  readonly listLoading: () => readonly string[];
+  /** Whether a change of weights is under way anywhere. */
+  readonly isRollingOut: () => boolean;
+}
+
+/** Tells the other entry VMs of this one through the log, and follows what they tell. */
+export class EntriesController {
+  private readonly reader: TopicReader;
+
+  private readonly writes: LogWatch;
+
+  private isLeaving = false;
+
+  private wake = new AbortController();
+
+  constructor(private readonly options: EntriesOptions) {
+    const { roster, logger } = options;
+    this.writes = new LogWatch('heartbeat', logger);
+    this.reader = new TopicReader({
+      log: options.log,
+      topic: 'entries',
+      logger,
+      waitMs: 0,
+      getPauseMs: () => this.getIntervalMs(),
+      onSnapshot: (records) => this.applyRecords(records),
+      onRecords: (records) => this.applyRecords(records),
+      onReturn: () => roster.noteLogUp(),
+      onDown: () => roster.noteLogDown(),
+    });
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.reader.run(signal), this.writeHeartbeats(signal)]);
+  }
+
+  /** Tells the others at once that this VM takes no new callers. */
+  leave(): void {
+    this.isLeaving = true;
+    this.flush();
+  }
+
+  /** Writes the next heartbeat now. */
+  flush(): void {
+    this.wake.abort();
+  }
+
+  /** Lists the addresses that callers may use. */
+  listAddresses(): readonly string[] {
+    const { roster, settings } = this.options;
+    const others = roster
+      .listServing()
+      .filter(({ vmId }) => vmId !== settings.vmId)
+      .map(({ address }) => address);
+    return this.isLeaving && others.length > 0 ? others : [settings.listen.callers, ...others];
+  }
+
+  private async writeHeartbeats(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.wake = new AbortController();
+      try {
+        await this.options.log.append('entries', encodeHeartbeat(this.buildHeartbeat()), signal);
+        this.writes.noteSuccess();
+        await sleep(this.getWriteIntervalMs(), AbortSignal.any([signal, this.wake.signal]));
+      } catch (cause) {
+        if (signal.aborted) return;
+        this.writes.noteFailure(cause);
+        await sleep(LOG_RETRY_MS, signal);
+      }
+    }
+  }
+
+  private getIntervalMs(): number {
+    return this.options.isRollingOut() ? ENTRY_ROLLOUT_MS : ENTRY_HEARTBEAT_MS;
+  }
+
+  private getWriteIntervalMs(): number {
+    return this.options.listLoading().length > 0 ? ENTRY_ROLLOUT_MS : ENTRY_HEARTBEAT_MS;
+  }
+
+  private buildHeartbeat(): EntryHeartbeat {
+    const { settings, bootId, listLoading } = this.options;
+    return {
+      vmId: settings.vmId,
+      bootId,
+      availabilityZone: settings.availabilityZone,
+      address: settings.listen.callers,
+      leaving: this.isLeaving,
+      loading: listLoading(),
+    };
+  }
+
+  private applyRecords(records: readonly KeyedRecord[]): void {
+    const { roster, logger } = this.options;
+    records.forEach((record) => {
+      const heartbeat = decodeHeartbeat(record);
+      if (heartbeat) roster.noteHeartbeat(heartbeat);
+      else logger.warn('heartbeat not understood', { key: record.key });
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -0,0 +1,33 @@
+import type { EntryHeartbeat } from '@goldcrestscale/core';
+import type { KeyedRecord } from '../ports/index.js';
+
+/** Encodes a heartbeat as the newest record of its VM. */
+export const encodeHeartbeat = (heartbeat: EntryHeartbeat): KeyedRecord => ({
+  key: heartbeat.vmId,
+  value: Buffer.from(JSON.stringify(heartbeat)),
+});
+
+const isHeartbeat = (value: unknown): value is EntryHeartbeat => {
+  if (typeof value !== 'object' || value === null) return false;
+  const fields = value as Partial<Record<keyof EntryHeartbeat, unknown>>;
+  return (
+    typeof fields.vmId === 'string' &&
+    typeof fields.bootId === 'string' &&
+    typeof fields.availabilityZone === 'string' &&
+    typeof fields.address === 'string' &&
+    typeof fields.leaving === 'boolean' &&
+    Array.isArray(fields.loading)
+  );
+};
+
+/** @returns undefined where the record is none of this version's heartbeats */
+export const decodeHeartbeat = ({ value }: KeyedRecord): EntryHeartbeat | undefined => {
+  if (!value) return undefined;
+  try {
+    const parsed: unknown = JSON.parse(value.toString('utf8'));
+    return isHeartbeat(parsed) ? parsed : undefined;
+  } catch {
+    // The caller logs a record that can't be read.
+    return undefined;
+  }
+};
--- /dev/null
+++ b/packages/gateway/src/controllers/logLeaseStream.ts
@@ -0,0 +1,26 @@
+import { LeaseStream } from '@goldcrestscale/core';
+import type { LeaseReading } from '@goldcrestscale/core';
+import type { SharedLog } from '../ports/index.js';
+
+const LEASE_KEY = 'weights';
+
+/** The lease of the order giver as records of the log. */
+export class LogLeaseStream extends LeaseStream {
+  constructor(private readonly log: SharedLog) {
+    super();
+  }
+
+  override async read(signal: AbortSignal): Promise<LeaseReading> {
+    const { records, end } = await this.log.readNewest('leases', signal);
+    const newest = records.find(({ key }) => key === LEASE_KEY)?.value;
+    return { holder: newest?.toString('utf8'), end };
+  }
+
+  override appendAt(
+    end: number,
+    holder: string,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
+    return this.log.appendAt('leases', end, { key: LEASE_KEY, value: Buffer.from(holder) }, signal);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -0,0 +1,241 @@
+import { ConditionalLease, RolloutPlanner, rankByRendezvous, sleep } from '@goldcrestscale/core';
+import type {
+  EntryRoster,
+  FencedHold,
+  ModelId,
+  OperatorState,
+  TrackedUpstream,
+  UpstreamId,
+  UpstreamRegistry,
+  VmId,
+  WeightNumber,
+} from '@goldcrestscale/core';
+import type { Logger } from '@goldcrestscale/runtime';
+import {
+  LOAD_CHECK_MS,
+  LOAD_FIRST_CHECK_MS,
+  LOAD_FOLLOW_MS,
+  ORDER_TIMEOUT_MS,
+  ROLLOUT_TAKEOVER_MS,
+  ROLLOUT_TICK_MS,
+} from '../constants.js';
+import type { OrderOutcome, UpstreamCallOptions, UpstreamProtocol } from '../ports/index.js';
+
+/** What the controller is built from. */
+export interface RolloutOptions {
+  readonly self: VmId;
+  readonly holder: string;
+  readonly lease: ConditionalLease;
+  readonly registry: UpstreamRegistry;
+  readonly operators: OperatorState;
+  readonly roster: EntryRoster;
+  readonly protocol: UpstreamProtocol;
+  readonly logger: Logger;
+  /** Called when the list of loading engines has changed. */
+  readonly onLoadingChange: () => void;
+}
+
+/** Key by which VMs agree on who gives orders. */
+const ORDER_GIVER_KEY = 'order-giver';
+
+interface BehindEngine {
+  readonly upstream: TrackedUpstream;
+  readonly model: ModelId;
+  readonly wanted: WeightNumber;
+}
+
+/**
+ * Brings the engines to the newest weights. One VM of the fleet gives orders, under a lease;
+ * the others take over in a fixed order where nothing moves on.
+ */
+export class RolloutController {
+  private readonly planner = new RolloutPlanner();
+
+  private behindSinceMs: number | undefined;
+
+  private lastBehind = 0;
+
+  private hasWatched = false;
+
+  constructor(private readonly options: RolloutOptions) {}
+
+  /** Whether some engine runs on older weights than wanted. */
+  get isRollingOut(): boolean {
+    return this.lastBehind > 0;
+  }
+
+  /** Lists the engines that this VM has ordered to load. */
+  listLoading(): readonly UpstreamId[] {
+    return this.planner.listUnderWay();
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        await this.tick(signal);
+      } catch (cause) {
+        if (!signal.aborted) {
+          this.options.logger.warn('order giver can not reach the log', { error: String(cause) });
+        }
+      }
+      await sleep(ROLLOUT_TICK_MS, signal);
+    }
+  }
+
+  private async tick(signal: AbortSignal): Promise<void> {
+    const { lease } = this.options;
+    const behind = this.listBehind();
+    this.noteProgress(behind.length);
+    if (behind.length === 0) {
+      if (!this.hasWatched) {
+        // Known in time, the end of another VM's lease needs no wait at the next change.
+        await lease.watch(signal);
+        this.hasWatched = true;
+      }
+      return;
+    }
+    this.hasWatched = false;
+    if (!this.isMyTurn()) return;
+    if (lease.isDue && !(await this.renew(signal))) return;
+    const { held } = lease;
+    if (held) this.startOrders(behind, signal);
+  }
+
+  private async renew(signal: AbortSignal): Promise<FencedHold | undefined> {
+    const { lease, logger } = this.options;
+    const wasHeld = lease.held !== undefined;
+    const hold = await lease.acquire(signal);
+    if (hold && !wasHeld) logger.info('lease taken', { ...hold });
+    return hold ?? lease.held;
+  }
+
+  private noteProgress(behind: number): void {
+    if (behind === 0) this.behindSinceMs = undefined;
+    else if (behind !== this.lastBehind || this.behindSinceMs === undefined) {
+      this.behindSinceMs = performance.now();
+    }
+    this.lastBehind = behind;
+  }
+
+  /** The first VM in the common order acts at once, each further one after a wait without progress. */
+  private isMyTurn(): boolean {
+    const { roster, self } = this.options;
+    const live = roster.listServing().map(({ vmId }) => vmId);
+    const rank = rankByRendezvous(ORDER_GIVER_KEY, live).indexOf(self);
+    const waitedMs = performance.now() - (this.behindSinceMs ?? performance.now());
+    return rank >= 0 && waitedMs >= rank * ROLLOUT_TAKEOVER_MS;
+  }
+
+  private listBehind(): readonly BehindEngine[] {
+    return this.listEngines().filter(({ upstream, model, wanted }) => {
+      const held = upstream.findWeights(model);
+      return held !== undefined && held < wanted;
+    });
+  }
+
+  private listEngines(): readonly BehindEngine[] {
+    const { registry, operators } = this.options;
+    return registry.list().flatMap((upstream) =>
+      upstream.registered.weights.flatMap(({ model }) => {
+        const weights = operators.findWeights(model);
+        const isLeaving = upstream.registered.draining;
+        return weights && !isLeaving ? [{ upstream, model, wanted: weights.wanted }] : [];
+      }),
+    );
+  }
+
+  private startOrders(behind: readonly BehindEngine[], signal: AbortSignal): void {
+    const behindIds = new Map(behind.map((engine) => [engine.upstream.upstreamId, engine]));
+    const chosen = this.planner.takeNext(
+      this.listEngines().map(({ upstream }) => ({
+        upstreamId: upstream.upstreamId,
+        isBehind: behindIds.has(upstream.upstreamId),
+        load: upstream.estimateLoad(),
+      })),
+    );
+    if (chosen.length === 0) return;
+    chosen.forEach((upstreamId) => void this.loadEngine(behindIds.get(upstreamId)!, signal));
+    this.options.onLoadingChange();
+  }
+
+  private async loadEngine(engine: BehindEngine, signal: AbortSignal): Promise<void> {
+    const { upstreamId } = engine.upstream;
+    const startedAtMs = performance.now();
+    let outcome = 'failed';
+    try {
+      outcome = (await this.orderAndFollow(engine, signal)) ? 'done' : 'failed';
+    } catch (cause) {
+      outcome = String(cause);
+    }
+    if (outcome === 'done') this.planner.noteDone(upstreamId);
+    else this.planner.noteFailed(upstreamId);
+    this.options.logger.info('order ended', {
+      upstreamId,
+      wanted: engine.wanted,
+      outcome,
+      elapsedMs: Math.round(performance.now() - startedAtMs),
+    });
+    this.options.onLoadingChange();
+  }
+
+  /** @returns whether the engine runs on the wanted weights */
+  private async orderAndFollow(engine: BehindEngine, signal: AbortSignal): Promise<boolean> {
+    const state = await this.options.protocol.readState(this.buildCall(engine, signal));
+    if (this.noteState(engine, state.weights)) return true;
+    if (!state.isBusy) {
+      const outcome = await this.sendOrder(engine, state.acceptedOrders, signal);
+      if (outcome === 'fenced' || outcome === 'moved' || outcome === 'failed') return false;
+      await sleep(LOAD_FIRST_CHECK_MS, signal);
+    }
+    return this.follow(engine, signal);
+  }
+
+  private async sendOrder(
+    engine: BehindEngine,
+    expectedOrders: number,
+    signal: AbortSignal,
+  ): Promise<OrderOutcome> {
+    const { lease, holder, protocol } = this.options;
+    const { held } = lease;
+    if (!held) return 'failed';
+    const { model, wanted } = engine;
+    try {
+      return await protocol.sendOrder(
+        { model, wanted, holder, fencingToken: held.fencingToken, expectedOrders },
+        this.buildCall(engine, signal),
+      );
+    } catch {
+      // The order may have been accepted all the same; what the engine says next tells.
+      return 'conflict';
+    }
+  }
+
+  private async follow(engine: BehindEngine, signal: AbortSignal): Promise<boolean> {
+    const endsAtMs = performance.now() + LOAD_FOLLOW_MS;
+    while (performance.now() < endsAtMs && !signal.aborted) {
+      const state = await this.options.protocol.readState(this.buildCall(engine, signal));
+      if (this.noteState(engine, state.weights)) return true;
+      if (!state.isBusy) return false;
+      await sleep(LOAD_CHECK_MS, signal);
+    }
+    return false;
+  }
+
+  private noteState(
+    { upstream, model, wanted }: BehindEngine,
+    weights: ReadonlyMap<ModelId, WeightNumber>,
+  ): boolean {
+    const held = weights.get(model);
+    if (held === undefined) return false;
+    upstream.noteWeights(model, held);
+    return held >= wanted;
+  }
+
+  private buildCall({ upstream }: BehindEngine, signal: AbortSignal): UpstreamCallOptions {
+    return {
+      address: upstream.registered.address,
+      upstreamId: upstream.upstreamId,
+      signal: AbortSignal.any([signal, AbortSignal.timeout(ORDER_TIMEOUT_MS)]),
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -0,0 +1,188 @@
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import {
+  ColdStartBudget,
+  PromptRouter,
+  SentParts,
+  computeColdShare,
+  listSharedParts,
+  pickDestination,
+} from '@goldcrestscale/core';
+import type {
+  AvailabilityZoneId,
+  BlockDirectory,
+  ColdBound,
+  EjectionPolicy,
+  EntryRoster,
+  OperatorState,
+  RegionId,
+  ServiceName,
+  TrackedUpstream,
+  UpstreamId,
+  UpstreamRegistry,
+  VmId,
+  WeightNumber,
+} from '@goldcrestscale/core';
+import { OLD_WEIGHTS_SHARE } from '../constants.js';
+import type { GatewayExchange } from '../filters/exchange.js';
+import { requireRoute } from '../filters/exchange.js';
+import type { FleetBounds } from '../config.js';
+
+/** What the chooser reads. */
+export interface ChooserOptions {
+  readonly self: VmId;
+  readonly bounds: FleetBounds;
+  readonly regions: ReadonlyMap<AvailabilityZoneId, RegionId>;
+  readonly registry: UpstreamRegistry;
+  readonly operators: OperatorState;
+  readonly roster: EntryRoster;
+  readonly blocks: BlockDirectory;
+  readonly ejection: EjectionPolicy;
+  readonly random: RandomGenerator;
+}
+
+/** Chooses the upstream of an attempt among those that may get it now. */
+export class UpstreamChooser {
+  private readonly sent = new SentParts();
+
+  private readonly router = new PromptRouter(this.sent);
+
+  private readonly cold = new ColdStartBudget();
+
+  constructor(private readonly options: ChooserOptions) {}
+
+  /** Picks the service of a request among its route's destinations. */
+  pickService(exchange: GatewayExchange): ServiceName | undefined {
+    return pickDestination(requireRoute(exchange), uniformFloat64(this.options.random));
+  }
+
+  /** @returns undefined where no upstream may get the request now */
+  choose(
+    exchange: GatewayExchange,
+    service: ServiceName,
+    excluded: ReadonlySet<UpstreamId>,
+  ): TrackedUpstream | undefined {
+    const all = this.options.registry.listService(service);
+    const able = all.filter((upstream) => this.canServe(exchange, upstream, excluded));
+    const loading = this.options.roster.listLoading();
+    const free = able.filter(
+      (upstream) => !upstream.isBusy && !loading.has(upstream.upstreamId),
+    );
+    const chosen = this.chooseAmong(exchange, free);
+    if (!chosen?.isCold) return chosen;
+    const share = this.computeShare(chosen);
+    return !share || this.cold.tryTake(chosen.upstreamId, share) ? chosen : undefined;
+  }
+
+  /** Tells whether an upstream may still get a request; nothing awaits between this and the send. */
+  canServe(
+    exchange: GatewayExchange,
+    upstream: TrackedUpstream,
+    excluded: ReadonlySet<UpstreamId>,
+  ): boolean {
+    const { operators, ejection, regions } = this.options;
+    const { registered } = upstream;
+    const region = regions.get(registered.availabilityZone);
+    const isAllowed = (allowed: readonly RegionId[] | undefined): boolean =>
+      !allowed?.length || (region !== undefined && allowed.includes(region));
+    return (
+      !registered.draining &&
+      !excluded.has(upstream.upstreamId) &&
+      !operators.isZoneOut(registered.availabilityZone) &&
+      isAllowed(exchange.route?.regions) &&
+      isAllowed(exchange.account?.regions) &&
+      ejection.getState(upstream.upstreamId) !== 'open' &&
+      this.hasColdRoom(upstream) &&
+      !this.hasOutdatedWeights(exchange, upstream)
+    );
+  }
+
+  /** Gives the weights that an attempt must run on. */
+  findWeights(exchange: GatewayExchange, upstream: TrackedUpstream): WeightNumber | undefined {
+    const model = exchange.head.prompt?.model;
+    return model === undefined ? undefined : upstream.findWeights(model);
+  }
+
+  /** Builds the salt that keeps blocks of other weights, models and isolated accounts apart. */
+  buildSalt(exchange: GatewayExchange, held: WeightNumber | undefined): string {
+    const { account } = exchange;
+    const wall = account?.isolated ? `.${account.id}` : '';
+    return `${exchange.head.prompt?.model ?? ''}.${held ?? 0}${wall}`;
+  }
+
+  /** Notes that the parts of a prompt are being read at an upstream. */
+  noteSent(exchange: GatewayExchange, upstream: TrackedUpstream): void {
+    const { prompt } = exchange.head;
+    if (!prompt) return;
+    const salt = this.buildSalt(exchange, upstream.findWeights(prompt.model));
+    listSharedParts(prompt).forEach(({ id }) =>
+      this.sent.note(`${salt}/${id}`, upstream.upstreamId),
+    );
+  }
+
+  private chooseAmong(
+    exchange: GatewayExchange,
+    candidates: readonly TrackedUpstream[],
+  ): TrackedUpstream | undefined {
+    const { prompt } = exchange.head;
+    if (!prompt) return this.chooseLeastLoaded(candidates);
+    const weights = this.options.operators.findWeights(prompt.model);
+    return this.router.choose(
+      {
+        prompt,
+        wanted: weights?.wanted,
+        wantedForMs: weights ? performance.now() - weights.learnedAtMs : 0,
+        buildKey: (partId, held) => `${this.buildSalt(exchange, held)}/${partId}`,
+        isStored: (key) => this.options.blocks.findStore(key, 1) !== undefined,
+      },
+      candidates,
+    );
+  }
+
+  private chooseLeastLoaded(candidates: readonly TrackedUpstream[]): TrackedUpstream | undefined {
+    let best: TrackedUpstream | undefined;
+    let least = Infinity;
+    candidates.forEach((candidate) => {
+      const load =
+        (candidate.estimateLoad() + uniformFloat64(this.options.random)) /
+        Math.max(1, candidate.registered.slots);
+      if (load >= least) return;
+      best = candidate;
+      least = load;
+    });
+    return best;
+  }
+
+  private hasColdRoom(upstream: TrackedUpstream): boolean {
+    if (!upstream.isCold) return true;
+    const share = this.computeShare(upstream);
+    return !share || this.cold.canTake(upstream.upstreamId, share);
+  }
+
+  private computeShare(upstream: TrackedUpstream) {
+    const { operators, bounds, roster, self } = this.options;
+    const service = operators.view?.findService(upstream.registered.service);
+    if (!service || service.coldRequestsPerSecond <= 0) return undefined;
+    const bound: ColdBound = {
+      requestsPerSecond: service.coldRequestsPerSecond,
+      overrun: bounds.coldOverrun,
+      slack: bounds.coldSlack,
+    };
+    return computeColdShare({
+      self,
+      sharing: roster.listSharing(),
+      upstreamId: upstream.upstreamId,
+      bound,
+    });
+  }
+
+  /** Newer weights were named so long ago that the old ones must not begin a run any more. */
+  private hasOutdatedWeights(exchange: GatewayExchange, upstream: TrackedUpstream): boolean {
+    const model = exchange.head.prompt?.model;
+    const weights = model === undefined ? undefined : this.options.operators.findWeights(model);
+    const held = model === undefined ? undefined : upstream.findWeights(model);
+    if (!weights || held === undefined || held >= weights.wanted) return false;
+    const limitMs = this.options.bounds.weightsInForceMs * OLD_WEIGHTS_SHARE;
+    return performance.now() - weights.learnedAtMs > limitMs;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/upstreamConnection.ts
@@ -0,0 +1,114 @@
+import { connect as connectSocket } from 'node:net';
+import { Client } from 'undici';
+import type { Dispatcher } from 'undici';
+import { CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS, IDLE_MARGIN_MS } from '../constants.js';
+
+/** Longest head of an upstream's answer, in bytes. */
+const MAX_HEADER_BYTES = 65_536;
+
+/** Interval from which the kernel probes a connection that is silent, in milliseconds. */
+const KEEP_ALIVE_PROBE_MS = 1_000;
+
+/** The connection failed before anything could be sent on it. */
+export class ConnectionError extends Error {
+  override readonly name = 'ConnectionError';
+}
+
+type Connector = (
+  options: { readonly hostname: string; readonly port: string },
+  callback: (...result: [null, unknown] | [Error, null]) => void,
+) => void;
+
+/**
+ * Creates a connector that connects once, so that a lost connection is never replaced in silence.
+ * A reset is renamed: undici takes an answer without a length as whole when ECONNRESET ends it.
+ */
+const createConnector = (): Connector => {
+  let isUsed = false;
+  return ({ hostname, port }, callback) => {
+    if (isUsed) {
+      callback(new ConnectionError('the connection has ended'), null);
+      return;
+    }
+    isUsed = true;
+    const socket = connectSocket({ host: hostname, port: Number(port), noDelay: true });
+    socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
+    const timer = setTimeout(() => {
+      socket.destroy(new ConnectionError('the connection was not accepted in time'));
+    }, CONNECT_TIMEOUT_MS);
+    const fail = (cause: Error): void => {
+      clearTimeout(timer);
+      callback(new ConnectionError(cause.message), null);
+    };
+    socket.once('error', fail);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      socket.off('error', fail);
+      socket.on('error', (error: NodeJS.ErrnoException) => {
+        error.code = 'CONNECTION_LOST';
+      });
+      callback(null, socket);
+    });
+  };
+};
+
+/** One connection to an upstream, for one request at a time. */
+export class UpstreamConnection {
+  /** When it became idle, by the monotonic clock. */
+  idleSinceMs = performance.now();
+
+  private readonly client: Client;
+
+  private open = true;
+
+  private idleLimitMs = IDLE_CONNECTION_MS;
+
+  constructor(address: string, onClose: () => void) {
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: 2 * IDLE_CONNECTION_MS,
+      keepAliveMaxTimeout: 2 * IDLE_CONNECTION_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connect: createConnector() as never,
+    });
+    const close = (): void => {
+      if (!this.open) return;
+      this.open = false;
+      onClose();
+    };
+    this.client.once('disconnect', () => {
+      close();
+      void this.client.destroy();
+    });
+    this.client.once('connectionError', close);
+  }
+
+  /** False once nothing can be sent on it any more. */
+  get isOpen(): boolean {
+    return this.open;
+  }
+
+  /** Tells whether the upstream may have closed it for being idle. */
+  get isStale(): boolean {
+    return performance.now() - this.idleSinceMs > this.idleLimitMs;
+  }
+
+  /** Takes the upstream's own limit for idle connections, in seconds. */
+  noteKeepAlive(header: string | undefined): void {
+    const seconds = Number(/timeout=(\d+)/i.exec(header ?? '')?.[1] ?? NaN);
+    if (Number.isFinite(seconds)) {
+      this.idleLimitMs = Math.min(IDLE_CONNECTION_MS, seconds * 1_000 - IDLE_MARGIN_MS);
+    }
+  }
+
+  send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+    this.client.dispatch(options, handler);
+  }
+
+  destroy(): void {
+    this.open = false;
+    void this.client.destroy();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/filters/accountFilter.ts
@@ -0,0 +1,28 @@
+import { createRefusal } from '@goldcrestscale/core';
+import type { DeployedAccount, DeploymentView } from '@goldcrestscale/core';
+import type { GatewayExchange } from './exchange.js';
+import { requireRoute } from './exchange.js';
+import { GatewayFilter } from './gatewayFilter.js';
+import type { NextFilter } from './gatewayFilter.js';
+
+/** Finds the client account by its key, from the head alone. */
+export class AccountFilter extends GatewayFilter {
+  override readonly name = 'account';
+
+  constructor(private readonly getView: () => DeploymentView | undefined) {
+    super();
+  }
+
+  override async handle(exchange: GatewayExchange, next: NextFilter): Promise<void> {
+    const view = this.getView();
+    const account = exchange.head.apiKey && view?.findAccount(exchange.head.apiKey);
+    if (account) exchange.account = account as DeployedAccount;
+    else if (view?.needsKeys && !requireRoute(exchange).anonymous) {
+      throw createRefusal('The key is unknown; use a key of your account.', {
+        code: 'unauthorized',
+        status: 401,
+      });
+    }
+    await next();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/filters/deadlineFilter.ts
@@ -0,0 +1,16 @@
+import type { GatewayExchange } from './exchange.js';
+import { requireRoute } from './exchange.js';
+import { GatewayFilter } from './gatewayFilter.js';
+import type { NextFilter } from './gatewayFilter.js';
+
+/** Sets the time by which the answer must be whole: the caller's or the route's, whichever is first. */
+export class DeadlineFilter extends GatewayFilter {
+  override readonly name = 'deadline';
+
+  override async handle(exchange: GatewayExchange, next: NextFilter): Promise<void> {
+    const { timeoutMs } = requireRoute(exchange);
+    const allowedMs = Math.min(timeoutMs, exchange.head.deadlineMs ?? Infinity);
+    exchange.deadlineAtMs = exchange.receivedAtMs + allowedMs;
+    await next();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -0,0 +1,310 @@
+import {
+  combineVerdicts,
+  createError,
+  createRefusal,
+  listSharedParts,
+  buildBlockKey,
+} from '@goldcrestscale/core';
+import type {
+  BlockDirectory,
+  EjectionPolicy,
+  FleetRetryBudget,
+  GoldcrestErrorInstance,
+  ServiceName,
+  TrackedUpstream,
+  UpstreamId,
+} from '@goldcrestscale/core';
+import {
+  BUSY_RETRY_MS,
+  MAX_EXTRA_SENDS,
+  REFUSED_PAUSE_MS,
+  UNREACHABLE_PAUSE_MS,
+} from '../constants.js';
+import type { AttemptResult } from '../dispatch/attemptResult.js';
+import type { ConnectionPool } from '../dispatch/connectionPool.js';
+import { EventSplitter } from '../dispatch/eventSplitter.js';
+import { UpstreamAttempt } from '../dispatch/upstreamAttempt.js';
+import type { UpstreamChooser } from '../dispatch/upstreamChooser.js';
+import type { GatewayMetrics } from '../metrics.js';
+import type {
+  AnswerHead,
+  AttemptFacts,
+  BlockTransfers,
+  UpstreamProtocol,
+} from '../ports/index.js';
+import type { GatewayExchange } from './exchange.js';
+import { requireRoute } from './exchange.js';
+import { GatewayFilter } from './gatewayFilter.js';
+
+/** What the dispatch filter is built from. */
+export interface GatewayDispatchOptions {
+  readonly chooser: UpstreamChooser;
+  readonly connections: ConnectionPool;
+  readonly protocol: UpstreamProtocol;
+  readonly retries: FleetRetryBudget;
+  readonly ejection: EjectionPolicy;
+  readonly blocks: BlockDirectory;
+  readonly metrics: GatewayMetrics;
+  /** Gives this VM's part of the connections that an upstream accepts. */
+  readonly getConnectionShare: (service: ServiceName) => number;
+}
+
+/** What the attempts of one request share. */
+interface Progress {
+  readonly service: ServiceName;
+  readonly excluded: Set<UpstreamId>;
+  readonly events: EventSplitter | undefined;
+  sends: number;
+  runs: number;
+  lastFailure: Extract<AttemptResult, { kind: 'failed' }> | undefined;
+}
+
+/** Ranks by priority; 0 to 9, where the upstream's own default is 5. */
+const URGENCIES = [2, 4, 5, 6, 7] as const;
+
+const createNoUpstreamError = (): GoldcrestErrorInstance =>
+  createRefusal('No upstream can take the request now; try again.', {
+    code: 'no_upstream',
+    status: 503,
+    retryAfterMs: BUSY_RETRY_MS,
+  });
+
+const createTimeoutError = (exchange: GatewayExchange): GoldcrestErrorInstance =>
+  createError('The time for the answer is over.', {
+    code: 'deadline',
+    status: exchange.verdict === 'not-run' ? 503 : 504,
+    verdict: exchange.verdict,
+  });
+
+/** Chooses an upstream, sends the request and repeats it as far as the outcome allows. */
+export class GatewayDispatchFilter extends GatewayFilter {
+  override readonly name = 'dispatch';
+
+  constructor(private readonly options: GatewayDispatchOptions) {
+    super();
+  }
+
+  override async handle(exchange: GatewayExchange): Promise<void> {
+    const service = this.options.chooser.pickService(exchange);
+    if (service === undefined) throw createNoUpstreamError();
+    const route = requireRoute(exchange);
+    this.options.retries.noteRequest(service);
+    const progress: Progress = {
+      service,
+      excluded: new Set(),
+      events: route.resumable ? new EventSplitter() : undefined,
+      sends: 0,
+      runs: 0,
+      lastFailure: undefined,
+    };
+    const expiry = new AbortController();
+    const leftMs = Math.max(0, exchange.deadlineAtMs - performance.now());
+    const timer = setTimeout(() => expiry.abort(), leftMs);
+    try {
+      const signal = AbortSignal.any([exchange.signal, expiry.signal]);
+      await this.runAttempts(exchange, progress, signal);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private async runAttempts(
+    exchange: GatewayExchange,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<void> {
+    for (;;) {
+      if (signal.aborted) throw createTimeoutError(exchange);
+      const upstream = this.options.chooser.choose(exchange, progress.service, progress.excluded);
+      if (!upstream) {
+        this.answerFailure(exchange, progress);
+        return;
+      }
+      const result = await this.runAttempt(exchange, upstream, progress, signal);
+      this.options.metrics.countAttempt(progress.service, result.kind);
+      if (result.kind === 'answered') {
+        exchange.verdict = 'ran';
+        return;
+      }
+      this.noteFailure(exchange, upstream, progress, result);
+      if (signal.aborted) throw createTimeoutError(exchange);
+      if (!this.canRepeat(exchange, progress, result)) {
+        this.answerFailure(exchange, progress);
+        return;
+      }
+    }
+  }
+
+  private async runAttempt(
+    exchange: GatewayExchange,
+    upstream: TrackedUpstream,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<AttemptResult> {
+    const { connections, protocol, ejection } = this.options;
+    const { address, service } = upstream.registered;
+    const connection = connections.acquire(address, this.options.getConnectionShare(service));
+    if (!connection) return { kind: 'not-run', reason: 'refused' };
+    const tokens = exchange.head.prompt?.inputTokens ?? 0;
+    let isPending = true;
+    const noteBegun = (): void => {
+      if (isPending) upstream.noteAnswerBegun(tokens);
+      isPending = false;
+    };
+    const attempt = new UpstreamAttempt({
+      exchange,
+      upstream,
+      connection,
+      protocol,
+      facts: this.buildFacts(exchange, upstream, progress),
+      signal,
+      events: progress.events,
+      onHead: (head) => {
+        noteBegun();
+        this.noteHead(exchange, upstream, head);
+      },
+    });
+    progress.sends += 1;
+    upstream.noteSent(tokens);
+    ejection.noteStart(upstream.upstreamId);
+    this.options.chooser.noteSent(exchange, upstream);
+    try {
+      return await attempt.run();
+    } finally {
+      noteBegun();
+      upstream.noteEnd();
+      if (attempt.isReusable) connections.release(address, connection);
+      else connections.discard(address, connection);
+    }
+  }
+
+  private buildFacts(
+    exchange: GatewayExchange,
+    upstream: TrackedUpstream,
+    progress: Progress,
+  ): AttemptFacts {
+    const { chooser } = this.options;
+    const { prompt, lastEventId } = exchange.head;
+    const weights = chooser.findWeights(exchange, upstream);
+    const salt = prompt ? chooser.buildSalt(exchange, weights) : undefined;
+    const rank = exchange.account?.priority ?? requireRoute(exchange).priority;
+    const resumeFrom = progress.events?.lastId;
+    return {
+      upstreamId: upstream.upstreamId,
+      remainingMs: Math.max(1, Math.round(exchange.deadlineAtMs - performance.now())),
+      urgency: prompt ? URGENCIES[Math.min(rank, URGENCIES.length - 1)] : undefined,
+      cacheSalt: salt,
+      weights,
+      transfers: salt === undefined ? undefined : this.planTransfers(exchange, salt),
+      lastEventId: resumeFrom === undefined ? lastEventId : String(resumeFrom),
+    };
+  }
+
+  private planTransfers(exchange: GatewayExchange, salt: string): BlockTransfers | undefined {
+    const { prompt } = exchange.head;
+    const { blocks } = this.options;
+    if (!prompt || blocks.listStores().length === 0) return undefined;
+    const shared = new Set(listSharedParts(prompt));
+    const fetchFrom: (string | undefined)[] = [];
+    const saveTo: (string | undefined)[] = [];
+    prompt.parts.forEach((part) => {
+      const key = buildBlockKey(salt, part.id);
+      const isShared = shared.has(part);
+      fetchFrom.push(isShared ? blocks.findStore(key, part.tokens) : undefined);
+      saveTo.push(isShared ? blocks.takeSaveTarget(key, part.tokens) : undefined);
+    });
+    return { fetchFrom, saveTo };
+  }
+
+  private noteHead(exchange: GatewayExchange, upstream: TrackedUpstream, head: AnswerHead): void {
+    const { metrics, ejection } = this.options;
+    metrics.observeFirstByte(performance.now() - exchange.receivedAtMs);
+    if (head.load) upstream.noteLoad(head.load);
+    if (head.coldRemainingMs) upstream.noteCold(head.coldRemainingMs);
+    const model = exchange.head.prompt?.model;
+    if (model !== undefined && head.weights !== undefined) {
+      upstream.noteWeights(model, head.weights);
+    }
+    if (head.status < 500) {
+      ejection.noteEnd(upstream.upstreamId, 'success');
+      upstream.noteFree();
+    }
+  }
+
+  private noteFailure(
+    exchange: GatewayExchange,
+    upstream: TrackedUpstream,
+    progress: Progress,
+    result: Exclude<AttemptResult, { kind: 'answered' }>,
+  ): void {
+    const { ejection } = this.options;
+    const isCancelled = exchange.signal.aborted;
+    if (result.kind === 'failed') {
+      progress.lastFailure = result;
+      progress.runs += 1;
+      exchange.verdict = combineVerdicts(exchange.verdict, 'ran');
+      ejection.noteEnd(upstream.upstreamId, 'neutral');
+      progress.excluded.add(upstream.upstreamId);
+    } else if (result.kind === 'not-run') {
+      this.noteNotRun(upstream, progress, result.reason);
+    } else {
+      progress.runs += 1;
+      exchange.verdict = combineVerdicts(exchange.verdict, 'may-have-run');
+      if (!isCancelled) upstream.noteBroken();
+      ejection.noteEnd(upstream.upstreamId, isCancelled ? 'neutral' : 'failure');
+      progress.excluded.add(upstream.upstreamId);
+    }
+  }
+
+  private noteNotRun(
+    upstream: TrackedUpstream,
+    progress: Progress,
+    reason: Extract<AttemptResult, { kind: 'not-run' }>['reason'],
+  ): void {
+    this.options.ejection.noteEnd(upstream.upstreamId, 'neutral');
+    if (reason === 'refused') upstream.noteBusy(REFUSED_PAUSE_MS);
+    if (reason === 'unreachable') {
+      upstream.noteBusy(UNREACHABLE_PAUSE_MS);
+      upstream.noteBroken();
+      this.options.connections.closeIdle(upstream.registered.address);
+    }
+    // Other weights than expected: the same upstream may take it with the ones that it told.
+    if (reason !== 'misdirected' || progress.sends > 1) {
+      progress.excluded.add(upstream.upstreamId);
+    }
+  }
+
+  private canRepeat(
+    exchange: GatewayExchange,
+    progress: Progress,
+    result: Exclude<AttemptResult, { kind: 'answered' }>,
+  ): boolean {
+    const { maxUpstreams, idempotent, resumable } = requireRoute(exchange);
+    if (exchange.signal.aborted) return false;
+    const maxSends = maxUpstreams + MAX_EXTRA_SENDS;
+    const isAllowed =
+      result.kind === 'not-run'
+        ? progress.sends < maxSends
+        : idempotent && progress.runs < maxUpstreams && progress.sends < maxSends;
+    if (!isAllowed || (result.kind === 'broken' && !resumable)) return false;
+    return this.options.retries.tryRepeat(progress.service);
+  }
+
+  /** Ends a request that no further attempt can serve. */
+  private answerFailure(exchange: GatewayExchange, progress: Progress): void {
+    const { answer } = exchange;
+    const { lastFailure } = progress;
+    if (lastFailure && !answer.headSent) {
+      const { head, body } = lastFailure;
+      answer.start({ status: head.status, headers: head.forwarded, contentLength: body.length });
+      answer.finish(body);
+      return;
+    }
+    if (exchange.verdict === 'not-run') throw createNoUpstreamError();
+    throw createError('The upstream gave no whole answer; the request may have run.', {
+      code: answer.headSent ? 'stream_broken' : 'upstream_failed',
+      status: 502,
+      verdict: exchange.verdict,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/filters/exchange.ts
@@ -0,0 +1,35 @@
+import type { IncomingMessage } from 'node:http';
+import type { DeployedAccount, RouteRule, Verdict } from '@goldcrestscale/core';
+import type { CallerHead } from '../ports/index.js';
+import type { CallerAnswer } from '../http/callerAnswer.js';
+
+/** One caller request on its way through the filters. */
+export interface GatewayExchange {
+  readonly request: IncomingMessage;
+  readonly method: string;
+  readonly host: string;
+  /** Path and query, as the caller sent them. */
+  readonly target: string;
+  readonly head: CallerHead;
+  readonly answer: CallerAnswer;
+  /** Aborts when the caller has gone. */
+  readonly signal: AbortSignal;
+  /** By the monotonic clock. */
+  readonly receivedAtMs: number;
+  /** Set by the body filter. */
+  body: Buffer;
+  /** Set by the route filter. */
+  route?: RouteRule;
+  /** Set by the account filter. */
+  account?: DeployedAccount;
+  /** Set by the deadline filter, by the monotonic clock. */
+  deadlineAtMs: number;
+  /** Worst verdict of the attempts so far. */
+  verdict: Verdict;
+}
+
+/** Requires what an earlier filter has set. */
+export const requireRoute = ({ route }: GatewayExchange): RouteRule => {
+  if (!route) throw new TypeError('the route filter has not run');
+  return route;
+};
--- /dev/null
+++ b/packages/gateway/src/filters/index.ts
@@ -0,0 +1,31 @@
+/** The filters of a forwarded request, in their order. */
+import type { DeploymentView } from '@goldcrestscale/core';
+import { AccountFilter } from './accountFilter.js';
+import { BodyFilter } from './bodyFilter.js';
+import { DeadlineFilter } from './deadlineFilter.js';
+import { GatewayDispatchFilter } from './dispatchFilter.js';
+import type { GatewayDispatchOptions } from './dispatchFilter.js';
+import type { GatewayFilter } from './gatewayFilter.js';
+import { RouteFilter } from './routeFilter.js';
+import { ShutdownFilter } from './shutdownFilter.js';
+import { VerdictGuardFilter } from './verdictGuardFilter.js';
+import type { VerdictGuardOptions } from './verdictGuardFilter.js';
+
+/** What the chain is built from. */
+export interface GatewayFilterOptions {
+  readonly guard: VerdictGuardOptions;
+  readonly getView: () => DeploymentView | undefined;
+  readonly isRefusing: () => boolean;
+  readonly dispatch: GatewayDispatchOptions;
+}
+
+/** Creates the chain, outermost filter first. */
+export const createGatewayFilters = (options: GatewayFilterOptions): readonly GatewayFilter[] => [
+  new VerdictGuardFilter(options.guard),
+  new ShutdownFilter(options.isRefusing),
+  new RouteFilter(options.getView),
+  new AccountFilter(options.getView),
+  new DeadlineFilter(),
+  new BodyFilter(options.getView),
+  new GatewayDispatchFilter(options.dispatch),
+];
--- /dev/null
+++ b/packages/gateway/src/filters/routeFilter.ts
@@ -0,0 +1,42 @@
+import { createRefusal } from '@goldcrestscale/core';
+import type { DeploymentView } from '@goldcrestscale/core';
+import { NOT_READY_RETRY_MS } from '../constants.js';
+import type { GatewayExchange } from './exchange.js';
+import { GatewayFilter } from './gatewayFilter.js';
+import type { NextFilter } from './gatewayFilter.js';
+
+/** Refuses while no configuration is known, for a request id that is missing, and for unknown paths. */
+export class RouteFilter extends GatewayFilter {
+  override readonly name = 'route';
+
+  constructor(private readonly getView: () => DeploymentView | undefined) {
+    super();
+  }
+
+  override async handle(exchange: GatewayExchange, next: NextFilter): Promise<void> {
+    const view = this.getView();
+    if (!view) {
+      throw createRefusal('The configuration is not known yet; try again.', {
+        code: 'stale_configuration',
+        status: 503,
+        retryAfterMs: NOT_READY_RETRY_MS,
+      });
+    }
+    const path = exchange.target.split('?', 1)[0] ?? '';
+    const route = view.findRoute(exchange.host, path);
+    if (!route) {
+      throw createRefusal('No route begins this path; check host and path.', {
+        code: 'unknown_service',
+        status: 404,
+      });
+    }
+    exchange.route = route;
+    if (exchange.head.requestId === undefined) {
+      throw createRefusal('The request has no id; send one with each request.', {
+        code: 'bad_request',
+        status: 400,
+      });
+    }
+    await next();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/http/refusal.ts
@@ -0,0 +1,32 @@
+import type { GoldcrestErrorInstance } from '@goldcrestscale/core';
+import type { GatewayExchange } from '../filters/exchange.js';
+import type { CallerProtocol } from '../ports/index.js';
+
+const SECOND_MS = 1_000;
+
+/** Answers with an error; an answer that has begun is cut, since it can't become whole. */
+export const sendRefusal = (
+  exchange: GatewayExchange,
+  error: GoldcrestErrorInstance,
+  status: number,
+  protocol: CallerProtocol,
+): void => {
+  const { answer, head } = exchange;
+  if (answer.headSent) {
+    answer.abort();
+    return;
+  }
+  const body = Buffer.from(
+    JSON.stringify({ error: { code: error.code, message: error.message } }),
+  );
+  const headers = { ...protocol.buildRefusalHeaders(head.requestId) };
+  if (error.retryAfterMs !== undefined) {
+    headers['retry-after'] = (error.retryAfterMs / SECOND_MS).toFixed(2);
+  }
+  answer.start({
+    status,
+    headers: ['content-type', 'application/json', ...Object.entries(headers).flat()],
+    contentLength: body.length,
+  });
+  answer.finish(body);
+};
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,9 @@
+/** Gateway: forwards callers' requests to upstreams over the protocols that a platform provides. */
+export { GatewaySettingsError, loadGatewaySettings, resolveGatewaySettings } from './config.js';
+export type { FleetBounds, GatewaySettings } from './config.js';
+export type { GatewayExchange } from './filters/exchange.js';
+export { runGateway } from './gateway.js';
+export type { GatewayOptions } from './gateway.js';
+export { createGatewayMetrics } from './metrics.js';
+export type { GatewayMetrics } from './metrics.js';
+export * from './ports/index.js';
--- /dev/null
+++ b/packages/gateway/src/ports/index.ts
@@ -0,0 +1,18 @@
+/** What a platform must provide. */
+export { CallerProtocol } from './callerProtocol.js';
+export type { CallerHead, DirectoryQuery } from './callerProtocol.js';
+export { RecordCodec } from './recordCodec.js';
+export { LogTrimmedError, SharedLog } from './sharedLog.js';
+export type { KeyedRecord, LogBatch, LogSnapshot, LogTopic, ReadOptions } from './sharedLog.js';
+export { UpstreamProtocol } from './upstreamProtocol.js';
+export type {
+  AnswerHead,
+  AttemptFacts,
+  BlockEvents,
+  BlockEventsQuery,
+  BlockTransfers,
+  EngineState,
+  OrderOutcome,
+  UpstreamCallOptions,
+  WeightOrder,
+} from './upstreamProtocol.js';
--- a/packages/runtime/src/logger/index.ts
+++ b/packages/runtime/src/logger/index.ts
@@ -1,4 +1,6 @@
 /** Logs. */
+export { createBoundedStream } from './boundedStream.js';
+export type { BoundedStream } from './boundedStream.js';
 export * from './logger.js';
 export * from './logSettings.js';
 export * from './redact.js';
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,31 @@
+import { fileURLToPath } from 'node:url';
+import { build } from 'esbuild';
+
+/** Bundles the gateway and its platform adapter into `target/`, so that a start loads few files. */
+
+const resolvePath = (path) => fileURLToPath(new URL(`../${path}`, import.meta.url));
+
+const packages = ['core', 'runtime', 'gateway'];
+
+await build({
+  entryPoints: [resolvePath('platform/src/main.ts')],
+  outdir: resolvePath('target'),
+  bundle: true,
+  splitting: true,
+  format: 'esm',
+  platform: 'node',
+  target: 'node20',
+  minify: true,
+  keepNames: true,
+  alias: Object.fromEntries(
+    packages.map((name) => [
+      `@goldcrestscale/${name}`,
+      resolvePath(`packages/${name}/src/index.ts`),
+    ]),
+  ),
+  // Libraries in CommonJS form call require.
+  banner: {
+    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+  },
+  logLevel: 'warning',
+});
