--- a/packages/core/src/blockStores/blockDirectory.ts
+++ b/packages/core/src/blockStores/blockDirectory.ts
@@ -16,6 +16,9 @@
 /** Time within which a part is not saved again, in milliseconds: its event is still under way. */
 const SAVE_MEMORY_MS = 4_000;
 
+/** Difference from which the servers' clock counts as set anew, in milliseconds. */
+const CLOCK_STEP_MS = 5_000;
+
 const UINT32_RANGE = 2 ** 32;
 
 /** Builds the key of a part among the blocks of all salts. */
@@ -37,6 +40,9 @@
 
   private readonly saves = new Map<string, number>();
 
+  /** Servers' clock less the monotonic clock of this process, in milliseconds. */
+  private clockOffsetMs: number | undefined;
+
   /** Takes the stores of the newest configuration. */
   replaceStores(settings: readonly BlockStoreSettings[]): void {
     const listed = new Set(settings.map(({ address }) => address));
@@ -69,6 +75,20 @@
     return true;
   }
 
+  /** Notes the servers' clock; the least delayed reading is the best. */
+  noteClock(clockMs: number): void {
+    const offsetMs = clockMs - performance.now();
+    const isBetter = this.clockOffsetMs === undefined || offsetMs > this.clockOffsetMs;
+    const isStep = Math.abs(offsetMs - (this.clockOffsetMs ?? offsetMs)) > CLOCK_STEP_MS;
+    if (isBetter || isStep) this.clockOffsetMs = offsetMs;
+  }
+
+  /** Gives a time from now on by the servers' clock; undefined where it is not known. */
+  computeServerTime(fromNowMs: number): number | undefined {
+    if (this.clockOffsetMs === undefined) return undefined;
+    return Math.round(performance.now() + this.clockOffsetMs + fromNowMs);
+  }
+
   /** Forgets what a store holds: it does not answer. */
   clearStore(address: string): void {
     const store = this.stores.get(address);
@@ -87,6 +107,11 @@
     store.usedTokens += change.tokens;
   }
 
+  /** Tells whether a store holds the part. */
+  isStored(key: string): boolean {
+    return [...this.stores.values()].some(({ blocks }) => blocks.has(key));
+  }
+
   /** Finds a store that holds a whole part; the fastest link comes first. */
   findStore(key: string, tokens: number): string | undefined {
     let best: KnownStore | undefined;
@@ -104,7 +129,7 @@
   takeSaveTarget(key: string, tokens: number): string | undefined {
     const nowMs = performance.now();
     if (nowMs - (this.saves.get(key) ?? -Infinity) < SAVE_MEMORY_MS) return undefined;
-    if (this.findStore(key, 0) !== undefined) return undefined;
+    if (this.isStored(key)) return undefined;
     let best: KnownStore | undefined;
     let bestScore = -Infinity;
     this.stores.forEach((store) => {
--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -7,6 +7,9 @@
 /** Age up to which a load report is weighed in full, in milliseconds. */
 export const LOAD_FRESH_MS = 1_000;
 
+/** Time for which an engine counts as loading after its order giver has said so, in milliseconds. */
+export const LOADING_MEMORY_MS = 1_500;
+
 /** Silence after which an entry VM counts as dead, in milliseconds. */
 export const ENTRY_SILENCE_MS = 3_400;
 
--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -1,5 +1,5 @@
 import type { AvailabilityZoneId, BootId, VmId } from '../ids.js';
-import { ENTRY_SHARE_MS, ENTRY_SILENCE_MS } from './constants.js';
+import { ENTRY_SHARE_MS, ENTRY_SILENCE_MS, LOADING_MEMORY_MS } from './constants.js';
 
 /** What an entry VM tells the others through the log. */
 export interface EntryHeartbeat {
@@ -8,6 +8,10 @@
   readonly availabilityZone: AvailabilityZoneId;
   /** HOST:PORT for callers. */
   readonly address: string;
+  /** HOST:PORT for the other entry VMs. */
+  readonly meshAddress: string;
+  /** Proves its messages to the other entry VMs. */
+  readonly meshKey: string;
   /** Whether it shuts down and takes no new callers. */
   readonly leaving: boolean;
   /** Engines that it has ordered to load weights; only their order giver names any. */
@@ -19,6 +23,11 @@
   readonly seenAtMs: number;
 }
 
+interface KnownLoading {
+  readonly loading: readonly string[];
+  readonly atMs: number;
+}
+
 /**
  * Entry VMs by their heartbeats in the log. While the log does not answer, time stands still
  * here: silence then says nothing of a VM.
@@ -26,6 +35,8 @@
 export class EntryRoster {
   private readonly entries = new Map<VmId, KnownEntry>();
 
+  private readonly loading = new Map<VmId, KnownLoading>();
+
   private outageMs = 0;
 
   private downSinceMs: number | undefined;
@@ -42,6 +53,23 @@
 
   noteHeartbeat(heartbeat: EntryHeartbeat): void {
     this.entries.set(heartbeat.vmId, { heartbeat, seenAtMs: this.readClock() });
+    this.noteLoading(heartbeat.vmId, heartbeat.loading);
+  }
+
+  /** Notes which engines a VM has ordered to load weights. */
+  noteLoading(vmId: VmId, loading: readonly string[]): void {
+    if (loading.length > 0) this.loading.set(vmId, { loading, atMs: performance.now() });
+    else this.loading.delete(vmId);
+  }
+
+  /** Finds the key that proves a VM's messages. */
+  findKey(vmId: VmId): string | undefined {
+    return this.entries.get(vmId)?.heartbeat.meshKey;
+  }
+
+  /** Lists the VMs that are heard of, those that shut down included. */
+  listLive(): readonly EntryHeartbeat[] {
+    return this.listSeenWithin(ENTRY_SILENCE_MS);
   }
 
   /** Lists the VMs that callers may use. */
@@ -51,8 +79,9 @@
 
   /** Lists the engines that are being loaded, as their order giver tells. */
   listLoading(): ReadonlySet<string> {
-    const live = this.listSeenWithin(ENTRY_SILENCE_MS);
-    return new Set(live.flatMap(({ loading }) => loading));
+    const oldestMs = performance.now() - LOADING_MEMORY_MS;
+    const fresh = [...this.loading.values()].filter(({ atMs }) => atMs > oldestMs);
+    return new Set(fresh.flatMap(({ loading }) => loading));
   }
 
   /** Lists every VM that may still be sending, for shares that must not be exceeded. */
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -2,6 +2,8 @@
 export { ENTRY_SHARE_MS, ENTRY_SILENCE_MS, LAPSE_GRACE_MS } from './constants.js';
 export { EntryRoster } from './entryRoster.js';
 export type { EntryHeartbeat } from './entryRoster.js';
+export { PeerLoads } from './peerLoads.js';
+export type { PeerLoad } from './peerLoads.js';
 export type { HeldWeights, RegisteredUpstream } from './registeredUpstream.js';
 export { TrackedUpstream } from './trackedUpstream.js';
 export type { ToldLoad } from './trackedUpstream.js';
--- /dev/null
+++ b/packages/core/src/fleet/peerLoads.ts
@@ -0,0 +1,68 @@
+import type { UpstreamId, VmId } from '../ids.js';
+
+/** What one VM has at one upstream. */
+export interface PeerLoad {
+  readonly upstreamId: UpstreamId;
+  /** Requests in flight. */
+  readonly inFlight: number;
+  /** Prompt tokens to read for requests whose answers have not begun. */
+  readonly pendingTokens: number;
+}
+
+interface PeerReport {
+  readonly loads: readonly PeerLoad[];
+  readonly receivedAtMs: number;
+}
+
+interface Sum {
+  inFlight: number;
+  pendingTokens: number;
+}
+
+const NOTHING: Readonly<Sum> = { inFlight: 0, pendingTokens: 0 };
+
+/** Sums up what the other VMs tell of their requests; the report of a silent VM expires. */
+export class PeerLoads {
+  private readonly reports = new Map<VmId, PeerReport>();
+
+  private readonly sums = new Map<UpstreamId, Sum>();
+
+  /** @param maxAgeMs age at which a report no longer counts, in milliseconds */
+  constructor(private readonly maxAgeMs: number) {}
+
+  note(vmId: VmId, loads: readonly PeerLoad[]): void {
+    this.remove(vmId);
+    this.reports.set(vmId, { loads, receivedAtMs: performance.now() });
+    this.add(loads, 1);
+  }
+
+  /** Drops the reports that are too old. */
+  expire(): void {
+    const oldestMs = performance.now() - this.maxAgeMs;
+    this.reports.forEach(({ receivedAtMs }, vmId) => {
+      if (receivedAtMs < oldestMs) this.remove(vmId);
+    });
+  }
+
+  /** Gives what all other VMs have at an upstream. */
+  sum(upstreamId: UpstreamId): Readonly<Sum> {
+    return this.sums.get(upstreamId) ?? NOTHING;
+  }
+
+  private remove(vmId: VmId): void {
+    const report = this.reports.get(vmId);
+    if (!report) return;
+    this.reports.delete(vmId);
+    this.add(report.loads, -1);
+  }
+
+  private add(loads: readonly PeerLoad[], sign: 1 | -1): void {
+    loads.forEach(({ upstreamId, inFlight, pendingTokens }) => {
+      const sum = this.sums.get(upstreamId) ?? { ...NOTHING };
+      sum.inFlight += sign * inFlight;
+      sum.pendingTokens += sign * pendingTokens;
+      if (sum.inFlight === 0 && sum.pendingTokens === 0) this.sums.delete(upstreamId);
+      else this.sums.set(upstreamId, sum);
+    });
+  }
+}
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -1,5 +1,6 @@
 import type { ModelId, UpstreamId, WeightNumber } from '../ids.js';
 import { LOAD_FRESH_MS, SUSPECT_MS } from './constants.js';
+import type { PeerLoads } from './peerLoads.js';
 import type { RegisteredUpstream } from './registeredUpstream.js';
 
 /** Load that an upstream told with an answer. */
@@ -31,7 +32,10 @@
 
   private readonly learnedWeights = new Map<ModelId, WeightNumber>();
 
-  constructor(private entry: RegisteredUpstream) {
+  constructor(
+    private entry: RegisteredUpstream,
+    private readonly peerLoads: PeerLoads,
+  ) {
     this.coldUntilMs = performance.now() + entry.coldRemainingMs;
   }
 
@@ -56,10 +60,16 @@
 
   /** Requests that it runs or has waiting, as far as known. */
   estimateLoad(): number {
+    const known = this.inFlight + this.peerLoads.sum(this.upstreamId).inFlight;
     const isFresh = performance.now() - this.toldAtMs < LOAD_FRESH_MS;
-    if (!this.toldLoad || !isFresh) return this.inFlight;
+    if (!this.toldLoad || !isFresh) return known;
     const told = this.toldLoad.running + this.toldLoad.waiting + this.sentSinceTold;
-    return Math.max(told, this.inFlight);
+    return Math.max(known, told / 2);
+  }
+
+  /** Prompt tokens that it has still to read, as far as known. */
+  estimatePendingTokens(): number {
+    return this.pendingTokens + this.peerLoads.sum(this.upstreamId).pendingTokens;
   }
 
   /** @returns whether more than the heartbeat has changed */
--- a/packages/core/src/fleet/upstreamRegistry.ts
+++ b/packages/core/src/fleet/upstreamRegistry.ts
@@ -1,5 +1,6 @@
 import type { ServiceName, UpstreamId } from '../ids.js';
 import { LAPSE_GRACE_MS } from './constants.js';
+import type { PeerLoads } from './peerLoads.js';
 import type { RegisteredUpstream } from './registeredUpstream.js';
 import { TrackedUpstream } from './trackedUpstream.js';
 
@@ -24,6 +25,9 @@
 
   private outageEndedAtMs = -Infinity;
 
+  /** @param peerLoads what the other VMs have in flight */
+  constructor(private readonly peerLoads: PeerLoads) {}
+
   /** Tells it that the log answers again after an outage. */
   noteLogReturn(): void {
     this.outageEndedAtMs = performance.now();
@@ -37,7 +41,7 @@
     if (known && isOlder(upstream, known.registered)) return false;
     this.removals.delete(upstream.upstreamId);
     if (known) return known.update(upstream);
-    this.upstreams.set(upstream.upstreamId, new TrackedUpstream(upstream));
+    this.upstreams.set(upstream.upstreamId, new TrackedUpstream(upstream, this.peerLoads));
     return true;
   }
 
--- a/packages/core/src/promptRouting/constants.ts
+++ b/packages/core/src/promptRouting/constants.ts
@@ -1,8 +1,18 @@
 /** Prompt tokens that an engine reads in a millisecond, until a site's own rate is known. */
 export const PREFILL_TOKENS_PER_MS = 80;
 
+/** Bounds of the learned rate, in tokens a millisecond. */
+export const PREFILL_MIN_TOKENS_PER_MS = 20;
+export const PREFILL_MAX_TOKENS_PER_MS = 400;
+
+/** Tokens from which a first byte tells of the rate. */
+export const PREFILL_SAMPLE_TOKENS = 4_000;
+
+/** Cost of an engine that others would not choose, in milliseconds: keeps a session together. */
+export const AWAY_COST_MS = 4;
+
 /** Time that one more request at an engine adds to the first token of the next, in milliseconds. */
-export const LOAD_COST_MS = 4;
+export const LOAD_COST_MS = 3;
 
 /** Time to bring a token back from a store, relative to reading it again. */
 export const FETCH_COST_SHARE = 0.2;
@@ -17,4 +27,4 @@
 export const OLD_WEIGHTS_GRACE_MS = 1_500;
 
 /** Extra cost of older weights after the grace, in milliseconds of waiting. */
-export const OLD_WEIGHTS_COST_MS = 150;
+export const OLD_WEIGHTS_COST_MS = 60;
--- a/packages/core/src/promptRouting/index.ts
+++ b/packages/core/src/promptRouting/index.ts
@@ -2,6 +2,7 @@
 export * from './constants.js';
 export { findSessionPart, listSharedParts } from './prompt.js';
 export type { Prompt, PromptPart } from './prompt.js';
+export { PrefillRate } from './prefillRate.js';
 export { PromptRouter } from './promptRouter.js';
-export type { PromptRequest } from './promptRouter.js';
+export type { PromptChoice, PromptRequest } from './promptRouter.js';
 export { SentParts } from './sentParts.js';
--- a/packages/core/src/promptRouting/promptRouter.ts
+++ b/packages/core/src/promptRouting/promptRouter.ts
@@ -2,12 +2,13 @@
 import { rankByRendezvous } from '../membership/rendezvous.js';
 import type { TrackedUpstream } from '../fleet/index.js';
 import {
+  AWAY_COST_MS,
   FETCH_COST_SHARE,
   LOAD_COST_MS,
   OLD_WEIGHTS_COST_MS,
   OLD_WEIGHTS_GRACE_MS,
-  PREFILL_TOKENS_PER_MS,
 } from './constants.js';
+import type { PrefillRate } from './prefillRate.js';
 import type { Prompt } from './prompt.js';
 import { findSessionPart, listSharedParts } from './prompt.js';
 import type { SentParts } from './sentParts.js';
@@ -25,6 +26,21 @@
   isStored(key: string): boolean;
 }
 
+/** An engine for a prompt, and what is expected there. */
+export interface PromptChoice {
+  readonly upstream: TrackedUpstream;
+  /** Tokens that it has to read. */
+  readonly readTokens: number;
+  /** Time to the first token, in milliseconds. */
+  readonly firstTokenMs: number;
+}
+
+/** Where the shared parts of a prompt are, seen from one engine. */
+interface PartsView {
+  readonly readTokens: number;
+  readonly fetchTokens: number;
+}
+
 /**
  * Chooses the engine where a prompt's first token comes soonest. Requests of one session agree on
  * an engine by rendezvous without a message; a loaded engine gives way to others once its queue
@@ -34,55 +50,71 @@
  * traffic.
  */
 export class PromptRouter {
-  constructor(private readonly sent: SentParts) {}
+  constructor(
+    private readonly sent: SentParts,
+    private readonly rate: PrefillRate,
+  ) {}
 
   choose(
     request: PromptRequest,
     candidates: readonly TrackedUpstream[],
-  ): TrackedUpstream | undefined {
+  ): PromptChoice | undefined {
     const session = findSessionPart(request.prompt);
     const ids = candidates.map(({ upstreamId }) => upstreamId);
     const home = session ? rankByRendezvous(session.id, ids)[0] : undefined;
-    let best: TrackedUpstream | undefined;
-    let bestMs = Infinity;
+    let best: PromptChoice | undefined;
+    let leastMs = Infinity;
     for (const candidate of candidates) {
-      const costMs = this.estimateMs(request, candidate, home);
-      if (costMs < bestMs) {
-        best = candidate;
-        bestMs = costMs;
+      const choice = this.weigh(request, candidate, home);
+      const awayMs = candidate.upstreamId === home ? 0 : AWAY_COST_MS;
+      const costMs = choice.firstTokenMs + awayMs + this.weighOldWeights(request, candidate);
+      if (costMs < leastMs) {
+        best = choice;
+        leastMs = costMs;
       }
     }
     return best;
   }
 
-  private estimateMs(
+  private weigh(
     request: PromptRequest,
-    candidate: TrackedUpstream,
+    upstream: TrackedUpstream,
     home: UpstreamId | undefined,
-  ): number {
-    const held = candidate.findWeights(request.prompt.model);
-    const isOld = request.wanted !== undefined && held !== undefined && held < request.wanted;
-    const oldMs = isOld && request.wantedForMs > OLD_WEIGHTS_GRACE_MS ? OLD_WEIGHTS_COST_MS : 0;
+  ): PromptChoice {
+    const { readTokens, fetchTokens } = this.viewParts(request, upstream, home);
+    const { tokensPerMs } = this.rate;
     const queueMs =
-      candidate.estimateLoad() * LOAD_COST_MS + candidate.pendingTokens / PREFILL_TOKENS_PER_MS;
-    return oldMs + queueMs + this.estimateReadMs(request, candidate, home, held);
+      upstream.estimateLoad() * LOAD_COST_MS + upstream.estimatePendingTokens() / tokensPerMs;
+    const firstTokenMs =
+      queueMs + (readTokens + fetchTokens * FETCH_COST_SHARE) / tokensPerMs;
+    return { upstream, readTokens, firstTokenMs };
+  }
+
+  /** Older weights serve on while few engines have the new ones, but their answers are worth less. */
+  private weighOldWeights(request: PromptRequest, upstream: TrackedUpstream): number {
+    const held = upstream.findWeights(request.prompt.model);
+    const isOld = request.wanted !== undefined && held !== undefined && held < request.wanted;
+    return isOld && request.wantedForMs > OLD_WEIGHTS_GRACE_MS ? OLD_WEIGHTS_COST_MS : 0;
   }
 
-  /** Time for the shared parts that the engine does not have. */
-  private estimateReadMs(
+  private viewParts(
     request: PromptRequest,
-    candidate: TrackedUpstream,
+    upstream: TrackedUpstream,
     home: UpstreamId | undefined,
-    held: WeightNumber | undefined,
-  ): number {
-    let readMs = 0;
-    for (const part of listSharedParts(request.prompt)) {
+  ): PartsView {
+    const { prompt } = request;
+    const held = upstream.findWeights(prompt.model);
+    let readTokens = prompt.inputTokens;
+    let fetchTokens = 0;
+    for (const part of listSharedParts(prompt)) {
       const key = request.buildKey(part.id, held);
+      const isStored = request.isStored(key);
+      // A stored part has been read before, most likely at the engine that all VMs agree on.
       const isThere =
-        candidate.upstreamId === home || this.sent.has(key, candidate.upstreamId);
-      const share = request.isStored(key) ? FETCH_COST_SHARE : 1;
-      if (!isThere) readMs += (part.tokens / PREFILL_TOKENS_PER_MS) * share;
+        this.sent.has(key, upstream.upstreamId) || (isStored && upstream.upstreamId === home);
+      if (isThere || isStored) readTokens -= part.tokens;
+      if (isStored && !isThere) fetchTokens += part.tokens;
     }
-    return readMs;
+    return { readTokens: Math.max(0, readTokens), fetchTokens };
   }
 }
--- a/packages/gateway/src/config.ts
+++ b/packages/gateway/src/config.ts
@@ -18,6 +18,7 @@
   listen: z.object({
     callers: addressSchema.describe('listener for callers'),
     readiness: addressSchema.describe("listener for the platform's readiness checks"),
+    mesh: addressSchema.describe('socket for datagrams of the other entry VMs'),
     directory: addressSchema.describe('listener for callers that ask which address to use'),
   }),
   log: z.object({
@@ -57,6 +58,7 @@
     readonly callers: string;
     readonly readiness: string;
     readonly directory: string;
+    readonly mesh: string;
   };
   readonly logAddress: string;
   readonly leaseMs: number;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -25,6 +25,9 @@
 /** Sends of one request beyond its route's bound that may follow proofs that it has not run. */
 export const MAX_EXTRA_SENDS = 2;
 
+/** Time beyond which a fetch that takes longer than a read is given up, in milliseconds. */
+export const FETCH_SLACK_MS = 60;
+
 /** Time for which an upstream that refused a request gets no other, in milliseconds. */
 export const REFUSED_PAUSE_MS = 150;
 
@@ -43,6 +46,15 @@
 /** Interval of both while engines load weights, in milliseconds. */
 export const ENTRY_ROLLOUT_MS = 350;
 
+/** Interval at which entry VMs tell each other what they have in flight, in milliseconds. */
+export const GOSSIP_INTERVAL_MS = 50;
+
+/** Peers that are told at that interval; with more of them it grows in proportion. */
+export const GOSSIP_PEERS = 10;
+
+/** Age at which a peer's figures no longer count, in milliseconds. */
+export const GOSSIP_MAX_AGE_MS = 1_500;
+
 /** Pause after a failed call of the log, in milliseconds. */
 export const LOG_RETRY_MS = 250;
 
@@ -52,6 +64,9 @@
 /** Time after which the next VM takes over a change of weights that does not move on, in milliseconds. */
 export const ROLLOUT_TAKEOVER_MS = 1_500;
 
+/** Interval at which VMs that give no orders look who holds the lease, in milliseconds. */
+export const LEASE_WATCH_MS = 600;
+
 /** Longest wait for an engine's answer to an order or a report, in milliseconds. */
 export const ORDER_TIMEOUT_MS = 700;
 
--- a/packages/gateway/src/controllers/blockStoresController.ts
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -64,6 +64,7 @@
     const { blocks, protocol, logger } = this.options;
     const query = { address, since, waitMs: BLOCK_EVENTS_WAIT_MS, signal };
     const events = await protocol.readBlockEvents(query);
+    if (events.clockMs !== undefined) blocks.noteClock(events.clockMs);
     if (blocks.noteEpoch(address, events.epoch)) {
       logger.info('store in a new run', { address, epoch: events.epoch });
       // The events of the new run are numbered anew.
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -15,6 +15,8 @@
   readonly settings: GatewaySettings;
   readonly bootId: BootId;
   readonly roster: EntryRoster;
+  /** Proves this VM's messages to the others. */
+  readonly meshKey: string;
   /** Engines that this VM has ordered to load weights. */
   readonly listLoading: () => readonly string[];
   /** Whether a change of weights is under way anywhere. */
@@ -96,12 +98,14 @@
   }
 
   private buildHeartbeat(): EntryHeartbeat {
-    const { settings, bootId, listLoading } = this.options;
+    const { settings, bootId, listLoading, meshKey } = this.options;
     return {
       vmId: settings.vmId,
       bootId,
       availabilityZone: settings.availabilityZone,
       address: settings.listen.callers,
+      meshAddress: settings.listen.mesh,
+      meshKey,
       leaving: this.isLeaving,
       loading: listLoading(),
     };
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -15,6 +15,8 @@
     typeof fields.bootId === 'string' &&
     typeof fields.availabilityZone === 'string' &&
     typeof fields.address === 'string' &&
+    typeof fields.meshAddress === 'string' &&
+    typeof fields.meshKey === 'string' &&
     typeof fields.leaving === 'boolean' &&
     Array.isArray(fields.loading)
   );
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -12,6 +12,7 @@
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import {
+  LEASE_WATCH_MS,
   LOAD_CHECK_MS,
   LOAD_FIRST_CHECK_MS,
   LOAD_FOLLOW_MS,
@@ -57,6 +58,8 @@
 
   private hasWatched = false;
 
+  private watchedAtMs = -Infinity;
+
   constructor(private readonly options: RolloutOptions) {}
 
   /** Whether some engine runs on older weights than wanted. */
@@ -95,17 +98,27 @@
       return;
     }
     this.hasWatched = false;
-    if (!this.isMyTurn()) return;
+    const hasTurn = lease.held !== undefined || this.isMyTurn();
+    if (!hasTurn) {
+      await this.watchLease(signal);
+      return;
+    }
     if (lease.isDue && !(await this.renew(signal))) return;
-    const { held } = lease;
-    if (held) this.startOrders(behind, signal);
+    if (lease.held) this.startOrders(behind, signal);
+  }
+
+  /** Follows who holds the lease while others roll out, so that its end is known in time. */
+  private async watchLease(signal: AbortSignal): Promise<void> {
+    if (performance.now() - this.watchedAtMs < LEASE_WATCH_MS) return;
+    this.watchedAtMs = performance.now();
+    await this.options.lease.watch(signal);
   }
 
   private async renew(signal: AbortSignal): Promise<FencedHold | undefined> {
     const { lease, logger } = this.options;
     const wasHeld = lease.held !== undefined;
     const hold = await lease.acquire(signal);
-    if (hold && !wasHeld) logger.info('lease taken', { ...hold });
+    if (hold && !wasHeld) logger.info('lease taken', { fence: hold.fencingToken });
     return hold ?? lease.held;
   }
 
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -137,14 +137,11 @@
   private collectChunk(chunk: Buffer): void {
     const { answer } = this.plan.exchange;
     this.bytes += chunk.length;
-    if (answer.headSent) {
-      answer.write(chunk);
-      return;
-    }
     this.chunks.push(chunk);
     if (this.bytes <= MAX_WHOLE_BYTES || !this.head || !isSuccess(this.head.status)) return;
     // Too large to be held until it is whole; a cut answer then ends as a cut connection.
     const { status, forwarded } = this.head;
+    this.phase = 'stream';
     answer.start({ status, headers: forwarded, contentLength: undefined });
     this.chunks.splice(0).forEach((held) => answer.write(held));
   }
@@ -153,7 +150,7 @@
     const { answer } = this.plan.exchange;
     const { head } = this;
     if (!head) return { kind: 'unknown', reason: 'no head' };
-    if (this.phase === 'stream' || answer.headSent) {
+    if (this.phase === 'stream') {
       answer.finish();
       return { kind: 'answered' };
     }
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -2,6 +2,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import {
   ColdStartBudget,
+  PrefillRate,
   PromptRouter,
   SentParts,
   computeColdShare,
@@ -15,6 +16,7 @@
   EjectionPolicy,
   EntryRoster,
   OperatorState,
+  PromptChoice,
   RegionId,
   ServiceName,
   TrackedUpstream,
@@ -41,11 +43,16 @@
   readonly random: RandomGenerator;
 }
 
+/** An upstream for an attempt, and what is expected there. */
+export type UpstreamChoice = PromptChoice;
+
 /** Chooses the upstream of an attempt among those that may get it now. */
 export class UpstreamChooser {
   private readonly sent = new SentParts();
 
-  private readonly router = new PromptRouter(this.sent);
+  readonly rate = new PrefillRate();
+
+  private readonly router = new PromptRouter(this.sent, this.rate);
 
   private readonly cold = new ColdStartBudget();
 
@@ -61,7 +68,7 @@
     exchange: GatewayExchange,
     service: ServiceName,
     excluded: ReadonlySet<UpstreamId>,
-  ): TrackedUpstream | undefined {
+  ): UpstreamChoice | undefined {
     const all = this.options.registry.listService(service);
     const able = all.filter((upstream) => this.canServe(exchange, upstream, excluded));
     const loading = this.options.roster.listLoading();
@@ -69,9 +76,9 @@
       (upstream) => !upstream.isBusy && !loading.has(upstream.upstreamId),
     );
     const chosen = this.chooseAmong(exchange, free);
-    if (!chosen?.isCold) return chosen;
-    const share = this.computeShare(chosen);
-    return !share || this.cold.tryTake(chosen.upstreamId, share) ? chosen : undefined;
+    if (!chosen?.upstream.isCold) return chosen;
+    const share = this.computeShare(chosen.upstream);
+    return !share || this.cold.tryTake(chosen.upstream.upstreamId, share) ? chosen : undefined;
   }
 
   /** Tells whether an upstream may still get a request; nothing awaits between this and the send. */
@@ -123,9 +130,12 @@
   private chooseAmong(
     exchange: GatewayExchange,
     candidates: readonly TrackedUpstream[],
-  ): TrackedUpstream | undefined {
+  ): UpstreamChoice | undefined {
     const { prompt } = exchange.head;
-    if (!prompt) return this.chooseLeastLoaded(candidates);
+    if (!prompt) {
+      const upstream = this.chooseLeastLoaded(candidates);
+      return upstream && { upstream, readTokens: 0, firstTokenMs: 0 };
+    }
     const weights = this.options.operators.findWeights(prompt.model);
     return this.router.choose(
       {
@@ -133,7 +143,7 @@
         wanted: weights?.wanted,
         wantedForMs: weights ? performance.now() - weights.learnedAtMs : 0,
         buildKey: (partId, held) => `${this.buildSalt(exchange, held)}/${partId}`,
-        isStored: (key) => this.options.blocks.findStore(key, 1) !== undefined,
+        isStored: (key) => this.options.blocks.isStored(key),
       },
       candidates,
     );
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -16,6 +16,7 @@
 } from '@goldcrestscale/core';
 import {
   BUSY_RETRY_MS,
+  FETCH_SLACK_MS,
   MAX_EXTRA_SENDS,
   REFUSED_PAUSE_MS,
   UNREACHABLE_PAUSE_MS,
@@ -24,7 +25,7 @@
 import type { ConnectionPool } from '../dispatch/connectionPool.js';
 import { EventSplitter } from '../dispatch/eventSplitter.js';
 import { UpstreamAttempt } from '../dispatch/upstreamAttempt.js';
-import type { UpstreamChooser } from '../dispatch/upstreamChooser.js';
+import type { UpstreamChoice, UpstreamChooser } from '../dispatch/upstreamChooser.js';
 import type { GatewayMetrics } from '../metrics.js';
 import type {
   AnswerHead,
@@ -115,12 +116,13 @@
   ): Promise<void> {
     for (;;) {
       if (signal.aborted) throw createTimeoutError(exchange);
-      const upstream = this.options.chooser.choose(exchange, progress.service, progress.excluded);
-      if (!upstream) {
+      const choice = this.options.chooser.choose(exchange, progress.service, progress.excluded);
+      if (!choice) {
         this.answerFailure(exchange, progress);
         return;
       }
-      const result = await this.runAttempt(exchange, upstream, progress, signal);
+      const { upstream } = choice;
+      const result = await this.runAttempt(exchange, choice, progress, signal);
       this.options.metrics.countAttempt(progress.service, result.kind);
       if (result.kind === 'answered') {
         exchange.verdict = 'ran';
@@ -137,15 +139,17 @@
 
   private async runAttempt(
     exchange: GatewayExchange,
-    upstream: TrackedUpstream,
+    choice: UpstreamChoice,
     progress: Progress,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
     const { connections, protocol, ejection } = this.options;
+    const { upstream, readTokens: tokens } = choice;
     const { address, service } = upstream.registered;
     const connection = connections.acquire(address, this.options.getConnectionShare(service));
     if (!connection) return { kind: 'not-run', reason: 'refused' };
-    const tokens = exchange.head.prompt?.inputTokens ?? 0;
+    const queuedTokens = upstream.estimatePendingTokens();
+    const sentAtMs = performance.now();
     let isPending = true;
     const noteBegun = (): void => {
       if (isPending) upstream.noteAnswerBegun(tokens);
@@ -156,12 +160,16 @@
       upstream,
       connection,
       protocol,
-      facts: this.buildFacts(exchange, upstream, progress),
+      facts: this.buildFacts(exchange, choice, progress),
       signal,
       events: progress.events,
       onHead: (head) => {
         noteBegun();
         this.noteHead(exchange, upstream, head);
+        if (exchange.head.prompt) {
+          const elapsedMs = performance.now() - sentAtMs;
+          this.options.chooser.rate.learn(tokens + queuedTokens, elapsedMs);
+        }
       },
     });
     progress.sends += 1;
@@ -180,9 +188,10 @@
 
   private buildFacts(
     exchange: GatewayExchange,
-    upstream: TrackedUpstream,
+    choice: UpstreamChoice,
     progress: Progress,
   ): AttemptFacts {
+    const { upstream } = choice;
     const { chooser } = this.options;
     const { prompt, lastEventId } = exchange.head;
     const weights = chooser.findWeights(exchange, upstream);
@@ -195,25 +204,34 @@
       urgency: prompt ? URGENCIES[Math.min(rank, URGENCIES.length - 1)] : undefined,
       cacheSalt: salt,
       weights,
-      transfers: salt === undefined ? undefined : this.planTransfers(exchange, salt),
+      transfers: salt === undefined ? undefined : this.planTransfers(exchange, salt, choice),
       lastEventId: resumeFrom === undefined ? lastEventId : String(resumeFrom),
     };
   }
 
-  private planTransfers(exchange: GatewayExchange, salt: string): BlockTransfers | undefined {
+  private planTransfers(
+    exchange: GatewayExchange,
+    salt: string,
+    { firstTokenMs }: UpstreamChoice,
+  ): BlockTransfers | undefined {
     const { prompt } = exchange.head;
     const { blocks } = this.options;
     if (!prompt || blocks.listStores().length === 0) return undefined;
     const shared = new Set(listSharedParts(prompt));
     const fetchFrom: (string | undefined)[] = [];
     const saveTo: (string | undefined)[] = [];
+    let fetchTokens = 0;
     prompt.parts.forEach((part) => {
       const key = buildBlockKey(salt, part.id);
       const isShared = shared.has(part);
-      fetchFrom.push(isShared ? blocks.findStore(key, part.tokens) : undefined);
+      const source = isShared ? blocks.findStore(key, part.tokens) : undefined;
+      if (source !== undefined) fetchTokens += part.tokens;
+      fetchFrom.push(source);
       saveTo.push(isShared ? blocks.takeSaveTarget(key, part.tokens) : undefined);
     });
-    return { fetchFrom, saveTo };
+    const readMs = fetchTokens / this.options.chooser.rate.tokensPerMs;
+    const fetchUntilMs = blocks.computeServerTime(firstTokenMs + readMs + FETCH_SLACK_MS);
+    return { fetchFrom, saveTo, fetchUntilMs };
   }
 
   private noteHead(exchange: GatewayExchange, upstream: TrackedUpstream, head: AnswerHead): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,4 @@
-import { randomUUID } from 'node:crypto';
+import { randomBytes, randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import {
@@ -7,6 +7,7 @@
   ConditionalLease,
   EntryRoster,
   FleetRetryBudget,
+  PeerLoads,
   UpstreamRegistry,
   createGenerator,
   sleep,
@@ -15,7 +16,7 @@
 import type { BootId, ServiceName } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GatewaySettings } from './config.js';
-import { CONNECTION_SHARE, DIRECTORY_TTL_MS } from './constants.js';
+import { CONNECTION_SHARE, DIRECTORY_TTL_MS, GOSSIP_MAX_AGE_MS } from './constants.js';
 import { BlockStoresController } from './controllers/blockStoresController.js';
 import { EntriesController } from './controllers/entriesController.js';
 import { LogLeaseStream } from './controllers/logLeaseStream.js';
@@ -31,6 +32,7 @@
 import type { GatewayServer } from './http/callerServer.js';
 import { createServiceServer } from './http/serviceServer.js';
 import type { GatewayMetrics } from './metrics.js';
+import { Gossip } from './mesh/gossip.js';
 import type { CallerProtocol, RecordCodec, SharedLog, UpstreamProtocol } from './ports/index.js';
 
 /** What the gateway is started with. */
@@ -49,6 +51,9 @@
 /** Time by which the holder of a lease stops before its end, in milliseconds. */
 const LEASE_MARGIN_MS = 400;
 
+/** Length of the key that proves this VM's datagrams. */
+const MESH_KEY_BYTES = 24;
+
 /** Interval at which the end of a shutdown is looked for, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
 
@@ -73,7 +78,8 @@
   const { settings, logger, log, codec, upstreams: protocol } = options;
   const random = createGenerator();
   const roster = new EntryRoster();
-  const registry = new UpstreamRegistry();
+  const peerLoads = new PeerLoads(GOSSIP_MAX_AGE_MS);
+  const registry = new UpstreamRegistry(peerLoads);
   const blocks = new BlockDirectory();
   const ejection = new CappedEjection(random);
   const stores = new BlockStoresController({
@@ -83,6 +89,7 @@
   });
   const bootId = toId<BootId>(randomUUID());
   const limitHooks: (() => void)[] = [];
+  const meshKey = randomBytes(MESH_KEY_BYTES).toString('base64');
   const operators = new OperatorsController({
     log,
     codec,
@@ -123,11 +130,23 @@
     settings,
     bootId,
     roster,
+    meshKey,
     listLoading: () => rollout.listLoading(),
     isRollingOut: () => rollout.isRollingOut,
   });
+  const gossip = new Gossip({
+    self: settings.vmId,
+    address: settings.listen.mesh,
+    key: meshKey,
+    roster,
+    registry,
+    peerLoads,
+    listLoading: () => rollout.listLoading(),
+    logger: logger.createPart('mesh'),
+  });
   return {
     random,
+    gossip,
     roster,
     registry,
     blocks,
@@ -234,6 +253,7 @@
     listen(service, settings.listen.directory),
     listen(readiness, settings.listen.readiness),
   ]);
+  await state.gossip.start(work.signal);
   logger.info('started', { vmId: settings.vmId, bootId: state.bootId });
   void state.operators.run(work.signal);
   void state.upstreams.run(work.signal);
--- a/packages/gateway/src/ports/upstreamProtocol.ts
+++ b/packages/gateway/src/ports/upstreamProtocol.ts
@@ -8,6 +8,8 @@
   readonly fetchFrom: readonly (string | undefined)[];
   /** Addresses to save to; undefined where a part is not saved. */
   readonly saveTo: readonly (string | undefined)[];
+  /** When an unfinished fetch is given up for a read, by the servers' clock. */
+  readonly fetchUntilMs: number | undefined;
 }
 
 /** What the system adds to one attempt at an upstream. */
@@ -78,6 +80,8 @@
   /** Changes with each run of the store. */
   readonly epoch: number;
   readonly next: number;
+  /** The servers' clock, in milliseconds; undefined where the store does not tell it. */
+  readonly clockMs: number | undefined;
   /** Whether events before these are missing. */
   readonly hasGap: boolean;
   readonly changes: readonly StoredBlockChange[];
