--- a/packages/core/src/blockStores/blockDirectory.ts
+++ b/packages/core/src/blockStores/blockDirectory.ts
@@ -24,6 +24,12 @@
 /** Builds the key of a part among the blocks of all salts. */
 export const buildBlockKey = (salt: string, partId: string): string => `${salt}/${partId}`;
 
+/** Takes a key apart again. */
+export const splitBlockKey = (key: string): { readonly salt: string; readonly partId: string } => {
+  const split = key.lastIndexOf('/');
+  return { salt: key.slice(0, split), partId: key.slice(split + 1) };
+};
+
 interface KnownStore {
   readonly settings: BlockStoreSettings;
   epoch: number | undefined;
@@ -146,10 +152,15 @@
     return best.settings.address;
   }
 
-  /** Lists the blocks of a store whose salt is not among those in use. */
-  listUnused(address: string, isInUse: (salt: string) => boolean): readonly string[] {
+  /** Lists the blocks of a store whose salts are no longer needed. */
+  listFreeable(address: string, canFree: (salt: string) => boolean): readonly string[] {
     const blocks = this.stores.get(address)?.blocks ?? new Map<string, number>();
-    return [...blocks.keys()].filter((key) => !isInUse(key.slice(0, key.lastIndexOf('/'))));
+    return [...blocks.keys()].filter((key) => canFree(splitBlockKey(key).salt));
+  }
+
+  /** Gives the run of a store; undefined while it is not known. */
+  findEpoch(address: string): number | undefined {
+    return this.stores.get(address)?.epoch;
   }
 
   private noteSave(key: string, nowMs: number): void {
--- a/packages/core/src/blockStores/index.ts
+++ b/packages/core/src/blockStores/index.ts
@@ -1,3 +1,6 @@
 /** Blocks in the stores beside the engines. */
-export { BlockDirectory, buildBlockKey } from './blockDirectory.js';
+export { BlockDirectory, buildBlockKey, splitBlockKey } from './blockDirectory.js';
+export { buildCacheSalt, parseCacheSalt } from './cacheSalt.js';
+export type { CacheIdentity } from './cacheSalt.js';
+export { FETCH_HORIZON_MS, FetchHorizon } from './fetchHorizon.js';
 export type { StoredBlockChange } from './blockDirectory.js';
--- a/packages/gateway/src/controllers/blockStoresController.ts
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -1,5 +1,5 @@
-import { sleep } from '@goldcrestscale/core';
-import type { BlockDirectory } from '@goldcrestscale/core';
+import { sleep, splitBlockKey } from '@goldcrestscale/core';
+import type { BlockDirectory, FetchHorizon } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { BLOCK_EVENTS_WAIT_MS, LOG_RETRY_MS } from '../constants.js';
 import type { UpstreamProtocol } from '../ports/index.js';
@@ -11,6 +11,9 @@
   readonly blocks: BlockDirectory;
   readonly protocol: UpstreamProtocol;
   readonly logger: Logger;
+  readonly horizon: FetchHorizon;
+  /** Whether this VM frees the blocks of a store; another one that does as well costs a call. */
+  readonly isInCharge: (address: string) => boolean;
 }
 
 /** Follows the events of every store. */
@@ -59,6 +62,19 @@
     }
   }
 
+  /** Frees the blocks of weights that are no longer wanted, so that the new ones find room. */
+  private async freeOutdated(address: string, epoch: number, signal: AbortSignal): Promise<void> {
+    const { blocks, horizon, protocol, logger, isInCharge } = this.options;
+    if (!isInCharge(address)) return;
+    const keys = blocks.listFreeable(address, (salt) => horizon.canFree(salt));
+    if (keys.length === 0) return;
+    await protocol.freeBlocks(address, epoch, keys, signal);
+    keys.forEach((key) =>
+      blocks.applyChange(address, { ...splitBlockKey(key), isPresent: false, tokens: 0 }),
+    );
+    logger.info('blocks freed', { address, blocks: keys.length });
+  }
+
   /** @returns the position of the next read */
   private async readOnce(address: string, since: number, signal: AbortSignal): Promise<number> {
     const { blocks, protocol, logger } = this.options;
@@ -71,6 +87,7 @@
       if (since !== FROM_START) return FROM_START;
     }
     events.changes.forEach((change) => blocks.applyChange(address, change));
+    await this.freeOutdated(address, events.epoch, signal);
     return events.next;
   }
 }
--- a/packages/gateway/src/controllers/operatorsController.ts
+++ b/packages/gateway/src/controllers/operatorsController.ts
@@ -1,4 +1,4 @@
-import { OperatorState } from '@goldcrestscale/core';
+import { FetchHorizon, OperatorState } from '@goldcrestscale/core';
 import type { OperatorChange } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { OPERATOR_WAIT_MS } from '../constants.js';
@@ -17,6 +17,8 @@
 export class OperatorsController {
   readonly state = new OperatorState();
 
+  readonly horizon = new FetchHorizon(this.state);
+
   private readonly reader: TopicReader;
 
   constructor(private readonly options: OperatorsOptions) {
@@ -28,6 +30,7 @@
       getPauseMs: () => 0,
       onSnapshot: (records) => this.applySnapshot(records),
       onRecords: (records) => records.forEach((record) => this.applyRecord(record)),
+      onProved: (atMs) => this.horizon.noteProved(atMs),
     });
   }
 
--- a/packages/gateway/src/controllers/topicReader.ts
+++ b/packages/gateway/src/controllers/topicReader.ts
@@ -17,6 +17,8 @@
   /** Takes the newest record of every key. */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
+  /** Told a time at which every record until then was known, by the monotonic clock. */
+  readonly onProved?: (atMs: number) => void;
   readonly onReturn?: () => void;
   readonly onDown?: () => void;
 }
@@ -57,18 +59,23 @@
   }
 
   private async readOnce(signal: AbortSignal): Promise<void> {
-    const { log, topic, waitMs, onSnapshot, onRecords } = this.options;
+    const { log, topic, waitMs, onSnapshot, onRecords, onProved } = this.options;
+    const startedAtMs = performance.now();
     if (this.position === undefined) {
       const snapshot = await log.readNewest(topic, signal);
       this.noteSuccess();
       onSnapshot(snapshot.records);
       this.position = snapshot.end;
+      onProved?.(startedAtMs);
       return;
     }
     const batch = await log.read(topic, this.position, { waitMs, signal });
     this.noteSuccess();
     onRecords(batch.records);
     this.position = batch.next;
+    // An empty answer was given after the whole wait, however late it came.
+    const waitedMs = batch.records.length === 0 ? waitMs : 0;
+    onProved?.(Math.min(performance.now(), startedAtMs + waitedMs));
   }
 
   private noteSuccess(): void {
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -5,9 +5,12 @@
   PrefillRate,
   PromptRouter,
   SentParts,
+  buildCacheSalt,
   computeColdShare,
   listSharedParts,
   pickDestination,
+  toId,
+  toWeightNumber,
 } from '@goldcrestscale/core';
 import type {
   AvailabilityZoneId,
@@ -15,6 +18,7 @@
   ColdBound,
   EjectionPolicy,
   EntryRoster,
+  ModelId,
   OperatorState,
   PromptChoice,
   RegionId,
@@ -112,9 +116,12 @@
 
   /** Builds the salt that keeps blocks of other weights, models and isolated accounts apart. */
   buildSalt(exchange: GatewayExchange, held: WeightNumber | undefined): string {
-    const { account } = exchange;
-    const wall = account?.isolated ? `.${account.id}` : '';
-    return `${exchange.head.prompt?.model ?? ''}.${held ?? 0}${wall}`;
+    const { account, head } = exchange;
+    return buildCacheSalt({
+      model: head.prompt?.model ?? toId<ModelId>(''),
+      weights: held ?? toWeightNumber(0),
+      isolatedAccount: account?.isolated ? account.id : undefined,
+    });
   }
 
   /** Notes that the parts of a prompt are being read at an upstream. */
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -8,6 +8,7 @@
 import type {
   BlockDirectory,
   EjectionPolicy,
+  FetchHorizon,
   FleetRetryBudget,
   GoldcrestErrorInstance,
   ServiceName,
@@ -45,6 +46,7 @@
   readonly retries: FleetRetryBudget;
   readonly ejection: EjectionPolicy;
   readonly blocks: BlockDirectory;
+  readonly horizon: FetchHorizon;
   readonly metrics: GatewayMetrics;
   /** Gives this VM's part of the connections that an upstream accepts. */
   readonly getConnectionShare: (service: ServiceName) => number;
@@ -60,6 +62,9 @@
   lastFailure: Extract<AttemptResult, { kind: 'failed' }> | undefined;
 }
 
+/** Share of the time for a read that a fetch must have at least. */
+const MIN_FETCH_SHARE = 0.5;
+
 /** Ranks by priority; 0 to 9, where the upstream's own default is 5. */
 const URGENCIES = [2, 4, 5, 6, 7] as const;
 
@@ -192,9 +197,11 @@
     progress: Progress,
   ): AttemptFacts {
     const { upstream } = choice;
-    const { chooser } = this.options;
+    const { chooser, horizon } = this.options;
     const { prompt, lastEventId } = exchange.head;
     const weights = chooser.findWeights(exchange, upstream);
+    const allowedMs =
+      prompt && weights !== undefined ? horizon.computeFetchMs(prompt.model, weights) : 0;
     const salt = prompt ? chooser.buildSalt(exchange, weights) : undefined;
     const rank = exchange.account?.priority ?? requireRoute(exchange).priority;
     const resumeFrom = progress.events?.lastId;
@@ -204,7 +211,7 @@
       urgency: prompt ? URGENCIES[Math.min(rank, URGENCIES.length - 1)] : undefined,
       cacheSalt: salt,
       weights,
-      transfers: salt === undefined ? undefined : this.planTransfers(exchange, salt, choice),
+      transfers: salt === undefined ? undefined : this.planTransfers(exchange, salt, choice, allowedMs),
       lastEventId: resumeFrom === undefined ? lastEventId : String(resumeFrom),
     };
   }
@@ -213,6 +220,7 @@
     exchange: GatewayExchange,
     salt: string,
     { firstTokenMs }: UpstreamChoice,
+    allowedMs: number,
   ): BlockTransfers | undefined {
     const { prompt } = exchange.head;
     const { blocks } = this.options;
@@ -230,8 +238,11 @@
       saveTo.push(isShared ? blocks.takeSaveTarget(key, part.tokens) : undefined);
     });
     const readMs = fetchTokens / this.options.chooser.rate.tokensPerMs;
-    const fetchUntilMs = blocks.computeServerTime(firstTokenMs + readMs + FETCH_SLACK_MS);
-    return { fetchFrom, saveTo, fetchUntilMs };
+    const fetchMs = Math.min(allowedMs, firstTokenMs + readMs + FETCH_SLACK_MS);
+    const fetchUntilMs = blocks.computeServerTime(fetchMs);
+    // Without a limit by the servers' clock, a block could be freed while it is fetched.
+    const canFetch = fetchUntilMs !== undefined && fetchMs >= readMs * MIN_FETCH_SHARE;
+    return { fetchFrom: canFetch ? fetchFrom : [], saveTo, fetchUntilMs };
   }
 
   private noteHead(exchange: GatewayExchange, upstream: TrackedUpstream, head: AnswerHead): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
   PeerLoads,
   UpstreamRegistry,
   createGenerator,
+  pickByRendezvous,
   sleep,
   toId,
 } from '@goldcrestscale/core';
@@ -82,24 +83,30 @@
   const registry = new UpstreamRegistry(peerLoads);
   const blocks = new BlockDirectory();
   const ejection = new CappedEjection(random);
-  const stores = new BlockStoresController({
-    blocks,
-    protocol,
-    logger: logger.createPart('stores'),
-  });
   const bootId = toId<BootId>(randomUUID());
   const limitHooks: (() => void)[] = [];
   const meshKey = randomBytes(MESH_KEY_BYTES).toString('base64');
-  const operators = new OperatorsController({
+  const operators: OperatorsController = new OperatorsController({
     log,
     codec,
     logger: logger.createPart('operators'),
     onDeployment() {
       blocks.replaceStores(operators.state.view?.deployment.blockStores ?? []);
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
       stores.refresh(work);
       limitHooks.forEach((apply) => apply());
     },
   });
+  const stores: BlockStoresController = new BlockStoresController({
+    blocks,
+    protocol,
+    logger: logger.createPart('stores'),
+    isInCharge: (address) => {
+      const live = roster.listServing().map(({ vmId }) => vmId);
+      return pickByRendezvous(address, live) === settings.vmId;
+    },
+    horizon: operators.horizon,
+  });
   const upstreams = new GatewayUpstreamsController({
     log,
     codec,
@@ -204,6 +211,7 @@
       ),
       ejection,
       blocks,
+      horizon: operators.horizon,
       metrics,
       getConnectionShare,
     },
