--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -34,7 +34,7 @@
   BlockTransfers,
   UpstreamProtocol,
 } from '../ports/index.js';
-import type { GatewayExchange } from './exchange.js';
+import type { AttemptNote, GatewayExchange } from './exchange.js';
 import { requireRoute } from './exchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
 
@@ -65,6 +65,11 @@
 /** Share of the time for a read that a fetch must have at least. */
 const MIN_FETCH_SHARE = 0.5;
 
+const describeResult = (result: AttemptResult): string => {
+  if (result.kind === 'failed') return `status ${result.head.status}`;
+  return 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind;
+};
+
 /** Ranks by priority; 0 to 9, where the upstream's own default is 5. */
 const URGENCIES = [2, 4, 5, 6, 7] as const;
 
@@ -178,11 +183,22 @@
       },
     });
     progress.sends += 1;
+    const note: AttemptNote = {
+      upstreamId: upstream.upstreamId,
+      weights: this.options.chooser.findWeights(exchange, upstream),
+      load: upstream.estimateLoad(),
+      pendingTokens: Math.round(queuedTokens),
+      startedAtMs: Math.round(sentAtMs - exchange.receivedAtMs),
+      outcome: 'open',
+    };
+    exchange.attempts.push(note);
     upstream.noteSent(tokens);
     ejection.noteStart(upstream.upstreamId);
     this.options.chooser.noteSent(exchange, upstream);
     try {
-      return await attempt.run();
+      const result = await attempt.run();
+      note.outcome = describeResult(result);
+      return result;
     } finally {
       noteBegun();
       upstream.noteEnd();
--- a/packages/gateway/src/filters/exchange.ts
+++ b/packages/gateway/src/filters/exchange.ts
@@ -1,5 +1,11 @@
 import type { IncomingMessage } from 'node:http';
-import type { DeployedAccount, RouteRule, Verdict } from '@goldcrestscale/core';
+import type {
+  DeployedAccount,
+  RouteRule,
+  UpstreamId,
+  Verdict,
+  WeightNumber,
+} from '@goldcrestscale/core';
 import type { CallerHead } from '../ports/index.js';
 import type { CallerAnswer } from '../http/callerAnswer.js';
 
@@ -26,6 +32,19 @@
   deadlineAtMs: number;
   /** Worst verdict of the attempts so far. */
   verdict: Verdict;
+  /** Attempts so far, for the log. */
+  readonly attempts: AttemptNote[];
+}
+
+/** One attempt as the log tells of it. */
+export interface AttemptNote {
+  readonly upstreamId: UpstreamId;
+  readonly weights: WeightNumber | undefined;
+  /** Requests and prompt tokens that were held to be there at the dispatch. */
+  readonly load: number;
+  readonly pendingTokens: number;
+  readonly startedAtMs: number;
+  outcome: string;
 }
 
 /** Requires what an earlier filter has set. */
--- a/packages/gateway/src/filters/verdictGuardFilter.ts
+++ b/packages/gateway/src/filters/verdictGuardFilter.ts
@@ -61,6 +61,7 @@
         verdict: combineVerdicts(error.verdict, exchange.verdict),
         reason: isGoldcrestError(cause) ? error.message : String(cause),
         elapsedMs: Math.round(performance.now() - exchange.receivedAtMs),
+        attempts: exchange.attempts,
         callerGone: exchange.signal.aborted,
       });
       sendRefusal(exchange, error, status, this.options.protocol);
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -52,6 +52,7 @@
     body: Buffer.alloc(0),
     deadlineAtMs: Infinity,
     verdict: 'not-run',
+    attempts: [],
   };
 };
 
