feat(rollout): drain an engine by gossip before its order, tell learned weights

Change: an engine gets no new request for 100 ms before its order; the next order starts when a load ends; weights learned from reports and answers are told to all VMs at once; loading engines are no longer in heartbeats of the log, which were older than the gossip.

--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -14,8 +14,6 @@
   readonly meshKey: string;
   /** Whether it shuts down and takes no new callers. */
   readonly leaving: boolean;
-  /** Engines that it has ordered to load weights; only their order giver names any. */
-  readonly loading: readonly string[];
 }
 
 interface KnownEntry {
@@ -53,7 +51,6 @@
 
   noteHeartbeat(heartbeat: EntryHeartbeat): void {
     this.entries.set(heartbeat.vmId, { heartbeat, seenAtMs: this.readClock() });
-    this.noteLoading(heartbeat.vmId, heartbeat.loading);
   }
 
   /** Notes which engines a VM has ordered to load weights. */
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -1,7 +1,7 @@
 import type { ModelId, UpstreamId, WeightNumber } from '../ids.js';
 import { LOAD_FRESH_MS, SUSPECT_MS } from './constants.js';
 import type { PeerLoads } from './peerLoads.js';
-import type { RegisteredUpstream } from './registeredUpstream.js';
+import type { HeldWeights, RegisteredUpstream } from './registeredUpstream.js';
 
 /** Load that an upstream told with an answer. */
 export interface ToldLoad {
@@ -100,8 +100,14 @@
     return learned > listed ? learned : listed;
   }
 
+  /** Takes what an answer, an engine's report or another VM tells; older numbers are left out. */
   noteWeights(model: ModelId, held: WeightNumber): void {
-    this.learnedWeights.set(model, held);
+    if (held > (this.findWeights(model) ?? -Infinity)) this.learnedWeights.set(model, held);
+  }
+
+  /** Lists the weights that are newer than its last heartbeat. */
+  listLearnedWeights(): readonly HeldWeights[] {
+    return [...this.learnedWeights].map(([model, held]) => ({ model, held }));
   }
 
   noteLoad(load: ToldLoad): void {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -43,9 +43,6 @@
 /** Interval at which entry VMs write and read heartbeats, in milliseconds. */
 export const ENTRY_HEARTBEAT_MS = 1_400;
 
-/** Interval of both while engines load weights, in milliseconds. */
-export const ENTRY_ROLLOUT_MS = 350;
-
 /** Interval at which entry VMs tell each other what they have in flight, in milliseconds. */
 export const GOSSIP_INTERVAL_MS = 50;
 
@@ -70,11 +67,17 @@
 /** Longest wait for an engine's answer to an order or a report, in milliseconds. */
 export const ORDER_TIMEOUT_MS = 700;
 
-/** Time after an order from which its end is asked for, in milliseconds. */
+/** Time for which an engine gets no new request before its order, in milliseconds: two gossips. */
+export const LOAD_DRAIN_MS = 100;
+
+/** Time after an order from which its end is asked for at first, in milliseconds. */
 export const LOAD_FIRST_CHECK_MS = 700;
 
+/** Part of the time that the last load took after which the next one is asked for. */
+export const LOAD_CHECK_SHARE = 0.97;
+
 /** Interval of checks for the end of a load, in milliseconds. */
-export const LOAD_CHECK_MS = 150;
+export const LOAD_CHECK_MS = 50;
 
 /** Longest time that one load is followed, in milliseconds. */
 export const LOAD_FOLLOW_MS = 4_000;
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -2,7 +2,7 @@
 import type { BootId, EntryHeartbeat, EntryRoster } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GatewaySettings } from '../config.js';
-import { ENTRY_HEARTBEAT_MS, ENTRY_ROLLOUT_MS, LOG_RETRY_MS } from '../constants.js';
+import { ENTRY_HEARTBEAT_MS, LOG_RETRY_MS } from '../constants.js';
 import type { KeyedRecord, SharedLog } from '../ports/index.js';
 import { decodeHeartbeat, encodeHeartbeat } from './heartbeatRecord.js';
 import { LogWatch } from './logWatch.js';
@@ -17,10 +17,6 @@
   readonly roster: EntryRoster;
   /** Proves this VM's messages to the others. */
   readonly meshKey: string;
-  /** Engines that this VM has ordered to load weights. */
-  readonly listLoading: () => readonly string[];
-  /** Whether a change of weights is under way anywhere. */
-  readonly isRollingOut: () => boolean;
 }
 
 /** Tells the other entry VMs of this one through the log, and follows what they tell. */
@@ -41,7 +37,7 @@
       topic: 'entries',
       logger,
       waitMs: 0,
-      getPauseMs: () => this.getIntervalMs(),
+      getPauseMs: () => ENTRY_HEARTBEAT_MS,
       onSnapshot: (records) => this.applyRecords(records),
       onRecords: (records) => this.applyRecords(records),
       onReturn: () => roster.noteLogUp(),
@@ -56,11 +52,6 @@
   /** Tells the others at once that this VM takes no new callers. */
   leave(): void {
     this.isLeaving = true;
-    this.flush();
-  }
-
-  /** Writes the next heartbeat now. */
-  flush(): void {
     this.wake.abort();
   }
 
@@ -80,7 +71,7 @@
       try {
         await this.options.log.append('entries', encodeHeartbeat(this.buildHeartbeat()), signal);
         this.writes.noteSuccess();
-        await sleep(this.getWriteIntervalMs(), AbortSignal.any([signal, this.wake.signal]));
+        await sleep(ENTRY_HEARTBEAT_MS, AbortSignal.any([signal, this.wake.signal]));
       } catch (cause) {
         if (signal.aborted) return;
         this.writes.noteFailure(cause);
@@ -89,16 +80,8 @@
     }
   }
 
-  private getIntervalMs(): number {
-    return this.options.isRollingOut() ? ENTRY_ROLLOUT_MS : ENTRY_HEARTBEAT_MS;
-  }
-
-  private getWriteIntervalMs(): number {
-    return this.options.listLoading().length > 0 ? ENTRY_ROLLOUT_MS : ENTRY_HEARTBEAT_MS;
-  }
-
   private buildHeartbeat(): EntryHeartbeat {
-    const { settings, bootId, listLoading, meshKey } = this.options;
+    const { settings, bootId, meshKey } = this.options;
     return {
       vmId: settings.vmId,
       bootId,
@@ -107,7 +90,6 @@
       meshAddress: settings.listen.mesh,
       meshKey,
       leaving: this.isLeaving,
-      loading: listLoading(),
     };
   }
 
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -17,8 +17,7 @@
     typeof fields.address === 'string' &&
     typeof fields.meshAddress === 'string' &&
     typeof fields.meshKey === 'string' &&
-    typeof fields.leaving === 'boolean' &&
-    Array.isArray(fields.loading)
+    typeof fields.leaving === 'boolean'
   );
 };
 
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -14,6 +14,8 @@
 import {
   LEASE_WATCH_MS,
   LOAD_CHECK_MS,
+  LOAD_CHECK_SHARE,
+  LOAD_DRAIN_MS,
   LOAD_FIRST_CHECK_MS,
   LOAD_FOLLOW_MS,
   ORDER_TIMEOUT_MS,
@@ -58,8 +60,14 @@
 
   private hasWatched = false;
 
+  /** Ends the pause between two ticks. */
+  private wake = new AbortController();
+
   private watchedAtMs = -Infinity;
 
+  /** Time that the last load took; the first check comes early. */
+  private loadMs = LOAD_FIRST_CHECK_MS;
+
   constructor(private readonly options: RolloutOptions) {}
 
   /** Whether some engine runs on older weights than wanted. */
@@ -81,7 +89,8 @@
           this.options.logger.warn('order giver can not reach the log', { error: String(cause) });
         }
       }
-      await sleep(ROLLOUT_TICK_MS, signal);
+      this.wake = new AbortController();
+      await sleep(ROLLOUT_TICK_MS, AbortSignal.any([signal, this.wake.signal]));
     }
   }
 
@@ -189,18 +198,24 @@
       elapsedMs: Math.round(performance.now() - startedAtMs),
     });
     this.options.onLoadingChange();
+    this.wake.abort();
   }
 
   /** @returns whether the engine runs on the wanted weights */
   private async orderAndFollow(engine: BehindEngine, signal: AbortSignal): Promise<boolean> {
+    // The others have heard by then that it gets no new request.
+    await sleep(LOAD_DRAIN_MS, signal);
     const state = await this.options.protocol.readState(this.buildCall(engine, signal));
     if (this.noteState(engine, state.weights)) return true;
+    const orderedAtMs = performance.now();
     if (!state.isBusy) {
       const outcome = await this.sendOrder(engine, state.acceptedOrders, signal);
       if (outcome === 'fenced' || outcome === 'moved' || outcome === 'failed') return false;
-      await sleep(LOAD_FIRST_CHECK_MS, signal);
+      await sleep(this.loadMs * LOAD_CHECK_SHARE, signal);
     }
-    return this.follow(engine, signal);
+    const isDone = await this.follow(engine, signal);
+    if (isDone && !state.isBusy) this.loadMs = performance.now() - orderedAtMs;
+    return isDone;
   }
 
   private async sendOrder(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -129,7 +129,7 @@
     protocol,
     logger: logger.createPart('rollout'),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
-    onLoadingChange: () => entries.flush(),
+    onLoadingChange: () => gossip.flush(),
   });
   const entries: EntriesController = new EntriesController({
     log,
@@ -138,10 +138,8 @@
     bootId,
     roster,
     meshKey,
-    listLoading: () => rollout.listLoading(),
-    isRollingOut: () => rollout.isRollingOut,
   });
-  const gossip = new Gossip({
+  const gossip: Gossip = new Gossip({
     self: settings.vmId,
     address: settings.listen.mesh,
     key: meshKey,
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -67,6 +67,11 @@
     return GOSSIP_INTERVAL_MS * Math.max(1, peers / GOSSIP_PEERS);
   }
 
+  /** Tells the others at once. */
+  flush(): void {
+    this.send();
+  }
+
   private send(): void {
     const { self, key, registry, roster, peerLoads, listLoading } = this.options;
     peerLoads.expire();
@@ -75,12 +80,20 @@
       .filter(({ inFlight }) => inFlight > 0)
       .map(({ upstreamId, inFlight, pendingTokens }) => ({ upstreamId, inFlight, pendingTokens }));
     const loading = listLoading();
-    const hasNews = loads.length > 0 || loading.length > 0;
+    const weights = registry
+      .list()
+      .flatMap((upstream) =>
+        upstream
+          .listLearnedWeights()
+          .map((held) => ({ upstreamId: upstream.upstreamId, ...held })),
+      );
+    const hasNews = loads.length > 0 || loading.length > 0 || weights.length > 0;
     // One empty message tells that the last figures are over.
     if (!hasNews && !this.hasReported) return;
     this.hasReported = hasNews;
     this.sequence += 1;
-    const bytes = encodeGossip({ vmId: self, sequence: this.sequence, loads, loading }, key);
+    const message = { vmId: self, sequence: this.sequence, loads, loading, weights };
+    const bytes = encodeGossip(message, key);
     roster.listLive().forEach(({ vmId, meshAddress }) => {
       if (vmId === self) return;
       const { host, port } = splitAddress(meshAddress);
@@ -89,11 +102,14 @@
   }
 
   private receive(bytes: Buffer): void {
-    const { roster, peerLoads } = this.options;
+    const { roster, peerLoads, registry } = this.options;
     const message = decodeGossip(bytes, (vmId) => roster.findKey(vmId));
     if (!message || message.sequence <= (this.sequences.get(message.vmId) ?? -Infinity)) return;
     this.sequences.set(message.vmId, message.sequence);
     peerLoads.note(message.vmId, message.loads);
     roster.noteLoading(message.vmId, message.loading);
+    message.weights.forEach(({ upstreamId, model, held }) =>
+      registry.find(upstreamId)?.noteWeights(model, held),
+    );
   }
 }
--- a/packages/gateway/src/mesh/gossipMessage.ts
+++ b/packages/gateway/src/mesh/gossipMessage.ts
@@ -1,7 +1,7 @@
 import { createHmac, timingSafeEqual } from 'node:crypto';
 import { Packr } from 'msgpackr';
-import { toId } from '@goldcrestscale/core';
-import type { PeerLoad, UpstreamId, VmId } from '@goldcrestscale/core';
+import { toId, toWeightNumber } from '@goldcrestscale/core';
+import type { HeldWeights, ModelId, PeerLoad, UpstreamId, VmId } from '@goldcrestscale/core';
 
 /** What one entry VM tells the others many times a second. */
 export interface GossipMessage {
@@ -11,6 +11,13 @@
   readonly loads: readonly PeerLoad[];
   /** Engines that this VM has ordered to load weights. */
   readonly loading: readonly UpstreamId[];
+  /** Weights of engines that are newer than their heartbeats. */
+  readonly weights: readonly LearnedWeights[];
+}
+
+/** Weights that an engine has been found to run on. */
+export interface LearnedWeights extends HeldWeights {
+  readonly upstreamId: UpstreamId;
 }
 
 /** Bytes of the proof at the beginning of a message. */
@@ -23,13 +30,14 @@
 
 /** Encodes a message with a proof made with the sender's key. */
 export const encodeGossip = (message: GossipMessage, key: string): Buffer => {
-  const { vmId, sequence, loads, loading } = message;
+  const { vmId, sequence, loads, loading, weights } = message;
   const rows = loads.map(({ upstreamId, inFlight, pendingTokens }) => [
     upstreamId,
     inFlight,
     Math.round(pendingTokens),
   ]);
-  const content = packr.pack([vmId, sequence, rows, loading]);
+  const learned = weights.map(({ upstreamId, model, held }) => [upstreamId, model, held]);
+  const content = packr.pack([vmId, sequence, rows, loading, learned]);
   return Buffer.concat([prove(key, content), content]);
 };
 
@@ -41,6 +49,20 @@
   return [{ upstreamId: toId<UpstreamId>(upstreamId), inFlight, pendingTokens }];
 };
 
+const decodeWeights = (row: unknown): LearnedWeights[] => {
+  if (!Array.isArray(row)) return [];
+  const [upstreamId, model, held] = row as unknown[];
+  if (typeof upstreamId !== 'string' || typeof model !== 'string') return [];
+  if (typeof held !== 'number') return [];
+  return [
+    {
+      upstreamId: toId<UpstreamId>(upstreamId),
+      model: toId<ModelId>(model),
+      held: toWeightNumber(held),
+    },
+  ];
+};
+
 /**
  * Decodes a message and checks its proof.
  *
@@ -61,9 +83,9 @@
     return undefined;
   }
   if (!Array.isArray(fields)) return undefined;
-  const [vmId, sequence, loads, loading] = fields as unknown[];
+  const [vmId, sequence, loads, loading, weights] = fields as unknown[];
   if (typeof vmId !== 'string' || typeof sequence !== 'number') return undefined;
-  if (!Array.isArray(loads) || !Array.isArray(loading)) return undefined;
+  if (!Array.isArray(loads) || !Array.isArray(loading) || !Array.isArray(weights)) return undefined;
   const key = findKey(toId<VmId>(vmId));
   const isProved =
     key !== undefined && timingSafeEqual(bytes.subarray(0, PROOF_BYTES), prove(key, content));
@@ -72,6 +94,7 @@
     vmId: toId<VmId>(vmId),
     sequence,
     loads: loads.flatMap(decodeLoad),
+    weights: weights.flatMap(decodeWeights),
     loading: loading.filter((item): item is UpstreamId => typeof item === 'string'),
   };
 };
