feat(routing): keep long prompts off some engines under overload

Change: under overload long reads keep off a third of the engines, the same for all VMs; one that will be late anyway joins the longest queue that its caller bears.

--- a/packages/core/src/deployment/deploymentView.ts
+++ b/packages/core/src/deployment/deploymentView.ts
@@ -10,6 +10,8 @@
 
   private readonly accountsByKey = new Map<string, DeployedAccount>();
 
+  private readonly shortestObjectives = new Map<ServiceName, number>();
+
   private readonly services = new Map<ServiceName, ServiceSettings>();
 
   constructor(readonly deployment: Deployment) {
@@ -43,11 +45,20 @@
     return this.services.get(name);
   }
 
+  /** Gives the least objective of the routes that lead to a service, in milliseconds. */
+  findShortestObjective(name: ServiceName): number | undefined {
+    return this.shortestObjectives.get(name);
+  }
+
   private addRoute(route: RouteRule): void {
     const routes = this.routesByHost.get(route.host) ?? [];
     routes.push(route);
     routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     this.routesByHost.set(route.host, routes);
+    route.destinations.forEach(({ service }) => {
+      const known = this.shortestObjectives.get(service) ?? Infinity;
+      this.shortestObjectives.set(service, Math.min(known, route.objectiveMs));
+    });
   }
 }
 
--- a/packages/core/src/promptRouting/constants.ts
+++ b/packages/core/src/promptRouting/constants.ts
@@ -28,3 +28,18 @@
 
 /** Extra cost of older weights after the grace, in milliseconds of waiting. */
 export const OLD_WEIGHTS_COST_MS = 60;
+
+/** Key by which all VMs agree on the engines that long prompts keep off. */
+export const EXPRESS_KEY = 'express';
+
+/** Part of the engines that long prompts keep off under overload. */
+export const EXPRESS_SHARE = 1 / 3;
+
+/** Part of the least objective from which the read of a prompt counts as long. */
+export const LONG_READ_SHARE = 0.25;
+
+/** Part of the least objective from which the mean queue of the engines counts as overload. */
+export const OVERLOAD_SHARE = 0.3;
+
+/** Part of a caller's patience up to which a queue is joined. */
+export const PATIENCE_SHARE = 0.7;
--- a/packages/core/src/promptRouting/promptRouter.ts
+++ b/packages/core/src/promptRouting/promptRouter.ts
@@ -3,10 +3,15 @@
 import type { TrackedUpstream } from '../fleet/index.js';
 import {
   AWAY_COST_MS,
+  EXPRESS_KEY,
+  EXPRESS_SHARE,
   FETCH_COST_SHARE,
   LOAD_COST_MS,
+  LONG_READ_SHARE,
   OLD_WEIGHTS_COST_MS,
   OLD_WEIGHTS_GRACE_MS,
+  OVERLOAD_SHARE,
+  PATIENCE_SHARE,
 } from './constants.js';
 import type { PrefillRate } from './prefillRate.js';
 import type { Prompt } from './prompt.js';
@@ -20,6 +25,12 @@
   readonly wanted: WeightNumber | undefined;
   /** Time since they were named, in milliseconds. */
   readonly wantedForMs: number;
+  /** Time within which its first token is on time, in milliseconds. */
+  readonly objectiveMs: number;
+  /** Time after which its caller gives up, in milliseconds. */
+  readonly patienceMs: number;
+  /** Least objective of all requests at these engines, in milliseconds. */
+  readonly shortestObjectiveMs: number;
   /** Gives the key under which an engine with these weights caches a part. */
   buildKey(partId: string, held: WeightNumber | undefined): string;
   /** Tells whether a store holds the part under that key. */
@@ -35,6 +46,19 @@
   readonly firstTokenMs: number;
 }
 
+interface WeighedChoice extends PromptChoice {
+  /** Time until the engine begins to read the prompt, in milliseconds. */
+  readonly queueMs: number;
+  /** First token time and what else counts against the engine, in milliseconds. */
+  readonly costMs: number;
+}
+
+const pickLeastCost = (weighed: readonly WeighedChoice[]): WeighedChoice | undefined =>
+  weighed.reduce<WeighedChoice | undefined>(
+    (least, next) => (least && least.costMs <= next.costMs ? least : next),
+    undefined,
+  );
+
 /** Where the shared parts of a prompt are, seen from one engine. */
 interface PartsView {
   readonly readTokens: number;
@@ -55,39 +79,67 @@
     private readonly rate: PrefillRate,
   ) {}
 
-  choose(
-    request: PromptRequest,
-    candidates: readonly TrackedUpstream[],
-  ): PromptChoice | undefined {
+  choose(request: PromptRequest, candidates: readonly TrackedUpstream[]): PromptChoice | undefined {
     const session = findSessionPart(request.prompt);
     const ids = candidates.map(({ upstreamId }) => upstreamId);
     const home = session ? rankByRendezvous(session.id, ids)[0] : undefined;
-    let best: PromptChoice | undefined;
-    let leastMs = Infinity;
-    for (const candidate of candidates) {
+    const weighed = candidates.map((candidate) => {
       const choice = this.weigh(request, candidate, home);
       const awayMs = candidate.upstreamId === home ? 0 : AWAY_COST_MS;
-      const costMs = choice.firstTokenMs + awayMs + this.weighOldWeights(request, candidate);
-      if (costMs < leastMs) {
-        best = choice;
-        leastMs = costMs;
-      }
+      return {
+        ...choice,
+        costMs: choice.firstTokenMs + awayMs + this.weighOldWeights(request, candidate),
+      };
+    });
+    return this.chooseLane(request, weighed);
+  }
+
+  /**
+   * Load pattern: more long prompts than the engines can read in time, beside many short ones.
+   * Long ones then keep off some engines, so that short ones stay on time there; a long one that
+   * will be late anyway joins the longest queue, so that the next ones are on time elsewhere.
+   */
+  private chooseLane(
+    request: PromptRequest,
+    weighed: readonly WeighedChoice[],
+  ): PromptChoice | undefined {
+    const least = pickLeastCost(weighed);
+    if (!least || !this.isLong(request, least) || !this.isOverloaded(request, weighed)) {
+      return least;
     }
-    return best;
+    const ids = weighed.map(({ upstream }) => upstream.upstreamId);
+    const express = new Set(
+      rankByRendezvous(EXPRESS_KEY, ids).slice(0, Math.floor(ids.length * EXPRESS_SHARE)),
+    );
+    const lanes = weighed.filter(({ upstream }) => !express.has(upstream.upstreamId));
+    const first = pickLeastCost(lanes);
+    if (!first || first.firstTokenMs <= request.objectiveMs) return first ?? least;
+    const bearable = lanes.filter(
+      ({ firstTokenMs }) => firstTokenMs < request.patienceMs * PATIENCE_SHARE,
+    );
+    return bearable.sort((left, right) => right.firstTokenMs - left.firstTokenMs)[0] ?? first;
+  }
+
+  private isLong(request: PromptRequest, { readTokens }: PromptChoice): boolean {
+    return readTokens / this.rate.tokensPerMs > request.shortestObjectiveMs * LONG_READ_SHARE;
+  }
+
+  private isOverloaded(request: PromptRequest, weighed: readonly WeighedChoice[]): boolean {
+    const totalMs = weighed.reduce((sum, { queueMs }) => sum + queueMs, 0);
+    return totalMs / weighed.length > request.shortestObjectiveMs * OVERLOAD_SHARE;
   }
 
   private weigh(
     request: PromptRequest,
     upstream: TrackedUpstream,
     home: UpstreamId | undefined,
-  ): PromptChoice {
+  ): PromptChoice & { readonly queueMs: number } {
     const { readTokens, fetchTokens } = this.viewParts(request, upstream, home);
     const { tokensPerMs } = this.rate;
     const queueMs =
       upstream.estimateLoad() * LOAD_COST_MS + upstream.estimatePendingTokens() / tokensPerMs;
-    const firstTokenMs =
-      queueMs + (readTokens + fetchTokens * FETCH_COST_SHARE) / tokensPerMs;
-    return { upstream, readTokens, firstTokenMs };
+    const firstTokenMs = queueMs + (readTokens + fetchTokens * FETCH_COST_SHARE) / tokensPerMs;
+    return { upstream, readTokens, firstTokenMs, queueMs };
   }
 
   /** Older weights serve on while few engines have the new ones, but their answers are worth less. */
--- a/packages/gateway/src/controllers/logLeaseStream.ts
+++ b/packages/gateway/src/controllers/logLeaseStream.ts
@@ -16,11 +16,7 @@
     return { holder: newest?.toString('utf8'), end };
   }
 
-  override appendAt(
-    end: number,
-    holder: string,
-    signal: AbortSignal,
-  ): Promise<number | undefined> {
+  override appendAt(end: number, holder: string, signal: AbortSignal): Promise<number | undefined> {
     return this.log.appendAt('leases', end, { key: LEASE_KEY, value: Buffer.from(holder) }, signal);
   }
 }
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -22,6 +22,7 @@
   OperatorState,
   PromptChoice,
   RegionId,
+  RouteRule,
   ServiceName,
   TrackedUpstream,
   UpstreamId,
@@ -47,6 +48,20 @@
   readonly random: RandomGenerator;
 }
 
+/** Shortest time for which callers wait for a stream's first event, in milliseconds. */
+const LEAST_PATIENCE_MS = 2_000;
+
+/** Objectives, and pauses between events, for which callers wait at the most. */
+const PATIENCE_OBJECTIVES = 4;
+const PATIENCE_GAPS = 8;
+
+const computePatience = ({ objectiveMs, gapObjectiveMs }: RouteRule): number =>
+  Math.max(
+    LEAST_PATIENCE_MS,
+    objectiveMs * PATIENCE_OBJECTIVES,
+    (gapObjectiveMs ?? 0) * PATIENCE_GAPS,
+  );
+
 /** An upstream for an attempt, and what is expected there. */
 export type UpstreamChoice = PromptChoice;
 
@@ -76,10 +91,8 @@
     const all = this.options.registry.listService(service);
     const able = all.filter((upstream) => this.canServe(exchange, upstream, excluded));
     const loading = this.options.roster.listLoading();
-    const free = able.filter(
-      (upstream) => !upstream.isBusy && !loading.has(upstream.upstreamId),
-    );
-    const chosen = this.chooseAmong(exchange, free);
+    const free = able.filter((upstream) => !upstream.isBusy && !loading.has(upstream.upstreamId));
+    const chosen = this.chooseAmong(exchange, service, free);
     if (!chosen?.upstream.isCold) return chosen;
     const share = this.computeShare(chosen.upstream);
     return !share || this.cold.tryTake(chosen.upstream.upstreamId, share) ? chosen : undefined;
@@ -136,6 +149,7 @@
 
   private chooseAmong(
     exchange: GatewayExchange,
+    service: ServiceName,
     candidates: readonly TrackedUpstream[],
   ): UpstreamChoice | undefined {
     const { prompt } = exchange.head;
@@ -144,10 +158,14 @@
       return upstream && { upstream, readTokens: 0, firstTokenMs: 0 };
     }
     const weights = this.options.operators.findWeights(prompt.model);
+    const route = requireRoute(exchange);
     return this.router.choose(
       {
         prompt,
         wanted: weights?.wanted,
+        objectiveMs: route.objectiveMs,
+        patienceMs: computePatience(route),
+        shortestObjectiveMs: this.findShortestObjective(service),
         wantedForMs: weights ? performance.now() - weights.learnedAtMs : 0,
         buildKey: (partId, held) => `${this.buildSalt(exchange, held)}/${partId}`,
         isStored: (key) => this.options.blocks.isStored(key),
@@ -170,6 +188,10 @@
     return best;
   }
 
+  private findShortestObjective(service: ServiceName): number {
+    return this.options.operators.view?.findShortestObjective(service) ?? Infinity;
+  }
+
   private hasColdRoom(upstream: TrackedUpstream): boolean {
     if (!upstream.isCold) return true;
     const share = this.computeShare(upstream);
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -28,12 +28,7 @@
 import { UpstreamAttempt } from '../dispatch/upstreamAttempt.js';
 import type { UpstreamChoice, UpstreamChooser } from '../dispatch/upstreamChooser.js';
 import type { GatewayMetrics } from '../metrics.js';
-import type {
-  AnswerHead,
-  AttemptFacts,
-  BlockTransfers,
-  UpstreamProtocol,
-} from '../ports/index.js';
+import type { AnswerHead, AttemptFacts, BlockTransfers, UpstreamProtocol } from '../ports/index.js';
 import type { AttemptNote, GatewayExchange } from './exchange.js';
 import { requireRoute } from './exchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
@@ -227,7 +222,8 @@
       urgency: prompt ? URGENCIES[Math.min(rank, URGENCIES.length - 1)] : undefined,
       cacheSalt: salt,
       weights,
-      transfers: salt === undefined ? undefined : this.planTransfers(exchange, salt, choice, allowedMs),
+      transfers:
+        salt === undefined ? undefined : this.planTransfers(exchange, salt, choice, allowedMs),
       lastEventId: resumeFrom === undefined ? lastEventId : String(resumeFrom),
     };
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -182,7 +182,11 @@
     return Math.max(1, Math.floor((limit * CONNECTION_SHARE) / countVms()));
   };
   const filters = createGatewayFilters({
-    guard: { decisions: new DecisionLog(logger.createPart('requests')), metrics, protocol: callers },
+    guard: {
+      decisions: new DecisionLog(logger.createPart('requests')),
+      metrics,
+      protocol: callers,
+    },
     getView: () => operators.state.view,
     isRefusing: () => shutdown.isRefusing,
     dispatch: {
--- a/packages/gateway/src/http/refusal.ts
+++ b/packages/gateway/src/http/refusal.ts
@@ -16,9 +16,7 @@
     answer.abort();
     return;
   }
-  const body = Buffer.from(
-    JSON.stringify({ error: { code: error.code, message: error.message } }),
-  );
+  const body = Buffer.from(JSON.stringify({ error: { code: error.code, message: error.message } }));
   const headers = { ...protocol.buildRefusalHeaders(head.requestId) };
   if (error.retryAfterMs !== undefined) {
     headers['retry-after'] = (error.retryAfterMs / SECOND_MS).toFixed(2);
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -1,6 +1,12 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
-import type { EntryRoster, PeerLoads, UpstreamId, UpstreamRegistry, VmId } from '@goldcrestscale/core';
+import type {
+  EntryRoster,
+  PeerLoads,
+  UpstreamId,
+  UpstreamRegistry,
+  VmId,
+} from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { GOSSIP_INTERVAL_MS, GOSSIP_PEERS } from '../constants.js';
 import { decodeGossip, encodeGossip } from './gossipMessage.js';
@@ -83,9 +89,7 @@
     const weights = registry
       .list()
       .flatMap((upstream) =>
-        upstream
-          .listLearnedWeights()
-          .map((held) => ({ upstreamId: upstream.upstreamId, ...held })),
+        upstream.listLearnedWeights().map((held) => ({ upstreamId: upstream.upstreamId, ...held })),
       );
     const hasNews = loads.length > 0 || loading.length > 0 || weights.length > 0;
     // One empty message tells that the last figures are over.
