--- /dev/null
+++ b/packages/core/src/coldStart/__tests__/coldStart.spec.ts
@@ -0,0 +1,73 @@
+import fc from 'fast-check';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { toId } from '../../ids.js';
+import type { UpstreamId, VmId } from '../../ids.js';
+import { ColdStartBudget, computeColdShare } from '../index.js';
+import type { ColdShare } from '../index.js';
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const UPSTREAM = toId<UpstreamId>('engine');
+
+const makeFleet = (size: number): VmId[] =>
+  Array.from({ length: size }, (_, index) => toId<VmId>(`vm-${index}`));
+
+/** Every VM asks for a request each 5 ms; gives the most that were let through in one second. */
+const measurePeak = (fleet: readonly VmId[], getShare: (vm: VmId) => ColdShare): number => {
+  const budgets = new Map(fleet.map((vm) => [vm, new ColdStartBudget()]));
+  const sentAtMs: number[] = [];
+  let peak = 0;
+  for (let step = 0; step < 600; step += 1) {
+    fleet.forEach((vm) => {
+      if (budgets.get(vm)!.tryTake(UPSTREAM, getShare(vm))) sentAtMs.push(performance.now());
+    });
+    const inSecond = sentAtMs.filter((atMs) => atMs > performance.now() - 1_000);
+    peak = Math.max(peak, inSecond.length);
+    vi.advanceTimersByTime(5);
+  }
+  return peak;
+};
+
+const bound = { requestsPerSecond: 16, overrun: 1.5, slack: 5 };
+
+test.each([1, 7, 9, 30, 86])('a fleet of %i keeps the bound without talk', (size) => {
+  const fleet = makeFleet(size);
+  const peak = measurePeak(fleet, (self) =>
+    computeColdShare({ self, sharing: fleet, upstreamId: UPSTREAM, bound }),
+  );
+  expect(peak).toBeLessThanOrEqual(bound.requestsPerSecond * bound.overrun + bound.slack);
+  expect(peak).toBeGreaterThan(bound.requestsPerSecond / 2);
+});
+
+test('the naive share, the whole rate for every VM, breaks the bound', () => {
+  const naive: ColdShare = { burst: 1, requestsPerSecond: bound.requestsPerSecond };
+  const peak = measurePeak(makeFleet(7), () => naive);
+  expect(peak).toBeGreaterThan(bound.requestsPerSecond * bound.overrun + bound.slack);
+});
+
+test('the shares of any fleet add up to no more than the bound', () => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 200 }),
+      fc.double({ min: 1, max: 50, noNaN: true }),
+      (size, requestsPerSecond) => {
+        const fleet = makeFleet(size);
+        const shares = fleet.map((self) =>
+          computeColdShare({
+            self,
+            sharing: fleet,
+            upstreamId: UPSTREAM,
+            bound: { requestsPerSecond, overrun: 1.5, slack: 5 },
+          }),
+        );
+        const total = shares.reduce((sum, one) => sum + one.burst + one.requestsPerSecond, 0);
+        return total <= requestsPerSecond * 1.5 + 5;
+      },
+    ),
+  );
+});
--- a/packages/core/src/coldStart/coldStartBudget.ts
+++ b/packages/core/src/coldStart/coldStartBudget.ts
@@ -59,12 +59,12 @@
 
   /** Tells whether a request may go to the upstream now, without taking the right. */
   canTake(upstreamId: UpstreamId, share: ColdShare): boolean {
-    return this.refill(upstreamId, share).tokens >= 1;
+    return this.updateBucket(upstreamId, share).tokens >= 1;
   }
 
   /** Takes the right to send one request. */
   tryTake(upstreamId: UpstreamId, share: ColdShare): boolean {
-    const bucket = this.refill(upstreamId, share);
+    const bucket = this.updateBucket(upstreamId, share);
     if (bucket.tokens < 1) return false;
     bucket.tokens -= 1;
     return true;
@@ -75,7 +75,7 @@
     this.buckets.delete(upstreamId);
   }
 
-  private refill(upstreamId: UpstreamId, share: ColdShare): Bucket {
+  private updateBucket(upstreamId: UpstreamId, share: ColdShare): Bucket {
     const nowMs = performance.now();
     const bucket = this.buckets.get(upstreamId) ?? { tokens: share.burst, refilledAtMs: nowMs };
     this.buckets.set(upstreamId, bucket);
--- /dev/null
+++ b/packages/core/src/deployment/__tests__/deployment.spec.ts
@@ -0,0 +1,91 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { toId, toWeightNumber } from '../../ids.js';
+import type { AvailabilityZoneId, ModelId, ServiceName } from '../../ids.js';
+import { DeploymentView, OperatorState, pickDestination } from '../index.js';
+import { makeDeployment, makeRoute } from './fixtures.js';
+
+const service = (name: string) => toId<ServiceName>(name);
+
+test('the longest prefix of the host wins', () => {
+  const view = new DeploymentView(
+    makeDeployment({
+      routes: [
+        makeRoute({ name: 'short', pathPrefix: '/a/' }),
+        makeRoute({ name: 'long', pathPrefix: '/a/b/' }),
+        makeRoute({ name: 'other', host: 'other.example', pathPrefix: '/a/b/c/' }),
+      ],
+    }),
+  );
+  expect(view.findRoute('site.example', '/a/b/c/1')?.name).toBe('long');
+  expect(view.findRoute('site.example', '/a/x')?.name).toBe('short');
+  expect(view.findRoute('site.example', '/ab/')).toBeUndefined();
+  expect(view.findRoute('none.example', '/a/x')).toBeUndefined();
+});
+
+test('a split sends each service its share', () => {
+  const route = makeRoute({
+    destinations: [
+      { service: service('main'), weight: 90 },
+      { service: service('off'), weight: 0 },
+      { service: service('new'), weight: 10 },
+    ],
+  });
+  expect(pickDestination(route, 0)).toBe('main');
+  expect(pickDestination(route, 0.89)).toBe('main');
+  expect(pickDestination(route, 0.91)).toBe('new');
+  expect(pickDestination({ ...route, destinations: [] }, 0.5)).toBeUndefined();
+});
+
+test('a service without weight never gets a request', () => {
+  fc.assert(
+    fc.property(fc.double({ min: 0, max: 0.999999, noNaN: true }), (chance) => {
+      const destinations = [
+        { service: service('off'), weight: 0 },
+        { service: service('on'), weight: 3 },
+      ];
+      return pickDestination(makeRoute({ destinations }), chance) === 'on';
+    }),
+  );
+});
+
+test('the least objective of a service is known', () => {
+  const view = new DeploymentView(
+    makeDeployment({ routes: [makeRoute({ objectiveMs: 800 }), makeRoute({ objectiveMs: 250 })] }),
+  );
+  expect(view.findShortestObjective(service('engines'))).toBe(250);
+  expect(view.findShortestObjective(service('none'))).toBeUndefined();
+});
+
+test('records in any order never take the state back', () => {
+  fc.assert(
+    fc.property(fc.array(fc.nat(50), { minLength: 1 }), (versions) => {
+      const state = new OperatorState();
+      let newest = -1;
+      versions.forEach((version) => {
+        state.apply({ kind: 'deployment', deployment: makeDeployment({ version }) });
+        state.apply({
+          kind: 'weights',
+          model: toId<ModelId>('m'),
+          wanted: toWeightNumber(version),
+        });
+        newest = Math.max(newest, version);
+        expect(state.view?.version).toBe(newest);
+        expect(state.findWeights(toId<ModelId>('m'))?.wanted).toBe(newest);
+      });
+    }),
+  );
+});
+
+test('a zone is out until it is taken back, and a whole list replaces it', () => {
+  const state = new OperatorState();
+  const zone = toId<AvailabilityZoneId>('z1');
+  expect(state.apply({ kind: 'zone-out', zone })).toBe(true);
+  expect(state.isZoneOut(zone)).toBe(true);
+  expect(state.apply({ kind: 'zone-in', zone })).toBe(true);
+  expect(state.isZoneOut(zone)).toBe(false);
+  expect(state.replaceZonesOut([zone])).toBe(true);
+  expect(state.replaceZonesOut([zone])).toBe(false);
+  expect(state.replaceZonesOut([])).toBe(true);
+  expect(state.isZoneOut(zone)).toBe(false);
+});
--- /dev/null
+++ b/packages/core/src/fleet/__tests__/fleet.spec.ts
@@ -0,0 +1,141 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { toId, toWeightNumber } from '../../ids.js';
+import type { UpstreamId, VmId } from '../../ids.js';
+import {
+  ENTRY_SILENCE_MS,
+  EntryRoster,
+  LAPSE_GRACE_MS,
+  PeerLoads,
+  UpstreamRegistry,
+} from '../index.js';
+import { MODEL, makeHeartbeat, makeTracked, makeUpstream } from './fixtures.js';
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const id = (name: string) => toId<UpstreamId>(name);
+
+const createRegistry = () => new UpstreamRegistry(new PeerLoads(1_000));
+
+test('a late heartbeat of an earlier run or moment changes nothing', () => {
+  const registry = createRegistry();
+  registry.apply({
+    kind: 'present',
+    upstream: makeUpstream('a', { startedAtMs: 2_000, heartbeat: 5 }),
+  });
+  const draining = { draining: true };
+  const late = [
+    { ...draining, startedAtMs: 1_000, heartbeat: 90 },
+    { ...draining, startedAtMs: 2_000, heartbeat: 4 },
+  ];
+  late.forEach((fields) =>
+    registry.apply({ kind: 'present', upstream: makeUpstream('a', fields) }),
+  );
+  expect(registry.find(id('a'))?.registered.draining).toBe(false);
+  const next = makeUpstream('a', { ...draining, startedAtMs: 2_000, heartbeat: 6 });
+  expect(registry.apply({ kind: 'present', upstream: next })).toBe(true);
+  expect(registry.find(id('a'))?.registered.draining).toBe(true);
+});
+
+test('an entry that is removed is gone at once', () => {
+  const registry = createRegistry();
+  registry.apply({ kind: 'present', upstream: makeUpstream('a') });
+  vi.advanceTimersByTime(10_000);
+  expect(registry.apply({ kind: 'absent', upstreamId: id('a') })).toBe(true);
+  expect(registry.list()).toHaveLength(0);
+});
+
+test('an entry that lapsed in an outage has a grace to come back', () => {
+  const registry = createRegistry();
+  ['back', 'gone'].forEach((name) =>
+    registry.apply({ kind: 'present', upstream: makeUpstream(name) }),
+  );
+  registry.noteLogReturn();
+  registry.apply({ kind: 'absent', upstreamId: id('back') });
+  registry.apply({ kind: 'absent', upstreamId: id('gone') });
+  vi.advanceTimersByTime(LAPSE_GRACE_MS / 2);
+  registry.expireRemovals();
+  expect(registry.list()).toHaveLength(2);
+  registry.apply({ kind: 'present', upstream: makeUpstream('back', { heartbeat: 2 }) });
+  vi.advanceTimersByTime(LAPSE_GRACE_MS / 2 + 1);
+  registry.expireRemovals();
+  expect(registry.list().map(({ upstreamId }) => upstreamId)).toEqual(['back']);
+});
+
+test('a whole list removes what it does not name', () => {
+  const registry = createRegistry();
+  registry.apply({ kind: 'present', upstream: makeUpstream('a') });
+  registry.replaceAll([makeUpstream('b')]);
+  expect(registry.list().map(({ upstreamId }) => upstreamId)).toEqual(['b']);
+});
+
+test('a restart under the same name is cold and has forgotten its weights', () => {
+  const tracked = makeTracked('a');
+  tracked.noteWeights(MODEL, toWeightNumber(3));
+  expect(tracked.findWeights(MODEL)).toBe(3);
+  expect(tracked.isCold).toBe(false);
+  tracked.update(makeUpstream('a', { startedAtMs: 9_000, coldRemainingMs: 3_000 }));
+  expect(tracked.findWeights(MODEL)).toBe(1);
+  expect(tracked.isCold).toBe(true);
+  vi.advanceTimersByTime(3_001);
+  expect(tracked.isCold).toBe(false);
+});
+
+test('a broken connection makes an upstream count as cold for a while', () => {
+  const tracked = makeTracked('a');
+  tracked.noteBroken();
+  expect(tracked.isCold).toBe(true);
+  vi.advanceTimersByTime(2_600);
+  expect(tracked.isCold).toBe(false);
+});
+
+test('older weights never replace newer ones that an answer told', () => {
+  const tracked = makeTracked('a');
+  tracked.noteWeights(MODEL, toWeightNumber(4));
+  tracked.noteWeights(MODEL, toWeightNumber(2));
+  tracked.update(makeUpstream('a', { heartbeat: 2 }));
+  expect(tracked.findWeights(MODEL)).toBe(4);
+});
+
+test('the load of peers counts until it is too old', () => {
+  const peers = new PeerLoads(1_000);
+  const tracked = makeTracked('a', {}, peers);
+  const loads = [{ upstreamId: id('a'), inFlight: 3, pendingTokens: 900 }];
+  peers.note(toId<VmId>('vm-1'), loads);
+  peers.note(toId<VmId>('vm-2'), loads);
+  tracked.noteSent(100);
+  expect(tracked.estimateLoad()).toBe(7);
+  expect(tracked.estimatePendingTokens()).toBe(1_900);
+  peers.note(toId<VmId>('vm-2'), []);
+  expect(tracked.estimatePendingTokens()).toBe(1_000);
+  vi.advanceTimersByTime(1_001);
+  peers.expire();
+  expect(tracked.estimatePendingTokens()).toBe(100);
+});
+
+test('a silent or leaving entry VM is not named to callers', () => {
+  const roster = new EntryRoster();
+  roster.noteHeartbeat(makeHeartbeat('a'));
+  roster.noteHeartbeat(makeHeartbeat('b', { leaving: true }));
+  vi.advanceTimersByTime(ENTRY_SILENCE_MS - 1);
+  roster.noteHeartbeat(makeHeartbeat('c'));
+  expect(roster.listServing().map(({ vmId }) => vmId)).toEqual(['a', 'c']);
+  vi.advanceTimersByTime(2);
+  expect(roster.listServing().map(({ vmId }) => vmId)).toEqual(['c']);
+  expect(roster.listSharing()).toEqual(['a', 'b', 'c']);
+});
+
+test('silence during an outage of the log says nothing of a VM', () => {
+  const roster = new EntryRoster();
+  roster.noteHeartbeat(makeHeartbeat('a'));
+  roster.noteLogDown();
+  vi.advanceTimersByTime(60_000);
+  expect(roster.listServing()).toHaveLength(1);
+  roster.noteLogUp();
+  vi.advanceTimersByTime(ENTRY_SILENCE_MS + 1);
+  expect(roster.listServing()).toHaveLength(0);
+});
--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -15,3 +15,18 @@
 
 /** Time for which an entry VM that fell silent is still counted when shares are divided, in milliseconds. */
 export const ENTRY_SHARE_MS = 15_000;
+
+/** Silence of an open stream from which its upstream seems to be down, in milliseconds. */
+export const SILENT_STREAM_MS = 900;
+
+/** Requests without any byte that make an upstream seem to be down after a longer silence. */
+export const SILENT_REQUESTS = 2;
+
+/** Silence after which such requests do, in milliseconds. */
+export const SILENT_REQUESTS_MS = 1_600;
+
+/** Longest time for which an upstream that seems to be down gets no request, in milliseconds. */
+export const DOWN_MS = 2_500;
+
+/** Age that a heartbeat may have when it is read, in milliseconds. */
+export const HEARTBEAT_LAG_MS = 1_000;
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -1,5 +1,13 @@
 import type { ModelId, UpstreamId, WeightNumber } from '../ids.js';
-import { LOAD_FRESH_MS, SUSPECT_MS } from './constants.js';
+import {
+  DOWN_MS,
+  HEARTBEAT_LAG_MS,
+  LOAD_FRESH_MS,
+  SILENT_REQUESTS,
+  SILENT_REQUESTS_MS,
+  SILENT_STREAM_MS,
+  SUSPECT_MS,
+} from './constants.js';
 import type { PeerLoads } from './peerLoads.js';
 import type { HeldWeights, RegisteredUpstream } from './registeredUpstream.js';
 
@@ -30,6 +38,13 @@
 
   private busyUntilMs = -Infinity;
 
+  private down: { readonly sinceMs: number; readonly untilMs: number } | undefined;
+
+  /** Answers of this VM that have begun and not ended. */
+  private openAnswers = 0;
+
+  private lastHeardMs = performance.now();
+
   private readonly learnedWeights = new Map<ModelId, WeightNumber>();
 
   constructor(
@@ -53,9 +68,23 @@
     return nowMs < this.coldUntilMs || nowMs < this.suspectUntilMs;
   }
 
-  /** Whether it said a moment ago that it takes no request. */
+  /** Whether it said a moment ago that it takes no request, or seems to be down. */
   get isBusy(): boolean {
-    return performance.now() < this.busyUntilMs;
+    return performance.now() < this.busyUntilMs || this.isDown;
+  }
+
+  /** Whether it seems to be down, and no heartbeat has said otherwise since. */
+  get isDown(): boolean {
+    return this.down !== undefined && performance.now() < this.down.untilMs;
+  }
+
+  /** Whether answers that have begun, or requests, have had no byte for longer than is usual. */
+  get isSilent(): boolean {
+    const silentMs = performance.now() - this.lastHeardMs;
+    return (
+      (this.openAnswers > 0 && silentMs > SILENT_STREAM_MS) ||
+      (this.inFlight >= SILENT_REQUESTS && silentMs > SILENT_REQUESTS_MS)
+    );
   }
 
   /** Requests that it runs or has waiting, as far as known. */
@@ -75,6 +104,9 @@
   /** @returns whether more than the heartbeat has changed */
   update(next: RegisteredUpstream): boolean {
     const before = this.entry;
+    // What arrives sooner may have been written before it went down.
+    if (this.down && performance.now() - this.down.sinceMs > HEARTBEAT_LAG_MS)
+      this.down = undefined;
     this.entry = next;
     const isRestarted = next.startedAtMs !== before.startedAtMs;
     if (isRestarted) this.learnedWeights.clear();
@@ -117,6 +149,7 @@
   }
 
   noteSent(tokens: number): void {
+    if (this.inFlight === 0) this.noteHeard();
     this.inFlight += 1;
     this.sentSinceTold += 1;
     this.pendingTokens += tokens;
@@ -126,10 +159,30 @@
     this.pendingTokens -= tokens;
   }
 
+  /** Notes that some bytes of an answer have come. */
+  noteHeard(): void {
+    this.lastHeardMs = performance.now();
+  }
+
+  /** Notes a stream whose events now come one after the other. */
+  noteStreamOpen(): void {
+    this.openAnswers += 1;
+  }
+
+  noteStreamEnd(): void {
+    this.openAnswers -= 1;
+  }
+
   noteEnd(): void {
     this.inFlight -= 1;
   }
 
+  /** Keeps requests away until a heartbeat, or some time, says that it is up. */
+  noteDown(): void {
+    const nowMs = performance.now();
+    if (!this.isDown) this.down = { sinceMs: nowMs, untilMs: nowMs + DOWN_MS };
+  }
+
   /** Counts it as cold for a while: a broken connection may mean that it has restarted. */
   noteBroken(): void {
     this.suspectUntilMs = performance.now() + SUSPECT_MS;
@@ -145,6 +198,7 @@
   }
 
   noteFree(): void {
+    this.down = undefined;
     this.busyUntilMs = -Infinity;
   }
 }
--- a/packages/core/src/lease/index.ts
+++ b/packages/core/src/lease/index.ts
@@ -5,3 +5,4 @@
 export * from './leaseRecord.js';
 export * from './leaseTable.js';
 export * from './conditionalLease.js';
+export * from './leaseStream.js';
--- /dev/null
+++ b/packages/core/src/promptRouting/__tests__/promptRouting.spec.ts
@@ -0,0 +1,183 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { makeTracked } from '../../fleet/__tests__/fixtures.js';
+import type { TrackedUpstream } from '../../fleet/index.js';
+import { toId, toWeightNumber } from '../../ids.js';
+import type { ModelId, PromptPartId } from '../../ids.js';
+import { PrefillRate, PromptRouter, SentParts } from '../index.js';
+import type { Prompt, PromptChoice, PromptRequest } from '../index.js';
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const makePrompt = (session: string, sessionTokens: number, ownTokens: number): Prompt => ({
+  model: toId<ModelId>('model'),
+  inputTokens: sessionTokens + ownTokens,
+  maxOutputTokens: 50,
+  parts: [
+    { id: toId<PromptPartId>(session), tokens: sessionTokens },
+    { id: toId<PromptPartId>(`${session}-own`), tokens: ownTokens },
+  ],
+});
+
+const makeRequest = (prompt: Prompt, fields: Partial<PromptRequest> = {}): PromptRequest => ({
+  prompt,
+  wanted: undefined,
+  wantedForMs: 0,
+  objectiveMs: 800,
+  patienceMs: 3_200,
+  shortestObjectiveMs: 300,
+  buildKey: (partId, held) => `${held ?? 0}/${partId}`,
+  isStored: () => false,
+  ...fields,
+});
+
+const makeEngines = (count: number): TrackedUpstream[] =>
+  Array.from({ length: count }, (_, index) => makeTracked(`e${index}`));
+
+const createRouter = () => new PromptRouter(new SentParts(), new PrefillRate());
+
+/** Chooses where the engines are not overloaded. */
+const chooseEngine = (
+  router: PromptRouter,
+  request: PromptRequest,
+  engines: readonly TrackedUpstream[],
+): PromptChoice => {
+  const decision = router.choose(request, engines);
+  if (!decision || 'refusedForMs' in decision) throw new Error('no engine was chosen');
+  return decision;
+};
+
+test('VMs agree on the engine of a session without talk', () => {
+  const engines = makeEngines(8);
+  const request = makeRequest(makePrompt('s1', 8_000, 500), { isStored: () => true });
+  const chosen = [createRouter(), createRouter()].map(
+    (router) => chooseEngine(router, request, engines).upstream.upstreamId,
+  );
+  expect(chosen[0]).toBeDefined();
+  expect(chosen[0]).toBe(chosen[1]);
+});
+
+test('an engine whose queue costs more than a fetch gives way', () => {
+  const engines = makeEngines(4);
+  const request = makeRequest(makePrompt('s1', 8_000, 500), { isStored: () => true });
+  const home = chooseEngine(createRouter(), request, engines).upstream;
+  home.noteSent(40_000);
+  const other = chooseEngine(createRouter(), request, engines).upstream;
+  expect(other.upstreamId).not.toBe(home.upstreamId);
+});
+
+test('a session that nothing holds goes to the engine with the least to read', () => {
+  const engines = makeEngines(4);
+  engines.slice(0, 3).forEach((engine) => engine.noteSent(6_000));
+  const choice = chooseEngine(createRouter(), makeRequest(makePrompt('s1', 8_000, 500)), engines);
+  expect(choice.upstream.upstreamId).toBe('e3');
+  expect(choice.readTokens).toBe(8_500);
+});
+
+test('older weights cost more once the newer ones have been named for a while', () => {
+  const old = makeTracked('old');
+  const fresh = makeTracked('new');
+  fresh.noteWeights(toId<ModelId>('model'), toWeightNumber(2));
+  fresh.noteSent(1_000);
+  const prompt = makePrompt('s1', 100, 100);
+  const wanted = toWeightNumber(2);
+  const early = createRouter().choose(makeRequest(prompt, { wanted, wantedForMs: 100 }), [
+    old,
+    fresh,
+  ]);
+  const late = createRouter().choose(makeRequest(prompt, { wanted, wantedForMs: 2_000 }), [
+    old,
+    fresh,
+  ]);
+  expect(early.upstream.upstreamId).toBe('old');
+  expect(late.upstream.upstreamId).toBe('new');
+});
+
+const STEP_MS = 10;
+
+const TOKENS_PER_MS = 80;
+
+const LONG_TOKENS = 12_000;
+
+const SHORT_TOKENS = 900;
+
+/** 50 long prompts a second, beside 100 short ones. */
+const LONG_EVERY_MS = 20;
+
+/**
+ * Load pattern: for six seconds, more long prompts than six engines can read, beside short ones.
+ * Engines read 80 tokens a millisecond, first come, first served.
+ */
+const playOverload = (
+  choose: (request: PromptRequest, engines: TrackedUpstream[]) => TrackedUpstream | undefined,
+) => {
+  const engines = makeEngines(6);
+  const freeAtMs = new Map(engines.map(({ upstreamId }) => [upstreamId, 0]));
+  const onTime = { short: 0, long: 0 };
+  const count = { short: 0, long: 0 };
+  const reads: { engine: TrackedUpstream; tokens: number; endsAtMs: number }[] = [];
+  const endReads = (atMs: number): void => {
+    reads
+      .filter(({ endsAtMs }) => endsAtMs <= atMs && endsAtMs > atMs - STEP_MS)
+      .forEach(({ engine, tokens }) => {
+        engine.noteAnswerBegun(tokens);
+        engine.noteEnd();
+      });
+  };
+  const play = (kind: 'short' | 'long', atMs: number): void => {
+    const tokens = kind === 'long' ? LONG_TOKENS : SHORT_TOKENS;
+    const objectiveMs = kind === 'long' ? 800 : 300;
+    const prompt = makePrompt(`${kind}-${atMs}`, tokens - 100, 100);
+    const engine = choose(makeRequest(prompt, { objectiveMs }), engines);
+    count[kind] += 1;
+    if (!engine) return;
+    const startsAtMs = Math.max(atMs, freeAtMs.get(engine.upstreamId)!);
+    const endsAtMs = startsAtMs + tokens / TOKENS_PER_MS;
+    freeAtMs.set(engine.upstreamId, endsAtMs);
+    reads.push({ engine, tokens, endsAtMs });
+    engine.noteSent(tokens);
+    if (endsAtMs - atMs <= objectiveMs) onTime[kind] += 1;
+  };
+  for (let atMs = 0; atMs < 6_000; atMs += STEP_MS) {
+    endReads(atMs);
+    if (atMs % LONG_EVERY_MS === 0) play('long', atMs);
+    play('short', atMs);
+  }
+  return { short: onTime.short / count.short, long: onTime.long / count.long };
+};
+
+/** Part of the long prompts that four engines of six can read at all. */
+const LONG_CAPACITY = (4 * TOKENS_PER_MS * LONG_EVERY_MS) / LONG_TOKENS;
+
+test('under overload by long prompts, short ones stay on time', () => {
+  const router = createRouter();
+  const served = playOverload((request, engines) => {
+    const decision = router.choose(request, engines);
+    return decision && 'upstream' in decision ? decision.upstream : undefined;
+  });
+  expect(served.short).toBeGreaterThan(0.95);
+  // Of what can be read, at least half is on time: a refusal leaves room for those that can be.
+  expect(served.long).toBeGreaterThan(LONG_CAPACITY / 2);
+});
+
+test('the naive choice, the shortest queue for all, makes short ones late', () => {
+  const served = playOverload(
+    (_request, engines) =>
+      [...engines].sort((left, right) => left.pendingTokens - right.pendingTokens)[0]!,
+  );
+  expect(served.short).toBeLessThan(0.5);
+  expect(served.long).toBeLessThan(LONG_CAPACITY / 2);
+});
+
+test('the rate of a site is learned from long first bytes only', () => {
+  const rate = new PrefillRate();
+  const before = rate.tokensPerMs;
+  rate.learn(100, 1);
+  expect(rate.tokensPerMs).toBe(before);
+  for (let step = 0; step < 200; step += 1) rate.learn(10_000, 200);
+  expect(rate.tokensPerMs).toBeCloseTo(50, 0);
+});
--- a/packages/core/src/promptRouting/index.ts
+++ b/packages/core/src/promptRouting/index.ts
@@ -4,5 +4,5 @@
 export type { Prompt, PromptPart } from './prompt.js';
 export { PrefillRate } from './prefillRate.js';
 export { PromptRouter } from './promptRouter.js';
-export type { PromptChoice, PromptRequest } from './promptRouter.js';
+export type { PromptChoice, PromptDecision, PromptRefusal, PromptRequest } from './promptRouter.js';
 export { SentParts } from './sentParts.js';
--- a/packages/core/src/promptRouting/promptRouter.ts
+++ b/packages/core/src/promptRouting/promptRouter.ts
@@ -46,6 +46,15 @@
   readonly firstTokenMs: number;
 }
 
+/** No engine can serve it in time; it is sensible to come back after that time. */
+export interface PromptRefusal {
+  /** In milliseconds. */
+  readonly refusedForMs: number;
+}
+
+/** What becomes of a prompt. */
+export type PromptDecision = PromptChoice | PromptRefusal;
+
 interface WeighedChoice extends PromptChoice {
   /** Time until the engine begins to read the prompt, in milliseconds. */
   readonly queueMs: number;
@@ -65,6 +74,18 @@
   readonly fetchTokens: number;
 }
 
+const isOverloaded = (request: PromptRequest, weighed: readonly WeighedChoice[]): boolean => {
+  const totalMs = weighed.reduce((sum, { queueMs }) => sum + queueMs, 0);
+  return totalMs / weighed.length > request.shortestObjectiveMs * OVERLOAD_SHARE;
+};
+
+/** Older weights serve on while few engines have the new ones, but their answers are worth less. */
+const weighOldWeights = (request: PromptRequest, upstream: TrackedUpstream): number => {
+  const held = upstream.findWeights(request.prompt.model);
+  const isOld = request.wanted !== undefined && held !== undefined && held < request.wanted;
+  return isOld && request.wantedForMs > OLD_WEIGHTS_GRACE_MS ? OLD_WEIGHTS_COST_MS : 0;
+};
+
 /**
  * Chooses the engine where a prompt's first token comes soonest. Requests of one session agree on
  * an engine by rendezvous without a message; a loaded engine gives way to others once its queue
@@ -79,7 +100,10 @@
     private readonly rate: PrefillRate,
   ) {}
 
-  choose(request: PromptRequest, candidates: readonly TrackedUpstream[]): PromptChoice | undefined {
+  choose(
+    request: PromptRequest,
+    candidates: readonly TrackedUpstream[],
+  ): PromptDecision | undefined {
     const session = findSessionPart(request.prompt);
     const ids = candidates.map(({ upstreamId }) => upstreamId);
     const home = session ? rankByRendezvous(session.id, ids)[0] : undefined;
@@ -88,7 +112,7 @@
       const awayMs = candidate.upstreamId === home ? 0 : AWAY_COST_MS;
       return {
         ...choice,
-        costMs: choice.firstTokenMs + awayMs + this.weighOldWeights(request, candidate),
+        costMs: choice.firstTokenMs + awayMs + weighOldWeights(request, candidate),
       };
     });
     return this.chooseLane(request, weighed);
@@ -102,9 +126,9 @@
   private chooseLane(
     request: PromptRequest,
     weighed: readonly WeighedChoice[],
-  ): PromptChoice | undefined {
+  ): PromptDecision | undefined {
     const least = pickLeastCost(weighed);
-    if (!least || !this.isLong(request, least) || !this.isOverloaded(request, weighed)) {
+    if (!least || !this.isLong(request, least) || !isOverloaded(request, weighed)) {
       return least;
     }
     const ids = weighed.map(({ upstream }) => upstream.upstreamId);
@@ -114,27 +138,22 @@
     const lanes = weighed.filter(({ upstream }) => !express.has(upstream.upstreamId));
     const first = pickLeastCost(lanes);
     if (!first || first.firstTokenMs <= request.objectiveMs) return first ?? least;
-    const bearable = lanes.filter(
-      ({ firstTokenMs }) => firstTokenMs < request.patienceMs * PATIENCE_SHARE,
-    );
-    return bearable.sort((left, right) => right.firstTokenMs - left.firstTokenMs)[0] ?? first;
+    const longest = lanes.reduce((left, right) => (right.queueMs > left.queueMs ? right : left));
+    if (longest.queueMs < request.patienceMs * PATIENCE_SHARE) return longest;
+    // Its caller would leave before its turn, and the place would be lost to those that can be served.
+    return { refusedForMs: Math.round(first.firstTokenMs - request.objectiveMs) };
   }
 
   private isLong(request: PromptRequest, { readTokens }: PromptChoice): boolean {
     return readTokens / this.rate.tokensPerMs > request.shortestObjectiveMs * LONG_READ_SHARE;
   }
 
-  private isOverloaded(request: PromptRequest, weighed: readonly WeighedChoice[]): boolean {
-    const totalMs = weighed.reduce((sum, { queueMs }) => sum + queueMs, 0);
-    return totalMs / weighed.length > request.shortestObjectiveMs * OVERLOAD_SHARE;
-  }
-
   private weigh(
     request: PromptRequest,
     upstream: TrackedUpstream,
     home: UpstreamId | undefined,
   ): PromptChoice & { readonly queueMs: number } {
-    const { readTokens, fetchTokens } = this.viewParts(request, upstream, home);
+    const { readTokens, fetchTokens } = this.countMissing(request, upstream, home);
     const { tokensPerMs } = this.rate;
     const queueMs =
       upstream.estimateLoad() * LOAD_COST_MS + upstream.estimatePendingTokens() / tokensPerMs;
@@ -142,14 +161,7 @@
     return { upstream, readTokens, firstTokenMs, queueMs };
   }
 
-  /** Older weights serve on while few engines have the new ones, but their answers are worth less. */
-  private weighOldWeights(request: PromptRequest, upstream: TrackedUpstream): number {
-    const held = upstream.findWeights(request.prompt.model);
-    const isOld = request.wanted !== undefined && held !== undefined && held < request.wanted;
-    return isOld && request.wantedForMs > OLD_WEIGHTS_GRACE_MS ? OLD_WEIGHTS_COST_MS : 0;
-  }
-
-  private viewParts(
+  private countMissing(
     request: PromptRequest,
     upstream: TrackedUpstream,
     home: UpstreamId | undefined,
--- /dev/null
+++ b/packages/core/src/retry/__tests__/fleetRetryBudget.spec.ts
@@ -0,0 +1,40 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { toId } from '../../ids.js';
+import type { ServiceName } from '../../ids.js';
+import { FleetRetryBudget } from '../index.js';
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const SERVICE = toId<ServiceName>('service');
+
+const bound = { ratio: 0.2, allowance: 54, windowMs: 10_000 };
+
+test('a fleet in which every request fails keeps the bound in every window', () => {
+  const fleet = Array.from({ length: 7 }, () => new FleetRetryBudget(bound, () => 7));
+  const firsts: number[] = [];
+  const repeats: number[] = [];
+  for (let step = 0; step < 400; step += 1) {
+    fleet.forEach((budget) => {
+      budget.noteRequest(SERVICE);
+      firsts.push(performance.now());
+      while (budget.tryRepeat(SERVICE)) repeats.push(performance.now());
+    });
+    vi.advanceTimersByTime(100);
+    const sinceMs = performance.now() - bound.windowMs;
+    const inWindow = (times: number[]) => times.filter((atMs) => atMs > sinceMs).length;
+    expect(inWindow(repeats)).toBeLessThanOrEqual(inWindow(firsts) * bound.ratio + bound.allowance);
+  }
+});
+
+test('the right comes back as the window moves on', () => {
+  const budget = new FleetRetryBudget(bound, () => 1);
+  while (budget.tryRepeat(SERVICE));
+  expect(budget.tryRepeat(SERVICE)).toBe(false);
+  vi.advanceTimersByTime(10_001);
+  expect(budget.tryRepeat(SERVICE)).toBe(true);
+});
--- a/packages/gateway/src/config.ts
+++ b/packages/gateway/src/config.ts
@@ -1,4 +1,4 @@
-import { readFileSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
 import { z } from 'zod';
 import type { AvailabilityZoneId, RegionId, VmId } from '@goldcrestscale/core';
 
@@ -114,10 +114,10 @@
  *
  * @throws GatewaySettingsError
  */
-export const loadGatewaySettings = (path: string): GatewaySettings => {
+export const loadGatewaySettings = async (path: string): Promise<GatewaySettings> => {
   let value: unknown;
   try {
-    value = JSON.parse(readFileSync(path, 'utf8'));
+    value = JSON.parse(await readFile(path, 'utf8'));
   } catch (cause) {
     throw new GatewaySettingsError(`${path} can't be read as JSON: ${String(cause)}`, { cause });
   }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -31,9 +31,6 @@
 /** Time for which an upstream that refused a request gets no other, in milliseconds. */
 export const REFUSED_PAUSE_MS = 150;
 
-/** Time for which an upstream that can't be reached gets no request, in milliseconds. */
-export const UNREACHABLE_PAUSE_MS = 700;
-
 /** Time that one long read of the operators' records waits, in milliseconds. */
 export const OPERATOR_WAIT_MS = 1_600;
 
--- a/packages/gateway/src/controllers/blockStoresController.ts
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -63,12 +63,16 @@
   }
 
   /** Frees the blocks of weights that are no longer wanted, so that the new ones find room. */
-  private async freeOutdated(address: string, epoch: number, signal: AbortSignal): Promise<void> {
+  private async releaseOutdated(
+    address: string,
+    epoch: number,
+    signal: AbortSignal,
+  ): Promise<void> {
     const { blocks, horizon, protocol, logger, isInCharge } = this.options;
     if (!isInCharge(address)) return;
     const keys = blocks.listFreeable(address, (salt) => horizon.canFree(salt));
     if (keys.length === 0) return;
-    await protocol.freeBlocks(address, epoch, keys, signal);
+    await protocol.releaseBlocks(address, epoch, keys, signal);
     keys.forEach((key) =>
       blocks.applyChange(address, { ...splitBlockKey(key), isPresent: false, tokens: 0 }),
     );
@@ -87,7 +91,7 @@
       if (since !== FROM_START) return FROM_START;
     }
     events.changes.forEach((change) => blocks.applyChange(address, change));
-    await this.freeOutdated(address, events.epoch, signal);
+    await this.releaseOutdated(address, events.epoch, signal);
     return events.next;
   }
 }
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -47,6 +47,23 @@
   readonly wanted: WeightNumber;
 }
 
+/** @returns whether the engine runs on the wanted weights */
+const noteState = (
+  { upstream, model, wanted }: BehindEngine,
+  weights: ReadonlyMap<ModelId, WeightNumber>,
+): boolean => {
+  const held = weights.get(model);
+  if (held === undefined) return false;
+  upstream.noteWeights(model, held);
+  return held >= wanted;
+};
+
+const buildCall = ({ upstream }: BehindEngine, signal: AbortSignal): UpstreamCallOptions => ({
+  address: upstream.registered.address,
+  upstreamId: upstream.upstreamId,
+  signal: AbortSignal.any([signal, AbortSignal.timeout(ORDER_TIMEOUT_MS)]),
+});
+
 /**
  * Brings the engines to the newest weights. One VM of the fleet gives orders, under a lease;
  * the others take over in a fixed order where nothing moves on.
@@ -83,7 +100,7 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       try {
-        await this.tick(signal);
+        await this.runOnce(signal);
       } catch (cause) {
         if (!signal.aborted) {
           this.options.logger.warn('order giver can not reach the log', { error: String(cause) });
@@ -94,7 +111,7 @@
     }
   }
 
-  private async tick(signal: AbortSignal): Promise<void> {
+  private async runOnce(signal: AbortSignal): Promise<void> {
     const { lease } = this.options;
     const behind = this.listBehind();
     this.noteProgress(behind.length);
@@ -176,7 +193,9 @@
       })),
     );
     if (chosen.length === 0) return;
-    chosen.forEach((upstreamId) => void this.loadEngine(behindIds.get(upstreamId)!, signal));
+    chosen.forEach((upstreamId) => {
+      void this.loadEngine(behindIds.get(upstreamId)!, signal);
+    });
     this.options.onLoadingChange();
   }
 
@@ -185,7 +204,7 @@
     const startedAtMs = performance.now();
     let outcome = 'failed';
     try {
-      outcome = (await this.orderAndFollow(engine, signal)) ? 'done' : 'failed';
+      outcome = (await this.runOrder(engine, signal)) ? 'done' : 'failed';
     } catch (cause) {
       outcome = String(cause);
     }
@@ -202,11 +221,11 @@
   }
 
   /** @returns whether the engine runs on the wanted weights */
-  private async orderAndFollow(engine: BehindEngine, signal: AbortSignal): Promise<boolean> {
+  private async runOrder(engine: BehindEngine, signal: AbortSignal): Promise<boolean> {
     // The others have heard by then that it gets no new request.
     await sleep(LOAD_DRAIN_MS, signal);
-    const state = await this.options.protocol.readState(this.buildCall(engine, signal));
-    if (this.noteState(engine, state.weights)) return true;
+    const state = await this.options.protocol.readState(buildCall(engine, signal));
+    if (noteState(engine, state.weights)) return true;
     const orderedAtMs = performance.now();
     if (!state.isBusy) {
       const outcome = await this.sendOrder(engine, state.acceptedOrders, signal);
@@ -230,7 +249,7 @@
     try {
       return await protocol.sendOrder(
         { model, wanted, holder, fencingToken: held.fencingToken, expectedOrders },
-        this.buildCall(engine, signal),
+        buildCall(engine, signal),
       );
     } catch {
       // The order may have been accepted all the same; what the engine says next tells.
@@ -241,29 +260,11 @@
   private async follow(engine: BehindEngine, signal: AbortSignal): Promise<boolean> {
     const endsAtMs = performance.now() + LOAD_FOLLOW_MS;
     while (performance.now() < endsAtMs && !signal.aborted) {
-      const state = await this.options.protocol.readState(this.buildCall(engine, signal));
-      if (this.noteState(engine, state.weights)) return true;
+      const state = await this.options.protocol.readState(buildCall(engine, signal));
+      if (noteState(engine, state.weights)) return true;
       if (!state.isBusy) return false;
       await sleep(LOAD_CHECK_MS, signal);
     }
     return false;
   }
-
-  private noteState(
-    { upstream, model, wanted }: BehindEngine,
-    weights: ReadonlyMap<ModelId, WeightNumber>,
-  ): boolean {
-    const held = weights.get(model);
-    if (held === undefined) return false;
-    upstream.noteWeights(model, held);
-    return held >= wanted;
-  }
-
-  private buildCall({ upstream }: BehindEngine, signal: AbortSignal): UpstreamCallOptions {
-    return {
-      address: upstream.registered.address,
-      upstreamId: upstream.upstreamId,
-      signal: AbortSignal.any([signal, AbortSignal.timeout(ORDER_TIMEOUT_MS)]),
-    };
-  }
 }
--- a/packages/gateway/src/dispatch/attemptResult.ts
+++ b/packages/gateway/src/dispatch/attemptResult.ts
@@ -7,7 +7,7 @@
   /** Nothing was run; another upstream may be tried. */
   | {
       readonly kind: 'not-run';
-      readonly reason: 'unreachable' | 'refused' | 'misdirected' | 'cancelled';
+      readonly reason: 'unreachable' | 'refused' | 'misdirected' | 'moved' | 'cancelled';
     }
   /** The upstream ran the request and answered with a failure of its own. */
   | { readonly kind: 'failed'; readonly head: AnswerHead; readonly body: Buffer }
--- a/packages/gateway/src/dispatch/connectionPool.ts
+++ b/packages/gateway/src/dispatch/connectionPool.ts
@@ -22,7 +22,7 @@
       if (idle.isOpen && !idle.isStale) return idle;
       if (idle.isOpen) {
         pool.open -= 1;
-        idle.destroy();
+        idle.close();
       }
     }
     if (pool.open >= maxOpen) return undefined;
@@ -36,7 +36,7 @@
   /** Gives back a connection whose last answer was whole. */
   release(address: string, connection: UpstreamConnection): void {
     if (!connection.isOpen) return;
-    connection.idleSinceMs = performance.now();
+    connection.noteIdle();
     this.getPool(address).idle.push(connection);
   }
 
@@ -44,7 +44,7 @@
   discard(address: string, connection: UpstreamConnection): void {
     if (!connection.isOpen) return;
     this.getPool(address).open -= 1;
-    connection.destroy();
+    connection.close();
   }
 
   /** Ends the idle connections to an address whose upstream is gone. */
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -7,7 +7,7 @@
 import type { AttemptResult } from './attemptResult.js';
 import type { EventSplitter } from './eventSplitter.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
-import { ConnectionError } from './upstreamConnection.js';
+import { ConnectionError } from './connectionError.js';
 
 /** What an attempt is made of. */
 export interface AttemptPlan {
@@ -42,7 +42,9 @@
 
   private bytes = 0;
 
-  private settle: (result: AttemptResult) => void = () => undefined;
+  private resolveEnd: ((result: AttemptResult) => void) | undefined;
+
+  private isOpenStream = false;
 
   /** Whether the connection may carry another request. */
   isReusable = false;
@@ -53,22 +55,25 @@
     const { exchange, connection, protocol, facts, signal } = this.plan;
     const cancel = (): void => {
       this.phase = this.phase === 'offered' ? 'dropped' : this.phase;
-      connection.destroy();
+      connection.close();
     };
     const ended = new Promise<AttemptResult>((resolve) => {
-      this.settle = resolve;
+      this.resolveEnd = resolve;
     });
     signal.addEventListener('abort', cancel, { once: true });
     connection.send(
       {
-        method: exchange.method as Dispatcher.HttpMethod,
+        method: exchange.method,
         path: exchange.target,
         headers: protocol.buildHeaders(exchange, facts),
         body: exchange.body.length > 0 ? exchange.body : null,
       },
       this,
     );
-    return ended.finally(() => signal.removeEventListener('abort', cancel));
+    return ended.finally(() => {
+      signal.removeEventListener('abort', cancel);
+      if (this.isOpenStream) this.plan.upstream.noteStreamEnd();
+    });
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -101,28 +106,32 @@
       return;
     }
     onHead(head);
+    this.plan.upstream.noteHeard();
     const isStream = requireRoute(exchange).streaming && isSuccess(status);
     this.phase = isStream ? 'stream' : 'whole';
     if (isStream) this.startStream(head);
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.plan.upstream.noteHeard();
     if (this.phase === 'stream') this.relayChunk(controller, chunk);
     else if (this.phase === 'whole') this.collectChunk(chunk);
   }
 
   onResponseEnd(): void {
     this.isReusable = true;
-    this.settle(this.finish());
+    this.resolveEnd?.(this.finish());
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    this.settle(this.explainError(error));
+    this.resolveEnd?.(this.explainError(error));
   }
 
   private startStream(head: AnswerHead): void {
     const { answer } = this.plan.exchange;
     this.plan.events?.restart();
+    this.plan.upstream.noteStreamOpen();
+    this.isOpenStream = true;
     answer.start({ status: head.status, headers: head.forwarded, contentLength: undefined });
   }
 
@@ -154,7 +163,11 @@
       answer.finish();
       return { kind: 'answered' };
     }
-    if (head.isMisdirected) return { kind: 'not-run', reason: 'misdirected' };
+    if (head.isMisdirected) {
+      const { upstreamId } = this.plan.upstream;
+      const isOther = head.answeredBy !== undefined && head.answeredBy !== upstreamId;
+      return { kind: 'not-run', reason: isOther ? 'moved' : 'misdirected' };
+    }
     if (head.isNotExecuted) return { kind: 'not-run', reason: 'refused' };
     if (PROMISES.has(head.status)) return { kind: 'unknown', reason: `status ${head.status}` };
     const body = Buffer.concat(this.chunks);
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -5,12 +5,9 @@
   PrefillRate,
   PromptRouter,
   SentParts,
-  buildCacheSalt,
   computeColdShare,
   listSharedParts,
   pickDestination,
-  toId,
-  toWeightNumber,
 } from '@goldcrestscale/core';
 import type {
   AvailabilityZoneId,
@@ -18,9 +15,9 @@
   ColdBound,
   EjectionPolicy,
   EntryRoster,
-  ModelId,
   OperatorState,
   PromptChoice,
+  PromptDecision,
   RegionId,
   RouteRule,
   ServiceName,
@@ -28,8 +25,8 @@
   UpstreamId,
   UpstreamRegistry,
   VmId,
-  WeightNumber,
 } from '@goldcrestscale/core';
+import { buildSalt } from './cacheIdentity.js';
 import { OLD_WEIGHTS_SHARE } from '../constants.js';
 import type { GatewayExchange } from '../filters/exchange.js';
 import { requireRoute } from '../filters/exchange.js';
@@ -65,6 +62,9 @@
 /** An upstream for an attempt, and what is expected there. */
 export type UpstreamChoice = PromptChoice;
 
+/** An upstream, or how long none can serve the request in time. */
+export type UpstreamDecision = PromptDecision;
+
 /** Chooses the upstream of an attempt among those that may get it now. */
 export class UpstreamChooser {
   private readonly sent = new SentParts();
@@ -87,13 +87,13 @@
     exchange: GatewayExchange,
     service: ServiceName,
     excluded: ReadonlySet<UpstreamId>,
-  ): UpstreamChoice | undefined {
+  ): UpstreamDecision | undefined {
     const all = this.options.registry.listService(service);
     const able = all.filter((upstream) => this.canServe(exchange, upstream, excluded));
     const loading = this.options.roster.listLoading();
     const free = able.filter((upstream) => !upstream.isBusy && !loading.has(upstream.upstreamId));
     const chosen = this.chooseAmong(exchange, service, free);
-    if (!chosen?.upstream.isCold) return chosen;
+    if (!chosen || 'refusedForMs' in chosen || !chosen.upstream.isCold) return chosen;
     const share = this.computeShare(chosen.upstream);
     return !share || this.cold.tryTake(chosen.upstream.upstreamId, share) ? chosen : undefined;
   }
@@ -121,27 +121,11 @@
     );
   }
 
-  /** Gives the weights that an attempt must run on. */
-  findWeights(exchange: GatewayExchange, upstream: TrackedUpstream): WeightNumber | undefined {
-    const model = exchange.head.prompt?.model;
-    return model === undefined ? undefined : upstream.findWeights(model);
-  }
-
-  /** Builds the salt that keeps blocks of other weights, models and isolated accounts apart. */
-  buildSalt(exchange: GatewayExchange, held: WeightNumber | undefined): string {
-    const { account, head } = exchange;
-    return buildCacheSalt({
-      model: head.prompt?.model ?? toId<ModelId>(''),
-      weights: held ?? toWeightNumber(0),
-      isolatedAccount: account?.isolated ? account.id : undefined,
-    });
-  }
-
   /** Notes that the parts of a prompt are being read at an upstream. */
   noteSent(exchange: GatewayExchange, upstream: TrackedUpstream): void {
     const { prompt } = exchange.head;
     if (!prompt) return;
-    const salt = this.buildSalt(exchange, upstream.findWeights(prompt.model));
+    const salt = buildSalt(exchange, upstream.findWeights(prompt.model));
     listSharedParts(prompt).forEach(({ id }) =>
       this.sent.note(`${salt}/${id}`, upstream.upstreamId),
     );
@@ -151,7 +135,7 @@
     exchange: GatewayExchange,
     service: ServiceName,
     candidates: readonly TrackedUpstream[],
-  ): UpstreamChoice | undefined {
+  ): UpstreamDecision | undefined {
     const { prompt } = exchange.head;
     if (!prompt) {
       const upstream = this.chooseLeastLoaded(candidates);
@@ -167,7 +151,7 @@
         patienceMs: computePatience(route),
         shortestObjectiveMs: this.findShortestObjective(service),
         wantedForMs: weights ? performance.now() - weights.learnedAtMs : 0,
-        buildKey: (partId, held) => `${this.buildSalt(exchange, held)}/${partId}`,
+        buildKey: (partId, held) => `${buildSalt(exchange, held)}/${partId}`,
         isStored: (key) => this.options.blocks.isStored(key),
       },
       candidates,
--- a/packages/gateway/src/dispatch/upstreamConnection.ts
+++ b/packages/gateway/src/dispatch/upstreamConnection.ts
@@ -1,6 +1,7 @@
 import { connect as connectSocket } from 'node:net';
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
+import { ConnectionError } from './connectionError.js';
 import { CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS, IDLE_MARGIN_MS } from '../constants.js';
 
 /** Longest head of an upstream's answer, in bytes. */
@@ -9,11 +10,6 @@
 /** Interval from which the kernel probes a connection that is silent, in milliseconds. */
 const KEEP_ALIVE_PROBE_MS = 1_000;
 
-/** The connection failed before anything could be sent on it. */
-export class ConnectionError extends Error {
-  override readonly name = 'ConnectionError';
-}
-
 type Connector = (
   options: { readonly hostname: string; readonly port: string },
   callback: (...result: [null, unknown] | [Error, null]) => void,
@@ -45,7 +41,7 @@
       clearTimeout(timer);
       socket.off('error', fail);
       socket.on('error', (error: NodeJS.ErrnoException) => {
-        error.code = 'CONNECTION_LOST';
+        Object.assign(error, { code: 'CONNECTION_LOST' });
       });
       callback(null, socket);
     });
@@ -54,8 +50,7 @@
 
 /** One connection to an upstream, for one request at a time. */
 export class UpstreamConnection {
-  /** When it became idle, by the monotonic clock. */
-  idleSinceMs = performance.now();
+  private idleSinceMs = performance.now();
 
   private readonly client: Client;
 
@@ -73,16 +68,16 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       connect: createConnector() as never,
     });
-    const close = (): void => {
+    const noteEnd = (): void => {
       if (!this.open) return;
       this.open = false;
       onClose();
     };
     this.client.once('disconnect', () => {
-      close();
+      noteEnd();
       void this.client.destroy();
     });
-    this.client.once('connectionError', close);
+    this.client.once('connectionError', noteEnd);
   }
 
   /** False once nothing can be sent on it any more. */
@@ -95,6 +90,11 @@
     return performance.now() - this.idleSinceMs > this.idleLimitMs;
   }
 
+  /** Notes that its last answer is whole and it may carry another request. */
+  noteIdle(): void {
+    this.idleSinceMs = performance.now();
+  }
+
   /** Takes the upstream's own limit for idle connections, in seconds. */
   noteKeepAlive(header: string | undefined): void {
     const seconds = Number(/timeout=(\d+)/i.exec(header ?? '')?.[1] ?? NaN);
@@ -107,7 +107,7 @@
     this.client.dispatch(options, handler);
   }
 
-  destroy(): void {
+  close(): void {
     this.open = false;
     void this.client.destroy();
   }
--- a/packages/gateway/src/filters/accountFilter.ts
+++ b/packages/gateway/src/filters/accountFilter.ts
@@ -1,5 +1,5 @@
 import { createRefusal } from '@goldcrestscale/core';
-import type { DeployedAccount, DeploymentView } from '@goldcrestscale/core';
+import type { DeploymentView } from '@goldcrestscale/core';
 import type { GatewayExchange } from './exchange.js';
 import { requireRoute } from './exchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
@@ -16,7 +16,7 @@
   override async handle(exchange: GatewayExchange, next: NextFilter): Promise<void> {
     const view = this.getView();
     const account = exchange.head.apiKey && view?.findAccount(exchange.head.apiKey);
-    if (account) exchange.account = account as DeployedAccount;
+    if (account) exchange.account = account;
     else if (view?.needsKeys && !requireRoute(exchange).anonymous) {
       throw createRefusal('The key is unknown; use a key of your account.', {
         code: 'unauthorized',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,59 +1,16 @@
-import { randomBytes, randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
-import {
-  BlockDirectory,
-  CappedEjection,
-  ConditionalLease,
-  EntryRoster,
-  FleetRetryBudget,
-  PeerLoads,
-  UpstreamRegistry,
-  createGenerator,
-  pickByRendezvous,
-  sleep,
-  toId,
-} from '@goldcrestscale/core';
-import type { BootId, ServiceName } from '@goldcrestscale/core';
-import type { Logger } from '@goldcrestscale/runtime';
-import type { GatewaySettings } from './config.js';
-import { CONNECTION_SHARE, DIRECTORY_TTL_MS, GOSSIP_MAX_AGE_MS } from './constants.js';
-import { BlockStoresController } from './controllers/blockStoresController.js';
-import { EntriesController } from './controllers/entriesController.js';
-import { LogLeaseStream } from './controllers/logLeaseStream.js';
-import { OperatorsController } from './controllers/operatorsController.js';
-import { RolloutController } from './controllers/rolloutController.js';
+import { sleep } from '@goldcrestscale/core';
+import { createControllers } from './compose/createControllers.js';
+import type { Controllers } from './compose/createControllers.js';
+import { createDataPath } from './compose/createDataPath.js';
+import { createKnowledge } from './compose/createKnowledge.js';
+import { DIRECTORY_TTL_MS } from './constants.js';
 import { Shutdown } from './controllers/shutdown.js';
-import { GatewayUpstreamsController } from './controllers/upstreamsController.js';
-import { DecisionLog } from './decisionLog.js';
 import { ConnectionPool } from './dispatch/connectionPool.js';
-import { UpstreamChooser } from './dispatch/upstreamChooser.js';
-import { createGatewayFilters } from './filters/index.js';
-import { createGatewayServer } from './http/callerServer.js';
+import type { GatewayOptions } from './gatewayOptions.js';
 import type { GatewayServer } from './http/callerServer.js';
 import { createServiceServer } from './http/serviceServer.js';
-import type { GatewayMetrics } from './metrics.js';
-import { Gossip } from './mesh/gossip.js';
-import type { CallerProtocol, RecordCodec, SharedLog, UpstreamProtocol } from './ports/index.js';
-
-/** What the gateway is started with. */
-export interface GatewayOptions {
-  readonly settings: GatewaySettings;
-  readonly logger: Logger;
-  readonly metrics: GatewayMetrics;
-  readonly log: SharedLog;
-  readonly codec: RecordCodec;
-  readonly callers: CallerProtocol;
-  readonly upstreams: UpstreamProtocol;
-  /** Aborts when the gateway is to shut down. */
-  readonly signal: AbortSignal;
-}
-
-/** Time by which the holder of a lease stops before its end, in milliseconds. */
-const LEASE_MARGIN_MS = 400;
-
-/** Length of the key that proves this VM's datagrams. */
-const MESH_KEY_BYTES = 24;
 
 /** Interval at which the end of a shutdown is looked for, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
@@ -74,151 +31,31 @@
     else signal.addEventListener('abort', () => resolve(), { once: true });
   });
 
-/** Everything that the gateway knows and decides with. */
-const createState = (options: GatewayOptions, work: AbortSignal) => {
-  const { settings, logger, log, codec, upstreams: protocol } = options;
-  const random = createGenerator();
-  const roster = new EntryRoster();
-  const peerLoads = new PeerLoads(GOSSIP_MAX_AGE_MS);
-  const registry = new UpstreamRegistry(peerLoads);
-  const blocks = new BlockDirectory();
-  const ejection = new CappedEjection(random);
-  const bootId = toId<BootId>(randomUUID());
-  const limitHooks: (() => void)[] = [];
-  const meshKey = randomBytes(MESH_KEY_BYTES).toString('base64');
-  const operators: OperatorsController = new OperatorsController({
-    log,
-    codec,
-    logger: logger.createPart('operators'),
-    onDeployment() {
-      blocks.replaceStores(operators.state.view?.deployment.blockStores ?? []);
-      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
-      stores.refresh(work);
-      limitHooks.forEach((apply) => apply());
-    },
-  });
-  const stores: BlockStoresController = new BlockStoresController({
-    blocks,
-    protocol,
-    logger: logger.createPart('stores'),
-    isInCharge: (address) => {
-      const live = roster.listServing().map(({ vmId }) => vmId);
-      return pickByRendezvous(address, live) === settings.vmId;
-    },
-    horizon: operators.horizon,
-  });
-  const upstreams = new GatewayUpstreamsController({
-    log,
-    codec,
-    logger: logger.createPart('upstreams'),
-    registry,
-  });
-  const lease = new ConditionalLease({
-    holder: `${settings.vmId}/${bootId}`,
-    stream: new LogLeaseStream(log),
-    durationMs: settings.leaseMs,
-    marginMs: LEASE_MARGIN_MS,
-  });
-  const rollout: RolloutController = new RolloutController({
-    self: settings.vmId,
-    holder: settings.vmId,
-    lease,
-    registry,
-    operators: operators.state,
-    roster,
-    protocol,
-    logger: logger.createPart('rollout'),
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
-    onLoadingChange: () => gossip.flush(),
-  });
-  const entries: EntriesController = new EntriesController({
-    log,
-    logger: logger.createPart('entries'),
-    settings,
-    bootId,
-    roster,
-    meshKey,
-  });
-  const gossip: Gossip = new Gossip({
-    self: settings.vmId,
-    address: settings.listen.mesh,
-    key: meshKey,
-    roster,
-    registry,
-    peerLoads,
-    listLoading: () => rollout.listLoading(),
-    logger: logger.createPart('mesh'),
-  });
+/** Creates the listeners for the directory and for readiness checks. */
+const createServiceServers = (
+  { settings, callers, metrics }: GatewayOptions,
+  { operators, upstreams, entries }: Controllers,
+  shutdown: Shutdown,
+): { readonly directory: Server; readonly readiness: Server } => {
+  const common = {
+    protocol: callers,
+    isReady: () => !shutdown.isLeaving && !!operators.state.view && upstreams.hasRead,
+    ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
+    renderMetrics: () => metrics.render(),
+  };
   return {
-    random,
-    gossip,
-    roster,
-    registry,
-    blocks,
-    ejection,
-    operators,
-    upstreams,
-    rollout,
-    entries,
-    limitHooks,
-    bootId,
+    directory: createServiceServer({ ...common, listAddresses: () => entries.listAddresses() }),
+    readiness: createServiceServer({ ...common, listAddresses: undefined }),
   };
 };
 
-type State = ReturnType<typeof createState>;
-
-const createDataPath = (
-  options: GatewayOptions,
-  state: State,
-  shutdown: Shutdown,
-  connections: ConnectionPool,
-): GatewayServer => {
-  const { settings, metrics, callers, logger } = options;
-  const { operators, roster, registry, blocks, ejection, random } = state;
-  const { bounds } = settings;
-  const countVms = (): number => Math.max(1, roster.listSharing().length);
-  const getConnectionShare = (service: ServiceName): number => {
-    const limit = operators.state.view?.findService(service)?.connectionLimit ?? Infinity;
-    return Math.max(1, Math.floor((limit * CONNECTION_SHARE) / countVms()));
-  };
-  const filters = createGatewayFilters({
-    guard: {
-      decisions: new DecisionLog(logger.createPart('requests')),
-      metrics,
-      protocol: callers,
-    },
-    getView: () => operators.state.view,
-    isRefusing: () => shutdown.isRefusing,
-    dispatch: {
-      chooser: new UpstreamChooser({
-        self: settings.vmId,
-        bounds,
-        regions: settings.regions,
-        registry,
-        operators: operators.state,
-        roster,
-        blocks,
-        ejection,
-        random,
-      }),
-      connections,
-      protocol: options.upstreams,
-      retries: new FleetRetryBudget(
-        {
-          ratio: bounds.retryRatio,
-          allowance: bounds.retryAllowance,
-          windowMs: bounds.retryWindowMs,
-        },
-        countVms,
-      ),
-      ejection,
-      blocks,
-      horizon: operators.horizon,
-      metrics,
-      getConnectionShare,
-    },
-  });
-  return createGatewayServer({ protocol: callers, filters, isLeaving: () => shutdown.isLeaving });
+/** Starts the controllers; they run until the signal aborts. */
+const startControllers = async (controllers: Controllers, signal: AbortSignal): Promise<void> => {
+  await controllers.gossip.start(signal);
+  void controllers.operators.run(signal);
+  void controllers.upstreams.run(signal);
+  void controllers.entries.run(signal);
+  void controllers.rollout.run(signal);
 };
 
 /** Waits until every request is answered and callers have learned of the leave, or the time is over. */
@@ -235,50 +72,34 @@
   // Every request and controller listens to it for as long as the gateway runs.
   setMaxListeners(0, work.signal, signal);
   const shutdown = new Shutdown(settings.bounds.shutdownMs);
-  const state = createState(options, work.signal);
   const connections = new ConnectionPool(() => metrics.countConnection());
-  const callers = createDataPath(options, state, shutdown, connections);
-  state.limitHooks.push(() => {
-    const limits = state.operators.state.view?.deployment.callerLimits;
+  const knowledge = createKnowledge();
+  const controllers: Controllers = createControllers(options, knowledge, () => {
+    controllers.stores.refresh(work.signal);
+    const limits = controllers.operators.state.view?.deployment.callerLimits;
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
     if (limits) callers.applyLimits(limits);
   });
-  const isReady = (): boolean =>
-    !shutdown.isLeaving && !!state.operators.state.view && state.upstreams.hasRead;
-  const service = createServiceServer({
-    protocol: options.callers,
-    isReady,
-    listAddresses: () => state.entries.listAddresses(),
-    ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
-    renderMetrics: () => metrics.render(),
-  });
-  const readiness = createServiceServer({
-    protocol: options.callers,
-    isReady,
-    listAddresses: () => [],
-    ttlMs: 0,
-    renderMetrics: () => metrics.render(),
-  });
+  const { operators } = controllers;
+  const callers = createDataPath(options, { knowledge, operators, shutdown, connections });
+  const { directory, readiness } = createServiceServers(options, controllers, shutdown);
   await Promise.all([
     listen(callers.server, settings.listen.callers),
-    listen(service, settings.listen.directory),
+    listen(directory, settings.listen.directory),
     listen(readiness, settings.listen.readiness),
   ]);
-  await state.gossip.start(work.signal);
-  logger.info('started', { vmId: settings.vmId, bootId: state.bootId });
-  void state.operators.run(work.signal);
-  void state.upstreams.run(work.signal);
-  void state.entries.run(work.signal);
-  void state.rollout.run(work.signal);
+  await startControllers(controllers, work.signal);
+  logger.info('started', { vmId: settings.vmId, bootId: controllers.bootId });
   await waitForAbort(signal);
   logger.info('draining', { openRequests: callers.countOpen() });
   shutdown.start();
-  state.entries.leave();
+  controllers.entries.leave();
   await drain(callers, shutdown);
   work.abort();
   connections.close();
   options.upstreams.close();
   options.log.close();
-  [callers.server, service, readiness].forEach((server) => {
+  [callers.server, directory, readiness].forEach((server) => {
     server.close();
     server.closeAllConnections();
   });
--- a/packages/gateway/src/http/serviceServer.ts
+++ b/packages/gateway/src/http/serviceServer.ts
@@ -6,7 +6,8 @@
 export interface ServiceServerOptions {
   readonly protocol: CallerProtocol;
   readonly isReady: () => boolean;
-  readonly listAddresses: (zone: string | undefined) => readonly string[];
+  /** Undefined where the listener is not the directory's. */
+  readonly listAddresses: ((zone: string | undefined) => readonly string[]) | undefined;
   readonly ttlMs: number;
   readonly renderMetrics: () => Promise<string>;
 }
@@ -17,9 +18,9 @@
 export const createServiceServer = (options: ServiceServerOptions): Server =>
   createServer((request, response) => {
     const { protocol } = options;
-    const query = protocol.parseDirectoryQuery(request);
+    const query = options.listAddresses && protocol.parseDirectoryQuery(request);
     if (query) {
-      const addresses = options.listAddresses(query.zone);
+      const addresses = options.listAddresses?.(query.zone) ?? [];
       response.writeHead(200, { 'content-type': 'application/json' });
       response.end(protocol.encodeDirectoryAnswer(addresses, options.ttlMs));
     } else if (protocol.isReadinessCheck(request)) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,7 +3,7 @@
 export type { FleetBounds, GatewaySettings } from './config.js';
 export type { GatewayExchange } from './filters/exchange.js';
 export { runGateway } from './gateway.js';
-export type { GatewayOptions } from './gateway.js';
+export type { GatewayOptions } from './gatewayOptions.js';
 export { createGatewayMetrics } from './metrics.js';
 export type { GatewayMetrics } from './metrics.js';
 export * from './ports/index.js';
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -91,12 +91,13 @@
       .flatMap((upstream) =>
         upstream.listLearnedWeights().map((held) => ({ upstreamId: upstream.upstreamId, ...held })),
       );
-    const hasNews = loads.length > 0 || loading.length > 0 || weights.length > 0;
+    const down = this.listDown();
+    const hasNews = loads.length > 0 || loading.length > 0 || weights.length > 0 || down.length > 0;
     // One empty message tells that the last figures are over.
     if (!hasNews && !this.hasReported) return;
     this.hasReported = hasNews;
     this.sequence += 1;
-    const message = { vmId: self, sequence: this.sequence, loads, loading, weights };
+    const message = { vmId: self, sequence: this.sequence, loads, loading, weights, down };
     const bytes = encodeGossip(message, key);
     roster.listLive().forEach(({ vmId, meshAddress }) => {
       if (vmId === self) return;
@@ -105,6 +106,20 @@
     });
   }
 
+  /** Notes the upstreams that have fallen silent and lists them; what others told is not repeated. */
+  private listDown(): readonly UpstreamId[] {
+    return this.options.registry
+      .list()
+      .filter((upstream) => upstream.isSilent)
+      .map((upstream) => {
+        if (!upstream.isDown) {
+          this.options.logger.warn('upstream silent', { upstreamId: upstream.upstreamId });
+        }
+        upstream.noteDown();
+        return upstream.upstreamId;
+      });
+  }
+
   private receive(bytes: Buffer): void {
     const { roster, peerLoads, registry } = this.options;
     const message = decodeGossip(bytes, (vmId) => roster.findKey(vmId));
@@ -112,6 +127,7 @@
     this.sequences.set(message.vmId, message.sequence);
     peerLoads.note(message.vmId, message.loads);
     roster.noteLoading(message.vmId, message.loading);
+    message.down.forEach((upstreamId) => registry.find(upstreamId)?.noteDown());
     message.weights.forEach(({ upstreamId, model, held }) =>
       registry.find(upstreamId)?.noteWeights(model, held),
     );
--- a/packages/gateway/src/mesh/gossipMessage.ts
+++ b/packages/gateway/src/mesh/gossipMessage.ts
@@ -11,6 +11,8 @@
   readonly loads: readonly PeerLoad[];
   /** Engines that this VM has ordered to load weights. */
   readonly loading: readonly UpstreamId[];
+  /** Upstreams that seem to be down. */
+  readonly down: readonly UpstreamId[];
   /** Weights of engines that are newer than their heartbeats. */
   readonly weights: readonly LearnedWeights[];
 }
@@ -30,14 +32,14 @@
 
 /** Encodes a message with a proof made with the sender's key. */
 export const encodeGossip = (message: GossipMessage, key: string): Buffer => {
-  const { vmId, sequence, loads, loading, weights } = message;
+  const { vmId, sequence, loads, loading, down, weights } = message;
   const rows = loads.map(({ upstreamId, inFlight, pendingTokens }) => [
     upstreamId,
     inFlight,
     Math.round(pendingTokens),
   ]);
   const learned = weights.map(({ upstreamId, model, held }) => [upstreamId, model, held]);
-  const content = packr.pack([vmId, sequence, rows, loading, learned]);
+  const content = packr.pack([vmId, sequence, rows, loading, learned, down]);
   return Buffer.concat([prove(key, content), content]);
 };
 
@@ -49,6 +51,8 @@
   return [{ upstreamId: toId<UpstreamId>(upstreamId), inFlight, pendingTokens }];
 };
 
+const isUpstreamId = (item: unknown): item is UpstreamId => typeof item === 'string';
+
 const decodeWeights = (row: unknown): LearnedWeights[] => {
   if (!Array.isArray(row)) return [];
   const [upstreamId, model, held] = row as unknown[];
@@ -83,9 +87,10 @@
     return undefined;
   }
   if (!Array.isArray(fields)) return undefined;
-  const [vmId, sequence, loads, loading, weights] = fields as unknown[];
+  const [vmId, sequence, loads, loading, weights, down] = fields as unknown[];
   if (typeof vmId !== 'string' || typeof sequence !== 'number') return undefined;
-  if (!Array.isArray(loads) || !Array.isArray(loading) || !Array.isArray(weights)) return undefined;
+  if (!Array.isArray(loads) || !Array.isArray(loading)) return undefined;
+  if (!Array.isArray(weights) || !Array.isArray(down)) return undefined;
   const key = findKey(toId<VmId>(vmId));
   const isProved =
     key !== undefined && timingSafeEqual(bytes.subarray(0, PROOF_BYTES), prove(key, content));
@@ -95,6 +100,7 @@
     sequence,
     loads: loads.flatMap(decodeLoad),
     weights: weights.flatMap(decodeWeights),
-    loading: loading.filter((item): item is UpstreamId => typeof item === 'string'),
+    loading: loading.filter(isUpstreamId),
+    down: down.filter(isUpstreamId),
   };
 };
--- a/packages/gateway/src/ports/index.ts
+++ b/packages/gateway/src/ports/index.ts
@@ -2,7 +2,8 @@
 export { CallerProtocol } from './callerProtocol.js';
 export type { CallerHead, DirectoryQuery } from './callerProtocol.js';
 export { RecordCodec } from './recordCodec.js';
-export { LogTrimmedError, SharedLog } from './sharedLog.js';
+export { LogTrimmedError } from './logTrimmedError.js';
+export { SharedLog } from './sharedLog.js';
 export type { KeyedRecord, LogBatch, LogSnapshot, LogTopic, ReadOptions } from './sharedLog.js';
 export { UpstreamProtocol } from './upstreamProtocol.js';
 export type {
--- a/packages/gateway/src/ports/sharedLog.ts
+++ b/packages/gateway/src/ports/sharedLog.ts
@@ -22,11 +22,6 @@
   readonly next: number;
 }
 
-/** The records at the wanted position are no longer kept. */
-export class LogTrimmedError extends Error {
-  override readonly name = 'LogTrimmedError';
-}
-
 /** How long a read may take. */
 export interface ReadOptions {
   /** Time for which the log waits for a record, in milliseconds; 0 answers at once. */
--- a/packages/gateway/src/ports/upstreamProtocol.ts
+++ b/packages/gateway/src/ports/upstreamProtocol.ts
@@ -1,5 +1,10 @@
-import type { ModelId, ToldLoad, UpstreamId, WeightNumber } from '@goldcrestscale/core';
-import type { StoredBlockChange } from '@goldcrestscale/core';
+import type {
+  ModelId,
+  StoredBlockChange,
+  ToldLoad,
+  UpstreamId,
+  WeightNumber,
+} from '@goldcrestscale/core';
 import type { GatewayExchange } from '../filters/exchange.js';
 
 /** Where the shared parts of a prompt come from and go to; one entry a part, in order. */
@@ -33,6 +38,8 @@
   readonly status: number;
   /** Request that it answers. */
   readonly requestId: string | undefined;
+  /** Upstream that has answered, where it says so. */
+  readonly answeredBy: UpstreamId | undefined;
   /** Whether it bears the upstream's signature. */
   readonly isSigned: boolean;
   /** Whether it proves that the request has not run. */
@@ -116,7 +123,7 @@
   abstract readBlockEvents(query: BlockEventsQuery): Promise<BlockEvents>;
 
   /** Frees blocks of a store, by key. @throws where the store gives no proper answer */
-  abstract freeBlocks(
+  abstract releaseBlocks(
     address: string,
     epoch: number,
     keys: readonly string[],
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -8,7 +8,7 @@
 const packages = ['core', 'runtime', 'gateway'];
 
 await build({
-  entryPoints: [resolvePath('platform/src/main.ts')],
+  entryPoints: [resolvePath('platform/src/cli.ts')],
   outdir: resolvePath('target'),
   bundle: true,
   splitting: true,
