feat(routing): count engine memory in queues, tell sessions' engines, size lanes by demand

Change: prompts beyond 0.8 of an engine's memory count as queue, all VMs tell which engine reads a session, the engines kept free are as many as the short prompts need.

--- a/packages/core/src/blockStores/fetchHorizon.ts
+++ b/packages/core/src/blockStores/fetchHorizon.ts
@@ -1,5 +1,7 @@
 import type { ModelId, WeightNumber } from '../ids.js';
 import type { OperatorState } from '../deployment/index.js';
+import { computeLongestElapsed, computeShortestElapsed } from '../lease/index.js';
+import type { Moment } from '../lease/index.js';
 import { parseCacheSalt } from './cacheSalt.js';
 
 /**
@@ -17,21 +19,26 @@
  * when it has known of newer weights for longer. A VM that is cut off runs into its own horizon.
  */
 export class FetchHorizon {
-  private provedAtMs = -Infinity;
+  private proved: Moment | undefined;
 
   constructor(private readonly operators: OperatorState) {}
 
-  /** Notes a time at which every change of the operators until then was known. */
-  noteProved(atMs: number): void {
-    this.provedAtMs = Math.max(this.provedAtMs, atMs);
+  /** Notes a moment at which every change of the operators until then was known. */
+  noteProved(at: Moment): void {
+    this.proved = at;
   }
 
   /** Gives the time that a fetch of blocks of these weights may take from now, in milliseconds. */
   computeFetchMs(model: ModelId, weights: WeightNumber): number {
+    if (!this.proved) return 0;
     const wanted = this.operators.findWeights(model);
     const isOutdated = wanted !== undefined && wanted.wanted > weights;
-    const fromMs = isOutdated ? Math.min(this.provedAtMs, wanted.learnedAtMs) : this.provedAtMs;
-    return Math.max(0, fromMs + FETCH_HORIZON_MS - performance.now());
+    // A suspended machine's monotonic clock stands still; the longest time that may have passed counts.
+    const elapsedMs = Math.max(
+      computeLongestElapsed(this.proved),
+      isOutdated ? computeLongestElapsed(wanted.learnedAt) : 0,
+    );
+    return Math.max(0, FETCH_HORIZON_MS - elapsedMs);
   }
 
   /** Tells whether blocks under a salt may be freed now. */
@@ -39,6 +46,6 @@
     const identity = parseCacheSalt(salt);
     const wanted = identity && this.operators.findWeights(identity.model);
     if (!wanted || identity.weights >= wanted.wanted) return false;
-    return performance.now() - wanted.learnedAtMs > FETCH_HORIZON_MS + FREE_MARGIN_MS;
+    return computeShortestElapsed(wanted.learnedAt) > FETCH_HORIZON_MS + FREE_MARGIN_MS;
   }
 }
--- a/packages/core/src/deployment/operatorState.ts
+++ b/packages/core/src/deployment/operatorState.ts
@@ -1,4 +1,6 @@
 import type { AvailabilityZoneId, ModelId, WeightNumber } from '../ids.js';
+import { getNow } from '../lease/index.js';
+import type { Moment } from '../lease/index.js';
 import type { Deployment } from './deployment.js';
 import { DeploymentView } from './deploymentView.js';
 
@@ -13,8 +15,8 @@
 export interface WantedWeights {
   readonly model: ModelId;
   readonly wanted: WeightNumber;
-  /** When this process learned of them, by the monotonic clock. */
-  readonly learnedAtMs: number;
+  /** When this process learned of them. */
+  readonly learnedAt: Moment;
 }
 
 /**
@@ -72,7 +74,7 @@
   private applyWeights(model: ModelId, wanted: WeightNumber): boolean {
     const known = this.weights.get(model);
     if (known && wanted <= known.wanted) return false;
-    this.weights.set(model, { model, wanted, learnedAtMs: performance.now() });
+    this.weights.set(model, { model, wanted, learnedAt: getNow() });
     return true;
   }
 }
--- a/packages/core/src/fleet/peerLoads.ts
+++ b/packages/core/src/fleet/peerLoads.ts
@@ -7,6 +7,8 @@
   readonly inFlight: number;
   /** Prompt tokens to read for requests whose answers have not begun. */
   readonly pendingTokens: number;
+  /** Prompt tokens of all requests in flight, which take memory until they end. */
+  readonly heldTokens: number;
 }
 
 interface PeerReport {
@@ -17,9 +19,10 @@
 interface Sum {
   inFlight: number;
   pendingTokens: number;
+  heldTokens: number;
 }
 
-const NOTHING: Readonly<Sum> = { inFlight: 0, pendingTokens: 0 };
+const NOTHING: Readonly<Sum> = { inFlight: 0, pendingTokens: 0, heldTokens: 0 };
 
 /** Sums up what the other VMs tell of their requests; the report of a silent VM expires. */
 export class PeerLoads {
@@ -57,11 +60,12 @@
   }
 
   private add(loads: readonly PeerLoad[], sign: 1 | -1): void {
-    loads.forEach(({ upstreamId, inFlight, pendingTokens }) => {
+    loads.forEach(({ upstreamId, inFlight, pendingTokens, heldTokens }) => {
       const sum = this.sums.get(upstreamId) ?? { ...NOTHING };
       sum.inFlight += sign * inFlight;
       sum.pendingTokens += sign * pendingTokens;
-      if (sum.inFlight === 0 && sum.pendingTokens === 0) this.sums.delete(upstreamId);
+      sum.heldTokens += sign * heldTokens;
+      if (sum.inFlight === 0) this.sums.delete(upstreamId);
       else this.sums.set(upstreamId, sum);
     });
   }
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -23,9 +23,12 @@
   /** Requests of this VM in flight there. */
   inFlight = 0;
 
-  /** Prompt tokens of this VM's requests whose answers have not begun. */
+  /** Prompt tokens that it has to read for this VM's requests whose answers have not begun. */
   pendingTokens = 0;
 
+  /** Prompt tokens of this VM's requests in flight there. */
+  heldTokens = 0;
+
   private toldLoad: ToldLoad | undefined;
 
   private toldAtMs = -Infinity;
@@ -101,6 +104,11 @@
     return this.pendingTokens + this.peerLoads.sum(this.upstreamId).pendingTokens;
   }
 
+  /** Prompt tokens of all requests there, as far as known. */
+  estimateHeldTokens(): number {
+    return this.heldTokens + this.peerLoads.sum(this.upstreamId).heldTokens;
+  }
+
   /** @returns whether more than the heartbeat has changed */
   update(next: RegisteredUpstream): boolean {
     const before = this.entry;
@@ -148,11 +156,16 @@
     this.sentSinceTold = 0;
   }
 
-  noteSent(tokens: number): void {
+  /**
+   * @param tokens tokens that it has to read
+   * @param promptTokens tokens of the whole prompt
+   */
+  noteSent(tokens: number, promptTokens = tokens): void {
     if (this.inFlight === 0) this.noteHeard();
     this.inFlight += 1;
     this.sentSinceTold += 1;
     this.pendingTokens += tokens;
+    this.heldTokens += promptTokens;
   }
 
   noteAnswerBegun(tokens: number): void {
@@ -173,8 +186,9 @@
     this.openAnswers -= 1;
   }
 
-  noteEnd(): void {
+  noteEnd(promptTokens = 0): void {
     this.inFlight -= 1;
+    this.heldTokens -= promptTokens;
   }
 
   /** Keeps requests away until a heartbeat, or some time, says that it is up. */
--- a/packages/core/src/lease/elapsedTime.ts
+++ b/packages/core/src/lease/elapsedTime.ts
@@ -9,6 +9,15 @@
 /** Reads both clocks. */
 export const getNow = (): Moment => ({ monotonicMs: performance.now(), wallMs: Date.now() });
 
+/** Gives a moment some time later, but never one that is still to come. */
+export const advanceMoment = (from: Moment, byMs: number): Moment => {
+  const now = getNow();
+  return {
+    monotonicMs: Math.min(now.monotonicMs, from.monotonicMs + byMs),
+    wallMs: Math.min(now.wallMs, from.wallMs + byMs),
+  };
+};
+
 /**
  * Computes the longest time that may have passed since a moment. The monotonic clock stands still
  * while a machine is suspended and the wall clock may be set back, so the larger one counts.
--- a/packages/core/src/promptRouting/constants.ts
+++ b/packages/core/src/promptRouting/constants.ts
@@ -18,7 +18,10 @@
 export const FETCH_COST_SHARE = 0.2;
 
 /** Time for which a prompt part counts as cached where this VM has sent it, in milliseconds. */
-export const SENT_MEMORY_MS = 15_000;
+export const SENT_MEMORY_MS = 5_000;
+
+/** Prompt parts that one message tells the other VMs at the most. */
+export const SENT_NEWS_PARTS = 60;
 
 /** Prompt parts whose last engine a VM remembers. */
 export const SENT_MEMORY_PARTS = 20_000;
@@ -32,8 +35,11 @@
 /** Key by which all VMs agree on the engines that long prompts keep off. */
 export const EXPRESS_KEY = 'express';
 
-/** Part of the engines that long prompts keep off under overload. */
-export const EXPRESS_SHARE = 1 / 3;
+/** Largest part of the engines that long prompts keep off under overload. */
+export const EXPRESS_MAX_SHARE = 2 / 3;
+
+/** Room kept for short prompts beside what they need on average. */
+export const EXPRESS_RESERVE = 1.3;
 
 /** Part of the least objective from which the read of a prompt counts as long. */
 export const LONG_READ_SHARE = 0.25;
@@ -43,3 +49,6 @@
 
 /** Part of a caller's patience up to which a queue is joined. */
 export const PATIENCE_SHARE = 0.7;
+
+/** Part of an engine's memory that prompts may fill; their answers and cached parts take the rest. */
+export const MEMORY_SHARE = 0.8;
--- a/packages/core/src/promptRouting/index.ts
+++ b/packages/core/src/promptRouting/index.ts
@@ -5,4 +5,5 @@
 export { PrefillRate } from './prefillRate.js';
 export { PromptRouter } from './promptRouter.js';
 export type { PromptChoice, PromptDecision, PromptRefusal, PromptRequest } from './promptRouter.js';
+export type { SentPart } from './sentParts.js';
 export { SentParts } from './sentParts.js';
--- a/packages/core/src/promptRouting/promptRouter.ts
+++ b/packages/core/src/promptRouting/promptRouter.ts
@@ -4,10 +4,12 @@
 import {
   AWAY_COST_MS,
   EXPRESS_KEY,
-  EXPRESS_SHARE,
+  EXPRESS_MAX_SHARE,
+  EXPRESS_RESERVE,
   FETCH_COST_SHARE,
   LOAD_COST_MS,
   LONG_READ_SHARE,
+  MEMORY_SHARE,
   OLD_WEIGHTS_COST_MS,
   OLD_WEIGHTS_GRACE_MS,
   OVERLOAD_SHARE,
@@ -16,6 +18,7 @@
 import type { PrefillRate } from './prefillRate.js';
 import type { Prompt } from './prompt.js';
 import { findSessionPart, listSharedParts } from './prompt.js';
+import { ShortDemand } from './shortDemand.js';
 import type { SentParts } from './sentParts.js';
 
 /** A prompt that needs an engine. */
@@ -31,6 +34,10 @@
   readonly patienceMs: number;
   /** Least objective of all requests at these engines, in milliseconds. */
   readonly shortestObjectiveMs: number;
+  /** Tokens that one engine's memory holds. */
+  readonly engineTokens: number;
+  /** Entry VMs that send to these engines. */
+  readonly fleetSize: number;
   /** Gives the key under which an engine with these weights caches a part. */
   buildKey(partId: string, held: WeightNumber | undefined): string;
   /** Tells whether a store holds the part under that key. */
@@ -74,6 +81,14 @@
   readonly fetchTokens: number;
 }
 
+/**
+ * Tokens beyond an engine's memory: it preempts as much work, and reads it again later.
+ */
+const countOverflow = (request: PromptRequest, upstream: TrackedUpstream): number => {
+  const held = upstream.estimateHeldTokens() + request.prompt.inputTokens;
+  return Math.max(0, held - request.engineTokens * MEMORY_SHARE);
+};
+
 const isOverloaded = (request: PromptRequest, weighed: readonly WeighedChoice[]): boolean => {
   const totalMs = weighed.reduce((sum, { queueMs }) => sum + queueMs, 0);
   return totalMs / weighed.length > request.shortestObjectiveMs * OVERLOAD_SHARE;
@@ -95,6 +110,8 @@
  * traffic.
  */
 export class PromptRouter {
+  private readonly shortDemand = new ShortDemand();
+
   constructor(
     private readonly sent: SentParts,
     private readonly rate: PrefillRate,
@@ -128,12 +145,15 @@
     weighed: readonly WeighedChoice[],
   ): PromptDecision | undefined {
     const least = pickLeastCost(weighed);
-    if (!least || !this.isLong(request, least) || !isOverloaded(request, weighed)) {
+    if (!least) return undefined;
+    if (!this.isLong(request, least)) {
+      this.shortDemand.note(least.readTokens);
       return least;
     }
+    if (!isOverloaded(request, weighed)) return least;
     const ids = weighed.map(({ upstream }) => upstream.upstreamId);
     const express = new Set(
-      rankByRendezvous(EXPRESS_KEY, ids).slice(0, Math.floor(ids.length * EXPRESS_SHARE)),
+      rankByRendezvous(EXPRESS_KEY, ids).slice(0, this.countExpress(request, ids.length)),
     );
     const lanes = weighed.filter(({ upstream }) => !express.has(upstream.upstreamId));
     const first = pickLeastCost(lanes);
@@ -144,6 +164,13 @@
     return { refusedForMs: Math.round(first.firstTokenMs - request.objectiveMs) };
   }
 
+  /** Counts the engines that the short prompts of all VMs need. */
+  private countExpress({ fleetSize }: PromptRequest, engines: number): number {
+    const needed = (this.shortDemand.tokensPerMs * fleetSize) / this.rate.tokensPerMs;
+    const wanted = Math.ceil(needed * EXPRESS_RESERVE);
+    return Math.min(Math.floor(engines * EXPRESS_MAX_SHARE), Math.max(1, wanted));
+  }
+
   private isLong(request: PromptRequest, { readTokens }: PromptChoice): boolean {
     return readTokens / this.rate.tokensPerMs > request.shortestObjectiveMs * LONG_READ_SHARE;
   }
@@ -156,7 +183,8 @@
     const { readTokens, fetchTokens } = this.countMissing(request, upstream, home);
     const { tokensPerMs } = this.rate;
     const queueMs =
-      upstream.estimateLoad() * LOAD_COST_MS + upstream.estimatePendingTokens() / tokensPerMs;
+      upstream.estimateLoad() * LOAD_COST_MS +
+      (upstream.estimatePendingTokens() + countOverflow(request, upstream)) / tokensPerMs;
     const firstTokenMs = queueMs + (readTokens + fetchTokens * FETCH_COST_SHARE) / tokensPerMs;
     return { upstream, readTokens, firstTokenMs, queueMs };
   }
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -58,7 +58,7 @@
   onDeployment: () => void,
 ) => {
   const { settings, logger, log, upstreams: protocol } = options;
-  const { roster, registry, peerLoads } = knowledge;
+  const { roster, registry, peerLoads, sent } = knowledge;
   const bootId = toId<BootId>(randomUUID());
   const meshKey = randomBytes(MESH_KEY_BYTES).toString('base64');
   const readers = createReaders(options, knowledge, onDeployment);
@@ -86,6 +86,7 @@
     roster,
     registry,
     peerLoads,
+    sent,
     listLoading: () => rollout.listLoading(),
     logger: logger.createPart('mesh'),
   });
--- a/packages/gateway/src/compose/createKnowledge.ts
+++ b/packages/gateway/src/compose/createKnowledge.ts
@@ -3,6 +3,7 @@
   CappedEjection,
   EntryRoster,
   PeerLoads,
+  SentParts,
   UpstreamRegistry,
   createGenerator,
 } from '@goldcrestscale/core';
@@ -18,6 +19,7 @@
     roster: new EntryRoster(),
     registry: new UpstreamRegistry(peerLoads),
     blocks: new BlockDirectory(),
+    sent: new SentParts(),
     ejection: new CappedEjection(random),
   };
 };
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -86,10 +86,10 @@
 export const BLOCK_EVENTS_WAIT_MS = 900;
 
 /** Time for which callers keep an answer of the directory, in milliseconds. */
-export const DIRECTORY_TTL_MS = 1_500;
+export const DIRECTORY_TTL_MS = 1_000;
 
-/** Part of the shutdown time after which new requests are refused. */
-export const REFUSE_SHARE = 0.4;
+/** Part of the shutdown time after which new requests are refused: callers know the new addresses. */
+export const REFUSE_SHARE = 0.35;
 
 /** Part of the shutdown time at which the process ends, whatever still runs. */
 export const EXIT_SHARE = 0.94;
--- a/packages/gateway/src/controllers/operatorsController.ts
+++ b/packages/gateway/src/controllers/operatorsController.ts
@@ -30,7 +30,7 @@
       getPauseMs: () => 0,
       onSnapshot: (records) => this.applySnapshot(records),
       onRecords: (records) => records.forEach((record) => this.applyRecord(record)),
-      onProved: (atMs) => this.horizon.noteProved(atMs),
+      onProved: (at) => this.horizon.noteProved(at),
     });
   }
 
--- a/packages/gateway/src/controllers/topicReader.ts
+++ b/packages/gateway/src/controllers/topicReader.ts
@@ -1,4 +1,5 @@
-import { sleep } from '@goldcrestscale/core';
+import { advanceMoment, getNow, sleep } from '@goldcrestscale/core';
+import type { Moment } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { LOG_RETRY_MS } from '../constants.js';
 import { LogTrimmedError } from '../ports/index.js';
@@ -17,8 +18,8 @@
   /** Takes the newest record of every key. */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
-  /** Told a time at which every record until then was known, by the monotonic clock. */
-  readonly onProved?: (atMs: number) => void;
+  /** Told a moment at which every record until then was known. */
+  readonly onProved?: (at: Moment) => void;
   readonly onReturn?: () => void;
   readonly onDown?: () => void;
 }
@@ -60,13 +61,13 @@
 
   private async readOnce(signal: AbortSignal): Promise<void> {
     const { log, topic, waitMs, onSnapshot, onRecords, onProved } = this.options;
-    const startedAtMs = performance.now();
+    const startedAt = getNow();
     if (this.position === undefined) {
       const snapshot = await log.readNewest(topic, signal);
       this.noteSuccess();
       onSnapshot(snapshot.records);
       this.position = snapshot.end;
-      onProved?.(startedAtMs);
+      onProved?.(startedAt);
       return;
     }
     const batch = await log.read(topic, this.position, { waitMs, signal });
@@ -75,7 +76,7 @@
     this.position = batch.next;
     // An empty answer was given after the whole wait, however late it came.
     const waitedMs = batch.records.length === 0 ? waitMs : 0;
-    onProved?.(Math.min(performance.now(), startedAtMs + waitedMs));
+    onProved?.(advanceMoment(startedAt, waitedMs));
   }
 
   private noteSuccess(): void {
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -4,8 +4,8 @@
   ColdStartBudget,
   PrefillRate,
   PromptRouter,
-  SentParts,
   computeColdShare,
+  computeLongestElapsed,
   listSharedParts,
   pickDestination,
 } from '@goldcrestscale/core';
@@ -20,6 +20,7 @@
   PromptDecision,
   RegionId,
   RouteRule,
+  SentParts,
   ServiceName,
   TrackedUpstream,
   UpstreamId,
@@ -42,6 +43,7 @@
   readonly roster: EntryRoster;
   readonly blocks: BlockDirectory;
   readonly ejection: EjectionPolicy;
+  readonly sent: SentParts;
   readonly random: RandomGenerator;
 }
 
@@ -67,15 +69,15 @@
 
 /** Chooses the upstream of an attempt among those that may get it now. */
 export class UpstreamChooser {
-  private readonly sent = new SentParts();
-
   readonly rate = new PrefillRate();
 
-  private readonly router = new PromptRouter(this.sent, this.rate);
+  private readonly router: PromptRouter;
 
   private readonly cold = new ColdStartBudget();
 
-  constructor(private readonly options: ChooserOptions) {}
+  constructor(private readonly options: ChooserOptions) {
+    this.router = new PromptRouter(options.sent, this.rate);
+  }
 
   /** Picks the service of a request among its route's destinations. */
   pickService(exchange: GatewayExchange): ServiceName | undefined {
@@ -127,7 +129,7 @@
     if (!prompt) return;
     const salt = buildSalt(exchange, upstream.findWeights(prompt.model));
     listSharedParts(prompt).forEach(({ id }) =>
-      this.sent.note(`${salt}/${id}`, upstream.upstreamId),
+      this.options.sent.note(`${salt}/${id}`, upstream.upstreamId),
     );
   }
 
@@ -149,8 +151,10 @@
         wanted: weights?.wanted,
         objectiveMs: route.objectiveMs,
         patienceMs: computePatience(route),
+        engineTokens: this.findEngineTokens(service),
+        fleetSize: Math.max(1, this.options.roster.listServing().length),
         shortestObjectiveMs: this.findShortestObjective(service),
-        wantedForMs: weights ? performance.now() - weights.learnedAtMs : 0,
+        wantedForMs: weights ? computeLongestElapsed(weights.learnedAt) : 0,
         buildKey: (partId, held) => `${buildSalt(exchange, held)}/${partId}`,
         isStored: (key) => this.options.blocks.isStored(key),
       },
@@ -176,6 +180,11 @@
     return this.options.operators.view?.findShortestObjective(service) ?? Infinity;
   }
 
+  private findEngineTokens(service: ServiceName): number {
+    const settings = this.options.operators.view?.findService(service);
+    return settings?.engine?.capacityTokens ?? Infinity;
+  }
+
   private hasColdRoom(upstream: TrackedUpstream): boolean {
     if (!upstream.isCold) return true;
     const share = this.computeShare(upstream);
@@ -206,6 +215,6 @@
     const held = model === undefined ? undefined : upstream.findWeights(model);
     if (!weights || held === undefined || held >= weights.wanted) return false;
     const limitMs = this.options.bounds.weightsInForceMs * OLD_WEIGHTS_SHARE;
-    return performance.now() - weights.learnedAtMs > limitMs;
+    return computeLongestElapsed(weights.learnedAt) > limitMs;
   }
 }
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -187,7 +187,8 @@
       outcome: 'open',
     };
     exchange.attempts.push(note);
-    upstream.noteSent(tokens);
+    const promptTokens = exchange.head.prompt?.inputTokens ?? 0;
+    upstream.noteSent(tokens, promptTokens);
     ejection.noteStart(upstream.upstreamId);
     this.options.chooser.noteSent(exchange, upstream);
     try {
@@ -196,7 +197,7 @@
       return result;
     } finally {
       noteBegun();
-      upstream.noteEnd();
+      upstream.noteEnd(promptTokens);
       if (attempt.isReusable) connections.release(address, connection);
       else connections.discard(address, connection);
     }
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -3,6 +3,7 @@
 import type {
   EntryRoster,
   PeerLoads,
+  SentParts,
   UpstreamId,
   UpstreamRegistry,
   VmId,
@@ -21,6 +22,7 @@
   readonly roster: EntryRoster;
   readonly registry: UpstreamRegistry;
   readonly peerLoads: PeerLoads;
+  readonly sent: SentParts;
   readonly listLoading: () => readonly UpstreamId[];
   readonly logger: Logger;
 }
@@ -84,7 +86,12 @@
     const loads = registry
       .list()
       .filter(({ inFlight }) => inFlight > 0)
-      .map(({ upstreamId, inFlight, pendingTokens }) => ({ upstreamId, inFlight, pendingTokens }));
+      .map(({ upstreamId, inFlight, pendingTokens, heldTokens }) => ({
+        upstreamId,
+        inFlight,
+        pendingTokens,
+        heldTokens,
+      }));
     const loading = listLoading();
     const weights = registry
       .list()
@@ -92,12 +99,18 @@
         upstream.listLearnedWeights().map((held) => ({ upstreamId: upstream.upstreamId, ...held })),
       );
     const down = this.listDown();
-    const hasNews = loads.length > 0 || loading.length > 0 || weights.length > 0 || down.length > 0;
+    const sent = this.options.sent.takeNews();
+    const hasNews =
+      loads.length > 0 ||
+      loading.length > 0 ||
+      weights.length > 0 ||
+      down.length > 0 ||
+      sent.length > 0;
     // One empty message tells that the last figures are over.
     if (!hasNews && !this.hasReported) return;
     this.hasReported = hasNews;
     this.sequence += 1;
-    const message = { vmId: self, sequence: this.sequence, loads, loading, weights, down };
+    const message = { vmId: self, sequence: this.sequence, loads, loading, weights, down, sent };
     const bytes = encodeGossip(message, key);
     roster.listLive().forEach(({ vmId, meshAddress }) => {
       if (vmId === self) return;
@@ -127,6 +140,7 @@
     this.sequences.set(message.vmId, message.sequence);
     peerLoads.note(message.vmId, message.loads);
     roster.noteLoading(message.vmId, message.loading);
+    message.sent.forEach((part) => this.options.sent.notePart(part));
     message.down.forEach((upstreamId) => registry.find(upstreamId)?.noteDown());
     message.weights.forEach(({ upstreamId, model, held }) =>
       registry.find(upstreamId)?.noteWeights(model, held),
--- a/packages/gateway/src/mesh/gossipMessage.ts
+++ b/packages/gateway/src/mesh/gossipMessage.ts
@@ -1,7 +1,14 @@
 import { createHmac, timingSafeEqual } from 'node:crypto';
 import { Packr } from 'msgpackr';
 import { toId, toWeightNumber } from '@goldcrestscale/core';
-import type { HeldWeights, ModelId, PeerLoad, UpstreamId, VmId } from '@goldcrestscale/core';
+import type {
+  HeldWeights,
+  ModelId,
+  PeerLoad,
+  SentPart,
+  UpstreamId,
+  VmId,
+} from '@goldcrestscale/core';
 
 /** What one entry VM tells the others many times a second. */
 export interface GossipMessage {
@@ -11,6 +18,8 @@
   readonly loads: readonly PeerLoad[];
   /** Engines that this VM has ordered to load weights. */
   readonly loading: readonly UpstreamId[];
+  /** Prompt parts that this VM has sent since its last message. */
+  readonly sent: readonly SentPart[];
   /** Upstreams that seem to be down. */
   readonly down: readonly UpstreamId[];
   /** Weights of engines that are newer than their heartbeats. */
@@ -32,23 +41,33 @@
 
 /** Encodes a message with a proof made with the sender's key. */
 export const encodeGossip = (message: GossipMessage, key: string): Buffer => {
-  const { vmId, sequence, loads, loading, down, weights } = message;
-  const rows = loads.map(({ upstreamId, inFlight, pendingTokens }) => [
+  const { vmId, sequence, loads, loading, down, weights, sent } = message;
+  const rows = loads.map(({ upstreamId, inFlight, pendingTokens, heldTokens }) => [
     upstreamId,
     inFlight,
     Math.round(pendingTokens),
+    Math.round(heldTokens),
   ]);
+  const sentRows = sent.map(({ hash, upstreamId }) => [hash, upstreamId]);
   const learned = weights.map(({ upstreamId, model, held }) => [upstreamId, model, held]);
-  const content = packr.pack([vmId, sequence, rows, loading, learned, down]);
+  const content = packr.pack([vmId, sequence, rows, loading, learned, down, sentRows]);
   return Buffer.concat([prove(key, content), content]);
 };
 
 const decodeLoad = (row: unknown): PeerLoad[] => {
   if (!Array.isArray(row)) return [];
-  const [upstreamId, inFlight, pendingTokens] = row as unknown[];
+  const [upstreamId, inFlight, pendingTokens, heldTokens] = row as unknown[];
   if (typeof upstreamId !== 'string') return [];
   if (typeof inFlight !== 'number' || typeof pendingTokens !== 'number') return [];
-  return [{ upstreamId: toId<UpstreamId>(upstreamId), inFlight, pendingTokens }];
+  if (typeof heldTokens !== 'number') return [];
+  return [{ upstreamId: toId<UpstreamId>(upstreamId), inFlight, pendingTokens, heldTokens }];
+};
+
+const decodeSent = (row: unknown): SentPart[] => {
+  if (!Array.isArray(row)) return [];
+  const [hash, upstreamId] = row as unknown[];
+  if (typeof hash !== 'number' || typeof upstreamId !== 'string') return [];
+  return [{ hash, upstreamId: toId<UpstreamId>(upstreamId) }];
 };
 
 const isUpstreamId = (item: unknown): item is UpstreamId => typeof item === 'string';
@@ -87,10 +106,10 @@
     return undefined;
   }
   if (!Array.isArray(fields)) return undefined;
-  const [vmId, sequence, loads, loading, weights, down] = fields as unknown[];
+  const [vmId, sequence, loads, loading, weights, down, sent] = fields as unknown[];
   if (typeof vmId !== 'string' || typeof sequence !== 'number') return undefined;
   if (!Array.isArray(loads) || !Array.isArray(loading)) return undefined;
-  if (!Array.isArray(weights) || !Array.isArray(down)) return undefined;
+  if (!Array.isArray(weights) || !Array.isArray(down) || !Array.isArray(sent)) return undefined;
   const key = findKey(toId<VmId>(vmId));
   const isProved =
     key !== undefined && timingSafeEqual(bytes.subarray(0, PROOF_BYTES), prove(key, content));
@@ -102,5 +121,6 @@
     weights: weights.flatMap(decodeWeights),
     loading: loading.filter(isUpstreamId),
     down: down.filter(isUpstreamId),
+    sent: sent.flatMap(decodeSent),
   };
 };
