--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 
 // Every deviation from the guide below is explained in docs/HOUSE-STYLE.md.
 export default [
-  { ignores: ['**/dist/**', 'coverage/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', 'coverage/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -38,7 +38,7 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts', 'bench/**/*.ts', 'scripts/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts', 'bench/**/*.ts', 'scripts/**/*.ts'],
     ignores: ['**/__tests__/**'],
     plugins: { goldcrest },
     rules: { 'goldcrest/verb-names': 'error' },
--- a/packages/core/src/promptRouting/shortDemand.ts
+++ b/packages/core/src/promptRouting/shortDemand.ts
@@ -11,16 +11,16 @@
   private observed = 0;
 
   note(tokens: number): void {
-    this.decay();
+    this.updateWindow();
     this.tokensInWindow += tokens;
   }
 
   get tokensPerMs(): number {
-    this.decay();
+    this.updateWindow();
     return this.observed > 0 ? this.tokensInWindow / (DEMAND_WINDOW_MS * this.observed) : 0;
   }
 
-  private decay(): void {
+  private updateWindow(): void {
     const nowMs = performance.now();
     const kept = Math.exp((this.updatedAtMs - nowMs) / DEMAND_WINDOW_MS);
     this.tokensInWindow *= kept;
--- /dev/null
+++ b/packages/gateway/src/__tests__/testProtocols.ts
@@ -0,0 +1,118 @@
+import type { IncomingMessage } from 'node:http';
+import { toId } from '@goldcrestscale/core';
+import type { ModelId, UpstreamId } from '@goldcrestscale/core';
+import type { GatewayExchange } from '../filters/exchange.js';
+import { CallerProtocol, UpstreamProtocol } from '../ports/index.js';
+import type {
+  AnswerHead,
+  AttemptFacts,
+  BlockEvents,
+  CallerHead,
+  EngineState,
+  OrderOutcome,
+} from '../ports/index.js';
+
+const getHeader = (request: IncomingMessage, name: string): string | undefined => {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : undefined;
+};
+
+/** A plain caller protocol with short header names. */
+export class TestCallerProtocol extends CallerProtocol {
+  override parseHead(request: IncomingMessage): CallerHead {
+    const deadline = getHeader(request, 'x-wait');
+    return {
+      requestId: getHeader(request, 'x-id'),
+      deadlineMs: deadline === undefined ? undefined : Number(deadline),
+      apiKey: getHeader(request, 'x-key'),
+      prompt: getHeader(request, 'x-model')
+        ? {
+            model: toId<ModelId>(getHeader(request, 'x-model')!),
+            inputTokens: 100,
+            maxOutputTokens: 10,
+            parts: [],
+          }
+        : undefined,
+      lastEventId: undefined,
+    };
+  }
+
+  override buildRefusalHeaders(requestId: string | undefined): Record<string, string> {
+    return requestId === undefined ? {} : { 'x-id': requestId };
+  }
+
+  override parseDirectoryQuery(): undefined {
+    return undefined;
+  }
+
+  override encodeDirectoryAnswer(): string {
+    return '';
+  }
+
+  override isReadinessCheck(): boolean {
+    return false;
+  }
+}
+
+type Headers = Readonly<Record<string, string | string[] | undefined>>;
+
+const asText = (value: string | string[] | undefined): string | undefined =>
+  Array.isArray(value) ? value[0] : value;
+
+/** A plain upstream protocol; control calls are not used. */
+export class TestUpstreamProtocol extends UpstreamProtocol {
+  override buildHeaders(exchange: GatewayExchange, facts: AttemptFacts): string[] {
+    return [
+      'x-id',
+      exchange.head.requestId ?? '',
+      'x-expect',
+      facts.upstreamId,
+      'x-left',
+      String(facts.remainingMs),
+      ...(facts.lastEventId === undefined ? [] : ['last-event-id', facts.lastEventId]),
+    ];
+  }
+
+  override readAnswerHead(
+    status: number,
+    headers: Headers,
+    rawHeaders: readonly string[],
+  ): AnswerHead {
+    const instance = asText(headers['x-instance']);
+    return {
+      status,
+      requestId: asText(headers['x-id']),
+      answeredBy: instance === undefined ? undefined : toId<UpstreamId>(instance),
+      isSigned: headers['x-sig'] !== undefined,
+      isNotExecuted: headers['x-not-run'] !== undefined,
+      isMisdirected: status === 421,
+      load: undefined,
+      weights: undefined,
+      coldRemainingMs: undefined,
+      forwarded: rawHeaders.filter((_item, index, all) => {
+        const name = all[index - (index % 2)]!.toLowerCase();
+        return !['connection', 'keep-alive', 'transfer-encoding', 'content-length'].includes(name);
+      }),
+    };
+  }
+
+  override readState(): Promise<EngineState> {
+    throw new Error('not used');
+  }
+
+  override sendOrder(): Promise<OrderOutcome> {
+    throw new Error('not used');
+  }
+
+  override readBlockEvents(): Promise<BlockEvents> {
+    throw new Error('not used');
+  }
+
+  override releaseBlocks(): Promise<void> {
+    throw new Error('not used');
+  }
+
+  override close(): void {
+    // Nothing is open.
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -18,7 +18,11 @@
         extends: true,
         test: {
           name: 'modules',
-          include: ['packages/*/src/**/__tests__/**/*.spec.ts', 'tests/docs/**/*.spec.ts'],
+          include: [
+            'packages/*/src/**/__tests__/**/*.spec.ts',
+            'platform/src/**/__tests__/**/*.spec.ts',
+            'tests/docs/**/*.spec.ts',
+          ],
           sequence: { groupOrder: 0 },
         },
       },
