--- a/packages/core/src/promptRouting/__tests__/promptRouting.spec.ts
+++ b/packages/core/src/promptRouting/__tests__/promptRouting.spec.ts
@@ -87,11 +87,11 @@
   fresh.noteSent(1_000);
   const prompt = makePrompt('s1', 100, 100);
   const wanted = toWeightNumber(2);
-  const early = createRouter().choose(makeRequest(prompt, { wanted, wantedForMs: 100 }), [
+  const early = chooseEngine(createRouter(), makeRequest(prompt, { wanted, wantedForMs: 100 }), [
     old,
     fresh,
   ]);
-  const late = createRouter().choose(makeRequest(prompt, { wanted, wantedForMs: 2_000 }), [
+  const late = chooseEngine(createRouter(), makeRequest(prompt, { wanted, wantedForMs: 2_000 }), [
     old,
     fresh,
   ]);
--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -122,7 +122,7 @@
     ...logger,
     info: (_message: string, fields?: object) => lines.push(fields),
   };
-  const decisions = new DecisionLog(counting as never);
+  const decisions = new DecisionLog(counting);
   for (let count = 0; count < 500; count += 1) decisions.log('line', { count });
   expect(lines).toHaveLength(80);
   vi.advanceTimersByTime(1_000);
--- a/packages/gateway/src/__tests__/dispatch.spec.ts
+++ b/packages/gateway/src/__tests__/dispatch.spec.ts
@@ -286,7 +286,7 @@
 
 test('a draining upstream and one whose zone is out get nothing', async () => {
   const { call, knowledge, operators, upstreams } = await startGateway({ upstreams: [ok, ok] });
-  const registered = knowledge.registry.find(toId<UpstreamId>('up-0'))!.registered;
+  const { registered } = knowledge.registry.find(toId<UpstreamId>('up-0'))!;
   knowledge.registry.apply({
     kind: 'present',
     upstream: { ...registered, draining: true, heartbeat: 2 },
