--- a/packages/core/src/log/sleep.ts
+++ b/packages/core/src/log/sleep.ts
@@ -14,3 +14,10 @@
     const timer = setTimeout(finish, delayMs);
     signal?.addEventListener('abort', finish, { once: true });
   });
+
+/** Resolves once the signal has aborted. */
+export const waitForAbort = (signal: AbortSignal): Promise<void> =>
+  new Promise((resolve) => {
+    if (signal.aborted) resolve();
+    else signal.addEventListener('abort', () => resolve(), { once: true });
+  });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
-import { toId } from '@goldcrestscale/core';
+import { toId, waitForAbort } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
 import { createMetrics } from '@goldcrestscale/runtime';
 import type { Logger, Metrics } from '@goldcrestscale/runtime';
@@ -23,7 +23,6 @@
 import type { Mesh } from './mesh/index.js';
 import { createEntryMetrics } from './metrics.js';
 import type { EntryMetrics } from './metrics.js';
-import { waitForAbort } from './repeat.js';
 import { createUpstreamClient } from './upstream/upstreamClient.js';
 
 /** Secrets of the entry daemon. */
--- a/packages/entry/src/repeat.ts
+++ b/packages/entry/src/repeat.ts
@@ -23,10 +23,3 @@
   }, intervalMs);
   signal.addEventListener('abort', () => clearInterval(timer), { once: true });
 };
-
-/** Resolves once the signal has aborted. */
-export const waitForAbort = (signal: AbortSignal): Promise<void> =>
-  new Promise((resolve) => {
-    if (signal.aborted) resolve();
-    else signal.addEventListener('abort', () => resolve(), { once: true });
-  });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
-import { sleep } from '@goldcrestscale/core';
+import { sleep, waitForAbort } from '@goldcrestscale/core';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
 import { createDataPath } from './compose/createDataPath.js';
@@ -25,12 +25,6 @@
     });
   });
 
-const waitForAbort = (signal: AbortSignal): Promise<void> =>
-  new Promise((resolve) => {
-    if (signal.aborted) resolve();
-    else signal.addEventListener('abort', () => resolve(), { once: true });
-  });
-
 /** Creates the listeners for the directory and for readiness checks. */
 const createServiceServers = (
   { settings, callers, metrics }: GatewayOptions,
