--- a/packages/core/src/blockStores/__tests__/blockStores.spec.ts
+++ b/packages/core/src/blockStores/__tests__/blockStores.spec.ts
@@ -161,6 +161,31 @@
   expect(horizon.canFree(salt)).toBe(true);
 });
 
+test('a second change of weights does not allow fetches of blocks that the first one outdated', () => {
+  const state = new OperatorState();
+  const horizon = new FetchHorizon(state);
+  horizon.noteProved(getNow());
+  [2, 3].forEach((wanted) => {
+    state.apply({ kind: 'weights', model: MODEL, wanted: toWeightNumber(wanted) });
+    horizon.noteProved(getNow());
+    vi.advanceTimersByTime(FETCH_HORIZON_MS);
+  });
+  state.apply({ kind: 'weights', model: MODEL, wanted: toWeightNumber(4) });
+  horizon.noteProved(getNow());
+  expect(horizon.computeFetchMs(MODEL, OLD)).toBe(0);
+  expect(horizon.computeFetchMs(MODEL, NEW)).toBe(0);
+  expect(horizon.computeFetchMs(MODEL, toWeightNumber(4))).toBe(FETCH_HORIZON_MS);
+});
+
+test('a VM that starts after a change of weights fetches no block of the older ones', () => {
+  const state = new OperatorState();
+  const horizon = new FetchHorizon(state);
+  state.apply({ kind: 'weights', model: MODEL, wanted: NEW });
+  horizon.noteProved(getNow());
+  expect(horizon.computeFetchMs(MODEL, OLD)).toBe(0);
+  expect(horizon.computeFetchMs(MODEL, NEW)).toBe(FETCH_HORIZON_MS);
+});
+
 test('blocks of present weights and of foreign salts are never freed', () => {
   const state = new OperatorState();
   const horizon = new FetchHorizon(state);
