--- a/packages/core/src/blockStores/fetchHorizon.ts
+++ b/packages/core/src/blockStores/fetchHorizon.ts
@@ -44,7 +44,7 @@
   /** Notes a moment at which every change of the operators until then was known. */
   noteProved(at: Moment): void {
     const wanted = new Map(this.operators.listWeights().map((one) => [one.model, one.wanted]));
-    wanted.forEach((newest, model) => this.keepOutdated(model, newest));
+    wanted.forEach((newest, model) => this.saveOutdated(model, newest));
     this.wanted = wanted;
     this.proved = at;
   }
@@ -66,7 +66,7 @@
     return this.wanted.get(model) ?? NONE_WANTED;
   }
 
-  private keepOutdated(model: ModelId, newest: number): void {
+  private saveOutdated(model: ModelId, newest: number): void {
     const wanted = this.getWanted(model);
     if (newest <= wanted || !this.proved) return;
     const proofs = this.outdated.get(model) ?? [];
