--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -61,9 +61,6 @@
 /** Interval at which VMs that give no orders look who holds the lease, in milliseconds. */
 export const LEASE_WATCH_MS = 600;
 
-/** Longest wait for an engine's answer to an order or a report, in milliseconds. */
-export const ORDER_TIMEOUT_MS = 700;
-
 /** Time for which an engine gets no new request before its order, in milliseconds: two gossips. */
 export const LOAD_DRAIN_MS = 100;
 
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -18,7 +18,6 @@
   LOAD_DRAIN_MS,
   LOAD_FIRST_CHECK_MS,
   LOAD_FOLLOW_MS,
-  ORDER_TIMEOUT_MS,
   ROLLOUT_TAKEOVER_MS,
   ROLLOUT_TICK_MS,
 } from '../constants.js';
@@ -61,7 +60,7 @@
 const buildCall = ({ upstream }: BehindEngine, signal: AbortSignal): UpstreamCallOptions => ({
   address: upstream.registered.address,
   upstreamId: upstream.upstreamId,
-  signal: AbortSignal.any([signal, AbortSignal.timeout(ORDER_TIMEOUT_MS)]),
+  signal,
 });
 
 /**
