feat(gateway): late answers are logged with what was expected of each attempt

Change: a line 'answer late' with first byte, longest pause, objective and, an attempt, the tokens to read, the expected time and the time of the head; a counter; each kind of line has a rate of its own, so that late ones never take the room of failures. Ruled out: one rate for all kinds (failures are lost under overload).

--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { getNow } from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
 import { resolveGatewaySettings } from '../config.js';
 import { decodeHeartbeat } from '../controllers/heartbeatRecord.js';
@@ -57,7 +58,7 @@
     log,
     topic: 'operators',
     logger,
-    waitMs: 0,
+    getWaitMs: () => 0,
     getPauseMs: () => 100,
     onSnapshot: (records) => seen.push(`snapshot:${records.map(({ key }) => key).join()}`),
     onRecords: (records) => records.forEach(({ key }) => seen.push(key)),
@@ -91,6 +92,37 @@
   expect(log.reads.at(-1)).toBe(50);
 });
 
+test('while a relay tells what it reads, nothing is asked of the log', async () => {
+  const log = new ScriptedLog();
+  const { seen, reader, end } = startReader(log);
+  await vi.advanceTimersByTimeAsync(10);
+  const position = { topic: 'operators', position: 10, provedAgeMs: 50 } as const;
+  reader.noteRelayed(position, getNow());
+  const readsBefore = log.reads.length;
+  const records = [makeRecord('known'), makeRecord('new')];
+  reader.takeRelayed({ topic: 'operators', from: 9, next: 11, records });
+  await vi.advanceTimersByTimeAsync(600);
+  expect(log.reads.length).toBe(readsBefore);
+  expect(seen).toEqual(['snapshot:first', 'new']);
+  await vi.advanceTimersByTimeAsync(600);
+  end();
+  expect(log.reads.at(-1)).toBe(11);
+});
+
+test('a relay that is ahead, or has not read for long, replaces no read', async () => {
+  const log = new ScriptedLog();
+  const { seen, reader, end } = startReader(log);
+  await vi.advanceTimersByTimeAsync(10);
+  reader.takeRelayed({ topic: 'operators', from: 12, next: 13, records: [makeRecord('far')] });
+  reader.noteRelayed({ topic: 'operators', position: 13, provedAgeMs: 0 }, getNow());
+  reader.noteRelayed({ topic: 'operators', position: 10, provedAgeMs: 5_000 }, getNow());
+  const readsBefore = log.reads.length;
+  await vi.advanceTimersByTimeAsync(300);
+  end();
+  expect(log.reads.length).toBeGreaterThan(readsBefore);
+  expect(seen).toEqual(['snapshot:first']);
+});
+
 test('an outage is told once, and its end before the records that follow', async () => {
   const log = new ScriptedLog();
   log.answers.push(new Error('no answer'), new Error('no answer'), {
@@ -128,6 +160,9 @@
   vi.advanceTimersByTime(1_000);
   decisions.log('line', {});
   expect(lines.at(-1)).toMatchObject({ leftOut: 420 });
+  for (let count = 0; count < 500; count += 1) decisions.log('late', { count });
+  decisions.log('line', { isFailure: true });
+  expect(lines.at(-1)).toEqual({ isFailure: true });
 });
 
 test('a heartbeat that is not whole is none', () => {
--- a/packages/gateway/src/__tests__/dispatch.spec.ts
+++ b/packages/gateway/src/__tests__/dispatch.spec.ts
@@ -296,3 +296,18 @@
   operators.apply({ kind: 'zone-out', zone: registered.availabilityZone });
   expect((await call()).status).toBe(503);
 });
+
+test('an answer later than the objective of its route is counted, one in time is not', async () => {
+  const { call, metrics } = await startGateway({
+    route: { objectiveMs: 100 },
+    upstreams: [
+      (request) => {
+        setTimeout(() => ok(request), request.head.includes('/a/slow') ? 160 : 0);
+      },
+    ],
+  });
+  await call({ path: '/a/fast' });
+  expect(await metrics.render()).not.toContain('late_answers_total{');
+  expect((await call({ path: '/a/slow' })).status).toBe(200);
+  expect(await metrics.render()).toContain('late_answers_total{route="route"} 1');
+});
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -1,34 +1,52 @@
 import type { Logger } from '@goldcrestscale/runtime';
 
-/** Lines a second that are written for requests. */
+/** Lines a second that are written of each kind. */
 const LINES_PER_SECOND = 40;
 
-/** Lines that may be written at once. */
+/** Lines of a kind that may be written at once. */
 const LINES_AT_ONCE = 80;
 
 const SECOND_MS = 1_000;
 
-/** Writes lines about requests, at a bounded rate; what is left out is counted in the next line. */
-export class DecisionLog {
-  private tokens = LINES_AT_ONCE;
-
-  private refilledAtMs = performance.now();
+interface Bucket {
+  tokens: number;
+  refilledAtMs: number;
+  leftOut: number;
+}
 
-  private leftOut = 0;
+/**
+ * Writes lines about requests, each kind at a bounded rate of its own, so that late answers never
+ * take the room of failures; what is left out is counted in the next line of the kind.
+ */
+export class DecisionLog {
+  private readonly buckets = new Map<string, Bucket>();
 
   constructor(private readonly logger: Logger) {}
 
+  /** @param message names the kind of line */
   log(message: string, fields: Readonly<Record<string, unknown>>): void {
-    const nowMs = performance.now();
-    const gained = ((nowMs - this.refilledAtMs) / SECOND_MS) * LINES_PER_SECOND;
-    this.tokens = Math.min(LINES_AT_ONCE, this.tokens + gained);
-    this.refilledAtMs = nowMs;
-    if (this.tokens < 1) {
-      this.leftOut += 1;
+    const bucket = this.updateBucket(message);
+    if (bucket.tokens < 1) {
+      bucket.leftOut += 1;
       return;
     }
-    this.tokens -= 1;
-    this.logger.info(message, this.leftOut > 0 ? { ...fields, leftOut: this.leftOut } : fields);
-    this.leftOut = 0;
+    bucket.tokens -= 1;
+    const { leftOut } = bucket;
+    this.logger.info(message, leftOut > 0 ? { ...fields, leftOut } : fields);
+    bucket.leftOut = 0;
+  }
+
+  private updateBucket(message: string): Bucket {
+    const nowMs = performance.now();
+    const bucket = this.buckets.get(message) ?? {
+      tokens: LINES_AT_ONCE,
+      refilledAtMs: nowMs,
+      leftOut: 0,
+    };
+    this.buckets.set(message, bucket);
+    const gained = ((nowMs - bucket.refilledAtMs) / SECOND_MS) * LINES_PER_SECOND;
+    bucket.tokens = Math.min(LINES_AT_ONCE, bucket.tokens + gained);
+    bucket.refilledAtMs = nowMs;
+    return bucket;
   }
 }
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -34,6 +34,8 @@
   readonly metrics: GatewayMetrics;
   /** Gives this VM's part of the connections that an upstream accepts. */
   readonly getConnectionShare: (service: ServiceName) => number;
+  /** Told the tokens that an engine has to read for a prompt that is on its way. */
+  readonly onPromptSent: (tokens: number) => void;
 }
 
 const describeResult = (result: AttemptResult): string => {
@@ -80,6 +82,20 @@
   });
 };
 
+const createNote = (
+  exchange: GatewayExchange,
+  { upstream, readTokens, firstTokenMs }: UpstreamChoice,
+): AttemptNote => ({
+  upstreamId: upstream.upstreamId,
+  weights: findWeights(exchange, upstream),
+  load: upstream.estimateLoad(),
+  pendingTokens: Math.round(upstream.estimatePendingTokens()),
+  readTokens,
+  expectedMs: Math.round(firstTokenMs),
+  startedAtMs: Math.round(performance.now() - exchange.receivedAtMs),
+  outcome: 'open',
+});
+
 /** Chooses an upstream, sends the request and repeats it as far as the outcome allows. */
 export class GatewayDispatchFilter extends GatewayFilter {
   override readonly name = 'dispatch';
@@ -155,6 +171,7 @@
     if (!connection) return { kind: 'not-run', reason: 'refused' };
     const queuedTokens = upstream.estimatePendingTokens();
     const sentAtMs = performance.now();
+    const note = createNote(exchange, choice);
     let isPending = true;
     const noteBegun = (): void => {
       if (isPending) upstream.noteAnswerBegun(tokens);
@@ -170,6 +187,7 @@
       events: progress.events,
       onHead: (head) => {
         noteBegun();
+        note.headMs = Math.round(performance.now() - sentAtMs);
         this.outcomes.noteHead(exchange, upstream, head);
         if (exchange.head.prompt) {
           const elapsedMs = performance.now() - sentAtMs;
@@ -178,19 +196,12 @@
       },
     });
     progress.noteSend();
-    const note: AttemptNote = {
-      upstreamId: upstream.upstreamId,
-      weights: findWeights(exchange, upstream),
-      load: upstream.estimateLoad(),
-      pendingTokens: Math.round(queuedTokens),
-      startedAtMs: Math.round(sentAtMs - exchange.receivedAtMs),
-      outcome: 'open',
-    };
     exchange.attempts.push(note);
     const promptTokens = exchange.head.prompt?.inputTokens ?? 0;
     upstream.noteSent(tokens, promptTokens);
     ejection.noteStart(upstream.upstreamId);
     this.options.chooser.noteSent(exchange, upstream);
+    this.options.onPromptSent(tokens);
     try {
       const result = await attempt.run();
       note.outcome = describeResult(result);
--- a/packages/gateway/src/filters/exchange.ts
+++ b/packages/gateway/src/filters/exchange.ts
@@ -43,7 +43,12 @@
   /** Requests and prompt tokens that were held to be there at the dispatch. */
   readonly load: number;
   readonly pendingTokens: number;
+  /** Tokens of the prompt that the upstream was expected to read, and to its first byte. */
+  readonly readTokens: number;
+  readonly expectedMs: number;
   readonly startedAtMs: number;
+  /** Time from the dispatch to the head of the answer, in milliseconds. */
+  headMs?: number;
   outcome: string;
 }
 
--- a/packages/gateway/src/filters/verdictGuardFilter.ts
+++ b/packages/gateway/src/filters/verdictGuardFilter.ts
@@ -48,6 +48,7 @@
     try {
       await next();
       metrics.countAnswer(exchange.route?.name, 'ok');
+      this.noteTimes(exchange);
       metrics.observeAnswer(performance.now() - exchange.receivedAtMs);
     } catch (cause) {
       const error = toError(cause, exchange);
@@ -67,4 +68,24 @@
       sendRefusal(exchange, error, status, this.options.protocol);
     }
   }
+
+  private noteTimes(exchange: GatewayExchange): void {
+    const { route, receivedAtMs, answer, head, attempts } = exchange;
+    const { firstAtMs, longestPauseMs } = answer.times;
+    if (!route || firstAtMs === undefined) return;
+    const firstByteMs = firstAtMs - receivedAtMs;
+    const isLate =
+      firstByteMs > route.objectiveMs || longestPauseMs > (route.gapObjectiveMs ?? Infinity);
+    if (!isLate) return;
+    this.options.metrics.countLate(route.name);
+    this.options.decisions.log('answer late', {
+      id: head.requestId,
+      route: route.name,
+      firstByteMs: Math.round(firstByteMs),
+      objectiveMs: route.objectiveMs,
+      longestPauseMs: Math.round(longestPauseMs),
+      promptTokens: head.prompt?.inputTokens,
+      attempts,
+    });
+  }
 }
--- a/packages/gateway/src/http/callerAnswer.ts
+++ b/packages/gateway/src/http/callerAnswer.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import { AnswerTimes } from './answerTimes.js';
 
 /** Head of an answer. */
 export interface AnswerStart {
@@ -13,6 +14,8 @@
 
 /** Answer side of an exchange. */
 export class CallerAnswer {
+  readonly times = new AnswerTimes();
+
   private started = false;
 
   constructor(
@@ -39,6 +42,7 @@
 
   /** @returns false where the caller can't take more at the moment */
   write(chunk: Uint8Array): boolean {
+    this.times.note();
     return this.response.destroyed || this.response.write(chunk);
   }
 
@@ -48,8 +52,10 @@
   }
 
   finish(chunk?: Uint8Array): void {
-    if (chunk) this.response.end(chunk);
-    else this.response.end();
+    if (chunk) {
+      this.times.note();
+      this.response.end(chunk);
+    } else this.response.end();
   }
 
   /** Ends the connection, so that the answer can't be taken for a whole one. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -6,6 +6,8 @@
   countAnswer(route: string | undefined, outcome: string): void;
   /** Counts an attempt at an upstream by its outcome. */
   countAttempt(service: string, outcome: string): void;
+  /** Counts a whole answer that came later than its route's objective. */
+  countLate(route: string): void;
   observeAnswer(elapsedMs: number): void;
   observeFirstByte(elapsedMs: number): void;
   countConnection(): void;
@@ -24,6 +26,11 @@
     help: 'Attempts at upstreams by service and outcome.',
     labelNames: ['service', 'outcome'],
   });
+  const late = metrics.createCounter({
+    name: 'goldcrest_gateway_late_answers_total',
+    help: 'Whole answers that came later than the objective of their route.',
+    labelNames: ['route'],
+  });
   const connections = metrics.createCounter({
     name: 'goldcrest_gateway_connections_total',
     help: 'Connections opened to upstreams.',
@@ -38,6 +45,7 @@
   });
   return {
     countAnswer: (route, outcome) => answers.inc({ route: route ?? 'none', outcome }),
+    countLate: (route) => late.inc({ route }),
     countAttempt: (service, outcome) => attempts.inc({ service, outcome }),
     observeAnswer: (elapsedMs) => elapsed.observe(elapsedMs),
     observeFirstByte: (elapsedMs) => firstByte.observe(elapsedMs),
