feat(core): few engines a session first, fetches weighed by store, link and zone

Change: a prompt looks at three engines of its session first (of its zone where that has six), then wider where none answers in time or only older weights are left; a fetch is weighed by link, zone and first-byte time of its store and may take three reads.

--- a/packages/core/src/blockStores/__tests__/blockStores.spec.ts
+++ b/packages/core/src/blockStores/__tests__/blockStores.spec.ts
@@ -11,6 +11,7 @@
   FetchHorizon,
   buildBlockKey,
   buildCacheSalt,
+  computeFetchTime,
   parseCacheSalt,
 } from '../index.js';
 
@@ -71,14 +72,14 @@
   put(directory, 'a', 'p1', 300);
   expect(directory.findStore(KEY, 500)).toBeUndefined();
   put(directory, 'a', 'p1', 500);
-  expect(directory.findStore(KEY, 500)).toBe('a');
+  expect(directory.findStore(KEY, 500)?.address).toBe('a');
 });
 
 test('the store with the fastest link serves a fetch', () => {
   const directory = createDirectory([makeStore('slow', 10_000, 10), makeStore('fast', 10_000, 90)]);
   put(directory, 'slow', 'p1', 500);
   put(directory, 'fast', 'p1', 500);
-  expect(directory.findStore(KEY, 500)).toBe('fast');
+  expect(directory.findStore(KEY, 500)?.address).toBe('fast');
 });
 
 test('a store in a new run holds nothing', () => {
@@ -194,3 +195,11 @@
   expect(horizon.canFree(salt)).toBe(false);
   expect(horizon.canFree('something else')).toBe(false);
 });
+
+test('a fetch takes the time of its store and link, and twice as long from another zone', () => {
+  const store = makeStore('a', 10_000, 1_000);
+  const size = { tokens: 1_000, bytesPerToken: 1_000 };
+  const elsewhere = toId<AvailabilityZoneId>('z2');
+  expect(computeFetchTime(store, size, store.availabilityZone)).toBeCloseTo(9);
+  expect(computeFetchTime(store, size, elsewhere)).toBeCloseTo(17);
+});
--- a/packages/core/src/blockStores/blockDirectory.ts
+++ b/packages/core/src/blockStores/blockDirectory.ts
@@ -98,8 +98,10 @@
   /** Forgets what a store holds: it does not answer. */
   clearStore(address: string): void {
     const store = this.stores.get(address);
-    store?.blocks.clear();
-    if (store) store.epoch = undefined;
+    if (!store) return;
+    store.blocks.clear();
+    store.usedTokens = 0;
+    store.epoch = undefined;
   }
 
   applyChange(address: string, change: StoredBlockChange): void {
@@ -115,17 +117,18 @@
 
   /** Tells whether a store holds the part. */
   isStored(key: string): boolean {
-    return [...this.stores.values()].some(({ blocks }) => blocks.has(key));
+    for (const { blocks } of this.stores.values()) if (blocks.has(key)) return true;
+    return false;
   }
 
   /** Finds a store that holds a whole part; the fastest link comes first. */
-  findStore(key: string, tokens: number): string | undefined {
+  findStore(key: string, tokens: number): BlockStoreSettings | undefined {
     let best: KnownStore | undefined;
     this.stores.forEach((store) => {
       if ((store.blocks.get(key) ?? 0) < tokens) return;
       if (!best || store.settings.linkMbps > best.settings.linkMbps) best = store;
     });
-    return best?.settings.address;
+    return best?.settings;
   }
 
   /**
@@ -152,6 +155,12 @@
     return best.settings.address;
   }
 
+  /** Lists all that a store holds. */
+  listBlocks(address: string): readonly StoredBlockChange[] {
+    const blocks = this.stores.get(address)?.blocks ?? new Map<string, number>();
+    return [...blocks].map(([key, tokens]) => ({ ...splitBlockKey(key), isPresent: true, tokens }));
+  }
+
   /** Lists the blocks of a store whose salts are no longer needed. */
   listFreeable(address: string, canFree: (salt: string) => boolean): readonly string[] {
     const blocks = this.stores.get(address)?.blocks ?? new Map<string, number>();
--- a/packages/core/src/promptRouting/__tests__/promptRouting.spec.ts
+++ b/packages/core/src/promptRouting/__tests__/promptRouting.spec.ts
@@ -2,7 +2,8 @@
 import { makeTracked } from '../../fleet/__tests__/fixtures.js';
 import type { TrackedUpstream } from '../../fleet/index.js';
 import { toId, toWeightNumber } from '../../ids.js';
-import type { ModelId, PromptPartId } from '../../ids.js';
+import type { BlockStoreSettings } from '../../deployment/index.js';
+import type { AvailabilityZoneId, ModelId, PromptPartId } from '../../ids.js';
 import { PrefillRate, PromptRouter, SentParts } from '../index.js';
 import type { Prompt, PromptChoice, PromptRequest } from '../index.js';
 
@@ -33,10 +34,22 @@
   fleetSize: 1,
   engineTokens: 1_000_000,
   buildKey: (partId, held) => `${held ?? 0}/${partId}`,
-  isStored: () => false,
+  bytesPerToken: 1_000,
+  findStore: () => undefined,
   ...fields,
 });
 
+const store: BlockStoreSettings = {
+  name: 'store',
+  address: 'store:1',
+  availabilityZone: toId<AvailabilityZoneId>('z1'),
+  capacityTokens: 1_000_000,
+  linkMbps: 10_000,
+  firstByteMs: 1,
+  maxEventReaders: 12,
+  managed: true,
+};
+
 const makeEngines = (count: number): TrackedUpstream[] =>
   Array.from({ length: count }, (_, index) => makeTracked(`e${index}`));
 
@@ -55,7 +68,7 @@
 
 test('VMs agree on the engine of a session without talk', () => {
   const engines = makeEngines(8);
-  const request = makeRequest(makePrompt('s1', 8_000, 500), { isStored: () => true });
+  const request = makeRequest(makePrompt('s1', 8_000, 500), { findStore: () => store });
   const chosen = [createRouter(), createRouter()].map(
     (router) => chooseEngine(router, request, engines).upstream.upstreamId,
   );
@@ -65,7 +78,7 @@
 
 test('an engine whose queue costs more than a fetch gives way', () => {
   const engines = makeEngines(4);
-  const request = makeRequest(makePrompt('s1', 8_000, 500), { isStored: () => true });
+  const request = makeRequest(makePrompt('s1', 8_000, 500), { findStore: () => store });
   const home = chooseEngine(createRouter(), request, engines).upstream;
   home.noteSent(40_000);
   const other = chooseEngine(createRouter(), request, engines).upstream;
@@ -185,3 +198,17 @@
   for (let step = 0; step < 200; step += 1) rate.learn(10_000, 200);
   expect(rate.tokensPerMs).toBeCloseTo(50, 0);
 });
+
+test('a session that is stored goes where its fetch is short, not where it is long', () => {
+  const engines = [
+    makeTracked('far-1', { availabilityZone: toId<AvailabilityZoneId>('z2') }),
+    makeTracked('near', { availabilityZone: store.availabilityZone }),
+    makeTracked('far-2', { availabilityZone: toId<AvailabilityZoneId>('z2') }),
+  ];
+  const request = makeRequest(makePrompt('s1', 20_000, 500), { findStore: () => store });
+  const home = chooseEngine(createRouter(), request, engines).upstream;
+  home.noteSent(9_000);
+  const others = engines.filter((engine) => engine !== home);
+  const next = chooseEngine(createRouter(), request, others.concat(home)).upstream;
+  expect(next.upstreamId === 'near' || home.upstreamId === 'near').toBe(true);
+});
--- a/packages/core/src/promptRouting/constants.ts
+++ b/packages/core/src/promptRouting/constants.ts
@@ -14,9 +14,6 @@
 /** Time that one more request at an engine adds to the first token of the next, in milliseconds. */
 export const LOAD_COST_MS = 3;
 
-/** Time to bring a token back from a store, relative to reading it again. */
-export const FETCH_COST_SHARE = 0.2;
-
 /** Time for which a prompt part counts as cached where this VM has sent it, in milliseconds. */
 export const SENT_MEMORY_MS = 5_000;
 
@@ -52,3 +49,12 @@
 
 /** Part of an engine's memory that prompts may fill; their answers and cached parts take the rest. */
 export const MEMORY_SHARE = 0.8;
+
+/** Engines of one zone from which its VMs leave those of other zones alone. */
+export const NEAR_MIN_ENGINES = 6;
+
+/** Engines that are looked at first for a session: two choices spread well on old figures, one more for a loss. */
+export const FIRST_CANDIDATES = 3;
+
+/** Part of the objective within which one of them must be expected to answer. */
+export const FIRST_OBJECTIVE_SHARE = 0.4;
--- a/packages/core/src/promptRouting/index.ts
+++ b/packages/core/src/promptRouting/index.ts
@@ -1,5 +1,7 @@
 /** Where a prompt whose parts the caller names goes. */
 export * from './constants.js';
+export { listEngineGroups } from './engineGroups.js';
+export type { EngineGroup } from './engineGroups.js';
 export { findSessionPart, listSharedParts } from './prompt.js';
 export type { Prompt, PromptPart } from './prompt.js';
 export { PrefillRate } from './prefillRate.js';
--- a/packages/core/src/promptRouting/promptRouter.ts
+++ b/packages/core/src/promptRouting/promptRouter.ts
@@ -1,4 +1,6 @@
-import type { UpstreamId, WeightNumber } from '../ids.js';
+import { computeFetchTime } from '../blockStores/index.js';
+import type { BlockStoreSettings } from '../deployment/index.js';
+import type { WeightNumber } from '../ids.js';
 import { rankByRendezvous } from '../membership/rendezvous.js';
 import type { TrackedUpstream } from '../fleet/index.js';
 import {
@@ -6,7 +8,6 @@
   EXPRESS_KEY,
   EXPRESS_MAX_SHARE,
   EXPRESS_RESERVE,
-  FETCH_COST_SHARE,
   LOAD_COST_MS,
   LONG_READ_SHARE,
   MEMORY_SHARE,
@@ -17,7 +18,9 @@
 } from './constants.js';
 import type { PrefillRate } from './prefillRate.js';
 import type { Prompt } from './prompt.js';
-import { findSessionPart, listSharedParts } from './prompt.js';
+import { findSessionPart } from './prompt.js';
+import type { KeyedPart } from './sharedParts.js';
+import { SharedParts } from './sharedParts.js';
 import { ShortDemand } from './shortDemand.js';
 import type { SentParts } from './sentParts.js';
 
@@ -40,8 +43,10 @@
   readonly fleetSize: number;
   /** Gives the key under which an engine with these weights caches a part. */
   buildKey(partId: string, held: WeightNumber | undefined): string;
-  /** Tells whether a store holds the part under that key. */
-  isStored(key: string): boolean;
+  /** Bytes of cache that one token takes. */
+  readonly bytesPerToken: number;
+  /** Finds a store that holds the part under that key. */
+  findStore(key: string, tokens: number): BlockStoreSettings | undefined;
 }
 
 /** An engine for a prompt, and what is expected there. */
@@ -51,6 +56,8 @@
   readonly readTokens: number;
   /** Time to the first token, in milliseconds. */
   readonly firstTokenMs: number;
+  /** Whether it runs on older weights, whose answers are worth less by now. */
+  readonly isOutdated: boolean;
 }
 
 /** No engine can serve it in time; it is sensible to come back after that time. */
@@ -75,10 +82,11 @@
     undefined,
   );
 
-/** Where the shared parts of a prompt are, seen from one engine. */
-interface PartsView {
+/** What an engine lacks of a prompt. */
+interface MissingParts {
   readonly readTokens: number;
-  readonly fetchTokens: number;
+  /** Time to bring what a store holds, in milliseconds. */
+  readonly fetchMs: number;
 }
 
 /**
@@ -95,10 +103,10 @@
 };
 
 /** Older weights serve on while few engines have the new ones, but their answers are worth less. */
-const weighOldWeights = (request: PromptRequest, upstream: TrackedUpstream): number => {
+const isOutdated = (request: PromptRequest, upstream: TrackedUpstream): boolean => {
   const held = upstream.findWeights(request.prompt.model);
   const isOld = request.wanted !== undefined && held !== undefined && held < request.wanted;
-  return isOld && request.wantedForMs > OLD_WEIGHTS_GRACE_MS ? OLD_WEIGHTS_COST_MS : 0;
+  return isOld && request.wantedForMs > OLD_WEIGHTS_GRACE_MS;
 };
 
 /**
@@ -124,12 +132,17 @@
     const session = findSessionPart(request.prompt);
     const ids = candidates.map(({ upstreamId }) => upstreamId);
     const home = session ? rankByRendezvous(session.id, ids)[0] : undefined;
+    const parts = new SharedParts(request);
     const weighed = candidates.map((candidate) => {
-      const choice = this.weigh(request, candidate, home);
+      const missing = this.computeMissing(request, candidate, {
+        isHome: candidate.upstreamId === home,
+        parts: parts.list(candidate.findWeights(request.prompt.model)),
+      });
+      const choice = this.weigh(request, candidate, missing);
       const awayMs = candidate.upstreamId === home ? 0 : AWAY_COST_MS;
       return {
         ...choice,
-        costMs: choice.firstTokenMs + awayMs + weighOldWeights(request, candidate),
+        costMs: choice.firstTokenMs + awayMs + (choice.isOutdated ? OLD_WEIGHTS_COST_MS : 0),
       };
     });
     return this.chooseLane(request, weighed);
@@ -178,35 +191,33 @@
   private weigh(
     request: PromptRequest,
     upstream: TrackedUpstream,
-    home: UpstreamId | undefined,
+    { readTokens, fetchMs }: MissingParts,
   ): PromptChoice & { readonly queueMs: number } {
-    const { readTokens, fetchTokens } = this.countMissing(request, upstream, home);
     const { tokensPerMs } = this.rate;
     const queueMs =
       upstream.estimateLoad() * LOAD_COST_MS +
       (upstream.estimatePendingTokens() + countOverflow(request, upstream)) / tokensPerMs;
-    const firstTokenMs = queueMs + (readTokens + fetchTokens * FETCH_COST_SHARE) / tokensPerMs;
-    return { upstream, readTokens, firstTokenMs, queueMs };
+    const firstTokenMs = queueMs + fetchMs + readTokens / tokensPerMs;
+    const choice = { upstream, readTokens, firstTokenMs, queueMs };
+    return { ...choice, isOutdated: isOutdated(request, upstream) };
   }
 
-  private countMissing(
-    request: PromptRequest,
+  private computeMissing(
+    { prompt, bytesPerToken }: PromptRequest,
     upstream: TrackedUpstream,
-    home: UpstreamId | undefined,
-  ): PartsView {
-    const { prompt } = request;
-    const held = upstream.findWeights(prompt.model);
+    { isHome, parts }: { readonly isHome: boolean; readonly parts: readonly KeyedPart[] },
+  ): MissingParts {
+    const { availabilityZone } = upstream.registered;
     let readTokens = prompt.inputTokens;
-    let fetchTokens = 0;
-    for (const part of listSharedParts(prompt)) {
-      const key = request.buildKey(part.id, held);
-      const isStored = request.isStored(key);
+    let fetchMs = 0;
+    parts.forEach(({ key, tokens, store }) => {
       // A stored part has been read before, most likely at the engine that all VMs agree on.
-      const isThere =
-        this.sent.has(key, upstream.upstreamId) || (isStored && upstream.upstreamId === home);
-      if (isThere || isStored) readTokens -= part.tokens;
-      if (isStored && !isThere) fetchTokens += part.tokens;
-    }
-    return { readTokens: Math.max(0, readTokens), fetchTokens };
+      const isThere = this.sent.has(key, upstream.upstreamId) || (store !== undefined && isHome);
+      if (isThere || store) readTokens -= tokens;
+      if (store && !isThere) {
+        fetchMs += computeFetchTime(store, { tokens, bytesPerToken }, availabilityZone);
+      }
+    });
+    return { readTokens: Math.max(0, readTokens), fetchMs };
   }
 }
--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -115,7 +115,7 @@
 
 /** Starts a gateway before scripted upstreams; everything is closed when the test ends. */
 export const startGateway = async (options: HarnessOptions) => {
-  const knowledge = createKnowledge();
+  const knowledge = createKnowledge(toId<VmId>('vm-1'), toId<AvailabilityZoneId>('zone-1'));
   const operators = new OperatorState();
   if (!options.isUnconfigured) {
     operators.apply({
@@ -172,6 +172,7 @@
         chooser: new UpstreamChooser({
           ...knowledge,
           self: toId<VmId>('vm-1'),
+          zone: toId<AvailabilityZoneId>('zone-1'),
           bounds,
           regions: new Map(),
           operators,
@@ -187,6 +188,7 @@
         horizon: new FetchHorizon(operators),
         metrics,
         getConnectionShare: () => 50,
+        onPromptSent: () => undefined,
       },
     }),
   });
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -18,6 +18,7 @@
   readonly operators: Controllers['operators'];
   readonly shutdown: Shutdown;
   readonly connections: ConnectionPool;
+  readonly gossip: Controllers['gossip'];
 }
 
 const createRetries = (
@@ -32,7 +33,7 @@
 /** Creates the way of a request: the callers' listener, the filters and what they decide with. */
 export const createDataPath = (
   { settings, metrics, callers, logger, upstreams }: GatewayOptions,
-  { knowledge, operators, shutdown, connections }: DataPathParts,
+  { knowledge, operators, shutdown, connections, gossip }: DataPathParts,
 ): GatewayServer => {
   const { roster } = knowledge;
   const countVms = (): number => Math.max(1, roster.listSharing().length);
@@ -52,6 +53,7 @@
       chooser: new UpstreamChooser({
         ...knowledge,
         self: settings.vmId,
+        zone: settings.availabilityZone,
         bounds: settings.bounds,
         regions: settings.regions,
         operators: operators.state,
@@ -64,6 +66,7 @@
       horizon: operators.horizon,
       metrics,
       getConnectionShare,
+      onPromptSent: (tokens) => gossip.notePrompt(tokens),
     },
   });
   return createGatewayServer({ protocol: callers, filters, isLeaving: () => shutdown.isLeaving });
--- a/packages/gateway/src/dispatch/attemptFactsBuilder.ts
+++ b/packages/gateway/src/dispatch/attemptFactsBuilder.ts
@@ -1,6 +1,6 @@
 import { buildBlockKey, listSharedParts } from '@goldcrestscale/core';
 import type { BlockDirectory, FetchHorizon } from '@goldcrestscale/core';
-import { FETCH_SLACK_MS } from '../constants.js';
+import { FETCH_PATIENCE, FETCH_SLACK_MS } from '../constants.js';
 import type { GatewayExchange } from '../filters/exchange.js';
 import { requireRoute } from '../filters/exchange.js';
 import type { AttemptFacts, BlockTransfers } from '../ports/index.js';
@@ -59,12 +59,13 @@
       const isShared = shared.has(part);
       const source = isShared ? blocks.findStore(key, part.tokens) : undefined;
       if (source !== undefined) fetchTokens += part.tokens;
-      fetchFrom.push(source);
+      fetchFrom.push(source?.address);
       saveTo.push(isShared ? blocks.takeSaveTarget(key, part.tokens) : undefined);
     });
     const readMs = fetchTokens / chooser.rate.tokensPerMs;
     const allowedMs = horizon.computeFetchMs(prompt.model, weights);
-    const fetchMs = Math.min(allowedMs, firstTokenMs + readMs + FETCH_SLACK_MS);
+    const patienceMs = firstTokenMs + readMs * FETCH_PATIENCE + FETCH_SLACK_MS;
+    const fetchMs = Math.min(allowedMs, patienceMs);
     const fetchUntilMs = blocks.computeServerTime(fetchMs);
     // Without a limit by the servers' clock, a block could be freed while it is fetched.
     const canFetch = fetchUntilMs !== undefined && fetchMs >= readMs * MIN_FETCH_SHARE;
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -7,6 +7,7 @@
   buildBlockKey,
   computeColdShare,
   computeLongestElapsed,
+  listEngineGroups,
   listSharedParts,
   pickDestination,
 } from '@goldcrestscale/core';
@@ -15,8 +16,10 @@
   BlockDirectory,
   ColdBound,
   EjectionPolicy,
+  EngineSettings,
   EntryRoster,
   OperatorState,
+  Prompt,
   PromptChoice,
   PromptDecision,
   RegionId,
@@ -37,6 +40,7 @@
 /** What the chooser reads. */
 export interface ChooserOptions {
   readonly self: VmId;
+  readonly zone: AvailabilityZoneId;
   readonly bounds: FleetBounds;
   readonly regions: ReadonlyMap<AvailabilityZoneId, RegionId>;
   readonly registry: UpstreamRegistry;
@@ -91,11 +95,7 @@
     service: ServiceName,
     excluded: ReadonlySet<UpstreamId>,
   ): UpstreamDecision | undefined {
-    const all = this.options.registry.listService(service);
-    const able = all.filter((upstream) => this.canServe(exchange, upstream, excluded));
-    const loading = this.options.roster.listLoading();
-    const free = able.filter((upstream) => !upstream.isBusy && !loading.has(upstream.upstreamId));
-    const chosen = this.chooseAmong(exchange, service, free);
+    const chosen = this.chooseInGroups(exchange, service, excluded);
     if (!chosen || 'refusedForMs' in chosen || !chosen.upstream.isCold) return chosen;
     const share = this.computeShare(chosen.upstream);
     return !share || this.cold.tryTake(chosen.upstream.upstreamId, share) ? chosen : undefined;
@@ -134,16 +134,59 @@
     );
   }
 
-  private chooseAmong(
+  private chooseInGroups(
     exchange: GatewayExchange,
     service: ServiceName,
-    candidates: readonly TrackedUpstream[],
+    excluded: ReadonlySet<UpstreamId>,
   ): UpstreamDecision | undefined {
+    const { registry, roster, zone } = this.options;
     const { prompt } = exchange.head;
+    const all = registry.listService(service);
+    const loading = roster.listLoading();
+    const listFree = (upstreams: readonly TrackedUpstream[]): readonly TrackedUpstream[] =>
+      upstreams.filter(
+        (upstream) =>
+          !upstream.isBusy &&
+          !loading.has(upstream.upstreamId) &&
+          this.canServe(exchange, upstream, excluded),
+      );
     if (!prompt) {
-      const upstream = this.chooseLeastLoaded(candidates);
-      return upstream && { upstream, readTokens: 0, firstTokenMs: 0 };
+      const upstream = this.chooseLeastLoaded(listFree(all));
+      return upstream && { upstream, readTokens: 0, firstTokenMs: 0, isOutdated: false };
+    }
+    const { objectiveMs } = requireRoute(exchange);
+    let decision: UpstreamDecision | undefined;
+    for (const { engines, isNear, objectiveShare } of listEngineGroups(prompt, all, zone)) {
+      decision = this.chooseEngine(exchange, prompt, service, {
+        engines: listFree(engines),
+        senders: this.countSenders(isNear),
+      });
+      const isInTime =
+        decision &&
+        !('refusedForMs' in decision) &&
+        !decision.isOutdated &&
+        decision.firstTokenMs <= objectiveMs * objectiveShare;
+      if (isInTime) return decision;
     }
+    return decision;
+  }
+
+  /** Counts the VMs that send to the same engines. */
+  private countSenders(isNear: boolean): number {
+    const { roster, zone } = this.options;
+    const serving = roster.listServing();
+    const senders = isNear
+      ? serving.filter(({ availabilityZone }) => availabilityZone === zone)
+      : serving;
+    return Math.max(1, senders.length);
+  }
+
+  private chooseEngine(
+    exchange: GatewayExchange,
+    prompt: Prompt,
+    service: ServiceName,
+    { engines, senders }: { engines: readonly TrackedUpstream[]; senders: number },
+  ): UpstreamDecision | undefined {
     const weights = this.options.operators.findWeights(prompt.model);
     const route = requireRoute(exchange);
     return this.router.choose(
@@ -152,14 +195,15 @@
         wanted: weights?.wanted,
         objectiveMs: route.objectiveMs,
         patienceMs: computePatience(route),
-        engineTokens: this.findEngineTokens(service),
-        fleetSize: Math.max(1, this.options.roster.listServing().length),
+        engineTokens: this.findEngine(service)?.capacityTokens ?? Infinity,
+        fleetSize: senders,
         shortestObjectiveMs: this.findShortestObjective(service),
         wantedForMs: weights ? computeLongestElapsed(weights.learnedAt) : 0,
         buildKey: (partId, held) => buildBlockKey(buildSalt(exchange, held), partId),
-        isStored: (key) => this.options.blocks.isStored(key),
+        bytesPerToken: this.findEngine(service)?.bytesPerToken ?? 0,
+        findStore: (key, tokens) => this.options.blocks.findStore(key, tokens),
       },
-      candidates,
+      engines,
     );
   }
 
@@ -181,9 +225,8 @@
     return this.options.operators.view?.findShortestObjective(service) ?? Infinity;
   }
 
-  private findEngineTokens(service: ServiceName): number {
-    const settings = this.options.operators.view?.findService(service);
-    return settings?.engine?.capacityTokens ?? Infinity;
+  private findEngine(service: ServiceName): EngineSettings | undefined {
+    return this.options.operators.view?.findService(service)?.engine;
   }
 
   private hasColdRoom(upstream: TrackedUpstream): boolean {
