feat(gateway): relays by zone for large fleets

Cause: from 20 VMs on, what each VM tells each, and asks of log and stores, grows with the square: 86 VMs can't each follow 21 stores with 12 readers each. Change: two relays a zone, the largest VMs first, agreed on by the heartbeats. Relays add up their zone's figures and tell the sums; they read the log and the stores' events and pass them on over one connection a VM, with proofs in order; a follower that is not sure of its relay reads by itself; heartbeats of followers are written with the relay's own. Fewer wake-ups: nothing is checked that can't have changed; events of stores are read in larger batches.

--- a/packages/core/src/fleet/__tests__/fixtures.ts
+++ b/packages/core/src/fleet/__tests__/fixtures.ts
@@ -47,5 +47,6 @@
   meshAddress: `${name}:2`,
   meshKey: 'key',
   leaving: false,
+  size: 1,
   ...fields,
 });
--- /dev/null
+++ b/packages/core/src/fleet/__tests__/zoneRelays.spec.ts
@@ -0,0 +1,79 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { toId } from '../../ids.js';
+import type { AvailabilityZoneId, VmId } from '../../ids.js';
+import { pickForCallers } from '../callerEntries.js';
+import { EntryRoster } from '../entryRoster.js';
+import { ZoneRelays } from '../zoneRelays.js';
+import { makeHeartbeat } from './fixtures.js';
+
+const ZONES = ['z1', 'z2', 'z3'] as const;
+
+const toZone = (name: string) => toId<AvailabilityZoneId>(name);
+
+const fillRoster = (vms: number, sizeOf: (index: number) => number = () => 1): EntryRoster => {
+  const roster = new EntryRoster();
+  for (let index = 0; index < vms; index += 1) {
+    roster.noteHeartbeat(
+      makeHeartbeat(`vm-${index}`, {
+        availabilityZone: toZone(ZONES[index % ZONES.length]!),
+        size: sizeOf(index),
+      }),
+    );
+  }
+  return roster;
+};
+
+const createRelays = (roster: EntryRoster, self = 'vm-0', zone = 'z1') =>
+  new ZoneRelays(roster, toId<VmId>(self), toZone(zone));
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+test('a small fleet has no relays', () => {
+  const relays = createRelays(fillRoster(9));
+  expect(relays.isNeeded).toBe(false);
+  expect(relays.listAll()).toEqual([]);
+});
+
+test('all VMs of a large fleet agree on two relays a zone, the largest first', () => {
+  const roster = fillRoster(90, (index) => (index === 33 ? 8 : 1 + (index % 2)));
+  const views = [0, 1, 2, 44].map((index) =>
+    createRelays(roster, `vm-${index}`, ZONES[index % ZONES.length]),
+  );
+  const all = views.map((view) => view.listAll().map(({ vmId }) => vmId));
+  expect(new Set(all.map((one) => one.join()))).toHaveProperty('size', 1);
+  expect(all[0]).toHaveLength(6);
+  expect(views[0]!.listOwn()[0]!.vmId).toBe('vm-33');
+  expect(views[0]!.listForeign().map(({ availabilityZone }) => availabilityZone)).not.toContain(
+    'z1',
+  );
+});
+
+test('a relay that falls silent is replaced', () => {
+  const roster = fillRoster(30);
+  const relays = createRelays(roster);
+  const [first, second] = relays.listOwn().map(({ vmId }) => vmId);
+  vi.advanceTimersByTime(3_000);
+  for (let index = 0; index < 30; index += 1) {
+    const vmId = `vm-${index}`;
+    if (vmId !== first) {
+      roster.noteHeartbeat(
+        makeHeartbeat(vmId, { availabilityZone: toZone(ZONES[index % ZONES.length]!) }),
+      );
+    }
+  }
+  vi.advanceTimersByTime(1_000);
+  expect(relays.listOwn()[0]!.vmId).toBe(second);
+});
+
+test('callers are told the VMs of their own zone where there are enough', () => {
+  const serving = fillRoster(90).listServing();
+  expect(pickForCallers(serving, 'z2')).toHaveLength(30);
+  expect(pickForCallers(serving, 'elsewhere')).toHaveLength(64);
+  const few = fillRoster(9).listServing();
+  expect(pickForCallers(few, 'z2')).toHaveLength(9);
+});
--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -1,7 +1,7 @@
 /** Time for which entries that lapsed during a log outage count as present after it, in milliseconds. */
 export const LAPSE_GRACE_MS = 2_000;
 
-/** Requests per second above which a connection failure makes an upstream count as restarted. */
+/** Time for which an upstream counts as cold after a broken connection, in milliseconds. */
 export const SUSPECT_MS = 2_500;
 
 /** Age up to which a load report is weighed in full, in milliseconds. */
@@ -30,3 +30,18 @@
 
 /** Age that a heartbeat may have when it is read, in milliseconds. */
 export const HEARTBEAT_LAG_MS = 1_000;
+
+/** Entry VMs of a zone from which its callers are told of no others. */
+export const MIN_ZONE_ENTRIES = 6;
+
+/** Entry VMs that one answer of the directory names at the most; callers read no more. */
+export const MAX_CALLER_ENTRIES = 64;
+
+/** Entry VMs from which zones have relays: below, what all tell all costs less than a relay. */
+export const RELAY_MIN_VMS = 20;
+
+/** Relays of a zone; the second takes over where the first falls silent. */
+export const RELAYS_PER_ZONE = 2;
+
+/** Time for which a choice of relays stands, in milliseconds. */
+export const RELAY_PLAN_MS = 300;
--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -14,6 +14,8 @@
   readonly meshKey: string;
   /** Whether it shuts down and takes no new callers. */
   readonly leaving: boolean;
+  /** Processor time and network of the VM against others, in no unit; larger ones relay. */
+  readonly size: number;
 }
 
 interface KnownEntry {
@@ -64,6 +66,11 @@
     return this.entries.get(vmId)?.heartbeat.meshKey;
   }
 
+  /** Gives what a VM told last, however long ago. */
+  find(vmId: VmId): EntryHeartbeat | undefined {
+    return this.entries.get(vmId)?.heartbeat;
+  }
+
   /** Lists the VMs that are heard of, those that shut down included. */
   listLive(): readonly EntryHeartbeat[] {
     return this.listSeenWithin(ENTRY_SILENCE_MS);
--- a/packages/core/src/fleet/peerLoads.ts
+++ b/packages/core/src/fleet/peerLoads.ts
@@ -1,4 +1,4 @@
-import type { UpstreamId, VmId } from '../ids.js';
+import type { AvailabilityZoneId, UpstreamId, VmId } from '../ids.js';
 
 /** What one VM has at one upstream. */
 export interface PeerLoad {
@@ -11,6 +11,9 @@
   readonly heldTokens: number;
 }
 
+/** Who tells: one VM, or a zone's relay for all VMs of the zone. */
+export type LoadSource = VmId | AvailabilityZoneId;
+
 interface PeerReport {
   readonly loads: readonly PeerLoad[];
   readonly receivedAtMs: number;
@@ -26,24 +29,24 @@
 
 /** Sums up what the other VMs tell of their requests; the report of a silent VM expires. */
 export class PeerLoads {
-  private readonly reports = new Map<VmId, PeerReport>();
+  private readonly reports = new Map<LoadSource, PeerReport>();
 
   private readonly sums = new Map<UpstreamId, Sum>();
 
   /** @param maxAgeMs age at which a report no longer counts, in milliseconds */
   constructor(private readonly maxAgeMs: number) {}
 
-  note(vmId: VmId, loads: readonly PeerLoad[]): void {
-    this.remove(vmId);
-    this.reports.set(vmId, { loads, receivedAtMs: performance.now() });
+  note(source: LoadSource, loads: readonly PeerLoad[]): void {
+    this.remove(source);
+    this.reports.set(source, { loads, receivedAtMs: performance.now() });
     this.add(loads, 1);
   }
 
   /** Drops the reports that are too old. */
   expire(): void {
     const oldestMs = performance.now() - this.maxAgeMs;
-    this.reports.forEach(({ receivedAtMs }, vmId) => {
-      if (receivedAtMs < oldestMs) this.remove(vmId);
+    this.reports.forEach(({ receivedAtMs }, source) => {
+      if (receivedAtMs < oldestMs) this.remove(source);
     });
   }
 
@@ -52,10 +55,10 @@
     return this.sums.get(upstreamId) ?? NOTHING;
   }
 
-  private remove(vmId: VmId): void {
-    const report = this.reports.get(vmId);
+  private remove(source: LoadSource): void {
+    const report = this.reports.get(source);
     if (!report) return;
-    this.reports.delete(vmId);
+    this.reports.delete(source);
     this.add(report.loads, -1);
   }
 
--- /dev/null
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -0,0 +1,145 @@
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import fc from 'fast-check';
+import { expect, onTestFinished, test, vi } from 'vitest';
+import { EntryRoster, ZoneRelays, toId } from '@goldcrestscale/core';
+import type { AvailabilityZoneId, BootId, EntryHeartbeat, VmId } from '@goldcrestscale/core';
+import { createLogger } from '@goldcrestscale/runtime';
+import { FeedClient } from '../mesh/feedClient.js';
+import { encodeFeedContent } from '../mesh/feedMessage.js';
+import type { FeedMessage, RelayedBatch, RelayedBlocks } from '../mesh/feedMessage.js';
+import { FeedReader } from '../mesh/feedReader.js';
+import { FeedServer } from '../mesh/feedServer.js';
+import { FeedWriter } from '../mesh/feedWriter.js';
+
+const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
+
+const zone = toId<AvailabilityZoneId>('z1');
+
+const batch: RelayedBatch = {
+  topic: 'upstreams',
+  from: 4,
+  next: 6,
+  records: [
+    { key: 'a', value: Buffer.from('1') },
+    { key: 'b', value: undefined },
+  ],
+};
+
+const messages: readonly FeedMessage[] = [
+  { kind: 'batch', batch },
+  { kind: 'ask', question: 3 },
+  { kind: 'batch', batch },
+];
+
+const createReader = () => new FeedReader(() => ({ key: 'key', nonce: 'nonce' }));
+
+const encodeAll = (): Buffer => {
+  const writer = new FeedWriter({ key: 'key', nonce: 'nonce' });
+  return Buffer.concat(messages.map((message) => writer.encode(encodeFeedContent(message))));
+};
+
+test('messages survive any split into chunks', () => {
+  const bytes = encodeAll();
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1 }), (sizes) => {
+      const reader = createReader();
+      const seen: FeedMessage[] = [];
+      for (let at = 0, turn = 0; at < bytes.length; turn += 1) {
+        const size = sizes[turn % sizes.length]!;
+        seen.push(...reader.push(bytes.subarray(at, at + size)));
+        at += size;
+      }
+      expect(seen).toHaveLength(messages.length);
+      expect(seen[1]).toEqual(messages[1]);
+    }),
+  );
+});
+
+test('a changed, repeated or foreign message ends the connection', () => {
+  const writer = new FeedWriter({ key: 'key', nonce: 'nonce' });
+  const first = writer.encode(encodeFeedContent(messages[1]!));
+  const changed = Buffer.from(first);
+  changed[changed.length - 1] = (changed.at(-1)! + 1) % 128;
+  expect(() => createReader().push(changed)).toThrow();
+  expect(() => createReader().push(Buffer.concat([first, first]))).toThrow(/proof/);
+  const foreign = new FeedWriter({ key: 'other', nonce: 'nonce' }).encode(
+    encodeFeedContent(messages[1]!),
+  );
+  expect(() => createReader().push(foreign)).toThrow(/proof/);
+});
+
+test('a length that no message has is refused before it is read', () => {
+  expect(() => createReader().push(Buffer.alloc(64, 0xff))).toThrow(/bytes/);
+});
+
+const findPort = (): Promise<number> =>
+  new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+
+const makeEntry = (name: string, port: number, size: number): EntryHeartbeat => ({
+  vmId: toId<VmId>(name),
+  bootId: toId<BootId>('boot'),
+  availabilityZone: zone,
+  address: `127.0.0.1:${port}`,
+  meshAddress: `127.0.0.1:${port}`,
+  meshKey: `key of ${name}`,
+  leaving: false,
+  size,
+});
+
+/** Starts a relay and one VM that follows it, in a zone with many others. */
+const startFeed = async () => {
+  const roster = new EntryRoster();
+  for (let index = 0; index < 30; index += 1) roster.noteHeartbeat(makeEntry(`vm-${index}`, 1, 1));
+  const relay = makeEntry('relay', await findPort(), 9);
+  roster.noteHeartbeat(relay);
+  const ended = new AbortController();
+  onTestFinished(() => ended.abort());
+  const blocks: RelayedBlocks[] = [];
+  const batches: RelayedBatch[] = [];
+  const positions: number[] = [];
+  const server = new FeedServer({
+    address: relay.meshAddress,
+    key: relay.meshKey,
+    roster,
+    logger,
+    listPositions: () => [{ topic: 'upstreams', position: 6, provedAgeMs: 20 }],
+    listBlocks: () => [
+      { address: 'store', epoch: 1, isWhole: true, clockMs: undefined, changes: [] },
+    ],
+    isHeard: () => true,
+  });
+  await server.start(ended.signal);
+  const self = toId<VmId>('vm-3');
+  const client = new FeedClient({
+    self,
+    key: 'key of vm-3',
+    relays: new ZoneRelays(roster, self, zone),
+    logger,
+    onBatch: (told) => batches.push(told),
+    onPosition: ({ position }) => positions.push(position),
+    onBlocks: (told) => blocks.push(told),
+    onEnd: () => positions.push(-1),
+  });
+  void client.run(ended.signal);
+  return { server, client, batches, blocks, positions, ended };
+};
+
+test('a follower gets what its relay reads, and the relay its heartbeat', async () => {
+  const { server, client, batches, blocks, positions } = await startFeed();
+  await vi.waitFor(() => expect(positions).toContain(6));
+  expect(blocks).toHaveLength(1);
+  server.publish({ kind: 'batch', batch });
+  const record = { key: 'vm-3', value: Buffer.from('{}') };
+  expect(client.forwardHeartbeat(record)).toBe(true);
+  await vi.waitFor(() => expect(batches).toHaveLength(1));
+  expect(batches[0]!.records.map(({ key }) => key)).toEqual(['a', 'b']);
+  await vi.waitFor(() => expect(server.listHeartbeats()).toHaveLength(1));
+  expect(server.listHeartbeats()[0]!.key).toBe('vm-3');
+});
--- /dev/null
+++ b/packages/gateway/src/__tests__/zoneDigest.spec.ts
@@ -0,0 +1,69 @@
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { toId } from '@goldcrestscale/core';
+import type { UpstreamId, VmId } from '@goldcrestscale/core';
+import type { GossipMessage } from '../mesh/gossipMessage.js';
+import { ZoneDigest, removeLoads } from '../mesh/zoneDigest.js';
+
+const toUpstream = (name: string) => toId<UpstreamId>(name);
+
+const makeReport = (name: string, loads: Readonly<Record<string, number>>): GossipMessage => ({
+  vmId: toId<VmId>(name),
+  sequence: 7,
+  loads: Object.entries(loads).map(([upstream, inFlight]) => ({
+    upstreamId: toUpstream(upstream),
+    inFlight,
+    pendingTokens: 100 * inFlight,
+    heldTokens: 200 * inFlight,
+  })),
+  loading: [],
+  weights: [],
+  down: [],
+  sent: [{ hash: 1, upstreamId: toUpstream('a') }],
+});
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+test('a zone with many VMs is told as one sum, which names what it contains', () => {
+  const digest = new ZoneDigest(1_500);
+  for (let index = 0; index < 50; index += 1) digest.note(makeReport(`vm-${index}`, { a: 2 }));
+  const message = digest.build(makeReport('relay', { b: 1 }), 9);
+  expect(message.loads.map(({ upstreamId, inFlight }) => [upstreamId, inFlight])).toEqual([
+    ['b', 1],
+    ['a', 100],
+  ]);
+  expect(message.members).toHaveLength(51);
+  expect(message.sent).toHaveLength(51);
+  expect(digest.build(makeReport('relay', {}), 10).sent).toHaveLength(1);
+});
+
+test('a VM takes its own part out of the sums', () => {
+  const own = makeReport('vm-1', { a: 2, b: 1 });
+  const digest = new ZoneDigest(1_500);
+  digest.note(own);
+  digest.note(makeReport('vm-2', { a: 3 }));
+  const { loads } = digest.build(makeReport('relay', {}), 9);
+  expect(removeLoads(loads, own.loads)).toEqual([
+    { upstreamId: 'a', inFlight: 3, pendingTokens: 300, heldTokens: 600 },
+  ]);
+});
+
+test('the report of a silent VM leaves the sums', () => {
+  const digest = new ZoneDigest(1_500);
+  digest.note(makeReport('vm-1', { a: 2 }));
+  expect(digest.hasHeard(toId<VmId>('vm-1'), 500)).toBe(true);
+  vi.advanceTimersByTime(1_600);
+  expect(digest.hasHeard(toId<VmId>('vm-1'), 500)).toBe(false);
+  expect(digest.build(makeReport('relay', {}), 9).loads).toEqual([]);
+});
+
+test('what a second relay hears is not kept for ever', () => {
+  const digest = new ZoneDigest(1_500);
+  for (let index = 0; index < 50; index += 1) digest.note(makeReport('vm-1', { a: 2 }));
+  digest.dropSent();
+  expect(digest.build(makeReport('relay', {}), 9).sent).toHaveLength(1);
+});
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -1,28 +1,43 @@
 import { randomBytes, randomUUID } from 'node:crypto';
 import { ConditionalLease, pickByRendezvous, toId } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
+import { FIRST_START_MS, FOLLOWER_HEARD_MS } from '../constants.js';
 import { BlockStoresController } from '../controllers/blockStoresController.js';
 import { EntriesController } from '../controllers/entriesController.js';
 import { LogLeaseStream } from '../controllers/logLeaseStream.js';
 import { OperatorsController } from '../controllers/operatorsController.js';
 import { RolloutController } from '../controllers/rolloutController.js';
+import type { TopicReader } from '../controllers/topicReader.js';
 import { GatewayUpstreamsController } from '../controllers/upstreamsController.js';
 import type { GatewayOptions } from '../gatewayOptions.js';
+import { FeedClient } from '../mesh/feedClient.js';
+import type { RelayedBatch, RelayedBlocks } from '../mesh/feedMessage.js';
+import { FeedServer } from '../mesh/feedServer.js';
 import { Gossip } from '../mesh/gossip.js';
+import type { LogTopic } from '../ports/index.js';
 import type { Knowledge } from './createKnowledge.js';
 
 /** Time by which the holder of a lease stops before its end, in milliseconds. */
 const LEASE_MARGIN_MS = 400;
 
-/** Length of the key that proves this VM's datagrams. */
+/** Length of the key that proves this VM's messages to the others. */
 const MESH_KEY_BYTES = 24;
 
+/** Where readers publish what they have read by themselves. */
+interface ReaderOutput {
+  readonly onChange: () => void;
+  readonly onBatch: (batch: RelayedBatch) => void;
+  readonly onBlocks: (blocks: RelayedBlocks) => void;
+}
+
 /** Creates the controllers that follow the log and the stores. */
 const createReaders = (
   { settings, logger, log, codec, upstreams: protocol }: GatewayOptions,
-  { roster, registry, blocks }: Knowledge,
+  { roster, registry, blocks, relays }: Knowledge,
+  { onBatch, onBlocks, onChange }: ReaderOutput,
   onDeployment: () => void,
 ) => {
+  const startedAtMs = performance.now();
   const operators: OperatorsController = new OperatorsController({
     log,
     codec,
@@ -31,12 +46,16 @@
       blocks.replaceStores(operators.state.view?.deployment.blockStores ?? []);
       onDeployment();
     },
+    onChange,
+    isRelay: () => relays.isSelf,
+    onBatch,
   });
   const upstreams = new GatewayUpstreamsController({
     log,
     codec,
     logger: logger.createPart('upstreams'),
     registry,
+    onBatch,
   });
   const stores = new BlockStoresController({
     blocks,
@@ -44,13 +63,75 @@
     logger: logger.createPart('stores'),
     horizon: operators.horizon,
     isInCharge(address) {
-      const live = roster.listServing().map(({ vmId }) => vmId);
-      return pickByRendezvous(address, live) === settings.vmId;
+      const readers = relays.isNeeded ? relays.listAll() : roster.listServing();
+      const vmIds = readers.map(({ vmId }) => vmId);
+      return pickByRendezvous(address, vmIds) === settings.vmId;
+    },
+    isReader() {
+      // A store bears few readers: a new fleet asks none before it knows its relays.
+      const isUnknown = settings.isFirstStart && performance.now() - startedAtMs < FIRST_START_MS;
+      return relays.isNeeded ? relays.isSelf : !isUnknown;
     },
+    onBlocks,
   });
   return { operators, upstreams, stores };
 };
 
+/** What the mesh tells of, and whom it tells what the others say. */
+interface MeshSources {
+  readonly readers: ReturnType<typeof createReaders>;
+  readonly entries: EntriesController;
+  readonly rollout: RolloutController;
+}
+
+/** Creates what tells the other VMs, and hears them. */
+const createMesh = (
+  { settings, logger: root }: GatewayOptions,
+  { roster, registry, peerLoads, sent, relays }: Knowledge,
+  key: string,
+  { readers, entries, rollout }: MeshSources,
+) => {
+  const logger = root.createPart('mesh');
+  const common = {
+    self: settings.vmId,
+    address: settings.listen.mesh,
+    key,
+    roster,
+    relays,
+    logger,
+  };
+  const gossip = new Gossip({
+    ...common,
+    zone: settings.availabilityZone,
+    registry,
+    peerLoads,
+    sent,
+    listLoading: () => rollout.listLoading(),
+  });
+  const topicReaders: Partial<Record<LogTopic, TopicReader>> = {
+    operators: readers.operators.reader,
+    upstreams: readers.upstreams.reader,
+    entries: entries.reader,
+  };
+  const feedServer = new FeedServer({
+    ...common,
+    listPositions: () =>
+      Object.values(topicReaders).flatMap((reader) => reader.describePosition() ?? []),
+    listBlocks: () => readers.stores.listBlocks(),
+    isHeard: (vmId) => gossip.hasHeard(vmId, FOLLOWER_HEARD_MS),
+  });
+  const feedClient = new FeedClient({
+    ...common,
+    onBatch: (batch) => topicReaders[batch.topic]?.takeRelayed(batch),
+    onPosition: (position, askedAt) => topicReaders[position.topic]?.noteRelayed(position, askedAt),
+    onBlocks: (blocks) => readers.stores.takeRelayed(blocks),
+    onEnd: () => entries.renewHeartbeat(),
+  });
+  return { gossip, feedServer, feedClient };
+};
+
+type Mesh = ReturnType<typeof createMesh>;
+
 /** Creates the controllers; `onDeployment` is called with each new configuration. */
 export const createControllers = (
   options: GatewayOptions,
@@ -58,10 +139,16 @@
   onDeployment: () => void,
 ) => {
   const { settings, logger, log, upstreams: protocol } = options;
-  const { roster, registry, peerLoads, sent } = knowledge;
+  const { roster, registry } = knowledge;
   const bootId = toId<BootId>(randomUUID());
   const meshKey = randomBytes(MESH_KEY_BYTES).toString('base64');
-  const readers = createReaders(options, knowledge, onDeployment);
+  /* eslint-disable @typescript-eslint/no-use-before-define -- called later */
+  const output: ReaderOutput = {
+    onChange: () => rollout.check(),
+    onBatch: (batch) => mesh.feedServer.publish({ kind: 'batch', batch }),
+    onBlocks: (blocks) => mesh.feedServer.publish({ kind: 'blocks', blocks }),
+  };
+  const readers = createReaders(options, knowledge, output, onDeployment);
   const rollout: RolloutController = new RolloutController({
     self: settings.vmId,
     holder: settings.vmId,
@@ -76,19 +163,7 @@
     roster,
     protocol,
     logger: logger.createPart('rollout'),
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
-    onLoadingChange: () => gossip.send(),
-  });
-  const gossip: Gossip = new Gossip({
-    self: settings.vmId,
-    address: settings.listen.mesh,
-    key: meshKey,
-    roster,
-    registry,
-    peerLoads,
-    sent,
-    listLoading: () => rollout.listLoading(),
-    logger: logger.createPart('mesh'),
+    onLoadingChange: () => mesh.gossip.send(),
   });
   const entries = new EntriesController({
     log,
@@ -97,8 +172,13 @@
     bootId,
     roster,
     meshKey,
+    onBatch: output.onBatch,
+    forwardHeartbeat: (record) => mesh.feedClient.forwardHeartbeat(record),
+    listForwarded: () => mesh.feedServer.listHeartbeats(),
   });
-  return { ...readers, bootId, rollout, gossip, entries };
+  const mesh: Mesh = createMesh(options, knowledge, meshKey, { readers, entries, rollout });
+  /* eslint-enable @typescript-eslint/no-use-before-define */
+  return { ...readers, ...mesh, bootId, rollout, entries };
 };
 
 export type Controllers = ReturnType<typeof createControllers>;
--- a/packages/gateway/src/compose/createKnowledge.ts
+++ b/packages/gateway/src/compose/createKnowledge.ts
@@ -5,18 +5,22 @@
   PeerLoads,
   SentParts,
   UpstreamRegistry,
+  ZoneRelays,
   createGenerator,
 } from '@goldcrestscale/core';
+import type { AvailabilityZoneId, VmId } from '@goldcrestscale/core';
 import { GOSSIP_MAX_AGE_MS } from '../constants.js';
 
 /** What the gateway knows of the fleet; controllers write it, filters read it. */
-export const createKnowledge = () => {
+export const createKnowledge = (self: VmId, zone: AvailabilityZoneId) => {
   const random = createGenerator();
+  const roster = new EntryRoster();
   const peerLoads = new PeerLoads(GOSSIP_MAX_AGE_MS);
   return {
     random,
     peerLoads,
-    roster: new EntryRoster(),
+    roster,
+    relays: new ZoneRelays(roster, self, zone),
     registry: new UpstreamRegistry(peerLoads),
     blocks: new BlockDirectory(),
     sent: new SentParts(),
--- a/packages/gateway/src/config.ts
+++ b/packages/gateway/src/config.ts
@@ -15,6 +15,17 @@
   vmId: z.string().min(1).describe('name of this VM, unique in the fleet'),
   availabilityZone: z.string().min(1).describe('availability zone of this VM'),
   zones: z.record(z.string(), z.string()).describe('region of each availability zone'),
+  firstStart: z
+    .boolean()
+    .default(false)
+    .describe('whether the whole fleet starts for the first time'),
+  machine: z
+    .object({
+      cores: positive.describe('processor cores'),
+      coreShare: positive.describe('part of each core that the process gets'),
+      linkMbps: positive.describe('bandwidth, in megabits a second'),
+    })
+    .default({ cores: 1, coreShare: 1, linkMbps: 1_000 }),
   listen: z.object({
     callers: addressSchema.describe('listener for callers'),
     readiness: addressSchema.describe("listener for the platform's readiness checks"),
@@ -60,6 +71,10 @@
     readonly directory: string;
     readonly mesh: string;
   };
+  /** Whether the whole fleet starts for the first time. */
+  readonly isFirstStart: boolean;
+  /** Cores times bandwidth: compares this VM with the others. */
+  readonly size: number;
   readonly logAddress: string;
   readonly leaseMs: number;
   readonly bounds: FleetBounds;
@@ -83,7 +98,7 @@
     );
     throw new GatewaySettingsError(`The settings are not usable. ${problems.join('; ')}`);
   }
-  const { vmId, availabilityZone, zones, listen, log, bounds } = parsed.data;
+  const { vmId, availabilityZone, zones, machine, listen, log, bounds } = parsed.data;
   return {
     vmId: vmId as VmId,
     availabilityZone: availabilityZone as AvailabilityZoneId,
@@ -93,6 +108,8 @@
         region as RegionId,
       ]),
     ),
+    isFirstStart: parsed.data.firstStart,
+    size: machine.cores * machine.coreShare * machine.linkMbps,
     listen,
     logAddress: log.address,
     leaseMs: log.leaseMs,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -25,7 +25,10 @@
 /** Sends of one request beyond its route's bound that may follow proofs that it has not run. */
 export const MAX_EXTRA_SENDS = 2;
 
-/** Time beyond which a fetch that takes longer than a read is given up, in milliseconds. */
+/** Reads whose time a fetch may take: a part that is read again also takes the engine's time from others. */
+export const FETCH_PATIENCE = 3;
+
+/** Time for which a fetch is waited for beside that, in milliseconds. */
 export const FETCH_SLACK_MS = 60;
 
 /** Time for which an upstream that refused a request gets no other, in milliseconds. */
@@ -41,7 +44,13 @@
 export const ENTRY_HEARTBEAT_MS = 1_400;
 
 /** Interval at which entry VMs tell each other what they have in flight, in milliseconds. */
-export const GOSSIP_INTERVAL_MS = 50;
+export const GOSSIP_INTERVAL_MS = 100;
+
+/** Prompt tokens to read from which the others are told at once: some tens of milliseconds. */
+export const GOSSIP_AT_ONCE_TOKENS = 800;
+
+/** Time within which prompts are told together, in milliseconds. */
+export const GOSSIP_AT_ONCE_MS = 1;
 
 /** Peers that are told at that interval; with more of them it grows in proportion. */
 export const GOSSIP_PEERS = 10;
@@ -49,19 +58,67 @@
 /** Age at which a peer's figures no longer count, in milliseconds. */
 export const GOSSIP_MAX_AGE_MS = 1_500;
 
+/** Interval at which VMs of a fleet with relays tell what they have in flight, in milliseconds. */
+export const RELAY_INTERVAL_MS = 200;
+
+/** Silence after which the next relay of a zone takes over, in milliseconds: three messages. */
+export const RELAY_SILENCE_MS = 650;
+
+/** Interval at which followers ask their relay how far it has read, in milliseconds. */
+export const FEED_ASK_MS = 450;
+
+/** Silence of a relay after which its followers leave it, in milliseconds: three questions. */
+export const FEED_SILENCE_MS = 1_400;
+
+/** Time for which a relay that was lost is not asked again, in milliseconds. */
+export const FEED_RETRY_MS = 3_000;
+
+/** Silence from which a follower's heartbeat is written no more, in milliseconds. */
+export const FOLLOWER_HEARD_MS = 1_000;
+
+/** Bytes that may wait for a slow follower before it is dropped. */
+export const FEED_BACKLOG_BYTES = 8 * 1024 * 1024;
+
+/** Time for which a relay's position keeps a follower from reading by itself, in milliseconds. */
+export const FEED_SYNC_MS = 1_100;
+
+/** Age from which a relay's own reading is too old to rely on, in milliseconds. */
+export const FEED_PROOF_MS = 1_200;
+
+/** Least time after which a follower looks again whether it has to read by itself, in milliseconds. */
+export const FEED_CHECK_MS = 150;
+
+/** Time for which what is read is collected before followers are told, in milliseconds. */
+export const FEED_FLUSH_MS = 80;
+
+/** Interval at which a VM that asks no store looks whether it has to, in milliseconds. */
+export const STORE_CHECK_MS = 1_000;
+
+/** Time that one long read of the operators' records waits at a relay, in milliseconds. */
+export const RELAY_OPERATOR_WAIT_MS = 700;
+
+/** Time after the first start of a fleet until its VMs know of each other, in milliseconds. */
+export const FIRST_START_MS = 4_000;
+
 /** Pause after a failed call of the log, in milliseconds. */
 export const LOG_RETRY_MS = 250;
 
 /** Interval at which a change of weights is driven, in milliseconds. */
 export const ROLLOUT_TICK_MS = 120;
 
+/** Interval at which engines are looked for that are behind, in milliseconds; a change wakes sooner. */
+export const ROLLOUT_IDLE_MS = 600;
+
+/** VMs, in the order in which they would take over, that watch who gives orders. */
+export const LEASE_WATCHERS = 3;
+
 /** Time after which the next VM takes over a change of weights that does not move on, in milliseconds. */
 export const ROLLOUT_TAKEOVER_MS = 1_500;
 
 /** Interval at which VMs that give no orders look who holds the lease, in milliseconds. */
 export const LEASE_WATCH_MS = 600;
 
-/** Time for which an engine gets no new request before its order, in milliseconds: two gossips. */
+/** Time for which an engine gets no new request before its order, in milliseconds: others are told at once. */
 export const LOAD_DRAIN_MS = 100;
 
 /** Time after an order from which its end is asked for at first, in milliseconds. */
@@ -79,6 +136,9 @@
 /** Age of newer weights from which older ones serve no request any more, as a share of the bound. */
 export const OLD_WEIGHTS_SHARE = 0.85;
 
+/** Time after events of a store in which more are collected before the next read, in milliseconds. */
+export const BLOCK_EVENTS_PAUSE_MS = 300;
+
 /** Time that one read of a store's events waits, in milliseconds. */
 export const BLOCK_EVENTS_WAIT_MS = 900;
 
--- a/packages/gateway/src/controllers/blockStoresController.ts
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -1,7 +1,13 @@
 import { sleep, splitBlockKey } from '@goldcrestscale/core';
 import type { BlockDirectory, FetchHorizon } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import { BLOCK_EVENTS_WAIT_MS, LOG_RETRY_MS } from '../constants.js';
+import {
+  BLOCK_EVENTS_PAUSE_MS,
+  BLOCK_EVENTS_WAIT_MS,
+  LOG_RETRY_MS,
+  STORE_CHECK_MS,
+} from '../constants.js';
+import type { RelayedBlocks } from '../mesh/feedMessage.js';
 import type { UpstreamProtocol } from '../ports/index.js';
 
 const FROM_START = 0;
@@ -14,6 +20,10 @@
   readonly horizon: FetchHorizon;
   /** Whether this VM frees the blocks of a store; another one that does as well costs a call. */
   readonly isInCharge: (address: string) => boolean;
+  /** Whether this VM asks the stores itself; else a relay tells what they hold. */
+  readonly isReader: () => boolean;
+  /** Told what this VM has read by itself, for those that follow it. */
+  readonly onBlocks: (blocks: RelayedBlocks) => void;
 }
 
 /** Follows the events of every store. */
@@ -40,12 +50,36 @@
       });
   }
 
+  /** Takes what a relay tells of a store. */
+  takeRelayed({ address, epoch, isWhole, clockMs, changes }: RelayedBlocks): void {
+    const { blocks, isReader } = this.options;
+    if (isReader()) return;
+    if (clockMs !== undefined) blocks.noteClock(clockMs);
+    if (isWhole || epoch === undefined) blocks.clearStore(address);
+    if (epoch === undefined) return;
+    blocks.noteEpoch(address, epoch);
+    changes.forEach((change) => blocks.applyChange(address, change));
+  }
+
+  /** Lists all that the stores hold, as far as this VM has read it by itself. */
+  listBlocks(): readonly RelayedBlocks[] {
+    const { blocks, isReader } = this.options;
+    if (!isReader()) return [];
+    return blocks.listStores().map(({ address }) => ({
+      address,
+      epoch: blocks.findEpoch(address),
+      isWhole: true,
+      clockMs: undefined,
+      changes: blocks.listBlocks(address),
+    }));
+  }
+
   private async follow(address: string, signal: AbortSignal): Promise<void> {
     let next = FROM_START;
     let isDown = false;
     while (!signal.aborted) {
       try {
-        next = await this.readOnce(address, next, signal);
+        next = await this.readNext(address, next, signal);
         if (isDown) this.options.logger.info('store answers again', { address });
         isDown = false;
       } catch (cause) {
@@ -54,6 +88,7 @@
           this.options.logger.warn('store does not answer', { address, error: String(cause) });
           // What it holds is known again from the events that it still has.
           this.options.blocks.clearStore(address);
+          this.publish({ address, epoch: undefined });
           next = FROM_START;
         }
         isDown = true;
@@ -62,6 +97,14 @@
     }
   }
 
+  private publish({
+    clockMs,
+    changes = [],
+    ...told
+  }: Pick<RelayedBlocks, 'address' | 'epoch'> & Partial<RelayedBlocks>): void {
+    this.options.onBlocks({ ...told, isWhole: false, clockMs, changes });
+  }
+
   /** Frees the blocks of weights that are no longer wanted, so that the new ones find room. */
   private async releaseOutdated(
     address: string,
@@ -79,6 +122,12 @@
     logger.info('blocks freed', { address, blocks: keys.length });
   }
 
+  private async readNext(address: string, since: number, signal: AbortSignal): Promise<number> {
+    if (this.options.isReader()) return this.readOnce(address, since, signal);
+    await sleep(STORE_CHECK_MS, signal);
+    return FROM_START;
+  }
+
   /** @returns the position of the next read */
   private async readOnce(address: string, since: number, signal: AbortSignal): Promise<number> {
     const { blocks, protocol, logger } = this.options;
@@ -91,7 +140,10 @@
       if (since !== FROM_START) return FROM_START;
     }
     events.changes.forEach((change) => blocks.applyChange(address, change));
+    const { epoch, clockMs, changes } = events;
+    if (changes.length > 0) this.publish({ address, epoch, clockMs, changes });
     await this.releaseOutdated(address, events.epoch, signal);
+    if (changes.length > 0) await sleep(BLOCK_EVENTS_PAUSE_MS, signal);
     return events.next;
   }
 }
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -1,9 +1,10 @@
-import { sleep } from '@goldcrestscale/core';
+import { pickForCallers, sleep } from '@goldcrestscale/core';
 import type { BootId, EntryHeartbeat, EntryRoster } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GatewaySettings } from '../config.js';
 import { ENTRY_HEARTBEAT_MS, LOG_RETRY_MS } from '../constants.js';
 import type { KeyedRecord, SharedLog } from '../ports/index.js';
+import type { RelayedBatch } from '../mesh/feedMessage.js';
 import { decodeHeartbeat, encodeHeartbeat } from './heartbeatRecord.js';
 import { LogWatch } from './logWatch.js';
 import { TopicReader } from './topicReader.js';
@@ -17,11 +18,16 @@
   readonly roster: EntryRoster;
   /** Proves this VM's messages to the others. */
   readonly meshKey: string;
+  readonly onBatch: (batch: RelayedBatch) => void;
+  /** Passes the heartbeat to a relay, which writes it with its own; false where none does. */
+  readonly forwardHeartbeat: (record: KeyedRecord) => boolean;
+  /** Lists the heartbeats that other VMs pass to this one. */
+  readonly listForwarded: () => readonly KeyedRecord[];
 }
 
 /** Tells the other entry VMs of this one through the log, and follows what they tell. */
 export class EntriesController {
-  private readonly reader: TopicReader;
+  readonly reader: TopicReader;
 
   private readonly writes: LogWatch;
 
@@ -36,12 +42,13 @@
       log: options.log,
       topic: 'entries',
       logger,
-      waitMs: 0,
+      getWaitMs: () => 0,
       getPauseMs: () => ENTRY_HEARTBEAT_MS,
       onSnapshot: (records) => this.applyRecords(records),
       onRecords: (records) => this.applyRecords(records),
       onReturn: () => roster.noteLogUp(),
       onDown: () => roster.noteLogDown(),
+      onBatch: options.onBatch,
     });
   }
 
@@ -55,21 +62,25 @@
     this.wake.abort();
   }
 
-  /** Lists the addresses that callers may use. */
-  listAddresses(): readonly string[] {
+  /** Writes the next heartbeat now: the relay that wrote it may be gone. */
+  renewHeartbeat(): void {
+    this.wake.abort();
+  }
+
+  /** Lists the addresses that callers of a zone may use. */
+  listAddresses(zone: string | undefined): readonly string[] {
     const { roster, settings } = this.options;
-    const others = roster
-      .listServing()
-      .filter(({ vmId }) => vmId !== settings.vmId)
-      .map(({ address }) => address);
-    return this.isLeaving && others.length > 0 ? others : [settings.listen.callers, ...others];
+    const self = this.buildHeartbeat();
+    const others = roster.listServing().filter(({ vmId }) => vmId !== settings.vmId);
+    const serving = this.isLeaving && others.length > 0 ? others : [self, ...others];
+    return pickForCallers(serving, zone).map(({ address }) => address);
   }
 
   private async writeHeartbeats(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.wake = new AbortController();
       try {
-        await this.options.log.append('entries', encodeHeartbeat(this.buildHeartbeat()), signal);
+        await this.writeHeartbeat(signal);
         this.writes.noteSuccess();
         await sleep(ENTRY_HEARTBEAT_MS, AbortSignal.any([signal, this.wake.signal]));
       } catch (cause) {
@@ -80,6 +91,14 @@
     }
   }
 
+  private async writeHeartbeat(signal: AbortSignal): Promise<void> {
+    const { log, forwardHeartbeat, listForwarded } = this.options;
+    const own = encodeHeartbeat(this.buildHeartbeat());
+    // The end of a VM is told without a detour.
+    if (!this.isLeaving && forwardHeartbeat(own)) return;
+    await log.append('entries', [own, ...listForwarded()], signal);
+  }
+
   private buildHeartbeat(): EntryHeartbeat {
     const { settings, bootId, meshKey } = this.options;
     return {
@@ -90,6 +109,7 @@
       meshAddress: settings.listen.mesh,
       meshKey,
       leaving: this.isLeaving,
+      size: settings.size,
     };
   }
 
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -17,7 +17,8 @@
     typeof fields.address === 'string' &&
     typeof fields.meshAddress === 'string' &&
     typeof fields.meshKey === 'string' &&
-    typeof fields.leaving === 'boolean'
+    typeof fields.leaving === 'boolean' &&
+    typeof fields.size === 'number'
   );
 };
 
--- a/packages/gateway/src/controllers/operatorsController.ts
+++ b/packages/gateway/src/controllers/operatorsController.ts
@@ -1,7 +1,8 @@
 import { FetchHorizon, OperatorState } from '@goldcrestscale/core';
 import type { OperatorChange } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import { OPERATOR_WAIT_MS } from '../constants.js';
+import { OPERATOR_WAIT_MS, RELAY_OPERATOR_WAIT_MS } from '../constants.js';
+import type { RelayedBatch } from '../mesh/feedMessage.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
 import { TopicReader } from './topicReader.js';
 
@@ -11,6 +12,11 @@
   readonly codec: RecordCodec;
   readonly logger: Logger;
   readonly onDeployment: () => void;
+  /** Called when other weights are named, or zones go out or come back. */
+  readonly onChange: () => void;
+  /** Whether other VMs rely on what this one reads, and on its being current. */
+  readonly isRelay: () => boolean;
+  readonly onBatch: (batch: RelayedBatch) => void;
 }
 
 /** Follows what operators write: configuration, weights, zones that are out. */
@@ -19,18 +25,19 @@
 
   readonly horizon = new FetchHorizon(this.state);
 
-  private readonly reader: TopicReader;
+  readonly reader: TopicReader;
 
   constructor(private readonly options: OperatorsOptions) {
     this.reader = new TopicReader({
       log: options.log,
       topic: 'operators',
       logger: options.logger,
-      waitMs: OPERATOR_WAIT_MS,
+      getWaitMs: () => (options.isRelay() ? RELAY_OPERATOR_WAIT_MS : OPERATOR_WAIT_MS),
       getPauseMs: () => 0,
       onSnapshot: (records) => this.applySnapshot(records),
       onRecords: (records) => records.forEach((record) => this.applyRecord(record)),
       onProved: (at) => this.horizon.noteProved(at),
+      onBatch: options.onBatch,
     });
   }
 
@@ -57,6 +64,7 @@
       this.options.onDeployment();
     } else {
       logger.info('operators changed', { ...change });
+      this.options.onChange();
     }
     return change;
   }
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -12,12 +12,14 @@
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import {
+  LEASE_WATCHERS,
   LEASE_WATCH_MS,
   LOAD_CHECK_MS,
   LOAD_CHECK_SHARE,
   LOAD_DRAIN_MS,
   LOAD_FIRST_CHECK_MS,
   LOAD_FOLLOW_MS,
+  ROLLOUT_IDLE_MS,
   ROLLOUT_TAKEOVER_MS,
   ROLLOUT_TICK_MS,
 } from '../constants.js';
@@ -91,6 +93,11 @@
     return this.planner.listUnderWay();
   }
 
+  /** Looks at once which engines are behind: the operators have named other weights. */
+  check(): void {
+    this.wake.abort();
+  }
+
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       try {
@@ -101,7 +108,8 @@
         }
       }
       this.wake = new AbortController();
-      await sleep(ROLLOUT_TICK_MS, AbortSignal.any([signal, this.wake.signal]));
+      const pauseMs = this.lastBehind > 0 ? ROLLOUT_TICK_MS : ROLLOUT_IDLE_MS;
+      await sleep(pauseMs, AbortSignal.any([signal, this.wake.signal]));
     }
   }
 
@@ -118,9 +126,10 @@
       return;
     }
     this.hasWatched = false;
-    const hasTurn = lease.held !== undefined || this.isMyTurn();
+    const rank = this.computeRank();
+    const hasTurn = lease.held !== undefined || this.isMyTurn(rank);
     if (!hasTurn) {
-      await this.watchLease(signal);
+      if (rank < LEASE_WATCHERS) await this.watchLease(signal);
       return;
     }
     if (lease.isDue && !(await this.renew(signal))) return;
@@ -150,13 +159,18 @@
     this.lastBehind = behind;
   }
 
-  /** The first VM in the common order acts at once, each further one after a wait without progress. */
-  private isMyTurn(): boolean {
+  /** Gives this VM's place in the common order; infinite where it does not know itself yet. */
+  private computeRank(): number {
     const { roster, self } = this.options;
     const live = roster.listServing().map(({ vmId }) => vmId);
     const rank = rankByRendezvous(ORDER_GIVER_KEY, live).indexOf(self);
+    return rank < 0 ? Infinity : rank;
+  }
+
+  /** The first VM in the common order acts at once, each further one after a wait without progress. */
+  private isMyTurn(rank: number): boolean {
     const waitedMs = performance.now() - (this.behindSinceMs ?? performance.now());
-    return rank >= 0 && waitedMs >= rank * ROLLOUT_TAKEOVER_MS;
+    return waitedMs >= rank * ROLLOUT_TAKEOVER_MS;
   }
 
   private listBehind(): readonly BehindEngine[] {
--- a/packages/gateway/src/controllers/upstreamsController.ts
+++ b/packages/gateway/src/controllers/upstreamsController.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '@goldcrestscale/runtime';
 import { UPSTREAM_READ_MS } from '../constants.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
+import type { RelayedBatch } from '../mesh/feedMessage.js';
 import { TopicReader } from './topicReader.js';
 
 /** What the controller is built from. */
@@ -10,11 +11,12 @@
   readonly codec: RecordCodec;
   readonly logger: Logger;
   readonly registry: UpstreamRegistry;
+  readonly onBatch: (batch: RelayedBatch) => void;
 }
 
 /** Follows the registry of upstreams. */
 export class GatewayUpstreamsController {
-  private readonly reader: TopicReader;
+  readonly reader: TopicReader;
 
   constructor(private readonly options: GatewayUpstreamsOptions) {
     const { registry } = options;
@@ -23,11 +25,12 @@
       topic: 'upstreams',
       logger: options.logger,
       // Each heartbeat is a record: a read that waits for one would be answered at once.
-      waitMs: 0,
+      getWaitMs: () => 0,
       getPauseMs: () => UPSTREAM_READ_MS,
       onSnapshot: (records) => this.applySnapshot(records),
       onRecords: (records) => this.applyRecords(records),
       onReturn: () => registry.noteLogReturn(),
+      onBatch: options.onBatch,
     });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,15 +11,16 @@
 import type { GatewayOptions } from './gatewayOptions.js';
 import type { GatewayServer } from './http/callerServer.js';
 import { createServiceServer } from './http/serviceServer.js';
+import { splitAddress } from './socketAddress.js';
 
 /** Interval at which the end of a shutdown is looked for, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
 
 const listen = (server: Server, address: string): Promise<void> =>
   new Promise((resolve, reject) => {
-    const split = address.lastIndexOf(':');
+    const { host, port } = splitAddress(address);
     server.once('error', reject);
-    server.listen(Number(address.slice(split + 1)), address.slice(0, split), () => {
+    server.listen(port, host, () => {
       server.off('error', reject);
       resolve();
     });
@@ -38,7 +39,10 @@
     renderMetrics: () => metrics.render(),
   };
   return {
-    directory: createServiceServer({ ...common, listAddresses: () => entries.listAddresses() }),
+    directory: createServiceServer({
+      ...common,
+      listAddresses: (zone) => entries.listAddresses(zone),
+    }),
     readiness: createServiceServer({ ...common, listAddresses: undefined }),
   };
 };
@@ -46,6 +50,8 @@
 /** Starts the controllers; they run until the signal aborts. */
 const startControllers = async (controllers: Controllers, signal: AbortSignal): Promise<void> => {
   await controllers.gossip.start(signal);
+  await controllers.feedServer.start(signal);
+  void controllers.feedClient.run(signal);
   void controllers.operators.run(signal);
   void controllers.upstreams.run(signal);
   void controllers.entries.run(signal);
@@ -67,15 +73,16 @@
   setMaxListeners(0, work.signal, signal);
   const shutdown = new Shutdown(settings.bounds.shutdownMs);
   const connections = new ConnectionPool(() => metrics.countConnection());
-  const knowledge = createKnowledge();
+  const knowledge = createKnowledge(settings.vmId, settings.availabilityZone);
   const controllers: Controllers = createControllers(options, knowledge, () => {
     controllers.stores.refresh(work.signal);
     const limits = controllers.operators.state.view?.deployment.callerLimits;
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
     if (limits) callers.applyLimits(limits);
   });
-  const { operators } = controllers;
-  const callers = createDataPath(options, { knowledge, operators, shutdown, connections });
+  const { operators, gossip } = controllers;
+  const parts = { knowledge, operators, shutdown, connections, gossip };
+  const callers = createDataPath(options, parts);
   const { directory, readiness } = createServiceServers(options, controllers, shutdown);
   await Promise.all([
     listen(callers.server, settings.listen.callers),
--- a/packages/gateway/src/mesh/gossipMessage.ts
+++ b/packages/gateway/src/mesh/gossipMessage.ts
@@ -24,6 +24,17 @@
   readonly down: readonly UpstreamId[];
   /** Weights of engines that are newer than their heartbeats. */
   readonly weights: readonly LearnedWeights[];
+  /**
+   * Present where a relay tells for the VMs of its zone: the last message of each that the sums
+   * contain.
+   */
+  readonly members?: readonly MemberSequence[] | undefined;
+}
+
+/** The message of a VM that a relay's sums contain. */
+export interface MemberSequence {
+  readonly vmId: VmId;
+  readonly sequence: number;
 }
 
 /** Weights that an engine has been found to run on. */
@@ -41,7 +52,7 @@
 
 /** Encodes a message with a proof made with the sender's key. */
 export const encodeGossip = (message: GossipMessage, key: string): Buffer => {
-  const { vmId, sequence, loads, loading, down, weights, sent } = message;
+  const { vmId, sequence, loads, loading, down, weights, sent, members } = message;
   const rows = loads.map(({ upstreamId, inFlight, pendingTokens, heldTokens }) => [
     upstreamId,
     inFlight,
@@ -50,7 +61,17 @@
   ]);
   const sentRows = sent.map(({ hash, upstreamId }) => [hash, upstreamId]);
   const learned = weights.map(({ upstreamId, model, held }) => [upstreamId, model, held]);
-  const content = packr.pack([vmId, sequence, rows, loading, learned, down, sentRows]);
+  const memberRows = members?.map((member) => [member.vmId, member.sequence]);
+  const content = packr.pack([
+    vmId,
+    sequence,
+    rows,
+    loading,
+    learned,
+    down,
+    sentRows,
+    memberRows ?? null,
+  ]);
   return Buffer.concat([prove(key, content), content]);
 };
 
@@ -86,6 +107,13 @@
   ];
 };
 
+const decodeMember = (row: unknown): MemberSequence[] => {
+  if (!Array.isArray(row)) return [];
+  const [vmId, sequence] = row as unknown[];
+  if (typeof vmId !== 'string' || typeof sequence !== 'number') return [];
+  return [{ vmId: toId<VmId>(vmId), sequence }];
+};
+
 /**
  * Decodes a message and checks its proof.
  *
@@ -106,7 +134,7 @@
     return undefined;
   }
   if (!Array.isArray(fields)) return undefined;
-  const [vmId, sequence, loads, loading, weights, down, sent] = fields as unknown[];
+  const [vmId, sequence, loads, loading, weights, down, sent, members] = fields as unknown[];
   if (typeof vmId !== 'string' || typeof sequence !== 'number') return undefined;
   if (!Array.isArray(loads) || !Array.isArray(loading)) return undefined;
   if (!Array.isArray(weights) || !Array.isArray(down) || !Array.isArray(sent)) return undefined;
@@ -122,5 +150,6 @@
     loading: loading.filter(isUpstreamId),
     down: down.filter(isUpstreamId),
     sent: sent.flatMap(decodeSent),
+    ...(Array.isArray(members) ? { members: members.flatMap(decodeMember) } : {}),
   };
 };
--- a/packages/gateway/src/ports/sharedLog.ts
+++ b/packages/gateway/src/ports/sharedLog.ts
@@ -36,8 +36,12 @@
   /** @throws LogTrimmedError where the records at that position are gone */
   abstract read(topic: LogTopic, from: number, options: ReadOptions): Promise<LogBatch>;
 
-  /** Appends a record; after an error it may still be appended. */
-  abstract append(topic: LogTopic, record: KeyedRecord, signal: AbortSignal): Promise<void>;
+  /** Appends records, all or none; after an error they may still be appended. */
+  abstract append(
+    topic: LogTopic,
+    records: readonly KeyedRecord[],
+    signal: AbortSignal,
+  ): Promise<void>;
 
   /** @returns the record's offset; undefined where the stream does not end at that position */
   abstract appendAt(
