feat(core): parts are saved in the zone of their engine

Change: a store in the engine's own zone has four times the weight; a prompt looks first at engines of the zone where its session is stored.

--- a/packages/core/src/blockStores/__tests__/blockStores.spec.ts
+++ b/packages/core/src/blockStores/__tests__/blockStores.spec.ts
@@ -37,6 +37,8 @@
   managed: true,
 });
 
+const ZONE = toId<AvailabilityZoneId>('z1');
+
 const createDirectory = (stores: readonly BlockStoreSettings[]): BlockDirectory => {
   const directory = new BlockDirectory();
   directory.replaceStores(stores);
@@ -51,20 +53,20 @@
 
 test('a part is saved once, and again only when no event has come', () => {
   const directory = createDirectory([makeStore('a')]);
-  expect(directory.takeSaveTarget(KEY, 500)).toBe('a');
-  expect(directory.takeSaveTarget(KEY, 500)).toBeUndefined();
+  expect(directory.takeSaveTarget(KEY, 500, ZONE)).toBe('a');
+  expect(directory.takeSaveTarget(KEY, 500, ZONE)).toBeUndefined();
   vi.advanceTimersByTime(4_001);
-  expect(directory.takeSaveTarget(KEY, 500)).toBe('a');
+  expect(directory.takeSaveTarget(KEY, 500, ZONE)).toBe('a');
   put(directory, 'a', 'p1', 500);
   vi.advanceTimersByTime(4_001);
-  expect(directory.takeSaveTarget(KEY, 500)).toBeUndefined();
+  expect(directory.takeSaveTarget(KEY, 500, ZONE)).toBeUndefined();
 });
 
 test('a store without room is passed over', () => {
   const directory = createDirectory([makeStore('small', 100), makeStore('large', 100_000)]);
-  expect(directory.takeSaveTarget(KEY, 500)).toBe('large');
+  expect(directory.takeSaveTarget(KEY, 500, ZONE)).toBe('large');
   put(directory, 'large', 'fill', 99_000);
-  expect(directory.takeSaveTarget(buildBlockKey('s', 'p2'), 500)).toBeUndefined();
+  expect(directory.takeSaveTarget(buildBlockKey('s', 'p2'), 500, ZONE)).toBeUndefined();
 });
 
 test('a part that is only partly there is not fetched', () => {
@@ -203,3 +205,16 @@
   expect(computeFetchTime(store, size, store.availabilityZone)).toBeCloseTo(9);
   expect(computeFetchTime(store, size, elsewhere)).toBeCloseTo(17);
 });
+
+test('a part is saved where its engine is, while there is room', () => {
+  const elsewhere = toId<AvailabilityZoneId>('z2');
+  const stores = [0, 1, 2].map((index) => makeStore(`far-${index}`, 100_000));
+  const near = { ...makeStore('near', 100_000), availabilityZone: elsewhere };
+  const directory = createDirectory([...stores, near]);
+  const targets = Array.from({ length: 300 }, (_, index) =>
+    directory.takeSaveTarget(buildBlockKey('s', `part-${index}`), 10, elsewhere),
+  );
+  const atNear = targets.filter((target) => target === 'near').length;
+  expect(atNear).toBeGreaterThan(150);
+  expect(atNear).toBeLessThan(300);
+});
--- a/packages/core/src/blockStores/blockDirectory.ts
+++ b/packages/core/src/blockStores/blockDirectory.ts
@@ -1,4 +1,5 @@
 import type { BlockStoreSettings } from '../deployment/index.js';
+import type { AvailabilityZoneId } from '../ids.js';
 import { hashText } from '../membership/rendezvous.js';
 
 /** A change that a store tells of. */
@@ -13,6 +14,9 @@
 /** Share of a store's room that saves fill; the rest takes what other VMs save meanwhile. */
 const FILLED_SHARE = 0.95;
 
+/** Weight of a store in the engine's own zone: its transfers take half the time of its link. */
+const SAME_ZONE_WEIGHT = 4;
+
 /** Time within which a part is not saved again, in milliseconds: its event is still under way. */
 const SAVE_MEMORY_MS = 4_000;
 
@@ -132,10 +136,11 @@
   }
 
   /**
-   * Chooses the store to save a part in, by rendezvous weighted with free room; undefined where it
-   * is saved already, was sent there a moment ago, or no store has room.
+   * Chooses the store to save a part in, by rendezvous weighted with free room, those in the
+   * engine's zone first; undefined where it is saved already, was sent there a moment ago, or no
+   * store has room.
    */
-  takeSaveTarget(key: string, tokens: number): string | undefined {
+  takeSaveTarget(key: string, tokens: number, zone: AvailabilityZoneId): string | undefined {
     const nowMs = performance.now();
     if (nowMs - (this.saves.get(key) ?? -Infinity) < SAVE_MEMORY_MS) return undefined;
     if (this.isStored(key)) return undefined;
@@ -145,7 +150,8 @@
       const free = store.settings.capacityTokens * FILLED_SHARE - store.usedTokens;
       if (store.epoch === undefined || free < tokens) return;
       const chance = (hashText(`${key}@${store.settings.address}`) + 1) / (UINT32_RANGE + 1);
-      const score = free / -Math.log(chance);
+      const weight = store.settings.availabilityZone === zone ? SAME_ZONE_WEIGHT : 1;
+      const score = (free * weight) / -Math.log(chance);
       if (score <= bestScore) return;
       best = store;
       bestScore = score;
--- a/packages/core/src/promptRouting/engineGroups.ts
+++ b/packages/core/src/promptRouting/engineGroups.ts
@@ -27,12 +27,14 @@
 };
 
 /**
- * Lists the engines to look at for a prompt: the few that its session has, of this VM's zone where
+ * Lists the engines to look at for a prompt: the few that its session has, of its home zone where
  * there are enough, then the whole zone, then all. The next group counts only where the one before
  * can't serve in time.
  *
  * Load pattern: prompts that come to several VMs at the same moment. What each VM knows of the
  * others is older than that; choosing the least loaded of all engines, all would choose the same.
+ *
+ * @param zone where the session is stored, else the zone of this VM
  */
 export const listEngineGroups = (
   prompt: Prompt,
--- a/packages/gateway/src/dispatch/attemptFactsBuilder.ts
+++ b/packages/gateway/src/dispatch/attemptFactsBuilder.ts
@@ -50,6 +50,7 @@
     const weights = findWeights(exchange, upstream);
     if (!prompt || weights === undefined || blocks.listStores().length === 0) return undefined;
     const salt = buildSalt(exchange, weights);
+    const zone = upstream.registered.availabilityZone;
     const shared = new Set(listSharedParts(prompt));
     const fetchFrom: (string | undefined)[] = [];
     const saveTo: (string | undefined)[] = [];
@@ -60,7 +61,7 @@
       const source = isShared ? blocks.findStore(key, part.tokens) : undefined;
       if (source !== undefined) fetchTokens += part.tokens;
       fetchFrom.push(source?.address);
-      saveTo.push(isShared ? blocks.takeSaveTarget(key, part.tokens) : undefined);
+      saveTo.push(isShared ? blocks.takeSaveTarget(key, part.tokens, zone) : undefined);
     });
     const readMs = fetchTokens / chooser.rate.tokensPerMs;
     const allowedMs = horizon.computeFetchMs(prompt.model, weights);
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -7,6 +7,7 @@
   buildBlockKey,
   computeColdShare,
   computeLongestElapsed,
+  findSessionPart,
   listEngineGroups,
   listSharedParts,
   pickDestination,
@@ -155,8 +156,9 @@
       return upstream && { upstream, readTokens: 0, firstTokenMs: 0, isOutdated: false };
     }
     const { objectiveMs } = requireRoute(exchange);
+    const home = this.findStoreZone(exchange, prompt) ?? zone;
     let decision: UpstreamDecision | undefined;
-    for (const { engines, isNear, objectiveShare } of listEngineGroups(prompt, all, zone)) {
+    for (const { engines, isNear, objectiveShare } of listEngineGroups(prompt, all, home)) {
       decision = this.chooseEngine(exchange, prompt, service, {
         engines: listFree(engines),
         senders: this.countSenders(isNear),
@@ -171,6 +173,15 @@
     return decision;
   }
 
+  /** Finds the zone in which the session of a prompt is stored, for the newest weights. */
+  private findStoreZone(exchange: GatewayExchange, prompt: Prompt): AvailabilityZoneId | undefined {
+    const session = findSessionPart(prompt);
+    if (!session) return undefined;
+    const wanted = this.options.operators.findWeights(prompt.model)?.wanted;
+    const key = buildBlockKey(buildSalt(exchange, wanted), session.id);
+    return this.options.blocks.findStore(key, session.tokens)?.availabilityZone;
+  }
+
   /** Counts the VMs that send to the same engines. */
   private countSenders(isNear: boolean): number {
     const { roster, zone } = this.options;
