revert: few engines are looked at first only while none is overloaded

Ruled out by it: that lanes within three engines cost short prompts their time; under overload all VMs then look at the same engines again. Conclusion: reverted.

--- a/packages/core/src/promptRouting/__tests__/promptRouting.spec.ts
+++ b/packages/core/src/promptRouting/__tests__/promptRouting.spec.ts
@@ -4,7 +4,7 @@
 import { toId, toWeightNumber } from '../../ids.js';
 import type { BlockStoreSettings } from '../../deployment/index.js';
 import type { AvailabilityZoneId, ModelId, PromptPartId } from '../../ids.js';
-import { PrefillRate, PromptRouter, SentParts, listEngineGroups } from '../index.js';
+import { PrefillRate, PromptRouter, SentParts } from '../index.js';
 import type { Prompt, PromptChoice, PromptRequest } from '../index.js';
 
 beforeEach(() => {
@@ -181,18 +181,6 @@
   expect(served.long).toBeGreaterThan(LONG_CAPACITY / 2);
 });
 
-test('short prompts stay on time also where a few engines a session are looked at first', () => {
-  const router = createRouter();
-  const served = playOverload((request, engines) => {
-    const [few, all] = listEngineGroups(request.prompt, engines, toId<AvailabilityZoneId>('z9'));
-    const decision =
-      router.chooseFew(request, few!.engines) ?? router.choose(request, all!.engines);
-    return decision && 'upstream' in decision ? decision.upstream : undefined;
-  });
-  expect(served.short).toBeGreaterThan(0.95);
-  expect(served.long).toBeGreaterThan(LONG_CAPACITY / 2);
-});
-
 test('the naive choice, the shortest queue for all, makes short ones late', () => {
   const served = playOverload(
     (_request, engines) =>
--- a/packages/core/src/promptRouting/engineGroups.ts
+++ b/packages/core/src/promptRouting/engineGroups.ts
@@ -1,7 +1,7 @@
 import type { TrackedUpstream } from '../fleet/index.js';
 import type { AvailabilityZoneId } from '../ids.js';
 import { rankByRendezvous } from '../membership/rendezvous.js';
-import { FIRST_CANDIDATES, NEAR_MIN_ENGINES } from './constants.js';
+import { FIRST_CANDIDATES, FIRST_OBJECTIVE_SHARE, NEAR_MIN_ENGINES } from './constants.js';
 import type { Prompt } from './prompt.js';
 import { findSessionPart } from './prompt.js';
 
@@ -10,8 +10,8 @@
   readonly engines: readonly TrackedUpstream[];
   /** Whether only the VMs of one zone send to these engines as a rule. */
   readonly isNear: boolean;
-  /** Whether these are the few of the session, which count only while they are not overloaded. */
-  readonly isFew: boolean;
+  /** Part of the prompt's objective within which its first token must be expected. */
+  readonly objectiveShare: number;
 }
 
 const pickForSession = (
@@ -41,16 +41,16 @@
   engines: readonly TrackedUpstream[],
   zone: AvailabilityZoneId,
 ): readonly EngineGroup[] => {
-  const all = { engines, isNear: false, isFew: false };
+  const all = { engines, isNear: false, objectiveShare: Infinity };
   const near = engines.filter(({ registered }) => registered.availabilityZone === zone);
   if (near.length < NEAR_MIN_ENGINES) {
     const few = pickForSession(prompt, engines);
-    return [{ engines: few, isNear: false, isFew: true }, all];
+    return [{ engines: few, isNear: false, objectiveShare: FIRST_OBJECTIVE_SHARE }, all];
   }
   const few = pickForSession(prompt, near);
   return [
-    { engines: few, isNear: true, isFew: true },
-    { engines: near, isNear: true, isFew: false },
+    { engines: few, isNear: true, objectiveShare: FIRST_OBJECTIVE_SHARE },
+    { engines: near, isNear: true, objectiveShare: 1 },
     all,
   ];
 };
--- a/packages/core/src/promptRouting/promptRouter.ts
+++ b/packages/core/src/promptRouting/promptRouter.ts
@@ -8,7 +8,6 @@
   EXPRESS_KEY,
   EXPRESS_MAX_SHARE,
   EXPRESS_RESERVE,
-  FIRST_OBJECTIVE_SHARE,
   LOAD_COST_MS,
   LONG_READ_SHARE,
   MEMORY_SHARE,
@@ -126,41 +125,15 @@
     private readonly rate: PrefillRate,
   ) {}
 
-  /** Chooses among all engines that the prompt may go to. */
   choose(
     request: PromptRequest,
     candidates: readonly TrackedUpstream[],
   ): PromptDecision | undefined {
-    return this.chooseLane(request, this.weighAll(request, candidates));
-  }
-
-  /**
-   * Chooses among the few engines that are looked at first.
-   *
-   * @returns undefined where more of them have to be looked at: these are overloaded, late or on
-   *   older weights
-   */
-  chooseFew(
-    request: PromptRequest,
-    candidates: readonly TrackedUpstream[],
-  ): PromptChoice | undefined {
-    const weighed = this.weighAll(request, candidates);
-    const least = pickLeastCost(weighed);
-    if (!least || least.isOutdated || isOverloaded(request, weighed)) return undefined;
-    if (least.firstTokenMs > request.objectiveMs * FIRST_OBJECTIVE_SHARE) return undefined;
-    if (!this.isLong(request, least)) this.shortDemand.note(least.readTokens);
-    return least;
-  }
-
-  private weighAll(
-    request: PromptRequest,
-    candidates: readonly TrackedUpstream[],
-  ): readonly WeighedChoice[] {
     const session = findSessionPart(request.prompt);
     const ids = candidates.map(({ upstreamId }) => upstreamId);
     const home = session ? rankByRendezvous(session.id, ids)[0] : undefined;
     const parts = new SharedParts(request);
-    return candidates.map((candidate) => {
+    const weighed = candidates.map((candidate) => {
       const missing = this.computeMissing(request, candidate, {
         isHome: candidate.upstreamId === home,
         parts: parts.list(candidate.findWeights(request.prompt.model)),
@@ -172,6 +145,7 @@
         costMs: choice.firstTokenMs + awayMs + (choice.isOutdated ? OLD_WEIGHTS_COST_MS : 0),
       };
     });
+    return this.chooseLane(request, weighed);
   }
 
   /**
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -17,12 +17,12 @@
   BlockDirectory,
   ColdBound,
   EjectionPolicy,
+  EngineSettings,
   EntryRoster,
   OperatorState,
   Prompt,
   PromptChoice,
   PromptDecision,
-  PromptRequest,
   RegionId,
   RouteRule,
   SentParts,
@@ -158,17 +158,16 @@
     const { objectiveMs } = requireRoute(exchange);
     const home = this.findStoreZone(exchange, prompt) ?? zone;
     let decision: UpstreamDecision | undefined;
-    for (const { engines, isNear, isFew } of listEngineGroups(prompt, all, home)) {
-      const free = listFree(engines);
-      const request = this.buildRequest(exchange, prompt, service, this.countSenders(isNear));
-      const few = isFew ? this.router.chooseFew(request, free) : undefined;
-      if (few) return few;
-      if (!isFew) decision = this.router.choose(request, free);
+    for (const { engines, isNear, objectiveShare } of listEngineGroups(prompt, all, home)) {
+      decision = this.chooseEngine(exchange, prompt, service, {
+        engines: listFree(engines),
+        senders: this.countSenders(isNear),
+      });
       const isInTime =
         decision &&
         !('refusedForMs' in decision) &&
         !decision.isOutdated &&
-        decision.firstTokenMs <= objectiveMs;
+        decision.firstTokenMs <= objectiveMs * objectiveShare;
       if (isInTime) return decision;
     }
     return decision;
@@ -193,29 +192,30 @@
     return Math.max(1, senders.length);
   }
 
-  /** @param senders VMs that send to the same engines */
-  private buildRequest(
+  private chooseEngine(
     exchange: GatewayExchange,
     prompt: Prompt,
     service: ServiceName,
-    senders: number,
-  ): PromptRequest {
+    { engines, senders }: { engines: readonly TrackedUpstream[]; senders: number },
+  ): UpstreamDecision | undefined {
     const weights = this.options.operators.findWeights(prompt.model);
     const route = requireRoute(exchange);
-    const engine = this.options.operators.view?.findService(service)?.engine;
-    return {
-      prompt,
-      wanted: weights?.wanted,
-      objectiveMs: route.objectiveMs,
-      patienceMs: computePatience(route),
-      engineTokens: engine?.capacityTokens ?? Infinity,
-      fleetSize: senders,
-      shortestObjectiveMs: this.findShortestObjective(service),
-      wantedForMs: weights ? computeLongestElapsed(weights.learnedAt) : 0,
-      buildKey: (partId, held) => buildBlockKey(buildSalt(exchange, held), partId),
-      bytesPerToken: engine?.bytesPerToken ?? 0,
-      findStore: (key, tokens) => this.options.blocks.findStore(key, tokens),
-    };
+    return this.router.choose(
+      {
+        prompt,
+        wanted: weights?.wanted,
+        objectiveMs: route.objectiveMs,
+        patienceMs: computePatience(route),
+        engineTokens: this.findEngine(service)?.capacityTokens ?? Infinity,
+        fleetSize: senders,
+        shortestObjectiveMs: this.findShortestObjective(service),
+        wantedForMs: weights ? computeLongestElapsed(weights.learnedAt) : 0,
+        buildKey: (partId, held) => buildBlockKey(buildSalt(exchange, held), partId),
+        bytesPerToken: this.findEngine(service)?.bytesPerToken ?? 0,
+        findStore: (key, tokens) => this.options.blocks.findStore(key, tokens),
+      },
+      engines,
+    );
   }
 
   private chooseLeastLoaded(candidates: readonly TrackedUpstream[]): TrackedUpstream | undefined {
@@ -236,6 +236,10 @@
     return this.options.operators.view?.findShortestObjective(service) ?? Infinity;
   }
 
+  private findEngine(service: ServiceName): EngineSettings | undefined {
+    return this.options.operators.view?.findService(service)?.engine;
+  }
+
   private hasColdRoom(upstream: TrackedUpstream): boolean {
     if (!upstream.isCold) return true;
     const share = this.computeShare(upstream);
