--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -28,8 +28,8 @@
 /** Reads whose time a fetch may take: a part that is read again also takes the engine's time from others. */
 export const FETCH_PATIENCE = 3;
 
-/** Time for which a fetch is waited for beside that, in milliseconds. */
-export const FETCH_SLACK_MS = 60;
+/** Part of the objective for which a fetch may wait beside that: a late answer costs less than a part read again. */
+export const FETCH_OBJECTIVE_SHARE = 0.4;
 
 /** Time for which an upstream that refused a request gets no other, in milliseconds. */
 export const REFUSED_PAUSE_MS = 150;
--- a/packages/gateway/src/dispatch/attemptFactsBuilder.ts
+++ b/packages/gateway/src/dispatch/attemptFactsBuilder.ts
@@ -1,6 +1,6 @@
 import { buildBlockKey, listSharedParts } from '@goldcrestscale/core';
 import type { BlockDirectory, FetchHorizon } from '@goldcrestscale/core';
-import { FETCH_PATIENCE, FETCH_SLACK_MS } from '../constants.js';
+import { FETCH_OBJECTIVE_SHARE, FETCH_PATIENCE } from '../constants.js';
 import type { GatewayExchange } from '../filters/exchange.js';
 import { requireRoute } from '../filters/exchange.js';
 import type { AttemptFacts, BlockTransfers } from '../ports/index.js';
@@ -65,7 +65,8 @@
     });
     const readMs = fetchTokens / chooser.rate.tokensPerMs;
     const allowedMs = horizon.computeFetchMs(prompt.model, weights);
-    const patienceMs = firstTokenMs + readMs * FETCH_PATIENCE + FETCH_SLACK_MS;
+    const slackMs = requireRoute(exchange).objectiveMs * FETCH_OBJECTIVE_SHARE;
+    const patienceMs = firstTokenMs + readMs * FETCH_PATIENCE + slackMs;
     const fetchMs = Math.min(allowedMs, patienceMs);
     const fetchUntilMs = blocks.computeServerTime(fetchMs);
     // Without a limit by the servers' clock, a block could be freed while it is fetched.
