--- a/packages/gateway/src/config.ts
+++ b/packages/gateway/src/config.ts
@@ -31,6 +31,7 @@
     readiness: addressSchema.describe("listener for the platform's readiness checks"),
     mesh: addressSchema.describe('socket for datagrams of the other entry VMs'),
     directory: addressSchema.describe('listener for callers that ask which address to use'),
+    metrics: addressSchema.optional().describe('listener for metrics, beside the two above'),
   }),
   log: z.object({
     address: addressSchema.describe("address of the platform's log"),
@@ -70,6 +71,7 @@
     readonly readiness: string;
     readonly directory: string;
     readonly mesh: string;
+    readonly metrics: string | undefined;
   };
   /** Whether the whole fleet starts for the first time. */
   readonly isFirstStart: boolean;
@@ -110,7 +112,7 @@
     ),
     isFirstStart: parsed.data.firstStart,
     size: machine.cores * machine.coreShare * machine.linkMbps,
-    listen,
+    listen: { ...listen, metrics: listen.metrics },
     logAddress: log.address,
     leaseMs: log.leaseMs,
     bounds: {
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -259,8 +259,13 @@
         { model, wanted, holder, fencingToken: held.fencingToken, expectedOrders },
         buildCall(engine, signal),
       );
-    } catch {
-      // The order may have been accepted all the same; what the engine says next tells.
+    } catch (cause) {
+      this.options.logger.warn('order without an answer', {
+        upstreamId: engine.upstream.upstreamId,
+        wanted,
+        error: String(cause),
+      });
+      // It may have been accepted all the same; what the engine says next tells.
       return 'conflict';
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,17 +26,31 @@
     });
   });
 
+/** Serves metrics at an address of their own; without them requests are served all the same. */
+const listenForMetrics = async (
+  server: Server,
+  { settings, logger }: GatewayOptions,
+): Promise<void> => {
+  const address = settings.listen.metrics;
+  if (address === undefined) return;
+  try {
+    await listen(server, address);
+  } catch (cause) {
+    logger.warn('metrics have no address of their own', { address, error: String(cause) });
+  }
+};
+
 /** Creates the listeners for the directory and for readiness checks. */
 const createServiceServers = (
-  { settings, callers, metrics }: GatewayOptions,
+  { settings, callers, metrics: counters }: GatewayOptions,
   { operators, upstreams, entries }: Controllers,
   shutdown: Shutdown,
-): { readonly directory: Server; readonly readiness: Server } => {
+): { readonly directory: Server; readonly readiness: Server; readonly metrics: Server } => {
   const common = {
     protocol: callers,
     isReady: () => !shutdown.isLeaving && !!operators.state.view && upstreams.hasRead,
     ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
-    renderMetrics: () => metrics.render(),
+    renderMetrics: () => counters.render(),
   };
   return {
     directory: createServiceServer({
@@ -44,6 +58,7 @@
       listAddresses: (zone) => entries.listAddresses(zone),
     }),
     readiness: createServiceServer({ ...common, listAddresses: undefined }),
+    metrics: createServiceServer({ ...common, listAddresses: undefined }),
   };
 };
 
@@ -83,12 +98,14 @@
   const { operators, gossip } = controllers;
   const parts = { knowledge, operators, shutdown, connections, gossip };
   const callers = createDataPath(options, parts);
-  const { directory, readiness } = createServiceServers(options, controllers, shutdown);
+  const services = createServiceServers(options, controllers, shutdown);
+  const { directory, readiness } = services;
   await Promise.all([
     listen(callers.server, settings.listen.callers),
     listen(directory, settings.listen.directory),
     listen(readiness, settings.listen.readiness),
   ]);
+  await listenForMetrics(services.metrics, options);
   await startControllers(controllers, work.signal);
   logger.info('started', { vmId: settings.vmId, bootId: controllers.bootId });
   await waitForAbort(signal);
@@ -100,7 +117,7 @@
   connections.close();
   options.upstreams.close();
   options.log.close();
-  [callers.server, directory, readiness].forEach((server) => {
+  [callers.server, directory, readiness, services.metrics].forEach((server) => {
     server.close();
     server.closeAllConnections();
   });
