--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -73,6 +73,16 @@
   expect(() => createReader().push(Buffer.alloc(64, 0xff))).toThrow(/bytes/);
 });
 
+test('no bytes pass for a message without its proof', () => {
+  fc.assert(
+    fc.property(fc.uint8Array({ minLength: 16, maxLength: 200 }), (bytes) => {
+      const framed = Buffer.concat([Buffer.alloc(4), Buffer.from(bytes)]);
+      framed.writeUInt32BE(Math.max(0, bytes.length - 12));
+      expect(() => createReader().push(framed)).toThrow();
+    }),
+  );
+});
+
 const findPort = (): Promise<number> =>
   new Promise((resolve) => {
     const server = createServer();
--- /dev/null
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -0,0 +1,112 @@
+import { createSocket } from 'node:dgram';
+import { expect, onTestFinished, test, vi } from 'vitest';
+import {
+  EntryRoster,
+  PeerLoads,
+  SentParts,
+  UpstreamRegistry,
+  ZoneRelays,
+  toId,
+} from '@goldcrestscale/core';
+import type {
+  AvailabilityZoneId,
+  BootId,
+  EntryHeartbeat,
+  ServiceName,
+  UpstreamId,
+  VmId,
+} from '@goldcrestscale/core';
+import { createLogger } from '@goldcrestscale/runtime';
+import { Gossip } from '../mesh/gossip.js';
+
+const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
+
+const upstreamId = toId<UpstreamId>('engine');
+
+const findPort = (): Promise<number> =>
+  new Promise((resolve) => {
+    const socket = createSocket('udp4');
+    socket.bind(0, '127.0.0.1', () => {
+      const { port } = socket.address();
+      socket.close(() => resolve(port));
+    });
+  });
+
+const makeEntry = (name: string, zone: string, size: number, port: number): EntryHeartbeat => ({
+  vmId: toId<VmId>(name),
+  bootId: toId<BootId>('boot'),
+  availabilityZone: toId<AvailabilityZoneId>(zone),
+  address: `127.0.0.1:${port}`,
+  meshAddress: `127.0.0.1:${port}`,
+  meshKey: `key of ${name}`,
+  leaving: false,
+  size,
+});
+
+/** Starts the gossip of one VM that has some requests at the engine. */
+const startVm = async (
+  entry: EntryHeartbeat,
+  entries: readonly EntryHeartbeat[],
+  inFlight: number,
+  signal: AbortSignal,
+) => {
+  const roster = new EntryRoster();
+  entries.forEach((one) => roster.noteHeartbeat(one));
+  const peerLoads = new PeerLoads(1_500);
+  const registry = new UpstreamRegistry(peerLoads);
+  registry.apply({
+    kind: 'present',
+    upstream: {
+      upstreamId,
+      service: toId<ServiceName>('service'),
+      address: '127.0.0.1:1',
+      availabilityZone: entry.availabilityZone,
+      slots: 8,
+      draining: false,
+      coldRemainingMs: 0,
+      weights: [],
+      heartbeat: 1,
+      startedAtMs: 1,
+    },
+  });
+  for (let count = 0; count < inFlight; count += 1) registry.find(upstreamId)!.noteSent(100);
+  const gossip = new Gossip({
+    self: entry.vmId,
+    zone: entry.availabilityZone,
+    address: entry.meshAddress,
+    key: entry.meshKey,
+    roster,
+    relays: new ZoneRelays(roster, entry.vmId, entry.availabilityZone),
+    registry,
+    peerLoads,
+    sent: new SentParts(),
+    listLoading: () => [],
+    logger,
+  });
+  await gossip.start(signal);
+  return { sumPeers: () => peerLoads.sum(upstreamId).inFlight };
+};
+
+test('through relays each VM learns what all others have in flight, and not its own', async () => {
+  const ended = new AbortController();
+  onTestFinished(() => ended.abort());
+  const ports = await Promise.all(Array.from({ length: 4 }, () => findPort()));
+  const relay = makeEntry('relay', 'z1', 9, ports[0]!);
+  const second = makeEntry('second', 'z1', 8, ports[1]!);
+  const member = makeEntry('member', 'z1', 1, ports[2]!);
+  const foreign = makeEntry('foreign', 'z2', 9, ports[3]!);
+  const silent = Array.from({ length: 20 }, (_, index) =>
+    makeEntry(`silent-${index}`, index % 2 === 0 ? 'z1' : 'z2', 1, 9),
+  );
+  const entries = [relay, second, member, foreign, ...silent];
+  const vms = await Promise.all(
+    [relay, second, member, foreign].map((entry, index) =>
+      startVm(entry, entries, index + 1, ended.signal),
+    ),
+  );
+  // 1, 2 and 3 requests in the zone, 4 in the other one: each VM sees the rest.
+  await vi.waitFor(() => expect(vms.map(({ sumPeers }) => sumPeers())).toEqual([9, 8, 7, 6]), {
+    timeout: 5_000,
+    interval: 50,
+  });
+});
