fix(entry): keys are checked before bodies, max_tokens at the door

Change: the request line, then the key, then the body; a refusal that leaves a body unread closes the connection; max_tokens and max_completion_tokens are whole and positive. While the configuration may be outdated the chain refuses first, as before. Ruled out: a filter before the body (the exchange needs its target).

--- a/packages/entry/src/__tests__/entryHarness.ts
+++ b/packages/entry/src/__tests__/entryHarness.ts
@@ -35,7 +35,7 @@
 import { DeadlineFilter } from '../filters/deadlineFilter.js';
 import { DispatchFilter } from '../filters/dispatchFilter.js';
 import type { UpstreamDirectory } from '../filters/dispatchFilter.js';
-import { IdentifyAccountFilter } from '../filters/identifyAccountFilter.js';
+import { IdentifyAccountFilter, authenticateCaller } from '../filters/identifyAccountFilter.js';
 import { VerdictGuardFilter } from '../filters/verdictGuardFilter.js';
 import { WeightVersionFilter } from '../filters/weightVersionFilter.js';
 import { createCallerServer } from '../http/callerServer.js';
@@ -177,6 +177,9 @@
   const directory = createDirectory(options, ends, ineligible);
   const server = createCallerServer({
     filters: createFilters(options, client, directory),
+    checkHead(headers) {
+      authenticateCaller(createTable(), headers);
+    },
     answerEntries: () => ({ entries: [], ttlMs: 1 }),
   });
   await new Promise<void>((resolve) => {
--- a/packages/entry/src/__tests__/httpInput.spec.ts
+++ b/packages/entry/src/__tests__/httpInput.spec.ts
@@ -132,6 +132,26 @@
   });
 }
 
+test('a caller with a wrong key is refused before its body is read or judged', async () => {
+  const head = 'POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer wrong\r\n';
+  const socket = connect(Number(new URL(harness.baseUrl).port), '127.0.0.1');
+  const chunks: Buffer[] = [];
+  socket.on('data', (chunk) => chunks.push(chunk));
+  // Of 16 MB that are announced, not one byte is sent.
+  socket.write(`${head}content-length: 16000000\r\n\r\n`);
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+    socket.once('end', () => socket.destroy());
+  });
+  expect(Buffer.concat(chunks).toString()).toContain(' 401 ');
+  expect(await sendRaw(`${head}content-length: 2\r\n\r\n{}`)).toContain(' 401 ');
+});
+
+test.each([-5, 0, 1.5, '7'])('an answer of %s tokens is refused at the door', (tokens) => {
+  const body = Buffer.from(JSON.stringify({ model: 'm', prompt: 'p', max_tokens: tokens }));
+  expect(() => parseTarget('POST', '/v1/completions', body)).toThrow(/max_tokens/);
+});
+
 test('a caller that stops sending does no harm', async () => {
   const runs = engine.calls.length;
   const socket = connect(Number(new URL(harness.baseUrl).port), '127.0.0.1');
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -15,6 +15,7 @@
 import { dumpControllers } from './compose/dumpControllers.js';
 import type { EntrySettings } from './config.js';
 import { drainServer } from './drain.js';
+import { authenticateCaller } from './filters/identifyAccountFilter.js';
 import { createCallerServer } from './http/callerServer.js';
 import { buildEntriesAnswer } from './http/entriesAnswer.js';
 import { createOperationsServer } from './http/operationsServer.js';
@@ -105,6 +106,11 @@
       settings,
       signal: work.signal,
     }),
+    checkHead(headers) {
+      // What may be outdated must not deny a caller; the chain then refuses it for that reason.
+      if (!controllers.membership.decideFreshness().accept) return;
+      authenticateCaller(controllers.table.table, headers);
+    },
     answerEntries: (affinityKey) =>
       buildEntriesAnswer(controllers.membership.rankEntries(affinityKey), settings.entriesTtlMs),
   });
--- a/packages/entry/src/filters/identifyAccountFilter.ts
+++ b/packages/entry/src/filters/identifyAccountFilter.ts
@@ -1,4 +1,5 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
+import type { IncomingHttpHeaders } from 'node:http';
 import { createRefusal, isUnrepeatableCall } from '@goldcrestscale/core';
 import type { ClientAccountRow, ConfigTable, WorkloadRow } from '@goldcrestscale/core';
 import type { Exchange } from './exchange.js';
@@ -39,8 +40,16 @@
         status: 404,
       });
 
-const authenticateCaller = (directory: AccountDirectory, exchange: Exchange): ClientAccountRow => {
-  const key = BEARER.exec(exchange.headers.authorization ?? '')?.[1];
+/**
+ * Finds the account of a caller by the head of its request.
+ *
+ * @throws GoldcrestError `unauthorized`
+ */
+export const authenticateCaller = (
+  directory: AccountDirectory,
+  headers: IncomingHttpHeaders,
+): ClientAccountRow => {
+  const key = BEARER.exec(headers.authorization ?? '')?.[1];
   const keyHash = hashKey(key ?? '');
   const account = key ? directory.findAccountByKeyHash(keyHash) : undefined;
   if (account?.keyHashes.some((known) => isSameDigest(known, keyHash))) return account;
@@ -77,7 +86,7 @@
 
   override async handle(exchange: Exchange, next: NextFilter): Promise<void> {
     const directory = this.directory();
-    const account = authenticateCaller(directory, exchange);
+    const account = authenticateCaller(directory, exchange.headers);
     const workload = chooseWorkload(directory, account, exchange);
     exchange.account = account;
     exchange.workload = workload;
--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createRefusal, isGoldcrestError, runChain, toId } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance, RequestId } from '@goldcrestscale/core';
 import { MAX_BODY_BYTES, REQUEST_TIMEOUT_MS } from '../constants.js';
@@ -9,12 +9,14 @@
 import { createAnswerWriter } from './answerWriter.js';
 import type { EntriesAnswer } from './entriesAnswer.js';
 import { buildErrorBody, buildErrorHeaders } from './errorAnswer.js';
-import { parseTarget } from './parseTarget.js';
+import { parseLine, parseTarget } from './parseTarget.js';
 import { readBody } from './readBody.js';
 
 /** What the callers' listener is built from. */
 export interface CallerServerOptions {
   readonly filters: readonly Filter[];
+  /** Refuses a caller by the head of its request, before the body is read. */
+  checkHead(headers: IncomingHttpHeaders): void;
   /** Answers "which address do I use" for a prompt or session key. */
   answerEntries(affinityKey: string | undefined): EntriesAnswer;
 }
@@ -28,6 +30,9 @@
   );
 };
 
+/** Refusals that may come before the body is read: the rest of it is not waited for. */
+const UNREAD_CODES: ReadonlySet<string> = new Set(['body_too_large', 'unauthorized']);
+
 const refusePath = (): GoldcrestErrorInstance =>
   createRefusal('There is nothing at this path.', { code: 'bad_request', status: 404 });
 
@@ -38,7 +43,7 @@
 ): void => {
   response.writeHead(error.status, {
     ...buildErrorHeaders(error, error.verdict, requestId),
-    ...(error.code === 'body_too_large' ? { connection: 'close' } : {}),
+    ...(UNREAD_CODES.has(error.code) ? { connection: 'close' } : {}),
   });
   response.end(JSON.stringify(buildErrorBody(error, error.verdict, requestId)));
 };
@@ -90,6 +95,8 @@
     return;
   }
   try {
+    if (!parseLine(request.method ?? 'GET', request.url ?? '/')) throw refusePath();
+    options.checkHead(request.headers);
     const exchange = await buildExchange(request, response, requestId);
     await runChain(options.filters, exchange);
   } catch (cause) {
--- a/packages/entry/src/http/parseCompletion.ts
+++ b/packages/entry/src/http/parseCompletion.ts
@@ -13,6 +13,8 @@
   model: z.string().min(1),
   stream: z.boolean().nullish(),
   adapter: z.string().optional(),
+  max_tokens: z.number().int().positive().nullish(),
+  max_completion_tokens: z.number().int().positive().nullish(),
 };
 
 const chatSchema = z.looseObject({ ...sharedFields, messages: z.array(messageSchema).min(1) });
