--- a/packages/core/src/tiering/tieringPlanner.ts
+++ b/packages/core/src/tiering/tieringPlanner.ts
@@ -11,11 +11,11 @@
 } from './constants.js';
 import { ExportQueue } from './exportQueue.js';
 import type { ExportCandidate } from './exportQueue.js';
-import { LinkBudget } from './linkBudget.js';
 import type { LinkTransfer } from './linkBudget.js';
 import { ReturnModel } from './returnModel.js';
-import { StoreCatalog } from './storeCatalog.js';
-import type { CatalogEntry, StoreView } from './storeCatalog.js';
+import type { CatalogEntry, StoreCatalog, StoreView } from './storeCatalog.js';
+import { StoreSet } from './storeSet.js';
+import type { KnownStore } from './storeSet.js';
 import { VisitTracker } from './visitTracker.js';
 
 /** An order to copy a block from an upstream to a store VM. */
@@ -41,11 +41,6 @@
   readonly bytesPerToken: number;
 }
 
-interface Store {
-  readonly catalog: StoreCatalog;
-  readonly link: LinkBudget;
-}
-
 /**
  * Decides what goes to the store VMs, what is dropped there, and tells routing what can be
  * imported and how fast. A block's value is its expected returns times the work of recomputing
@@ -56,7 +51,7 @@
 
   private readonly visits = new VisitTracker(this.returns);
 
-  private readonly stores = new Map<UpstreamId, Store>();
+  private readonly stores = new StoreSet();
 
   private readonly queue = new ExportQueue();
 
@@ -71,22 +66,15 @@
 
   /** Takes in the newest view of a store VM. */
   updateStore(view: StoreView): void {
-    const known = this.stores.get(view.storeId);
-    if (known) {
-      known.catalog.view = view;
-      known.link.applyReport(view.linkBytesPerSecond, view.activeTransfers);
-      return;
-    }
-    const link = new LinkBudget(view.linkBytesPerSecond);
-    this.stores.set(view.storeId, { catalog: new StoreCatalog(view), link });
+    this.stores.update(view);
   }
 
   removeStore(storeId: UpstreamId): void {
-    this.stores.delete(storeId);
+    this.stores.remove(storeId);
   }
 
   getCatalog(storeId: UpstreamId): StoreCatalog | undefined {
-    return this.stores.get(storeId)?.catalog;
+    return this.stores.find(storeId)?.catalog;
   }
 
   /** Removes what waits for export from an upstream that lost its cache. */
@@ -95,16 +83,11 @@
   }
 
   listCopies(key: BlockKey): readonly StoredCopy[] {
-    const copies: StoredCopy[] = [];
-    for (const { catalog } of this.stores.values()) {
-      const block = catalog.usable ? catalog.get(key)?.block : undefined;
-      if (block) copies.push({ storeId: block.storeId, name: block.name, bytes: block.length });
-    }
-    return copies;
+    return this.stores.listCopies(key);
   }
 
   estimateImportMs(storeId: UpstreamId, _upstreamId: UpstreamId, bytes: number): number {
-    const store = this.stores.get(storeId);
+    const store = this.stores.find(storeId);
     if (!store?.catalog.usable) return Number.POSITIVE_INFINITY;
     return store.link.estimateMs(bytes) + IMPORT_OVERHEAD_MS;
   }
@@ -113,12 +96,7 @@
   noteVisit(workloadId: WorkloadId, blocks: readonly PromptBlock[]): void {
     this.visits.noteVisit(workloadId, blocks);
     const nowMs = Date.now();
-    for (const { key } of blocks) {
-      for (const { catalog } of this.stores.values()) {
-        const entry = catalog.get(key);
-        if (entry) entry.lastUsedMs = nowMs;
-      }
-    }
+    blocks.forEach(({ key }) => this.stores.noteUsed(key, nowMs));
   }
 
   /** Notes that an upstream now holds a prompt's blocks, and queues those worth storing. */
@@ -127,8 +105,8 @@
     blocks.forEach(({ key, tokens }, position) => {
       const previous = blocks[position - 1]?.key;
       const next = blocks[position + 1]?.key;
-      if (next) this.updateNext(key, next);
-      if (this.countCopies(key) >= Math.min(BLOCK_COPIES, this.stores.size)) return;
+      if (next) this.stores.noteNext(key, next);
+      if (this.stores.countCopies(key) >= Math.min(BLOCK_COPIES, this.stores.size)) return;
       const bytes = tokens * this.bytesPerToken;
       const place = { position, previous, next };
       this.queue.add({ key, upstreamId, workloadId, ...place, tokens, bytes, queuedAtMs });
@@ -137,9 +115,9 @@
 
   /** Takes the most valuable export that a link has room for now; undefined where there is none. */
   takeNextExport(): ExportOrder | undefined {
-    const open = this.rankStores().filter(
-      ([, { catalog, link }]) => catalog.usable && link.canExport(0),
-    );
+    const open = this.stores
+      .rankByFill()
+      .filter(([, { catalog, link }]) => catalog.usable && link.canExport(0));
     if (open.length === 0 || this.queue.size === 0) return undefined;
     for (const candidate of this.queue.rank((one) => this.weighCandidate(one))) {
       const order = this.planExport(candidate, open);
@@ -153,7 +131,7 @@
   finishExport(order: ExportOrder, outcome: ExportOutcome): void {
     const { candidate, storeId, transfer } = order;
     this.exporting.delete(`${storeId}/${candidate.key}`);
-    const store = this.stores.get(storeId);
+    const store = this.stores.find(storeId);
     if (!store) return;
     store.link.finish(transfer, outcome.kind === 'stored');
     store.catalog.release(candidate.bytes);
@@ -163,14 +141,14 @@
     const { block } = outcome;
     this.bytesPerToken = block.length / tokens;
     store.catalog.add({ block, workloadId, position, tokens, next, lastUsedMs: queuedAtMs });
-    if (this.countCopies(candidate.key) < Math.min(BLOCK_COPIES, this.stores.size)) {
+    if (this.stores.countCopies(candidate.key) < Math.min(BLOCK_COPIES, this.stores.size)) {
       this.queue.add(candidate);
     }
   }
 
   /** Starts an import over a store VM's link. */
   beginImport(storeId: UpstreamId, bytes: number): LinkTransfer | undefined {
-    return this.stores.get(storeId)?.link.beginImport(bytes);
+    return this.stores.find(storeId)?.link.beginImport(bytes);
   }
 
   /** Ends an import; blocks that failed verification or are gone leave the catalog. */
@@ -180,7 +158,7 @@
     succeeded: boolean,
     faulty: readonly BlockKey[] = [],
   ): void {
-    const store = this.stores.get(storeId);
+    const store = this.stores.find(storeId);
     store?.link.finish(transfer, succeeded);
     store?.catalog.noteOutcome(succeeded);
     faulty.forEach((key) => store?.catalog.remove(key));
@@ -189,7 +167,7 @@
   /** Lists the stored blocks with the best prospect of a return, for an upstream that warms up. */
   planWarmUp(count: number): CatalogEntry[] {
     const best = new Map<BlockKey, { entry: CatalogEntry; value: number }>();
-    for (const { catalog } of this.stores.values()) {
+    for (const [, { catalog }] of this.stores.list()) {
       if (catalog.usable) {
         catalog.list().forEach((entry) => {
           best.set(entry.block.key, { entry, value: this.computeValue(entry) });
@@ -208,7 +186,7 @@
     return {
       waitingExports: this.queue.size,
       runningExports: this.exporting.size,
-      stores: [...this.stores.values()].map(({ catalog, link }) => ({
+      stores: this.stores.list().map(([, { catalog, link }]) => ({
         storeId: catalog.view.storeId,
         usable: catalog.usable,
         blocks: catalog.size,
@@ -219,21 +197,6 @@
     };
   }
 
-  private updateNext(key: BlockKey, next: BlockKey): void {
-    for (const { catalog } of this.stores.values()) {
-      const entry = catalog.get(key);
-      if (entry) entry.next = next;
-    }
-  }
-
-  private countCopies(key: BlockKey): number {
-    let copies = 0;
-    for (const { catalog } of this.stores.values()) {
-      if (catalog.usable && catalog.get(key)) copies += 1;
-    }
-    return copies;
-  }
-
   private computeValue(entry: CatalogEntry): number {
     const idleMs = Date.now() - entry.lastUsedMs;
     const { returnsPerHour } = this.returns.estimateReturn(entry.workloadId, idleMs);
@@ -244,14 +207,14 @@
     const idleMs = Date.now() - candidate.queuedAtMs;
     const prospect = this.returns.estimateReturn(candidate.workloadId, idleMs);
     if (prospect.probability < MIN_EXPORT_RETURN) return 0;
-    const factor = this.countCopies(candidate.key) > 0 ? SECOND_COPY_VALUE : 1;
+    const factor = this.stores.countCopies(candidate.key) > 0 ? SECOND_COPY_VALUE : 1;
     return (prospect.returnsPerHour * candidate.tokens * factor) / candidate.bytes;
   }
 
   /** Plans one export; undefined where it has to wait for a link, `skip` where others go first. */
   private planExport(
     candidate: ExportCandidate,
-    open: readonly (readonly [UpstreamId, Store])[],
+    open: readonly (readonly [UpstreamId, KnownStore])[],
   ): ExportOrder | 'not-worth' | 'skip' | undefined {
     const value = this.weighCandidate(candidate);
     const wanted = open.filter(([storeId, { catalog }]) => {
@@ -279,18 +242,20 @@
    * that the loss of a store VM breaks few prompts wholly and not every prompt in the middle.
    */
   private findHome({ key, previous }: ExportCandidate): UpstreamId | undefined {
-    if (previous === undefined || this.countCopies(key) > 0) return undefined;
-    const holders = [...this.stores].filter(
-      ([storeId, { catalog }]) =>
-        catalog.usable && (catalog.get(previous) ?? this.exporting.has(`${storeId}/${previous}`)),
-    );
+    if (previous === undefined || this.stores.countCopies(key) > 0) return undefined;
+    const holders = this.stores
+      .list()
+      .filter(
+        ([storeId, { catalog }]) =>
+          catalog.usable && (catalog.get(previous) ?? this.exporting.has(`${storeId}/${previous}`)),
+      );
     return holders.length === 1 ? holders[0]![0] : undefined;
   }
 
   private beginExport(
     candidate: ExportCandidate,
     storeId: UpstreamId,
-    { catalog, link }: Store,
+    { catalog, link }: KnownStore,
     drops: readonly StoredBlock[],
   ): ExportOrder | undefined {
     const transfer = link.tryBeginExport(candidate.bytes);
@@ -302,11 +267,6 @@
     return { candidate, storeId, drops, transfer };
   }
 
-  private rankStores(): [UpstreamId, Store][] {
-    const getFill = ({ catalog }: Store): number => catalog.usedBytes / catalog.view.capacityBytes;
-    return [...this.stores].sort(([, left], [, right]) => getFill(left) - getFill(right));
-  }
-
   /** Plans what makes room for a block; undefined where all that is stored is worth more. */
   private planDrops(
     catalog: StoreCatalog,
@@ -315,13 +275,13 @@
   ): StoredBlock[] | undefined {
     if (catalog.hasRoom(bytes)) return [];
     const least = catalog.findLeastValuable(this.options.random, (entry) => {
-      const factor = this.countCopies(entry.block.key) > 1 ? SECOND_COPY_VALUE : 1;
+      const factor = this.stores.countCopies(entry.block.key) > 1 ? SECOND_COPY_VALUE : 1;
       return this.computeValue(entry) * factor;
     });
     if (!least || least.value >= value) return undefined;
     // A prompt is dropped from its end, so that what is left of it stays usable; a block with
     // another copy is dropped where it is.
-    const isOnly = this.countCopies(least.entry.block.key) < 2;
+    const isOnly = this.stores.countCopies(least.entry.block.key) < 2;
     const { block } = isOnly ? catalog.findTail(least.entry) : least.entry;
     return block.length < bytes ? undefined : [block];
   }
