fix(gateway): an answer that bytes and a reset end together is not whole

Where the last bytes and the reset are found in the same poll, the runtime reports the end of the data and never the reset; such an answer then counted as whole. Change: at the end of the data the socket is asked for its peer, which the kernel no longer has after a reset; the attempt then ends as in doubt, or as a broken stream.

--- a/packages/gateway/src/__tests__/dispatch.spec.ts
+++ b/packages/gateway/src/__tests__/dispatch.spec.ts
@@ -140,6 +140,17 @@
   expect((await call()).status).toBe(502);
 });
 
+test('an answer without a length whose end and reset come together is not whole', async () => {
+  const cut = ({ id, socket }: SeenRequest): void => {
+    const head = buildHead(200, { 'x-id': id, 'x-sig': 's', connection: 'close' });
+    // The gateway finds the bytes and the reset in the same poll.
+    socket.write(`${head}fi`, () => socket.resetAndDestroy());
+  };
+  const { call } = await startGateway({ route: unsafe, upstreams: [cut] });
+  const replies = await Promise.all(Array.from({ length: 20 }, () => call()));
+  expect(replies.map(({ status }) => status)).toEqual(replies.map(() => 502));
+});
+
 test('an answer with a length that is cut short is not whole', async () => {
   const cut = ({ id, socket }: SeenRequest): void => {
     const head = buildHead(200, { 'x-id': id, 'x-sig': 's', 'content-length': '100' });
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -119,6 +119,10 @@
   }
 
   onResponseEnd(): void {
+    if (this.plan.connection.wasReset) {
+      this.resolveEnd?.(this.explainError(new ConnectionError('reset on the way')));
+      return;
+    }
     this.isReusable = true;
     this.resolveEnd?.(this.finish());
   }
--- a/packages/gateway/src/dispatch/upstreamConnection.ts
+++ b/packages/gateway/src/dispatch/upstreamConnection.ts
@@ -19,7 +19,7 @@
  * Creates a connector that connects once, so that a lost connection is never replaced in silence.
  * A reset is renamed: undici takes an answer without a length as whole when ECONNRESET ends it.
  */
-const createConnector = (): Connector => {
+const createConnector = (onReset: () => void): Connector => {
   let isUsed = false;
   return ({ hostname, port }, callback) => {
     if (isUsed) {
@@ -40,6 +40,10 @@
     socket.once('connect', () => {
       clearTimeout(timer);
       socket.off('error', fail);
+      socket.on('end', () => {
+        // Bytes and a reset that come together end as a clean end; the kernel then has no peer.
+        if (socket.remoteAddress === undefined) onReset();
+      });
       socket.on('error', (error: NodeJS.ErrnoException) => {
         Object.assign(error, { code: 'CONNECTION_LOST' });
       });
@@ -58,6 +62,8 @@
 
   private idleLimitMs = IDLE_CONNECTION_MS;
 
+  private reset = false;
+
   constructor(address: string, onClose: () => void) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -66,7 +72,9 @@
       keepAliveTimeout: 2 * IDLE_CONNECTION_MS,
       keepAliveMaxTimeout: 2 * IDLE_CONNECTION_MS,
       maxHeaderSize: MAX_HEADER_BYTES,
-      connect: createConnector() as never,
+      connect: createConnector(() => {
+        this.reset = true;
+      }) as never,
     });
     const noteEnd = (): void => {
       if (!this.open) return;
@@ -85,6 +93,11 @@
     return this.open;
   }
 
+  /** Whether a reset ended it, though its last answer may look whole. */
+  get wasReset(): boolean {
+    return this.reset;
+  }
+
   /** Tells whether the upstream may have closed it for being idle. */
   get isStale(): boolean {
     return performance.now() - this.idleSinceMs > this.idleLimitMs;
