refactor: one listen for both daemons, one sum of mesh figures

Cause, found when the change was read again: the gateway wrote the entry daemon's listen twice more, and a relay's two digests summed the same four lists each for itself; hasFollowers had no caller outside. Change: listen moves to runtime and serves both daemons; combineFigures serves both digests. No behaviour changes.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,7 +3,7 @@
 import type { Server } from 'node:http';
 import { toId, waitForAbort } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
-import { createMetrics } from '@goldcrestscale/runtime';
+import { createMetrics, listen } from '@goldcrestscale/runtime';
 import type { Logger, Metrics } from '@goldcrestscale/runtime';
 import {
   createControllers,
@@ -19,7 +19,6 @@
 import { createCallerServer } from './http/callerServer.js';
 import { buildEntriesAnswer } from './http/entriesAnswer.js';
 import { createOperationsServer } from './http/operationsServer.js';
-import { listen } from './listen.js';
 import { createMesh } from './mesh/index.js';
 import type { Mesh } from './mesh/index.js';
 import { createEntryMetrics } from './metrics.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
+import { listen } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
 import { createDataPath } from './compose/createDataPath.js';
@@ -16,16 +17,6 @@
 /** Interval at which the end of a shutdown is looked for, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
 
-const listen = (server: Server, address: string): Promise<void> =>
-  new Promise((resolve, reject) => {
-    const { host, port } = splitAddress(address);
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-
 /** Serves metrics at an address of their own; without them requests are served all the same. */
 const listenForMetrics = async (
   server: Server,
@@ -34,7 +25,7 @@
   const address = settings.listen.metrics;
   if (address === undefined) return;
   try {
-    await listen(server, address);
+    await listen(server, splitAddress(address));
   } catch (cause) {
     logger.warn('metrics have no address of their own', { address, error: String(cause) });
   }
@@ -101,9 +92,9 @@
   const services = createServiceServers(options, controllers, shutdown);
   const { directory, readiness } = services;
   await Promise.all([
-    listen(callers.server, settings.listen.callers),
-    listen(directory, settings.listen.directory),
-    listen(readiness, settings.listen.readiness),
+    listen(callers.server, splitAddress(settings.listen.callers)),
+    listen(directory, splitAddress(settings.listen.directory)),
+    listen(readiness, splitAddress(settings.listen.readiness)),
   ]);
   await listenForMetrics(services.metrics, options);
   await startControllers(controllers, work.signal);
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:net';
 import type { Socket } from 'node:net';
 import type { EntryRoster, VmId } from '@goldcrestscale/core';
+import { listen } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
 import { FEED_BACKLOG_BYTES, FEED_FLUSH_MS } from '../constants.js';
 import type { KeyedRecord } from '../ports/index.js';
@@ -46,11 +47,7 @@
 
   async start(signal: AbortSignal): Promise<void> {
     const server = createServer((socket) => this.accept(socket));
-    const { host, port } = splitAddress(this.options.address);
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, host, resolve);
-    });
+    await listen(server, splitAddress(this.options.address));
     signal.addEventListener('abort', () => {
       server.close();
       clearTimeout(this.flushTimer);
@@ -58,14 +55,9 @@
     });
   }
 
-  /** Whether any VM follows this one. */
-  get hasFollowers(): boolean {
-    return this.followers.size > 0;
-  }
-
   /** Tells all followers, together with what else is read within a moment. */
   publish(message: FeedMessage): void {
-    if (!this.hasFollowers) return;
+    if (this.followers.size === 0) return;
     this.pending.push(message);
     this.flushTimer ??= setTimeout(() => this.flush(), FEED_FLUSH_MS);
   }
--- a/packages/gateway/src/mesh/zoneDigest.ts
+++ b/packages/gateway/src/mesh/zoneDigest.ts
@@ -48,6 +48,16 @@
   ...new Set(lists.flat()),
 ];
 
+/** Combines what several messages say, but for the parts sent, which are passed on once. */
+const combineFigures = (
+  messages: readonly GossipMessage[],
+): Pick<GossipMessage, 'loads' | 'loading' | 'down' | 'weights'> => ({
+  loads: sumLoads(messages.map(({ loads }) => loads)),
+  loading: listDistinct(messages.map(({ loading }) => loading)),
+  down: listDistinct(messages.map(({ down }) => down)),
+  weights: pickNewestWeights(messages.map(({ weights }) => weights)),
+});
+
 /** Adds the sums of other zones to those of the own zone, for the VMs of that zone. */
 export const mergeDigests = (
   own: GossipMessage,
@@ -57,11 +67,8 @@
   const all = [own, ...foreign];
   return {
     ...own,
+    ...combineFigures(all),
     sequence,
-    loads: sumLoads(all.map(({ loads }) => loads)),
-    loading: listDistinct(all.map(({ loading }) => loading)),
-    down: listDistinct(all.map(({ down }) => down)),
-    weights: pickNewestWeights(all.map(({ weights }) => weights)),
     sent: all.flatMap(({ sent }) => sent),
   };
 };
@@ -100,10 +107,7 @@
     return {
       vmId: own.vmId,
       sequence,
-      loads: sumLoads(reports.map(({ loads }) => loads)),
-      loading: listDistinct(reports.map(({ loading }) => loading)),
-      down: listDistinct(reports.map(({ down }) => down)),
-      weights: pickNewestWeights(reports.map(({ weights }) => weights)),
+      ...combineFigures(reports),
       sent,
       members: reports.map((report) => ({ vmId: report.vmId, sequence: report.sequence })),
     };
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
-/** What every binary shares: settings, command line, logs, metrics and bounded JSON parsing. */
+/** What every binary shares: settings, command line, logs, metrics, listeners and bounded JSON parsing. */
 export * from './cli/index.js';
 export * from './json/index.js';
+export * from './listen.js';
 export * from './logger/index.js';
 export * from './metrics/index.js';
 export * from './settings/index.js';
--- a/packages/entry/src/listen.ts
+++ b/packages/runtime/src/listen.ts
@@ -1,4 +1,4 @@
-import type { Server } from 'node:http';
+import type { Server } from 'node:net';
 
 /** Address on which a server listens. */
 export interface ListenAddress {
