fix(gateway): stop sending to upstreams that leave or rest; time weights from the first newer version

Cause: three rules stood on no code path.

Change: a leaving upstream is excluded at once from attempts, retries and orders, until its boot time changes, also if its entry lapses and comes back; gossip tells the other VMs. OperatorState keeps the last changes of each model's weights.

Without the two conditions in the chooser, the three new tests of unavailableUpstreams.spec.ts fail.

--- a/packages/core/src/deployment/__tests__/deployment.spec.ts
+++ b/packages/core/src/deployment/__tests__/deployment.spec.ts
@@ -89,3 +89,15 @@
   expect(state.replaceZonesOut([])).toBe(true);
   expect(state.isZoneOut(zone)).toBe(false);
 });
+
+test('the time limit of outdated weights counts from the first version that superseded them', () => {
+  const state = new OperatorState();
+  const model = toId<ModelId>('m');
+  [1, 2, 3].forEach((wanted) =>
+    state.apply({ kind: 'weights', model, wanted: toWeightNumber(wanted) }),
+  );
+  expect(state.findSuperseding(model, toWeightNumber(1))?.wanted).toBe(2);
+  expect(state.findSuperseding(model, toWeightNumber(2))?.wanted).toBe(3);
+  expect(state.findSuperseding(model, toWeightNumber(3))).toBeUndefined();
+  expect(state.findSuperseding(toId<ModelId>('other'), toWeightNumber(1))).toBeUndefined();
+});
--- a/packages/core/src/deployment/operatorState.ts
+++ b/packages/core/src/deployment/operatorState.ts
@@ -11,6 +11,9 @@
   | { readonly kind: 'zone-out'; readonly zone: AvailabilityZoneId }
   | { readonly kind: 'zone-in'; readonly zone: AvailabilityZoneId };
 
+/** Superseding versions kept per model; older ones are past every time limit. */
+const MAX_WEIGHT_CHANGES = 8;
+
 /** Weight version that a model's engines should run. */
 export interface WantedWeights {
   readonly model: ModelId;
@@ -26,7 +29,8 @@
 export class OperatorState {
   private currentView: DeploymentView | undefined;
 
-  private readonly weights = new Map<ModelId, WantedWeights>();
+  /** The last changes of each model, in ascending order. */
+  private readonly weights = new Map<ModelId, readonly WantedWeights[]>();
 
   private readonly zonesOut = new Set<AvailabilityZoneId>();
 
@@ -58,11 +62,19 @@
   }
 
   findWeights(model: ModelId): WantedWeights | undefined {
-    return this.weights.get(model);
+    return this.weights.get(model)?.at(-1);
+  }
+
+  /**
+   * Finds the first change that superseded loaded weights. Their time limit counts from it, however
+   * many newer versions have been announced since.
+   */
+  findSuperseding(model: ModelId, loaded: WeightNumber): WantedWeights | undefined {
+    return this.weights.get(model)?.find(({ wanted }) => wanted > loaded);
   }
 
   listWeights(): readonly WantedWeights[] {
-    return [...this.weights.values()];
+    return [...this.weights.values()].flatMap((changes) => changes.slice(-1));
   }
 
   private applyDeployment(deployment: Deployment): boolean {
@@ -72,9 +84,11 @@
   }
 
   private applyWeights(model: ModelId, wanted: WeightNumber): boolean {
-    const current = this.weights.get(model);
+    const changes = this.weights.get(model) ?? [];
+    const current = changes.at(-1);
     if (current && wanted <= current.wanted) return false;
-    this.weights.set(model, { model, wanted, learnedAt: readClocks() });
+    const change = { model, wanted, learnedAt: readClocks() };
+    this.weights.set(model, [...changes, change].slice(-MAX_WEIGHT_CHANGES));
     return true;
   }
 }
--- a/packages/core/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/core/src/fleet/__tests__/fleet.spec.ts
@@ -140,3 +140,36 @@
   vi.advanceTimersByTime(ENTRY_HEARTBEAT_TIMEOUT_MS + 1);
   expect(roster.listServing()).toHaveLength(0);
 });
+
+test('an upstream that announced that it leaves is excluded until it restarts', () => {
+  const registry = createRegistry();
+  registry.apply({ kind: 'present', upstream: makeUpstream('a', { startedAtMs: 1_000 }) });
+  expect(registry.recordLeaving(id('a'), 1_000)).toBe(true);
+  expect(registry.recordLeaving(id('a'), 1_000)).toBe(false);
+  registry.apply({ kind: 'absent', upstreamId: id('a') });
+  const beats = makeUpstream('a', { startedAtMs: 1_000, heartbeat: 9 });
+  registry.apply({ kind: 'present', upstream: beats });
+  expect(registry.find(id('a'))?.isLeaving).toBe(true);
+  const restarted = makeUpstream('a', { startedAtMs: 5_000, heartbeat: 1 });
+  registry.apply({ kind: 'present', upstream: restarted });
+  expect(registry.find(id('a'))?.isLeaving).toBe(false);
+});
+
+test('news about an earlier boot of an upstream does not exclude the current one', () => {
+  const registry = createRegistry();
+  registry.apply({ kind: 'present', upstream: makeUpstream('a', { startedAtMs: 5_000 }) });
+  expect(registry.recordLeaving(id('a'), 1_000)).toBe(false);
+  expect(registry.find(id('a'))?.isLeaving).toBe(false);
+});
+
+test('an upstream rests for the longest time that it asked for, and a restart ends the rest', () => {
+  const registry = createRegistry();
+  registry.apply({ kind: 'present', upstream: makeUpstream('a', { startedAtMs: 1_000 }) });
+  const upstream = registry.find(id('a'))!;
+  upstream.markResting(3_000);
+  upstream.markResting(500);
+  vi.advanceTimersByTime(2_000);
+  expect(upstream.restMs).toBe(1_000);
+  registry.apply({ kind: 'present', upstream: makeUpstream('a', { startedAtMs: 9_000 }) });
+  expect(upstream.restMs).toBe(0);
+});
--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -7,6 +7,9 @@
 /** Time for which an upstream counts as cold after a lost connection, in milliseconds. */
 export const SUSPECTED_COLD_MS = 2_500;
 
+/** Maximum number of leaving upstreams that are remembered beyond their registry entries. */
+export const MAX_LEAVING_BOOTS = 4_000;
+
 /** Age up to which a load report is used in the load estimate, in milliseconds. */
 export const LOAD_REPORT_TTL_MS = 1_000;
 
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -41,6 +41,11 @@
 
   private busyUntilMs = -Infinity;
 
+  /** Whether it has announced in a response that it leaves. */
+  private hasAnnouncedLeaving = false;
+
+  private restUntilMs = -Infinity;
+
   private down: { readonly sinceMs: number; readonly untilMs: number } | undefined;
 
   /** Open response streams of this VM. */
@@ -71,6 +76,21 @@
     return nowMs < this.coldUntilMs || nowMs < this.suspectedColdUntilMs;
   }
 
+  /** Whether it is about to leave, by its registry entry or by its own responses. */
+  get isLeaving(): boolean {
+    return this.entry.draining || this.hasAnnouncedLeaving;
+  }
+
+  /** Whether only its own responses, or those that other VMs got, say that it leaves. */
+  get isLeavingUnregistered(): boolean {
+    return this.hasAnnouncedLeaving && !this.entry.draining;
+  }
+
+  /** Time for which it asked this VM to send no requests, in milliseconds; 0 if it did not. */
+  get restMs(): number {
+    return Math.max(0, this.restUntilMs - performance.now());
+  }
+
   /** Whether it recently refused requests or appears to be down. */
   get isBusy(): boolean {
     return performance.now() < this.busyUntilMs || this.isDown;
@@ -118,7 +138,11 @@
       this.down = undefined;
     this.entry = next;
     const isRestarted = next.startedAtMs !== previous.startedAtMs;
-    if (isRestarted) this.reportedWeights.clear();
+    if (isRestarted) {
+      this.reportedWeights.clear();
+      this.hasAnnouncedLeaving = false;
+      this.restUntilMs = -Infinity;
+    }
     if (next.coldRemainingMs > 0 || isRestarted) {
       this.coldUntilMs = performance.now() + next.coldRemainingMs;
     }
@@ -212,6 +236,18 @@
     this.coldUntilMs = Math.max(this.coldUntilMs, performance.now() + remainingMs);
   }
 
+  /** Excludes the upstream from routing until it restarts. @returns whether this is news */
+  markLeaving(): boolean {
+    const isNews = !this.hasAnnouncedLeaving;
+    this.hasAnnouncedLeaving = true;
+    return isNews;
+  }
+
+  /** Excludes the upstream from routing by this VM for the time that it asked for. */
+  markResting(durationMs: number): void {
+    this.restUntilMs = Math.max(this.restUntilMs, performance.now() + durationMs);
+  }
+
   /** Excludes the upstream from routing for a short time. */
   markBusy(durationMs: number): void {
     this.busyUntilMs = performance.now() + durationMs;
--- a/packages/core/src/fleet/upstreamRegistry.ts
+++ b/packages/core/src/fleet/upstreamRegistry.ts
@@ -1,5 +1,5 @@
 import type { ServiceName, UpstreamId } from '../ids.js';
-import { LOG_OUTAGE_GRACE_MS } from './constants.js';
+import { LOG_OUTAGE_GRACE_MS, MAX_LEAVING_BOOTS } from './constants.js';
 import type { PeerLoads } from './peerLoads.js';
 import type { RegisteredUpstream } from './registeredUpstream.js';
 import { TrackedUpstream } from './trackedUpstream.js';
@@ -23,6 +23,9 @@
 
   private readonly pendingRemovals = new Map<UpstreamId, number>();
 
+  /** Boot times of upstreams that announced that they leave, which outlast their registry entries. */
+  private readonly leavingBoots = new Map<UpstreamId, number>();
+
   private outageEndedAtMs = -Infinity;
 
   /** @param peerLoads load reported by the other VMs */
@@ -41,10 +44,29 @@
     if (known && isStale(upstream, known.registered)) return false;
     this.pendingRemovals.delete(upstream.upstreamId);
     if (known) return known.update(upstream);
-    this.upstreams.set(upstream.upstreamId, new TrackedUpstream(upstream, this.peerLoads));
+    const created = new TrackedUpstream(upstream, this.peerLoads);
+    if (this.leavingBoots.get(upstream.upstreamId) === upstream.startedAtMs) created.markLeaving();
+    this.upstreams.set(upstream.upstreamId, created);
     return true;
   }
 
+  /**
+   * Records that an upstream announced that it leaves. It stays excluded until it restarts, even if
+   * its registry entry expires and comes back.
+   *
+   * @param startedAtMs boot that announced it, by the upstream's clock
+   * @returns whether this is news
+   */
+  recordLeaving(upstreamId: UpstreamId, startedAtMs: number): boolean {
+    this.leavingBoots.delete(upstreamId);
+    this.leavingBoots.set(upstreamId, startedAtMs);
+    if (this.leavingBoots.size > MAX_LEAVING_BOOTS) {
+      this.leavingBoots.delete(this.leavingBoots.keys().next().value!);
+    }
+    const upstream = this.upstreams.get(upstreamId);
+    return upstream?.registered.startedAtMs === startedAtMs && upstream.markLeaving();
+  }
+
   /** Applies a complete list of registry entries; upstreams not in it count as absent. */
   replaceAll(upstreams: readonly RegisteredUpstream[]): void {
     const listed = new Set(upstreams.map(({ upstreamId }) => upstreamId));
--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -161,11 +161,12 @@
   const metrics = createGatewayMetrics(createMetricsRegistry());
   const protocol = new TestCallerProtocol();
   const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
+  const requestLog = new RequestLog(logger);
   const gateway = createCallerServer({
     protocol,
     isLeaving: () => false,
     filters: createGatewayFilters({
-      errorResponse: { requestLog: new RequestLog(logger), metrics, protocol },
+      errorResponse: { requestLog, metrics, protocol },
       getView: () => operators.view,
       isRefusing: options.isRefusing ?? (() => false),
       dispatch: {
@@ -185,6 +186,8 @@
         ),
         ejection: fleetState.ejection,
         blocks: fleetState.blocks,
+        registry: fleetState.registry,
+        requestLog,
         fetchWindow: new FetchWindow(operators),
         metrics,
         getConnectionShare: () => 50,
--- a/packages/gateway/src/__tests__/gossipMessage.spec.ts
+++ b/packages/gateway/src/__tests__/gossipMessage.spec.ts
@@ -12,6 +12,7 @@
   sequence: 5,
   loads: [{ upstreamId, inFlight: 2, pendingTokens: 900, inFlightTokens: 1_200 }],
   loading: [upstreamId],
+  leaving: [{ upstreamId: toId<UpstreamId>('i-9'), startedAtMs: 77 }],
   down: [upstreamId],
   sentParts: [{ hash: 77, upstreamId }],
   weights: [{ upstreamId, model: toId<ModelId>('m'), weightNumber: toWeightNumber(2) }],
--- a/packages/gateway/src/__tests__/testProtocols.ts
+++ b/packages/gateway/src/__tests__/testProtocols.ts
@@ -89,6 +89,9 @@
       load: undefined,
       weights: undefined,
       coldRemainingMs: undefined,
+      isLeaving: headers['x-leaving'] !== undefined,
+      restMs: headers['x-rest'] === undefined ? undefined : Number(headers['x-rest']),
+      invalidRest: undefined,
       forwardedHeaders: rawHeaders.filter((_item, index, all) => {
         const name = all[index - (index % 2)]!.toLowerCase();
         return !['connection', 'keep-alive', 'transfer-encoding', 'content-length'].includes(name);
--- /dev/null
+++ b/packages/gateway/src/__tests__/unavailableUpstreams.spec.ts
@@ -0,0 +1,68 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import { expect, test } from 'vitest';
+import { buildResponse } from './fakeUpstream.js';
+import type { TestRequest } from './fakeUpstream.js';
+import { startGateway } from './gatewayHarness.js';
+
+const respond = ({ id, socket }: TestRequest): void => {
+  socket.write(buildResponse(200, { 'x-id': id, 'x-sig': 's' }, 'fine'));
+};
+
+const countRequests = (upstreams: readonly { readonly received: readonly unknown[] }[]): number =>
+  upstreams.reduce((sum, { received }) => sum + received.length, 0);
+
+const unsafe = { idempotent: false, maxUpstreams: 1 };
+
+const respondLeaving = ({ id, socket }: TestRequest): void => {
+  socket.write(buildResponse(200, { 'x-id': id, 'x-sig': 's', 'x-leaving': '1' }, 'fine'));
+};
+
+/** Longer than the pause after a refusal without a rest. */
+const SHORT_REFUSAL_PAUSE_MS = 250;
+
+/** Refuses with a request for a rest, in milliseconds. */
+const makeResting =
+  (restMs: number) =>
+  ({ id, socket }: TestRequest): void => {
+    const headers = { 'x-id': id, 'x-not-run': '1', 'x-rest': String(restMs) };
+    socket.write(buildResponse(503, headers, ''));
+  };
+
+test('sends nothing more to an upstream that announces in a response that it leaves', async () => {
+  const { call, upstreams } = await startGateway({ upstreams: [respondLeaving, respond] });
+  const replies = [];
+  for (let count = 0; count < 12; count += 1) replies.push(await call());
+  expect(replies.every(({ status }) => status === 200)).toBe(true);
+  expect(upstreams[0]!.received.length).toBeLessThanOrEqual(1);
+});
+
+test('sends no requests to an upstream during the rest that it asked for', async () => {
+  const { call, upstreams } = await startGateway({ upstreams: [makeResting(600), respond] });
+  for (let count = 0; count < 12; count += 1) {
+    expect((await call()).status).toBe(200);
+    await pause(30);
+  }
+  expect(upstreams[0]!.received.length).toBeLessThanOrEqual(1);
+  await pause(600);
+  await Promise.all(Array.from({ length: 12 }, () => call()));
+  expect(upstreams[0]!.received.length).toBeGreaterThan(1);
+});
+
+test('rejects at once with the shortest rest if all upstreams rest', async () => {
+  const { call, upstreams } = await startGateway({
+    route: unsafe,
+    upstreams: [makeResting(4_000), makeResting(2_500)],
+  });
+  await call();
+  await pause(SHORT_REFUSAL_PAUSE_MS);
+  await call();
+  await pause(SHORT_REFUSAL_PAUSE_MS);
+  const sent = countRequests(upstreams);
+  const startedAtMs = performance.now();
+  const reply = await call();
+  expect(performance.now() - startedAtMs).toBeLessThan(300);
+  expect(reply.status).toBe(503);
+  expect(Number(reply.headers['retry-after'])).toBeGreaterThan(1.5);
+  expect(Number(reply.headers['retry-after'])).toBeLessThanOrEqual(2.5);
+  expect(countRequests(upstreams)).toBe(sent);
+});
--- a/packages/gateway/src/__tests__/zoneAggregator.spec.ts
+++ b/packages/gateway/src/__tests__/zoneAggregator.spec.ts
@@ -18,6 +18,7 @@
   loading: [],
   weights: [],
   down: [],
+  leaving: [],
   sentParts: [{ hash: 1, upstreamId: toUpstream('a') }],
 });
 
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -41,9 +41,10 @@
     const limit = operators.state.view?.findService(service)?.connectionLimit ?? Infinity;
     return Math.max(1, Math.floor((limit * CONNECTION_LIMIT_FRACTION) / countVms()));
   };
+  const requestLog = new RequestLog(logger.createPartLogger('requests'));
   const filters = createGatewayFilters({
     errorResponse: {
-      requestLog: new RequestLog(logger.createPartLogger('requests')),
+      requestLog,
       metrics,
       protocol: callerProtocol,
     },
@@ -63,6 +64,8 @@
       retryBudget: createRetryBudget(settings, countVms),
       ejection: fleetState.ejection,
       blocks: fleetState.blocks,
+      registry: fleetState.registry,
+      requestLog,
       fetchWindow: operators.fetchWindow,
       metrics,
       getConnectionShare,
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -188,8 +188,7 @@
     return registry.list().flatMap((upstream) =>
       upstream.registered.weights.flatMap(({ model }) => {
         const weights = operators.findWeights(model);
-        const isLeaving = upstream.registered.draining;
-        return weights && !isLeaving ? [{ upstream, model, wanted: weights.wanted }] : [];
+        return weights && !upstream.isLeaving ? [{ upstream, model, wanted: weights.wanted }] : [];
       }),
     );
   }
@@ -236,6 +235,11 @@
     // By then the other VMs know from gossip that they must not send it new requests.
     await sleep(LOAD_DRAIN_DELAY_MS, signal);
     const state = await this.options.protocol.readEngineState(buildCall(engine, signal));
+    if (state.isLeaving) {
+      const { upstreamId, registered } = engine.upstream;
+      this.options.registry.recordLeaving(upstreamId, registered.startedAtMs);
+      return false;
+    }
     if (recordWeights(engine, state.weights)) return true;
     const orderedAtMs = performance.now();
     if (!state.isBusy) {
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -1,9 +1,10 @@
 import { combineVerdicts } from '@goldcrestscale/core';
-import type { EjectionPolicy, TrackedUpstream } from '@goldcrestscale/core';
+import type { EjectionPolicy, TrackedUpstream, UpstreamRegistry } from '@goldcrestscale/core';
 import { UPSTREAM_REFUSAL_BACKOFF_MS } from '../constants.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import type { GatewayMetrics } from '../metrics.js';
 import type { ResponseHead } from '../ports/index.js';
+import type { RequestLog } from '../requestLog.js';
 import type { AttemptResult } from './attemptResult.js';
 import type { ConnectionPool } from './connectionPool.js';
 import type { RequestProgress } from './requestProgress.js';
@@ -13,6 +14,8 @@
   readonly ejection: EjectionPolicy;
   readonly connections: ConnectionPool;
   readonly metrics: GatewayMetrics;
+  readonly registry: UpstreamRegistry;
+  readonly requestLog: RequestLog;
 }
 
 type FailedResult = Exclude<AttemptResult, { kind: 'answered' }>;
@@ -32,6 +35,7 @@
   ): void {
     const { metrics, ejection } = this.options;
     metrics.observeFirstByte(performance.now() - exchange.receivedAtMs);
+    this.recordAnnouncements(exchange, upstream, head);
     if (head.load) upstream.recordLoad(head.load);
     if (head.coldRemainingMs) upstream.markCold(head.coldRemainingMs);
     const model = exchange.head.prompt?.model;
@@ -68,6 +72,27 @@
     ejection.recordOutcome(upstreamId, isCancelled ? 'neutral' : 'failure');
   }
 
+  /** Records that the upstream wants no further requests, for good or for a while. */
+  private recordAnnouncements(
+    exchange: GatewayExchange,
+    upstream: TrackedUpstream,
+    { isLeaving, restMs, invalidRest }: ResponseHead,
+  ): void {
+    const { registry, requestLog } = this.options;
+    const { upstreamId, registered } = upstream;
+    const { requestId: id } = exchange.head;
+    if (isLeaving && registry.recordLeaving(upstreamId, registered.startedAtMs)) {
+      requestLog.log('upstream leaves', { id, upstreamId });
+    }
+    if (restMs !== undefined) {
+      upstream.markResting(restMs);
+      requestLog.log('upstream rests', { id, upstreamId, restMs });
+    }
+    if (invalidRest !== undefined) {
+      requestLog.log('ignoring invalid rest of upstream', { id, upstreamId, invalidRest });
+    }
+  }
+
   private recordNotExecuted(
     upstream: TrackedUpstream,
     progress: RequestProgress,
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -23,6 +23,7 @@
   Prompt,
   PromptChoice,
   PromptDecision,
+  PromptRefusal,
   RegionId,
   RouteRule,
   SentParts,
@@ -96,7 +97,9 @@
     service: ServiceName,
     excluded: ReadonlySet<UpstreamId>,
   ): UpstreamDecision | undefined {
-    const chosen = this.chooseFromEngineGroups(exchange, service, excluded);
+    const chosen =
+      this.chooseFromEngineGroups(exchange, service, excluded) ??
+      this.findShortestRest(exchange, service, excluded);
     if (!chosen || 'retryAfterMs' in chosen || !chosen.upstream.isCold) return chosen;
     const share = this.computeColdStartShare(chosen.upstream);
     return !share || this.coldStartBudget.tryTake(chosen.upstream.upstreamId, share)
@@ -116,7 +119,7 @@
     const isAllowed = (allowed: readonly RegionId[] | undefined): boolean =>
       !allowed?.length || (region !== undefined && allowed.includes(region));
     return (
-      !registered.draining &&
+      !upstream.isLeaving &&
       !excluded.has(upstream.upstreamId) &&
       !operators.isZoneOut(registered.availabilityZone) &&
       isAllowed(exchange.route?.regions) &&
@@ -150,6 +153,7 @@
       upstreams.filter(
         (upstream) =>
           !upstream.isBusy &&
+          upstream.restMs === 0 &&
           !loadingWeights.has(upstream.upstreamId) &&
           this.canServe(exchange, upstream, excluded),
       );
@@ -179,6 +183,19 @@
     return decision;
   }
 
+  /** Returns the time until the first upstream ends its rest; undefined if none rests. */
+  private findShortestRest(
+    exchange: GatewayExchange,
+    service: ServiceName,
+    excluded: ReadonlySet<UpstreamId>,
+  ): PromptRefusal | undefined {
+    const restsMs = this.options.registry
+      .listService(service)
+      .filter((upstream) => upstream.restMs > 0 && this.canServe(exchange, upstream, excluded))
+      .map(({ restMs }) => restMs);
+    return restsMs.length > 0 ? { retryAfterMs: Math.min(...restsMs) } : undefined;
+  }
+
   /** Finds the availability zone whose store holds the session of a prompt, for the newest weights. */
   private findSessionStoreZone(
     exchange: GatewayExchange,
@@ -276,10 +293,11 @@
   /** Whether newer weights were announced so long ago that no request may start on the old ones. */
   private hasOutdatedWeights(exchange: GatewayExchange, upstream: TrackedUpstream): boolean {
     const model = exchange.head.prompt?.model;
-    const weights = model === undefined ? undefined : this.options.operators.findWeights(model);
-    const loadedWeights = model === undefined ? undefined : upstream.findWeights(model);
-    if (!weights || loadedWeights === undefined || loadedWeights >= weights.wanted) return false;
+    const loaded = model === undefined ? undefined : upstream.findWeights(model);
+    if (model === undefined || loaded === undefined) return false;
+    const superseding = this.options.operators.findSuperseding(model, loaded);
+    if (!superseding) return false;
     const limitMs = this.options.bounds.weightsInForceMs * OUTDATED_WEIGHTS_CUTOFF_FRACTION;
-    return computeMaxElapsedMs(weights.learnedAt) > limitMs;
+    return computeMaxElapsedMs(superseding.learnedAt) > limitMs;
   }
 }
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -6,6 +6,7 @@
   FleetRetryBudget,
   GoldcrestErrorInstance,
   ServiceName,
+  UpstreamRegistry,
 } from '@goldcrestscale/core';
 import { MAX_UNEXECUTED_EXTRA_ATTEMPTS, NO_CAPACITY_RETRY_AFTER_MS } from '../constants.js';
 import { AttemptMetadataBuilder } from '../dispatch/attemptMetadataBuilder.js';
@@ -18,6 +19,7 @@
 import type { UpstreamChoice, UpstreamChooser } from '../dispatch/upstreamChooser.js';
 import type { GatewayMetrics } from '../metrics.js';
 import type { UpstreamProtocol } from '../ports/index.js';
+import type { RequestLog } from '../requestLog.js';
 import type { AttemptLogEntry, GatewayExchange } from './gatewayExchange.js';
 import { requireRoute } from './gatewayExchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
@@ -32,6 +34,8 @@
   readonly blocks: BlockDirectory;
   readonly fetchWindow: FetchWindow;
   readonly metrics: GatewayMetrics;
+  readonly registry: UpstreamRegistry;
+  readonly requestLog: RequestLog;
   /** Returns this VM's share of the connections that an upstream accepts. */
   readonly getConnectionShare: (service: ServiceName) => number;
   /** Called with the tokens that an engine has to prefill for a prompt that is being sent. */
@@ -43,15 +47,15 @@
   return 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind;
 };
 
-const createNoUpstreamError = (): GoldcrestErrorInstance =>
+const createNoUpstreamError = (retryAfterMs = 0): GoldcrestErrorInstance =>
   createRefusal('No upstream can take the request now; try again.', {
     code: 'no_upstream',
     status: 503,
-    retryAfterMs: NO_CAPACITY_RETRY_AFTER_MS,
+    retryAfterMs: Math.max(NO_CAPACITY_RETRY_AFTER_MS, retryAfterMs),
   });
 
 const createOverloadError = (retryAfterMs: number): GoldcrestErrorInstance =>
-  createRefusal('The engines can not read this prompt in time now; try again later.', {
+  createRefusal('No upstream can serve the request in time now; try again later.', {
     code: 'overloaded',
     status: 503,
     retryAfterMs: Math.max(NO_CAPACITY_RETRY_AFTER_MS, retryAfterMs),
@@ -64,8 +68,16 @@
     verdict: exchange.verdict,
   });
 
-/** Ends a request after its last attempt: relays the last server error, or throws. */
-const sendFailure = (exchange: GatewayExchange, progress: RequestProgress): void => {
+/**
+ * Ends a request after its last attempt: relays the last server error, or throws.
+ *
+ * @param retryAfterMs time after which an upstream may serve the request, if known
+ */
+const sendFailure = (
+  exchange: GatewayExchange,
+  progress: RequestProgress,
+  retryAfterMs?: number,
+): void => {
   const { response } = exchange;
   const { lastFailure } = progress;
   if (lastFailure && !response.isHeadSent) {
@@ -78,7 +90,7 @@
     response.finish(body);
     return;
   }
-  if (exchange.verdict === 'not-run') throw createNoUpstreamError();
+  if (exchange.verdict === 'not-run') throw createNoUpstreamError(retryAfterMs);
   throw createError('The upstream gave no whole answer; the request may have run.', {
     code: response.isHeadSent ? 'stream_broken' : 'upstream_failed',
     status: 502,
@@ -147,7 +159,7 @@
         throw createOverloadError(choice.retryAfterMs);
       }
       if (!choice || 'retryAfterMs' in choice) {
-        sendFailure(exchange, progress);
+        sendFailure(exchange, progress, choice?.retryAfterMs);
         return;
       }
       const { upstream } = choice;
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -173,6 +173,11 @@
     roster.recordLoading(message.vmId, message.loading);
     message.sentParts.forEach((part) => sentParts.recordPart(part));
     message.down.forEach((upstreamId) => registry.find(upstreamId)?.markDown());
+    message.leaving.forEach(({ upstreamId, startedAtMs }) => {
+      if (registry.recordLeaving(upstreamId, startedAtMs)) {
+        this.options.logger.info('upstream leaves', { upstreamId, toldBy: message.vmId });
+      }
+    });
     message.weights.forEach(({ upstreamId, model, weightNumber }) =>
       registry.find(upstreamId)?.recordWeights(model, weightNumber),
     );
--- a/packages/gateway/src/mesh/gossipMessage.ts
+++ b/packages/gateway/src/mesh/gossipMessage.ts
@@ -22,6 +22,8 @@
   readonly sentParts: readonly SentPart[];
   /** Upstreams that are suspected to be down. */
   readonly down: readonly UpstreamId[];
+  /** Upstreams that announced that they leave, and the boots that did. */
+  readonly leaving: readonly LeavingUpstream[];
   /** Weights of engines that were learned after the engines' last heartbeats. */
   readonly weights: readonly LearnedWeights[];
   /** Only in aggregates: the last message of each VM that is included in the sums. */
@@ -34,6 +36,13 @@
   readonly sequence: number;
 }
 
+/** An upstream that announced that it leaves. */
+export interface LeavingUpstream {
+  readonly upstreamId: UpstreamId;
+  /** Its last boot, by its own clock. */
+  readonly startedAtMs: number;
+}
+
 /** Weights that an engine runs on, as learned from its responses. */
 export interface LearnedWeights extends LoadedWeights {
   readonly upstreamId: UpstreamId;
@@ -49,7 +58,7 @@
 
 /** Encodes a message and prepends a MAC computed with the sender's key. */
 export const encodeGossip = (message: GossipMessage, key: string): Buffer => {
-  const { vmId, sequence, loads, loading, down, weights, sentParts, members } = message;
+  const { vmId, sequence, loads, loading, down, weights, sentParts, members, leaving } = message;
   const loadRows = loads.map(({ upstreamId, inFlight, pendingTokens, inFlightTokens }) => [
     upstreamId,
     inFlight,
@@ -62,6 +71,7 @@
     model,
     weightNumber,
   ]);
+  const leavingRows = leaving.map(({ upstreamId, startedAtMs }) => [upstreamId, startedAtMs]);
   const memberRows = members?.map((member) => [member.vmId, member.sequence]);
   const content = packr.pack([
     vmId,
@@ -72,6 +82,7 @@
     down,
     sentRows,
     memberRows ?? null,
+    leavingRows,
   ]);
   return Buffer.concat([computeMac(key, content), content]);
 };
@@ -108,6 +119,13 @@
   ];
 };
 
+const decodeLeaving = (row: unknown): LeavingUpstream[] => {
+  if (!Array.isArray(row)) return [];
+  const [upstreamId, startedAtMs] = row as unknown[];
+  if (typeof upstreamId !== 'string' || typeof startedAtMs !== 'number') return [];
+  return [{ upstreamId: toId<UpstreamId>(upstreamId), startedAtMs }];
+};
+
 const decodeMember = (row: unknown): MemberSequence[] => {
   if (!Array.isArray(row)) return [];
   const [vmId, sequence] = row as unknown[];
@@ -135,7 +153,8 @@
     return undefined;
   }
   if (!Array.isArray(fields)) return undefined;
-  const [vmId, sequence, loads, loading, weights, down, sentParts, members] = fields as unknown[];
+  const [vmId, sequence, loads, loading, weights, down, sentParts, members, leaving] =
+    fields as unknown[];
   if (typeof vmId !== 'string' || typeof sequence !== 'number') return undefined;
   if (!Array.isArray(loads) || !Array.isArray(loading)) return undefined;
   if (!Array.isArray(weights) || !Array.isArray(down) || !Array.isArray(sentParts))
@@ -152,6 +171,8 @@
     loading: loading.filter(isUpstreamId),
     down: down.filter(isUpstreamId),
     sentParts: sentParts.flatMap(decodeSent),
+    // VMs of an earlier version do not send this list.
+    leaving: Array.isArray(leaving) ? leaving.flatMap(decodeLeaving) : [],
     ...(Array.isArray(members) ? { members: members.flatMap(decodeMember) } : {}),
   };
 };
--- a/packages/gateway/src/mesh/reportBuilder.ts
+++ b/packages/gateway/src/mesh/reportBuilder.ts
@@ -12,8 +12,15 @@
 }
 
 /** Whether a report is not empty. */
-export const hasContent = ({ loads, loading, weights, down, sentParts }: GossipMessage): boolean =>
-  [loads, loading, weights, down, sentParts].some((list) => list.length > 0);
+export const hasContent = ({
+  loads,
+  loading,
+  weights,
+  down,
+  sentParts,
+  leaving,
+}: GossipMessage): boolean =>
+  [loads, loading, weights, down, sentParts, leaving].some((list) => list.length > 0);
 
 /** Builds reports of this VM's load, sent parts and observations of upstreams. */
 export class ReportBuilder {
@@ -48,6 +55,12 @@
           .map((weights) => ({ upstreamId: upstream.upstreamId, ...weights })),
       ),
       down: this.listDown(),
+      leaving: upstreams
+        .filter((upstream) => upstream.isLeavingUnregistered)
+        .map(({ upstreamId, registered }) => ({
+          upstreamId,
+          startedAtMs: registered.startedAtMs,
+        })),
       sentParts: sentParts.takeUnannounced(),
     };
   }
--- a/packages/gateway/src/mesh/zoneAggregator.ts
+++ b/packages/gateway/src/mesh/zoneAggregator.ts
@@ -1,5 +1,5 @@
 import type { PeerLoad, SentPart, UpstreamId, VmId } from '@goldcrestscale/core';
-import type { GossipMessage, LearnedWeights } from './gossipMessage.js';
+import type { GossipMessage, LearnedWeights, LeavingUpstream } from './gossipMessage.js';
 
 interface ReceivedReport {
   readonly report: GossipMessage;
@@ -49,14 +49,19 @@
   ...new Set(lists.flat()),
 ];
 
+const listDistinctBoots = (leaving: readonly LeavingUpstream[]): readonly LeavingUpstream[] => [
+  ...new Map(leaving.map((one) => [`${one.upstreamId}/${one.startedAtMs}`, one])).values(),
+];
+
 /** Combines all fields of several messages except for the sent parts, which are forwarded only once. */
 const combineMessages = (
   messages: readonly GossipMessage[],
-): Pick<GossipMessage, 'loads' | 'loading' | 'down' | 'weights'> => ({
+): Pick<GossipMessage, 'loads' | 'loading' | 'down' | 'weights' | 'leaving'> => ({
   loads: sumLoads(messages.map(({ loads }) => loads)),
   loading: listDistinct(messages.map(({ loading }) => loading)),
   down: listDistinct(messages.map(({ down }) => down)),
   weights: pickNewestWeights(messages.map(({ weights }) => weights)),
+  leaving: listDistinctBoots(messages.flatMap(({ leaving }) => leaving)),
 });
 
 /** Adds the aggregates of other zones to that of this VM's zone, for the VMs of this zone. */
--- a/packages/gateway/src/ports/upstreamProtocol.ts
+++ b/packages/gateway/src/ports/upstreamProtocol.ts
@@ -49,6 +49,12 @@
   readonly load: ReportedLoad | undefined;
   readonly weights: WeightNumber | undefined;
   readonly coldRemainingMs: number | undefined;
+  /** Whether the upstream is about to leave and wants no further requests. */
+  readonly isLeaving: boolean;
+  /** Time for which a refusing upstream wants no requests from this VM; undefined if not given. */
+  readonly restMs: number | undefined;
+  /** A rest that is given but can't be read, for the log. */
+  readonly invalidRest: string | undefined;
   /** Headers to forward to the caller, alternating names and values. */
   readonly forwardedHeaders: readonly string[];
 }
@@ -59,6 +65,8 @@
   readonly isBusy: boolean;
   /** Number of orders accepted since it started. */
   readonly acceptedOrders: number;
+  /** Whether the engine is about to leave and wants no further requests. */
+  readonly isLeaving: boolean;
   readonly weights: ReadonlyMap<ModelId, WeightNumber>;
 }
 
