--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -56,12 +56,16 @@
 export const MAX_CALLER_ENTRIES = 64;
 
 /**
- * Minimum fleet size for zone relays; below it, direct all-to-all messages cost less than a relay.
+ * Minimum fleet size for relays to aggregate the load of their zones; below it, direct all-to-all
+ * load reports cost less.
  */
 export const MIN_RELAY_FLEET_SIZE = 20;
 
-/** Number of relays per zone; the second takes over if the first stops sending. */
-export const RELAYS_PER_ZONE = 2;
+/** Minimum fleet size for two relays that read the log and the stores for the whole fleet. */
+export const MIN_FEED_FLEET_SIZE = 4;
+
+/** Number of relays per group; the second takes over if the first stops sending. */
+export const RELAYS_PER_GROUP = 2;
 
 /** Time for which the selection of relays is cached, in milliseconds. */
 export const RELAY_SELECTION_TTL_MS = 300;
--- a/packages/core/src/lease/conditionalLease.ts
+++ b/packages/core/src/lease/conditionalLease.ts
@@ -1,4 +1,5 @@
-import type { LeaseStreamTail, LeaseStream } from './leaseStream.js';
+import { FIRST_STREAM_ERA } from './leaseStream.js';
+import type { LeaseStreamPosition, LeaseStreamTail, LeaseStream } from './leaseStream.js';
 import { computeMaxElapsedMs, computeMinElapsedMs, readClocks } from './clockReading.js';
 import type { ClockReading } from './clockReading.js';
 
@@ -20,17 +21,28 @@
 }
 
 interface TimedGrant extends LeaseGrant {
+  readonly era: number;
   readonly requestedAt: ClockReading;
 }
 
+/** Offsets of one era; tokens of a later era are always higher. */
+const OFFSETS_PER_ERA = 2 ** 32;
+
+const computeFencingToken = ({ era, offset }: LeaseStreamPosition): number =>
+  (era - FIRST_STREAM_ERA) * OFFSETS_PER_ERA + offset + 1;
+
 /**
  * A lease acquired by a conditional append at the end of a stream. Only one append succeeds at an
- * offset, and its sender becomes the holder; the fencing token derives from that offset. Other
+ * offset, and its sender becomes the holder; the fencing token derives from era and offset. Other
  * candidates wait until the newest record has stayed unchanged for longer than the lease duration.
+ * After a change of era, the newest record may be lost, so everyone without a valid grant waits as
+ * long from the moment at which the era was first seen.
  */
 export class ConditionalLease {
   private grant: TimedGrant | undefined;
 
+  private currentEra: { readonly era: number; readonly seenAt: ClockReading } | undefined;
+
   private lastTail: { readonly endOffset: number; readonly seenAt: ClockReading } | undefined;
 
   constructor(private readonly options: ConditionalLeaseOptions) {}
@@ -61,22 +73,37 @@
     if (!this.canAcquire(tail)) return undefined;
     const requestedAt = readClocks();
     const { stream, holder } = this.options;
-    const offset = await stream.appendAt(tail.endOffset, holder, signal);
-    if (offset === undefined) return undefined;
-    this.grant = { fencingToken: offset + 1, requestedAt };
+    const position = await stream.appendAt(tail.endOffset, holder, signal);
+    if (!position) return undefined;
+    // The record was appended to another copy than the one that was read.
+    if (position.era !== tail.era) return undefined;
+    this.grant = { fencingToken: computeFencingToken(position), era: position.era, requestedAt };
     return this.currentGrant;
   }
 
   private async readTail(signal: AbortSignal): Promise<LeaseStreamTail> {
     const tail = await this.options.stream.read(signal);
+    if (this.currentEra?.era !== tail.era) {
+      this.currentEra = { era: tail.era, seenAt: readClocks() };
+      this.lastTail = undefined;
+    }
     if (this.lastTail?.endOffset !== tail.endOffset)
       this.lastTail = { endOffset: tail.endOffset, seenAt: readClocks() };
     return tail;
   }
 
-  private canAcquire({ holder }: LeaseStreamTail): boolean {
-    if (holder === undefined || holder === this.options.holder) return true;
+  private canAcquire({ holder, era }: LeaseStreamTail): boolean {
+    const isOwn = holder === this.options.holder;
+    // While this grant is valid, nobody else acquires the lease, also if its record is lost.
+    if (this.currentGrant && (isOwn || this.grant?.era !== era)) return true;
+    if (era !== FIRST_STREAM_ERA && !this.hasOutlasted(this.currentEra?.seenAt)) return false;
+    if (holder === undefined || isOwn) return true;
+    return this.hasOutlasted(this.lastTail?.seenAt);
+  }
+
+  /** Whether every grant from before a moment has expired. */
+  private hasOutlasted(seenAt: ClockReading | undefined): boolean {
     const { durationMs, marginMs } = this.options;
-    return !!this.lastTail && computeMinElapsedMs(this.lastTail.seenAt) > durationMs + marginMs;
+    return seenAt !== undefined && computeMinElapsedMs(seenAt) > durationMs + marginMs;
   }
 }
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -47,7 +47,7 @@
       onDeployment();
     },
     onChange,
-    isRelay: () => relays.isRelay,
+    isRelay: () => relays.isFeedRelay,
     onBatch,
   });
   const upstreams = new GatewayUpstreamsController({
@@ -63,7 +63,8 @@
     logger: logger.createPartLogger('stores'),
     fetchWindow: operators.fetchWindow,
     isReleaseOwner(address) {
-      const readers = relays.isNeeded ? relays.listAll() : roster.listServing();
+      const relayed = relays.listAllFeeds();
+      const readers = relayed.length > 0 ? relayed : roster.listServing();
       const vmIds = readers.map(({ vmId }) => vmId);
       return pickByRendezvous(address, vmIds) === settings.vmId;
     },
@@ -71,7 +72,7 @@
       // A store can serve only a few readers, so a new fleet reads none until its relays are known.
       const isDiscovering =
         settings.isFirstStart && performance.now() - startedAtMs < FIRST_START_DISCOVERY_MS;
-      return relays.isNeeded ? relays.isRelay : !isDiscovering;
+      return relays.listOwnFeed().length > 0 ? relays.isFeedRelay : !isDiscovering;
     },
     onBlockChanges,
   });
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -2,10 +2,15 @@
 import type { BootId, EntryHeartbeat, EntryRoster } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GatewaySettings } from '../config.js';
-import { HEARTBEAT_INTERVAL_MS, LOG_RETRY_DELAY_MS } from '../constants.js';
+import {
+  HEARTBEAT_INTERVAL_MS,
+  LOG_RETRY_DELAY_MS,
+  MAX_ENTRY_RELAY_LAG_MS,
+  RELAY_SYNC_TTL_MS,
+} from '../constants.js';
 import type { KeyedRecord, SharedLog } from '../ports/index.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
-import { decodeHeartbeat, encodeHeartbeat } from './heartbeatRecord.js';
+import { HeartbeatDecoder, encodeHeartbeat } from './heartbeatRecord.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
 import { TopicReader } from './topicReader.js';
 
@@ -31,6 +36,8 @@
 
   private readonly logHealth: LogHealthMonitor;
 
+  private readonly decoder = new HeartbeatDecoder();
+
   private isLeaving = false;
 
   private pauseController = new AbortController();
@@ -44,10 +51,13 @@
       logger,
       getLongPollMs: () => 0,
       getPauseMs: () => HEARTBEAT_INTERVAL_MS,
+      maxRelayLagMs: MAX_ENTRY_RELAY_LAG_MS,
+      relaySyncTtlMs: RELAY_SYNC_TTL_MS,
       onSnapshot: (records) => this.applyRecords(records),
       onRecords: (records) => this.applyRecords(records),
       onRecovery: () => roster.recordLogRecovery(),
       onOutage: () => roster.recordLogOutage(),
+      onNewEra: () => this.publishHeartbeat(),
       onBatch: options.onBatch,
     });
   }
@@ -116,7 +126,7 @@
   private applyRecords(records: readonly KeyedRecord[]): void {
     const { roster, logger } = this.options;
     records.forEach((record) => {
-      const heartbeat = decodeHeartbeat(record);
+      const heartbeat = this.decoder.decode(record);
       if (heartbeat) roster.recordHeartbeat(heartbeat);
       else logger.warn('ignoring invalid heartbeat record', { key: record.key });
     });
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -22,8 +22,7 @@
   );
 };
 
-/** @returns undefined if the record is not a valid heartbeat of this version */
-export const decodeHeartbeat = ({ value }: KeyedRecord): EntryHeartbeat | undefined => {
+const decodeHeartbeat = ({ value }: KeyedRecord): EntryHeartbeat | undefined => {
   if (!value) return undefined;
   try {
     const parsed: unknown = JSON.parse(value.toString('utf8'));
@@ -33,3 +32,24 @@
     return undefined;
   }
 };
+
+interface DecodedHeartbeat {
+  readonly value: Buffer;
+  readonly heartbeat: EntryHeartbeat;
+}
+
+/** Decodes heartbeats; an unchanged record gives the same object, so that changes are cheap to find. */
+export class HeartbeatDecoder {
+  private readonly lastByKey = new Map<string, DecodedHeartbeat>();
+
+  /** @returns undefined if the record is not a valid heartbeat of this version */
+  decode(record: KeyedRecord): EntryHeartbeat | undefined {
+    const { key, value } = record;
+    const last = this.lastByKey.get(key);
+    if (value && last?.value.equals(value)) return last.heartbeat;
+    const heartbeat = decodeHeartbeat(record);
+    if (value && heartbeat) this.lastByKey.set(key, { value, heartbeat });
+    else this.lastByKey.delete(key);
+    return heartbeat;
+  }
+}
--- a/packages/gateway/src/controllers/logLeaseStream.ts
+++ b/packages/gateway/src/controllers/logLeaseStream.ts
@@ -1,5 +1,5 @@
 import { LeaseStream } from '@goldcrestscale/core';
-import type { LeaseStreamTail } from '@goldcrestscale/core';
+import type { LeaseStreamPosition, LeaseStreamTail } from '@goldcrestscale/core';
 import type { SharedLog } from '../ports/index.js';
 
 const LEASE_KEY = 'weights';
@@ -11,16 +11,16 @@
   }
 
   override async read(signal: AbortSignal): Promise<LeaseStreamTail> {
-    const { records, endOffset } = await this.log.readSnapshot('leases', signal);
+    const { records, endOffset, era } = await this.log.readSnapshot('leases', signal);
     const newest = records.find(({ key }) => key === LEASE_KEY)?.value;
-    return { holder: newest?.toString('utf8'), endOffset };
+    return { holder: newest?.toString('utf8'), endOffset, era };
   }
 
   override appendAt(
     endOffset: number,
     holder: string,
     signal: AbortSignal,
-  ): Promise<number | undefined> {
+  ): Promise<LeaseStreamPosition | undefined> {
     return this.log.appendAt(
       'leases',
       endOffset,
--- a/packages/gateway/src/controllers/operatorsController.ts
+++ b/packages/gateway/src/controllers/operatorsController.ts
@@ -1,7 +1,12 @@
 import { FetchWindow, OperatorState } from '@goldcrestscale/core';
 import type { OperatorChange } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import { OPERATOR_POLL_MS, RELAY_OPERATOR_POLL_MS } from '../constants.js';
+import {
+  MAX_OPERATOR_RELAY_LAG_MS,
+  OPERATOR_POLL_MS,
+  OPERATOR_RELAY_SYNC_TTL_MS,
+  RELAY_OPERATOR_POLL_MS,
+} from '../constants.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
 import { TopicReader } from './topicReader.js';
@@ -34,7 +39,9 @@
       logger: options.logger,
       getLongPollMs: () => (options.isRelay() ? RELAY_OPERATOR_POLL_MS : OPERATOR_POLL_MS),
       getPauseMs: () => 0,
-      onSnapshot: (records) => this.applySnapshot(records),
+      maxRelayLagMs: MAX_OPERATOR_RELAY_LAG_MS,
+      relaySyncTtlMs: OPERATOR_RELAY_SYNC_TTL_MS,
+      onSnapshot: (records, isSettled) => this.applySnapshot(records, isSettled),
       onRecords: (records) => records.forEach((record) => this.applyRecord(record)),
       onCaughtUp: (at) => this.fetchWindow.recordConfirmation(at),
       onBatch: options.onBatch,
@@ -45,8 +52,10 @@
     return this.reader.run(signal);
   }
 
-  private applySnapshot(records: readonly KeyedRecord[]): void {
+  private applySnapshot(records: readonly KeyedRecord[], isSettled: boolean): void {
     const changes = records.map((record) => this.applyRecord(record));
+    // A zone stays out of service until the operators had time to write its record again.
+    if (!isSettled) return;
     const zonesOut = changes.flatMap((change) => (change?.kind === 'zone-out' ? change.zone : []));
     if (this.state.replaceZonesOut(zonesOut))
       this.options.logger.info('zones out of service', { zonesOut });
--- a/packages/gateway/src/controllers/topicReader.ts
+++ b/packages/gateway/src/controllers/topicReader.ts
@@ -1,17 +1,15 @@
 import { advanceClockReading, computeMaxElapsedMs, readClocks, sleep } from '@goldcrestscale/core';
 import type { ClockReading } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import {
-  LOG_RETRY_DELAY_MS,
-  MAX_RELAY_LAG_MS,
-  MIN_RELAY_CHECK_INTERVAL_MS,
-  RELAY_SYNC_TTL_MS,
-} from '../constants.js';
+import { ERA_SETTLE_MS, LOG_RETRY_DELAY_MS, MIN_RELAY_CHECK_INTERVAL_MS } from '../constants.js';
 import type { RelayedBatch, RelayedPosition } from '../mesh/feedMessage.js';
 import { LogTrimmedError } from '../ports/index.js';
-import type { KeyedRecord, LogTopic, SharedLog } from '../ports/index.js';
+import type { KeyedRecord, LogEra, LogTopic, SharedLog } from '../ports/index.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
 
+/** Consecutive responses of an earlier era that are ignored before it counts as the current one. */
+const MAX_EARLIER_ERA_RESPONSES = 5;
+
 /** Options of a topic reader. */
 export interface TopicReaderOptions {
   readonly log: SharedLog;
@@ -21,13 +19,24 @@
   readonly getLongPollMs: () => number;
   /** Returns the pause between two reads. */
   readonly getPauseMs: () => number;
-  /** Called with the newest record of each key. */
-  readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
+  /** Maximum age of a relay's own reads for this reader to rely on them. */
+  readonly maxRelayLagMs: number;
+  /** Time after a relay's position for which this reader does not read the log itself. */
+  readonly relaySyncTtlMs: number;
+  /**
+   * Called with the newest record of each key.
+   *
+   * @param isSettled false shortly after the log came back from a copy: records that it lost are
+   * written again, so a missing record does not yet mean a deletion
+   */
+  readonly onSnapshot: (records: readonly KeyedRecord[], isSettled: boolean) => void;
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
   /** Called with a moment; all records appended before it have been read. */
   readonly onCaughtUp?: (at: ClockReading) => void;
   readonly onRecovery?: () => void;
   readonly onOutage?: () => void;
+  /** Called when the log came back from an older copy; what this VM wrote since then is lost. */
+  readonly onNewEra?: () => void;
   /** Called with the records that this reader read from the log itself, to be relayed to followers. */
   readonly onBatch?: ((batch: RelayedBatch) => void) | undefined;
 }
@@ -41,6 +50,15 @@
 
   private position: number | undefined;
 
+  /** Era of the position. */
+  private era: LogEra | undefined;
+
+  private earlierEraResponses = 0;
+
+  private settledAtMs = -Infinity;
+
+  private needsSettledSnapshot = false;
+
   private caughtUpAt: ClockReading | undefined;
 
   private relaySyncedAtMs = -Infinity;
@@ -59,7 +77,8 @@
   }
 
   /** Applies records from a relay. A batch after a gap is ignored; the next own read fills the gap. */
-  applyRelayed({ from, next, records }: RelayedBatch): void {
+  applyRelayed({ from, next, records, era }: RelayedBatch): void {
+    if (era !== this.era) return;
     if (this.position === undefined || from > this.position || next <= this.position) return;
     this.options.onRecords(records.slice(this.position - from));
     this.position = next;
@@ -71,9 +90,13 @@
    *
    * @param requestedAt moment before the relay was asked for its position
    */
-  recordRelayPosition({ position, provedAgeMs }: RelayedPosition, requestedAt: ClockReading): void {
+  recordRelayPosition(
+    { position, provedAgeMs, era }: RelayedPosition,
+    requestedAt: ClockReading,
+  ): void {
+    if (era !== this.era || this.needsSettledSnapshot) return;
     if (this.position === undefined || position > this.position) return;
-    if (provedAgeMs > MAX_RELAY_LAG_MS) return;
+    if (provedAgeMs > this.options.maxRelayLagMs) return;
     this.relaySyncedAtMs = performance.now();
     this.recordSuccess();
     this.options.onCaughtUp?.(advanceClockReading(requestedAt, -provedAgeMs));
@@ -82,13 +105,14 @@
   /** Returns the position of its own reads; undefined before the first one and while it is relayed. */
   getOwnPosition(): RelayedPosition | undefined {
     if (this.position === undefined || !this.caughtUpAt || this.isRelayed) return undefined;
+    if (this.era === undefined) return undefined;
     const provedAgeMs = computeMaxElapsedMs(this.caughtUpAt);
-    return { topic: this.options.topic, position: this.position, provedAgeMs };
+    return { topic: this.options.topic, era: this.era, position: this.position, provedAgeMs };
   }
 
   /** Remaining time for which the relay's last position is valid. */
   private get relayValidForMs(): number {
-    return this.relaySyncedAtMs + RELAY_SYNC_TTL_MS - performance.now();
+    return this.relaySyncedAtMs + this.options.relaySyncTtlMs - performance.now();
   }
 
   private get isRelayed(): boolean {
@@ -119,19 +143,21 @@
     const { log, topic, getLongPollMs, onRecords, onBatch } = this.options;
     const startedAt = readClocks();
     const from = this.position;
-    if (from === undefined) {
+    const mustSettle = this.needsSettledSnapshot && performance.now() >= this.settledAtMs;
+    if (from === undefined || mustSettle) {
       await this.readSnapshot(startedAt, signal);
       return;
     }
     const longPollMs = getLongPollMs();
     const batch = await log.read(topic, from, { longPollMs, signal });
     this.recordSuccess();
+    if (!this.checkEra(batch.era)) return;
     // A relay delivered some of these records meanwhile; the next read starts after them.
     if (this.position !== from) return;
     onRecords(batch.records);
     this.position = batch.nextOffset;
     if (batch.records.length > 0) {
-      onBatch?.({ topic, from, next: batch.nextOffset, records: batch.records });
+      onBatch?.({ topic, era: batch.era, from, next: batch.nextOffset, records: batch.records });
     }
     // An empty batch was returned after the full long-poll timeout, however late it arrived.
     const waitedMs = batch.records.length === 0 ? longPollMs : 0;
@@ -142,11 +168,45 @@
     const { log, topic, onSnapshot } = this.options;
     const snapshot = await log.readSnapshot(topic, signal);
     this.recordSuccess();
-    onSnapshot(snapshot.records);
+    this.checkEra(snapshot.era);
+    const isSettled = performance.now() >= this.settledAtMs;
+    onSnapshot(snapshot.records, isSettled);
+    this.needsSettledSnapshot = !isSettled;
     this.position = snapshot.endOffset;
     this.recordCaughtUp(startedAt);
   }
 
+  /**
+   * @returns whether the era is that of the position; otherwise a new snapshot is read
+   * @throws for a response of an earlier era
+   */
+  private checkEra(era: LogEra): boolean {
+    const { logger, topic, onNewEra } = this.options;
+    if (era === this.era) {
+      this.earlierEraResponses = 0;
+      return true;
+    }
+    if (this.era === undefined) {
+      this.era = era;
+      return true;
+    }
+    if (era < this.era && this.earlierEraResponses < MAX_EARLIER_ERA_RESPONSES) {
+      // A response that was under way while the log was replaced, or a faulty one.
+      this.earlierEraResponses += 1;
+      throw new Error(`response of era ${era} of the log after one of era ${this.era}`);
+    }
+    this.earlierEraResponses = 0;
+    logger.warn('log came back from a copy; reading it again', { topic, era, known: this.era });
+    this.era = era;
+    this.position = undefined;
+    this.caughtUpAt = undefined;
+    this.relaySyncedAtMs = -Infinity;
+    this.settledAtMs = performance.now() + ERA_SETTLE_MS;
+    this.needsSettledSnapshot = true;
+    onNewEra?.();
+    return false;
+  }
+
   private recordCaughtUp(at: ClockReading): void {
     this.caughtUpAt = at;
     this.options.onCaughtUp?.(at);
--- a/packages/gateway/src/controllers/upstreamsController.ts
+++ b/packages/gateway/src/controllers/upstreamsController.ts
@@ -1,6 +1,10 @@
 import type { RegisteredUpstream, UpstreamRegistry } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import { UPSTREAM_READ_INTERVAL_MS } from '../constants.js';
+import {
+  MAX_UPSTREAM_RELAY_LAG_MS,
+  RELAY_SYNC_TTL_MS,
+  UPSTREAM_READ_INTERVAL_MS,
+} from '../constants.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
 import { TopicReader } from './topicReader.js';
@@ -27,9 +31,12 @@
       // Each heartbeat is a record, so a long poll would return at once.
       getLongPollMs: () => 0,
       getPauseMs: () => UPSTREAM_READ_INTERVAL_MS,
+      maxRelayLagMs: MAX_UPSTREAM_RELAY_LAG_MS,
+      relaySyncTtlMs: RELAY_SYNC_TTL_MS,
       onSnapshot: (records) => this.applySnapshot(records),
       onRecords: (records) => this.applyRecords(records),
       onRecovery: () => registry.recordLogRecovery(),
+      onNewEra: () => registry.recordLogRecovery(),
       onBatch: options.onBatch,
     });
   }
--- a/packages/gateway/src/mesh/feedClient.ts
+++ b/packages/gateway/src/mesh/feedClient.ts
@@ -38,7 +38,7 @@
 };
 
 /**
- * Follows a relay of this VM's zone. Without a reachable relay, the topic readers read the log
+ * Follows a relay of this VM's group. Without a reachable relay, the topic readers read the log
  * themselves.
  */
 export class FeedClient {
@@ -77,10 +77,10 @@
 
   private pickRelay(): EntryHeartbeat | undefined {
     const { relays } = this.options;
-    if (relays.isRelay) return undefined;
+    if (relays.isFeedRelay) return undefined;
     const nowMs = performance.now();
     return relays
-      .listOwnZone()
+      .listOwnFeed()
       .find(
         ({ vmId }) => nowMs - (this.lastFailureAtMs.get(vmId) ?? -Infinity) > RELAY_RETRY_DELAY_MS,
       );
@@ -138,9 +138,9 @@
     finish: (reason: string) => void,
   ): void {
     const { relays } = this.options;
-    const isRelay = relays.listOwnZone().some(({ vmId }) => vmId === relay.vmId);
+    const isRelay = relays.listOwnFeed().some(({ vmId }) => vmId === relay.vmId);
     if (performance.now() - connection.receivedAtMs > FEED_TIMEOUT_MS) finish('timed out');
-    else if (!isRelay || relays.isRelay) finish('no longer a relay');
+    else if (!isRelay || relays.isFeedRelay) finish('no longer a relay');
     else if (this.connection === connection) this.requestPositions(connection);
   }
 
--- a/packages/gateway/src/mesh/feedMessage.ts
+++ b/packages/gateway/src/mesh/feedMessage.ts
@@ -1,11 +1,12 @@
 import { Packr } from 'msgpackr';
 import type { StoredBlockChange, VmId } from '@goldcrestscale/core';
-import type { KeyedRecord, LogTopic } from '../ports/index.js';
+import type { KeyedRecord, LogEra, LogTopic } from '../ports/index.js';
 import { FeedError } from './feedError.js';
 
 /** Records of a topic that a relay has read. Sent over the network. */
 export interface RelayedBatch {
   readonly topic: LogTopic;
+  readonly era: LogEra;
   /** Offset of the first record. */
   readonly from: number;
   /** Offset after the last record. */
@@ -16,6 +17,7 @@
 /** A relay's read position in a topic. Sent over the network. */
 export interface RelayedPosition {
   readonly topic: LogTopic;
+  readonly era: LogEra;
   readonly position: number;
   /** Time since a moment at which the relay had read all records of the topic. */
   readonly provedAgeMs: number;
@@ -33,7 +35,7 @@
   readonly changes: readonly StoredBlockChange[];
 }
 
-/** Message between a relay and a follower of the same zone. Sent over the network. */
+/** Message between a relay and a follower of its group. Sent over the network. */
 export type FeedMessage =
   /** First message of a follower; the MACs of both directions cover the nonce. */
   | { readonly kind: 'hello'; readonly vmId: VmId; readonly nonce: string }
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -3,7 +3,11 @@
 import type { EntryRoster, VmId } from '@goldcrestscale/core';
 import { listen } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
-import { FEED_BATCH_DELAY_MS, MAX_FOLLOWER_BACKLOG_BYTES } from '../constants.js';
+import {
+  FEED_BATCH_DELAY_MS,
+  FOLLOWER_TIMEOUT_MS,
+  MAX_FOLLOWER_BACKLOG_BYTES,
+} from '../constants.js';
 import type { KeyedRecord } from '../ports/index.js';
 import { splitAddress } from '../socketAddress.js';
 import type { FrameAuth } from './feedFrame.js';
@@ -24,7 +28,7 @@
   readonly listPositions: () => readonly RelayedPosition[];
   /** Lists the contents of the block stores that this VM reads itself. */
   readonly listBlockSnapshots: () => readonly RelayedBlocks[];
-  /** Whether a VM has sent gossip recently, that is, independently of its feed connection. */
+  /** Whether a VM has sent gossip recently, which a small fleet does only while it has load. */
   readonly isAlive: (vmId: VmId) => boolean;
 }
 
@@ -33,9 +37,11 @@
   readonly vmId: VmId;
   readonly writer: FeedWriter;
   heartbeat: KeyedRecord | undefined;
+  /** Time of the last data from it; followers ask for positions at a fixed interval. */
+  receivedAtMs: number;
 }
 
-/** Relays what this VM reads from the log and the block stores to the followers in its zone. */
+/** Relays what this VM reads from the log and the block stores to the followers in its group. */
 export class FeedServer {
   private readonly followers = new Map<Socket, Follower>();
 
@@ -64,8 +70,9 @@
 
   /** Lists the heartbeats of the live followers. */
   listFollowerHeartbeats(): readonly KeyedRecord[] {
-    return [...this.followers.values()].flatMap(({ heartbeat, vmId }) =>
-      heartbeat && this.options.isAlive(vmId) ? [heartbeat] : [],
+    const oldestMs = performance.now() - FOLLOWER_TIMEOUT_MS;
+    return [...this.followers.values()].flatMap(({ heartbeat, vmId, receivedAtMs }) =>
+      heartbeat && (receivedAtMs > oldestMs || this.options.isAlive(vmId)) ? [heartbeat] : [],
     );
   }
 
@@ -105,9 +112,16 @@
 
   private handleMessage(socket: Socket, message: FeedMessage): void {
     const follower = this.followers.get(socket);
+    if (follower) follower.receivedAtMs = performance.now();
     if (message.kind === 'hello') {
       const writer = new FeedWriter({ key: this.options.key, nonce: message.nonce });
-      const newFollower = { socket, vmId: message.vmId, writer, heartbeat: undefined };
+      const newFollower = {
+        socket,
+        vmId: message.vmId,
+        writer,
+        heartbeat: undefined,
+        receivedAtMs: performance.now(),
+      };
       // The pending changes are part of the snapshots that the new follower gets.
       this.flush();
       this.followers.set(socket, newFollower);
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -97,7 +97,7 @@
    * @param tokens tokens that the engine has to prefill
    */
   handlePromptSent(tokens: number): void {
-    const isRedundant = this.pendingSend !== undefined || this.options.relays.isNeeded;
+    const isRedundant = this.pendingSend !== undefined || this.options.relays.isAggregating;
     if (tokens < EARLY_GOSSIP_MIN_TOKENS || isRedundant) return;
     this.pendingSend = setTimeout(() => this.send(), EARLY_GOSSIP_DELAY_MS);
   }
@@ -109,7 +109,7 @@
     const { relays, roster, peerLoads } = this.options;
     peerLoads.expireReports();
     const report = this.reportBuilder.build();
-    if (relays.isNeeded) {
+    if (relays.isAggregating) {
       this.sendWithinZone(report);
       return;
     }
@@ -122,7 +122,7 @@
   /** The interval grows with the number of peers, so that the message rate of a VM is constant. */
   private computeIntervalMs(): number {
     const { roster, relays } = this.options;
-    if (relays.isNeeded) return RELAYED_GOSSIP_INTERVAL_MS;
+    if (relays.isAggregating) return RELAYED_GOSSIP_INTERVAL_MS;
     const peerCount = roster.listServing().length;
     return GOSSIP_INTERVAL_MS * Math.max(1, peerCount / GOSSIP_BASE_PEER_COUNT);
   }
@@ -187,7 +187,7 @@
     const { peerLoads, relays, roster, zone } = this.options;
     peerLoads.recordReport(message.vmId, message.loads);
     const isOfOwnZone = roster.findHeartbeat(message.vmId)?.availabilityZone === zone;
-    if (relays.isRelay && isOfOwnZone) this.aggregator.add(message);
+    if (relays.isZoneRelay && isOfOwnZone) this.aggregator.add(message);
   }
 
   private recordAggregate(
@@ -203,7 +203,7 @@
       return;
     }
     // A relay receives the individual reports of its zone.
-    if (relays.isRelay) return;
+    if (relays.isZoneRelay) return;
     const ownSequence = members.find(({ vmId }) => vmId === self)?.sequence;
     const ownReport = this.ownReports.find(({ sequence }) => sequence === ownSequence);
     peerLoads.recordReport(
--- a/packages/gateway/src/ports/index.ts
+++ b/packages/gateway/src/ports/index.ts
@@ -3,8 +3,16 @@
 export type { CallerRequestHead, DirectoryQuery } from './callerProtocol.js';
 export { RecordCodec } from './recordCodec.js';
 export { LogTrimmedError } from './logTrimmedError.js';
-export { SharedLog } from './sharedLog.js';
-export type { KeyedRecord, LogBatch, LogSnapshot, LogTopic, LogReadOptions } from './sharedLog.js';
+export { FIRST_LOG_ERA, SharedLog } from './sharedLog.js';
+export type {
+  AppendedRecord,
+  KeyedRecord,
+  LogBatch,
+  LogEra,
+  LogReadOptions,
+  LogSnapshot,
+  LogTopic,
+} from './sharedLog.js';
 export { UpstreamProtocol } from './upstreamProtocol.js';
 export type {
   ResponseHead,
--- a/packages/gateway/src/ports/sharedLog.ts
+++ b/packages/gateway/src/ports/sharedLog.ts
@@ -8,8 +8,18 @@
   readonly value: Buffer | undefined;
 }
 
+/**
+ * Counts how often the log came back from an older copy of itself. What was appended after that copy
+ * is lost, and offsets are given out again, so an offset means nothing in another era.
+ */
+export type LogEra = number;
+
+/** Era of a log that does not report one. */
+export const FIRST_LOG_ERA: LogEra = 1;
+
 /** The newest record of each key of a topic. */
 export interface LogSnapshot {
+  readonly era: LogEra;
   readonly records: readonly KeyedRecord[];
   /** End offset of the topic when the first page was read. */
   readonly endOffset: number;
@@ -17,11 +27,18 @@
 
 /** Consecutive records of a topic. */
 export interface LogBatch {
+  readonly era: LogEra;
   readonly records: readonly KeyedRecord[];
   /** Offset after the last record of the batch. */
   readonly nextOffset: number;
 }
 
+/** A record that was appended at the expected end. */
+export interface AppendedRecord {
+  readonly era: LogEra;
+  readonly offset: number;
+}
+
 /** Options of a read. */
 export interface LogReadOptions {
   /** Long-poll timeout; 0 if the read should return at once. */
@@ -43,13 +60,13 @@
     signal: AbortSignal,
   ): Promise<void>;
 
-  /** @returns the record's offset; undefined if the topic's end offset is a different one */
+  /** @returns undefined if the topic's end offset is a different one */
   abstract appendAt(
     topic: LogTopic,
     end: number,
     record: KeyedRecord,
     signal: AbortSignal,
-  ): Promise<number | undefined>;
+  ): Promise<AppendedRecord | undefined>;
 
   abstract close(): void;
 }
