feat(core): separate lanes for long and short prompts in large fleets

Logs of late answers at seconds 4 to 6: the VM knew of no prompt token still to be read at the engine (median 0 to 2,000) and expected 30 to 100 ms, the head came after 300 to 1,200 ms. A report needs up to three hops of 200 ms; a long prompt is read in less.

Change: from 20 VMs on, long and short prompts use different engines, sized by their demand, nested by rendezvous, of each zone where it has enough; the other lane is used only when the own one can't meet the objective.

--- a/packages/core/src/promptRouting/engineGroups.ts
+++ b/packages/core/src/promptRouting/engineGroups.ts
@@ -27,38 +27,39 @@
 };
 
 /**
- * Lists the candidate engines for a prompt in order of preference: a few engines selected by
- * session, from the given zone if it has enough, then all engines of the zone, then all engines. A
- * group is used only if the previous one cannot meet the objective.
+ * Lists the candidate engines for a prompt in order of preference: a few engines of its lane selected
+ * by session, from the given zone if it has enough, then all engines of the lane in the zone, then
+ * all of the lane, then all engines. A group is used only if the previous one cannot meet the
+ * objective.
  *
  * The small first group prevents a thundering herd: for prompts that arrive at several VMs at the
  * same time, each VM's view of the others' load is stale, and all would choose the same
  * least-loaded engine.
  *
  * @param zone zone in which the session is stored, otherwise the zone of this VM
+ * @param listLane lists the engines of the prompt's lane
  */
 export const listEngineGroups = (
   prompt: Prompt,
   engines: readonly TrackedUpstream[],
   zone: AvailabilityZoneId,
+  listLane: (all: readonly TrackedUpstream[]) => readonly TrackedUpstream[] = (all) => all,
 ): readonly EngineGroup[] => {
-  const allEngines = { engines, isSingleZone: false, objectiveFraction: Infinity };
-  const zoneEngines = engines.filter(({ registered }) => registered.availabilityZone === zone);
-  if (zoneEngines.length < MIN_ZONE_ENGINES) {
-    const sessionEngines = pickSessionEngines(prompt, engines);
-    return [
-      {
-        engines: sessionEngines,
-        isSingleZone: false,
-        objectiveFraction: SESSION_OBJECTIVE_FRACTION,
-      },
-      allEngines,
-    ];
-  }
-  const sessionEngines = pickSessionEngines(prompt, zoneEngines);
-  return [
-    { engines: sessionEngines, isSingleZone: true, objectiveFraction: SESSION_OBJECTIVE_FRACTION },
-    { engines: zoneEngines, isSingleZone: true, objectiveFraction: 1 },
-    allEngines,
+  const isInZone = ({ registered }: TrackedUpstream): boolean =>
+    registered.availabilityZone === zone;
+  const isSingleZone = engines.filter(isInZone).length >= MIN_ZONE_ENGINES;
+  const laneEngines = listLane(engines);
+  const nearEngines = isSingleZone ? laneEngines.filter(isInZone) : laneEngines;
+  const groups: EngineGroup[] = [
+    {
+      engines: pickSessionEngines(prompt, nearEngines),
+      isSingleZone,
+      objectiveFraction: SESSION_OBJECTIVE_FRACTION,
+    },
   ];
+  if (isSingleZone) groups.push({ engines: nearEngines, isSingleZone, objectiveFraction: 1 });
+  if (laneEngines.length < engines.length) {
+    groups.push({ engines: laneEngines, isSingleZone: false, objectiveFraction: 1 });
+  }
+  return [...groups, { engines, isSingleZone: false, objectiveFraction: Infinity }];
 };
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -3,6 +3,7 @@
 import {
   ColdStartBudget,
   PrefillRate,
+  PromptLanes,
   PromptRouter,
   buildBlockKey,
   computeColdStartShare,
@@ -11,6 +12,7 @@
   listEngineGroups,
   listSharedParts,
   pickDestination,
+  pickLane,
 } from '@goldcrestscale/core';
 import type {
   AvailabilityZoneId,
@@ -32,6 +34,7 @@
   UpstreamId,
   UpstreamRegistry,
   VmId,
+  ZoneRelays,
 } from '@goldcrestscale/core';
 import { buildSalt } from './cacheIdentity.js';
 import { OUTDATED_WEIGHTS_CUTOFF_FRACTION } from '../constants.js';
@@ -48,6 +51,7 @@
   readonly registry: UpstreamRegistry;
   readonly operators: OperatorState;
   readonly roster: EntryRoster;
+  readonly relays: ZoneRelays;
   readonly blocks: BlockDirectory;
   readonly ejection: EjectionPolicy;
   readonly sentParts: SentParts;
@@ -80,6 +84,8 @@
 
   private readonly promptRouter: PromptRouter;
 
+  private readonly promptLanes = new PromptLanes();
+
   private readonly coldStartBudget = new ColdStartBudget();
 
   constructor(private readonly options: UpstreamChooserOptions) {
@@ -164,11 +170,16 @@
     const { objectiveMs } = requireRoute(exchange);
     const preferredZone = this.findSessionStoreZone(exchange, prompt) ?? zone;
     let decision: UpstreamDecision | undefined;
-    for (const { engines, isSingleZone, objectiveFraction } of listEngineGroups(
+    const lane = pickLane(
       prompt,
-      candidates,
-      preferredZone,
-    )) {
+      this.prefillRate.tokensPerMs,
+      this.findShortestObjective(service),
+    );
+    // With direct reports, figures are fresh enough to route short prompts around long ones.
+    const groups = listEngineGroups(prompt, candidates, preferredZone, (all) =>
+      this.options.relays.isAggregating ? this.promptLanes.listEngines(lane, all) : all,
+    );
+    for (const { engines, isSingleZone, objectiveFraction } of groups) {
       decision = this.chooseEngine(exchange, prompt, service, {
         engines: listEligible(engines),
         sendingVms: this.countSendingVms(isSingleZone),
@@ -178,7 +189,10 @@
         !('retryAfterMs' in decision) &&
         !decision.isOutdated &&
         decision.firstTokenMs <= objectiveMs * objectiveFraction;
-      if (isInTime) return decision;
+      if (isInTime) break;
+    }
+    if (decision && !('retryAfterMs' in decision)) {
+      this.promptLanes.recordPrompt(lane, decision.prefillTokens);
     }
     return decision;
   }
