--- a/packages/core/src/promptRouting/promptLanes.ts
+++ b/packages/core/src/promptRouting/promptLanes.ts
@@ -10,16 +10,13 @@
 /** Time constant of the exponentially decayed demand of each lane, in milliseconds. */
 const DEMAND_WINDOW_MS = 15_000;
 
-/**
- * Utilization to which the lanes are sized in proportion. A long prompt delays the next one by far
- * longer, but its objective leaves more time.
- */
-const LONG_LANE_UTILIZATION = 0.4;
-const SHORT_LANE_UTILIZATION = 0.2;
+/** Utilization to which the lanes are sized in proportion. */
+const LONG_LANE_UTILIZATION = 0.3;
+const SHORT_LANE_UTILIZATION = 0.3;
 
 /** Fraction of the engines that the long lane gets at least, and at most. */
 const MIN_LONG_FRACTION = 0.25;
-const MAX_LONG_FRACTION = 0.65;
+const MAX_LONG_FRACTION = 0.75;
 
 /** Demand assumed at the start, in prefilled tokens; keeps the first prompts from moving the lanes. */
 const INITIAL_DEMAND_TOKENS = 20_000;
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -121,11 +121,7 @@
     const outdated = this.listOutdated();
     this.recordProgress(outdated.length);
     if (outdated.length === 0) {
-      if (!this.hasReadLease) {
-        // If the current lease is known in advance, the next rollout need not wait for it to expire.
-        await lease.watch(signal);
-        this.hasReadLease = true;
-      }
+      await this.readIdleLease(signal);
       return;
     }
     this.hasReadLease = false;
@@ -139,6 +135,18 @@
     if (lease.currentGrant) this.startLoads(outdated, signal);
   }
 
+  /**
+   * Reads the lease once while no rollout runs, so that the next one need not wait for it to expire.
+   * Only the VMs that start or take over a rollout first do so; the others save the call.
+   */
+  private async readIdleLease(signal: AbortSignal): Promise<void> {
+    if (this.hasReadLease) return;
+    const rank = this.computeRank();
+    if (rank < LEASE_WATCHER_COUNT) await this.options.lease.watch(signal);
+    // The rank is not known before this VM is in the roster.
+    this.hasReadLease = Number.isFinite(rank);
+  }
+
   /** Reads the lease while another VM runs the rollout, so that its expiry is noticed in time. */
   private async watchLease(signal: AbortSignal): Promise<void> {
     if (performance.now() - this.lastLeaseReadAtMs < LEASE_WATCH_INTERVAL_MS) return;
