--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,5 +1,5 @@
 import { execFileSync } from 'node:child_process';
-import { copyFileSync, mkdirSync } from 'node:fs';
+import { copyFileSync, mkdirSync, rmSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 import { build } from 'esbuild';
 
@@ -46,9 +46,15 @@
     outfile: `${target}/warmUp.mjs`,
     format: 'esm',
   });
-  execFileSync(
-    process.execPath,
-    [`${target}/warmUp.mjs`, target, resolvePath('deploy/system.toml')],
-    { stdio: 'inherit' },
-  );
+  rmSync(`${target}/gateway.cache`, { force: true });
+  try {
+    execFileSync(
+      process.execPath,
+      [`${target}/warmUp.mjs`, target, resolvePath('deploy/system.toml')],
+      { stdio: 'inherit' },
+    );
+  } catch (cause) {
+    // The bundle also runs without a code cache; it only starts more slowly.
+    console.warn(`could not write the code cache: ${String(cause)}`);
+  }
 }
