--- a/packages/gateway/src/dispatch/singleConnectionAgent.ts
+++ b/packages/gateway/src/dispatch/singleConnectionAgent.ts
@@ -2,6 +2,7 @@
 import type { ClientRequestArgs } from 'node:http';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { ConnectionError } from './connectionError.js';
 import { UPSTREAM_CONNECT_TIMEOUT_MS } from '../constants.js';
 
@@ -30,11 +31,14 @@
     super({ keepAlive: true, maxSockets: 1, maxFreeSockets: 1 });
   }
 
-  override createConnection(options: ClientRequestArgs): Socket {
+  /** @returns undefined if the connection has been used up; the request then ends with an error */
+  override createConnection(
+    options: ClientRequestArgs,
+    callback?: (error: Error | null, stream: Duplex) => void,
+  ): Socket | undefined {
     if (this.socket) {
-      const closed = connect({ host: '0.0.0.0', port: 1 });
-      closed.destroy(new ConnectionError('the connection is closed'));
-      return closed;
+      callback?.(new ConnectionError('the connection is closed'), this.socket);
+      return undefined;
     }
     const socket = connect({
       host: String(options.host),
