fix(gateway): no request starts on outdated weights after their time limit

Change: the last send is the limit less the time for which the route's callers wait for a first event, at least half of the limit; a change that is read after a restart, or after a time without the log, counts as announced at the last moment up to which all changes were known, or at any time before.

--- a/packages/core/src/deployment/__tests__/deployment.spec.ts
+++ b/packages/core/src/deployment/__tests__/deployment.spec.ts
@@ -1,8 +1,14 @@
 import fc from 'fast-check';
-import { expect, test } from 'vitest';
+import { expect, onTestFinished, test, vi } from 'vitest';
 import { toId, toWeightNumber } from '../../ids.js';
 import type { AvailabilityZoneId, ModelId, ServiceName } from '../../ids.js';
-import { DeploymentView, OperatorState, pickDestination } from '../index.js';
+import { readClocks } from '../../lease/index.js';
+import {
+  DeploymentView,
+  OperatorState,
+  computeMaxWeightsAgeMs,
+  pickDestination,
+} from '../index.js';
 import { makeDeployment, makeRoute } from './fixtures.js';
 
 const toServiceName = (name: string) => toId<ServiceName>(name);
@@ -101,3 +107,30 @@
   expect(state.findSuperseding(model, toWeightNumber(3))).toBeUndefined();
   expect(state.findSuperseding(toId<ModelId>('other'), toWeightNumber(1))).toBeUndefined();
 });
+
+test('a process that restarts does not know how long ago weights were announced', () => {
+  const model = toId<ModelId>('m');
+  const change = { kind: 'weights', model, wanted: toWeightNumber(2) } as const;
+  const restarted = new OperatorState(false);
+  restarted.apply(change);
+  expect(computeMaxWeightsAgeMs(restarted.findWeights(model)!)).toBe(Infinity);
+  const started = new OperatorState(true);
+  started.apply(change);
+  expect(computeMaxWeightsAgeMs(started.findWeights(model)!)).toBeLessThan(1_000);
+});
+
+test('weights that are learned after a time without the log may be as old as that time', () => {
+  vi.useFakeTimers();
+  onTestFinished(() => {
+    vi.useRealTimers();
+  });
+  const model = toId<ModelId>('m');
+  const state = new OperatorState(false);
+  state.recordConfirmation(readClocks());
+  vi.advanceTimersByTime(1_500);
+  state.apply({ kind: 'weights', model, wanted: toWeightNumber(2) });
+  expect(computeMaxWeightsAgeMs(state.findWeights(model)!)).toBeLessThan(100);
+  vi.advanceTimersByTime(8_000);
+  state.apply({ kind: 'weights', model, wanted: toWeightNumber(3) });
+  expect(computeMaxWeightsAgeMs(state.findWeights(model)!)).toBeGreaterThanOrEqual(9_500);
+});
--- a/packages/core/src/deployment/index.ts
+++ b/packages/core/src/deployment/index.ts
@@ -8,6 +8,6 @@
   ServiceSettings,
 } from './deployment.js';
 export { DeploymentView, pickDestination } from './deploymentView.js';
-export { OperatorState } from './operatorState.js';
+export { OperatorState, computeMaxWeightsAgeMs } from './operatorState.js';
 export type { OperatorChange, WantedWeights } from './operatorState.js';
 export type { Destination, RouteRule } from './routeRule.js';
--- a/packages/core/src/deployment/operatorState.ts
+++ b/packages/core/src/deployment/operatorState.ts
@@ -1,5 +1,5 @@
 import type { AvailabilityZoneId, ModelId, WeightNumber } from '../ids.js';
-import { readClocks } from '../lease/index.js';
+import { computeMaxElapsedMs, readClocks } from '../lease/index.js';
 import type { ClockReading } from '../lease/index.js';
 import type { Deployment } from './deployment.js';
 import { DeploymentView } from './deploymentView.js';
@@ -20,8 +20,20 @@
   readonly wanted: WeightNumber;
   /** When this process received the change. */
   readonly learnedAt: ClockReading;
+  /** Earliest time at which the change may have been announced; undefined if it is not known. */
+  readonly announcedAt: ClockReading | undefined;
 }
 
+/**
+ * Time since the last confirmation, in milliseconds, up to which a change counts as announced when it
+ * is learned. After a longer one, it may have been announced at any time since the confirmation.
+ */
+const MAX_CONFIRMATION_AGE_MS = 2_500;
+
+/** Computes the maximum time since the announcement of weights; infinite if it is not known. */
+export const computeMaxWeightsAgeMs = ({ announcedAt }: WantedWeights): number =>
+  announcedAt ? computeMaxElapsedMs(announcedAt) : Infinity;
+
 /**
  * Current desired state set by operators. A version that is not newer than the current one has no
  * effect, so delayed and duplicate records never roll the fleet back.
@@ -34,11 +46,25 @@
 
   private readonly zonesOut = new Set<AvailabilityZoneId>();
 
+  /** Last moment up to which all changes are known. */
+  private confirmedAt: ClockReading | undefined;
+
+  /**
+   * @param isFleetStart whether the fleet starts together with this process, so that no change was
+   * announced long before
+   */
+  constructor(private readonly isFleetStart = true) {}
+
   /** Undefined until the first configuration has been applied. */
   get view(): DeploymentView | undefined {
     return this.currentView;
   }
 
+  /** Records a moment up to which all changes are known. */
+  recordConfirmation(confirmedAt: ClockReading): void {
+    this.confirmedAt = confirmedAt;
+  }
+
   /** @returns whether the change had an effect */
   apply(change: OperatorChange): boolean {
     if (change.kind === 'deployment') return this.applyDeployment(change.deployment);
@@ -83,11 +109,18 @@
     return true;
   }
 
+  private findAnnouncedAt(learnedAt: ClockReading): ClockReading | undefined {
+    if (!this.confirmedAt) return this.isFleetStart ? learnedAt : undefined;
+    const isConfirmed = computeMaxElapsedMs(this.confirmedAt) <= MAX_CONFIRMATION_AGE_MS;
+    return isConfirmed ? learnedAt : this.confirmedAt;
+  }
+
   private applyWeights(model: ModelId, wanted: WeightNumber): boolean {
     const changes = this.weights.get(model) ?? [];
     const current = changes.at(-1);
     if (current && wanted <= current.wanted) return false;
-    const change = { model, wanted, learnedAt: readClocks() };
+    const learnedAt = readClocks();
+    const change = { model, wanted, learnedAt, announcedAt: this.findAnnouncedAt(learnedAt) };
     this.weights.set(model, [...changes, change].slice(-MAX_WEIGHT_CHANGES));
     return true;
   }
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -42,6 +42,7 @@
     log,
     codec,
     logger: logger.createPartLogger('operators'),
+    isFleetStart: settings.isFirstStart,
     onDeployment() {
       blocks.updateStores(operators.state.view?.deployment.blockStores ?? []);
       onDeployment();
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -149,9 +149,6 @@
 
 export const WEIGHT_LOAD_TIMEOUT_MS = 4_000;
 
-/** Fraction of the time limit for new weights after which outdated weights serve no new requests. */
-export const OUTDATED_WEIGHTS_CUTOFF_FRACTION = 0.85;
-
 /** Pause after events of a block store, so that the next read returns a larger batch. */
 export const BLOCK_EVENTS_BATCH_DELAY_MS = 300;
 
--- a/packages/gateway/src/controllers/operatorsController.ts
+++ b/packages/gateway/src/controllers/operatorsController.ts
@@ -16,6 +16,8 @@
   readonly log: SharedLog;
   readonly codec: RecordCodec;
   readonly logger: Logger;
+  /** Whether the whole fleet starts together with this VM. */
+  readonly isFleetStart: boolean;
   readonly onDeployment: () => void;
   /** Called when the wanted weights change, or a zone is taken out of service or put back. */
   readonly onChange: () => void;
@@ -26,13 +28,15 @@
 
 /** Follows the records of operators: configuration, wanted weights and zones out of service. */
 export class OperatorsController {
-  readonly state = new OperatorState();
+  readonly state: OperatorState;
 
-  readonly fetchWindow = new FetchWindow(this.state);
+  readonly fetchWindow: FetchWindow;
 
   readonly reader: TopicReader;
 
   constructor(private readonly options: OperatorsOptions) {
+    this.state = new OperatorState(options.isFleetStart);
+    this.fetchWindow = new FetchWindow(this.state);
     this.reader = new TopicReader({
       log: options.log,
       topic: 'operators',
@@ -43,7 +47,10 @@
       relaySyncTtlMs: OPERATOR_RELAY_SYNC_TTL_MS,
       onSnapshot: (records, isSettled) => this.applySnapshot(records, isSettled),
       onRecords: (records) => records.forEach((record) => this.applyRecord(record)),
-      onCaughtUp: (at) => this.fetchWindow.recordConfirmation(at),
+      onCaughtUp: (at) => {
+        this.fetchWindow.recordConfirmation(at);
+        this.state.recordConfirmation(at);
+      },
       onBatch: options.onBatch,
     });
   }
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -7,7 +7,7 @@
   PromptRouter,
   buildBlockKey,
   computeColdStartShare,
-  computeMaxElapsedMs,
+  computeMaxWeightsAgeMs,
   findSessionPart,
   listEngineGroups,
   listSharedParts,
@@ -27,7 +27,6 @@
   PromptDecision,
   PromptRefusal,
   RegionId,
-  RouteRule,
   SentParts,
   ServiceName,
   TrackedUpstream,
@@ -37,7 +36,7 @@
   ZoneRelays,
 } from '@goldcrestscale/core';
 import { buildSalt } from './cacheIdentity.js';
-import { OUTDATED_WEIGHTS_CUTOFF_FRACTION } from '../constants.js';
+import { computeMaxFirstEventWaitMs, computeOutdatedWeightsLimitMs } from './firstEventWait.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { requireRoute } from '../filters/gatewayExchange.js';
 import type { FleetBounds } from '../config.js';
@@ -58,20 +57,6 @@
   readonly random: RandomGenerator;
 }
 
-/** Lower limit of the time for which callers wait for a stream's first event. */
-const MIN_FIRST_EVENT_WAIT_MS = 2_000;
-
-/** Callers wait for the first event at most this multiple of the route's objective or gap objective. */
-const FIRST_EVENT_WAIT_OBJECTIVES = 4;
-const FIRST_EVENT_WAIT_GAPS = 8;
-
-const computeMaxFirstEventWaitMs = ({ objectiveMs, gapObjectiveMs }: RouteRule): number =>
-  Math.max(
-    MIN_FIRST_EVENT_WAIT_MS,
-    objectiveMs * FIRST_EVENT_WAIT_OBJECTIVES,
-    (gapObjectiveMs ?? 0) * FIRST_EVENT_WAIT_GAPS,
-  );
-
 /** The upstream of an attempt, with the expected prefill and time to first token. */
 export type UpstreamChoice = PromptChoice;
 
@@ -249,7 +234,7 @@
         engineCapacityTokens: this.findEngineSettings(service)?.capacityTokens ?? Infinity,
         senderCount: sendingVms,
         shortestObjectiveMs: this.findShortestObjective(service),
-        wantedWeightsAgeMs: weights ? computeMaxElapsedMs(weights.learnedAt) : 0,
+        wantedWeightsAgeMs: weights ? computeMaxWeightsAgeMs(weights) : 0,
         buildCacheKey: (partId, loadedWeights) =>
           buildBlockKey(buildSalt(exchange, loadedWeights), partId),
         bytesPerToken: this.findEngineSettings(service)?.bytesPerToken ?? 0,
@@ -311,7 +296,10 @@
     if (model === undefined || loaded === undefined) return false;
     const superseding = this.options.operators.findSuperseding(model, loaded);
     if (!superseding) return false;
-    const limitMs = this.options.bounds.weightsInForceMs * OUTDATED_WEIGHTS_CUTOFF_FRACTION;
-    return computeMaxElapsedMs(superseding.learnedAt) > limitMs;
+    const limitMs = computeOutdatedWeightsLimitMs(
+      requireRoute(exchange),
+      this.options.bounds.weightsInForceMs,
+    );
+    return computeMaxWeightsAgeMs(superseding) > limitMs;
   }
 }
