--- a/packages/gateway/src/__tests__/unavailableUpstreams.spec.ts
+++ b/packages/gateway/src/__tests__/unavailableUpstreams.spec.ts
@@ -66,3 +66,13 @@
   expect(Number(reply.headers['retry-after'])).toBeLessThanOrEqual(2.5);
   expect(countRequests(upstreams)).toBe(sent);
 });
+
+test('does not name the rest of one upstream while another is only busy', async () => {
+  const refuse = ({ id, socket }: TestRequest): void => {
+    socket.write(buildResponse(503, { 'x-id': id, 'x-not-run': '1' }, ''));
+  };
+  const { call } = await startGateway({ route: unsafe, upstreams: [refuse, makeResting(20_000)] });
+  const reply = await call();
+  expect(reply.status).toBe(503);
+  expect(Number((await call()).headers['retry-after'])).toBeLessThan(1);
+});
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -182,7 +182,7 @@
     return decision;
   }
 
-  /** Returns the time until the first upstream ends its rest; undefined if none rests. */
+  /** Returns the time until the first upstream ends its rest; undefined unless all of them rest. */
   private findShortestRest(
     exchange: GatewayExchange,
     service: ServiceName,
@@ -190,9 +190,10 @@
   ): PromptRefusal | undefined {
     const restsMs = this.options.registry
       .listService(service)
-      .filter((upstream) => upstream.restMs > 0 && this.canServe(exchange, upstream, excluded))
+      .filter((upstream) => this.canServe(exchange, upstream, excluded))
       .map(({ restMs }) => restMs);
-    return restsMs.length > 0 ? { retryAfterMs: Math.min(...restsMs) } : undefined;
+    const shortestMs = Math.min(...restsMs);
+    return restsMs.length > 0 && shortestMs > 0 ? { retryAfterMs: shortestMs } : undefined;
   }
 
   /** Finds the availability zone whose store holds the session of a prompt, for the newest weights. */
