feat(gateway): log how a response without a length or chunks ended

A response whose end only the close of its connection marks now leaves a line with its outcome and the bytes after its last complete event, and is counted.

--- a/packages/gateway/src/dispatch/connectionExchange.ts
+++ b/packages/gateway/src/dispatch/connectionExchange.ts
@@ -2,14 +2,23 @@
 import type { Socket } from 'node:net';
 import { ConnectionError } from './connectionError.js';
 
+/** What ends a body: its content length, its last chunk or the end of the connection. */
+export type BodyFraming = 'length' | 'chunks' | 'connection';
+
 /** Head of a response as received. */
 export interface RawResponseHead {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   /** Alternating names and values. */
   readonly rawHeaders: readonly string[];
+  readonly framing: BodyFraming;
 }
 
+const findFraming = (headers: IncomingHttpHeaders): BodyFraming => {
+  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  return headers['content-length'] === undefined ? 'connection' : 'length';
+};
+
 /** Controls a response that is being received. */
 export interface ResponseFlow {
   pause(): void;
@@ -71,7 +80,8 @@
     response.on('end', () => this.finish(response));
     response.on('error', (error) => this.fail(error));
     response.on('close', () => this.failIfOpen('response cut short'));
-    this.handler.onHead({ status: statusCode, headers, rawHeaders }, this);
+    const framing = findFraming(headers);
+    this.handler.onHead({ status: statusCode, headers, rawHeaders, framing }, this);
   }
 
   private finish(response: IncomingMessage): void {
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -4,10 +4,16 @@
 import { requireRoute } from '../filters/gatewayExchange.js';
 import type { ResponseHead, AttemptMetadata, UpstreamProtocol } from '../ports/index.js';
 import type { AttemptResult } from './attemptResult.js';
+import { EventScanner } from './eventScanner.js';
 import type { EventSplitter } from './eventSplitter.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
 import { ConnectionError } from './connectionError.js';
-import type { ExchangeHandler, RawResponseHead, ResponseFlow } from './connectionExchange.js';
+import type {
+  BodyFraming,
+  ExchangeHandler,
+  RawResponseHead,
+  ResponseFlow,
+} from './connectionExchange.js';
 
 /** Options of an attempt. */
 export interface AttemptOptions {
@@ -46,11 +52,21 @@
 
   private isStreamOpen = false;
 
+  private readonly eventScanner = new EventScanner();
+
+  /** How the end of the response is marked; undefined before its head. */
+  framing: BodyFraming | undefined;
+
   /** Whether the connection may carry another request. */
   isReusable = false;
 
   constructor(private readonly options: AttemptOptions) {}
 
+  /** Number of bytes of a stream that belong to no complete event. */
+  get partialEventBytes(): number {
+    return this.eventScanner.partialEventBytes;
+  }
+
   run(): Promise<AttemptResult> {
     const { exchange, connection, protocol, metadata, signal } = this.options;
     const cancel = (): void => {
@@ -80,7 +96,8 @@
     if (this.phase !== 'dropped') this.phase = 'sent';
   }
 
-  onHead({ status, headers, rawHeaders }: RawResponseHead, flow: ResponseFlow): void {
+  onHead({ status, headers, rawHeaders, framing }: RawResponseHead, flow: ResponseFlow): void {
+    this.framing = framing;
     const { protocol, exchange, onResponseHead } = this.options;
     const head = protocol.parseResponseHead(status, headers, rawHeaders);
     this.head = head;
@@ -140,6 +157,7 @@
 
   private relayChunk(flow: ResponseFlow, chunk: Buffer): void {
     const { exchange, eventSplitter } = this.options;
+    this.eventScanner.scan(chunk);
     const data = eventSplitter ? eventSplitter.push(chunk) : chunk;
     if (data.length === 0 || exchange.response.write(data)) return;
     flow.pause();
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -225,6 +225,7 @@
     try {
       const result = await attempt.run();
       logEntry.outcome = describeResult(result);
+      if (attempt.framing === 'connection') this.logUnframedResponse(exchange, logEntry, attempt);
       return result;
     } finally {
       recordResponseStart();
@@ -234,6 +235,23 @@
     }
   }
 
+  /** Logs how a response ended whose end only the close of the connection marks. */
+  private logUnframedResponse(
+    { head, route }: GatewayExchange,
+    { upstreamId, outcome }: AttemptLogEntry,
+    { partialEventBytes }: UpstreamAttempt,
+  ): void {
+    const { metrics, requestLog } = this.options;
+    metrics.countUnframedResponse(outcome);
+    requestLog.log('response ended with its connection', {
+      id: head.requestId,
+      route: route?.name,
+      upstreamId,
+      outcome,
+      partialEventBytes,
+    });
+  }
+
   private canRetry(
     exchange: GatewayExchange,
     progress: RequestProgress,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -8,6 +8,8 @@
   countAttempt(service: string, outcome: string): void;
   /** Counts a complete response that exceeded the latency objective of its route. */
   countLateResponse(route: string): void;
+  /** Counts a response with neither a length nor chunks, by the outcome of its attempt. */
+  countUnframedResponse(outcome: string): void;
   observeResponse(elapsedMs: number): void;
   observeFirstByte(elapsedMs: number): void;
   countConnection(): void;
@@ -31,6 +33,11 @@
     help: 'Whole answers that came later than the objective of their route.',
     labelNames: ['route'],
   });
+  const unframedResponses = metrics.createCounter({
+    name: 'goldcrest_gateway_unframed_answers_total',
+    help: 'Answers of upstreams that end with their connection, by outcome of the attempt.',
+    labelNames: ['outcome'],
+  });
   const connections = metrics.createCounter({
     name: 'goldcrest_gateway_connections_total',
     help: 'Connections opened to upstreams.',
@@ -47,6 +54,7 @@
     countResponse: (route, outcome) => responses.inc({ route: route ?? 'none', outcome }),
     countLateResponse: (route) => lateResponses.inc({ route }),
     countAttempt: (service, outcome) => attempts.inc({ service, outcome }),
+    countUnframedResponse: (outcome) => unframedResponses.inc({ outcome }),
     observeResponse: (elapsedMs) => responseLatency.observe(elapsedMs),
     observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
     countConnection: () => connections.inc(),
