--- /dev/null
+++ b/packages/gateway/src/__tests__/responseEndings.spec.ts
@@ -0,0 +1,121 @@
+import { expect, test } from 'vitest';
+import { buildChunk, buildHead } from './fakeUpstream.js';
+import type { TestRequest } from './fakeUpstream.js';
+import { startGateway } from './gatewayHarness.js';
+import type { CallerReply } from './gatewayHarness.js';
+
+type Framing = 'length' | 'chunks' | 'connection';
+
+/** How an upstream ends its response: completely, or in the middle of its body. */
+type Ending = 'complete' | 'closed' | 'reset' | 'silent';
+
+type Kind = 'plain response' | 'stream' | 'resumable stream';
+
+/** What the caller gets. */
+type Outcome = 'whole' | 'received part' | 'status 502' | 'status 504' | 'cut connection';
+
+const EVENTS = [1, 2, 3].map((id) => `id: ${id}\ndata: ${'x'.repeat(20)}\n\n`);
+
+const BODY = EVENTS.join('');
+
+/** In the middle of the second event. */
+const RECEIVED_PART = BODY.slice(0, EVENTS[0]!.length + 9);
+
+const ROUTES = {
+  'plain response': { idempotent: false, maxUpstreams: 1 },
+  stream: { streaming: true, idempotent: false, maxUpstreams: 1 },
+  'resumable stream': { streaming: true, resumable: true, maxUpstreams: 2 },
+} as const;
+
+const FRAMING_HEADERS = {
+  length: { 'content-length': String(BODY.length) },
+  chunks: { 'transfer-encoding': 'chunked' },
+  connection: { connection: 'close' },
+} as const;
+
+const RESET_DELAY_MS = 30;
+
+const createResponder =
+  (framing: Framing, ending: Ending) =>
+  ({ id, socket }: TestRequest): void => {
+    const head = buildHead(200, { 'x-id': id, 'x-sig': 's', ...FRAMING_HEADERS[framing] });
+    const sent = ending === 'complete' ? BODY : RECEIVED_PART;
+    socket.write(head + (framing === 'chunks' ? buildChunk(sent) : sent));
+    if (ending === 'complete' && framing === 'chunks') socket.write('0\r\n\r\n');
+    if (ending === 'complete' && framing === 'connection') socket.end();
+    if (ending === 'closed') socket.end();
+    if (ending === 'reset') setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+  };
+
+/** Resumes the stream after its first event. */
+const resume = ({ id, head, socket }: TestRequest): void => {
+  expect(head).toMatch(/last-event-id: 1/i);
+  const rest = EVENTS.slice(1).join('');
+  socket.write(
+    buildHead(200, { 'x-id': id, 'x-sig': 's', 'content-length': String(rest.length) }) + rest,
+  );
+};
+
+const describeReply = ({ status, body, isWhole }: CallerReply): string => {
+  if (status !== 200) return `status ${status}`;
+  if (!isWhole) return 'cut connection';
+  if (body === BODY) return 'whole';
+  return body === RECEIVED_PART ? 'received part' : `complete with ${body.length} bytes`;
+};
+
+const cases: readonly (readonly [Kind, Framing, Ending, Outcome])[] = [
+  ['plain response', 'length', 'complete', 'whole'],
+  ['plain response', 'length', 'closed', 'status 502'],
+  ['plain response', 'length', 'reset', 'status 502'],
+  ['plain response', 'length', 'silent', 'status 504'],
+  ['plain response', 'chunks', 'complete', 'whole'],
+  ['plain response', 'chunks', 'closed', 'status 502'],
+  ['plain response', 'chunks', 'reset', 'status 502'],
+  ['plain response', 'chunks', 'silent', 'status 504'],
+  ['plain response', 'connection', 'complete', 'whole'],
+  // Nothing but its end marks this response; the caller is told no more than was received.
+  ['plain response', 'connection', 'closed', 'received part'],
+  ['plain response', 'connection', 'reset', 'status 502'],
+  ['plain response', 'connection', 'silent', 'status 504'],
+  ['stream', 'length', 'complete', 'whole'],
+  ['stream', 'length', 'closed', 'cut connection'],
+  ['stream', 'length', 'reset', 'cut connection'],
+  ['stream', 'length', 'silent', 'cut connection'],
+  ['stream', 'chunks', 'complete', 'whole'],
+  ['stream', 'chunks', 'closed', 'cut connection'],
+  ['stream', 'chunks', 'reset', 'cut connection'],
+  ['stream', 'chunks', 'silent', 'cut connection'],
+  ['stream', 'connection', 'complete', 'whole'],
+  ['stream', 'connection', 'closed', 'cut connection'],
+  ['stream', 'connection', 'reset', 'cut connection'],
+  ['stream', 'connection', 'silent', 'cut connection'],
+  ['resumable stream', 'length', 'complete', 'whole'],
+  ['resumable stream', 'length', 'closed', 'whole'],
+  ['resumable stream', 'length', 'reset', 'whole'],
+  ['resumable stream', 'length', 'silent', 'cut connection'],
+  ['resumable stream', 'chunks', 'complete', 'whole'],
+  ['resumable stream', 'chunks', 'closed', 'whole'],
+  ['resumable stream', 'chunks', 'reset', 'whole'],
+  ['resumable stream', 'chunks', 'silent', 'cut connection'],
+  ['resumable stream', 'connection', 'complete', 'whole'],
+  ['resumable stream', 'connection', 'closed', 'whole'],
+  ['resumable stream', 'connection', 'reset', 'whole'],
+  ['resumable stream', 'connection', 'silent', 'cut connection'],
+];
+
+// Guards against a response that its upstream broke off and that reaches the caller as a complete one.
+test.each(cases)('%s delimited by %s that ends %s: %s', async (kind, framing, ending, outcome) => {
+  const isSilent = ending === 'silent';
+  const respond = createResponder(framing, ending);
+  let requests = 0;
+  const serve = (request: TestRequest): void => {
+    requests += 1;
+    if (requests === 1) respond(request);
+    else resume(request);
+  };
+  const { call } = await startGateway({
+    route: { ...ROUTES[kind], timeoutMs: isSilent ? 200 : 2_000 },
+    upstreams: [serve, serve],
+  });
+  expect(describeReply(await call())).toBe(outcome);
+});
