fix(gateway): a stream that ends inside an event is broken off, not complete

Cause: the upstream's stream had neither a length nor chunks. A crash closes such a connection without a reset, and HTTP takes that for the end of the body; the gateway believed the transport and never asked whether the stream itself was complete.

Change: a scanner finds the event ends of every stream, also of streams that can't be resumed. A stream that ends inside an event, or that ends with its connection before any event, is broken off: it is resumed where the route allows, or else the caller's connection is cut.

--- a/packages/gateway/src/__tests__/responseEndings.spec.ts
+++ b/packages/gateway/src/__tests__/responseEndings.spec.ts
@@ -119,3 +119,51 @@
   });
   expect(describeReply(await call())).toBe(outcome);
 });
+
+// Guards against an engine that crashes before its first event and whose stream is taken for an empty one.
+test('a stream that its connection ends before the first event is resumed elsewhere', async () => {
+  let requests = 0;
+  const serve = (request: TestRequest): void => {
+    requests += 1;
+    if (requests > 1) createResponder('length', 'complete')(request);
+    else request.socket.end(buildHead(200, { 'x-id': request.id, 'x-sig': 's' }));
+  };
+  const { call } = await startGateway({
+    route: ROUTES['resumable stream'],
+    upstreams: [serve, serve],
+  });
+  expect(describeReply(await call())).toBe('whole');
+});
+
+test('a response of another type on a streaming route needs no events', async () => {
+  const body = '{"done":true}';
+  const serve = ({ id, socket }: TestRequest): void => {
+    const headers = { 'x-id': id, 'x-sig': 's', 'content-type': 'application/json' };
+    socket.end(buildHead(200, headers) + body);
+  };
+  const { call } = await startGateway({ route: ROUTES.stream, upstreams: [serve] });
+  expect(await call()).toMatchObject({ status: 200, body, isWhole: true });
+});
+
+// Guards against a correct response that is taken for complete although it was cut at some byte.
+test.each(['length', 'chunks', 'connection'] as const)(
+  'a stream delimited by %s and cut at any byte is complete only after an event',
+  async (framing) => {
+    const head = (id: string): string =>
+      buildHead(200, { 'x-id': id, 'x-sig': 's', ...FRAMING_HEADERS[framing] });
+    const body = framing === 'chunks' ? `${EVENTS.map(buildChunk).join('')}0\r\n\r\n` : BODY;
+    const eventEnds = [1, 2, 3].map((count) => EVENTS.slice(0, count).join('').length);
+    const completeCuts = framing === 'connection' ? eventEnds : [body.length];
+    let cut = 0;
+    const serve = ({ id, socket }: TestRequest): void => {
+      socket.end(head(id) + body.slice(0, cut));
+    };
+    const { call } = await startGateway({ route: ROUTES.stream, upstreams: [serve] });
+    const found: number[] = [];
+    for (; cut <= body.length; cut += 1) {
+      const reply = await call();
+      if (reply.isWhole && reply.status === 200) found.push(cut);
+    }
+    expect(found).toEqual(completeCuts);
+  },
+);
--- a/packages/gateway/src/dispatch/attemptResult.ts
+++ b/packages/gateway/src/dispatch/attemptResult.ts
@@ -14,4 +14,4 @@
   /** No valid response arrived; the request may have been executed. */
   | { readonly kind: 'unknown'; readonly reason: string }
   /** The stream broke after a part of it was sent to the caller. */
-  | { readonly kind: 'broken' };
+  | { readonly kind: 'broken'; readonly reason: string };
--- a/packages/gateway/src/dispatch/eventScanner.ts
+++ b/packages/gateway/src/dispatch/eventScanner.ts
@@ -10,6 +10,9 @@
 
   private bytesSinceEvent = 0;
 
+  /** Number of complete events. */
+  eventCount = 0;
+
   /** Number of bytes after the last complete event. */
   get partialEventBytes(): number {
     return this.bytesSinceEvent;
@@ -34,6 +37,7 @@
     }
     this.lineBytes += chunk.length - lineStart;
     this.lastByte = chunk.at(-1) ?? this.lastByte;
+    this.eventCount += eventEnds.length;
     const lastEnd = eventEnds.at(-1);
     this.bytesSinceEvent =
       lastEnd === undefined ? this.bytesSinceEvent + chunk.length : chunk.length - lastEnd;
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -38,6 +38,11 @@
 
 const MIN_SERVER_ERROR_STATUS = 500;
 
+const EVENT_STREAM_TYPE = 'text/event-stream';
+
+const isEventStream = ({ 'content-type': type }: RawResponseHead['headers']): boolean =>
+  type === undefined || type.toLowerCase().startsWith(EVENT_STREAM_TYPE);
+
 /** Sends one request over one connection, relays the response and reports the result. */
 export class UpstreamAttempt implements ExchangeHandler {
   private phase: Phase = 'offered';
@@ -117,7 +122,8 @@
     }
     onResponseHead(head);
     this.options.upstream.recordActivity();
-    const isStream = requireRoute(exchange).streaming && isSuccess(status);
+    const isStream =
+      requireRoute(exchange).streaming && isSuccess(status) && isEventStream(headers);
     this.phase = isStream ? 'stream' : 'whole';
     if (isStream) this.startStream(head);
   }
@@ -129,10 +135,9 @@
   }
 
   onEnd(): void {
-    if (this.options.connection.wasReset) {
-      this.resolveResult?.(
-        this.buildErrorResult(new ConnectionError('connection reset during the response')),
-      );
+    const failure = this.findTruncation();
+    if (failure !== undefined) {
+      this.resolveResult?.(this.buildErrorResult(new ConnectionError(failure)));
       return;
     }
     this.isReusable = true;
@@ -143,6 +148,16 @@
     this.resolveResult?.(this.buildErrorResult(error));
   }
 
+  /** Finds out why a response that ended without an error is incomplete; undefined if it is whole. */
+  private findTruncation(): string | undefined {
+    if (this.options.connection.wasReset) return 'connection reset during the response';
+    if (!this.isStreamOpen) return undefined;
+    if (this.eventScanner.partialEventBytes > 0) return 'stream ended inside an event';
+    const isEmpty = this.eventScanner.eventCount === 0;
+    // An engine that crashes before its first event closes the connection in the same way.
+    return isEmpty && this.framing === 'connection' ? 'stream ended without an event' : undefined;
+  }
+
   private startStream(head: ResponseHead): void {
     const { response } = this.options.exchange;
     this.options.eventSplitter?.reset();
@@ -212,7 +227,7 @@
   private buildErrorResult(error: Error): AttemptResult {
     if (this.phase === 'dropped') return { kind: 'not-run', reason: 'cancelled' };
     if (this.phase === 'offered') return { kind: 'not-run', reason: 'unreachable' };
-    if (this.phase === 'stream') return { kind: 'broken' };
+    if (this.phase === 'stream') return { kind: 'broken', reason: error.message };
     return { kind: 'unknown', reason: error.message };
   }
 }
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -225,7 +225,10 @@
     try {
       const result = await attempt.run();
       logEntry.outcome = describeResult(result);
-      if (attempt.framing === 'connection') this.logUnframedResponse(exchange, logEntry, attempt);
+      if (attempt.framing === 'connection') {
+        this.options.metrics.countUnframedResponse(result.kind);
+        this.logUnframedResponse(exchange, logEntry, attempt);
+      }
       return result;
     } finally {
       recordResponseStart();
@@ -241,9 +244,7 @@
     { upstreamId, outcome }: AttemptLogEntry,
     { partialEventBytes }: UpstreamAttempt,
   ): void {
-    const { metrics, requestLog } = this.options;
-    metrics.countUnframedResponse(outcome);
-    requestLog.log('response ended with its connection', {
+    this.options.requestLog.log('response ended with its connection', {
       id: head.requestId,
       route: route?.name,
       upstreamId,
