fix(gateway): a plain response to a resumption never completes a stream

What callers would see: a broken stream whose resumption got a plain 4xx or 200 was continued with that response's body and ended as complete.

Cause: the head of the response had been sent, so starting it again did nothing, but its body and end were still written.

Change: once a part of a stream is out, any response but a stream counts as a failed attempt.

--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -206,6 +206,7 @@
     upstreams.forEach((upstream) => upstream.close());
   });
   return {
+    port,
     call: (call: TestCall = {}) => sendCall(port, call),
     upstreams,
     fleetState,
--- a/packages/gateway/src/__tests__/responseEndings.spec.ts
+++ b/packages/gateway/src/__tests__/responseEndings.spec.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest';
-import { buildChunk, buildHead } from './fakeUpstream.js';
+import { buildChunk, buildHead, buildResponse } from './fakeUpstream.js';
 import type { TestRequest } from './fakeUpstream.js';
 import { startGateway } from './gatewayHarness.js';
 import type { CallerReply } from './gatewayHarness.js';
@@ -167,3 +167,24 @@
     expect(found).toEqual(completeCuts);
   },
 );
+
+// Guards against the body of a refusal that is appended to a broken stream and completes it.
+test.each([400, 404, 200])('a resumption that gets a plain %i cuts the stream', async (status) => {
+  let requests = 0;
+  const serve = (request: TestRequest): void => {
+    requests += 1;
+    const { id, socket } = request;
+    if (requests === 1) {
+      createResponder('chunks', 'closed')(request);
+      return;
+    }
+    const type = { 'content-type': 'application/json' };
+    socket.write(buildResponse(status, { 'x-id': id, 'x-sig': 's', ...type }, '{"done":true}'));
+  };
+  const { call } = await startGateway({
+    route: ROUTES['resumable stream'],
+    upstreams: [serve, serve],
+  });
+  const reply = await call();
+  expect(reply).toMatchObject({ isWhole: false, body: EVENTS[0] });
+});
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -214,7 +214,9 @@
     if (UNEXECUTED_STATUSES.has(head.status))
       return { kind: 'unknown', reason: `status ${head.status}` };
     const body = Buffer.concat(this.chunks);
-    if (head.status >= MIN_SERVER_ERROR_STATUS) return { kind: 'failed', head, body };
+    // A caller that already has a part of a stream can't be given another response.
+    if (head.status >= MIN_SERVER_ERROR_STATUS || response.isHeadSent)
+      return { kind: 'failed', head, body };
     response.start({
       status: head.status,
       headers: head.forwardedHeaders,
