fix(gateway): reset the connection of an HTTP/1.0 caller whose stream breaks

What callers would see: without chunks, a response ends with its connection, and the regular close of a broken one looked complete.

Evidence: the new test got a regular close before this change.

--- a/packages/gateway/src/__tests__/responseEndings.spec.ts
+++ b/packages/gateway/src/__tests__/responseEndings.spec.ts
@@ -1,3 +1,4 @@
+import { connect } from 'node:net';
 import { expect, test } from 'vitest';
 import { buildChunk, buildHead, buildResponse } from './fakeUpstream.js';
 import type { TestRequest } from './fakeUpstream.js';
@@ -188,3 +189,23 @@
   const reply = await call();
   expect(reply).toMatchObject({ isWhole: false, body: EVENTS[0] });
 });
+
+/** Sends an HTTP/1.0 request and returns how its connection ended. */
+const sendOldRequest = (port: number): Promise<string> =>
+  new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1');
+    socket.once('end', () => resolve('closed'));
+    socket.once('error', () => resolve('reset'));
+    socket.resume();
+    socket.write('POST /a/1 HTTP/1.0\r\nhost: site.example\r\nx-id: old\r\n\r\n');
+  });
+
+// Guards against a broken stream whose only end for an HTTP/1.0 caller is a regular close.
+test('a broken stream resets the connection of a caller that gets no chunks', async () => {
+  let ending: Ending = 'complete';
+  const serve = (request: TestRequest): void => createResponder('chunks', ending)(request);
+  const { port } = await startGateway({ route: ROUTES.stream, upstreams: [serve] });
+  expect(await sendOldRequest(port)).toBe('closed');
+  ending = 'closed';
+  expect(await sendOldRequest(port)).toBe('reset');
+});
--- a/packages/gateway/src/http/callerResponse.ts
+++ b/packages/gateway/src/http/callerResponse.ts
@@ -72,6 +72,9 @@
 
   /** Destroys the connection, so that the caller can't take the response for a complete one. */
   abort(): void {
+    const { socket, chunkedEncoding } = this.response;
+    // Callers that can't be sent chunks take a regular close for the end of the response.
+    if (!chunkedEncoding) socket?.resetAndDestroy();
     this.response.destroy();
   }
 }
