fix(gateway): bound the size of heads, bodies and events of upstreams

What callers would see: an upstream that sends bytes without end held the request until its deadline, and its error body or event filled the memory of the VM.

Change: a body over 64 MiB, an event over 1 MiB, an error body too large to buffer and more than 8 informational heads end the attempt at once, close the connection and count against the upstream. The parts of an incomplete event are joined once, not with every chunk.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -21,6 +21,15 @@
 /** Maximum size of a response that is buffered until it is complete. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 1024 * 1024;
 
+/** Maximum size of the body of a response; a longer one is taken for one without end. */
+export const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+
+/** Maximum size of one event of a stream. */
+export const MAX_EVENT_BYTES = 1024 * 1024;
+
+/** Maximum number of informational responses (1xx) before a response. */
+export const MAX_INFORMATIONAL_RESPONSES = 8;
+
 /** Attempts beyond the route's limit, if no earlier attempt was executed. */
 export const MAX_UNEXECUTED_EXTRA_ATTEMPTS = 2;
 
--- a/packages/gateway/src/dispatch/connectionExchange.ts
+++ b/packages/gateway/src/dispatch/connectionExchange.ts
@@ -1,5 +1,6 @@
 import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { MAX_INFORMATIONAL_RESPONSES } from '../constants.js';
 import { ConnectionError } from './connectionError.js';
 
 /** What ends a body: its content length, its last chunk or the end of the connection. */
@@ -43,12 +44,15 @@
 
   private response: IncomingMessage | undefined;
 
+  private informationalCount = 0;
+
   constructor(
     private readonly request: ClientRequest,
     private readonly handler: ExchangeHandler,
   ) {
     request.once('socket', (socket) => this.handleSocket(socket));
     request.on('error', (error) => this.fail(error));
+    request.on('information', () => this.handleInformation());
     request.once('response', (response) => this.handleResponse(response));
     request.once('close', () => this.failIfOpen('connection closed'));
   }
@@ -71,6 +75,13 @@
     else this.handler.onSend();
   }
 
+  private handleInformation(): void {
+    this.informationalCount += 1;
+    if (this.informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+      this.abort(new ConnectionError('too many informational responses'));
+    }
+  }
+
   private handleResponse(response: IncomingMessage): void {
     this.response = response;
     const { statusCode = 0, headers, rawHeaders } = response;
--- a/packages/gateway/src/dispatch/eventSplitter.ts
+++ b/packages/gateway/src/dispatch/eventSplitter.ts
@@ -1,32 +1,32 @@
-const EVENT_END = Buffer.from('\n\n');
-
 const ID_LINE = /^id: ?(\d+)\s*$/m;
 
-/** Splits a server-sent event stream into complete events and drops those that were already emitted. */
+/** Selects the complete events of a server-sent event stream that have not been emitted before. */
 export class EventSplitter {
-  private pending: Buffer = Buffer.alloc(0);
+  /** Parts of the event that is not complete yet. */
+  private pending: Buffer[] = [];
 
   /** Id of the last emitted event; undefined before the first one. */
   lastEventId: number | undefined;
 
   /** Discards the incomplete event of a broken stream before the resumed stream begins. */
   reset(): void {
-    this.pending = Buffer.alloc(0);
+    this.pending = [];
   }
 
-  /** @returns the complete events that have not been emitted before, concatenated */
-  push(chunk: Buffer): Buffer {
-    this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+  /**
+   * @param eventEnds offsets in the chunk right after each event that ends in it
+   * @returns the complete events that have not been emitted before, concatenated
+   */
+  push(chunk: Buffer, eventEnds: readonly number[]): Buffer {
     const events: Buffer[] = [];
-    for (
-      let end = this.pending.indexOf(EVENT_END);
-      end >= 0;
-      end = this.pending.indexOf(EVENT_END)
-    ) {
-      const event = this.pending.subarray(0, end + EVENT_END.length);
-      this.pending = this.pending.subarray(end + EVENT_END.length);
+    let start = 0;
+    eventEnds.forEach((end) => {
+      const event = Buffer.concat([...this.pending, chunk.subarray(start, end)]);
+      this.pending = [];
+      start = end;
       if (this.recordEventId(event)) events.push(event);
-    }
+    });
+    if (start < chunk.length) this.pending.push(chunk.subarray(start));
     return events.length === 1 ? events[0]! : Buffer.concat(events);
   }
 
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -1,5 +1,5 @@
 import type { TrackedUpstream } from '@goldcrestscale/core';
-import { MAX_BUFFERED_RESPONSE_BYTES } from '../constants.js';
+import { MAX_BUFFERED_RESPONSE_BYTES, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES } from '../constants.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { requireRoute } from '../filters/gatewayExchange.js';
 import type { ResponseHead, AttemptMetadata, UpstreamProtocol } from '../ports/index.js';
@@ -51,7 +51,7 @@
 
   private readonly chunks: Buffer[] = [];
 
-  private bufferedBytes = 0;
+  private receivedBytes = 0;
 
   private resolveResult: ((result: AttemptResult) => void) | undefined;
 
@@ -130,8 +130,11 @@
 
   onData(chunk: Buffer, flow: ResponseFlow): void {
     this.options.upstream.recordActivity();
+    this.receivedBytes += chunk.length;
     if (this.phase === 'stream') this.relayChunk(flow, chunk);
     else if (this.phase === 'whole') this.collectChunk(chunk);
+    const excess = this.findExcess();
+    if (excess !== undefined) flow.abort(new ConnectionError(excess));
   }
 
   onEnd(): void {
@@ -158,6 +161,15 @@
     return isEmpty && this.framing === 'connection' ? 'stream ended without an event' : undefined;
   }
 
+  /** Finds out which limit a response exceeds that may have no end. */
+  private findExcess(): string | undefined {
+    if (this.receivedBytes > MAX_RESPONSE_BYTES) return 'response too large';
+    if (this.eventScanner.partialEventBytes > MAX_EVENT_BYTES) return 'event too large';
+    return this.phase === 'whole' && this.receivedBytes > MAX_BUFFERED_RESPONSE_BYTES
+      ? 'response too large to buffer'
+      : undefined;
+  }
+
   private startStream(head: ResponseHead): void {
     const { response } = this.options.exchange;
     this.options.eventSplitter?.reset();
@@ -172,8 +184,8 @@
 
   private relayChunk(flow: ResponseFlow, chunk: Buffer): void {
     const { exchange, eventSplitter } = this.options;
-    this.eventScanner.scan(chunk);
-    const data = eventSplitter ? eventSplitter.push(chunk) : chunk;
+    const eventEnds = this.isStreamOpen ? this.eventScanner.scan(chunk) : [];
+    const data = eventSplitter ? eventSplitter.push(chunk, eventEnds) : chunk;
     if (data.length === 0 || exchange.response.write(data)) return;
     flow.pause();
     exchange.response.onDrain(() => flow.resume());
@@ -181,16 +193,12 @@
 
   private collectChunk(chunk: Buffer): void {
     const { response } = this.options.exchange;
-    this.bufferedBytes += chunk.length;
     this.chunks.push(chunk);
-    if (
-      this.bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES ||
-      !this.head ||
-      !isSuccess(this.head.status)
-    )
-      return;
+    const { head } = this;
+    const canStream = head && isSuccess(head.status) && !response.isHeadSent;
+    if (this.receivedBytes <= MAX_BUFFERED_RESPONSE_BYTES || !canStream) return;
     // Too large to buffer: stream it. If it is then cut short, the caller's connection is cut as well.
-    const { status, forwardedHeaders } = this.head;
+    const { status, forwardedHeaders } = head;
     this.phase = 'stream';
     response.start({ status, headers: forwardedHeaders, contentLength: undefined });
     this.chunks.splice(0).forEach((buffered) => response.write(buffered));
