fix(gateway): count a success of an upstream when its response is complete

A head alone counted as a success, so an engine that breaks every stream had as many successes as failures. Evidence: the three new cases recorded a success and a failure before this change.

--- a/packages/gateway/src/__tests__/responseEndings.spec.ts
+++ b/packages/gateway/src/__tests__/responseEndings.spec.ts
@@ -1,5 +1,5 @@
 import { connect } from 'node:net';
-import { expect, test } from 'vitest';
+import { expect, test, vi } from 'vitest';
 import { buildChunk, buildHead, buildResponse } from './fakeUpstream.js';
 import type { TestRequest } from './fakeUpstream.js';
 import { startGateway } from './gatewayHarness.js';
@@ -209,3 +209,17 @@
   ending = 'closed';
   expect(await sendOldRequest(port)).toBe('reset');
 });
+
+// Guards against a broken response whose head alone counts as a success of the upstream.
+test.each(['length', 'chunks', 'connection'] as const)(
+  'a stream delimited by %s that closes early counts as a failure only',
+  async (framing) => {
+    const { call, fleetState } = await startGateway({
+      route: ROUTES.stream,
+      upstreams: [createResponder(framing, 'closed')],
+    });
+    const recordOutcome = vi.spyOn(fleetState.ejection, 'recordOutcome');
+    await call();
+    expect(recordOutcome.mock.calls.map(([, outcome]) => outcome)).toEqual(['failure']);
+  },
+);
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -33,7 +33,7 @@
     upstream: TrackedUpstream,
     head: ResponseHead,
   ): void {
-    const { metrics, ejection } = this.options;
+    const { metrics } = this.options;
     metrics.observeFirstByte(performance.now() - exchange.receivedAtMs);
     this.recordAnnouncements(exchange, upstream, head);
     if (head.load) upstream.recordLoad(head.load);
@@ -42,9 +42,12 @@
     if (model !== undefined && head.weights !== undefined) {
       upstream.recordWeights(model, head.weights);
     }
-    if (head.status >= MIN_SERVER_ERROR_STATUS) return;
-    ejection.recordOutcome(upstream.upstreamId, 'success');
-    upstream.clearBusy();
+    if (head.status < MIN_SERVER_ERROR_STATUS) upstream.clearBusy();
+  }
+
+  /** Records a response that was passed on in full; a head alone is no success. */
+  recordSuccess({ upstreamId }: TrackedUpstream): void {
+    this.options.ejection.recordOutcome(upstreamId, 'success');
   }
 
   recordFailure(
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -167,6 +167,7 @@
       this.options.metrics.countAttempt(progress.service, result.kind);
       if (result.kind === 'answered') {
         exchange.verdict = 'ran';
+        this.outcomeRecorder.recordSuccess(upstream);
         return;
       }
       this.outcomeRecorder.recordFailure(exchange, upstream, progress, result);
