fix(entry): bound the size of bodies and events of upstreams

An upstream that sent a body or an event without end held the request until its deadline and filled memory. A larger body or event now ends the attempt as a failure.

--- a/packages/entry/src/__tests__/dispatch.spec.ts
+++ b/packages/entry/src/__tests__/dispatch.spec.ts
@@ -178,6 +178,33 @@
   expect([first.runCount, second.runCount]).toEqual([1, 1]);
 });
 
+/** A response that has no end must end well before the deadline. */
+const MAX_ENDLESS_MS = 4_000;
+
+// Guards against an upstream that never ends its response and fills the memory of the VM until the deadline.
+test.each([true, false])('ends an endless response early (streaming: %s)', async (stream) => {
+  const [first, second] = [await startUpstream('endless'), await startUpstream()];
+  const harness = await startEntry([first, second]);
+  const startedAtMs = performance.now();
+  const response = await requestCompletion(harness, {
+    stream,
+    headers: { 'x-deadline-ms': String(2 * MAX_ENDLESS_MS) },
+  });
+  expect(response).toMatchObject({ status: 200, text: COMPLETE_TEXT });
+  expect(performance.now() - startedAtMs).toBeLessThan(MAX_ENDLESS_MS);
+  expect(harness.outcomes).toEqual(['failure', 'success']);
+});
+
+// Guards against an upstream that never ends its response and fills the memory of the VM until the deadline.
+test('ends an endless response of a plain service early', async () => {
+  const service = await startUpstream('endless');
+  const harness = await startEntry([service]);
+  const startedAtMs = performance.now();
+  expect(await callService(harness, 'POST')).toMatchObject({ verdict: 'may-have-run' });
+  expect(performance.now() - startedAtMs).toBeLessThan(MAX_ENDLESS_MS);
+  expect(harness.outcomes).toEqual(['failure']);
+});
+
 test('hedges a slow idempotent call and relays exactly one response', async () => {
   const [first, second] = [await startUpstream(), await startUpstream()];
   const harness = await startEntry([first, second]);
--- a/packages/entry/src/__tests__/fakeUpstream.ts
+++ b/packages/entry/src/__tests__/fakeUpstream.ts
@@ -17,7 +17,9 @@
   | 'busy'
   | 'conflict'
   | 'rejected'
-  | 'hang';
+  | 'hang'
+  /** Repeats a part of its body, or of an event, until its connection is closed. */
+  | 'endless';
 
 export const TOKENS = [' t0', ' t1', ' t2', ' t3', ' t4', ' t5'];
 export const COMPLETE_TEXT = TOKENS.join('');
@@ -77,6 +79,21 @@
   } else response.end(bytes);
 };
 
+const FILLER = 'x'.repeat(64 * 1024);
+
+const repeatFiller = (response: ServerResponse): void => {
+  if (response.destroyed) return;
+  if (response.write(FILLER)) setImmediate(() => repeatFiller(response));
+  else response.once('drain', () => repeatFiller(response));
+};
+
+const sendEndless = (call: Call, response: ServerResponse): void => {
+  const type = call.body.stream === true ? 'text/event-stream' : 'application/json';
+  response.writeHead(200, { ...buildHead(call, 'ok'), 'content-type': type });
+  response.write('data: ');
+  repeatFiller(response);
+};
+
 /** Minimal engine and plain service on a loopback port with scripted failures. */
 export class FakeUpstream {
   /** Number of requests that it ran. */
@@ -149,6 +166,7 @@
     this.runCount += 1;
     if (behaviour === 'answerLost') response.destroy();
     else if (behaviour === 'hang') this.hangingResponses.push(response);
+    else if (behaviour === 'endless') sendEndless(call, response);
     else if (call.body.stream === true) {
       const resume = call.body.resume as { tokens: number } | undefined;
       streamTokens(call, response, resume?.tokens ?? 0, behaviour);
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -16,6 +16,12 @@
 /** Maximum time between two chunks of an upstream response body, in milliseconds. */
 export const BODY_IDLE_TIMEOUT_MS = 30_000;
 
+/** Maximum size of the body of a response that is not a stream, in bytes. */
+export const MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024;
+
+/** Maximum size of one event of a stream, in bytes. */
+export const MAX_EVENT_BYTES = 1024 * 1024;
+
 /** Maximum number of times that an attempt resumes its interrupted stream. */
 export const MAX_STREAM_RESUMES = 2;
 
--- a/packages/entry/src/dispatch/completionRunner.ts
+++ b/packages/entry/src/dispatch/completionRunner.ts
@@ -3,6 +3,7 @@
 import { collectText, isJson, parseUsage } from '../upstream/completionPayload.js';
 import { END_MARKER, readEventStream } from '../upstream/eventStream.js';
 import type { StreamEnd } from '../upstream/eventStream.js';
+import { readBoundedBody } from '../upstream/readBoundedBody.js';
 import type { UpstreamResponse, UpstreamClient } from '../upstream/upstreamClient.js';
 import { createAttemptError } from '../upstream/upstreamErrors.js';
 import { AttemptRunner } from './attempt.js';
@@ -14,7 +15,7 @@
 
 const relayBody = async (attempt: Attempt, response: UpstreamResponse): Promise<void> => {
   const { exchange } = attempt;
-  const text = await response.body.text().catch(() => undefined);
+  const text = await readBoundedBody(response.body).then(String, () => undefined);
   if (text === undefined || (response.status < 300 && !isJson(text))) {
     throw createAttemptError('The engine cut its answer.', 'may-have-run');
   }
--- a/packages/entry/src/dispatch/serviceRunner.ts
+++ b/packages/entry/src/dispatch/serviceRunner.ts
@@ -1,4 +1,5 @@
 import type { UpstreamResponse, UpstreamClient } from '../upstream/upstreamClient.js';
+import { readBoundedBody } from '../upstream/readBoundedBody.js';
 import { createAttemptError } from '../upstream/upstreamErrors.js';
 import { AttemptRunner } from './attempt.js';
 import type { Attempt } from './attempt.js';
@@ -16,7 +17,7 @@
 
 const readCompleteBody = async (response: UpstreamResponse): Promise<Buffer> => {
   try {
-    return Buffer.from(await response.body.arrayBuffer());
+    return await readBoundedBody(response.body);
   } catch {
     throw createAttemptError('The service cut its answer short.', 'may-have-run');
   }
--- a/packages/entry/src/upstream/eventStream.ts
+++ b/packages/entry/src/upstream/eventStream.ts
@@ -1,4 +1,5 @@
 import { createParser } from 'eventsource-parser';
+import { MAX_EVENT_BYTES } from '../constants.js';
 
 /** Payload of the last event of a complete stream. */
 export const END_MARKER = '[DONE]';
@@ -7,7 +8,7 @@
 export type StreamEnd =
   /** The end marker was received. */
   | 'whole'
-  /** The connection was closed before the end marker. */
+  /** The connection was closed before the end marker, or an event was too large. */
   | 'broken';
 
 /** Reads the end of a body after its end marker, so that its connection can be reused. */
@@ -31,11 +32,15 @@
   const decoder = new TextDecoder();
   const iterator = body[Symbol.asyncIterator]();
   let isComplete = false;
+  let bytesSinceEvent = 0;
   try {
     for (;;) {
       const chunk = await iterator.next().catch(() => undefined);
       if (chunk === undefined || chunk.done) return 'broken';
+      bytesSinceEvent += chunk.value.length;
+      if (bytesSinceEvent > MAX_EVENT_BYTES) return 'broken';
       parser.feed(decoder.decode(chunk.value, { stream: true }));
+      if (pending.length > 0) bytesSinceEvent = 0;
       for (const data of pending.splice(0)) {
         if (data === END_MARKER) {
           isComplete = true;
