fix(entry): a reset never ends a response without a length

What callers would see: a response of a plain service with neither a length nor chunks that was reset in the middle arrived as a 200.

Cause: undici takes a reset for the end of such a body, and Node emits a clean end if data and a reset arrive together.

--- a/packages/entry/src/__tests__/dispatch.spec.ts
+++ b/packages/entry/src/__tests__/dispatch.spec.ts
@@ -205,6 +205,19 @@
   expect(harness.outcomes).toEqual(['failure']);
 });
 
+// Guards against a response without a length that looks complete because its reset came with its bytes.
+test('never relays a response without a length that ends with a reset', async () => {
+  const service = await startUpstream(
+    ...Array.from({ length: 20 }, () => 'unframedReset' as const),
+  );
+  const harness = await startEntry([service]);
+  const statuses: number[] = [];
+  for (let count = 0; count < 20; count += 1) {
+    statuses.push((await callService(harness, 'POST')).status);
+  }
+  expect(statuses.filter((status) => status < 300)).toEqual([]);
+});
+
 test('hedges a slow idempotent call and relays exactly one response', async () => {
   const [first, second] = [await startUpstream(), await startUpstream()];
   const harness = await startEntry([first, second]);
--- a/packages/entry/src/__tests__/fakeUpstream.ts
+++ b/packages/entry/src/__tests__/fakeUpstream.ts
@@ -19,7 +19,9 @@
   | 'rejected'
   | 'hang'
   /** Repeats a part of its body, or of an event, until its connection is closed. */
-  | 'endless';
+  | 'endless'
+  /** A body with neither a length nor chunks that ends with a reset, sent together with its bytes. */
+  | 'unframedReset';
 
 export const TOKENS = [' t0', ' t1', ' t2', ' t3', ' t4', ' t5'];
 export const COMPLETE_TEXT = TOKENS.join('');
@@ -94,6 +96,11 @@
   repeatFiller(response);
 };
 
+const sendUnframedReset = ({ socket }: ServerResponse): void => {
+  const head = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n';
+  socket?.write(`${head}{"part`, () => socket.resetAndDestroy());
+};
+
 /** Minimal engine and plain service on a loopback port with scripted failures. */
 export class FakeUpstream {
   /** Number of requests that it ran. */
@@ -167,6 +174,7 @@
     if (behaviour === 'answerLost') response.destroy();
     else if (behaviour === 'hang') this.hangingResponses.push(response);
     else if (behaviour === 'endless') sendEndless(call, response);
+    else if (behaviour === 'unframedReset') sendUnframedReset(response);
     else if (call.body.stream === true) {
       const resume = call.body.resume as { tokens: number } | undefined;
       streamTokens(call, response, resume?.tokens ?? 0, behaviour);
--- a/packages/entry/src/upstream/boundConnection.ts
+++ b/packages/entry/src/upstream/boundConnection.ts
@@ -1,8 +1,10 @@
-import { buildConnector, Client } from 'undici';
+import { Client } from 'undici';
+import type { buildConnector } from 'undici';
 import { toId } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
 import { z } from 'zod';
-import { CONNECT_TIMEOUT_MS, CONTROL_CALL_TIMEOUT_MS, BODY_IDLE_TIMEOUT_MS } from '../constants.js';
+import { CONTROL_CALL_TIMEOUT_MS, BODY_IDLE_TIMEOUT_MS } from '../constants.js';
+import { createUpstreamConnector } from './createUpstreamConnector.js';
 import { CONNECTION_CLOSED_CODE, createCodedError } from './upstreamErrors.js';
 
 const KEEP_ALIVE_TIMEOUT_MS = 4_000;
@@ -20,7 +22,7 @@
 
 /** Creates a connector that connects once, so that undici can't reconnect to another process. */
 const createSingleConnector = (): buildConnector.connector => {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  const connect = createUpstreamConnector();
   let isUsed = false;
   return (options, callback) => {
     if (isUsed) {
--- a/packages/entry/src/upstream/upstreamClient.ts
+++ b/packages/entry/src/upstream/upstreamClient.ts
@@ -3,10 +3,11 @@
 import { Agent, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { AttemptId, BootId, UpstreamView, Verdict } from '@goldcrestscale/core';
-import { CONNECT_TIMEOUT_MS, BODY_IDLE_TIMEOUT_MS } from '../constants.js';
+import { BODY_IDLE_TIMEOUT_MS } from '../constants.js';
 import type { BoundConnection } from './boundConnection.js';
 import { createConnectionPool } from './connectionPool.js';
 import type { ConnectionPool } from './connectionPool.js';
+import { createUpstreamConnector } from './createUpstreamConnector.js';
 import {
   CONNECTION_CLOSED_CODE,
   createAttemptError,
@@ -125,7 +126,7 @@
     connections: MAX_CONNECTIONS_PER_UPSTREAM,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: createUpstreamConnector(),
     headersTimeout: 0,
     bodyTimeout: BODY_IDLE_TIMEOUT_MS,
   });
--- a/packages/entry/src/upstream/upstreamErrors.ts
+++ b/packages/entry/src/upstream/upstreamErrors.ts
@@ -5,6 +5,9 @@
 /** Error code for a connection that was closed before the request was written. */
 export const CONNECTION_CLOSED_CODE = 'GOLDCREST_CONNECTION_CLOSED';
 
+/** Error code for a connection that was reset. */
+export const CONNECTION_RESET_CODE = 'GOLDCREST_CONNECTION_RESET';
+
 /** Codes of errors that occur before any byte of the request is sent. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
