--- a/packages/gateway/src/__tests__/testProtocols.ts
+++ b/packages/gateway/src/__tests__/testProtocols.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { toId } from '@goldcrestscale/core';
-import type { ModelId, UpstreamId } from '@goldcrestscale/core';
+import type { ModelId, PromptPartId, UpstreamId } from '@goldcrestscale/core';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { CallerProtocol, UpstreamProtocol } from '../ports/index.js';
 import type {
@@ -30,7 +30,10 @@
             model: toId<ModelId>(getHeader(request, 'x-model')!),
             inputTokens: 100,
             maxOutputTokens: 10,
-            parts: [],
+            parts: (getHeader(request, 'x-parts') ?? '')
+              .split(',')
+              .filter((id) => id !== '')
+              .map((id) => ({ id: toId<PromptPartId>(id), tokens: 10 })),
           }
         : undefined,
       lastEventId: undefined,
@@ -69,6 +72,8 @@
       metadata.upstreamId,
       'x-left',
       String(metadata.remainingMs),
+      'x-parts',
+      (exchange.head.prompt?.parts ?? []).map(({ id }) => id).join(','),
       ...(metadata.lastEventId === undefined ? [] : ['last-event-id', metadata.lastEventId]),
     ];
   }
