fix(gateway): refuse prompts with a part that crashes engines

Cause: each VM saw the end of an engine as broken streams of its own and sent the next request with the part to the next engine; nothing compared what engines were beginning to answer when they ended.

Change: PartQuarantine (core, no network) collects which shared parts were at the beginning of their answer when a boot of an engine ended. A part with four separate crashes and no answer that got past its beginning since the first of them is refused at once with 400, by all VMs: the rows travel in the gossip, also through relays, and merge the same way in any order. Sound parts are cleared by their other answers; ends at the same moment count once; crashes by one account refuse only that account. A request that crashed an engine with a part that crashed one before is not retried. The refusal ends after ten minutes without such a request.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -11,6 +11,7 @@
   | 'key_reused'
   | 'key_expired'
   | 'key_in_future'
+  | 'prompt_part_refused'
   | 'over_limit'
   | 'overloaded'
   | 'deadline'
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export * from './loadOrders/index.js';
 export * from './random.js';
 export * from './prefix/index.js';
+export * from './quarantine/index.js';
 export * from './promptRouting/index.js';
 export * from './retry/index.js';
 export * from './routing/index.js';
--- /dev/null
+++ b/packages/core/src/quarantine/constants.ts
@@ -0,0 +1,38 @@
+/** Number of separate crashes with a part, and without a survival, from which on it is refused. */
+export const MIN_CRASHES = 4;
+
+/** Crashes closer together than this count as one, since a rack or a kill ends many engines at once. */
+export const CRASH_CLUSTER_MS = 100;
+
+/** Time for which a crash counts against parts that are not refused. */
+export const CRASH_MEMORY_MS = 60_000;
+
+/** Time without a request for a refused part after which it is no longer refused. */
+export const REFUSAL_IDLE_MS = 600_000;
+
+/** Number of events of a response by which the engine has survived the beginning of its answer. */
+export const MIN_SURVIVAL_EVENTS = 4;
+
+/** Maximum number of parts that are tracked. */
+export const MAX_TRACKED_QUARANTINE_PARTS = 256;
+
+/** Maximum number of crashes that are kept for a part. */
+export const MAX_CRASHES_PER_PART = 12;
+
+/** Maximum number of parts of one prompt that are suspected. */
+export const MAX_PARTS_PER_PROMPT = 64;
+
+/** Maximum length of a part's name in logs and messages, in characters. */
+export const MAX_PART_LABEL_LENGTH = 64;
+
+/** Maximum number of parts in a message to other VMs. */
+export const MAX_ROWS_PER_MESSAGE = 16;
+
+/** Interval at which unchanged rows are sent again, for VMs that missed them. */
+export const ROW_REPEAT_MS = 1_000;
+
+/** Minimum advance of the time of the last request for it to be worth a message. */
+export const REQUEST_TIME_STEP_MS = 5_000;
+
+/** Maximum number of digests that are kept in memory. */
+export const MAX_MEMOIZED_DIGESTS = 4_096;
--- a/packages/gateway/src/__tests__/gossipMessage.spec.ts
+++ b/packages/gateway/src/__tests__/gossipMessage.spec.ts
@@ -15,6 +15,15 @@
   leaving: [{ upstreamId: toId<UpstreamId>('i-9'), startedAtMs: 77 }],
   down: [upstreamId],
   sentParts: [{ hash: 77, upstreamId }],
+  quarantine: [
+    {
+      digest: 'digest',
+      label: 'part',
+      clearings: 1,
+      requestedAgeMs: 30,
+      crashes: [{ upstreamId, startedAtMs: 77, account: 'account', ageMs: 40 }],
+    },
+  ],
   weights: [{ upstreamId, model: toId<ModelId>('m'), weightNumber: toWeightNumber(2) }],
 };
 
--- a/packages/gateway/src/__tests__/gossipRelay.spec.ts
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -1,7 +1,9 @@
 import { createSocket } from 'node:dgram';
+import { setTimeout as pause } from 'node:timers/promises';
 import { expect, onTestFinished, test, vi } from 'vitest';
 import {
   EntryRoster,
+  PartQuarantine,
   PeerLoads,
   SentParts,
   UpstreamRegistry,
@@ -12,6 +14,9 @@
   AvailabilityZoneId,
   BootId,
   EntryHeartbeat,
+  ModelId,
+  Prompt,
+  PromptPartId,
   ServiceName,
   UpstreamId,
   VmId,
@@ -21,6 +26,9 @@
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
 
+/** Engines that end at longer intervals than this have no common cause such as a rack. */
+const CRASH_INTERVAL_MS = 120;
+
 const upstreamId = toId<UpstreamId>('engine');
 
 const findPort = (): Promise<number> =>
@@ -70,6 +78,7 @@
     },
   });
   for (let count = 0; count < inFlight; count += 1) registry.find(upstreamId)!.recordDispatch(100);
+  const quarantine = new PartQuarantine();
   const gossip = new Gossip({
     self: entry.vmId,
     zone: entry.availabilityZone,
@@ -80,14 +89,16 @@
     registry,
     peerLoads,
     sentParts: new SentParts(),
+    quarantine,
     listLoading: () => [],
     logger,
   });
   await gossip.start(signal);
-  return { sumPeers: () => peerLoads.getTotals(upstreamId).inFlight };
+  return { sumPeers: () => peerLoads.getTotals(upstreamId).inFlight, quarantine };
 };
 
-test('relays the in-flight requests of all other VMs to each VM, without its own', async () => {
+/** Starts two relays of one zone, another VM of it, and the relay of a second zone. */
+const startRelayedFleet = async () => {
   const abortController = new AbortController();
   onTestFinished(() => abortController.abort());
   const ports = await Promise.all(Array.from({ length: 4 }, () => findPort()));
@@ -99,14 +110,41 @@
     makeEntry(`silent-${index}`, index % 2 === 0 ? 'z1' : 'z2', 1, 9),
   );
   const entries = [relay, second, member, foreign, ...silent];
-  const vms = await Promise.all(
+  return Promise.all(
     [relay, second, member, foreign].map((entry, index) =>
       startGossip(entry, entries, index + 1, abortController.signal),
     ),
   );
+};
+
+test('relays the in-flight requests of all other VMs to each VM, without its own', async () => {
+  const vms = await startRelayedFleet();
   // The VMs have 1, 2, 3 and 4 requests in flight, 10 in total; each VM sees those of the others.
   await vi.waitFor(() => expect(vms.map(({ sumPeers }) => sumPeers())).toEqual([9, 8, 7, 6]), {
     timeout: 5_000,
     interval: 50,
   });
 });
+
+// Guards against a VM behind a relay that keeps sending prompts which crash engines elsewhere.
+test('relays a crashing prompt part to each VM', async () => {
+  const vms = await startRelayedFleet();
+  const prompt: Prompt = {
+    model: toId<ModelId>('model'),
+    inputTokens: 1,
+    maxOutputTokens: 1,
+    parts: ['poison', 'own'].map((id) => ({ id: toId<PromptPartId>(id), tokens: 1 })),
+  };
+  const origin = vms[2]!.quarantine;
+  for (let index = 0; index < 6; index += 1) {
+    origin.recordCrash({ prompt, account: undefined }, { upstreamId, startedAtMs: index });
+    await pause(CRASH_INTERVAL_MS);
+  }
+  await vi.waitFor(
+    () =>
+      expect(
+        vms.map(({ quarantine }) => quarantine.findRefused({ prompt, account: undefined })?.label),
+      ).toEqual(vms.map(() => 'poison')),
+    { timeout: 3_000, interval: 50 },
+  );
+});
--- a/packages/gateway/src/__tests__/zoneAggregator.spec.ts
+++ b/packages/gateway/src/__tests__/zoneAggregator.spec.ts
@@ -19,6 +19,7 @@
   weights: [],
   down: [],
   leaving: [],
+  quarantine: [],
   sentParts: [{ hash: 1, upstreamId: toUpstream('a') }],
 });
 
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -90,7 +90,7 @@
 /** Creates the components that communicate with the other VMs. */
 const createMesh = (
   { settings, logger: baseLogger }: GatewayOptions,
-  { roster, registry, peerLoads, sentParts, relays }: FleetState,
+  { roster, registry, peerLoads, sentParts, relays, quarantine }: FleetState,
   key: string,
   { readers, entries, rollout }: MeshDependencies,
 ) => {
@@ -109,6 +109,7 @@
     registry,
     peerLoads,
     sentParts,
+    quarantine,
     listLoading: () => rollout.listLoading(),
   });
   const topicReaders: Partial<Record<LogTopic, TopicReader>> = {
--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -2,17 +2,22 @@
   BlockDirectory,
   CappedEjectionPolicy,
   EntryRoster,
+  PartQuarantine,
   PeerLoads,
   SentParts,
   UpstreamRegistry,
   ZoneRelays,
   createRandomGenerator,
 } from '@goldcrestscale/core';
-import type { AvailabilityZoneId, VmId } from '@goldcrestscale/core';
+import type { AvailabilityZoneId, QuarantineChange, VmId } from '@goldcrestscale/core';
 import { PEER_LOAD_TTL_MS } from '../constants.js';
 
 /** Creates the gateway's view of the fleet, which controllers update and filters read. */
-export const createFleetState = (self: VmId, zone: AvailabilityZoneId) => {
+export const createFleetState = (
+  self: VmId,
+  zone: AvailabilityZoneId,
+  onQuarantineChange?: (change: QuarantineChange) => void,
+) => {
   const random = createRandomGenerator();
   const roster = new EntryRoster();
   const peerLoads = new PeerLoads(PEER_LOAD_TTL_MS);
@@ -24,6 +29,7 @@
     registry: new UpstreamRegistry(peerLoads),
     blocks: new BlockDirectory(),
     sentParts: new SentParts(),
+    quarantine: new PartQuarantine(onQuarantineChange),
     ejection: new CappedEjectionPolicy(random),
   };
 };
--- a/packages/gateway/src/dispatch/requestProgress.ts
+++ b/packages/gateway/src/dispatch/requestProgress.ts
@@ -15,6 +15,9 @@
   /** Number of attempts that were executed or may have been. */
   executions = 0;
 
+  /** Whether upstreams crashed on its prompt before; another attempt might end one more. */
+  isSuspect = false;
+
   /** The most recent server error that an upstream returned. */
   lastFailure: Extract<AttemptResult, { kind: 'failed' }> | undefined;
 
@@ -25,6 +28,10 @@
     this.eventSplitter = route.resumable ? new EventSplitter() : undefined;
   }
 
+  markSuspect(): void {
+    this.isSuspect = true;
+  }
+
   recordSend(): void {
     this.attempts += 1;
   }
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -1,3 +1,4 @@
+import { MIN_SURVIVAL_EVENTS } from '@goldcrestscale/core';
 import type { TrackedUpstream } from '@goldcrestscale/core';
 import { MAX_BUFFERED_RESPONSE_BYTES, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES } from '../constants.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
@@ -59,6 +60,14 @@
 
   private readonly eventScanner = new EventScanner();
 
+  /** Whether the connection ended during the exchange, by no doing of this VM. */
+  private isConnectionLost = false;
+
+  /** Whether this VM ended the exchange itself. */
+  private isAbandoned = false;
+
+  private hasFinished = false;
+
   /** How the end of the response is marked; undefined before its head. */
   framing: BodyFraming | undefined;
 
@@ -67,6 +76,19 @@
 
   constructor(private readonly options: AttemptOptions) {}
 
+  /** Whether the upstream lost the connection while it was beginning its answer. */
+  get crashedAtBeginning(): boolean {
+    if (!this.isConnectionLost) return false;
+    const { streaming } = requireRoute(this.options.exchange);
+    return streaming ? this.isStreamOpen && !this.hasPassedBeginning : !this.hasFinished;
+  }
+
+  /** Whether the upstream got past the beginning of its answer. */
+  get survivedBeginning(): boolean {
+    if (!this.head || !isSuccess(this.head.status)) return false;
+    return this.hasFinished || this.hasPassedBeginning;
+  }
+
   /** Number of bytes of a stream that belong to no complete event. */
   get partialEventBytes(): number {
     return this.eventScanner.partialEventBytes;
@@ -75,6 +97,7 @@
   run(): Promise<AttemptResult> {
     const { exchange, connection, protocol, metadata, signal } = this.options;
     const cancel = (): void => {
+      this.isAbandoned = true;
       this.phase = this.phase === 'offered' ? 'dropped' : this.phase;
       connection.close();
     };
@@ -111,13 +134,10 @@
       isSuccess(status) &&
       (!head.isSigned || head.requestId === undefined || 'content-encoding' in headers);
     if (isMismatched || isUntrusted) {
-      flow.abort(
-        new Error(
-          isMismatched
-            ? 'response is for another request'
-            : 'response encoded, unsigned or without request id',
-        ),
-      );
+      const reason = isMismatched
+        ? 'response is for another request'
+        : 'response encoded, unsigned or without request id';
+      this.abandon(flow, new Error(reason));
       return;
     }
     onResponseHead(head);
@@ -134,20 +154,23 @@
     if (this.phase === 'stream') this.relayChunk(flow, chunk);
     else if (this.phase === 'whole') this.collectChunk(chunk);
     const excess = this.findExcess();
-    if (excess !== undefined) flow.abort(new ConnectionError(excess));
+    if (excess !== undefined) this.abandon(flow, new ConnectionError(excess));
   }
 
   onEnd(): void {
     const failure = this.findTruncation();
     if (failure !== undefined) {
+      this.isConnectionLost = true;
       this.resolveResult?.(this.buildErrorResult(new ConnectionError(failure)));
       return;
     }
     this.isReusable = true;
+    this.hasFinished = true;
     this.resolveResult?.(this.finish());
   }
 
   onError(error: Error): void {
+    this.isConnectionLost = this.phase !== 'offered' && !this.isAbandoned;
     this.resolveResult?.(this.buildErrorResult(error));
   }
 
@@ -161,6 +184,15 @@
     return isEmpty && this.framing === 'connection' ? 'stream ended without an event' : undefined;
   }
 
+  private get hasPassedBeginning(): boolean {
+    return this.eventScanner.eventCount >= MIN_SURVIVAL_EVENTS;
+  }
+
+  private abandon(flow: ResponseFlow, error: Error): void {
+    this.isAbandoned = true;
+    flow.abort(error);
+  }
+
   /** Finds out which limit a response exceeds that may have no end. */
   private findExcess(): string | undefined {
     if (this.receivedBytes > MAX_RESPONSE_BYTES) return 'response too large';
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -5,7 +5,9 @@
   FetchWindow,
   FleetRetryBudget,
   GoldcrestErrorInstance,
+  PartQuarantine,
   ServiceName,
+  TrackedUpstream,
   UpstreamRegistry,
 } from '@goldcrestscale/core';
 import { MAX_UNEXECUTED_EXTRA_ATTEMPTS, NO_CAPACITY_RETRY_AFTER_MS } from '../constants.js';
@@ -23,6 +25,7 @@
 import type { AttemptLogEntry, GatewayExchange } from './gatewayExchange.js';
 import { requireRoute } from './gatewayExchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
+import { assertPromptAllowed, findPromptOfAccount } from './quarantineFilter.js';
 
 /** Dependencies of the dispatch filter. */
 export interface GatewayDispatchOptions {
@@ -35,6 +38,7 @@
   readonly fetchWindow: FetchWindow;
   readonly metrics: GatewayMetrics;
   readonly registry: UpstreamRegistry;
+  readonly quarantine: PartQuarantine;
   readonly requestLog: RequestLog;
   /** Returns this VM's share of the connections that an upstream accepts. */
   readonly getConnectionShare: (service: ServiceName) => number;
@@ -154,6 +158,7 @@
   ): Promise<void> {
     for (;;) {
       if (signal.aborted) throw createTimeoutError(exchange);
+      assertPromptAllowed(exchange, this.options.quarantine);
       const choice = this.options.chooser.choose(exchange, progress.service, progress.excluded);
       if (choice && 'retryAfterMs' in choice && progress.attempts === 0) {
         throw createOverloadError(choice.retryAfterMs);
@@ -226,6 +231,7 @@
     try {
       const result = await attempt.run();
       logEntry.outcome = describeResult(result);
+      this.recordPromptOutcome(exchange, upstream, attempt, progress);
       if (attempt.framing === 'connection') {
         this.options.metrics.countUnframedResponse(result.kind);
         this.logUnframedResponse(exchange, logEntry, attempt);
@@ -239,6 +245,22 @@
     }
   }
 
+  /** Records whether the upstream crashed on the prompt or got past the beginning of its answer. */
+  private recordPromptOutcome(
+    exchange: GatewayExchange,
+    { registered }: TrackedUpstream,
+    attempt: UpstreamAttempt,
+    progress: RequestProgress,
+  ): void {
+    const { quarantine } = this.options;
+    const prompt = findPromptOfAccount(exchange);
+    if (!prompt) return;
+    if (attempt.survivedBeginning) quarantine.recordSurvival(prompt);
+    if (!attempt.crashedAtBeginning) return;
+    if (quarantine.hasSuspect(prompt)) progress.markSuspect();
+    quarantine.recordCrash(prompt, registered);
+  }
+
   /** Logs how a response ended whose end only the close of the connection marks. */
   private logUnframedResponse(
     { head, route }: GatewayExchange,
@@ -260,7 +282,7 @@
     result: Exclude<AttemptResult, { kind: 'answered' }>,
   ): boolean {
     const { maxUpstreams, idempotent, resumable } = requireRoute(exchange);
-    if (exchange.signal.aborted) return false;
+    if (exchange.signal.aborted || progress.isSuspect) return false;
     const maxAttempts = maxUpstreams + MAX_UNEXECUTED_EXTRA_ATTEMPTS;
     const isAllowed =
       result.kind === 'not-run'
--- a/packages/gateway/src/filters/index.ts
+++ b/packages/gateway/src/filters/index.ts
@@ -6,6 +6,7 @@
 import { GatewayDispatchFilter } from './dispatchFilter.js';
 import type { GatewayDispatchOptions } from './dispatchFilter.js';
 import type { GatewayFilter } from './gatewayFilter.js';
+import { QuarantineFilter } from './quarantineFilter.js';
 import { RouteFilter } from './routeFilter.js';
 import { ShutdownFilter } from './shutdownFilter.js';
 import { ErrorResponseFilter } from './errorResponseFilter.js';
@@ -25,6 +26,7 @@
   new ShutdownFilter(options.isRefusing),
   new RouteFilter(options.getView),
   new AccountFilter(options.getView),
+  new QuarantineFilter(options.dispatch.quarantine),
   new DeadlineFilter(),
   new BodyFilter(options.getView),
   new GatewayDispatchFilter(options.dispatch),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,9 @@
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
+import type { QuarantineChange } from '@goldcrestscale/core';
 import { listen } from '@goldcrestscale/runtime';
+import type { Logger } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
 import { createDataPath } from './compose/createDataPath.js';
@@ -14,6 +16,15 @@
 import { createAuxiliaryServer } from './http/auxiliaryServer.js';
 import { splitAddress } from './socketAddress.js';
 
+const logQuarantineChange = (logger: Logger, { kind, row }: QuarantineChange): void =>
+  logger.warn(kind === 'refused' ? 'prompt part refused' : 'refusal of prompt part lifted', {
+    digest: row.digest,
+    partId: row.label,
+    clearings: row.clearings,
+    requestedAgeMs: Math.round(row.requestedAgeMs),
+    crashes: row.crashes.map((crash) => ({ ...crash, ageMs: Math.round(crash.ageMs) })),
+  });
+
 /** Polling interval while a shutdown drains. */
 const DRAIN_POLL_MS = 50;
 
@@ -79,7 +90,9 @@
   setMaxListeners(0, workController.signal, signal);
   const shutdown = new Shutdown(settings.bounds.shutdownMs);
   const connections = new ConnectionPool(() => metrics.countConnection());
-  const fleetState = createFleetState(settings.vmId, settings.availabilityZone);
+  const fleetState = createFleetState(settings.vmId, settings.availabilityZone, (change) =>
+    logQuarantineChange(logger, change),
+  );
   const controllers: Controllers = createControllers(options, fleetState, () => {
     controllers.stores.refresh(workController.signal);
     const limits = controllers.operators.state.view?.deployment.callerLimits;
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -2,6 +2,7 @@
   AvailabilityZoneId,
   EntryHeartbeat,
   EntryRoster,
+  PartQuarantine,
   PeerLoads,
   SentParts,
   UpstreamId,
@@ -38,6 +39,7 @@
   readonly registry: UpstreamRegistry;
   readonly peerLoads: PeerLoads;
   readonly sentParts: SentParts;
+  readonly quarantine: PartQuarantine;
   readonly listLoading: () => readonly UpstreamId[];
   readonly logger: Logger;
 }
@@ -167,11 +169,12 @@
   }
 
   private handleMessage(message: GossipMessage): void {
-    const { roster, registry, sentParts } = this.options;
+    const { roster, registry, sentParts, quarantine } = this.options;
     if (message.members) this.recordAggregate(message, message.members);
     else this.recordReport(message);
     roster.recordLoading(message.vmId, message.loading);
     message.sentParts.forEach((part) => sentParts.recordPart(part));
+    quarantine.merge(message.quarantine);
     message.down.forEach((upstreamId) => registry.find(upstreamId)?.markDown());
     message.leaving.forEach(({ upstreamId, startedAtMs }) => {
       if (registry.recordLeaving(upstreamId, startedAtMs)) {
--- a/packages/gateway/src/mesh/gossipMessage.ts
+++ b/packages/gateway/src/mesh/gossipMessage.ts
@@ -5,10 +5,12 @@
   LoadedWeights,
   ModelId,
   PeerLoad,
+  QuarantineRow,
   SentPart,
   UpstreamId,
   VmId,
 } from '@goldcrestscale/core';
+import { decodeQuarantineRow, encodeQuarantineRow } from './quarantineRow.js';
 
 /** Gossip message, which an entry VM sends to others several times per second. */
 export interface GossipMessage {
@@ -26,6 +28,8 @@
   readonly leaving: readonly LeavingUpstream[];
   /** Weights of engines that were learned after the engines' last heartbeats. */
   readonly weights: readonly LearnedWeights[];
+  /** Prompt parts that crashed engines, as known to the sender. */
+  readonly quarantine: readonly QuarantineRow[];
   /** Only in aggregates: the last message of each VM that is included in the sums. */
   readonly members?: readonly MemberSequence[] | undefined;
 }
@@ -59,6 +63,7 @@
 /** Encodes a message and prepends a MAC computed with the sender's key. */
 export const encodeGossip = (message: GossipMessage, key: string): Buffer => {
   const { vmId, sequence, loads, loading, down, weights, sentParts, members, leaving } = message;
+  const quarantineRows = message.quarantine.map(encodeQuarantineRow);
   const loadRows = loads.map(({ upstreamId, inFlight, pendingTokens, inFlightTokens }) => [
     upstreamId,
     inFlight,
@@ -83,6 +88,7 @@
     sentRows,
     memberRows ?? null,
     leavingRows,
+    quarantineRows,
   ]);
   return Buffer.concat([computeMac(key, content), content]);
 };
@@ -153,7 +159,7 @@
     return undefined;
   }
   if (!Array.isArray(fields)) return undefined;
-  const [vmId, sequence, loads, loading, weights, down, sentParts, members, leaving] =
+  const [vmId, sequence, loads, loading, weights, down, sentParts, members, leaving, quarantine] =
     fields as unknown[];
   if (typeof vmId !== 'string' || typeof sequence !== 'number') return undefined;
   if (!Array.isArray(loads) || !Array.isArray(loading)) return undefined;
@@ -171,8 +177,9 @@
     loading: loading.filter(isUpstreamId),
     down: down.filter(isUpstreamId),
     sentParts: sentParts.flatMap(decodeSent),
-    // VMs of an earlier version do not send this list.
+    // VMs of an earlier version do not send these lists.
     leaving: Array.isArray(leaving) ? leaving.flatMap(decodeLeaving) : [],
+    quarantine: Array.isArray(quarantine) ? quarantine.flatMap(decodeQuarantineRow) : [],
     ...(Array.isArray(members) ? { members: members.flatMap(decodeMember) } : {}),
   };
 };
--- a/packages/gateway/src/mesh/reportBuilder.ts
+++ b/packages/gateway/src/mesh/reportBuilder.ts
@@ -1,4 +1,10 @@
-import type { SentParts, UpstreamId, UpstreamRegistry, VmId } from '@goldcrestscale/core';
+import type {
+  PartQuarantine,
+  SentParts,
+  UpstreamId,
+  UpstreamRegistry,
+  VmId,
+} from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GossipMessage } from './gossipMessage.js';
 
@@ -7,6 +13,7 @@
   readonly self: VmId;
   readonly registry: UpstreamRegistry;
   readonly sentParts: SentParts;
+  readonly quarantine: PartQuarantine;
   readonly listLoading: () => readonly UpstreamId[];
   readonly logger: Logger;
 }
@@ -19,8 +26,9 @@
   down,
   sentParts,
   leaving,
+  quarantine,
 }: GossipMessage): boolean =>
-  [loads, loading, weights, down, sentParts, leaving].some((list) => list.length > 0);
+  [loads, loading, weights, down, sentParts, leaving, quarantine].some((list) => list.length > 0);
 
 /** Builds reports of this VM's load, sent parts and observations of upstreams. */
 export class ReportBuilder {
@@ -35,7 +43,7 @@
   }
 
   build(): GossipMessage {
-    const { self, registry, listLoading, sentParts } = this.options;
+    const { self, registry, listLoading, sentParts, quarantine } = this.options;
     const upstreams = registry.list();
     return {
       vmId: self,
@@ -62,6 +70,7 @@
           startedAtMs: registered.startedAtMs,
         })),
       sentParts: sentParts.takeUnannounced(),
+      quarantine: quarantine.takeRows(),
     };
   }
 
--- a/packages/gateway/src/mesh/zoneAggregator.ts
+++ b/packages/gateway/src/mesh/zoneAggregator.ts
@@ -115,6 +115,8 @@
       sequence,
       ...combineMessages(reports),
       sentParts,
+      // The rows of the zone's VMs have been merged into this VM's own.
+      quarantine: own.quarantine,
       members: reports.map((report) => ({ vmId: report.vmId, sequence: report.sequence })),
     };
   }
