fix(gateway): blame no prompt part before other VMs could refute it

Refusals also travel in the heartbeats of the log, for VMs that reach no other; GET and DELETE /quarantine at the metrics address list and lift them.

--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -4,6 +4,15 @@
 /** Crashes closer together than this count as one, since a rack or a kill ends many engines at once. */
 export const CRASH_CLUSTER_MS = 100;
 
+/**
+ * Time from the first crash to a refusal, in which other VMs hear of it and can tell of a survival;
+ * six gossip intervals of a fleet with relays, there and back.
+ */
+export const REFUTATION_MS = 1_500;
+
+/** Maximum number of parts whose last survival is remembered. */
+export const MAX_REMEMBERED_SURVIVALS = 4_096;
+
 /** Time for which a crash counts against parts that are not refused. */
 export const CRASH_MEMORY_MS = 60_000;
 
--- a/packages/core/src/quarantine/partEvidence.ts
+++ b/packages/core/src/quarantine/partEvidence.ts
@@ -5,6 +5,7 @@
   MAX_CRASHES_PER_PART,
   MIN_CRASHES,
   REFUSAL_IDLE_MS,
+  REFUTATION_MS,
   REQUEST_TIME_STEP_MS,
 } from './constants.js';
 
@@ -53,6 +54,12 @@
 
   private clearings = 0;
 
+  /** Number of crashes, where those at about the same time count once. */
+  separateCrashes = 0;
+
+  /** Monotonic time of the first crash that counts; infinite if there is none. */
+  firstCrashAtMs = Infinity;
+
   /** @param requestedAtMs monotonic time at which a prompt with the part was last requested */
   constructor(
     readonly digest: string,
@@ -65,23 +72,10 @@
     return this.crashes.size > 0;
   }
 
-  /** Number of crashes, where those at about the same time count once. */
-  get separateCrashes(): number {
-    const times = [...this.crashes.values()].map(({ atMs }) => atMs);
-    times.sort((left, right) => left - right);
-    let clusters = 0;
-    let clusterStartMs = -Infinity;
-    times.forEach((atMs) => {
-      if (atMs - clusterStartMs < CRASH_CLUSTER_MS) return;
-      clusters += 1;
-      clusterStartMs = atMs;
-    });
-    return clusters;
-  }
-
   /** Whether prompts with the part are refused for at least one account. */
   get isRefused(): boolean {
-    return this.separateCrashes >= MIN_CRASHES;
+    const knownForMs = performance.now() - this.firstCrashAtMs;
+    return knownForMs >= REFUTATION_MS && this.separateCrashes >= MIN_CRASHES;
   }
 
   /**
@@ -101,6 +95,7 @@
     if (known && known.atMs <= crash.atMs) return false;
     if (!known && this.crashes.size >= MAX_CRASHES_PER_PART) return false;
     this.crashes.set(key, crash);
+    this.countCrashes();
     this.requestedAtMs = Math.max(this.requestedAtMs, crash.atMs);
     return !known;
   }
@@ -109,6 +104,7 @@
   clear(): void {
     this.clearings += 1;
     this.crashes.clear();
+    this.countCrashes();
   }
 
   recordRequest(): void {
@@ -117,11 +113,12 @@
 
   /** Forgets old crashes, unless the part is refused. */
   prune(): void {
-    if (this.isRefused) return;
     const oldestMs = performance.now() - CRASH_MEMORY_MS;
+    if (this.firstCrashAtMs >= oldestMs || this.isRefused) return;
     this.crashes.forEach(({ atMs }, key) => {
       if (atMs < oldestMs) this.crashes.delete(key);
     });
+    this.countCrashes();
   }
 
   /** Whether nothing needs to be remembered of the part any more. */
@@ -140,6 +137,7 @@
     if (row.clearings < this.clearings) return false;
     const isNewer = row.clearings > this.clearings;
     if (isNewer) this.crashes.clear();
+    if (isNewer) this.countCrashes();
     this.clearings = row.clearings;
     const news = row.crashes.map(({ ageMs, ...crash }) =>
       this.recordCrash({ ...crash, atMs: nowMs - ageMs }),
@@ -161,4 +159,17 @@
       requestedAgeMs: nowMs - this.requestedAtMs,
     };
   }
+
+  private countCrashes(): void {
+    const times = [...this.crashes.values()].map(({ atMs }) => atMs);
+    times.sort((left, right) => left - right);
+    let clusterStartMs = -Infinity;
+    this.separateCrashes = 0;
+    times.forEach((atMs) => {
+      if (atMs - clusterStartMs < CRASH_CLUSTER_MS) return;
+      this.separateCrashes += 1;
+      clusterStartMs = atMs;
+    });
+    this.firstCrashAtMs = times[0] ?? Infinity;
+  }
 }
--- a/packages/core/src/quarantine/partQuarantine.ts
+++ b/packages/core/src/quarantine/partQuarantine.ts
@@ -3,6 +3,7 @@
 import {
   MAX_PARTS_PER_PROMPT,
   MAX_PART_LABEL_LENGTH,
+  MAX_REMEMBERED_SURVIVALS,
   MAX_ROWS_PER_MESSAGE,
   MAX_TRACKED_QUARANTINE_PARTS,
   ROW_REPEAT_MS,
@@ -42,6 +43,9 @@
 
   private readonly refused = new Set<string>();
 
+  /** Monotonic time of the last survival by digest, in the order of these times. */
+  private readonly survivals = new Map<string, number>();
+
   private changedAtMs = -Infinity;
 
   private sentAtMs = -Infinity;
@@ -66,10 +70,11 @@
 
   /** Records that an upstream got past the beginning of its answer to a prompt. */
   recordSurvival({ prompt }: PromptOfAccount): void {
-    this.listTracked(prompt).forEach((evidence) => {
-      if (!evidence.isSuspect) return;
-      evidence.clear();
-      this.handleChange(evidence);
+    listSuspectParts(prompt).forEach(({ id }) => {
+      const digest = this.digests.compute(prompt.model, id);
+      this.storeSurvival(digest);
+      const evidence = this.parts.get(digest);
+      if (evidence) this.clearIfSurvived(evidence);
     });
   }
 
@@ -97,26 +102,41 @@
 
   /** Returns the rows to send to other VMs now; none if they have not changed for a while. */
   takeRows(): readonly QuarantineRow[] {
-    this.expire();
+    this.refresh();
     const nowMs = performance.now();
     const isRecent = nowMs - this.changedAtMs < ROW_REPEAT_MS;
     if (!isRecent && nowMs - this.sentAtMs < ROW_REPEAT_MS) return [];
     this.sentAtMs = nowMs;
-    return this.dump().slice(0, MAX_ROWS_PER_MESSAGE);
+    return this.listByCrashes()
+      .slice(0, MAX_ROWS_PER_MESSAGE)
+      .map((evidence) => evidence.buildRow());
   }
 
   merge(rows: readonly QuarantineRow[]): void {
     rows.forEach((row) => {
       const evidence = this.getOrCreate(row.digest, row.label, row.requestedAgeMs);
-      if (evidence?.merge(row)) this.handleChange(evidence);
+      if (!evidence?.merge(row)) return;
+      this.clearIfSurvived(evidence);
+      this.handleChange(evidence);
     });
   }
 
   /** Lists what is known, refused parts first, then those with the most crashes. */
   dump(): readonly QuarantineRow[] {
-    return [...this.parts.values()]
-      .sort((left, right) => right.separateCrashes - left.separateCrashes)
-      .map((evidence) => evidence.buildRow());
+    return this.listByCrashes().map((evidence) => evidence.buildRow());
+  }
+
+  /** Lists the refused parts that a message has room for. */
+  listRefused(): readonly QuarantineRow[] {
+    return [...this.refused]
+      .slice(0, MAX_ROWS_PER_MESSAGE)
+      .flatMap((digest) => this.parts.get(digest)?.buildRow() ?? []);
+  }
+
+  private listByCrashes(): readonly PartEvidence[] {
+    return [...this.parts.values()].sort(
+      (left, right) => right.separateCrashes - left.separateCrashes,
+    );
   }
 
   private listTracked(prompt: Prompt): readonly PartEvidence[] {
@@ -150,9 +170,26 @@
     if (evicted) this.parts.delete(evicted.digest);
   }
 
-  private expire(): void {
+  private storeSurvival(digest: string): void {
+    this.survivals.delete(digest);
+    this.survivals.set(digest, performance.now());
+    if (this.survivals.size > MAX_REMEMBERED_SURVIVALS)
+      this.survivals.delete(this.survivals.keys().next().value!);
+  }
+
+  /** Clears a part if an answer to it got past its beginning since the first crash. */
+  private clearIfSurvived(evidence: PartEvidence): void {
+    const survivedAtMs = this.survivals.get(evidence.digest) ?? -Infinity;
+    if (!evidence.isSuspect || survivedAtMs < evidence.firstCrashAtMs) return;
+    evidence.clear();
+    this.handleChange(evidence);
+  }
+
+  /** Applies what changes with time alone. */
+  private refresh(): void {
     this.parts.forEach((evidence, digest) => {
       evidence.prune();
+      this.updateRefusal(evidence);
       if (!evidence.isExpired()) return;
       this.parts.delete(digest);
       if (this.refused.delete(digest)) this.onChange({ kind: 'lifted', row: evidence.buildRow() });
@@ -161,6 +198,10 @@
 
   private handleChange(evidence: PartEvidence): void {
     this.changedAtMs = performance.now();
+    this.updateRefusal(evidence);
+  }
+
+  private updateRefusal(evidence: PartEvidence): void {
     const { digest, isRefused } = evidence;
     if (isRefused === this.refused.has(digest)) return;
     if (isRefused) this.refused.add(digest);
--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -1,9 +1,19 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { readClocks, toId } from '@goldcrestscale/core';
-import type { AvailabilityZoneId, BootId, EntryHeartbeat, VmId } from '@goldcrestscale/core';
+import type {
+  AvailabilityZoneId,
+  BootId,
+  EntryHeartbeat,
+  VmId,
+  UpstreamId,
+} from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
 import { resolveGatewaySettings } from '../config.js';
-import { HeartbeatDecoder, encodeHeartbeat } from '../controllers/heartbeatRecord.js';
+import {
+  HeartbeatDecoder,
+  encodeHeartbeat,
+  readRefusedParts,
+} from '../controllers/heartbeatRecord.js';
 import { Shutdown } from '../controllers/shutdown.js';
 import { TopicReader } from '../controllers/topicReader.js';
 import { RequestLog } from '../requestLog.js';
@@ -251,11 +261,11 @@
     leaving: false,
     size: 1,
   };
-  const first = decoder.decode(encodeHeartbeat(heartbeat));
+  const first = decoder.decode(encodeHeartbeat(heartbeat, []));
   expect(first).toEqual(heartbeat);
-  expect(decoder.decode(encodeHeartbeat(heartbeat))).toBe(first);
+  expect(decoder.decode(encodeHeartbeat(heartbeat, []))).toBe(first);
   const leaving = { ...heartbeat, leaving: true };
-  expect(decoder.decode(encodeHeartbeat(leaving))).toEqual(leaving);
+  expect(decoder.decode(encodeHeartbeat(leaving, []))).toEqual(leaving);
 });
 
 const settings = {
@@ -291,3 +301,28 @@
   const invalid = { ...settings, vmId: '', listen: { ...settings.listen, callers: 'nowhere' } };
   expect(() => resolveGatewaySettings(invalid)).toThrow(/vmId.*listen\.callers/s);
 });
+
+// Guards against a VM that reaches the log but no other VM and keeps sending refused prompts.
+test('a heartbeat tells of the refused prompt parts', () => {
+  const heartbeat: EntryHeartbeat = {
+    vmId: toId<VmId>('vm'),
+    bootId: toId<BootId>('boot'),
+    availabilityZone: toId<AvailabilityZoneId>('zone'),
+    address: 'a:1',
+    meshAddress: 'a:2',
+    meshKey: 'key',
+    leaving: false,
+    size: 1,
+  };
+  const row = {
+    digest: 'digest',
+    label: 'part',
+    clearings: 0,
+    requestedAgeMs: 10,
+    crashes: [{ upstreamId: toId<UpstreamId>('up'), startedAtMs: 1, account: '', ageMs: 20 }],
+  };
+  const decoder = new HeartbeatDecoder();
+  const decoded = decoder.decode(encodeHeartbeat(heartbeat, [row]))!;
+  expect(readRefusedParts(decoded)).toEqual([row]);
+  expect(readRefusedParts(decoder.decode(encodeHeartbeat(heartbeat, []))!)).toEqual([]);
+});
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -144,7 +144,7 @@
   onDeployment: () => void,
 ) => {
   const { settings, logger, log, upstreamProtocol: protocol } = options;
-  const { roster, registry } = fleetState;
+  const { roster, registry, relays, quarantine } = fleetState;
   const bootId = toId<BootId>(randomUUID());
   const meshKey = randomBytes(MESH_KEY_BYTES).toString('base64');
   /* eslint-disable @typescript-eslint/no-use-before-define -- called later */
@@ -176,6 +176,8 @@
     settings,
     bootId,
     roster,
+    quarantine,
+    isTellingRefusals: () => relays.listOwnFeed().length === 0 || relays.isFeedRelay,
     meshKey,
     onBatch: callbacks.onBatch,
     forwardHeartbeat: (record) => mesh.feedClient.forwardHeartbeat(record),
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -1,5 +1,5 @@
 import { pickCallerEntries, sleep } from '@goldcrestscale/core';
-import type { BootId, EntryHeartbeat, EntryRoster } from '@goldcrestscale/core';
+import type { BootId, EntryHeartbeat, EntryRoster, PartQuarantine } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GatewaySettings } from '../config.js';
 import {
@@ -10,7 +10,7 @@
 } from '../constants.js';
 import type { KeyedRecord, SharedLog } from '../ports/index.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
-import { HeartbeatDecoder, encodeHeartbeat } from './heartbeatRecord.js';
+import { HeartbeatDecoder, encodeHeartbeat, readRefusedParts } from './heartbeatRecord.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
 import { TopicReader } from './topicReader.js';
 
@@ -21,6 +21,9 @@
   readonly settings: GatewaySettings;
   readonly bootId: BootId;
   readonly roster: EntryRoster;
+  readonly quarantine: PartQuarantine;
+  /** Whether this VM tells of refused prompt parts in its heartbeats; of a group, the relays do. */
+  readonly isTellingRefusals: () => boolean;
   /** Key with which other VMs authenticate this VM's messages. */
   readonly meshKey: string;
   readonly onBatch: (batch: RelayedBatch) => void;
@@ -54,7 +57,11 @@
       maxRelayLagMs: MAX_ENTRY_RELAY_LAG_MS,
       relaySyncTtlMs: RELAY_SYNC_TTL_MS,
       onSnapshot: (records) => this.applyRecords(records),
-      onRecords: (records) => this.applyRecords(records),
+      onRecords: (records) => {
+        this.applyRecords(records).forEach((heartbeat) =>
+          options.quarantine.merge(readRefusedParts(heartbeat)),
+        );
+      },
       onRecovery: () => roster.recordLogRecovery(),
       onOutage: () => roster.recordLogOutage(),
       onNewEra: () => this.publishHeartbeat(),
@@ -103,7 +110,9 @@
 
   private async writeHeartbeat(signal: AbortSignal): Promise<void> {
     const { log, forwardHeartbeat, listForwardedHeartbeats } = this.options;
-    const ownRecord = encodeHeartbeat(this.buildHeartbeat());
+    const { quarantine, isTellingRefusals } = this.options;
+    const refused = isTellingRefusals() ? quarantine.listRefused() : [];
+    const ownRecord = encodeHeartbeat(this.buildHeartbeat(), refused);
     // A VM that shuts down writes to the log itself, without the delay of a relay.
     if (!this.isLeaving && forwardHeartbeat(ownRecord)) return;
     await log.append('entries', [ownRecord, ...listForwardedHeartbeats()], signal);
@@ -123,12 +132,14 @@
     };
   }
 
-  private applyRecords(records: readonly KeyedRecord[]): void {
+  /** @returns the heartbeats of the valid records */
+  private applyRecords(records: readonly KeyedRecord[]): readonly EntryHeartbeat[] {
     const { roster, logger } = this.options;
-    records.forEach((record) => {
+    return records.flatMap((record) => {
       const heartbeat = this.decoder.decode(record);
       if (heartbeat) roster.recordHeartbeat(heartbeat);
       else logger.warn('ignoring invalid heartbeat record', { key: record.key });
+      return heartbeat ?? [];
     });
   }
 }
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -1,11 +1,26 @@
-import type { EntryHeartbeat } from '@goldcrestscale/core';
+import type { EntryHeartbeat, QuarantineRow } from '@goldcrestscale/core';
+import { decodeQuarantineRow, encodeQuarantineRow } from '../mesh/quarantineRow.js';
 import type { KeyedRecord } from '../ports/index.js';
 
+/** A heartbeat, and what a VM tells with it to those that it can't reach in the mesh. */
+interface HeartbeatContent extends EntryHeartbeat {
+  /** Refused prompt parts; absent if there are none. */
+  readonly quarantine?: unknown;
+}
+
 /** Encodes a heartbeat as a record with the VM's id as the key. */
-export const encodeHeartbeat = (heartbeat: EntryHeartbeat): KeyedRecord => ({
-  key: heartbeat.vmId,
-  value: Buffer.from(JSON.stringify(heartbeat)),
-});
+export const encodeHeartbeat = (
+  heartbeat: EntryHeartbeat,
+  refused: readonly QuarantineRow[],
+): KeyedRecord => {
+  const quarantine = refused.length > 0 ? { quarantine: refused.map(encodeQuarantineRow) } : {};
+  const content: HeartbeatContent = { ...heartbeat, ...quarantine };
+  return { key: heartbeat.vmId, value: Buffer.from(JSON.stringify(content)) };
+};
+
+/** Returns the refused prompt parts that came with a decoded heartbeat. */
+export const readRefusedParts = ({ quarantine }: HeartbeatContent): readonly QuarantineRow[] =>
+  Array.isArray(quarantine) ? quarantine.flatMap(decodeQuarantineRow) : [];
 
 const isHeartbeat = (value: unknown): value is EntryHeartbeat => {
   if (typeof value !== 'object' || value === null) return false;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
-import type { QuarantineChange } from '@goldcrestscale/core';
+import type { PartQuarantine, QuarantineChange } from '@goldcrestscale/core';
 import { listen } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
@@ -47,12 +47,14 @@
   { settings, callerProtocol, metrics: counters }: GatewayOptions,
   { operators, upstreams, entries }: Controllers,
   shutdown: Shutdown,
+  quarantine: PartQuarantine,
 ): { readonly directory: Server; readonly readiness: Server; readonly metrics: Server } => {
   const commonOptions = {
     protocol: callerProtocol,
     isReady: () => !shutdown.isLeaving && !!operators.state.view && upstreams.hasSnapshot,
     ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
     renderMetrics: () => counters.render(),
+    quarantine: undefined,
   };
   return {
     directory: createAuxiliaryServer({
@@ -60,7 +62,7 @@
       listAddresses: (zone) => entries.listAddresses(zone),
     }),
     readiness: createAuxiliaryServer({ ...commonOptions, listAddresses: undefined }),
-    metrics: createAuxiliaryServer({ ...commonOptions, listAddresses: undefined }),
+    metrics: createAuxiliaryServer({ ...commonOptions, listAddresses: undefined, quarantine }),
   };
 };
 
@@ -102,7 +104,7 @@
   const { operators, gossip } = controllers;
   const dataPathOptions = { fleetState, operators, shutdown, connections, gossip };
   const callers = createDataPath(options, dataPathOptions);
-  const servers = createAuxiliaryServers(options, controllers, shutdown);
+  const servers = createAuxiliaryServers(options, controllers, shutdown, fleetState.quarantine);
   const { directory, readiness } = servers;
   await Promise.all([
     listen(callers.server, splitAddress(settings.listen.callers)),
--- /dev/null
+++ b/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
@@ -0,0 +1,73 @@
+import { request as sendRequest } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { expect, onTestFinished, test } from 'vitest';
+import { PartQuarantine, toId } from '@goldcrestscale/core';
+import type { ModelId, PromptPartId, QuarantineRow, UpstreamId } from '@goldcrestscale/core';
+import { TestCallerProtocol } from '../../__tests__/testProtocols.js';
+import { createAuxiliaryServer } from '../auxiliaryServer.js';
+
+const startServer = async (quarantine: PartQuarantine | undefined): Promise<number> => {
+  const server = createAuxiliaryServer({
+    protocol: new TestCallerProtocol(),
+    isReady: () => true,
+    listAddresses: undefined,
+    ttlMs: 1_000,
+    renderMetrics: () => Promise.resolve(''),
+    quarantine,
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  onTestFinished(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return (server.address() as AddressInfo).port;
+};
+
+const call = (
+  port: number,
+  method: string,
+  path: string,
+): Promise<{ readonly status: number; readonly body: string }> =>
+  new Promise((resolve, reject) => {
+    const request = sendRequest({ port, method, path, host: '127.0.0.1', agent: false });
+    request.on('error', reject);
+    request.on('response', (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('end', () =>
+        resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString() }),
+      );
+    });
+    request.end();
+  });
+
+const createQuarantine = (): PartQuarantine => {
+  const quarantine = new PartQuarantine();
+  const parts = ['poison', 'own'].map((id) => ({ id: toId<PromptPartId>(id), tokens: 1 }));
+  const prompt = { model: toId<ModelId>('m'), inputTokens: 1, maxOutputTokens: 1, parts };
+  quarantine.recordCrash(
+    { prompt, account: undefined },
+    { upstreamId: toId<UpstreamId>('up'), startedAtMs: 1 },
+  );
+  return quarantine;
+};
+
+test('operators list the suspected prompt parts and lift a refusal', async () => {
+  const port = await startServer(createQuarantine());
+  const list = async (): Promise<readonly QuarantineRow[]> =>
+    JSON.parse((await call(port, 'GET', '/quarantine')).body) as readonly QuarantineRow[];
+  const [row] = await list();
+  expect(row).toMatchObject({ label: 'poison', crashes: [{ upstreamId: 'up' }] });
+  expect((await call(port, 'DELETE', '/quarantine/unknown')).status).toBe(404);
+  expect((await call(port, 'DELETE', `/quarantine/${row!.digest}`)).status).toBe(204);
+  expect((await list())[0]?.crashes).toEqual([]);
+});
+
+// Guards against callers that lift a refusal through the addresses that they can reach.
+test('the servers of the directory and the readiness checks lift nothing', async () => {
+  const port = await startServer(undefined);
+  expect((await call(port, 'GET', '/quarantine')).status).toBe(404);
+  expect((await call(port, 'DELETE', '/quarantine/any')).status).toBe(404);
+});
--- a/packages/gateway/src/http/auxiliaryServer.ts
+++ b/packages/gateway/src/http/auxiliaryServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { PartQuarantine } from '@goldcrestscale/core';
 import type { CallerProtocol } from '../ports/index.js';
 
 /** Dependencies of an auxiliary server. */
@@ -10,10 +11,29 @@
   readonly listAddresses: ((zone: string | undefined) => readonly string[]) | undefined;
   readonly ttlMs: number;
   readonly renderMetrics: () => Promise<string>;
+  /** Undefined if the server serves no operators. */
+  readonly quarantine: PartQuarantine | undefined;
 }
 
 const METRICS_PATH = '/metrics';
 
+const QUARANTINE_PATH = '/quarantine';
+
+/** Lists the suspected and refused prompt parts, or lifts the refusal of the one in the path. */
+const answerQuarantineRequest = (
+  { method, url = '' }: IncomingMessage,
+  response: ServerResponse,
+  quarantine: PartQuarantine,
+): void => {
+  const digest = url.slice(QUARANTINE_PATH.length + 1);
+  if (method === 'DELETE' && digest !== '') {
+    response.writeHead(quarantine.lift(digest) ? 204 : 404).end();
+  } else if (method === 'GET' && url === QUARANTINE_PATH) {
+    response.writeHead(200, { 'content-type': 'application/json' });
+    response.end(JSON.stringify(quarantine.dump()));
+  } else response.writeHead(404).end();
+};
+
 /** Creates an HTTP server for readiness checks, metrics and, optionally, directory queries. */
 export const createAuxiliaryServer = (options: AuxiliaryServerOptions): Server =>
   createServer((request, response) => {
@@ -30,6 +50,8 @@
         (text) => response.end(text),
         () => response.writeHead(500).end(),
       );
+    } else if (options.quarantine && request.url?.startsWith(QUARANTINE_PATH)) {
+      answerQuarantineRequest(request, response, options.quarantine);
     } else {
       response.writeHead(404).end();
     }
