--- a/packages/core/src/quarantine/__tests__/quarantineFleet.spec.ts
+++ b/packages/core/src/quarantine/__tests__/quarantineFleet.spec.ts
@@ -76,7 +76,8 @@
     const counts = runFleet(seed, options, cutOffOneVm);
     return { seed, ...summarize(counts) };
   });
-  if (process.env.QUARANTINE_SEEDS !== undefined) console.table(found);
+  if (process.env.QUARANTINE_SEEDS !== undefined)
+    process.stdout.write(`${JSON.stringify(found)}\n`);
   expect(found.filter(({ late }) => late > ALLOWED_LATE_SENDS)).toEqual([]);
   expect(found.filter(({ refused }) => refused > 0)).toEqual([]);
 });
