fix(gateway): tell other VMs of the newest changes of suspected parts first

What callers would see: in a large fleet with herds of crashes, a few sound prompts were refused for up to 1.4 s by some VMs.

Cause: a message holds 16 rows, those with the most crashes. The clearing of a part has no crashes, so with more suspected parts than rows it was not told, and some VMs kept counting crashes of the system part.

Change: refused parts come first, then the most recently changed ones.

--- a/packages/core/src/quarantine/__tests__/partQuarantine.spec.ts
+++ b/packages/core/src/quarantine/__tests__/partQuarantine.spec.ts
@@ -131,6 +131,17 @@
   expect(first.findRefused(poison)).toBeUndefined();
 });
 
+// Guards against sound prompts that stay refused at some VMs, since messages hold only the most suspected parts.
+test('a clearing is told first, although many parts are more suspected', () => {
+  const quarantine = new PartQuarantine();
+  for (let part = 0; part < 100; part += 1) {
+    recordCrashes(quarantine, 2, makePrompt([`session-${part}`, 'own']));
+  }
+  recordCrashes(quarantine, 1, makePrompt(['system', 'own']));
+  quarantine.recordSurvival(makePrompt(['system', 'own']));
+  expect(quarantine.takeRows()[0]).toMatchObject({ label: 'system', clearings: 1 });
+});
+
 test('a VM that starts anew learns of a refusal that is older than the memory of crashes', () => {
   const [first, restarted] = [new PartQuarantine(), new PartQuarantine()];
   recordCrashes(first, MIN_CRASHES);
--- a/packages/core/src/quarantine/partEvidence.ts
+++ b/packages/core/src/quarantine/partEvidence.ts
@@ -57,6 +57,9 @@
   /** Number of crashes, where those at about the same time count once. */
   separateCrashes = 0;
 
+  /** Monotonic time of the last change that other VMs should hear of. */
+  changedAtMs = -Infinity;
+
   /** Monotonic time of the first crash that counts; infinite if there is none. */
   firstCrashAtMs = Infinity;
 
@@ -107,6 +110,10 @@
     this.countCrashes();
   }
 
+  markChanged(): void {
+    this.changedAtMs = performance.now();
+  }
+
   recordRequest(): void {
     this.requestedAtMs = performance.now();
   }
--- a/packages/core/src/quarantine/partQuarantine.ts
+++ b/packages/core/src/quarantine/partQuarantine.ts
@@ -107,7 +107,12 @@
     const isRecent = nowMs - this.changedAtMs < ROW_REPEAT_MS;
     if (!isRecent && nowMs - this.sentAtMs < ROW_REPEAT_MS) return [];
     this.sentAtMs = nowMs;
-    return this.listByCrashes()
+    // A clearing has no crashes, so the most suspected parts must not crowd it out.
+    return [...this.parts.values()]
+      .sort(
+        (left, right) =>
+          Number(right.isRefused) - Number(left.isRefused) || right.changedAtMs - left.changedAtMs,
+      )
       .slice(0, MAX_ROWS_PER_MESSAGE)
       .map((evidence) => evidence.buildRow());
   }
@@ -123,7 +128,9 @@
 
   /** Lists what is known, refused parts first, then those with the most crashes. */
   dump(): readonly QuarantineRow[] {
-    return this.listByCrashes().map((evidence) => evidence.buildRow());
+    return [...this.parts.values()]
+      .sort((left, right) => right.separateCrashes - left.separateCrashes)
+      .map((evidence) => evidence.buildRow());
   }
 
   /** Lists the refused parts that a message has room for. */
@@ -133,12 +140,6 @@
       .flatMap((digest) => this.parts.get(digest)?.buildRow() ?? []);
   }
 
-  private listByCrashes(): readonly PartEvidence[] {
-    return [...this.parts.values()].sort(
-      (left, right) => right.separateCrashes - left.separateCrashes,
-    );
-  }
-
   private listTracked(prompt: Prompt): readonly PartEvidence[] {
     if (this.parts.size === 0) return [];
     return listSuspectParts(prompt).flatMap(
@@ -198,6 +199,7 @@
 
   private handleChange(evidence: PartEvidence): void {
     this.changedAtMs = performance.now();
+    evidence.markChanged();
     this.updateRefusal(evidence);
   }
 
