--- a/packages/core/src/quarantine/partEvidence.ts
+++ b/packages/core/src/quarantine/partEvidence.ts
@@ -143,8 +143,10 @@
       this.requestedAtMs = requestedAtMs;
     if (row.clearings < this.clearings) return false;
     const isNewer = row.clearings > this.clearings;
-    if (isNewer) this.crashes.clear();
-    if (isNewer) this.countCrashes();
+    if (isNewer) {
+      this.crashes.clear();
+      this.countCrashes();
+    }
     this.clearings = row.clearings;
     const news = row.crashes.map(({ ageMs, ...crash }) =>
       this.recordCrash({ ...crash, atMs: nowMs - ageMs }),
--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -249,18 +249,19 @@
   expect(decoder.decode({ key: 'vm', value: undefined })).toBeUndefined();
 });
 
+const heartbeat: EntryHeartbeat = {
+  vmId: toId<VmId>('vm-1'),
+  bootId: toId<BootId>('boot'),
+  availabilityZone: toId<AvailabilityZoneId>('z1'),
+  address: 'a:1',
+  meshAddress: 'a:2',
+  meshKey: 'key',
+  leaving: false,
+  size: 1,
+};
+
 test('an unchanged heartbeat record is decoded to the same object', () => {
   const decoder = new HeartbeatDecoder();
-  const heartbeat: EntryHeartbeat = {
-    vmId: toId<VmId>('vm-1'),
-    bootId: toId<BootId>('boot'),
-    availabilityZone: toId<AvailabilityZoneId>('z1'),
-    address: 'a:1',
-    meshAddress: 'a:2',
-    meshKey: 'key',
-    leaving: false,
-    size: 1,
-  };
   const first = decoder.decode(encodeHeartbeat(heartbeat, []));
   expect(first).toEqual(heartbeat);
   expect(decoder.decode(encodeHeartbeat(heartbeat, []))).toBe(first);
@@ -304,16 +305,6 @@
 
 // Guards against a VM that reaches the log but no other VM and keeps sending refused prompts.
 test('a heartbeat tells of the refused prompt parts', () => {
-  const heartbeat: EntryHeartbeat = {
-    vmId: toId<VmId>('vm'),
-    bootId: toId<BootId>('boot'),
-    availabilityZone: toId<AvailabilityZoneId>('zone'),
-    address: 'a:1',
-    meshAddress: 'a:2',
-    meshKey: 'key',
-    leaving: false,
-    size: 1,
-  };
   const row = {
     digest: 'digest',
     label: 'part',
--- a/packages/gateway/src/mesh/gossipMessage.ts
+++ b/packages/gateway/src/mesh/gossipMessage.ts
@@ -7,6 +7,7 @@
   PeerLoad,
   QuarantineRow,
   SentPart,
+  UpstreamBoot,
   UpstreamId,
   VmId,
 } from '@goldcrestscale/core';
@@ -25,7 +26,7 @@
   /** Upstreams that are suspected to be down. */
   readonly down: readonly UpstreamId[];
   /** Upstreams that announced that they leave, and the boots that did. */
-  readonly leaving: readonly LeavingUpstream[];
+  readonly leaving: readonly UpstreamBoot[];
   /** Weights of engines that were learned after the engines' last heartbeats. */
   readonly weights: readonly LearnedWeights[];
   /** Prompt parts that crashed engines, as known to the sender. */
@@ -40,13 +41,6 @@
   readonly sequence: number;
 }
 
-/** An upstream that announced that it leaves. */
-export interface LeavingUpstream {
-  readonly upstreamId: UpstreamId;
-  /** Its last boot, by its own clock. */
-  readonly startedAtMs: number;
-}
-
 /** Weights that an engine runs on, as learned from its responses. */
 export interface LearnedWeights extends LoadedWeights {
   readonly upstreamId: UpstreamId;
@@ -125,7 +119,7 @@
   ];
 };
 
-const decodeLeaving = (row: unknown): LeavingUpstream[] => {
+const decodeLeaving = (row: unknown): UpstreamBoot[] => {
   if (!Array.isArray(row)) return [];
   const [upstreamId, startedAtMs] = row as unknown[];
   if (typeof upstreamId !== 'string' || typeof startedAtMs !== 'number') return [];
--- a/packages/gateway/src/mesh/zoneAggregator.ts
+++ b/packages/gateway/src/mesh/zoneAggregator.ts
@@ -1,5 +1,5 @@
-import type { PeerLoad, SentPart, UpstreamId, VmId } from '@goldcrestscale/core';
-import type { GossipMessage, LearnedWeights, LeavingUpstream } from './gossipMessage.js';
+import type { PeerLoad, SentPart, UpstreamBoot, UpstreamId, VmId } from '@goldcrestscale/core';
+import type { GossipMessage, LearnedWeights } from './gossipMessage.js';
 
 interface ReceivedReport {
   readonly report: GossipMessage;
@@ -49,7 +49,7 @@
   ...new Set(lists.flat()),
 ];
 
-const listDistinctBoots = (leaving: readonly LeavingUpstream[]): readonly LeavingUpstream[] => [
+const listDistinctBoots = (leaving: readonly UpstreamBoot[]): readonly UpstreamBoot[] => [
   ...new Map(leaving.map((one) => [`${one.upstreamId}/${one.startedAtMs}`, one])).values(),
 ];
 
