feat(gateway): log the rate limits that upstreams announce

Announcements are now decoded at the wire (responses and state reads) and kept by boot, with a log line a change, a gauge, and a counter of sends to limited upstreams. An announcement that is no decimal number is logged and changes nothing. Routing is unchanged.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -9,7 +9,7 @@
 export type { EntryHeartbeat } from './entryRoster.js';
 export { PeerLoads } from './peerLoads.js';
 export type { PeerLoad } from './peerLoads.js';
-export type { LoadedWeights, RegisteredUpstream } from './registeredUpstream.js';
+export type { LoadedWeights, RegisteredUpstream, UpstreamBoot } from './registeredUpstream.js';
 export { TrackedUpstream } from './trackedUpstream.js';
 export type { ReportedLoad } from './trackedUpstream.js';
 export { UpstreamRegistry } from './upstreamRegistry.js';
--- a/packages/core/src/fleet/registeredUpstream.ts
+++ b/packages/core/src/fleet/registeredUpstream.ts
@@ -6,6 +6,13 @@
   readonly weightNumber: WeightNumber;
 }
 
+/** One run of an upstream, from its start to its end. */
+export interface UpstreamBoot {
+  readonly upstreamId: UpstreamId;
+  /** Its start, by its own clock. */
+  readonly startedAtMs: number;
+}
+
 /** Registry entry of an upstream. */
 export interface RegisteredUpstream {
   readonly upstreamId: UpstreamId;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,6 +18,7 @@
 export * from './prefix/index.js';
 export * from './quarantine/index.js';
 export * from './promptRouting/index.js';
+export * from './rateLimit/index.js';
 export * from './retry/index.js';
 export * from './routing/index.js';
 export * from './slots/index.js';
--- a/packages/core/src/quarantine/partEvidence.ts
+++ b/packages/core/src/quarantine/partEvidence.ts
@@ -1,4 +1,4 @@
-import type { UpstreamId } from '../ids.js';
+import type { UpstreamBoot } from '../fleet/index.js';
 import {
   CRASH_CLUSTER_MS,
   CRASH_MEMORY_MS,
@@ -9,13 +9,6 @@
   REQUEST_TIME_STEP_MS,
 } from './constants.js';
 
-/** One run of an upstream, from its start to its end. */
-export interface UpstreamBoot {
-  readonly upstreamId: UpstreamId;
-  /** Its start, by its own clock. */
-  readonly startedAtMs: number;
-}
-
 /** The end of an upstream that was beginning to answer a prompt with a part. */
 export interface PartCrash extends UpstreamBoot {
   /** Client account of the prompt; an empty string for none. */
--- a/packages/core/src/quarantine/partQuarantine.ts
+++ b/packages/core/src/quarantine/partQuarantine.ts
@@ -1,3 +1,4 @@
+import type { UpstreamBoot } from '../fleet/index.js';
 import type { ClientAccountId } from '../ids.js';
 import type { Prompt, PromptPart } from '../promptRouting/index.js';
 import {
@@ -10,7 +11,7 @@
 } from './constants.js';
 import { PartDigests } from './partDigests.js';
 import { PartEvidence } from './partEvidence.js';
-import type { QuarantineRow, UpstreamBoot } from './partEvidence.js';
+import type { QuarantineRow } from './partEvidence.js';
 
 /** A prompt, and the client account that sent it. */
 export interface PromptOfAccount {
--- /dev/null
+++ b/packages/core/src/rateLimit/index.ts
@@ -0,0 +1,3 @@
+/** Limits on the rate of requests that all VMs together send to an upstream. */
+export { AnnouncedRates } from './announcedRates.js';
+export type { AnnouncedRate, RateChange, RateRow } from './bootAnnouncements.js';
--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -187,6 +187,7 @@
         ejection: fleetState.ejection,
         blocks: fleetState.blocks,
         registry: fleetState.registry,
+        announcedRates: fleetState.announcedRates,
         quarantine: fleetState.quarantine,
         requestLog,
         fetchWindow: new FetchWindow(operators),
--- a/packages/gateway/src/__tests__/rolloutController.spec.ts
+++ b/packages/gateway/src/__tests__/rolloutController.spec.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import {
+  AnnouncedRates,
   ConditionalLease,
   EntryRoster,
   LeaseStream,
@@ -66,6 +67,7 @@
     holder: vmId,
     lease: new ConditionalLease({ holder: vmId, stream, durationMs: 3_000, marginMs: 400 }),
     registry: new UpstreamRegistry(new PeerLoads(1_500)),
+    announcedRates: new AnnouncedRates(),
     operators: new OperatorState(),
     roster,
     protocol: new TestUpstreamProtocol(),
--- a/packages/gateway/src/__tests__/testProtocols.ts
+++ b/packages/gateway/src/__tests__/testProtocols.ts
@@ -97,6 +97,11 @@
       isLeaving: headers['x-leaving'] !== undefined,
       restMs: headers['x-rest'] === undefined ? undefined : Number(headers['x-rest']),
       invalidRest: undefined,
+      announcedRate: {
+        requestsPerSecond:
+          headers['x-limit'] === undefined ? undefined : Number(headers['x-limit']),
+        invalid: undefined,
+      },
       forwardedHeaders: rawHeaders.filter((_item, index, all) => {
         const name = all[index - (index % 2)]!.toLowerCase();
         return !['connection', 'keep-alive', 'transfer-encoding', 'content-length'].includes(name);
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -144,7 +144,7 @@
   onDeployment: () => void,
 ) => {
   const { settings, logger, log, upstreamProtocol: protocol } = options;
-  const { roster, registry, relays, quarantine } = fleetState;
+  const { roster, registry, relays, quarantine, announcedRates } = fleetState;
   const bootId = toId<BootId>(randomUUID());
   const meshKey = randomBytes(MESH_KEY_BYTES).toString('base64');
   /* eslint-disable @typescript-eslint/no-use-before-define -- called later */
@@ -164,6 +164,7 @@
       marginMs: LEASE_MARGIN_MS,
     }),
     registry,
+    announcedRates,
     operators: readers.operators.state,
     roster,
     protocol,
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -65,6 +65,7 @@
       ejection: fleetState.ejection,
       blocks: fleetState.blocks,
       registry: fleetState.registry,
+      announcedRates: fleetState.announcedRates,
       quarantine: fleetState.quarantine,
       requestLog,
       fetchWindow: operators.fetchWindow,
--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -1,4 +1,5 @@
 import {
+  AnnouncedRates,
   BlockDirectory,
   CappedEjectionPolicy,
   EntryRoster,
@@ -9,14 +10,20 @@
   ZoneRelays,
   createRandomGenerator,
 } from '@goldcrestscale/core';
-import type { AvailabilityZoneId, QuarantineChange, VmId } from '@goldcrestscale/core';
+import type { AvailabilityZoneId, QuarantineChange, RateChange, VmId } from '@goldcrestscale/core';
 import { PEER_LOAD_TTL_MS } from '../constants.js';
 
+/** Callbacks for changes that are logged. */
+export interface FleetStateCallbacks {
+  readonly onQuarantineChange?: (change: QuarantineChange) => void;
+  readonly onRateChange?: (change: RateChange) => void;
+}
+
 /** Creates the gateway's view of the fleet, which controllers update and filters read. */
 export const createFleetState = (
   self: VmId,
   zone: AvailabilityZoneId,
-  onQuarantineChange?: (change: QuarantineChange) => void,
+  { onQuarantineChange, onRateChange }: FleetStateCallbacks = {},
 ) => {
   const random = createRandomGenerator();
   const roster = new EntryRoster();
@@ -29,6 +36,7 @@
     registry: new UpstreamRegistry(peerLoads),
     blocks: new BlockDirectory(),
     sentParts: new SentParts(),
+    announcedRates: new AnnouncedRates(onRateChange),
     quarantine: new PartQuarantine(onQuarantineChange),
     ejection: new CappedEjectionPolicy(random),
   };
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -1,5 +1,6 @@
 import { ConditionalLease, RolloutPlanner, rankByRendezvous, sleep } from '@goldcrestscale/core';
 import type {
+  AnnouncedRates,
   EntryRoster,
   LeaseGrant,
   ModelId,
@@ -23,7 +24,12 @@
   ROLLOUT_IDLE_INTERVAL_MS,
   ROLLOUT_TAKEOVER_DELAY_MS,
 } from '../constants.js';
-import type { OrderOutcome, UpstreamCallOptions, UpstreamProtocol } from '../ports/index.js';
+import type {
+  EngineState,
+  OrderOutcome,
+  UpstreamCallOptions,
+  UpstreamProtocol,
+} from '../ports/index.js';
 
 /** Dependencies of the controller. */
 export interface RolloutOptions {
@@ -31,6 +37,7 @@
   readonly holder: string;
   readonly lease: ConditionalLease;
   readonly registry: UpstreamRegistry;
+  readonly announcedRates: AnnouncedRates;
   readonly operators: OperatorState;
   readonly roster: EntryRoster;
   readonly protocol: UpstreamProtocol;
@@ -242,7 +249,7 @@
   private async runLoad(engine: EngineTarget, signal: AbortSignal): Promise<boolean> {
     // By then the other VMs know from gossip that they must not send it new requests.
     await sleep(LOAD_DRAIN_DELAY_MS, signal);
-    const state = await this.options.protocol.readEngineState(buildCall(engine, signal));
+    const state = await this.readState(engine, signal);
     if (state.isLeaving) {
       const { upstreamId, registered } = engine.upstream;
       this.options.registry.recordLeaving(upstreamId, registered.startedAtMs);
@@ -260,6 +267,16 @@
     return isDone;
   }
 
+  private async readState(engine: EngineTarget, signal: AbortSignal): Promise<EngineState> {
+    const { protocol, announcedRates, logger } = this.options;
+    const state = await protocol.readEngineState(buildCall(engine, signal));
+    const { registered, upstreamId } = engine.upstream;
+    const { requestsPerSecond, invalid } = state.announcedRate;
+    if (invalid === undefined) announcedRates.record(registered, requestsPerSecond);
+    else logger.info('ignoring invalid rate limit of upstream', { upstreamId, invalid });
+    return state;
+  }
+
   private async sendOrder(
     engine: EngineTarget,
     expectedOrders: number,
@@ -288,7 +305,7 @@
   private async waitForLoad(engine: EngineTarget, signal: AbortSignal): Promise<boolean> {
     const deadlineAtMs = performance.now() + WEIGHT_LOAD_TIMEOUT_MS;
     while (performance.now() < deadlineAtMs && !signal.aborted) {
-      const state = await this.options.protocol.readEngineState(buildCall(engine, signal));
+      const state = await this.readState(engine, signal);
       if (recordWeights(engine, state.weights)) return true;
       if (!state.isBusy) return false;
       await sleep(LOAD_POLL_INTERVAL_MS, signal);
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -1,5 +1,10 @@
 import { combineVerdicts } from '@goldcrestscale/core';
-import type { EjectionPolicy, TrackedUpstream, UpstreamRegistry } from '@goldcrestscale/core';
+import type {
+  AnnouncedRates,
+  EjectionPolicy,
+  TrackedUpstream,
+  UpstreamRegistry,
+} from '@goldcrestscale/core';
 import { UPSTREAM_REFUSAL_BACKOFF_MS } from '../constants.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import type { GatewayMetrics } from '../metrics.js';
@@ -15,6 +20,7 @@
   readonly connections: ConnectionPool;
   readonly metrics: GatewayMetrics;
   readonly registry: UpstreamRegistry;
+  readonly announcedRates: AnnouncedRates;
   readonly requestLog: RequestLog;
 }
 
@@ -75,13 +81,13 @@
     ejection.recordOutcome(upstreamId, isCancelled ? 'neutral' : 'failure');
   }
 
-  /** Records that the upstream wants no further requests, for good or for a while. */
+  /** Records that the upstream wants fewer requests or none, for good or for a while. */
   private recordAnnouncements(
     exchange: GatewayExchange,
     upstream: TrackedUpstream,
-    { isLeaving, restMs, invalidRest }: ResponseHead,
+    { isLeaving, restMs, invalidRest, announcedRate, respondingUpstreamId }: ResponseHead,
   ): void {
-    const { registry, requestLog } = this.options;
+    const { registry, requestLog, announcedRates } = this.options;
     const { upstreamId, registered } = upstream;
     const { requestId: id } = exchange.head;
     if (isLeaving && registry.recordLeaving(upstreamId, registered.startedAtMs)) {
@@ -94,6 +100,14 @@
     if (invalidRest !== undefined) {
       requestLog.log('ignoring invalid rest of upstream', { id, upstreamId, invalidRest });
     }
+    // Another upstream may answer at the address of one that is gone.
+    if ((respondingUpstreamId ?? upstreamId) !== upstreamId) return;
+    if (announcedRate.invalid === undefined) {
+      announcedRates.record(registered, announcedRate.requestsPerSecond);
+    } else {
+      const { invalid } = announcedRate;
+      requestLog.log('ignoring invalid rate limit of upstream', { id, upstreamId, invalid });
+    }
   }
 
   private recordNotExecuted(
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -1,5 +1,6 @@
 import { createError, createRefusal } from '@goldcrestscale/core';
 import type {
+  AnnouncedRates,
   BlockDirectory,
   EjectionPolicy,
   FetchWindow,
@@ -38,6 +39,7 @@
   readonly fetchWindow: FetchWindow;
   readonly metrics: GatewayMetrics;
   readonly registry: UpstreamRegistry;
+  readonly announcedRates: AnnouncedRates;
   readonly quarantine: PartQuarantine;
   readonly requestLog: RequestLog;
   /** Returns this VM's share of the connections that an upstream accepts. */
@@ -190,7 +192,7 @@
     progress: RequestProgress,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { connections, protocol, ejection } = this.options;
+    const { connections, protocol } = this.options;
     const { upstream, prefillTokens: tokens } = choice;
     const { address, service } = upstream.registered;
     const connection = connections.acquire(address, this.options.getConnectionShare(service));
@@ -221,13 +223,9 @@
         }
       },
     });
-    progress.recordSend();
     exchange.attempts.push(logEntry);
     const promptTokens = exchange.head.prompt?.inputTokens ?? 0;
-    upstream.recordDispatch(tokens, promptTokens);
-    ejection.recordStart(upstream.upstreamId);
-    this.options.chooser.recordSentParts(exchange, upstream);
-    this.options.onPromptSent(tokens);
+    this.recordSend(exchange, choice, progress);
     try {
       const result = await attempt.run();
       logEntry.outcome = describeResult(result);
@@ -245,6 +243,20 @@
     }
   }
 
+  private recordSend(
+    exchange: GatewayExchange,
+    { upstream, prefillTokens }: UpstreamChoice,
+    progress: RequestProgress,
+  ): void {
+    const { announcedRates, metrics, ejection, chooser, onPromptSent } = this.options;
+    progress.recordSend();
+    if (announcedRates.find(upstream.registered)) metrics.countLimitedSend(upstream.upstreamId);
+    upstream.recordDispatch(prefillTokens, exchange.head.prompt?.inputTokens ?? 0);
+    ejection.recordStart(upstream.upstreamId);
+    chooser.recordSentParts(exchange, upstream);
+    onPromptSent(prefillTokens);
+  }
+
   /** Records whether the upstream crashed on the prompt or got past the beginning of its answer. */
   private recordPromptOutcome(
     exchange: GatewayExchange,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
-import type { PartQuarantine, QuarantineChange } from '@goldcrestscale/core';
+import type { PartQuarantine, QuarantineChange, RateChange } from '@goldcrestscale/core';
 import { listen } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
@@ -14,6 +14,7 @@
 import type { GatewayOptions } from './gatewayOptions.js';
 import type { CallerServer } from './http/callerServer.js';
 import { createAuxiliaryServer } from './http/auxiliaryServer.js';
+import { RequestLog } from './requestLog.js';
 import { splitAddress } from './socketAddress.js';
 
 const logQuarantineChange = (logger: Logger, { kind, row }: QuarantineChange): void =>
@@ -25,6 +26,17 @@
     crashes: row.crashes.map((crash) => ({ ...crash, ageMs: Math.round(crash.ageMs) })),
   });
 
+/** The number of lines is bounded, because an upstream may change its limit with every response. */
+const logRateChange = (requestLog: RequestLog, change: RateChange): void => {
+  const { upstreamId, startedAtMs, previous, requestsPerSecond } = change;
+  requestLog.log('rate limit of upstream changed', {
+    upstreamId,
+    startedAtMs,
+    previous: previous ?? 'none',
+    requestsPerSecond: requestsPerSecond ?? 'none',
+  });
+};
+
 /** Polling interval while a shutdown drains. */
 const DRAIN_POLL_MS = 50;
 
@@ -92,9 +104,14 @@
   setMaxListeners(0, workController.signal, signal);
   const shutdown = new Shutdown(settings.bounds.shutdownMs);
   const connections = new ConnectionPool(() => metrics.countConnection());
-  const fleetState = createFleetState(settings.vmId, settings.availabilityZone, (change) =>
-    logQuarantineChange(logger, change),
-  );
+  const rateLog = new RequestLog(logger.createPartLogger('rates'));
+  const fleetState = createFleetState(settings.vmId, settings.availabilityZone, {
+    onQuarantineChange: (change) => logQuarantineChange(logger, change),
+    onRateChange(change) {
+      logRateChange(rateLog, change);
+      metrics.setAnnouncedRate(change.upstreamId, change.requestsPerSecond);
+    },
+  });
   const controllers: Controllers = createControllers(options, fleetState, () => {
     controllers.stores.refresh(workController.signal);
     const limits = controllers.operators.state.view?.deployment.callerLimits;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,9 +13,38 @@
   observeResponse(elapsedMs: number): void;
   observeFirstByte(elapsedMs: number): void;
   countConnection(): void;
+  /** Sets the rate limit that an upstream announces, in requests per second; removed if undefined. */
+  setAnnouncedRate(upstreamId: string, requestsPerSecond: number | undefined): void;
+  /** Counts a request that this VM sends to an upstream with a rate limit. */
+  countLimitedSend(upstreamId: string): void;
   render(): Promise<string>;
 }
 
+const createRateMetrics = (
+  metrics: MetricsRegistry,
+): Pick<GatewayMetrics, 'setAnnouncedRate' | 'countLimitedSend'> => {
+  const announcedRates = metrics.createGauge({
+    name: 'goldcrest_gateway_announced_rate_limit',
+    help: 'Requests per second that an upstream takes from all VMs together, while it says so.',
+    labelNames: ['upstream'],
+  });
+  const limitedSends = metrics.createCounter({
+    name: 'goldcrest_gateway_limited_sends_total',
+    help: 'Requests that this VM sent to an upstream with a rate limit.',
+    labelNames: ['upstream'],
+  });
+  return {
+    setAnnouncedRate(upstream, requestsPerSecond) {
+      if (requestsPerSecond !== undefined) announcedRates.set({ upstream }, requestsPerSecond);
+      else {
+        announcedRates.remove({ upstream });
+        limitedSends.remove({ upstream });
+      }
+    },
+    countLimitedSend: (upstream) => limitedSends.inc({ upstream }),
+  };
+};
+
 /** Creates the metrics of the gateway. */
 export const createGatewayMetrics = (metrics: MetricsRegistry): GatewayMetrics => {
   const responses = metrics.createCounter({
@@ -58,6 +87,7 @@
     observeResponse: (elapsedMs) => responseLatency.observe(elapsedMs),
     observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
     countConnection: () => connections.inc(),
+    ...createRateMetrics(metrics),
     render: () => metrics.render(),
   };
 };
--- a/packages/gateway/src/ports/index.ts
+++ b/packages/gateway/src/ports/index.ts
@@ -15,6 +15,7 @@
 } from './sharedLog.js';
 export { UpstreamProtocol } from './upstreamProtocol.js';
 export type {
+  AnnouncedRateField,
   ResponseHead,
   AttemptMetadata,
   BlockEvents,
--- a/packages/gateway/src/ports/upstreamProtocol.ts
+++ b/packages/gateway/src/ports/upstreamProtocol.ts
@@ -33,6 +33,14 @@
   readonly lastEventId: string | undefined;
 }
 
+/** Limit on the request rate that an upstream announces in a response. */
+export interface AnnouncedRateField {
+  /** Requests per second from all VMs together; undefined if it announces none. */
+  readonly requestsPerSecond: number | undefined;
+  /** An announcement that can't be read, for the log; it neither sets nor ends a limit. */
+  readonly invalid: string | undefined;
+}
+
 /** The parsed head of an upstream's response. */
 export interface ResponseHead {
   readonly status: number;
@@ -55,6 +63,7 @@
   readonly restMs: number | undefined;
   /** A rest that is given but can't be read, for the log. */
   readonly invalidRest: string | undefined;
+  readonly announcedRate: AnnouncedRateField;
   /** Headers to forward to the caller, alternating names and values. */
   readonly forwardedHeaders: readonly string[];
 }
@@ -67,6 +76,7 @@
   readonly acceptedOrders: number;
   /** Whether the engine is about to leave and wants no further requests. */
   readonly isLeaving: boolean;
+  readonly announcedRate: AnnouncedRateField;
   readonly weights: ReadonlyMap<ModelId, WeightNumber>;
 }
 
