--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -14,6 +14,7 @@
   | 'prompt_part_refused'
   | 'over_limit'
   | 'overloaded'
+  | 'rate_limited'
   | 'deadline'
   | 'no_upstream'
   | 'zone_out'
--- a/packages/core/src/promptRouting/promptRouter.ts
+++ b/packages/core/src/promptRouting/promptRouter.ts
@@ -64,6 +64,8 @@
 export interface PromptRefusal {
   /** Time after which a retry makes sense, in milliseconds. */
   readonly retryAfterMs: number;
+  /** Whether the rate limits of upstreams are the cause. */
+  readonly isRateLimited?: boolean;
 }
 
 /** Result of routing a prompt. */
--- a/packages/core/src/rateLimit/announcedRates.ts
+++ b/packages/core/src/rateLimit/announcedRates.ts
@@ -2,7 +2,7 @@
 import type { UpstreamId } from '../ids.js';
 import { BootAnnouncements } from './bootAnnouncements.js';
 import type { AnnouncedRate, RateChange, RateRow } from './bootAnnouncements.js';
-import { MAX_RATE_ROWS_PER_MESSAGE, MIN_ENFORCED_RATE } from './constants.js';
+import { MAX_RATE_ROWS_PER_MESSAGE } from './constants.js';
 
 /**
  * Request rates that upstreams announce in their responses, as known from the responses of this VM
@@ -41,9 +41,7 @@
     const announcements = this.boots.get(upstreamId);
     if (announcements?.startedAtMs !== startedAtMs) return undefined;
     this.reportChange({ upstreamId, startedAtMs }, announcements);
-    const { rate, sinceMs } = announcements;
-    if (rate === Infinity) return undefined;
-    return { requestsPerSecond: Math.max(MIN_ENFORCED_RATE, rate), sinceMs };
+    return announcements.limit;
   }
 
   merge(rows: readonly RateRow[]): void {
--- a/packages/core/src/rateLimit/bootAnnouncements.ts
+++ b/packages/core/src/rateLimit/bootAnnouncements.ts
@@ -1,6 +1,12 @@
 import type { UpstreamBoot } from '../fleet/index.js';
 import type { UpstreamId } from '../ids.js';
-import { ENDED_LIMIT_MEMORY_MS, LOWER_RATE_HOLD_MS, RATE_ROW_REPEAT_MS } from './constants.js';
+import {
+  ENDED_LIMIT_MEMORY_MS,
+  LOWER_RATE_HOLD_MS,
+  MAX_ENFORCED_RATE,
+  MIN_ENFORCED_RATE,
+  RATE_ROW_REPEAT_MS,
+} from './constants.js';
 
 /** Announcement of one boot of an upstream, as it is sent to other VMs. */
 export interface RateRow extends UpstreamBoot {
@@ -16,6 +22,8 @@
   readonly requestsPerSecond: number;
   /** Monotonic time at which this VM first knew of a limit of this boot. */
   readonly sinceMs: number;
+  /** Monotonic time of the announcement. */
+  readonly announcedAtMs: number;
 }
 
 /** A change of the limit in force of an upstream. */
@@ -51,15 +59,18 @@
 
   /** The lowest rate of the last announcements. */
   get rate(): number {
-    const heldSinceMs = performance.now() - LOWER_RATE_HOLD_MS;
-    while (this.announcements.length > 1 && this.announcements[0]!.atMs < heldSinceMs) {
-      this.announcements.shift();
-    }
-    return this.announcements[0]?.rate ?? Infinity;
+    return this.findLowest()?.rate ?? Infinity;
   }
 
-  get sinceMs(): number {
-    return this.limitedSinceMs ?? performance.now();
+  /** The limit in force, if any. */
+  get limit(): AnnouncedRate | undefined {
+    const lowest = this.findLowest();
+    if (!lowest || lowest.rate > MAX_ENFORCED_RATE) return undefined;
+    return {
+      requestsPerSecond: Math.max(MIN_ENFORCED_RATE, lowest.rate),
+      sinceMs: this.limitedSinceMs ?? performance.now(),
+      announcedAtMs: lowest.atMs,
+    };
   }
 
   get isForgettable(): boolean {
@@ -103,4 +114,12 @@
       ageMs: performance.now() - atMs,
     };
   }
+
+  private findLowest(): Announcement | undefined {
+    const heldSinceMs = performance.now() - LOWER_RATE_HOLD_MS;
+    while (this.announcements.length > 1 && this.announcements[0]!.atMs < heldSinceMs) {
+      this.announcements.shift();
+    }
+    return this.announcements[0];
+  }
 }
--- a/packages/core/src/rateLimit/constants.ts
+++ b/packages/core/src/rateLimit/constants.ts
@@ -7,6 +7,9 @@
  */
 export const MIN_ENFORCED_RATE = 0.25;
 
+/** Highest rate that is enforced, in requests per second; no upstream needs protection at more. */
+export const MAX_ENFORCED_RATE = 1_000;
+
 /** Time for which the end of a limit is remembered and sent to other VMs, in milliseconds. */
 export const ENDED_LIMIT_MEMORY_MS = 10_000;
 
@@ -15,3 +18,39 @@
 
 /** Interval at which unchanged rows are sent again, for VMs that missed them or have just started. */
 export const RATE_ROW_REPEAT_MS = 1_000;
+
+/** Fraction of an announced rate that the first granter of an upstream grants. */
+export const FIRST_GRANTER_FRACTION = 0.95;
+
+/** Fraction that the second granter grants to VMs that get no reply from the first. */
+export const SECOND_GRANTER_FRACTION = 0.2;
+
+/**
+ * Time for which a VM must have been the first granter before it grants the larger fraction, in
+ * milliseconds; longer than it takes the previous one to learn of the change.
+ */
+export const GRANTER_SETTLE_MS = 2_000;
+
+/** Time from its start in which a granted send may be used, in milliseconds. */
+export const GRANT_USE_MS = 300;
+
+/** Time after which a granter counts as silent, in milliseconds. */
+export const ASK_TIMEOUT_MS = 80;
+
+/** Time for which a silent granter is not asked, in milliseconds. */
+export const SILENT_GRANTER_PAUSE_MS = 1_000;
+
+/** Pause of an upstream that nobody grants sends to, in milliseconds. */
+export const NO_GRANTER_PAUSE_MS = 500;
+
+/** Maximum number of asks of one VM for one upstream that await a reply. */
+export const MAX_PENDING_ASKS = 4;
+
+/** Time for which a denied request of a more urgent class keeps its precedence, in milliseconds. */
+export const PRECEDENCE_MS = 2_000;
+
+/** Fraction of the interval between two sends for which a free one is kept for more urgent classes. */
+export const PRECEDENCE_FRACTION = 0.4;
+
+/** Longest time for which it is kept, in milliseconds. */
+export const MAX_PRECEDENCE_WAIT_MS = 200;
--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -188,6 +188,7 @@
         blocks: fleetState.blocks,
         registry: fleetState.registry,
         announcedRates: fleetState.announcedRates,
+        rateLimits: fleetState.rateLimits,
         quarantine: fleetState.quarantine,
         requestLog,
         fetchWindow: new FetchWindow(operators),
--- a/packages/gateway/src/__tests__/gossipMessage.spec.ts
+++ b/packages/gateway/src/__tests__/gossipMessage.spec.ts
@@ -24,6 +24,10 @@
       crashes: [{ upstreamId, startedAtMs: 77, account: 'account', ageMs: 40 }],
     },
   ],
+  rates: [
+    { upstreamId, startedAtMs: 77, requestsPerSecond: 2.2, ageMs: 40 },
+    { upstreamId, startedAtMs: 78, requestsPerSecond: undefined, ageMs: 1 },
+  ],
   weights: [{ upstreamId, model: toId<ModelId>('m'), weightNumber: toWeightNumber(2) }],
 };
 
--- a/packages/gateway/src/__tests__/gossipRelay.spec.ts
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -2,7 +2,9 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { expect, onTestFinished, test, vi } from 'vitest';
 import {
+  AnnouncedRates,
   EntryRoster,
+  FleetRateLimits,
   PartQuarantine,
   PeerLoads,
   SentParts,
@@ -79,6 +81,14 @@
   });
   for (let count = 0; count < inFlight; count += 1) registry.find(upstreamId)!.recordDispatch(100);
   const quarantine = new PartQuarantine();
+  const announcedRates = new AnnouncedRates();
+  const rateLimits = new FleetRateLimits({
+    self: entry.vmId,
+    rates: announcedRates,
+    listServing: () => roster.listServing().map(({ vmId }) => vmId),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
+    sendAsk: (granter, ask) => gossip.sendRateAsk(granter, ask),
+  });
   const gossip = new Gossip({
     self: entry.vmId,
     zone: entry.availabilityZone,
@@ -90,11 +100,14 @@
     peerLoads,
     sentParts: new SentParts(),
     quarantine,
+    announcedRates,
+    rateLimits,
     listLoading: () => [],
     logger,
   });
   await gossip.start(signal);
-  return { sumPeers: () => peerLoads.getTotals(upstreamId).inFlight, quarantine };
+  const sumPeers = (): number => peerLoads.getTotals(upstreamId).inFlight;
+  return { sumPeers, quarantine, announcedRates, rateLimits };
 };
 
 /** Starts two relays of one zone, another VM of it, and the relay of a second zone. */
@@ -148,3 +161,42 @@
     { timeout: 3_000, interval: 50 },
   );
 });
+
+// Guards against a VM that sends at its own rate to an upstream whose limit only others have received.
+test('relays an announced rate limit, and its end, to each VM', async () => {
+  const vms = await startRelayedFleet();
+  const boot = { upstreamId, startedAtMs: 1 };
+  const findRates = () => vms.map(({ announcedRates }) => announcedRates.find(boot));
+  vms[2]!.announcedRates.record(boot, 2.2);
+  await vi.waitFor(
+    () => expect(findRates().map((limit) => limit?.requestsPerSecond)).toEqual(vms.map(() => 2.2)),
+    { timeout: 3_000, interval: 50 },
+  );
+  vms[3]!.announcedRates.record(boot, undefined);
+  await vi.waitFor(() => expect(findRates()).toEqual(vms.map(() => undefined)), {
+    timeout: 3_000,
+    interval: 50,
+  });
+});
+
+test('VMs that share an upstream with a rate limit get its sends one after the other', async () => {
+  const vms = await startRelayedFleet();
+  // The granter of this boot is one of the VMs that run.
+  const listGranters = (startedAtMs: number): readonly string[] => {
+    vms[0]!.announcedRates.record({ upstreamId, startedAtMs }, 2);
+    return vms[0]!.rateLimits.dump()[0]!.granters;
+  };
+  const running = ['relay', 'second', 'member', 'foreign'];
+  let startedAtMs = 1;
+  while (!running.includes(listGranters(startedAtMs)[0]!)) startedAtMs += 1;
+  const boot = { upstreamId, startedAtMs };
+  vms.forEach(({ announcedRates }) => announcedRates.record(boot, 2));
+  // A VM grants the larger fraction only after it has been the first granter for a while.
+  await pause(2_200);
+  const demand = { maxWaitMs: 0, priority: 0 };
+  await Promise.all(vms.map(({ rateLimits }) => rateLimits.acquire(boot, demand)));
+  const taken = vms.filter(({ rateLimits }) => rateLimits.tryTake(boot));
+  expect(taken.length).toBeGreaterThanOrEqual(1);
+  // One may be made up for after a time without asks.
+  expect(taken.length).toBeLessThanOrEqual(2);
+});
--- a/packages/gateway/src/__tests__/rolloutController.spec.ts
+++ b/packages/gateway/src/__tests__/rolloutController.spec.ts
@@ -3,6 +3,7 @@
   AnnouncedRates,
   ConditionalLease,
   EntryRoster,
+  FleetRateLimits,
   LeaseStream,
   OperatorState,
   PeerLoads,
@@ -61,13 +62,20 @@
 
 /** Runs the idle controller of one VM for some seconds. @returns how often it read the lease */
 const countIdleReads = async (vmId: string, roster: EntryRoster): Promise<number> => {
+  const announcedRates = new AnnouncedRates();
   const stream = new CountingLeaseStream();
   const controller = new RolloutController({
     self: toId<VmId>(vmId),
     holder: vmId,
     lease: new ConditionalLease({ holder: vmId, stream, durationMs: 3_000, marginMs: 400 }),
     registry: new UpstreamRegistry(new PeerLoads(1_500)),
-    announcedRates: new AnnouncedRates(),
+    announcedRates,
+    rateLimits: new FleetRateLimits({
+      self: toId<VmId>(vmId),
+      rates: announcedRates,
+      listServing: () => [],
+      sendAsk: () => undefined,
+    }),
     operators: new OperatorState(),
     roster,
     protocol: new TestUpstreamProtocol(),
--- a/packages/gateway/src/__tests__/zoneAggregator.spec.ts
+++ b/packages/gateway/src/__tests__/zoneAggregator.spec.ts
@@ -20,6 +20,7 @@
   down: [],
   leaving: [],
   quarantine: [],
+  rates: [],
   sentParts: [{ hash: 1, upstreamId: toUpstream('a') }],
 });
 
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -90,11 +90,12 @@
 /** Creates the components that communicate with the other VMs. */
 const createMesh = (
   { settings, logger: baseLogger }: GatewayOptions,
-  { roster, registry, peerLoads, sentParts, relays, quarantine }: FleetState,
+  fleetState: FleetState,
   key: string,
   { readers, entries, rollout }: MeshDependencies,
 ) => {
   const logger = baseLogger.createPartLogger('mesh');
+  const { roster, relays } = fleetState;
   const commonOptions = {
     self: settings.vmId,
     address: settings.listen.mesh,
@@ -104,12 +105,9 @@
     logger,
   };
   const gossip = new Gossip({
+    ...fleetState,
     ...commonOptions,
     zone: settings.availabilityZone,
-    registry,
-    peerLoads,
-    sentParts,
-    quarantine,
     listLoading: () => rollout.listLoading(),
   });
   const topicReaders: Partial<Record<LogTopic, TopicReader>> = {
@@ -144,7 +142,7 @@
   onDeployment: () => void,
 ) => {
   const { settings, logger, log, upstreamProtocol: protocol } = options;
-  const { roster, registry, relays, quarantine, announcedRates } = fleetState;
+  const { roster, relays, quarantine } = fleetState;
   const bootId = toId<BootId>(randomUUID());
   const meshKey = randomBytes(MESH_KEY_BYTES).toString('base64');
   /* eslint-disable @typescript-eslint/no-use-before-define -- called later */
@@ -163,10 +161,8 @@
       durationMs: settings.leaseMs,
       marginMs: LEASE_MARGIN_MS,
     }),
-    registry,
-    announcedRates,
+    ...fleetState,
     operators: readers.operators.state,
-    roster,
     protocol,
     logger: logger.createPartLogger('rollout'),
     onLoadingChange: () => mesh.gossip.send(),
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -66,6 +66,7 @@
       blocks: fleetState.blocks,
       registry: fleetState.registry,
       announcedRates: fleetState.announcedRates,
+      rateLimits: fleetState.rateLimits,
       quarantine: fleetState.quarantine,
       requestLog,
       fetchWindow: operators.fetchWindow,
--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -3,6 +3,7 @@
   BlockDirectory,
   CappedEjectionPolicy,
   EntryRoster,
+  FleetRateLimits,
   PartQuarantine,
   PeerLoads,
   SentParts,
@@ -10,23 +11,32 @@
   ZoneRelays,
   createRandomGenerator,
 } from '@goldcrestscale/core';
-import type { AvailabilityZoneId, QuarantineChange, RateChange, VmId } from '@goldcrestscale/core';
+import type {
+  AvailabilityZoneId,
+  QuarantineChange,
+  RateAsk,
+  RateChange,
+  VmId,
+} from '@goldcrestscale/core';
 import { PEER_LOAD_TTL_MS } from '../constants.js';
 
-/** Callbacks for changes that are logged. */
+/** Callbacks of the fleet state. */
 export interface FleetStateCallbacks {
   readonly onQuarantineChange?: (change: QuarantineChange) => void;
   readonly onRateChange?: (change: RateChange) => void;
+  /** Sends a question about a rate limit to another VM. */
+  readonly sendRateAsk?: (granter: VmId, ask: RateAsk) => void;
 }
 
 /** Creates the gateway's view of the fleet, which controllers update and filters read. */
 export const createFleetState = (
   self: VmId,
   zone: AvailabilityZoneId,
-  { onQuarantineChange, onRateChange }: FleetStateCallbacks = {},
+  { onQuarantineChange, onRateChange, sendRateAsk }: FleetStateCallbacks = {},
 ) => {
   const random = createRandomGenerator();
   const roster = new EntryRoster();
+  const announcedRates = new AnnouncedRates(onRateChange);
   const peerLoads = new PeerLoads(PEER_LOAD_TTL_MS);
   return {
     random,
@@ -36,7 +46,13 @@
     registry: new UpstreamRegistry(peerLoads),
     blocks: new BlockDirectory(),
     sentParts: new SentParts(),
-    announcedRates: new AnnouncedRates(onRateChange),
+    announcedRates,
+    rateLimits: new FleetRateLimits({
+      self,
+      rates: announcedRates,
+      listServing: () => roster.listServing().map(({ vmId }) => vmId),
+      sendAsk: (granter, ask) => sendRateAsk?.(granter, ask),
+    }),
     quarantine: new PartQuarantine(onQuarantineChange),
     ejection: new CappedEjectionPolicy(random),
   };
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -45,6 +45,18 @@
  */
 export const FETCH_WAIT_OBJECTIVE_FRACTION = 0.4;
 
+/** Fraction of the latency objective for which a request may wait for a send under a rate limit. */
+export const RATE_WAIT_OBJECTIVE_FRACTION = 1 / 8;
+
+/** Longest such wait. */
+export const MAX_RATE_WAIT_MS = 100;
+
+/** Maximum number of asks for a send under a rate limit during one request. */
+export const MAX_RATE_ASKS = 6;
+
+/** Longest wait of one ask for a send of a control call. */
+export const CONTROL_RATE_WAIT_MS = 400;
+
 /** Pause before an upstream that refused a request gets another one. */
 export const UPSTREAM_REFUSAL_BACKOFF_MS = 150;
 
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -2,6 +2,7 @@
 import type {
   AnnouncedRates,
   EntryRoster,
+  FleetRateLimits,
   LeaseGrant,
   ModelId,
   OperatorState,
@@ -13,6 +14,7 @@
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import {
+  CONTROL_RATE_WAIT_MS,
   INITIAL_LOAD_ESTIMATE_MS,
   LEASE_WATCHER_COUNT,
   LEASE_WATCH_INTERVAL_MS,
@@ -38,6 +40,7 @@
   readonly lease: ConditionalLease;
   readonly registry: UpstreamRegistry;
   readonly announcedRates: AnnouncedRates;
+  readonly rateLimits: FleetRateLimits;
   readonly operators: OperatorState;
   readonly roster: EntryRoster;
   readonly protocol: UpstreamProtocol;
@@ -269,6 +272,7 @@
 
   private async readState(engine: EngineTarget, signal: AbortSignal): Promise<EngineState> {
     const { protocol, announcedRates, logger } = this.options;
+    await this.waitForSend(engine, signal);
     const state = await protocol.readEngineState(buildCall(engine, signal));
     const { registered, upstreamId } = engine.upstream;
     const { requestsPerSecond, invalid } = state.announcedRate;
@@ -277,12 +281,23 @@
     return state;
   }
 
+  /** Control calls count against a rate limit of the engine too. */
+  private async waitForSend({ upstream }: EngineTarget, signal: AbortSignal): Promise<void> {
+    const { rateLimits } = this.options;
+    const demand = { maxWaitMs: CONTROL_RATE_WAIT_MS, priority: 0 };
+    while (!signal.aborted && !rateLimits.tryTake(upstream.registered)) {
+      await sleep(rateLimits.computeRetryAfterMs(upstream.registered), signal);
+      await rateLimits.acquire(upstream.registered, demand);
+    }
+  }
+
   private async sendOrder(
     engine: EngineTarget,
     expectedOrders: number,
     signal: AbortSignal,
   ): Promise<OrderOutcome> {
     const { lease, holder, protocol } = this.options;
+    await this.waitForSend(engine, signal);
     const { currentGrant } = lease;
     if (!currentGrant) return 'failed';
     const { model, wanted } = engine;
--- a/packages/gateway/src/dispatch/requestProgress.ts
+++ b/packages/gateway/src/dispatch/requestProgress.ts
@@ -12,6 +12,9 @@
   /** Number of attempts that were sent. */
   attempts = 0;
 
+  /** Number of asks for a send under a rate limit. */
+  rateAsks = 0;
+
   /** Number of attempts that were executed or may have been. */
   executions = 0;
 
@@ -32,6 +35,10 @@
     this.isSuspect = true;
   }
 
+  recordRateAsk(): void {
+    this.rateAsks += 1;
+  }
+
   recordSend(): void {
     this.attempts += 1;
   }
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -21,6 +21,7 @@
   EjectionPolicy,
   EngineSettings,
   EntryRoster,
+  FleetRateLimits,
   OperatorState,
   Prompt,
   PromptChoice,
@@ -53,6 +54,7 @@
   readonly relays: ZoneRelays;
   readonly blocks: BlockDirectory;
   readonly ejection: EjectionPolicy;
+  readonly rateLimits: FleetRateLimits;
   readonly sentParts: SentParts;
   readonly random: RandomGenerator;
 }
@@ -88,21 +90,43 @@
     service: ServiceName,
     excluded: ReadonlySet<UpstreamId>,
   ): UpstreamDecision | undefined {
-    const chosen =
+    return (
       this.chooseFromEngineGroups(exchange, service, excluded) ??
-      this.findShortestRest(exchange, service, excluded);
-    if (!chosen || 'retryAfterMs' in chosen || !chosen.upstream.isCold) return chosen;
-    const share = this.computeColdStartShare(chosen.upstream);
-    return !share || this.coldStartBudget.tryTake(chosen.upstream.upstreamId, share)
-      ? chosen
-      : undefined;
+      this.findShortestWait(exchange, service, excluded)
+    );
+  }
+
+  /**
+   * Takes the right to send one request to an upstream now. No await may come between this and the
+   * send.
+   *
+   * @returns false if a rate limit of the upstream leaves none; of several limits, the lowest decides
+   */
+  takeSend(upstream: TrackedUpstream): boolean {
+    const { upstreamId, registered } = upstream;
+    const share = upstream.isCold ? this.computeColdStartShare(upstream) : undefined;
+    if (share && !this.coldStartBudget.canTake(upstreamId, share)) return false;
+    if (!this.options.rateLimits.tryTake(registered)) return false;
+    return !share || this.coldStartBudget.tryTake(upstreamId, share);
   }
 
-  /** Whether an upstream is eligible. No await may come between this check and the send. */
+  /** Whether an upstream is eligible. */
   canServe(
     exchange: GatewayExchange,
     upstream: TrackedUpstream,
     excluded: ReadonlySet<UpstreamId>,
+  ): boolean {
+    return (
+      this.isUsable(exchange, upstream, excluded) &&
+      this.options.rateLimits.canAcquire(upstream.registered)
+    );
+  }
+
+  /** Whether an upstream is eligible, apart from pauses that it asked for. */
+  private isUsable(
+    exchange: GatewayExchange,
+    upstream: TrackedUpstream,
+    excluded: ReadonlySet<UpstreamId>,
   ): boolean {
     const { operators, ejection, regions } = this.options;
     const { registered } = upstream;
@@ -182,18 +206,26 @@
     return decision;
   }
 
-  /** Returns the time until the first upstream ends its rest; undefined unless all of them rest. */
-  private findShortestRest(
+  /**
+   * Returns the time until the first upstream ends its rest or may ask for a send; undefined unless
+   * all of them wait for that.
+   */
+  findShortestWait(
     exchange: GatewayExchange,
     service: ServiceName,
     excluded: ReadonlySet<UpstreamId>,
   ): PromptRefusal | undefined {
-    const restsMs = this.options.registry
+    const { registry, rateLimits } = this.options;
+    const waits = registry
       .listService(service)
-      .filter((upstream) => this.canServe(exchange, upstream, excluded))
-      .map(({ restMs }) => restMs);
-    const shortestMs = Math.min(...restsMs);
-    return restsMs.length > 0 && shortestMs > 0 ? { retryAfterMs: shortestMs } : undefined;
+      .filter((upstream) => this.isUsable(exchange, upstream, excluded))
+      .map(({ restMs, registered }) => {
+        const rateWaitMs = rateLimits.computeRetryAfterMs(registered);
+        return { retryAfterMs: Math.max(restMs, rateWaitMs), isRateLimited: rateWaitMs > restMs };
+      })
+      .sort((left, right) => left.retryAfterMs - right.retryAfterMs);
+    const shortest = waits[0];
+    return shortest && shortest.retryAfterMs > 0 ? shortest : undefined;
   }
 
   /** Finds the availability zone whose store holds the session of a prompt, for the newest weights. */
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -1,25 +1,39 @@
-import { createError, createRefusal } from '@goldcrestscale/core';
 import type {
   AnnouncedRates,
   BlockDirectory,
   EjectionPolicy,
   FetchWindow,
+  FleetRateLimits,
   FleetRetryBudget,
-  GoldcrestErrorInstance,
   PartQuarantine,
   ServiceName,
   TrackedUpstream,
   UpstreamRegistry,
 } from '@goldcrestscale/core';
-import { MAX_UNEXECUTED_EXTRA_ATTEMPTS, NO_CAPACITY_RETRY_AFTER_MS } from '../constants.js';
+import {
+  MAX_RATE_ASKS,
+  MAX_RATE_WAIT_MS,
+  MAX_UNEXECUTED_EXTRA_ATTEMPTS,
+  RATE_WAIT_OBJECTIVE_FRACTION,
+} from '../constants.js';
 import { AttemptMetadataBuilder } from '../dispatch/attemptMetadataBuilder.js';
 import type { AttemptResult } from '../dispatch/attemptResult.js';
 import { findExpectedWeights } from '../dispatch/cacheIdentity.js';
 import type { ConnectionPool } from '../dispatch/connectionPool.js';
+import {
+  createNoUpstreamError,
+  createOverloadError,
+  createTimeoutError,
+  sendFailure,
+} from '../dispatch/dispatchErrors.js';
 import { OutcomeRecorder } from '../dispatch/outcomeRecorder.js';
 import { RequestProgress } from '../dispatch/requestProgress.js';
 import { UpstreamAttempt } from '../dispatch/upstreamAttempt.js';
-import type { UpstreamChoice, UpstreamChooser } from '../dispatch/upstreamChooser.js';
+import type {
+  UpstreamChoice,
+  UpstreamChooser,
+  UpstreamDecision,
+} from '../dispatch/upstreamChooser.js';
 import type { GatewayMetrics } from '../metrics.js';
 import type { UpstreamProtocol } from '../ports/index.js';
 import type { RequestLog } from '../requestLog.js';
@@ -40,6 +54,7 @@
   readonly metrics: GatewayMetrics;
   readonly registry: UpstreamRegistry;
   readonly announcedRates: AnnouncedRates;
+  readonly rateLimits: FleetRateLimits;
   readonly quarantine: PartQuarantine;
   readonly requestLog: RequestLog;
   /** Returns this VM's share of the connections that an upstream accepts. */
@@ -53,57 +68,6 @@
   return 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind;
 };
 
-const createNoUpstreamError = (retryAfterMs = 0): GoldcrestErrorInstance =>
-  createRefusal('No upstream can take the request now; try again.', {
-    code: 'no_upstream',
-    status: 503,
-    retryAfterMs: Math.max(NO_CAPACITY_RETRY_AFTER_MS, retryAfterMs),
-  });
-
-const createOverloadError = (retryAfterMs: number): GoldcrestErrorInstance =>
-  createRefusal('No upstream can serve the request in time now; try again later.', {
-    code: 'overloaded',
-    status: 503,
-    retryAfterMs: Math.max(NO_CAPACITY_RETRY_AFTER_MS, retryAfterMs),
-  });
-
-const createTimeoutError = (exchange: GatewayExchange): GoldcrestErrorInstance =>
-  createError('The time for the answer is over.', {
-    code: 'deadline',
-    status: exchange.verdict === 'not-run' ? 503 : 504,
-    verdict: exchange.verdict,
-  });
-
-/**
- * Ends a request after its last attempt: relays the last server error, or throws.
- *
- * @param retryAfterMs time after which an upstream may serve the request, if known
- */
-const sendFailure = (
-  exchange: GatewayExchange,
-  progress: RequestProgress,
-  retryAfterMs?: number,
-): void => {
-  const { response } = exchange;
-  const { lastFailure } = progress;
-  if (lastFailure && !response.isHeadSent) {
-    const { head, body } = lastFailure;
-    response.start({
-      status: head.status,
-      headers: head.forwardedHeaders,
-      contentLength: body.length,
-    });
-    response.finish(body);
-    return;
-  }
-  if (exchange.verdict === 'not-run') throw createNoUpstreamError(retryAfterMs);
-  throw createError('The upstream gave no whole answer; the request may have run.', {
-    code: response.isHeadSent ? 'stream_broken' : 'upstream_failed',
-    status: 502,
-    verdict: exchange.verdict,
-  });
-};
-
 const createAttemptLogEntry = (
   exchange: GatewayExchange,
   { upstream, prefillTokens, firstTokenMs }: UpstreamChoice,
@@ -161,29 +125,77 @@
     for (;;) {
       if (signal.aborted) throw createTimeoutError(exchange);
       assertPromptAllowed(exchange, this.options.quarantine);
-      const choice = this.options.chooser.choose(exchange, progress.service, progress.excluded);
+      const choice = this.chooseUpstream(exchange, progress);
       if (choice && 'retryAfterMs' in choice && progress.attempts === 0) {
-        throw createOverloadError(choice.retryAfterMs);
+        throw createOverloadError(choice);
       }
       if (!choice || 'retryAfterMs' in choice) {
         sendFailure(exchange, progress, choice?.retryAfterMs);
         return;
       }
-      const { upstream } = choice;
-      const result = await this.runAttempt(exchange, choice, progress, signal);
-      this.options.metrics.countAttempt(progress.service, result.kind);
-      if (result.kind === 'answered') {
-        exchange.verdict = 'ran';
-        this.outcomeRecorder.recordSuccess(upstream);
-        return;
-      }
-      this.outcomeRecorder.recordFailure(exchange, upstream, progress, result);
+      const hasSend = this.options.chooser.takeSend(choice.upstream);
+      if (!hasSend) await this.acquireSend(exchange, choice.upstream, progress);
       if (signal.aborted) throw createTimeoutError(exchange);
-      if (!this.canRetry(exchange, progress, result)) {
-        sendFailure(exchange, progress);
-        return;
-      }
+      const canSend = hasSend || this.takeAcquiredSend(exchange, choice.upstream, progress);
+      if (canSend && (await this.tryUpstream(exchange, choice, progress, signal))) return;
+    }
+  }
+
+  /** @returns whether the request needs no further attempt */
+  private async tryUpstream(
+    exchange: GatewayExchange,
+    choice: UpstreamChoice,
+    progress: RequestProgress,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { upstream } = choice;
+    const result = await this.runAttempt(exchange, choice, progress, signal);
+    this.options.metrics.countAttempt(progress.service, result.kind);
+    if (result.kind === 'answered') {
+      exchange.verdict = 'ran';
+      this.outcomeRecorder.recordSuccess(upstream);
+      return true;
     }
+    this.outcomeRecorder.recordFailure(exchange, upstream, progress, result);
+    if (signal.aborted) throw createTimeoutError(exchange);
+    if (this.canRetry(exchange, progress, result)) return false;
+    sendFailure(exchange, progress);
+    return true;
+  }
+
+  private chooseUpstream(
+    exchange: GatewayExchange,
+    { service, excluded, rateAsks }: RequestProgress,
+  ): UpstreamDecision | undefined {
+    const { chooser } = this.options;
+    return rateAsks < MAX_RATE_ASKS
+      ? chooser.choose(exchange, service, excluded)
+      : chooser.findShortestWait(exchange, service, excluded);
+  }
+
+  /** Asks for a send to an upstream with a rate limit. */
+  private async acquireSend(
+    exchange: GatewayExchange,
+    { registered }: TrackedUpstream,
+    progress: RequestProgress,
+  ): Promise<void> {
+    const { objectiveMs, priority } = requireRoute(exchange);
+    progress.recordRateAsk();
+    await this.options.rateLimits.acquire(registered, {
+      maxWaitMs: Math.min(MAX_RATE_WAIT_MS, objectiveMs * RATE_WAIT_OBJECTIVE_FRACTION),
+      priority: exchange.account?.priority ?? priority,
+    });
+  }
+
+  /** Takes a send that was asked for, unless the upstream became ineligible meanwhile. */
+  private takeAcquiredSend(
+    exchange: GatewayExchange,
+    upstream: TrackedUpstream,
+    { excluded }: RequestProgress,
+  ): boolean {
+    const { chooser, quarantine } = this.options;
+    assertPromptAllowed(exchange, quarantine);
+    return chooser.canServe(exchange, upstream, excluded) && chooser.takeSend(upstream);
   }
 
   private async runAttempt(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
-import type { PartQuarantine, QuarantineChange, RateChange } from '@goldcrestscale/core';
+import type { QuarantineChange, RateChange } from '@goldcrestscale/core';
 import { listen } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
@@ -14,6 +14,7 @@
 import type { GatewayOptions } from './gatewayOptions.js';
 import type { CallerServer } from './http/callerServer.js';
 import { createAuxiliaryServer } from './http/auxiliaryServer.js';
+import type { OperatedState } from './http/auxiliaryServer.js';
 import { RequestLog } from './requestLog.js';
 import { splitAddress } from './socketAddress.js';
 
@@ -59,14 +60,14 @@
   { settings, callerProtocol, metrics: counters }: GatewayOptions,
   { operators, upstreams, entries }: Controllers,
   shutdown: Shutdown,
-  quarantine: PartQuarantine,
+  operated: OperatedState,
 ): { readonly directory: Server; readonly readiness: Server; readonly metrics: Server } => {
   const commonOptions = {
     protocol: callerProtocol,
     isReady: () => !shutdown.isLeaving && !!operators.state.view && upstreams.hasSnapshot,
     ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
     renderMetrics: () => counters.render(),
-    quarantine: undefined,
+    operated: undefined,
   };
   return {
     directory: createAuxiliaryServer({
@@ -74,7 +75,7 @@
       listAddresses: (zone) => entries.listAddresses(zone),
     }),
     readiness: createAuxiliaryServer({ ...commonOptions, listAddresses: undefined }),
-    metrics: createAuxiliaryServer({ ...commonOptions, listAddresses: undefined, quarantine }),
+    metrics: createAuxiliaryServer({ ...commonOptions, listAddresses: undefined, operated }),
   };
 };
 
@@ -111,6 +112,8 @@
       logRateChange(rateLog, change);
       metrics.setAnnouncedRate(change.upstreamId, change.requestsPerSecond);
     },
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
+    sendRateAsk: (granter, ask) => controllers.gossip.sendRateAsk(granter, ask),
   });
   const controllers: Controllers = createControllers(options, fleetState, () => {
     controllers.stores.refresh(workController.signal);
@@ -121,7 +124,7 @@
   const { operators, gossip } = controllers;
   const dataPathOptions = { fleetState, operators, shutdown, connections, gossip };
   const callers = createDataPath(options, dataPathOptions);
-  const servers = createAuxiliaryServers(options, controllers, shutdown, fleetState.quarantine);
+  const servers = createAuxiliaryServers(options, controllers, shutdown, fleetState);
   const { directory, readiness } = servers;
   await Promise.all([
     listen(callers.server, splitAddress(settings.listen.callers)),
--- a/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
@@ -1,19 +1,20 @@
 import { request as sendRequest } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { expect, onTestFinished, test } from 'vitest';
-import { PartQuarantine, toId } from '@goldcrestscale/core';
-import type { ModelId, PromptPartId, QuarantineRow, UpstreamId } from '@goldcrestscale/core';
+import { AnnouncedRates, FleetRateLimits, PartQuarantine, toId } from '@goldcrestscale/core';
+import type { ModelId, PromptPartId, QuarantineRow, UpstreamId, VmId } from '@goldcrestscale/core';
 import { TestCallerProtocol } from '../../__tests__/testProtocols.js';
 import { createAuxiliaryServer } from '../auxiliaryServer.js';
+import type { OperatedState } from '../auxiliaryServer.js';
 
-const startServer = async (quarantine: PartQuarantine | undefined): Promise<number> => {
+const startServer = async (operated: OperatedState | undefined): Promise<number> => {
   const server = createAuxiliaryServer({
     protocol: new TestCallerProtocol(),
     isReady: () => true,
     listAddresses: undefined,
     ttlMs: 1_000,
     renderMetrics: () => Promise.resolve(''),
-    quarantine,
+    operated,
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -43,7 +44,7 @@
     request.end();
   });
 
-const createQuarantine = (): PartQuarantine => {
+const createOperatedState = (): OperatedState => {
   const quarantine = new PartQuarantine();
   const parts = ['poison', 'own'].map((id) => ({ id: toId<PromptPartId>(id), tokens: 1 }));
   const prompt = { model: toId<ModelId>('m'), inputTokens: 1, maxOutputTokens: 1, parts };
@@ -51,11 +52,19 @@
     { prompt, account: undefined },
     { upstreamId: toId<UpstreamId>('up'), startedAtMs: 1 },
   );
-  return quarantine;
+  const rates = new AnnouncedRates();
+  rates.record({ upstreamId: toId<UpstreamId>('limited'), startedAtMs: 1 }, 2.2);
+  const rateLimits = new FleetRateLimits({
+    self: toId<VmId>('vm'),
+    rates,
+    listServing: () => [],
+    sendAsk: () => undefined,
+  });
+  return { quarantine, rateLimits };
 };
 
 test('operators list the suspected prompt parts and lift a refusal', async () => {
-  const port = await startServer(createQuarantine());
+  const port = await startServer(createOperatedState());
   const list = async (): Promise<readonly QuarantineRow[]> =>
     JSON.parse((await call(port, 'GET', '/quarantine')).body) as readonly QuarantineRow[];
   const [row] = await list();
@@ -65,6 +74,14 @@
   expect((await list())[0]?.crashes).toEqual([]);
 });
 
+test('operators list the rate limits in force', async () => {
+  const port = await startServer(createOperatedState());
+  const limits: unknown = JSON.parse((await call(port, 'GET', '/rate-limits')).body);
+  expect(limits).toMatchObject([
+    { upstreamId: 'limited', requestsPerSecond: 2.2, granters: ['vm'], grants: {} },
+  ]);
+});
+
 // Guards against callers that lift a refusal through the addresses that they can reach.
 test('the servers of the directory and the readiness checks lift nothing', async () => {
   const port = await startServer(undefined);
--- a/packages/gateway/src/http/auxiliaryServer.ts
+++ b/packages/gateway/src/http/auxiliaryServer.ts
@@ -1,8 +1,14 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { PartQuarantine } from '@goldcrestscale/core';
+import type { FleetRateLimits, PartQuarantine } from '@goldcrestscale/core';
 import type { CallerProtocol } from '../ports/index.js';
 
+/** State that operators read and change. */
+export interface OperatedState {
+  readonly quarantine: PartQuarantine;
+  readonly rateLimits: FleetRateLimits;
+}
+
 /** Dependencies of an auxiliary server. */
 export interface AuxiliaryServerOptions {
   readonly protocol: CallerProtocol;
@@ -12,13 +18,20 @@
   readonly ttlMs: number;
   readonly renderMetrics: () => Promise<string>;
   /** Undefined if the server serves no operators. */
-  readonly quarantine: PartQuarantine | undefined;
+  readonly operated: OperatedState | undefined;
 }
 
 const METRICS_PATH = '/metrics';
 
 const QUARANTINE_PATH = '/quarantine';
 
+const RATE_LIMITS_PATH = '/rate-limits';
+
+const sendJson = (response: ServerResponse, content: unknown): void => {
+  response.writeHead(200, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(content));
+};
+
 /** Lists the suspected and refused prompt parts, or lifts the refusal of the one in the path. */
 const answerQuarantineRequest = (
   { method, url = '' }: IncomingMessage,
@@ -29,8 +42,7 @@
   if (method === 'DELETE' && digest !== '') {
     response.writeHead(quarantine.lift(digest) ? 204 : 404).end();
   } else if (method === 'GET' && url === QUARANTINE_PATH) {
-    response.writeHead(200, { 'content-type': 'application/json' });
-    response.end(JSON.stringify(quarantine.dump()));
+    sendJson(response, quarantine.dump());
   } else response.writeHead(404).end();
 };
 
@@ -50,8 +62,10 @@
         (text) => response.end(text),
         () => response.writeHead(500).end(),
       );
-    } else if (options.quarantine && request.url?.startsWith(QUARANTINE_PATH)) {
-      answerQuarantineRequest(request, response, options.quarantine);
+    } else if (options.operated && request.url?.startsWith(QUARANTINE_PATH)) {
+      answerQuarantineRequest(request, response, options.operated.quarantine);
+    } else if (options.operated && request.url === RATE_LIMITS_PATH) {
+      sendJson(response, options.operated.rateLimits.dump());
     } else {
       response.writeHead(404).end();
     }
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -1,9 +1,12 @@
 import type {
+  AnnouncedRates,
   AvailabilityZoneId,
   EntryHeartbeat,
   EntryRoster,
+  FleetRateLimits,
   PartQuarantine,
   PeerLoads,
+  RateAsk,
   SentParts,
   UpstreamId,
   UpstreamRegistry,
@@ -23,6 +26,7 @@
 import { RemoteAggregates } from './remoteAggregates.js';
 import type { GossipMessage } from './gossipMessage.js';
 import { MeshSocket } from './meshSocket.js';
+import type { RateMessage } from './rateMessage.js';
 import { ReportBuilder, hasContent } from './reportBuilder.js';
 import { ZoneAggregator, mergeAggregates, subtractLoads } from './zoneAggregator.js';
 
@@ -40,6 +44,8 @@
   readonly peerLoads: PeerLoads;
   readonly sentParts: SentParts;
   readonly quarantine: PartQuarantine;
+  readonly announcedRates: AnnouncedRates;
+  readonly rateLimits: FleetRateLimits;
   readonly listLoading: () => readonly UpstreamId[];
   readonly logger: Logger;
 }
@@ -71,6 +77,7 @@
     this.socket = new MeshSocket({
       ...options,
       onMessage: (message) => this.handleMessage(message),
+      onRateMessage: (sender, message) => this.handleRateMessage(sender, message),
     });
   }
 
@@ -104,12 +111,18 @@
     this.pendingSend = setTimeout(() => this.send(), EARLY_GOSSIP_DELAY_MS);
   }
 
+  /** Asks another VM whether this one may send a request to an upstream with a rate limit. */
+  sendRateAsk(granter: VmId, ask: RateAsk): void {
+    this.socket.sendRateMessage({ kind: 'ask', ask }, granter);
+  }
+
   /** Sends this VM's report now. */
   send(): void {
     clearTimeout(this.pendingSend);
     this.pendingSend = undefined;
-    const { relays, roster, peerLoads } = this.options;
+    const { relays, roster, peerLoads, rateLimits } = this.options;
     peerLoads.expireReports();
+    rateLimits.refresh();
     const report = this.reportBuilder.build();
     if (relays.isAggregating) {
       this.sendWithinZone(report);
@@ -168,13 +181,24 @@
       .filter(({ availabilityZone, vmId }) => availabilityZone === zone && !own.has(vmId));
   }
 
+  private handleRateMessage(sender: VmId, message: RateMessage): void {
+    const { rateLimits } = this.options;
+    if (message.kind === 'reply') {
+      rateLimits.handleReply(sender, message.reply);
+      return;
+    }
+    const reply = rateLimits.handleAsk(sender, message.ask);
+    this.socket.sendRateMessage({ kind: 'reply', reply }, sender);
+  }
+
   private handleMessage(message: GossipMessage): void {
-    const { roster, registry, sentParts, quarantine } = this.options;
+    const { roster, registry, sentParts, quarantine, announcedRates } = this.options;
     if (message.members) this.recordAggregate(message, message.members);
     else this.recordReport(message);
     roster.recordLoading(message.vmId, message.loading);
     message.sentParts.forEach((part) => sentParts.recordPart(part));
     quarantine.merge(message.quarantine);
+    announcedRates.merge(message.rates);
     message.down.forEach((upstreamId) => registry.find(upstreamId)?.markDown());
     message.leaving.forEach(({ upstreamId, startedAtMs }) => {
       if (registry.recordLeaving(upstreamId, startedAtMs)) {
--- a/packages/gateway/src/mesh/gossipMessage.ts
+++ b/packages/gateway/src/mesh/gossipMessage.ts
@@ -1,16 +1,18 @@
-import { createHmac, timingSafeEqual } from 'node:crypto';
-import { Packr } from 'msgpackr';
 import { toId, toWeightNumber } from '@goldcrestscale/core';
 import type {
   LoadedWeights,
   ModelId,
   PeerLoad,
   QuarantineRow,
+  RateRow,
   SentPart,
   UpstreamBoot,
   UpstreamId,
   VmId,
 } from '@goldcrestscale/core';
+import { decodeDatagram, encodeDatagram } from './meshDatagram.js';
+import type { MeshDatagram } from './meshDatagram.js';
+import { decodeRateRow, encodeRateRow } from './rateMessage.js';
 import { decodeQuarantineRow, encodeQuarantineRow } from './quarantineRow.js';
 
 /** Gossip message, which an entry VM sends to others several times per second. */
@@ -31,6 +33,8 @@
   readonly weights: readonly LearnedWeights[];
   /** Prompt parts that crashed engines, as known to the sender. */
   readonly quarantine: readonly QuarantineRow[];
+  /** Rate limits that upstreams announced, as known to the sender. */
+  readonly rates: readonly RateRow[];
   /** Only in aggregates: the last message of each VM that is included in the sums. */
   readonly members?: readonly MemberSequence[] | undefined;
 }
@@ -46,14 +50,6 @@
   readonly upstreamId: UpstreamId;
 }
 
-/** Size of the truncated MAC at the start of a datagram. */
-const MAC_BYTES = 12;
-
-const packr = new Packr({ useRecords: false });
-
-const computeMac = (key: string, content: Buffer): Buffer =>
-  createHmac('sha256', key).update(content).digest().subarray(0, MAC_BYTES);
-
 /** Encodes a message and prepends a MAC computed with the sender's key. */
 export const encodeGossip = (message: GossipMessage, key: string): Buffer => {
   const { vmId, sequence, loads, loading, down, weights, sentParts, members, leaving } = message;
@@ -72,8 +68,7 @@
   ]);
   const leavingRows = leaving.map(({ upstreamId, startedAtMs }) => [upstreamId, startedAtMs]);
   const memberRows = members?.map((member) => [member.vmId, member.sequence]);
-  const content = packr.pack([
-    vmId,
+  const fields = [
     sequence,
     loadRows,
     loading,
@@ -83,8 +78,9 @@
     memberRows ?? null,
     leavingRows,
     quarantineRows,
-  ]);
-  return Buffer.concat([computeMac(key, content), content]);
+    message.rates.map(encodeRateRow),
+  ];
+  return encodeDatagram(vmId, fields, key);
 };
 
 const decodeLoad = (row: unknown): PeerLoad[] => {
@@ -133,38 +129,16 @@
   return [{ vmId: toId<VmId>(vmId), sequence }];
 };
 
-/**
- * Decodes a message and verifies its MAC.
- *
- * @param findKey finds the key of a VM, from its heartbeat in the log
- * @returns undefined if the datagram is invalid or fails authentication
- */
-export const decodeGossip = (
-  bytes: Buffer,
-  findKey: (vmId: VmId) => string | undefined,
-): GossipMessage | undefined => {
-  const content = bytes.subarray(MAC_BYTES);
-  if (content.length === 0) return undefined;
-  let fields: unknown;
-  try {
-    fields = packr.unpack(content);
-  } catch {
-    // Anyone can send a datagram, so undecodable ones are ignored.
-    return undefined;
-  }
-  if (!Array.isArray(fields)) return undefined;
-  const [vmId, sequence, loads, loading, weights, down, sentParts, members, leaving, quarantine] =
-    fields as unknown[];
-  if (typeof vmId !== 'string' || typeof sequence !== 'number') return undefined;
+/** Decodes the fields of a datagram. @returns undefined if it is another message or invalid */
+export const decodeGossipFields = ({ sender, fields }: MeshDatagram): GossipMessage | undefined => {
+  const [sequence, loads, loading, weights, down, sentParts, members, ...added] = fields;
+  const [leaving, quarantine, rates] = added;
+  if (typeof sequence !== 'number') return undefined;
   if (!Array.isArray(loads) || !Array.isArray(loading)) return undefined;
   if (!Array.isArray(weights) || !Array.isArray(down) || !Array.isArray(sentParts))
     return undefined;
-  const key = findKey(toId<VmId>(vmId));
-  const isAuthentic =
-    key !== undefined && timingSafeEqual(bytes.subarray(0, MAC_BYTES), computeMac(key, content));
-  if (!isAuthentic) return undefined;
   return {
-    vmId: toId<VmId>(vmId),
+    vmId: sender,
     sequence,
     loads: loads.flatMap(decodeLoad),
     weights: weights.flatMap(decodeWeights),
@@ -174,6 +148,16 @@
     // VMs of an earlier version do not send these lists.
     leaving: Array.isArray(leaving) ? leaving.flatMap(decodeLeaving) : [],
     quarantine: Array.isArray(quarantine) ? quarantine.flatMap(decodeQuarantineRow) : [],
+    rates: Array.isArray(rates) ? rates.flatMap(decodeRateRow) : [],
     ...(Array.isArray(members) ? { members: members.flatMap(decodeMember) } : {}),
   };
 };
+
+/** Decodes a message and verifies its MAC. @returns undefined if it is invalid or not authentic */
+export const decodeGossip = (
+  bytes: Buffer,
+  findKey: (vmId: VmId) => string | undefined,
+): GossipMessage | undefined => {
+  const datagram = decodeDatagram(bytes, findKey);
+  return datagram && decodeGossipFields(datagram);
+};
--- a/packages/gateway/src/mesh/meshSocket.ts
+++ b/packages/gateway/src/mesh/meshSocket.ts
@@ -3,8 +3,11 @@
 import type { EntryHeartbeat, EntryRoster, VmId } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { splitAddress } from '../socketAddress.js';
-import { decodeGossip, encodeGossip } from './gossipMessage.js';
+import { decodeGossipFields, encodeGossip } from './gossipMessage.js';
 import type { GossipMessage } from './gossipMessage.js';
+import { decodeDatagram, encodeDatagram } from './meshDatagram.js';
+import { decodeRateMessage, encodeRateMessage } from './rateMessage.js';
+import type { RateMessage } from './rateMessage.js';
 
 /** Dependencies of the socket. */
 export interface MeshSocketOptions {
@@ -15,8 +18,9 @@
   readonly key: string;
   readonly roster: EntryRoster;
   readonly logger: Logger;
-  /** Called with each authenticated message. */
+  /** Called with each authenticated gossip message. */
   readonly onMessage: (message: GossipMessage) => void;
+  readonly onRateMessage: (sender: VmId, message: RateMessage) => void;
 }
 
 /**
@@ -48,15 +52,33 @@
     const recipients = targets.filter(({ vmId }) => vmId !== this.options.self);
     if (recipients.length === 0) return;
     const bytes = encodeGossip(message, this.options.key);
-    recipients.forEach(({ meshAddress }) => {
-      const { host, port } = splitAddress(meshAddress);
-      this.socket.send(bytes, port, host);
-    });
+    recipients.forEach(({ meshAddress }) => this.sendBytes(bytes, meshAddress));
+  }
+
+  /** Sends to one VM; a VM without a heartbeat gets nothing. */
+  sendRateMessage(message: RateMessage, target: VmId): void {
+    const { roster, self, key } = this.options;
+    const heartbeat = roster.findHeartbeat(target);
+    if (!heartbeat) return;
+    const bytes = encodeDatagram(self, encodeRateMessage(message), key);
+    this.sendBytes(bytes, heartbeat.meshAddress);
+  }
+
+  private sendBytes(bytes: Buffer, address: string): void {
+    const { host, port } = splitAddress(address);
+    this.socket.send(bytes, port, host);
   }
 
   private handleDatagram(bytes: Buffer): void {
-    const message = decodeGossip(bytes, (vmId) => this.options.roster.findMeshKey(vmId));
-    if (!message) return;
+    const datagram = decodeDatagram(bytes, (vmId) => this.options.roster.findMeshKey(vmId));
+    if (!datagram) return;
+    const rateMessage = decodeRateMessage(datagram);
+    if (rateMessage) this.options.onRateMessage(datagram.sender, rateMessage);
+    const message = decodeGossipFields(datagram);
+    if (message) this.handleGossip(message);
+  }
+
+  private handleGossip(message: GossipMessage): void {
     // A relay's aggregates and its own reports are separate message streams.
     const source = `${message.vmId}${message.members ? '/zone' : ''}`;
     if (message.sequence <= (this.highestSequences.get(source) ?? -Infinity)) return;
--- /dev/null
+++ b/packages/gateway/src/mesh/rateMessage.ts
@@ -0,0 +1,88 @@
+import { toId } from '@goldcrestscale/core';
+import type { RateAsk, RateReply, RateRow, UpstreamId } from '@goldcrestscale/core';
+import type { MeshDatagram } from './meshDatagram.js';
+
+/** Message between a VM with a request for a limited upstream and the granter of that upstream. */
+export type RateMessage =
+  | { readonly kind: 'ask'; readonly ask: RateAsk }
+  | { readonly kind: 'reply'; readonly reply: RateReply };
+
+/** First fields of the messages; gossip begins with a number. */
+const ASK_TAG = 'rate-ask';
+const GRANT_TAG = 'rate-grant';
+const DENIAL_TAG = 'rate-denial';
+
+const isAmount = (value: unknown): value is number =>
+  typeof value === 'number' && Number.isFinite(value) && value >= 0;
+
+/** Encodes a message as the fields of a datagram. */
+export const encodeRateMessage = (message: RateMessage): readonly unknown[] => {
+  if (message.kind === 'reply') {
+    const { reply } = message;
+    return 'startsInMs' in reply
+      ? [GRANT_TAG, reply.id, reply.startsInMs, reply.nextAfterMs]
+      : [DENIAL_TAG, reply.id, reply.retryAfterMs];
+  }
+  const { id, upstreamId, startedAtMs, requestsPerSecond, announcedAgeMs, maxWaitMs, priority } =
+    message.ask;
+  return [
+    ASK_TAG,
+    id,
+    upstreamId,
+    startedAtMs,
+    requestsPerSecond,
+    announcedAgeMs,
+    maxWaitMs,
+    priority,
+  ];
+};
+
+const decodeAsk = (fields: readonly unknown[]): RateAsk | undefined => {
+  const [id, upstreamId, startedAtMs, requestsPerSecond, announcedAgeMs, maxWaitMs, priority] =
+    fields;
+  if (!isAmount(id) || typeof upstreamId !== 'string' || !isAmount(startedAtMs)) return undefined;
+  if (!isAmount(requestsPerSecond) || requestsPerSecond === 0) return undefined;
+  if (!isAmount(announcedAgeMs) || !isAmount(maxWaitMs) || !isAmount(priority)) return undefined;
+  return {
+    id,
+    upstreamId: toId<UpstreamId>(upstreamId),
+    startedAtMs,
+    requestsPerSecond,
+    announcedAgeMs,
+    maxWaitMs,
+    priority,
+  };
+};
+
+/** @returns undefined if the datagram is another message or invalid */
+export const decodeRateMessage = ({
+  fields: [tag, ...fields],
+}: MeshDatagram): RateMessage | undefined => {
+  if (tag === ASK_TAG) {
+    const ask = decodeAsk(fields);
+    return ask && { kind: 'ask', ask };
+  }
+  const [id, timeMs, nextAfterMs] = fields;
+  if (!isAmount(id) || !isAmount(timeMs)) return undefined;
+  if (tag === DENIAL_TAG) return { kind: 'reply', reply: { id, retryAfterMs: timeMs } };
+  if (tag !== GRANT_TAG || !isAmount(nextAfterMs)) return undefined;
+  return { kind: 'reply', reply: { id, startsInMs: timeMs, nextAfterMs } };
+};
+
+/** Encodes an announced rate as a list, which is shorter than an object. */
+export const encodeRateRow = (row: RateRow): readonly unknown[] => [
+  row.upstreamId,
+  row.startedAtMs,
+  row.requestsPerSecond ?? null,
+  Math.round(row.ageMs),
+];
+
+/** Decodes an announced rate; an invalid one gives none. */
+export const decodeRateRow = (row: unknown): RateRow[] => {
+  if (!Array.isArray(row)) return [];
+  const [upstreamId, startedAtMs, rate, ageMs] = row as unknown[];
+  if (typeof upstreamId !== 'string' || typeof startedAtMs !== 'number') return [];
+  if (!(rate === null || isAmount(rate)) || !isAmount(ageMs)) return [];
+  const requestsPerSecond = rate ?? undefined;
+  return [{ upstreamId: toId<UpstreamId>(upstreamId), startedAtMs, requestsPerSecond, ageMs }];
+};
--- a/packages/gateway/src/mesh/reportBuilder.ts
+++ b/packages/gateway/src/mesh/reportBuilder.ts
@@ -1,4 +1,5 @@
 import type {
+  AnnouncedRates,
   PartQuarantine,
   SentParts,
   UpstreamId,
@@ -14,6 +15,7 @@
   readonly registry: UpstreamRegistry;
   readonly sentParts: SentParts;
   readonly quarantine: PartQuarantine;
+  readonly announcedRates: AnnouncedRates;
   readonly listLoading: () => readonly UpstreamId[];
   readonly logger: Logger;
 }
@@ -27,8 +29,11 @@
   sentParts,
   leaving,
   quarantine,
+  rates,
 }: GossipMessage): boolean =>
-  [loads, loading, weights, down, sentParts, leaving, quarantine].some((list) => list.length > 0);
+  [loads, loading, weights, down, sentParts, leaving, quarantine, rates].some(
+    (list) => list.length > 0,
+  );
 
 /** Builds reports of this VM's load, sent parts and observations of upstreams. */
 export class ReportBuilder {
@@ -43,7 +48,7 @@
   }
 
   build(): GossipMessage {
-    const { self, registry, listLoading, sentParts, quarantine } = this.options;
+    const { self, registry, listLoading, sentParts, quarantine, announcedRates } = this.options;
     const upstreams = registry.list();
     return {
       vmId: self,
@@ -71,6 +76,7 @@
         })),
       sentParts: sentParts.takeUnannounced(),
       quarantine: quarantine.takeRows(),
+      rates: announcedRates.takeRows(),
     };
   }
 
--- a/packages/gateway/src/mesh/zoneAggregator.ts
+++ b/packages/gateway/src/mesh/zoneAggregator.ts
@@ -117,6 +117,7 @@
       sentParts,
       // The rows of the zone's VMs have been merged into this VM's own.
       quarantine: own.quarantine,
+      rates: own.rates,
       members: reports.map((report) => ({ vmId: report.vmId, sequence: report.sequence })),
     };
   }
