fix(gateway): refuse a request under which upstream after upstream ends

Cause: a query of death that the quarantine could not see. It knew shared parts of prompts, after a response head; these requests have no prompt, and their upstreams end before a head.

Change: the quarantine knows a second pattern, the whole request, with the same evidence, messages, refusal and lifting. A lost connection counts once the end of the upstream is confirmed by a refused connection or the registry. All requests lost at the same upstreams are compared, so that bystanders are not blamed; a sound answer clears, also one from before the report of a crash. Crashes are reported to all VMs directly. A request gets one more try after the first loss, none if its pattern is tracked.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -12,6 +12,8 @@
   | 'key_expired'
   | 'key_in_future'
   | 'prompt_part_refused'
+  | 'request_refused'
+  | 'request_suspected'
   | 'over_limit'
   | 'overloaded'
   | 'rate_limited'
--- a/packages/core/src/quarantine/__tests__/partQuarantine.spec.ts
+++ b/packages/core/src/quarantine/__tests__/crashQuarantine.spec.ts
@@ -2,9 +2,10 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { toId } from '../../ids.js';
 import type { ClientAccountId, ModelId, PromptPartId, UpstreamId } from '../../ids.js';
-import { CRASH_MEMORY_MS, MIN_CRASHES, REFUSAL_IDLE_MS } from '../constants.js';
-import { PartQuarantine } from '../partQuarantine.js';
-import type { PromptOfAccount, QuarantineChange } from '../partQuarantine.js';
+import { CRASH_MEMORY_MS, MIN_PART_CRASHES, REFUSAL_IDLE_MS } from '../constants.js';
+import { CrashQuarantine } from '../crashQuarantine.js';
+import type { QuarantineChange } from '../crashQuarantine.js';
+import type { PromptOfAccount } from '../crashPattern.js';
 
 const SPACING_MS = 500;
 
@@ -36,7 +37,7 @@
 });
 
 /** Records crashes on a prompt, one after the other. */
-const recordCrashes = (quarantine: PartQuarantine, count: number, prompt = poison): void => {
+const recordCrashes = (quarantine: CrashQuarantine, count: number, prompt = poison): void => {
   for (let index = 0; index < count; index += 1) {
     quarantine.recordCrash(prompt, makeBoot(index));
     vi.advanceTimersByTime(SPACING_MS);
@@ -44,8 +45,8 @@
 };
 
 test('refuses a part after several crashes, but not the other parts of its prompts', () => {
-  const quarantine = new PartQuarantine();
-  recordCrashes(quarantine, MIN_CRASHES - 1);
+  const quarantine = new CrashQuarantine();
+  recordCrashes(quarantine, MIN_PART_CRASHES - 1);
   expect(quarantine.findRefused(poison)).toBeUndefined();
   quarantine.recordSurvival(sound);
   quarantine.recordCrash(poison, makeBoot(9));
@@ -55,8 +56,8 @@
 
 // Guards against the refusal of sound prompts whose shared part was present at every crash.
 test('an answer that went well clears the parts of its prompt', () => {
-  const quarantine = new PartQuarantine();
-  recordCrashes(quarantine, MIN_CRASHES);
+  const quarantine = new CrashQuarantine();
+  recordCrashes(quarantine, MIN_PART_CRASHES);
   expect(quarantine.findRefused(sound)).toBeDefined();
   quarantine.recordSurvival(sound);
   expect(quarantine.findRefused(sound)).toBeUndefined();
@@ -65,14 +66,14 @@
 
 // Guards against blaming prompts for the loss of a rack, a zone or all engines.
 test('engines that end at the same moment count as one crash', () => {
-  const quarantine = new PartQuarantine();
+  const quarantine = new CrashQuarantine();
   for (let index = 0; index < 40; index += 1) quarantine.recordCrash(poison, makeBoot(index));
   expect(quarantine.findRefused(poison)).toBeUndefined();
 });
 
 test('the end of one boot of an engine counts once, whoever tells of it', () => {
-  const quarantine = new PartQuarantine();
-  for (let count = 0; count < 2 * MIN_CRASHES; count += 1) {
+  const quarantine = new CrashQuarantine();
+  for (let count = 0; count < 2 * MIN_PART_CRASHES; count += 1) {
     quarantine.recordCrash(poison, makeBoot(1));
     vi.advanceTimersByTime(SPACING_MS);
   }
@@ -80,8 +81,8 @@
 });
 
 test('crashes long apart are not connected', () => {
-  const quarantine = new PartQuarantine();
-  for (let index = 0; index < 2 * MIN_CRASHES; index += 1) {
+  const quarantine = new CrashQuarantine();
+  for (let index = 0; index < 2 * MIN_PART_CRASHES; index += 1) {
     quarantine.recordCrash(poison, makeBoot(index));
     vi.advanceTimersByTime(CRASH_MEMORY_MS / 2);
     quarantine.takeRows();
@@ -90,16 +91,16 @@
 });
 
 test('never suspects the last part of a prompt', () => {
-  const quarantine = new PartQuarantine();
-  recordCrashes(quarantine, 2 * MIN_CRASHES, makePrompt(['only']));
+  const quarantine = new CrashQuarantine();
+  recordCrashes(quarantine, 2 * MIN_PART_CRASHES, makePrompt(['only']));
   expect(quarantine.dump()).toEqual([]);
 });
 
 // Guards against an account that has the prompts of another account refused.
 test('crashes by one account refuse only prompts of that account', () => {
-  const quarantine = new PartQuarantine();
+  const quarantine = new CrashQuarantine();
   const attack = makePrompt(['shared', 'poison', 'own'], 'attacker');
-  recordCrashes(quarantine, 2 * MIN_CRASHES, attack);
+  recordCrashes(quarantine, 2 * MIN_PART_CRASHES, attack);
   expect(quarantine.findRefused(attack)).toBeDefined();
   expect(quarantine.findRefused(makePrompt(['shared', 'own'], 'other'))).toBeUndefined();
   quarantine.recordCrash(makePrompt(['poison', 'own'], 'other'), makeBoot(99));
@@ -108,8 +109,8 @@
 
 test('a refusal ends when the part was not requested for long, not by trial', () => {
   const changes: string[] = [];
-  const quarantine = new PartQuarantine(({ kind }: QuarantineChange) => changes.push(kind));
-  recordCrashes(quarantine, MIN_CRASHES);
+  const quarantine = new CrashQuarantine(({ kind }: QuarantineChange) => changes.push(kind));
+  recordCrashes(quarantine, MIN_PART_CRASHES);
   for (let count = 0; count < 3; count += 1) {
     vi.advanceTimersByTime(REFUSAL_IDLE_MS - SPACING_MS);
     quarantine.takeRows();
@@ -122,8 +123,8 @@
 });
 
 test('a refusal that is lifted by hand is lifted at other VMs too', () => {
-  const [first, second] = [new PartQuarantine(), new PartQuarantine()];
-  recordCrashes(first, MIN_CRASHES);
+  const [first, second] = [new CrashQuarantine(), new CrashQuarantine()];
+  recordCrashes(first, MIN_PART_CRASHES);
   second.merge(first.takeRows());
   expect(second.findRefused(poison)).toBeDefined();
   second.dump().forEach(({ digest }) => second.lift(digest));
@@ -133,7 +134,7 @@
 
 // Guards against sound prompts that stay refused at some VMs, since messages hold only the most suspected parts.
 test('a clearing is told first, although many parts are more suspected', () => {
-  const quarantine = new PartQuarantine();
+  const quarantine = new CrashQuarantine();
   for (let part = 0; part < 100; part += 1) {
     recordCrashes(quarantine, 2, makePrompt([`session-${part}`, 'own']));
   }
@@ -143,8 +144,8 @@
 });
 
 test('a VM that starts anew learns of a refusal that is older than the memory of crashes', () => {
-  const [first, restarted] = [new PartQuarantine(), new PartQuarantine()];
-  recordCrashes(first, MIN_CRASHES);
+  const [first, restarted] = [new CrashQuarantine(), new CrashQuarantine()];
+  recordCrashes(first, MIN_PART_CRASHES);
   vi.advanceTimersByTime(2 * CRASH_MEMORY_MS);
   restarted.merge(first.takeRows());
   expect(restarted.findRefused(poison)).toBeDefined();
@@ -152,8 +153,8 @@
 
 // Guards against a time that grows with each exchange, so that a refusal never ends.
 test('two VMs that tell each other of a refusal do not prolong it', () => {
-  const pair = [new PartQuarantine(), new PartQuarantine()] as const;
-  recordCrashes(pair[0], MIN_CRASHES);
+  const pair = [new CrashQuarantine(), new CrashQuarantine()] as const;
+  recordCrashes(pair[0], MIN_PART_CRASHES);
   for (let elapsedMs = 0; elapsedMs < REFUSAL_IDLE_MS + 20_000; elapsedMs += 1_000) {
     const rows = pair[0].takeRows();
     vi.advanceTimersByTime(500);
@@ -166,8 +167,8 @@
 });
 
 test('the table is bounded and keeps the parts that are refused', () => {
-  const quarantine = new PartQuarantine();
-  recordCrashes(quarantine, MIN_CRASHES);
+  const quarantine = new CrashQuarantine();
+  recordCrashes(quarantine, MIN_PART_CRASHES);
   for (let index = 0; index < 2_000; index += 1) {
     quarantine.recordCrash(makePrompt([`part-${index}`, 'own']), makeBoot(index));
   }
@@ -176,7 +177,7 @@
 });
 
 test('part names of any length are shortened', () => {
-  const quarantine = new PartQuarantine();
+  const quarantine = new CrashQuarantine();
   quarantine.recordCrash(makePrompt(['x'.repeat(10_000), 'own']), makeBoot(1));
   expect(quarantine.dump()[0]!.label.length).toBeLessThanOrEqual(64);
 });
@@ -192,7 +193,7 @@
   });
   fc.assert(
     fc.property(fc.array(step, { maxLength: 40 }), (steps) => {
-      const vms = [new PartQuarantine(), new PartQuarantine(), new PartQuarantine()];
+      const vms = [new CrashQuarantine(), new CrashQuarantine(), new CrashQuarantine()];
       steps.forEach(({ vm, to, kind, boot, waitMs }) => {
         if (kind === 'crash') vms[vm]!.recordCrash(poison, makeBoot(boot));
         else if (kind === 'survival') vms[vm]!.recordSurvival(poison);
--- a/packages/core/src/quarantine/__tests__/quarantineFleet.spec.ts
+++ b/packages/core/src/quarantine/__tests__/quarantineFleet.spec.ts
@@ -1,5 +1,5 @@
 import { afterEach, expect, test } from 'vitest';
-import { PartQuarantine } from '../partQuarantine.js';
+import { CrashQuarantine } from '../crashQuarantine.js';
 import { QuarantineFleet } from './quarantineFleet.js';
 import type { QuarantineFleetCounts } from './quarantineFleet.js';
 
@@ -107,7 +107,7 @@
 });
 
 /** Blames each part that was present at crashes, whatever became of other answers. */
-class PresenceQuarantine extends PartQuarantine {
+class PresenceQuarantine extends CrashQuarantine {
   override recordSurvival(): void {
     // Nothing clears a part.
   }
@@ -121,7 +121,7 @@
     () => undefined,
   );
   expect(byPresence.soundRefused).toBeGreaterThan(0);
-  class NoQuarantine extends PartQuarantine {
+  class NoQuarantine extends CrashQuarantine {
     override recordCrash(): void {
       // Nothing is suspected.
     }
--- a/packages/core/src/quarantine/__tests__/quarantineFleet.ts
+++ b/packages/core/src/quarantine/__tests__/quarantineFleet.ts
@@ -5,8 +5,8 @@
 import { createRandomGenerator } from '../../random.js';
 import { MIN_SURVIVAL_EVENTS } from '../constants.js';
 import { EventQueue } from './eventQueue.js';
-import { PartQuarantine } from '../partQuarantine.js';
-import type { PromptOfAccount } from '../partQuarantine.js';
+import { CrashQuarantine } from '../crashQuarantine.js';
+import type { PromptOfAccount } from '../crashPattern.js';
 
 /** Shape of a simulated fleet and of its load. */
 export interface QuarantineFleetOptions {
@@ -17,7 +17,7 @@
   readonly poisonPerSecond: number;
   /** Whether VMs tell each other through relays, four groups with two relays each. */
   readonly isRelayed: boolean;
-  readonly createQuarantine?: () => PartQuarantine;
+  readonly createQuarantine?: () => CrashQuarantine;
 }
 
 /** What a simulation counted. */
@@ -66,7 +66,7 @@
   /** Its clock must be the runtime's while the simulation runs. */
   readonly events = new EventQueue();
 
-  readonly quarantines: readonly PartQuarantine[];
+  readonly quarantines: readonly CrashQuarantine[];
 
   private readonly random;
 
@@ -86,7 +86,7 @@
 
   constructor(private readonly options: QuarantineFleetOptions) {
     this.random = createRandomGenerator(options.seed);
-    const create = options.createQuarantine ?? (() => new PartQuarantine());
+    const create = options.createQuarantine ?? (() => new CrashQuarantine());
     this.quarantines = Array.from({ length: options.vms }, create);
     this.engines = Array.from({ length: options.engines }, (_, index) => ({
       upstreamId: toId<UpstreamId>(`engine-${index}`),
--- a/packages/core/src/quarantine/index.ts
+++ b/packages/core/src/quarantine/index.ts
@@ -1,5 +1,6 @@
-/** Refusal of prompts with a part that crashes engines. */
+/** Refusal of requests that crash upstreams. */
 export { MIN_SURVIVAL_EVENTS, REFUSAL_IDLE_MS } from './constants.js';
-export type { CrashRow, QuarantineRow } from './partEvidence.js';
-export { PartQuarantine } from './partQuarantine.js';
-export type { PromptOfAccount, QuarantineChange } from './partQuarantine.js';
+export type { CrashPattern, CrashSubject, PromptOfAccount, WholeRequest } from './crashPattern.js';
+export { CrashQuarantine } from './crashQuarantine.js';
+export type { QuarantineChange } from './crashQuarantine.js';
+export type { CrashRow, QuarantineRow } from './patternEvidence.js';
--- a/packages/core/src/quarantine/partEvidence.ts
+++ b/packages/core/src/quarantine/patternEvidence.ts
@@ -2,17 +2,20 @@
 import {
   CRASH_CLUSTER_MS,
   CRASH_MEMORY_MS,
-  MAX_CRASHES_PER_PART,
-  MIN_CRASHES,
+  MAX_CRASHES_PER_PATTERN,
+  MIN_PART_CRASHES,
   REFUSAL_IDLE_MS,
   REFUTATION_MS,
   REQUEST_TIME_STEP_MS,
 } from './constants.js';
+import type { CrashPattern } from './crashPattern.js';
 
-/** The end of an upstream that was beginning to answer a prompt with a part. */
-export interface PartCrash extends UpstreamBoot {
-  /** Client account of the prompt; an empty string for none. */
+/** The end of an upstream that was running a request with a pattern, or beginning to answer it. */
+export interface PatternCrash extends UpstreamBoot {
+  /** Client account of the request; an empty string for none. */
   readonly account: string;
+  /** Service of the upstream; an empty string if a VM of an earlier version saw the crash. */
+  readonly service: string;
   /** Monotonic time. */
   readonly atMs: number;
 }
@@ -20,18 +23,16 @@
 /** A crash as it is sent to other VMs, whose clocks differ. */
 export interface CrashRow extends UpstreamBoot {
   readonly account: string;
+  readonly service: string;
   readonly ageMs: number;
 }
 
-/** What is known of a part, as it is sent to other VMs. */
-export interface QuarantineRow {
-  readonly digest: string;
-  /** Name of the part, shortened. */
-  readonly label: string;
-  /** Number of times that a survival cleared the part; crashes before the last one don't count. */
+/** What is known of a pattern, as it is sent to other VMs. */
+export interface QuarantineRow extends CrashPattern {
+  /** Number of times that a survival cleared it; crashes before the last one don't count. */
   readonly clearings: number;
   readonly crashes: readonly CrashRow[];
-  /** Time since a prompt with the part was last requested. */
+  /** Time since a request with the pattern last came. */
   readonly requestedAgeMs: number;
 }
 
@@ -39,43 +40,55 @@
   `${upstreamId}/${startedAtMs}`;
 
 /**
- * Crashes and survivals of one prompt part. Merging is commutative and idempotent, so VMs agree
- * whatever the order in which they hear of each other's observations.
+ * Crashes and survivals of one pattern. Merging is commutative and idempotent, so VMs agree whatever
+ * the order in which they receive each other's observations.
  */
-export class PartEvidence {
-  private readonly crashes = new Map<string, PartCrash>();
+export class PatternEvidence {
+  private readonly crashes = new Map<string, PatternCrash>();
 
   private clearings = 0;
 
   /** Number of crashes, where those at about the same time count once. */
   separateCrashes = 0;
 
-  /** Monotonic time of the last change that other VMs should hear of. */
+  /** Monotonic time of the last change that other VMs should receive. */
   changedAtMs = -Infinity;
 
   /** Monotonic time of the first crash that counts; infinite if there is none. */
   firstCrashAtMs = Infinity;
 
-  /** @param requestedAtMs monotonic time at which a prompt with the part was last requested */
+  private isBlamed = false;
+
+  /** @param requestedAtMs monotonic time at which a request with the pattern last came */
   constructor(
-    readonly digest: string,
-    readonly label: string,
+    readonly pattern: CrashPattern,
     private requestedAtMs: number,
   ) {}
 
-  /** Whether any crash counts against the part. */
+  /** Whether any crash counts against the pattern. */
   get isSuspect(): boolean {
     return this.crashes.size > 0;
   }
 
-  /** Whether prompts with the part are refused for at least one account. */
+  /** Whether requests with the pattern are refused for at least one account. */
   get isRefused(): boolean {
-    const knownForMs = performance.now() - this.firstCrashAtMs;
-    return knownForMs >= REFUTATION_MS && this.separateCrashes >= MIN_CRASHES;
+    return this.hasEnoughCrashes && this.refutationLeftMs === 0;
+  }
+
+  /** Time until the pattern is refused, in which a survival can still clear it; 0 if it is over. */
+  get refutationLeftMs(): number {
+    return Math.max(0, this.firstCrashAtMs + REFUTATION_MS - performance.now());
+  }
+
+  /** Whether there are enough separate crashes for a refusal. */
+  get hasEnoughCrashes(): boolean {
+    return this.pattern.kind === 'request'
+      ? this.isBlamed
+      : this.separateCrashes >= MIN_PART_CRASHES;
   }
 
   /**
-   * Whether prompts of an account are refused. Crashes by prompts of a single account say nothing
+   * Whether requests of an account are refused. Crashes by prompts of a single account say nothing
    * about others, which that account could otherwise shut out.
    */
   isRefusedFor(account: string): boolean {
@@ -84,19 +97,24 @@
     return accounts.size > 1 || accounts.has(account);
   }
 
-  /** @returns whether this is news */
-  recordCrash(crash: PartCrash): boolean {
+  /** @returns whether this is a change */
+  recordCrash(crash: PatternCrash): boolean {
     const key = buildBootKey(crash);
     const known = this.crashes.get(key);
     if (known && known.atMs <= crash.atMs) return false;
-    if (!known && this.crashes.size >= MAX_CRASHES_PER_PART) return false;
+    if (!known && this.crashes.size >= MAX_CRASHES_PER_PATTERN) return false;
     this.crashes.set(key, crash);
     this.countCrashes();
     this.requestedAtMs = Math.max(this.requestedAtMs, crash.atMs);
     return !known;
   }
 
-  /** Forgets all crashes, because an upstream survived the part. */
+  /** Sets whether a whole request is blamed, which a comparison with others decides. */
+  setBlamed(isBlamed: boolean): void {
+    this.isBlamed = isBlamed;
+  }
+
+  /** Forgets all crashes, because an upstream survived the pattern. */
   clear(): void {
     this.clearings += 1;
     this.crashes.clear();
@@ -111,7 +129,7 @@
     this.requestedAtMs = performance.now();
   }
 
-  /** Forgets old crashes, unless the part is refused. */
+  /** Forgets old crashes, unless the pattern is refused. */
   prune(): void {
     const oldestMs = performance.now() - CRASH_MEMORY_MS;
     if (this.firstCrashAtMs >= oldestMs || this.isRefused) return;
@@ -121,13 +139,13 @@
     this.countCrashes();
   }
 
-  /** Whether nothing needs to be remembered of the part any more. */
+  /** Whether nothing needs to be remembered of the pattern any more. */
   isExpired(): boolean {
     const idleMs = performance.now() - this.requestedAtMs;
     return idleMs > (this.isRefused ? REFUSAL_IDLE_MS : CRASH_MEMORY_MS);
   }
 
-  /** @returns whether this is news */
+  /** @returns whether this is a change */
   merge(row: QuarantineRow): boolean {
     const nowMs = performance.now();
     const requestedAtMs = nowMs - row.requestedAgeMs;
@@ -141,18 +159,17 @@
       this.countCrashes();
     }
     this.clearings = row.clearings;
-    const news = row.crashes.map(({ ageMs, ...crash }) =>
+    const changes = row.crashes.map(({ ageMs, ...crash }) =>
       this.recordCrash({ ...crash, atMs: nowMs - ageMs }),
     );
     this.prune();
-    return isNewer || news.includes(true);
+    return isNewer || changes.includes(true);
   }
 
   buildRow(): QuarantineRow {
     const nowMs = performance.now();
     return {
-      digest: this.digest,
-      label: this.label,
+      ...this.pattern,
       clearings: this.clearings,
       crashes: [...this.crashes.values()].map(({ atMs, ...crash }) => ({
         ...crash,
@@ -162,16 +179,34 @@
     };
   }
 
-  private countCrashes(): void {
-    const times = [...this.crashes.values()].map(({ atMs }) => atMs);
-    times.sort((left, right) => left - right);
+  /** Crashes by boot. */
+  get crashesByBoot(): ReadonlyMap<string, PatternCrash> {
+    return this.crashes;
+  }
+
+  /** Boots of upstreams that ended under the pattern. */
+  get bootKeys(): readonly string[] {
+    return [...this.crashes.keys()];
+  }
+
+  /** Counts the crashes of some boots, where those at about the same time count once. */
+  countSeparateCrashes(bootKeys: ReadonlySet<string>): number {
+    const times = [...this.crashes]
+      .filter(([bootKey]) => bootKeys.has(bootKey))
+      .map(([, { atMs }]) => atMs)
+      .sort((left, right) => left - right);
     let clusterStartMs = -Infinity;
-    this.separateCrashes = 0;
+    let count = 0;
     times.forEach((atMs) => {
       if (atMs - clusterStartMs < CRASH_CLUSTER_MS) return;
-      this.separateCrashes += 1;
+      count += 1;
       clusterStartMs = atMs;
     });
-    this.firstCrashAtMs = times[0] ?? Infinity;
+    return count;
+  }
+
+  private countCrashes(): void {
+    this.separateCrashes = this.countSeparateCrashes(new Set(this.crashes.keys()));
+    this.firstCrashAtMs = Math.min(...[...this.crashes.values()].map(({ atMs }) => atMs));
   }
 }
--- /dev/null
+++ b/packages/core/src/quarantine/requestBlame.ts
@@ -0,0 +1,75 @@
+import {
+  MIN_FRACTION_OF_ENDS,
+  MIN_MINORITY_REQUEST_CRASHES,
+  MIN_REQUEST_CRASHES,
+  MIN_UNRIVALLED_REQUEST_CRASHES,
+} from './constants.js';
+import type { PatternEvidence } from './patternEvidence.js';
+import type { RecentEnds } from './recentEnds.js';
+
+/** The requests that were lost when one boot of an upstream ended, by the boots that each was lost at. */
+interface BootSuspects {
+  /** Largest number of boots of one of them. */
+  largest: number;
+  /** How many of them have that number. */
+  largestCount: number;
+}
+
+const groupByBoot = (
+  requests: readonly PatternEvidence[],
+): ReadonlyMap<string, Readonly<BootSuspects>> => {
+  const suspectsByBoot = new Map<string, BootSuspects>();
+  requests.forEach(({ bootKeys }) =>
+    bootKeys.forEach((bootKey) => {
+      const suspects = suspectsByBoot.get(bootKey);
+      if (!suspects || suspects.largest < bootKeys.length) {
+        suspectsByBoot.set(bootKey, { largest: bootKeys.length, largestCount: 1 });
+      } else if (suspects.largest === bootKeys.length) suspects.largestCount += 1;
+    }),
+  );
+  return suspectsByBoot;
+};
+
+const decideMinCrashes = (fractionOfEnds: number, hasRival: boolean): number => {
+  if (fractionOfEnds < MIN_FRACTION_OF_ENDS) return MIN_MINORITY_REQUEST_CRASHES;
+  return fractionOfEnds < 1 || hasRival ? MIN_REQUEST_CRASHES : MIN_UNRIVALLED_REQUEST_CRASHES;
+};
+
+/**
+ * Decides which requests crash the upstreams that run them.
+ *
+ * Other requests are lost together with one that crashes its upstream. So an end does not count
+ * against a request if one that is blamed was lost there too and at more upstreams in all; and two
+ * ends blame a request only if no other was lost at as many upstreams, and the service had no other
+ * ends recently. Otherwise it takes three, and more while most upstreams end without the request.
+ */
+export const decideBlamedRequests = (
+  requests: readonly PatternEvidence[],
+  recentEnds: RecentEnds,
+): ReadonlySet<PatternEvidence> => {
+  const blamed = new Set<PatternEvidence>();
+  const suspectsByBoot = groupByBoot(requests);
+  /** Number of boots of the blamed request, by the boots that it ended. */
+  const blamedSizes = new Map<string, number>();
+  requests
+    .filter(({ separateCrashes }) => separateCrashes >= MIN_UNRIVALLED_REQUEST_CRASHES)
+    .sort((left, right) => right.bootKeys.length - left.bootKeys.length)
+    .forEach((request) => {
+      const { length: size } = request.bootKeys;
+      const unexplained = request.bootKeys.filter(
+        (bootKey) => (blamedSizes.get(bootKey) ?? 0) <= size,
+      );
+      const crashes = request.countSeparateCrashes(new Set(unexplained));
+      const hasRival = unexplained.some((bootKey) => {
+        const { largest, largestCount } = suspectsByBoot.get(bootKey)!;
+        return largest > size || largestCount > 1;
+      });
+      const fraction = recentEnds.computeFraction(request.crashesByBoot);
+      if (crashes < decideMinCrashes(fraction, hasRival)) return;
+      blamed.add(request);
+      request.bootKeys.forEach((bootKey) =>
+        blamedSizes.set(bootKey, Math.max(size, blamedSizes.get(bootKey) ?? 0)),
+      );
+    });
+  return blamed;
+};
--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -4,6 +4,7 @@
   AvailabilityZoneId,
   BootId,
   EntryHeartbeat,
+  QuarantineRow,
   VmId,
   UpstreamId,
 } from '@goldcrestscale/core';
@@ -305,12 +306,15 @@
 
 // Guards against a VM that reaches the log but no other VM and keeps sending refused prompts.
 test('a heartbeat tells of the refused prompt parts', () => {
-  const row = {
+  const row: QuarantineRow = {
+    kind: 'request',
     digest: 'digest',
     label: 'part',
     clearings: 0,
     requestedAgeMs: 10,
-    crashes: [{ upstreamId: toId<UpstreamId>('up'), startedAtMs: 1, account: '', ageMs: 20 }],
+    crashes: [
+      { upstreamId: toId<UpstreamId>('up'), startedAtMs: 1, account: '', service: '', ageMs: 20 },
+    ],
   };
   const decoder = new HeartbeatDecoder();
   const decoded = decoder.decode(encodeHeartbeat(heartbeat, [row]))!;
--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -194,6 +194,7 @@
         fetchWindow: new FetchWindow(operators),
         metrics,
         getConnectionShare: () => 50,
+        onRequestCrash: () => undefined,
         onPromptSent: () => undefined,
       },
     }),
--- a/packages/gateway/src/__tests__/gossipMessage.spec.ts
+++ b/packages/gateway/src/__tests__/gossipMessage.spec.ts
@@ -17,11 +17,12 @@
   sentParts: [{ hash: 77, upstreamId }],
   quarantine: [
     {
+      kind: 'request',
       digest: 'digest',
       label: 'part',
       clearings: 1,
       requestedAgeMs: 30,
-      crashes: [{ upstreamId, startedAtMs: 77, account: 'account', ageMs: 40 }],
+      crashes: [{ upstreamId, startedAtMs: 77, account: 'account', service: 'app', ageMs: 40 }],
     },
   ],
   rates: [
--- a/packages/gateway/src/__tests__/gossipRelay.spec.ts
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -5,7 +5,7 @@
   AnnouncedRates,
   EntryRoster,
   FleetRateLimits,
-  PartQuarantine,
+  CrashQuarantine,
   PeerLoads,
   SentParts,
   UpstreamRegistry,
@@ -80,7 +80,7 @@
     },
   });
   for (let count = 0; count < inFlight; count += 1) registry.find(upstreamId)!.recordDispatch(100);
-  const quarantine = new PartQuarantine();
+  const quarantine = new CrashQuarantine();
   const announcedRates = new AnnouncedRates();
   const rateLimits = new FleetRateLimits({
     self: entry.vmId,
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -72,6 +72,7 @@
       fetchWindow: operators.fetchWindow,
       metrics,
       getConnectionShare,
+      onRequestCrash: () => gossip.reportCrashes(),
       onPromptSent: (tokens) => gossip.handlePromptSent(tokens),
     },
   });
--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -4,7 +4,7 @@
   CappedEjectionPolicy,
   EntryRoster,
   FleetRateLimits,
-  PartQuarantine,
+  CrashQuarantine,
   PeerLoads,
   SentParts,
   UpstreamRegistry,
@@ -53,7 +53,7 @@
       listServing: () => roster.listServing().map(({ vmId }) => vmId),
       sendAsk: (granter, ask) => sendRateAsk?.(granter, ask),
     }),
-    quarantine: new PartQuarantine(onQuarantineChange),
+    quarantine: new CrashQuarantine(onQuarantineChange),
     ejection: new CappedEjectionPolicy(random),
   };
 };
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -45,6 +45,18 @@
  */
 export const FETCH_WAIT_OBJECTIVE_FRACTION = 0.4;
 
+/** Pause between the loss of a connection and the check whether its upstream has ended. */
+export const END_PROBE_DELAY_MS = 5;
+
+/** Time after which the check gets no answer from the upstream and goes by the registry. */
+export const END_PROBE_TIMEOUT_MS = 300;
+
+/** Interval at which the registry is checked for the end of an upstream. */
+export const REGISTRY_END_POLL_MS = 200;
+
+/** Time for which the registry is checked; three heartbeats and a read of the log. */
+export const REGISTRY_END_TIMEOUT_MS = 6_000;
+
 /** Fraction of the latency objective for which a request may wait for a send under a rate limit. */
 export const RATE_WAIT_OBJECTIVE_FRACTION = 1 / 8;
 
@@ -78,6 +90,12 @@
 /** Delay of early gossip, which batches prompts sent at about the same time. */
 export const EARLY_GOSSIP_DELAY_MS = 1;
 
+/** Delay of a report of crashes to all VMs, which batches those of the same end. */
+export const CRASH_REPORT_DELAY_MS = 5;
+
+/** Minimum interval between such reports of one VM. */
+export const CRASH_REPORT_INTERVAL_MS = 300;
+
 /** Number of peers up to which the gossip interval applies; it grows in proportion with more peers. */
 export const GOSSIP_BASE_PEER_COUNT = 10;
 
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -1,5 +1,5 @@
 import { pickCallerEntries, sleep } from '@goldcrestscale/core';
-import type { BootId, EntryHeartbeat, EntryRoster, PartQuarantine } from '@goldcrestscale/core';
+import type { BootId, EntryHeartbeat, EntryRoster, CrashQuarantine } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GatewaySettings } from '../config.js';
 import {
@@ -21,7 +21,7 @@
   readonly settings: GatewaySettings;
   readonly bootId: BootId;
   readonly roster: EntryRoster;
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: CrashQuarantine;
   /** Whether this VM tells of refused prompt parts in its heartbeats; of a group, the relays do. */
   readonly isTellingRefusals: () => boolean;
   /** Key with which other VMs authenticate this VM's messages. */
--- a/packages/gateway/src/dispatch/requestProgress.ts
+++ b/packages/gateway/src/dispatch/requestProgress.ts
@@ -18,9 +18,12 @@
   /** Number of attempts that were executed or may have been. */
   executions = 0;
 
-  /** Whether upstreams crashed on its prompt before; another attempt might end one more. */
+  /** Whether upstreams crashed under it, or may have; another attempt might end one more. */
   isSuspect = false;
 
+  /** Whether a connection was lost while an upstream was running it. */
+  hasLoss = false;
+
   /** The most recent server error that an upstream returned. */
   lastFailure: Extract<AttemptResult, { kind: 'failed' }> | undefined;
 
@@ -31,6 +34,10 @@
     this.eventSplitter = route.resumable ? new EventSplitter() : undefined;
   }
 
+  recordLoss(): void {
+    this.hasLoss = true;
+  }
+
   markSuspect(): void {
     this.isSuspect = true;
   }
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -89,6 +89,23 @@
     return this.hasFinished || this.hasPassedBeginning;
   }
 
+  /** Whether any response head has come. */
+  get hasHead(): boolean {
+    return this.head !== undefined;
+  }
+
+  /** Whether the connection was lost before the upstream survived the request. */
+  get lostRequest(): boolean {
+    return this.isConnectionLost && !this.hasPassedBeginning;
+  }
+
+  /** Whether the upstream ran the request and lives on, whatever it answered. */
+  get survivedRequest(): boolean {
+    if (!this.head || this.head.isNotExecuted || this.head.isMisdirected) return false;
+    const isOver = this.hasFinished && !UNEXECUTED_STATUSES.has(this.head.status);
+    return isOver || this.hasPassedBeginning;
+  }
+
   /** Number of bytes of a stream that belong to no complete event. */
   get partialEventBytes(): number {
     return this.eventScanner.partialEventBytes;
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -5,7 +5,7 @@
   FetchWindow,
   FleetRateLimits,
   FleetRetryBudget,
-  PartQuarantine,
+  CrashQuarantine,
   ServiceName,
   TrackedUpstream,
   UpstreamRegistry,
@@ -20,6 +20,7 @@
 import type { AttemptResult } from '../dispatch/attemptResult.js';
 import { findExpectedWeights } from '../dispatch/cacheIdentity.js';
 import type { ConnectionPool } from '../dispatch/connectionPool.js';
+import { CrashObserver } from '../dispatch/crashObserver.js';
 import {
   createNoUpstreamError,
   createOverloadError,
@@ -34,13 +35,14 @@
   UpstreamChooser,
   UpstreamDecision,
 } from '../dispatch/upstreamChooser.js';
+import { UpstreamEnds } from '../dispatch/upstreamEnds.js';
 import type { GatewayMetrics } from '../metrics.js';
 import type { UpstreamProtocol } from '../ports/index.js';
 import type { RequestLog } from '../requestLog.js';
 import type { AttemptLogEntry, GatewayExchange } from './gatewayExchange.js';
 import { requireRoute } from './gatewayExchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
-import { assertPromptAllowed, findPromptOfAccount } from './quarantineFilter.js';
+import { assertPromptAllowed, assertRequestAllowed } from './quarantineFilter.js';
 
 /** Dependencies of the dispatch filter. */
 export interface GatewayDispatchOptions {
@@ -55,10 +57,12 @@
   readonly registry: UpstreamRegistry;
   readonly announcedRates: AnnouncedRates;
   readonly rateLimits: FleetRateLimits;
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly requestLog: RequestLog;
   /** Returns this VM's share of the connections that an upstream accepts. */
   readonly getConnectionShare: (service: ServiceName) => number;
+  /** Called when an upstream has ended under a request. */
+  readonly onRequestCrash: () => void;
   /** Called with the tokens that an engine has to prefill for a prompt that is being sent. */
   readonly onPromptSent: (tokens: number) => void;
 }
@@ -90,10 +94,16 @@
 
   private readonly outcomeRecorder: OutcomeRecorder;
 
+  private readonly crashObserver: CrashObserver;
+
   constructor(private readonly options: GatewayDispatchOptions) {
     super();
     this.metadataBuilder = new AttemptMetadataBuilder(options);
     this.outcomeRecorder = new OutcomeRecorder(options);
+    this.crashObserver = new CrashObserver({
+      ...options,
+      upstreamEnds: new UpstreamEnds(options.registry),
+    });
   }
 
   override async handle(exchange: GatewayExchange): Promise<void> {
@@ -124,7 +134,7 @@
   ): Promise<void> {
     for (;;) {
       if (signal.aborted) throw createTimeoutError(exchange);
-      assertPromptAllowed(exchange, this.options.quarantine);
+      this.assertAllowed(exchange);
       const choice = this.chooseUpstream(exchange, progress);
       if (choice && 'retryAfterMs' in choice && progress.attempts === 0) {
         throw createOverloadError(choice);
@@ -163,6 +173,12 @@
     return true;
   }
 
+  /** @throws a refusal if the request crashes upstreams */
+  private assertAllowed(exchange: GatewayExchange): void {
+    assertPromptAllowed(exchange, this.options.quarantine);
+    assertRequestAllowed(exchange, this.options.quarantine);
+  }
+
   private chooseUpstream(
     exchange: GatewayExchange,
     { service, excluded, rateAsks }: RequestProgress,
@@ -193,8 +209,8 @@
     upstream: TrackedUpstream,
     { excluded }: RequestProgress,
   ): boolean {
-    const { chooser, quarantine } = this.options;
-    assertPromptAllowed(exchange, quarantine);
+    const { chooser } = this.options;
+    this.assertAllowed(exchange);
     return chooser.canServe(exchange, upstream, excluded) && chooser.takeSend(upstream);
   }
 
@@ -241,7 +257,7 @@
     try {
       const result = await attempt.run();
       logEntry.outcome = describeResult(result);
-      this.recordPromptOutcome(exchange, upstream, attempt, progress);
+      this.crashObserver.recordOutcome(exchange, upstream, attempt, progress);
       if (attempt.framing === 'connection') {
         this.options.metrics.countUnframedResponse(result.kind);
         this.logUnframedResponse(exchange, logEntry, attempt);
@@ -269,22 +285,6 @@
     onPromptSent(prefillTokens);
   }
 
-  /** Records whether the upstream crashed on the prompt or got past the beginning of its answer. */
-  private recordPromptOutcome(
-    exchange: GatewayExchange,
-    { registered }: TrackedUpstream,
-    attempt: UpstreamAttempt,
-    progress: RequestProgress,
-  ): void {
-    const { quarantine } = this.options;
-    const prompt = findPromptOfAccount(exchange);
-    if (!prompt) return;
-    if (attempt.survivedBeginning) quarantine.recordSurvival(prompt);
-    if (!attempt.crashedAtBeginning) return;
-    if (quarantine.hasSuspect(prompt)) progress.markSuspect();
-    quarantine.recordCrash(prompt, registered);
-  }
-
   /** Logs how a response ended whose end only the close of the connection marks. */
   private logUnframedResponse(
     { head, route }: GatewayExchange,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,14 +18,16 @@
 import { RequestLog } from './requestLog.js';
 import { splitAddress } from './socketAddress.js';
 
-const logQuarantineChange = (logger: Logger, { kind, row }: QuarantineChange): void =>
-  logger.warn(kind === 'refused' ? 'prompt part refused' : 'refusal of prompt part lifted', {
+const logQuarantineChange = (logger: Logger, { kind, row }: QuarantineChange): void => {
+  const subject = row.kind === 'part' ? 'prompt part' : 'request';
+  logger.warn(kind === 'refused' ? `${subject} refused` : `refusal of ${subject} lifted`, {
     digest: row.digest,
-    partId: row.label,
+    label: row.label,
     clearings: row.clearings,
     requestedAgeMs: Math.round(row.requestedAgeMs),
     crashes: row.crashes.map((crash) => ({ ...crash, ageMs: Math.round(crash.ageMs) })),
   });
+};
 
 /** The number of lines is bounded, because an upstream may change its limit with every response. */
 const logRateChange = (requestLog: RequestLog, change: RateChange): void => {
--- a/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
@@ -1,7 +1,7 @@
 import { request as sendRequest } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { expect, onTestFinished, test } from 'vitest';
-import { AnnouncedRates, FleetRateLimits, PartQuarantine, toId } from '@goldcrestscale/core';
+import { AnnouncedRates, FleetRateLimits, CrashQuarantine, toId } from '@goldcrestscale/core';
 import type { ModelId, PromptPartId, QuarantineRow, UpstreamId, VmId } from '@goldcrestscale/core';
 import { TestCallerProtocol } from '../../__tests__/testProtocols.js';
 import { createAuxiliaryServer } from '../auxiliaryServer.js';
@@ -45,7 +45,7 @@
   });
 
 const createOperatedState = (): OperatedState => {
-  const quarantine = new PartQuarantine();
+  const quarantine = new CrashQuarantine();
   const parts = ['poison', 'own'].map((id) => ({ id: toId<PromptPartId>(id), tokens: 1 }));
   const prompt = { model: toId<ModelId>('m'), inputTokens: 1, maxOutputTokens: 1, parts };
   quarantine.recordCrash(
--- a/packages/gateway/src/http/auxiliaryServer.ts
+++ b/packages/gateway/src/http/auxiliaryServer.ts
@@ -1,11 +1,11 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { FleetRateLimits, PartQuarantine } from '@goldcrestscale/core';
+import type { FleetRateLimits, CrashQuarantine } from '@goldcrestscale/core';
 import type { CallerProtocol } from '../ports/index.js';
 
 /** State that operators read and change. */
 export interface OperatedState {
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly rateLimits: FleetRateLimits;
 }
 
@@ -36,7 +36,7 @@
 const answerQuarantineRequest = (
   { method, url = '' }: IncomingMessage,
   response: ServerResponse,
-  quarantine: PartQuarantine,
+  quarantine: CrashQuarantine,
 ): void => {
   const digest = url.slice(QUARANTINE_PATH.length + 1);
   if (method === 'DELETE' && digest !== '') {
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -4,7 +4,7 @@
   EntryHeartbeat,
   EntryRoster,
   FleetRateLimits,
-  PartQuarantine,
+  CrashQuarantine,
   PeerLoads,
   RateAsk,
   SentParts,
@@ -15,6 +15,8 @@
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import {
+  CRASH_REPORT_DELAY_MS,
+  CRASH_REPORT_INTERVAL_MS,
   EARLY_GOSSIP_DELAY_MS,
   EARLY_GOSSIP_MIN_TOKENS,
   GOSSIP_BASE_PEER_COUNT,
@@ -43,7 +45,7 @@
   readonly registry: UpstreamRegistry;
   readonly peerLoads: PeerLoads;
   readonly sentParts: SentParts;
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly announcedRates: AnnouncedRates;
   readonly rateLimits: FleetRateLimits;
   readonly listLoading: () => readonly UpstreamId[];
@@ -72,12 +74,17 @@
 
   private pendingSend: NodeJS.Timeout | undefined;
 
+  private pendingCrashReport: NodeJS.Timeout | undefined;
+
+  private lastCrashReportAtMs = -Infinity;
+
   constructor(private readonly options: GossipOptions) {
     this.reportBuilder = new ReportBuilder(options);
     this.socket = new MeshSocket({
       ...options,
       onMessage: (message) => this.handleMessage(message),
       onRateMessage: (sender, message) => this.handleRateMessage(sender, message),
+      onQuarantineRows: (rows) => options.quarantine.merge(rows),
     });
   }
 
@@ -92,6 +99,7 @@
     signal.addEventListener('abort', () => {
       clearTimeout(timer);
       clearTimeout(this.pendingSend);
+      clearTimeout(this.pendingCrashReport);
     });
   }
 
@@ -111,6 +119,19 @@
     this.pendingSend = setTimeout(() => this.send(), EARLY_GOSSIP_DELAY_MS);
   }
 
+  /** Reports crashes to all VMs directly, since each one that relays take longer may end an upstream. */
+  reportCrashes(): void {
+    if (this.pendingCrashReport) return;
+    const dueAtMs = this.lastCrashReportAtMs + CRASH_REPORT_INTERVAL_MS;
+    const delayMs = Math.max(CRASH_REPORT_DELAY_MS, dueAtMs - performance.now());
+    this.pendingCrashReport = setTimeout(() => {
+      const { quarantine, roster } = this.options;
+      this.pendingCrashReport = undefined;
+      this.lastCrashReportAtMs = performance.now();
+      this.socket.sendQuarantineRows(quarantine.takeRows(), roster.listLive());
+    }, delayMs);
+  }
+
   /** Asks another VM whether this one may send a request to an upstream with a rate limit. */
   sendRateAsk(granter: VmId, ask: RateAsk): void {
     this.socket.sendRateMessage({ kind: 'ask', ask }, granter);
--- a/packages/gateway/src/mesh/meshSocket.ts
+++ b/packages/gateway/src/mesh/meshSocket.ts
@@ -1,11 +1,12 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
-import type { EntryHeartbeat, EntryRoster, VmId } from '@goldcrestscale/core';
+import type { EntryHeartbeat, EntryRoster, QuarantineRow, VmId } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { splitAddress } from '../socketAddress.js';
 import { decodeGossipFields, encodeGossip } from './gossipMessage.js';
 import type { GossipMessage } from './gossipMessage.js';
 import { decodeDatagram, encodeDatagram } from './meshDatagram.js';
+import { decodeQuarantineRows, encodeQuarantineRows } from './quarantineRow.js';
 import { decodeRateMessage, encodeRateMessage } from './rateMessage.js';
 import type { RateMessage } from './rateMessage.js';
 
@@ -21,6 +22,7 @@
   /** Called with each authenticated gossip message. */
   readonly onMessage: (message: GossipMessage) => void;
   readonly onRateMessage: (sender: VmId, message: RateMessage) => void;
+  readonly onQuarantineRows: (rows: readonly QuarantineRow[]) => void;
 }
 
 /**
@@ -49,10 +51,12 @@
   }
 
   send(message: GossipMessage, targets: readonly EntryHeartbeat[]): void {
-    const recipients = targets.filter(({ vmId }) => vmId !== this.options.self);
-    if (recipients.length === 0) return;
-    const bytes = encodeGossip(message, this.options.key);
-    recipients.forEach(({ meshAddress }) => this.sendBytes(bytes, meshAddress));
+    this.sendToOthers(() => encodeGossip(message, this.options.key), targets);
+  }
+
+  sendQuarantineRows(rows: readonly QuarantineRow[], targets: readonly EntryHeartbeat[]): void {
+    const { self, key } = this.options;
+    this.sendToOthers(() => encodeDatagram(self, encodeQuarantineRows(rows), key), targets);
   }
 
   /** Sends to one VM; a VM without a heartbeat gets nothing. */
@@ -64,6 +68,13 @@
     this.sendBytes(bytes, heartbeat.meshAddress);
   }
 
+  private sendToOthers(encode: () => Buffer, targets: readonly EntryHeartbeat[]): void {
+    const recipients = targets.filter(({ vmId }) => vmId !== this.options.self);
+    if (recipients.length === 0) return;
+    const bytes = encode();
+    recipients.forEach(({ meshAddress }) => this.sendBytes(bytes, meshAddress));
+  }
+
   private sendBytes(bytes: Buffer, address: string): void {
     const { host, port } = splitAddress(address);
     this.socket.send(bytes, port, host);
@@ -74,6 +85,8 @@
     if (!datagram) return;
     const rateMessage = decodeRateMessage(datagram);
     if (rateMessage) this.options.onRateMessage(datagram.sender, rateMessage);
+    const rows = decodeQuarantineRows(datagram);
+    if (rows) this.options.onQuarantineRows(rows);
     const message = decodeGossipFields(datagram);
     if (message) this.handleGossip(message);
   }
--- a/packages/gateway/src/mesh/quarantineRow.ts
+++ b/packages/gateway/src/mesh/quarantineRow.ts
@@ -1,5 +1,6 @@
 import { toId } from '@goldcrestscale/core';
 import type { CrashRow, QuarantineRow, UpstreamId } from '@goldcrestscale/core';
+import type { MeshDatagram } from './meshDatagram.js';
 
 /** Encodes a row as a list, which is shorter than an object. */
 export const encodeQuarantineRow = (row: QuarantineRow): readonly unknown[] => [
@@ -7,12 +8,14 @@
   row.label,
   row.clearings,
   Math.round(row.requestedAgeMs),
-  row.crashes.map(({ upstreamId, startedAtMs, account, ageMs }) => [
+  row.crashes.map(({ upstreamId, startedAtMs, account, ageMs, service }) => [
     upstreamId,
     startedAtMs,
     account,
     Math.round(ageMs),
+    service,
   ]),
+  row.kind,
 ];
 
 const isAge = (value: unknown): value is number =>
@@ -20,17 +23,37 @@
 
 const decodeCrash = (row: unknown): CrashRow[] => {
   if (!Array.isArray(row)) return [];
-  const [upstreamId, startedAtMs, account, ageMs] = row as unknown[];
+  const [upstreamId, startedAtMs, account, ageMs, sentService] = row as unknown[];
   if (typeof upstreamId !== 'string' || typeof startedAtMs !== 'number') return [];
   if (typeof account !== 'string' || !isAge(ageMs)) return [];
-  return [{ upstreamId: toId<UpstreamId>(upstreamId), startedAtMs, account, ageMs }];
+  // VMs of an earlier version send no service.
+  const service = typeof sentService === 'string' ? sentService : '';
+  return [{ upstreamId: toId<UpstreamId>(upstreamId), startedAtMs, account, ageMs, service }];
 };
 
+/** First field of a message with nothing but rows; gossip begins with a number. */
+const ROWS_TAG = 'quarantine';
+
+/** Encodes rows as the fields of a datagram. */
+export const encodeQuarantineRows = (rows: readonly QuarantineRow[]): readonly unknown[] => [
+  ROWS_TAG,
+  rows.map(encodeQuarantineRow),
+];
+
 /** Decodes a row; an invalid one gives none. */
 export const decodeQuarantineRow = (row: unknown): QuarantineRow[] => {
   if (!Array.isArray(row)) return [];
-  const [digest, label, clearings, requestedAgeMs, crashes] = row as unknown[];
+  const [digest, label, clearings, requestedAgeMs, crashes, sentKind] = row as unknown[];
   if (typeof digest !== 'string' || typeof label !== 'string') return [];
   if (!isAge(clearings) || !isAge(requestedAgeMs) || !Array.isArray(crashes)) return [];
-  return [{ digest, label, clearings, requestedAgeMs, crashes: crashes.flatMap(decodeCrash) }];
+  // VMs of an earlier version send only rows of prompt parts, without a kind.
+  const kind = sentKind === 'request' ? 'request' : 'part';
+  const decodedCrashes = crashes.flatMap(decodeCrash);
+  return [{ kind, digest, label, clearings, requestedAgeMs, crashes: decodedCrashes }];
 };
+
+/** @returns undefined if the datagram is another message */
+export const decodeQuarantineRows = ({
+  fields: [tag, rows],
+}: MeshDatagram): readonly QuarantineRow[] | undefined =>
+  tag === ROWS_TAG && Array.isArray(rows) ? rows.flatMap(decodeQuarantineRow) : undefined;
--- a/packages/gateway/src/mesh/reportBuilder.ts
+++ b/packages/gateway/src/mesh/reportBuilder.ts
@@ -1,6 +1,6 @@
 import type {
   AnnouncedRates,
-  PartQuarantine,
+  CrashQuarantine,
   SentParts,
   UpstreamId,
   UpstreamRegistry,
@@ -14,7 +14,7 @@
   readonly self: VmId;
   readonly registry: UpstreamRegistry;
   readonly sentParts: SentParts;
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly announcedRates: AnnouncedRates;
   readonly listLoading: () => readonly UpstreamId[];
   readonly logger: Logger;
