--- a/packages/core/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/core/src/fleet/__tests__/fleet.spec.ts
@@ -155,7 +155,7 @@
   expect(registry.find(id('a'))?.isLeaving).toBe(false);
 });
 
-test('news about an earlier boot of an upstream does not exclude the current one', () => {
+test('a report of an earlier boot of an upstream does not exclude the current one', () => {
   const registry = createRegistry();
   registry.apply({ kind: 'present', upstream: makeUpstream('a', { startedAtMs: 5_000 }) });
   expect(registry.recordLeaving(id('a'), 1_000)).toBe(false);
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -236,11 +236,11 @@
     this.coldUntilMs = Math.max(this.coldUntilMs, performance.now() + remainingMs);
   }
 
-  /** Excludes the upstream from routing until it restarts. @returns whether this is news */
+  /** Excludes the upstream from routing until it restarts. @returns whether this is a change */
   markLeaving(): boolean {
-    const isNews = !this.hasAnnouncedLeaving;
+    const isChange = !this.hasAnnouncedLeaving;
     this.hasAnnouncedLeaving = true;
-    return isNews;
+    return isChange;
   }
 
   /** Excludes the upstream from routing by this VM for the time that it asked for. */
--- a/packages/core/src/fleet/upstreamRegistry.ts
+++ b/packages/core/src/fleet/upstreamRegistry.ts
@@ -55,7 +55,7 @@
    * its registry entry expires and comes back.
    *
    * @param startedAtMs boot that announced it, by the upstream's clock
-   * @returns whether this is news
+   * @returns whether this is a change
    */
   recordLeaving(upstreamId: UpstreamId, startedAtMs: number): boolean {
     this.leavingBoots.delete(upstreamId);
--- a/packages/core/src/quarantine/__tests__/crashQuarantine.spec.ts
+++ b/packages/core/src/quarantine/__tests__/crashQuarantine.spec.ts
@@ -71,7 +71,7 @@
   expect(quarantine.findRefused(poison)).toBeUndefined();
 });
 
-test('the end of one boot of an engine counts once, whoever tells of it', () => {
+test('the end of one boot of an engine counts once, whoever reports it', () => {
   const quarantine = new CrashQuarantine();
   for (let count = 0; count < 2 * MIN_PART_CRASHES; count += 1) {
     quarantine.recordCrash(poison, makeBoot(1));
@@ -133,7 +133,7 @@
 });
 
 // Guards against sound prompts that stay refused at some VMs, since messages hold only the most suspected parts.
-test('a clearing is told first, although many parts are more suspected', () => {
+test('a clearing is sent first, although many parts are more suspected', () => {
   const quarantine = new CrashQuarantine();
   for (let part = 0; part < 100; part += 1) {
     recordCrashes(quarantine, 2, makePrompt([`session-${part}`, 'own']));
@@ -152,7 +152,7 @@
 });
 
 // Guards against a time that grows with each exchange, so that a refusal never ends.
-test('two VMs that tell each other of a refusal do not prolong it', () => {
+test('two VMs that send each other a refusal do not prolong it', () => {
   const pair = [new CrashQuarantine(), new CrashQuarantine()] as const;
   recordCrashes(pair[0], MIN_PART_CRASHES);
   for (let elapsedMs = 0; elapsedMs < REFUSAL_IDLE_MS + 20_000; elapsedMs += 1_000) {
@@ -182,12 +182,12 @@
   expect(quarantine.dump()[0]!.label.length).toBeLessThanOrEqual(64);
 });
 
-// Guards against VMs that disagree because they heard of the same observations in another order.
-test('VMs agree in whatever order they hear of each other', () => {
+// Guards against VMs that disagree because they received the same observations in another order.
+test('VMs agree in whatever order they receive reports', () => {
   const step = fc.record({
     vm: fc.nat(2),
     to: fc.nat(2),
-    kind: fc.constantFrom('crash', 'survival', 'tell'),
+    kind: fc.constantFrom('crash', 'survival', 'report'),
     boot: fc.nat(8),
     waitMs: fc.nat(400),
   });
--- a/packages/core/src/quarantine/__tests__/quarantineFleet.ts
+++ b/packages/core/src/quarantine/__tests__/quarantineFleet.ts
@@ -15,7 +15,7 @@
   readonly engines: number;
   readonly soundPerSecond: number;
   readonly poisonPerSecond: number;
-  /** Whether VMs tell each other through relays, four groups with two relays each. */
+  /** Whether VMs report to each other through relays, four groups with two relays each. */
   readonly isRelayed: boolean;
   readonly createQuarantine?: () => CrashQuarantine;
 }
@@ -24,7 +24,7 @@
 export interface QuarantineFleetCounts {
   /** Times at which prompts with the crashing part ended engines. */
   readonly poisonCrashTimesMs: readonly number[];
-  /** Times at which such prompts were sent, by VMs that hear the others. */
+  /** Times at which such prompts were sent, by VMs that reach the others. */
   readonly poisonSendTimesMs: readonly number[];
   readonly soundSent: number;
   readonly soundRefused: number;
@@ -109,11 +109,11 @@
       this.repeatRandomly(poisonPerSecond, durationMs, () => this.sendPoison());
     const intervalMs = isRelayed ? RELAYED_INTERVAL_MS : GOSSIP_INTERVAL_MS;
     this.quarantines.forEach((_, vm) => {
-      const tell = (): void => {
-        this.tellOthers(vm);
-        if (this.events.nowMs < durationMs) this.events.schedule(intervalMs, tell);
+      const report = (): void => {
+        this.reportToOthers(vm);
+        if (this.events.nowMs < durationMs) this.events.schedule(intervalMs, report);
       };
-      this.events.schedule(this.pickNumber(intervalMs), tell);
+      this.events.schedule(this.pickNumber(intervalMs), report);
     });
   }
 
@@ -230,7 +230,7 @@
     });
   }
 
-  private tellOthers(vm: number): void {
+  private reportToOthers(vm: number): void {
     const rows = this.quarantines[vm]!.takeRows();
     if (rows.length === 0 || this.cutOff.has(vm)) return;
     this.listTargets(vm).forEach((target) => {
--- a/packages/core/src/quarantine/crashQuarantine.ts
+++ b/packages/core/src/quarantine/crashQuarantine.ts
@@ -27,7 +27,7 @@
 
 /**
  * Finds the prompt part, or the whole request, that makes every upstream crash which runs it (a
- * "query of death"), and tells which requests to refuse.
+ * "query of death"), and decides which requests to refuse.
  *
  * A pattern is refused after several separate crashes of upstreams that were running a request with
  * it, unless an answer to it went well since the first of them. Sound requests are present at crashes
--- a/packages/core/src/rateLimit/constants.ts
+++ b/packages/core/src/rateLimit/constants.ts
@@ -3,7 +3,7 @@
 
 /**
  * Lowest rate that is enforced, in requests per second. An upstream that announces less still gets
- * a request from time to time, whose response tells whether the limit still holds.
+ * a request from time to time, whose response shows whether the limit still holds.
  */
 export const MIN_ENFORCED_RATE = 0.25;
 
--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -305,7 +305,7 @@
 });
 
 // Guards against a VM that reaches the log but no other VM and keeps sending refused prompts.
-test('a heartbeat tells of the refused prompt parts', () => {
+test('a heartbeat reports the refused patterns', () => {
   const row: QuarantineRow = {
     kind: 'request',
     digest: 'digest',
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -174,7 +174,7 @@
     bootId,
     roster,
     quarantine,
-    isTellingRefusals: () => relays.listOwnFeed().length === 0 || relays.isFeedRelay,
+    isReportingRefusals: () => relays.listOwnFeed().length === 0 || relays.isFeedRelay,
     meshKey,
     onBatch: callbacks.onBatch,
     forwardHeartbeat: (record) => mesh.feedClient.forwardHeartbeat(record),
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -174,7 +174,7 @@
 /** Interval at which the watching VMs read the rollout lease. */
 export const LEASE_WATCH_INTERVAL_MS = 600;
 
-/** Time without new requests before an engine is ordered to load; gossip tells the other VMs at once. */
+/** Time without new requests before an engine is ordered to load; gossip informs the other VMs at once. */
 export const LOAD_DRAIN_DELAY_MS = 100;
 
 /** Assumed duration of a load before the first one has been measured. */
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -22,8 +22,8 @@
   readonly bootId: BootId;
   readonly roster: EntryRoster;
   readonly quarantine: CrashQuarantine;
-  /** Whether this VM tells of refused prompt parts in its heartbeats; of a group, the relays do. */
-  readonly isTellingRefusals: () => boolean;
+  /** Whether this VM reports refused patterns in its heartbeats; of a group, the relays do. */
+  readonly isReportingRefusals: () => boolean;
   /** Key with which other VMs authenticate this VM's messages. */
   readonly meshKey: string;
   readonly onBatch: (batch: RelayedBatch) => void;
@@ -110,8 +110,8 @@
 
   private async writeHeartbeat(signal: AbortSignal): Promise<void> {
     const { log, forwardHeartbeat, listForwardedHeartbeats } = this.options;
-    const { quarantine, isTellingRefusals } = this.options;
-    const refused = isTellingRefusals() ? quarantine.listRefused() : [];
+    const { quarantine, isReportingRefusals } = this.options;
+    const refused = isReportingRefusals() ? quarantine.listRefused() : [];
     const ownRecord = encodeHeartbeat(this.buildHeartbeat(), refused);
     // A VM that shuts down writes to the log itself, without the delay of a relay.
     if (!this.isLeaving && forwardHeartbeat(ownRecord)) return;
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -2,7 +2,7 @@
 import { decodeQuarantineRow, encodeQuarantineRow } from '../mesh/quarantineRow.js';
 import type { KeyedRecord } from '../ports/index.js';
 
-/** A heartbeat, and what a VM tells with it to those that it can't reach in the mesh. */
+/** A heartbeat, and what a VM reports with it to those that it can't reach in the mesh. */
 interface HeartbeatContent extends EntryHeartbeat {
   /** Refused prompt parts; absent if there are none. */
   readonly quarantine?: unknown;
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -223,7 +223,7 @@
     message.down.forEach((upstreamId) => registry.find(upstreamId)?.markDown());
     message.leaving.forEach(({ upstreamId, startedAtMs }) => {
       if (registry.recordLeaving(upstreamId, startedAtMs)) {
-        this.options.logger.info('upstream leaves', { upstreamId, toldBy: message.vmId });
+        this.options.logger.info('upstream leaves', { upstreamId, reportedBy: message.vmId });
       }
     });
     message.weights.forEach(({ upstreamId, model, weightNumber }) =>
