--- a/packages/core/src/quarantine/__tests__/quarantineFleet.spec.ts
+++ b/packages/core/src/quarantine/__tests__/quarantineFleet.spec.ts
@@ -2,6 +2,7 @@
 import { CrashQuarantine } from '../crashQuarantine.js';
 import { QuarantineFleet } from './quarantineFleet.js';
 import type { QuarantineFleetCounts } from './quarantineFleet.js';
+import { restoreClock, setClock } from './simulatedClock.js';
 
 /** Number of seeds by fleet size in CI; set QUARANTINE_SEEDS for a longer run by hand. */
 const CI_SEEDS = { 1: 4, 8: 4, 100: 1 } as const;
@@ -21,15 +22,8 @@
   { vms: 100, engines: 42, soundPerSecond: 80, poisonPerSecond: 6, isRelayed: true },
 ] as const;
 
-const readRealClock = performance.now.bind(performance);
-
-/** Replaces the runtime's clock; a spy would keep each of its millions of calls. */
-const setClock = (now: () => number): void => {
-  Object.assign(performance, { now });
-};
-
 afterEach(() => {
-  setClock(readRealClock);
+  restoreClock();
 });
 
 const countLateSends = ({
--- a/packages/core/src/quarantine/__tests__/quarantineFleet.ts
+++ b/packages/core/src/quarantine/__tests__/quarantineFleet.ts
@@ -1,5 +1,6 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { listGossipTargets } from '../../fleet/__tests__/gossipTargets.js';
 import { toId } from '../../ids.js';
 import type { ClientAccountId, ModelId, PromptPartId, UpstreamId } from '../../ids.js';
 import { createRandomGenerator } from '../../random.js';
@@ -48,8 +49,6 @@
 const ACCOUNTS = 3;
 const SYSTEM_PARTS = 1;
 const SESSIONS = 200;
-const RELAY_GROUPS = 4;
-const RELAYS_PER_GROUP = 2;
 const GOSSIP_INTERVAL_MS = 100;
 const RELAYED_INTERVAL_MS = 200;
 const MESSAGE_LOSS = 0.01;
@@ -233,7 +232,7 @@
   private reportToOthers(vm: number): void {
     const rows = this.quarantines[vm]!.takeRows();
     if (rows.length === 0 || this.cutOff.has(vm)) return;
-    this.listTargets(vm).forEach((target) => {
+    listGossipTargets(vm, this.quarantines.length, this.options.isRelayed).forEach((target) => {
       if (target === vm || uniformFloat64(this.random) < MESSAGE_LOSS) return;
       this.events.schedule(2 + this.pickNumber(8), () => {
         if (!this.cutOff.has(target)) this.quarantines[target]!.merge(rows);
@@ -241,14 +240,6 @@
     });
   }
 
-  private listTargets(vm: number): readonly number[] {
-    const all = this.quarantines.map((_, index) => index);
-    if (!this.options.isRelayed) return all;
-    const isRelay = (index: number): boolean => index < RELAY_GROUPS * RELAYS_PER_GROUP;
-    const ownGroup = all.filter((index) => index % RELAY_GROUPS === vm % RELAY_GROUPS);
-    return isRelay(vm) ? [...ownGroup, ...all.filter(isRelay)] : ownGroup.filter(isRelay);
-  }
-
   /** Picks an integer from 0 to below a limit. */
   private pickNumber(limit: number): number {
     return uniformInt(this.random, 0, Math.max(0, Math.ceil(limit) - 1));
--- a/packages/core/src/quarantine/__tests__/requestFleet.spec.ts
+++ b/packages/core/src/quarantine/__tests__/requestFleet.spec.ts
@@ -4,6 +4,7 @@
 import type { QuarantineRow } from '../patternEvidence.js';
 import { RequestFleet } from './requestFleet.js';
 import type { RequestFleetCounts, RequestFleetOptions } from './requestFleet.js';
+import { restoreClock, setClock } from './simulatedClock.js';
 
 /** Number of seeds in CI; set QUARANTINE_SEEDS for a longer run by hand. */
 const CI_SEEDS = 4;
@@ -31,15 +32,8 @@
   },
 ] as const;
 
-const readRealClock = performance.now.bind(performance);
-
-/** Replaces the runtime's clock; a spy would keep each of its millions of calls. */
-const setClock = (now: () => number): void => {
-  Object.assign(performance, { now });
-};
-
 afterEach(() => {
-  setClock(readRealClock);
+  restoreClock();
 });
 
 const runFleet = (
--- a/packages/core/src/quarantine/__tests__/requestFleet.ts
+++ b/packages/core/src/quarantine/__tests__/requestFleet.ts
@@ -1,5 +1,6 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { listGossipTargets } from '../../fleet/__tests__/gossipTargets.js';
 import { toId } from '../../ids.js';
 import type { ClientAccountId, UpstreamId } from '../../ids.js';
 import { createRandomGenerator } from '../../random.js';
@@ -54,8 +55,6 @@
 const MAX_REPEATS = 3;
 const REPEAT_DELAY_MS = 30;
 const HOLD_RETURN_MS = 500;
-const RELAY_GROUPS = 4;
-const RELAYS_PER_GROUP = 2;
 const GOSSIP_INTERVAL_MS = 100;
 const RELAYED_INTERVAL_MS = 200;
 const CRASH_REPORT_DELAY_MS = 5;
@@ -134,7 +133,7 @@
     const intervalMs = isRelayed ? RELAYED_INTERVAL_MS : GOSSIP_INTERVAL_MS;
     for (let vm = 0; vm < vms; vm += 1) {
       const report = (): void => {
-        this.sendRows(vm, this.listTargets(vm));
+        this.sendRows(vm, listGossipTargets(vm, this.options.vms, this.options.isRelayed));
         if (this.events.nowMs < durationMs) this.events.schedule(intervalMs, report);
       };
       this.events.schedule(this.pickNumber(intervalMs), report);
@@ -278,14 +277,6 @@
     });
   }
 
-  private listTargets(vm: number): readonly number[] {
-    const all = this.quarantines.map((_, index) => index);
-    if (!this.options.isRelayed) return all;
-    const isRelay = (index: number): boolean => index < RELAY_GROUPS * RELAYS_PER_GROUP;
-    const ownGroup = all.filter((index) => index % RELAY_GROUPS === vm % RELAY_GROUPS);
-    return isRelay(vm) ? [...ownGroup, ...all.filter(isRelay)] : ownGroup.filter(isRelay);
-  }
-
   /** Picks an integer from 0 to below a limit. */
   private pickNumber(limit: number): number {
     return uniformInt(this.random, 0, Math.max(0, Math.ceil(limit) - 1));
--- a/packages/core/src/rateLimit/__tests__/rateLimitFleet.ts
+++ b/packages/core/src/rateLimit/__tests__/rateLimitFleet.ts
@@ -1,6 +1,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import type { UpstreamBoot } from '../../fleet/index.js';
+import { listGossipTargets } from '../../fleet/__tests__/gossipTargets.js';
 import { toId } from '../../ids.js';
 import type { UpstreamId, VmId } from '../../ids.js';
 import { createRandomGenerator } from '../../random.js';
@@ -36,8 +37,6 @@
 
 const STABLE_MS = 3_000;
 const RELAYED_FLEET_SIZE = 20;
-const RELAY_GROUPS = 4;
-const RELAYS_PER_GROUP = 2;
 const GOSSIP_INTERVAL_MS = 100;
 const RELAYED_INTERVAL_MS = 200;
 const MESSAGE_LOSS = 0.01;
@@ -193,17 +192,11 @@
     limits.refresh();
     const rows = rates.takeRows();
     if (rows.length === 0) return;
-    this.listTargets(vm).forEach((target) => {
-      if (target !== vm) this.deliver(vm, target, () => this.vms[target]!.rates.merge(rows));
-    });
-  }
-
-  private listTargets(vm: number): readonly number[] {
-    const all = this.vms.map((_, index) => index);
-    if (all.length < RELAYED_FLEET_SIZE) return all;
-    const isRelay = (index: number): boolean => index < RELAY_GROUPS * RELAYS_PER_GROUP;
-    const ownGroup = all.filter((index) => index % RELAY_GROUPS === vm % RELAY_GROUPS);
-    return isRelay(vm) ? [...ownGroup, ...all.filter(isRelay)] : ownGroup.filter(isRelay);
+    listGossipTargets(vm, this.vms.length, this.vms.length >= RELAYED_FLEET_SIZE).forEach(
+      (target) => {
+        if (target !== vm) this.deliver(vm, target, () => this.vms[target]!.rates.merge(rows));
+      },
+    );
   }
 
   private async handleRequest(vm: number): Promise<void> {
--- a/packages/gateway/src/__tests__/gossipRelay.spec.ts
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -22,8 +22,10 @@
   ServiceName,
   UpstreamId,
   VmId,
+  WholeRequest,
 } from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
+import { RELAYED_GOSSIP_INTERVAL_MS } from '../constants.js';
 import { Gossip } from '../mesh/gossip.js';
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
@@ -107,7 +109,7 @@
   });
   await gossip.start(signal);
   const sumPeers = (): number => peerLoads.getTotals(upstreamId).inFlight;
-  return { sumPeers, quarantine, announcedRates, rateLimits };
+  return { sumPeers, quarantine, announcedRates, rateLimits, gossip };
 };
 
 /** Starts two relays of one zone, another VM of it, and the relay of a second zone. */
@@ -162,6 +164,29 @@
   );
 });
 
+// Guards against upstreams that end under one request while relays still wait for their interval.
+test('reports the end of an upstream under a request to all VMs directly', async () => {
+  const vms = await startRelayedFleet();
+  const request: WholeRequest = {
+    method: 'GET',
+    host: 'site.example',
+    target: '/a/1',
+    body: Buffer.alloc(0),
+    account: undefined,
+  };
+  vms[2]!.quarantine.recordCrash(request, { upstreamId, startedAtMs: 1 });
+  vms[2]!.gossip.reportCrashes();
+  const startedAtMs = performance.now();
+  await vi.waitFor(
+    () =>
+      expect(vms.map(({ quarantine }) => quarantine.hasSuspect(request))).toEqual(
+        vms.map(() => true),
+      ),
+    { timeout: 3_000, interval: 5 },
+  );
+  expect(performance.now() - startedAtMs).toBeLessThan(RELAYED_GOSSIP_INTERVAL_MS);
+});
+
 // Guards against a VM that sends at its own rate to an upstream whose limit only others have received.
 test('relays an announced rate limit, and its end, to each VM', async () => {
   const vms = await startRelayedFleet();
