fix(quarantine): blame a request that ends all servers of a service within a moment

All three upstreams ended within 100 ms, which counted as one separate end, so the request was still unproved when they came back.

--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -10,11 +10,20 @@
 /** The same for a whole request while most upstreams end without it. */
 export const MIN_MINORITY_REQUEST_CRASHES = 5;
 
+/**
+ * Number of crashes at about the same time that count as two under a whole request, because a sound
+ * one is hardly at so many upstreams while a rack or a kill ends them.
+ */
+export const LARGE_CLUSTER_CRASHES = 3;
+
+/** Minimum time between the first and the last of them; a rack or a kill ends all within less. */
+export const MIN_LARGE_CLUSTER_SPREAD_MS = 50;
+
 /** Fraction of the recent ends of a service that come under a request which causes them. */
 export const MIN_FRACTION_OF_ENDS = 0.6;
 
 /** Time for which an end is recent. */
-export const END_WINDOW_MS = 10_000;
+export const END_WINDOW_MS = 20_000;
 
 /** Maximum number of ends that are remembered. */
 export const MAX_RECENT_ENDS = 256;
--- a/packages/core/src/quarantine/patternEvidence.ts
+++ b/packages/core/src/quarantine/patternEvidence.ts
@@ -189,24 +189,23 @@
     return [...this.crashes.keys()];
   }
 
-  /** Counts the crashes of some boots, where those at about the same time count once. */
-  countSeparateCrashes(bootKeys: ReadonlySet<string>): number {
+  /** Groups the crashes of some boots by time. @returns the times of each group, in order */
+  listClusters(bootKeys: ReadonlySet<string>): readonly (readonly number[])[] {
     const times = [...this.crashes]
       .filter(([bootKey]) => bootKeys.has(bootKey))
       .map(([, { atMs }]) => atMs)
       .sort((left, right) => left - right);
-    let clusterStartMs = -Infinity;
-    let count = 0;
+    const clusters: number[][] = [];
     times.forEach((atMs) => {
-      if (atMs - clusterStartMs < CRASH_CLUSTER_MS) return;
-      count += 1;
-      clusterStartMs = atMs;
+      const last = clusters.at(-1);
+      if (last && atMs - last[0]! < CRASH_CLUSTER_MS) last.push(atMs);
+      else clusters.push([atMs]);
     });
-    return count;
+    return clusters;
   }
 
   private countCrashes(): void {
-    this.separateCrashes = this.countSeparateCrashes(new Set(this.crashes.keys()));
+    this.separateCrashes = this.listClusters(new Set(this.crashes.keys())).length;
     this.firstCrashAtMs = Math.min(...[...this.crashes.values()].map(({ atMs }) => atMs));
   }
 }
--- a/packages/core/src/quarantine/requestBlame.ts
+++ b/packages/core/src/quarantine/requestBlame.ts
@@ -1,4 +1,6 @@
 import {
+  LARGE_CLUSTER_CRASHES,
+  MIN_LARGE_CLUSTER_SPREAD_MS,
   MIN_FRACTION_OF_ENDS,
   MIN_MINORITY_REQUEST_CRASHES,
   MIN_REQUEST_CRASHES,
@@ -30,6 +32,15 @@
   return suspectsByBoot;
 };
 
+const isLargeCluster = (times: readonly number[]): boolean =>
+  times.length >= LARGE_CLUSTER_CRASHES && times.at(-1)! - times[0]! >= MIN_LARGE_CLUSTER_SPREAD_MS;
+
+/** Counts the crashes of some boots; those at about the same time count once, or twice if they are many. */
+const countCrashes = (request: PatternEvidence, bootKeys: readonly string[]): number => {
+  const clusters = request.listClusters(new Set(bootKeys));
+  return clusters.length + clusters.filter(isLargeCluster).length;
+};
+
 const decideMinCrashes = (fractionOfEnds: number, hasRival: boolean): number => {
   if (fractionOfEnds < MIN_FRACTION_OF_ENDS) return MIN_MINORITY_REQUEST_CRASHES;
   return fractionOfEnds < 1 || hasRival ? MIN_REQUEST_CRASHES : MIN_UNRIVALLED_REQUEST_CRASHES;
@@ -52,14 +63,14 @@
   /** Number of boots of the blamed request, by the boots that it ended. */
   const blamedSizes = new Map<string, number>();
   requests
-    .filter(({ separateCrashes }) => separateCrashes >= MIN_UNRIVALLED_REQUEST_CRASHES)
+    .filter(({ bootKeys }) => bootKeys.length >= MIN_UNRIVALLED_REQUEST_CRASHES)
     .sort((left, right) => right.bootKeys.length - left.bootKeys.length)
     .forEach((request) => {
       const { length: size } = request.bootKeys;
       const unexplained = request.bootKeys.filter(
         (bootKey) => (blamedSizes.get(bootKey) ?? 0) <= size,
       );
-      const crashes = request.countSeparateCrashes(new Set(unexplained));
+      const crashes = countCrashes(request, unexplained);
       const hasRival = unexplained.some((bootKey) => {
         const { largest, largestCount } = suspectsByBoot.get(bootKey)!;
         return largest > size || largestCount > 1;
