--- a/packages/core/src/rateLimit/__tests__/rateLimitFleet.ts
+++ b/packages/core/src/rateLimit/__tests__/rateLimitFleet.ts
@@ -42,7 +42,7 @@
 const MESSAGE_LOSS = 0.01;
 const MAX_ROSTER_LAG_MS = 1_500;
 const MAX_WAIT_MS = 25;
-const MAX_ASKS = 6;
+const MAX_PERMIT_REQUESTS = 6;
 const SECOND_MS = 1_000;
 
 const getBoot = (upstream: number): UpstreamBoot => ({
@@ -154,10 +154,10 @@
       self: makeVmId(vm),
       rates,
       listServing: () => this.vms?.[vm]?.serving ?? [],
-      sendAsk: (granter, ask) => {
+      sendPermitRequest: (granter, request) => {
         const target = Number(granter.slice('vm-'.length));
         this.deliver(vm, target, (limits) => {
-          const reply = limits.handleAsk(makeVmId(vm), ask);
+          const reply = limits.handlePermitRequest(makeVmId(vm), request);
           this.deliver(target, vm, (own) => own.handleReply(granter, reply));
         });
       },
@@ -202,16 +202,16 @@
   private async handleRequest(vm: number): Promise<void> {
     const { isUp, isFrozen, limits } = this.vms[vm]!;
     if (!isUp || isFrozen) return;
-    for (let asks = 0; asks <= MAX_ASKS; asks += 1) {
+    for (let requests = 0; requests <= MAX_PERMIT_REQUESTS; requests += 1) {
       const usable = this.arrivals
         .map((_, index) => index)
         .filter((index) => limits.canAcquire(getBoot(index)));
       const upstream = usable[this.pickNumber(usable.length)];
       if (upstream === undefined || this.vms[vm]!.limits !== limits) break;
       const boot = getBoot(upstream);
-      const hasSend = limits.tryTake(boot);
-      if (!hasSend) await limits.acquire(boot, { maxWaitMs: MAX_WAIT_MS, priority: 0 });
-      if (hasSend || limits.tryTake(boot)) {
+      const hasPermit = limits.tryTake(boot);
+      if (!hasPermit) await limits.acquire(boot, { maxWaitMs: MAX_WAIT_MS, priority: 0 });
+      if (hasPermit || limits.tryTake(boot)) {
         this.send(vm, upstream);
         return;
       }
--- a/packages/core/src/rateLimit/constants.ts
+++ b/packages/core/src/rateLimit/constants.ts
@@ -31,25 +31,25 @@
  */
 export const GRANTER_SETTLE_MS = 2_000;
 
-/** Time from its start in which a granted send may be used, in milliseconds. */
-export const GRANT_USE_MS = 300;
+/** Time from its start in which a permit may be used, in milliseconds. */
+export const PERMIT_USE_MS = 300;
 
 /** Time after which a granter counts as silent, in milliseconds. */
-export const ASK_TIMEOUT_MS = 80;
+export const PERMIT_REPLY_TIMEOUT_MS = 80;
 
-/** Time for which a silent granter is not asked, in milliseconds. */
+/** Time for which nothing is requested from a silent granter, in milliseconds. */
 export const SILENT_GRANTER_PAUSE_MS = 1_000;
 
-/** Pause of an upstream that nobody grants sends to, in milliseconds. */
+/** Pause of an upstream for which nobody grants permits, in milliseconds. */
 export const NO_GRANTER_PAUSE_MS = 500;
 
-/** Maximum number of asks of one VM for one upstream that await a reply. */
-export const MAX_PENDING_ASKS = 4;
+/** Maximum number of requests of one VM for permits of one upstream that await a reply. */
+export const MAX_PENDING_PERMIT_REQUESTS = 4;
 
 /** Time for which a denied request of a more urgent class keeps its precedence, in milliseconds. */
 export const PRECEDENCE_MS = 2_000;
 
-/** Fraction of the interval between two sends for which a free one is kept for more urgent classes. */
+/** Fraction of the interval between two permits for which a free one is kept for more urgent classes. */
 export const PRECEDENCE_FRACTION = 0.4;
 
 /** Longest time for which it is kept, in milliseconds. */
--- a/packages/core/src/rateLimit/fleetRateLimits.ts
+++ b/packages/core/src/rateLimit/fleetRateLimits.ts
@@ -3,17 +3,17 @@
 import { sleep } from '../log/index.js';
 import type { AnnouncedRates } from './announcedRates.js';
 import {
-  ASK_TIMEOUT_MS,
+  PERMIT_REPLY_TIMEOUT_MS,
   FIRST_GRANTER_FRACTION,
   GRANTER_SETTLE_MS,
-  GRANT_USE_MS,
-  MAX_PENDING_ASKS,
+  PERMIT_USE_MS,
+  MAX_PENDING_PERMIT_REQUESTS,
   NO_GRANTER_PAUSE_MS,
   SECOND_GRANTER_FRACTION,
   SILENT_GRANTER_PAUSE_MS,
 } from './constants.js';
 import { GranterRanking } from './granterRanking.js';
-import type { RateAsk, RateDecision, RateReply } from './rateGrant.js';
+import type { PermitRequest, PermitDecision, PermitReply } from './permit.js';
 import { RateGranter } from './rateGranter.js';
 
 /** Dependencies of the limits. */
@@ -22,11 +22,11 @@
   readonly rates: AnnouncedRates;
   /** Lists the VMs that accept callers. */
   readonly listServing: () => readonly VmId[];
-  /** Sends an ask to another VM; it or the reply may be lost. */
-  readonly sendAsk: (granter: VmId, ask: RateAsk) => void;
+  /** Sends a request for a permit to another VM; it or the reply may be lost. */
+  readonly sendPermitRequest: (granter: VmId, request: PermitRequest) => void;
 }
 
-/** What a request that needs a send can bear. */
+/** What a caller's request that needs a permit can bear. */
 export interface RateDemand {
   /** Time for which the request can wait, in milliseconds. */
   readonly maxWaitMs: number;
@@ -42,36 +42,36 @@
   readonly granters: readonly VmId[];
   /** Requests that this VM has granted, by VM. */
   readonly grants: Readonly<Record<string, number>>;
-  /** Time until the next ask; 0 if the upstream may be asked for now. */
+  /** Time until a permit may be requested again; 0 if it may be now. */
   readonly retryAfterMs: number;
 }
 
-interface AskerState {
+interface RequesterState {
   readonly startedAtMs: number;
   /** Monotonic times at which unused grants expire. */
-  readonly grantsUntilMs: number[];
-  pendingAsks: number;
-  /** Monotonic time before which an ask would be denied. */
+  readonly permitsUntilMs: number[];
+  pendingRequests: number;
+  /** Monotonic time before which a request for a permit would be denied. */
   pausedUntilMs: number;
   /** Rate that was announced when that was decided. */
   pausedAtRate: number;
 }
 
 /** Limits the pause after the decision of a stand-in, since the first granter may be back by then. */
-const clampPause = (decision: RateDecision): RateDecision =>
+const clampPause = (decision: PermitDecision): PermitDecision =>
   'startsInMs' in decision
     ? { ...decision, nextAfterMs: Math.min(decision.nextAfterMs, SILENT_GRANTER_PAUSE_MS) }
     : { retryAfterMs: Math.min(decision.retryAfterMs, SILENT_GRANTER_PAUSE_MS) };
 
-const hasGrant = ({ grantsUntilMs }: AskerState): boolean => {
+const hasPermit = ({ permitsUntilMs }: RequesterState): boolean => {
   const nowMs = performance.now();
-  while (grantsUntilMs.length > 0 && grantsUntilMs[0]! <= nowMs) grantsUntilMs.shift();
-  return grantsUntilMs.length > 0;
+  while (permitsUntilMs.length > 0 && permitsUntilMs[0]! <= nowMs) permitsUntilMs.shift();
+  return permitsUntilMs.length > 0;
 };
 
 /**
  * Keeps the requests of all VMs to an upstream within the rate that it announced. For each upstream
- * one VM grants sends, one at a time, to the VMs that have requests for it; a second one stands in
+ * one VM grants permits, each for one request, to the VMs that have requests for it; a second one stands in
  * with a small rate while the first does not reply. Opens no sockets.
  */
 export class FleetRateLimits {
@@ -79,53 +79,53 @@
 
   private readonly granter = new RateGranter();
 
-  private readonly askers = new Map<UpstreamId, AskerState>();
+  private readonly requesters = new Map<UpstreamId, RequesterState>();
 
-  private readonly resolveById = new Map<number, (reply: RateReply) => void>();
+  private readonly resolveById = new Map<number, (reply: PermitReply) => void>();
 
   private readonly silentUntilMs = new Map<VmId, number>();
 
-  // Starts from the clock, so that a reply to an ask before a restart matches none after it.
-  private lastAskId = Date.now();
+  // Starts from the clock, so that a reply from before a restart matches no request after it.
+  private lastRequestId = Date.now();
 
   constructor(private readonly options: FleetRateLimitsOptions) {
     this.ranking = new GranterRanking(options.self, options.listServing);
   }
 
-  /** Whether a request to the upstream needs no grant, has one, or may ask for one. */
+  /** Whether a caller's request needs no permit, has one, or may request one. */
   canAcquire(boot: UpstreamBoot): boolean {
     return this.computeRetryAfterMs(boot) === 0;
   }
 
-  /** Returns the time until a request may ask for a send, in milliseconds. */
+  /** Returns the time until a permit may be requested, in milliseconds. */
   computeRetryAfterMs(boot: UpstreamBoot): number {
     const limit = this.options.rates.find(boot);
-    const state = limit && this.findAsker(boot);
-    if (!state || hasGrant(state)) return 0;
-    if (state.pendingAsks >= MAX_PENDING_ASKS) return ASK_TIMEOUT_MS;
+    const state = limit && this.findRequester(boot);
+    if (!state || hasPermit(state)) return 0;
+    if (state.pendingRequests >= MAX_PENDING_PERMIT_REQUESTS) return PERMIT_REPLY_TIMEOUT_MS;
     if (limit.requestsPerSecond > state.pausedAtRate) return 0;
     return Math.max(0, state.pausedUntilMs - performance.now());
   }
 
-  /** Takes the right to send one request now; false if the upstream has a limit and none is granted. */
+  /** Takes a permit to send one request now; false if the upstream has a limit and none is granted. */
   tryTake(boot: UpstreamBoot): boolean {
     if (!this.options.rates.find(boot)) return true;
-    const state = this.findAsker(boot);
-    if (!state || !hasGrant(state)) return false;
-    state.grantsUntilMs.shift();
+    const state = this.findRequester(boot);
+    if (!state || !hasPermit(state)) return false;
+    state.permitsUntilMs.shift();
     return true;
   }
 
   /**
-   * Asks for a send, and waits until it may be used. Afterwards either `tryTake` succeeds, or
+   * Requests a permit, and waits until it may be used. Afterwards either `tryTake` succeeds, or
    * `canAcquire` is false for a while, unless another request of this VM was first.
    */
   async acquire(boot: UpstreamBoot, demand: RateDemand): Promise<void> {
     const limit = this.options.rates.find(boot);
     if (!limit) return;
-    const state = this.getAsker(boot);
+    const state = this.getRequester(boot);
     const { requestsPerSecond, announcedAtMs } = limit;
-    state.pendingAsks += 1;
+    state.pendingRequests += 1;
     const announcedAgeMs = performance.now() - announcedAtMs;
     const decision = await this.decide(boot, { ...demand, requestsPerSecond, announcedAgeMs });
     if (decision) {
@@ -135,19 +135,19 @@
     }
     if (decision && 'startsInMs' in decision) {
       if (decision.startsInMs > 0) await sleep(decision.startsInMs);
-      state.grantsUntilMs.push(performance.now() + GRANT_USE_MS);
+      state.permitsUntilMs.push(performance.now() + PERMIT_USE_MS);
     }
-    state.pendingAsks -= 1;
+    state.pendingRequests -= 1;
   }
 
-  /** Decides on another VM's ask. */
-  handleAsk(asker: VmId, ask: RateAsk): RateReply {
-    // The asker may know of a later announcement than this VM.
-    this.options.rates.record(ask, ask.requestsPerSecond, ask.announcedAgeMs);
-    return { id: ask.id, ...this.grant(asker, ask) };
+  /** Decides on another VM's request for a permit. */
+  handlePermitRequest(requester: VmId, request: PermitRequest): PermitReply {
+    // The other VM may know of a later announcement than this one.
+    this.options.rates.record(request, request.requestsPerSecond, request.announcedAgeMs);
+    return { id: request.id, ...this.grant(requester, request) };
   }
 
-  handleReply(granter: VmId, reply: RateReply): void {
+  handleReply(granter: VmId, reply: PermitReply): void {
     this.silentUntilMs.delete(granter);
     this.resolveById.get(reply.id)?.(reply);
   }
@@ -159,8 +159,8 @@
     const limitedIds = new Set(limits.map(({ upstreamId }) => upstreamId));
     this.ranking.prune(limits);
     this.granter.prune(limitedIds);
-    this.askers.forEach(({ pendingAsks }, upstreamId) => {
-      if (!limitedIds.has(upstreamId) && pendingAsks === 0) this.askers.delete(upstreamId);
+    this.requesters.forEach(({ pendingRequests }, upstreamId) => {
+      if (!limitedIds.has(upstreamId) && pendingRequests === 0) this.requesters.delete(upstreamId);
     });
   }
 
@@ -181,66 +181,69 @@
   /** @returns undefined if the granter did not reply */
   private async decide(
     boot: UpstreamBoot,
-    demand: RateDemand & Pick<RateAsk, 'requestsPerSecond' | 'announcedAgeMs'>,
-  ): Promise<RateDecision | undefined> {
+    demand: RateDemand & Pick<PermitRequest, 'requestsPerSecond' | 'announcedAgeMs'>,
+  ): Promise<PermitDecision | undefined> {
     const { self } = this.options;
     const { upstreamId, startedAtMs } = boot;
-    this.lastAskId += 1;
-    const ask: RateAsk = { upstreamId, startedAtMs, ...demand, id: this.lastAskId };
+    this.lastRequestId += 1;
+    const request: PermitRequest = { upstreamId, startedAtMs, ...demand, id: this.lastRequestId };
     const granter = this.ranking
       .find(boot)
       .granters.find((vmId) => (this.silentUntilMs.get(vmId) ?? -Infinity) < performance.now());
     if (granter === undefined) return { retryAfterMs: NO_GRANTER_PAUSE_MS };
-    if (granter === self) return this.grant(self, ask);
-    const reply = await this.sendAsk(granter, ask);
+    if (granter === self) return this.grant(self, request);
+    const reply = await this.sendPermitRequest(granter, request);
     if (!reply) this.silentUntilMs.set(granter, performance.now() + SILENT_GRANTER_PAUSE_MS);
     return reply;
   }
 
-  private async sendAsk(granter: VmId, ask: RateAsk): Promise<RateReply | undefined> {
+  private async sendPermitRequest(
+    granter: VmId,
+    request: PermitRequest,
+  ): Promise<PermitReply | undefined> {
     return new Promise((resolve) => {
-      const finish = (reply: RateReply | undefined): void => {
+      const finish = (reply: PermitReply | undefined): void => {
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the timer and its callback refer to each other
         clearTimeout(timer);
-        this.resolveById.delete(ask.id);
+        this.resolveById.delete(request.id);
         resolve(reply);
       };
-      const timer = setTimeout(() => finish(undefined), ASK_TIMEOUT_MS);
-      this.resolveById.set(ask.id, finish);
-      this.options.sendAsk(granter, ask);
+      const timer = setTimeout(() => finish(undefined), PERMIT_REPLY_TIMEOUT_MS);
+      this.resolveById.set(request.id, finish);
+      this.options.sendPermitRequest(granter, request);
     });
   }
 
-  private grant(asker: VmId, ask: RateAsk): RateDecision {
+  private grant(requester: VmId, request: PermitRequest): PermitDecision {
     const { rates, self } = this.options;
-    const limit = rates.find(ask);
-    const requestsPerSecond = limit?.requestsPerSecond ?? ask.requestsPerSecond;
-    const { granters, firstSinceMs } = this.ranking.find(ask);
+    const limit = rates.find(request);
+    const requestsPerSecond = limit?.requestsPerSecond ?? request.requestsPerSecond;
+    const { granters, firstSinceMs } = this.ranking.find(request);
     if (!granters.includes(self)) return { retryAfterMs: NO_GRANTER_PAUSE_MS };
     const isSettled = performance.now() - firstSinceMs >= GRANTER_SETTLE_MS;
     if (granters[0] === self && isSettled) {
-      return this.granter.grant(asker, ask, requestsPerSecond * FIRST_GRANTER_FRACTION);
+      return this.granter.grant(requester, request, requestsPerSecond * FIRST_GRANTER_FRACTION);
     }
     const standInRate = requestsPerSecond * SECOND_GRANTER_FRACTION;
-    return clampPause(this.granter.grant(asker, ask, standInRate));
+    return clampPause(this.granter.grant(requester, request, standInRate));
   }
 
-  private findAsker({ upstreamId, startedAtMs }: UpstreamBoot): AskerState | undefined {
-    const state = this.askers.get(upstreamId);
+  private findRequester({ upstreamId, startedAtMs }: UpstreamBoot): RequesterState | undefined {
+    const state = this.requesters.get(upstreamId);
     return state?.startedAtMs === startedAtMs ? state : undefined;
   }
 
-  private getAsker(boot: UpstreamBoot): AskerState {
-    const known = this.findAsker(boot);
+  private getRequester(boot: UpstreamBoot): RequesterState {
+    const known = this.findRequester(boot);
     if (known) return known;
-    const created: AskerState = {
+    const created: RequesterState = {
       startedAtMs: boot.startedAtMs,
-      grantsUntilMs: [],
-      pendingAsks: 0,
+      permitsUntilMs: [],
+      pendingRequests: 0,
       pausedUntilMs: -Infinity,
       pausedAtRate: Infinity,
     };
-    this.askers.set(boot.upstreamId, created);
+    this.requesters.set(boot.upstreamId, created);
     return created;
   }
 }
--- a/packages/core/src/rateLimit/index.ts
+++ b/packages/core/src/rateLimit/index.ts
@@ -3,4 +3,10 @@
 export type { AnnouncedRate, RateChange, RateRow } from './bootAnnouncements.js';
 export { FleetRateLimits } from './fleetRateLimits.js';
 export type { FleetRateLimitsOptions, RateDemand, RateLimitDump } from './fleetRateLimits.js';
-export type { RateAsk, RateDecision, RateDenial, RateGrant, RateReply } from './rateGrant.js';
+export type {
+  PermitRequest,
+  PermitDecision,
+  PermitDenial,
+  PermitGrant,
+  PermitReply,
+} from './permit.js';
--- a/packages/core/src/rateLimit/rateGranter.ts
+++ b/packages/core/src/rateLimit/rateGranter.ts
@@ -1,7 +1,7 @@
 import type { UpstreamBoot } from '../fleet/index.js';
 import type { UpstreamId, VmId } from '../ids.js';
 import { MAX_PRECEDENCE_WAIT_MS, PRECEDENCE_FRACTION, PRECEDENCE_MS } from './constants.js';
-import type { RateAsk, RateDecision } from './rateGrant.js';
+import type { PermitRequest, PermitDecision } from './permit.js';
 
 const MS_PER_SECOND = 1_000;
 
@@ -16,10 +16,10 @@
   readonly grantsByVm: Map<VmId, number>;
 }
 
-/** A free send is kept for a moment for more urgent classes that were denied one recently. */
+/** A free permit is kept for a moment for more urgent classes that were denied one recently. */
 const computePrecedenceMs = (
   { deniedAtMs }: GrantedUpstream,
-  { priority }: RateAsk,
+  { priority }: PermitRequest,
   intervalMs: number,
 ): number => {
   const oldestMs = performance.now() - PRECEDENCE_MS;
@@ -31,29 +31,29 @@
 
 /**
  * Spaces the requests that it grants to an upstream at a given rate (generic cell rate algorithm);
- * one that nobody asked for in time can be made up for. Each grant is for one request that waits for it, so the rate goes to
+ * one that nobody requested in time can be made up for. Each permit is for one request that waits for it, so the rate goes to
  * the VMs that have requests.
  */
 export class RateGranter {
   private readonly upstreams = new Map<UpstreamId, GrantedUpstream>();
 
   /** @param requestsPerSecond rate that this granter may grant to all VMs together */
-  grant(asker: VmId, ask: RateAsk, requestsPerSecond: number): RateDecision {
+  grant(requester: VmId, request: PermitRequest, requestsPerSecond: number): PermitDecision {
     const nowMs = performance.now();
-    const state = this.getState(ask);
+    const state = this.getState(request);
     const intervalMs = MS_PER_SECOND / requestsPerSecond;
     // A lower rate may have delayed the next request for longer.
     const freeAtMs = Math.min(state.freeAtMs, state.lastStartMs + intervalMs);
-    const startMs = Math.max(nowMs, freeAtMs + computePrecedenceMs(state, ask, intervalMs));
+    const startMs = Math.max(nowMs, freeAtMs + computePrecedenceMs(state, request, intervalMs));
     const waitMs = startMs - nowMs;
-    if (waitMs > ask.maxWaitMs) {
-      state.deniedAtMs.set(ask.priority, nowMs);
-      return { retryAfterMs: waitMs - ask.maxWaitMs };
+    if (waitMs > request.maxWaitMs) {
+      state.deniedAtMs.set(request.priority, nowMs);
+      return { retryAfterMs: waitMs - request.maxWaitMs };
     }
     state.lastStartMs = startMs;
     state.freeAtMs = Math.max(freeAtMs, nowMs - intervalMs) + intervalMs;
-    state.grantsByVm.set(asker, (state.grantsByVm.get(asker) ?? 0) + 1);
-    const nextAfterMs = Math.max(0, state.freeAtMs - nowMs - ask.maxWaitMs);
+    state.grantsByVm.set(requester, (state.grantsByVm.get(requester) ?? 0) + 1);
+    const nextAfterMs = Math.max(0, state.freeAtMs - nowMs - request.maxWaitMs);
     return { startsInMs: waitMs, nextAfterMs };
   }
 
--- a/packages/gateway/src/__tests__/announcedLimit.spec.ts
+++ b/packages/gateway/src/__tests__/announcedLimit.spec.ts
@@ -32,7 +32,7 @@
   expect(statuses.filter((status) => status !== 200)).toEqual([]);
 });
 
-test('a request that no rate limit leaves a send for is refused at once, as not run', async () => {
+test('a request for which no rate limit leaves a permit is refused at once, as not run', async () => {
   const { call, upstreams } = await startGateway({ upstreams: [respondLimited, respondLimited] });
   const replies = [];
   for (let count = 0; count < 40; count += 1) {
@@ -61,7 +61,7 @@
   const boot = { upstreamId: toId<UpstreamId>('up-0'), startedAtMs: 1 };
   await call();
   expect(fleetState.announcedRates.find(boot)?.requestsPerSecond).toBe(LIMIT);
-  // A granter that has granted nothing yet makes up for one send.
+  // A granter that has granted nothing yet makes up for one permit.
   const statuses = [];
   for (let count = 0; count < 4; count += 1) statuses.push((await call()).status);
   expect(statuses.at(-1)).toBe(503);
--- a/packages/gateway/src/__tests__/gossipRelay.spec.ts
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -89,7 +89,7 @@
     rates: announcedRates,
     listServing: () => roster.listServing().map(({ vmId }) => vmId),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
-    sendAsk: (granter, ask) => gossip.sendRateAsk(granter, ask),
+    sendPermitRequest: (granter, request) => gossip.sendPermitRequest(granter, request),
   });
   const gossip = new Gossip({
     self: entry.vmId,
@@ -204,7 +204,7 @@
   });
 });
 
-test('VMs that share an upstream with a rate limit get its sends one after the other', async () => {
+test('VMs that share an upstream with a rate limit get its permits one after the other', async () => {
   const vms = await startRelayedFleet();
   // The granter of this boot is one of the VMs that run.
   const listGranters = (startedAtMs: number): readonly string[] => {
@@ -222,6 +222,6 @@
   await Promise.all(vms.map(({ rateLimits }) => rateLimits.acquire(boot, demand)));
   const taken = vms.filter(({ rateLimits }) => rateLimits.tryTake(boot));
   expect(taken.length).toBeGreaterThanOrEqual(1);
-  // One may be made up for after a time without asks.
+  // One may be made up for after a time without requests.
   expect(taken.length).toBeLessThanOrEqual(2);
 });
--- a/packages/gateway/src/__tests__/rolloutController.spec.ts
+++ b/packages/gateway/src/__tests__/rolloutController.spec.ts
@@ -74,7 +74,7 @@
       self: toId<VmId>(vmId),
       rates: announcedRates,
       listServing: () => [],
-      sendAsk: () => undefined,
+      sendPermitRequest: () => undefined,
     }),
     operators: new OperatorState(),
     roster,
--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -14,7 +14,7 @@
 import type {
   AvailabilityZoneId,
   QuarantineChange,
-  RateAsk,
+  PermitRequest,
   RateChange,
   VmId,
 } from '@goldcrestscale/core';
@@ -24,15 +24,15 @@
 export interface FleetStateCallbacks {
   readonly onQuarantineChange?: (change: QuarantineChange) => void;
   readonly onRateChange?: (change: RateChange) => void;
-  /** Sends a question about a rate limit to another VM. */
-  readonly sendRateAsk?: (granter: VmId, ask: RateAsk) => void;
+  /** Requests a permit under a rate limit from another VM. */
+  readonly sendPermitRequest?: (granter: VmId, request: PermitRequest) => void;
 }
 
 /** Creates the gateway's view of the fleet, which controllers update and filters read. */
 export const createFleetState = (
   self: VmId,
   zone: AvailabilityZoneId,
-  { onQuarantineChange, onRateChange, sendRateAsk }: FleetStateCallbacks = {},
+  { onQuarantineChange, onRateChange, sendPermitRequest }: FleetStateCallbacks = {},
 ) => {
   const random = createRandomGenerator();
   const roster = new EntryRoster();
@@ -51,7 +51,7 @@
       self,
       rates: announcedRates,
       listServing: () => roster.listServing().map(({ vmId }) => vmId),
-      sendAsk: (granter, ask) => sendRateAsk?.(granter, ask),
+      sendPermitRequest: (granter, request) => sendPermitRequest?.(granter, request),
     }),
     quarantine: new CrashQuarantine(onQuarantineChange),
     ejection: new CappedEjectionPolicy(random),
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -57,16 +57,16 @@
 /** Time for which the registry is checked; three heartbeats and a read of the log. */
 export const REGISTRY_END_TIMEOUT_MS = 6_000;
 
-/** Fraction of the latency objective for which a request may wait for a send under a rate limit. */
+/** Fraction of the latency objective for which a request may wait for a permit under a rate limit. */
 export const RATE_WAIT_OBJECTIVE_FRACTION = 1 / 8;
 
 /** Longest such wait. */
 export const MAX_RATE_WAIT_MS = 100;
 
-/** Maximum number of asks for a send under a rate limit during one request. */
-export const MAX_RATE_ASKS = 6;
+/** Maximum number of permits that are requested during one request. */
+export const MAX_PERMIT_REQUESTS = 6;
 
-/** Longest wait of one ask for a send of a control call. */
+/** Longest wait of a control call for one permit. */
 export const CONTROL_RATE_WAIT_MS = 400;
 
 /** Pause before an upstream that refused a request gets another one. */
--- a/packages/gateway/src/controllers/rolloutController.ts
+++ b/packages/gateway/src/controllers/rolloutController.ts
@@ -272,7 +272,7 @@
 
   private async readState(engine: EngineTarget, signal: AbortSignal): Promise<EngineState> {
     const { protocol, announcedRates, logger } = this.options;
-    await this.waitForSend(engine, signal);
+    await this.waitForPermit(engine, signal);
     const state = await protocol.readEngineState(buildCall(engine, signal));
     const { registered, upstreamId } = engine.upstream;
     const { requestsPerSecond, invalid } = state.announcedRate;
@@ -282,7 +282,7 @@
   }
 
   /** Control calls count against a rate limit of the engine too. */
-  private async waitForSend({ upstream }: EngineTarget, signal: AbortSignal): Promise<void> {
+  private async waitForPermit({ upstream }: EngineTarget, signal: AbortSignal): Promise<void> {
     const { rateLimits } = this.options;
     const demand = { maxWaitMs: CONTROL_RATE_WAIT_MS, priority: 0 };
     while (!signal.aborted && !rateLimits.tryTake(upstream.registered)) {
@@ -297,7 +297,7 @@
     signal: AbortSignal,
   ): Promise<OrderOutcome> {
     const { lease, holder, protocol } = this.options;
-    await this.waitForSend(engine, signal);
+    await this.waitForPermit(engine, signal);
     const { currentGrant } = lease;
     if (!currentGrant) return 'failed';
     const { model, wanted } = engine;
--- a/packages/gateway/src/dispatch/requestProgress.ts
+++ b/packages/gateway/src/dispatch/requestProgress.ts
@@ -12,8 +12,8 @@
   /** Number of attempts that were sent. */
   attempts = 0;
 
-  /** Number of asks for a send under a rate limit. */
-  rateAsks = 0;
+  /** Number of permits that were requested under rate limits. */
+  permitRequests = 0;
 
   /** Number of attempts that were executed or may have been. */
   executions = 0;
@@ -42,8 +42,8 @@
     this.isSuspect = true;
   }
 
-  recordRateAsk(): void {
-    this.rateAsks += 1;
+  recordPermitRequest(): void {
+    this.permitRequests += 1;
   }
 
   recordSend(): void {
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -97,12 +97,12 @@
   }
 
   /**
-   * Takes the right to send one request to an upstream now. No await may come between this and the
+   * Takes the permits that a request to an upstream needs now. No await may come between this and the
    * send.
    *
    * @returns false if a rate limit of the upstream leaves none; of several limits, the lowest decides
    */
-  takeSend(upstream: TrackedUpstream): boolean {
+  takePermit(upstream: TrackedUpstream): boolean {
     const { upstreamId, registered } = upstream;
     const share = upstream.isCold ? this.computeColdStartShare(upstream) : undefined;
     if (share && !this.coldStartBudget.canTake(upstreamId, share)) return false;
@@ -207,7 +207,7 @@
   }
 
   /**
-   * Returns the time until the first upstream ends its rest or may ask for a send; undefined unless
+   * Returns the time until the first upstream ends its rest or may get a permit; undefined unless
    * all of them wait for that.
    */
   findShortestWait(
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -11,7 +11,7 @@
   UpstreamRegistry,
 } from '@goldcrestscale/core';
 import {
-  MAX_RATE_ASKS,
+  MAX_PERMIT_REQUESTS,
   MAX_RATE_WAIT_MS,
   MAX_UNEXECUTED_EXTRA_ATTEMPTS,
   RATE_WAIT_OBJECTIVE_FRACTION,
@@ -143,10 +143,10 @@
         sendFailure(exchange, progress, choice?.retryAfterMs);
         return;
       }
-      const hasSend = this.options.chooser.takeSend(choice.upstream);
-      if (!hasSend) await this.acquireSend(exchange, choice.upstream, progress);
+      const hasPermit = this.options.chooser.takePermit(choice.upstream);
+      if (!hasPermit) await this.acquirePermit(exchange, choice.upstream, progress);
       if (signal.aborted) throw createTimeoutError(exchange);
-      const canSend = hasSend || this.takeAcquiredSend(exchange, choice.upstream, progress);
+      const canSend = hasPermit || this.takeAcquiredPermit(exchange, choice.upstream, progress);
       if (canSend && (await this.tryUpstream(exchange, choice, progress, signal))) return;
     }
   }
@@ -181,37 +181,37 @@
 
   private chooseUpstream(
     exchange: GatewayExchange,
-    { service, excluded, rateAsks }: RequestProgress,
+    { service, excluded, permitRequests }: RequestProgress,
   ): UpstreamDecision | undefined {
     const { chooser } = this.options;
-    return rateAsks < MAX_RATE_ASKS
+    return permitRequests < MAX_PERMIT_REQUESTS
       ? chooser.choose(exchange, service, excluded)
       : chooser.findShortestWait(exchange, service, excluded);
   }
 
-  /** Asks for a send to an upstream with a rate limit. */
-  private async acquireSend(
+  /** Requests a permit for an upstream with a rate limit. */
+  private async acquirePermit(
     exchange: GatewayExchange,
     { registered }: TrackedUpstream,
     progress: RequestProgress,
   ): Promise<void> {
     const { objectiveMs, priority } = requireRoute(exchange);
-    progress.recordRateAsk();
+    progress.recordPermitRequest();
     await this.options.rateLimits.acquire(registered, {
       maxWaitMs: Math.min(MAX_RATE_WAIT_MS, objectiveMs * RATE_WAIT_OBJECTIVE_FRACTION),
       priority: exchange.account?.priority ?? priority,
     });
   }
 
-  /** Takes a send that was asked for, unless the upstream became ineligible meanwhile. */
-  private takeAcquiredSend(
+  /** Takes a permit that was requested, unless the upstream became ineligible meanwhile. */
+  private takeAcquiredPermit(
     exchange: GatewayExchange,
     upstream: TrackedUpstream,
     { excluded }: RequestProgress,
   ): boolean {
     const { chooser } = this.options;
     this.assertAllowed(exchange);
-    return chooser.canServe(exchange, upstream, excluded) && chooser.takeSend(upstream);
+    return chooser.canServe(exchange, upstream, excluded) && chooser.takePermit(upstream);
   }
 
   private async runAttempt(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -115,7 +115,7 @@
       metrics.setAnnouncedRate(change.upstreamId, change.requestsPerSecond);
     },
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
-    sendRateAsk: (granter, ask) => controllers.gossip.sendRateAsk(granter, ask),
+    sendPermitRequest: (granter, request) => controllers.gossip.sendPermitRequest(granter, request),
   });
   const controllers: Controllers = createControllers(options, fleetState, () => {
     controllers.stores.refresh(workController.signal);
--- a/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
@@ -58,7 +58,7 @@
     self: toId<VmId>('vm'),
     rates,
     listServing: () => [],
-    sendAsk: () => undefined,
+    sendPermitRequest: () => undefined,
   });
   return { quarantine, rateLimits };
 };
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -6,7 +6,7 @@
   FleetRateLimits,
   CrashQuarantine,
   PeerLoads,
-  RateAsk,
+  PermitRequest,
   SentParts,
   UpstreamId,
   UpstreamRegistry,
@@ -132,9 +132,9 @@
     }, delayMs);
   }
 
-  /** Asks another VM whether this one may send a request to an upstream with a rate limit. */
-  sendRateAsk(granter: VmId, ask: RateAsk): void {
-    this.socket.sendRateMessage({ kind: 'ask', ask }, granter);
+  /** Requests a permit for an upstream with a rate limit from another VM. */
+  sendPermitRequest(granter: VmId, request: PermitRequest): void {
+    this.socket.sendRateMessage({ kind: 'request', request }, granter);
   }
 
   /** Sends this VM's report now. */
@@ -208,7 +208,7 @@
       rateLimits.handleReply(sender, message.reply);
       return;
     }
-    const reply = rateLimits.handleAsk(sender, message.ask);
+    const reply = rateLimits.handlePermitRequest(sender, message.request);
     this.socket.sendRateMessage({ kind: 'reply', reply }, sender);
   }
 
--- a/packages/gateway/src/mesh/rateMessage.ts
+++ b/packages/gateway/src/mesh/rateMessage.ts
@@ -1,16 +1,16 @@
 import { toId } from '@goldcrestscale/core';
-import type { RateAsk, RateReply, RateRow, UpstreamId } from '@goldcrestscale/core';
+import type { PermitRequest, PermitReply, RateRow, UpstreamId } from '@goldcrestscale/core';
 import type { MeshDatagram } from './meshDatagram.js';
 
-/** Message between a VM with a request for a limited upstream and the granter of that upstream. */
+/** Message between a VM that needs a permit for a limited upstream and its granter. */
 export type RateMessage =
-  | { readonly kind: 'ask'; readonly ask: RateAsk }
-  | { readonly kind: 'reply'; readonly reply: RateReply };
+  | { readonly kind: 'request'; readonly request: PermitRequest }
+  | { readonly kind: 'reply'; readonly reply: PermitReply };
 
 /** First fields of the messages; gossip begins with a number. */
-const ASK_TAG = 'rate-ask';
-const GRANT_TAG = 'rate-grant';
-const DENIAL_TAG = 'rate-denial';
+const REQUEST_TAG = 'permit-request';
+const GRANT_TAG = 'permit-grant';
+const DENIAL_TAG = 'permit-denial';
 
 const isAmount = (value: unknown): value is number =>
   typeof value === 'number' && Number.isFinite(value) && value >= 0;
@@ -24,9 +24,9 @@
       : [DENIAL_TAG, reply.id, reply.retryAfterMs];
   }
   const { id, upstreamId, startedAtMs, requestsPerSecond, announcedAgeMs, maxWaitMs, priority } =
-    message.ask;
+    message.request;
   return [
-    ASK_TAG,
+    REQUEST_TAG,
     id,
     upstreamId,
     startedAtMs,
@@ -37,7 +37,7 @@
   ];
 };
 
-const decodeAsk = (fields: readonly unknown[]): RateAsk | undefined => {
+const decodePermitRequest = (fields: readonly unknown[]): PermitRequest | undefined => {
   const [id, upstreamId, startedAtMs, requestsPerSecond, announcedAgeMs, maxWaitMs, priority] =
     fields;
   if (!isAmount(id) || typeof upstreamId !== 'string' || !isAmount(startedAtMs)) return undefined;
@@ -58,9 +58,9 @@
 export const decodeRateMessage = ({
   fields: [tag, ...fields],
 }: MeshDatagram): RateMessage | undefined => {
-  if (tag === ASK_TAG) {
-    const ask = decodeAsk(fields);
-    return ask && { kind: 'ask', ask };
+  if (tag === REQUEST_TAG) {
+    const request = decodePermitRequest(fields);
+    return request && { kind: 'request', request };
   }
   const [id, timeMs, nextAfterMs] = fields;
   if (!isAmount(id) || !isAmount(timeMs)) return undefined;
