--- a/packages/core/src/rateLimit/rateGranter.ts
+++ b/packages/core/src/rateLimit/rateGranter.ts
@@ -30,9 +30,9 @@
 };
 
 /**
- * Spaces the requests that it grants to an upstream at a given rate (generic cell rate algorithm);
- * one that nobody requested in time can be made up for. Each permit is for one request that waits for it, so the rate goes to
- * the VMs that have requests.
+ * Grants permits for an upstream at a given rate (generic cell rate algorithm); one that nobody
+ * requested in time can be made up for. Each permit is for one request that waits for it, so the rate
+ * goes to the VMs that have requests.
  */
 export class RateGranter {
   private readonly upstreams = new Map<UpstreamId, GrantedUpstream>();
