refactor(gateway): heartbeats report refused patterns, not only prompt parts

The rows have held whole requests too since; names and comments still said parts. No change of behaviour. Types, lint, format and the module's tests ran on it.

--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -13,7 +13,7 @@
 import {
   HeartbeatDecoder,
   encodeHeartbeat,
-  readRefusedParts,
+  readRefusedPatterns,
 } from '../controllers/heartbeatRecord.js';
 import { Shutdown } from '../controllers/shutdown.js';
 import { TopicReader } from '../controllers/topicReader.js';
@@ -318,6 +318,6 @@
   };
   const decoder = new HeartbeatDecoder();
   const decoded = decoder.decode(encodeHeartbeat(heartbeat, [row]))!;
-  expect(readRefusedParts(decoded)).toEqual([row]);
-  expect(readRefusedParts(decoder.decode(encodeHeartbeat(heartbeat, []))!)).toEqual([]);
+  expect(readRefusedPatterns(decoded)).toEqual([row]);
+  expect(readRefusedPatterns(decoder.decode(encodeHeartbeat(heartbeat, []))!)).toEqual([]);
 });
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -10,7 +10,7 @@
 } from '../constants.js';
 import type { KeyedRecord, SharedLog } from '../ports/index.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
-import { HeartbeatDecoder, encodeHeartbeat, readRefusedParts } from './heartbeatRecord.js';
+import { HeartbeatDecoder, encodeHeartbeat, readRefusedPatterns } from './heartbeatRecord.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
 import { TopicReader } from './topicReader.js';
 
@@ -59,7 +59,7 @@
       onSnapshot: (records) => this.applyRecords(records),
       onRecords: (records) => {
         this.applyRecords(records).forEach((heartbeat) =>
-          options.quarantine.merge(readRefusedParts(heartbeat)),
+          options.quarantine.merge(readRefusedPatterns(heartbeat)),
         );
       },
       onRecovery: () => roster.recordLogRecovery(),
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -4,7 +4,7 @@
 
 /** A heartbeat, and what a VM reports with it to those that it can't reach in the mesh. */
 interface HeartbeatContent extends EntryHeartbeat {
-  /** Refused prompt parts; absent if there are none. */
+  /** Refused patterns; absent if there are none. */
   readonly quarantine?: unknown;
 }
 
@@ -18,8 +18,8 @@
   return { key: heartbeat.vmId, value: Buffer.from(JSON.stringify(content)) };
 };
 
-/** Returns the refused prompt parts that came with a decoded heartbeat. */
-export const readRefusedParts = ({ quarantine }: HeartbeatContent): readonly QuarantineRow[] =>
+/** Returns the refused patterns that came with a decoded heartbeat. */
+export const readRefusedPatterns = ({ quarantine }: HeartbeatContent): readonly QuarantineRow[] =>
   Array.isArray(quarantine) ? quarantine.flatMap(decodeQuarantineRow) : [];
 
 const isHeartbeat = (value: unknown): value is EntryHeartbeat => {
