--- /dev/null
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -0,0 +1,162 @@
+import type { AddressInfo } from 'node:net';
+import { FetchWindow, FleetRetryBudget, OperatorState, toId } from '@goldcrestscale/core';
+import type {
+  AvailabilityZoneId,
+  DeployedAccount,
+  RouteRule,
+  ServiceName,
+  UpstreamId,
+  VmId,
+} from '@goldcrestscale/core';
+import { createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
+import { createFleetState } from '../compose/createFleetState.js';
+import { RequestLog } from '../requestLog.js';
+import { ConnectionPool } from '../dispatch/connectionPool.js';
+import { UpstreamChooser } from '../dispatch/upstreamChooser.js';
+import { createGatewayFilters } from '../filters/index.js';
+import { createCallerServer } from '../http/callerServer.js';
+import { createGatewayMetrics } from '../metrics.js';
+import { TestCallerProtocol, TestUpstreamProtocol } from './testProtocols.js';
+
+const SERVICE = toId<ServiceName>('service');
+
+const baseRoute: RouteRule = {
+  name: 'route',
+  host: 'site.example',
+  pathPrefix: '/a/',
+  destinations: [{ service: SERVICE, weight: 1 }],
+  streaming: false,
+  resumable: false,
+  idempotent: true,
+  timeoutMs: 2_000,
+  objectiveMs: 300,
+  gapObjectiveMs: undefined,
+  maxUpstreams: 2,
+  priority: 0,
+  anonymous: true,
+  carriesPrompt: false,
+  regions: [],
+};
+
+const bounds = {
+  shutdownMs: 8_000,
+  retryRatio: 0.2,
+  retryAllowance: 50,
+  retryWindowMs: 10_000,
+  coldOverrun: 1.5,
+  coldSlack: 5,
+  weightsInForceMs: 10_000,
+  directoryTtlMs: 5_000,
+};
+
+/** Options of the test gateway. */
+export interface TestGatewayOptions {
+  readonly route?: Partial<RouteRule>;
+  readonly accounts?: readonly DeployedAccount[];
+  /** Starts without a configuration. */
+  readonly isUnconfigured?: boolean;
+  readonly isRefusing?: () => boolean;
+  /** Addresses of the upstreams. */
+  readonly addresses: readonly string[];
+}
+
+/** Creates a gateway that listens on a free port. */
+export const createTestGateway = async (options: TestGatewayOptions) => {
+  const fleetState = createFleetState(toId<VmId>('vm-1'), toId<AvailabilityZoneId>('zone-1'));
+  const operators = new OperatorState();
+  if (!options.isUnconfigured) {
+    operators.apply({
+      kind: 'deployment',
+      deployment: {
+        version: 1,
+        routes: [{ ...baseRoute, ...options.route }],
+        services: [
+          {
+            name: SERVICE,
+            connectionLimit: 100,
+            coldStartMs: 0,
+            coldRequestsPerSecond: 0,
+            engine: undefined,
+          },
+        ],
+        blockStores: [],
+        accounts: options.accounts ?? [],
+        callerLimits: { bodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+      },
+    });
+  }
+  options.addresses.forEach((address, index) =>
+    fleetState.registry.apply({
+      kind: 'present',
+      upstream: {
+        upstreamId: toId<UpstreamId>(`up-${index}`),
+        service: SERVICE,
+        address,
+        availabilityZone: toId<AvailabilityZoneId>('z1'),
+        slots: 8,
+        draining: false,
+        coldRemainingMs: 0,
+        weights: [],
+        heartbeat: 1,
+        startedAtMs: 1,
+      },
+    }),
+  );
+  const connections = new ConnectionPool(() => undefined);
+  const metrics = createGatewayMetrics(createMetricsRegistry());
+  const protocol = new TestCallerProtocol();
+  const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
+  const requestLog = new RequestLog(logger);
+  const gateway = createCallerServer({
+    protocol,
+    isLeaving: () => false,
+    filters: createGatewayFilters({
+      errorResponse: { requestLog, metrics, protocol },
+      getView: () => operators.view,
+      isRefusing: options.isRefusing ?? (() => false),
+      dispatch: {
+        chooser: new UpstreamChooser({
+          ...fleetState,
+          self: toId<VmId>('vm-1'),
+          zone: toId<AvailabilityZoneId>('zone-1'),
+          bounds,
+          regions: new Map(),
+          operators,
+        }),
+        connections,
+        protocol: new TestUpstreamProtocol(),
+        retryBudget: new FleetRetryBudget(
+          { ratio: bounds.retryRatio, allowance: bounds.retryAllowance, windowMs: 10_000 },
+          () => 1,
+        ),
+        ejection: fleetState.ejection,
+        blocks: fleetState.blocks,
+        registry: fleetState.registry,
+        announcedRates: fleetState.announcedRates,
+        rateLimits: fleetState.rateLimits,
+        quarantine: fleetState.quarantine,
+        requestLog,
+        fetchWindow: new FetchWindow(operators),
+        metrics,
+        getConnectionShare: () => 50,
+        onRequestCrash: () => undefined,
+        onPromptSent: () => undefined,
+      },
+    }),
+  });
+  await new Promise<void>((resolve) => {
+    gateway.server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = gateway.server.address() as AddressInfo;
+  return {
+    port,
+    fleetState,
+    operators,
+    metrics,
+    close(): void {
+      connections.close();
+      gateway.server.closeAllConnections();
+      gateway.server.close();
+    },
+  };
+};
