--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -110,6 +110,7 @@
   const gateway = createCallerServer({
     protocol,
     isLeaving: () => false,
+    counts: { requestsRead: 0, callersLeft: 0 },
     filters: createGatewayFilters({
       errorResponse: { requestLog, metrics, protocol },
       getView: () => operators.view,
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -8,7 +8,7 @@
 import { createGatewayFilters } from '../filters/index.js';
 import type { GatewayOptions } from '../gatewayOptions.js';
 import { createCallerServer } from '../http/callerServer.js';
-import type { CallerServer } from '../http/callerServer.js';
+import type { CallerCounts, CallerServer } from '../http/callerServer.js';
 import type { Controllers } from './createControllers.js';
 import type { FleetState } from './createFleetState.js';
 
@@ -19,6 +19,8 @@
   readonly shutdown: Shutdown;
   readonly connections: ConnectionPool;
   readonly gossip: Controllers['gossip'];
+  /** Running counts for reports of pauses. */
+  readonly counts: CallerCounts;
 }
 
 const createRetryBudget = (
@@ -33,7 +35,7 @@
 /** Creates the request path: the server for callers, the filter chain and the upstream chooser. */
 export const createDataPath = (
   { settings, metrics, callerProtocol, logger, upstreamProtocol }: GatewayOptions,
-  { fleetState, operators, shutdown, connections, gossip }: DataPathOptions,
+  { fleetState, operators, shutdown, connections, gossip, counts }: DataPathOptions,
 ): CallerServer => {
   const { roster } = fleetState;
   const countVms = (): number => Math.max(1, roster.listPossibleSenders().length);
@@ -80,5 +82,6 @@
     protocol: callerProtocol,
     filters,
     isLeaving: () => shutdown.isLeaving,
+    counts,
   });
 };
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -278,6 +278,7 @@
   ): void {
     const { announcedRates, metrics, ejection, chooser, onPromptSent } = this.options;
     progress.recordSend();
+    exchange.isSent = true;
     if (announcedRates.find(upstream.registered)) metrics.countLimitedSend(upstream.upstreamId);
     upstream.recordDispatch(prefillTokens, exchange.head.prompt?.inputTokens ?? 0);
     ejection.recordStart(upstream.upstreamId);
--- a/packages/gateway/src/filters/errorResponseFilter.ts
+++ b/packages/gateway/src/filters/errorResponseFilter.ts
@@ -56,6 +56,7 @@
       const error = toError(cause, exchange);
       const status = chooseStatus(error, exchange);
       metrics.countResponse(exchange.route?.name, error.code);
+      if (exchange.signal.aborted) metrics.countDeparture(exchange.route?.name, exchange.isSent);
       requestLog.log('request failed', {
         id: exchange.head.requestId,
         route: exchange.route?.name,
--- a/packages/gateway/src/filters/gatewayExchange.ts
+++ b/packages/gateway/src/filters/gatewayExchange.ts
@@ -32,6 +32,8 @@
   deadlineAtMs: number;
   /** The verdict of the attempts so far that promises the least. */
   verdict: Verdict;
+  /** Whether it has been sent to an upstream. */
+  isSent: boolean;
   /** Attempts so far, for the log. */
   readonly attempts: AttemptLogEntry[];
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,8 +2,8 @@
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
 import type { QuarantineChange, RateChange } from '@goldcrestscale/core';
-import { listen } from '@goldcrestscale/runtime';
-import type { Logger } from '@goldcrestscale/runtime';
+import { PauseMonitor, listen } from '@goldcrestscale/runtime';
+import type { EventCounts, Logger } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
 import { createDataPath } from './compose/createDataPath.js';
@@ -81,6 +81,21 @@
   };
 };
 
+/** Creates the monitor that reports how long this process stood still, and what it found then. */
+const createPauseMonitor = (
+  { logger, metrics }: GatewayOptions,
+  readCounts: () => EventCounts,
+): PauseMonitor => {
+  const pauseLog = new RequestLog(logger.createPartLogger('process'));
+  return new PauseMonitor({
+    readCounts,
+    onPause({ durationMs, counts }) {
+      metrics.recordPause(durationMs);
+      pauseLog.log('event loop stalled', { durationMs: Math.round(durationMs), ...counts });
+    },
+  });
+};
+
 /** Starts the controllers, which run until the signal aborts. */
 const startControllers = async (controllers: Controllers, signal: AbortSignal): Promise<void> => {
   await controllers.gossip.start(signal);
@@ -124,8 +139,16 @@
     if (limits) callers.applyLimits(limits);
   });
   const { operators, gossip } = controllers;
-  const dataPathOptions = { fleetState, operators, shutdown, connections, gossip };
-  const callers = createDataPath(options, dataPathOptions);
+  const counts = { requestsRead: 0, callersLeft: 0 };
+  const pauseMonitor = createPauseMonitor(options, () => ({ ...counts }));
+  const callers = createDataPath(options, {
+    fleetState,
+    operators,
+    shutdown,
+    connections,
+    gossip,
+    counts,
+  });
   const servers = createAuxiliaryServers(options, controllers, shutdown, fleetState);
   const { directory, readiness } = servers;
   await Promise.all([
@@ -134,6 +157,7 @@
     listen(readiness, splitAddress(settings.listen.readiness)),
   ]);
   await listenForMetrics(servers.metrics, options);
+  pauseMonitor.start(workController.signal);
   await startControllers(controllers, workController.signal);
   logger.info('started', { vmId: settings.vmId, bootId: controllers.bootId });
   await waitForAbort(signal);
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -7,12 +7,20 @@
 import type { CallerProtocol } from '../ports/index.js';
 import { CallerResponse } from './callerResponse.js';
 
+/** Running counts of what callers did. */
+export interface CallerCounts {
+  requestsRead: number;
+  /** Callers that left before their responses had been sent. */
+  callersLeft: number;
+}
+
 /** Dependencies of the server for callers. */
 export interface CallerServerOptions {
   readonly protocol: CallerProtocol;
   readonly filters: readonly GatewayFilter[];
   /** Whether responses close their connections, because this VM is shutting down. */
   readonly isLeaving: () => boolean;
+  readonly counts: CallerCounts;
 }
 
 /** The HTTP server for callers. */
@@ -35,40 +43,43 @@
   request: IncomingMessage,
   response: ServerResponse,
   options: CallerServerOptions,
-): GatewayExchange => {
-  const disconnectController = new AbortController();
-  response.once('close', () => {
-    if (!response.writableFinished) disconnectController.abort();
-  });
-  return {
-    request,
-    method: request.method ?? 'GET',
-    host: request.headers.host ?? '',
-    target: request.url ?? '/',
-    head: options.protocol.parseHead(request),
-    response: new CallerResponse(response, options.isLeaving),
-    signal: disconnectController.signal,
-    receivedAtMs: performance.now(),
-    body: Buffer.alloc(0),
-    deadlineAtMs: Infinity,
-    verdict: 'not-run',
-    attempts: [],
-  };
-};
+  signal: AbortSignal,
+): GatewayExchange => ({
+  request,
+  method: request.method ?? 'GET',
+  host: request.headers.host ?? '',
+  target: request.url ?? '/',
+  head: options.protocol.parseHead(request),
+  response: new CallerResponse(response, options.isLeaving),
+  signal,
+  receivedAtMs: performance.now(),
+  body: Buffer.alloc(0),
+  deadlineAtMs: Infinity,
+  verdict: 'not-run',
+  isSent: false,
+  attempts: [],
+});
 
 /** Creates the HTTP server for callers. */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
+  const { counts } = options;
   let openCount = 0;
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + TIMEOUT_MARGIN_MS;
   server.requestTimeout = 0;
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
     openCount += 1;
+    counts.requestsRead += 1;
+    const disconnectController = new AbortController();
+    const { signal } = disconnectController;
     response.once('close', () => {
       openCount -= 1;
+      if (response.writableFinished) return;
+      disconnectController.abort();
+      counts.callersLeft += 1;
     });
     // The error response filter handles every error of the chain.
-    void runChain(options.filters, buildExchange(request, response, options)).finally(() =>
+    void runChain(options.filters, buildExchange(request, response, options, signal)).finally(() =>
       request.resume(),
     );
   });
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,6 +13,10 @@
   observeResponse(elapsedMs: number): void;
   observeFirstByte(elapsedMs: number): void;
   countConnection(): void;
+  /** Counts a request whose caller left, by whether it had been sent to an upstream. */
+  countDeparture(route: string | undefined, isSent: boolean): void;
+  /** Records a span in which the process handled no events. */
+  recordPause(durationMs: number): void;
   /** Sets the rate limit that an upstream announces, in requests per second; removed if undefined. */
   setAnnouncedRate(upstreamId: string, requestsPerSecond: number | undefined): void;
   /** Counts a request that this VM sends to an upstream with a rate limit. */
@@ -45,6 +49,32 @@
   };
 };
 
+const createPresenceMetrics = (
+  metrics: MetricsRegistry,
+): Pick<GatewayMetrics, 'countDeparture' | 'recordPause'> => {
+  const departures = metrics.createCounter({
+    name: 'goldcrest_gateway_departed_callers_total',
+    help: 'Requests whose callers left before the answer was sent; sent: whether an upstream got them.',
+    labelNames: ['route', 'sent'],
+  });
+  const lastPause = metrics.createGauge({
+    name: 'goldcrest_gateway_last_pause_ms',
+    help: 'Length of the last span in which the process handled no events.',
+  });
+  const pausedTime = metrics.createCounter({
+    name: 'goldcrest_gateway_paused_ms_total',
+    help: 'Time in which the process handled no events, in spans of 0.2 s or more.',
+  });
+  return {
+    countDeparture: (route, isSent) =>
+      departures.inc({ route: route ?? 'none', sent: isSent ? 'yes' : 'no' }),
+    recordPause(durationMs) {
+      lastPause.set(durationMs);
+      pausedTime.inc(durationMs);
+    },
+  };
+};
+
 /** Creates the metrics of the gateway. */
 export const createGatewayMetrics = (metrics: MetricsRegistry): GatewayMetrics => {
   const responses = metrics.createCounter({
@@ -87,6 +117,7 @@
     observeResponse: (elapsedMs) => responseLatency.observe(elapsedMs),
     observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
     countConnection: () => connections.inc(),
+    ...createPresenceMetrics(metrics),
     ...createRateMetrics(metrics),
     render: () => metrics.render(),
   };
