--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -18,6 +18,7 @@
   | 'overloaded'
   | 'rate_limited'
   | 'deadline'
+  | 'caller_left'
   | 'no_upstream'
   | 'zone_out'
   | 'stale_configuration'
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -196,6 +196,13 @@
     this.inFlightTokens += promptTokens;
   }
 
+  /** Takes back `recordDispatch` for a request that was not sent. */
+  withdrawDispatch(prefillTokens: number, promptTokens: number): void {
+    this.dispatchedSinceReport = Math.max(0, this.dispatchedSinceReport - 1);
+    this.recordResponseStart(prefillTokens);
+    this.recordCompletion(promptTokens);
+  }
+
   recordResponseStart(prefillTokens: number): void {
     this.pendingTokens -= prefillTokens;
   }
--- a/packages/core/src/rateLimit/fleetRateLimits.ts
+++ b/packages/core/src/rateLimit/fleetRateLimits.ts
@@ -107,6 +107,13 @@
     return Math.max(0, state.pausedUntilMs - performance.now());
   }
 
+  /** Whether a request may be sent now: the upstream has no limit, or a permit for it is unused. */
+  hasPermit(boot: UpstreamBoot): boolean {
+    if (!this.options.rates.find(boot)) return true;
+    const state = this.findRequester(boot);
+    return state !== undefined && hasPermit(state);
+  }
+
   /** Takes a permit to send one request now; false if the upstream has a limit and none is granted. */
   tryTake(boot: UpstreamBoot): boolean {
     if (!this.options.rates.find(boot)) return true;
--- a/packages/core/src/retry/fleetRetryBudget.ts
+++ b/packages/core/src/retry/fleetRetryBudget.ts
@@ -51,6 +51,13 @@
     return true;
   }
 
+  /** Credits a retry that was charged at a monotonic time but not sent. */
+  withdrawRetry(service: ServiceName, chargedAtMs: number): void {
+    const { retriesAtMs } = this.getOrCreateWindow(service);
+    const index = retriesAtMs.findLastIndex((atMs) => atMs <= chargedAtMs);
+    if (index >= 0) retriesAtMs.splice(index, 1);
+  }
+
   private getOrCreateWindow(service: ServiceName): RetryWindow {
     const existing = this.windows.get(service);
     if (existing) return existing;
--- a/packages/gateway/src/__tests__/departedCallers.spec.ts
+++ b/packages/gateway/src/__tests__/departedCallers.spec.ts
@@ -169,6 +169,37 @@
   }),
 );
 
+/** Limit on the time that is handed on beyond the caller's own. */
+const MAX_EXCESS_MS = 500;
+
+// Guards against a request that counts as new when it is read, however long it lay unread.
+test.each(['stopped', 'busy'] as const)("%s: the time handed on is the caller's", async (kind) => {
+  const { port, upstreams, pause } = await startPausableGateway({
+    route: ROUTE,
+    upstreams: [answer],
+  });
+  const [early, late] = [await openCaller(port), await openCaller(port)];
+  await warmConnections([early, late]);
+  const finishPause = await pause(kind, 2_000);
+  const sendTimed = (caller: Socket, id: string, waitMs: number): Promise<unknown> => {
+    caller.write(buildRequest(id).replace('x-id', `x-wait: ${waitMs}\r\nx-id`));
+    return once(caller, 'data');
+  };
+  const earlyReply = sendTimed(early, 'early', 3_000);
+  await sleep(1_500);
+  const lateReply = sendTimed(late, 'late', 1_000);
+  await finishPause();
+  // The late caller still waits for half a second, and is served.
+  expect(String(await earlyReply)).toMatch(/^HTTP\/1\.1 200 /);
+  expect(String(await lateReply)).toMatch(/^HTTP\/1\.1 200 /);
+  const readLeftMs = (requestId: string): number =>
+    Number(
+      /x-left: (\d+)/.exec(upstreams[0]!.received.find(({ id }) => id === requestId)!.head)![1],
+    );
+  expect(readLeftMs('early')).toBeLessThanOrEqual(1_000 + MAX_EXCESS_MS);
+  expect(readLeftMs('late')).toBeLessThanOrEqual(500 + MAX_EXCESS_MS);
+});
+
 // Guards against upstreams that work on for a caller that has left.
 test.each([1, 3].flatMap((count) => DEPARTURES.map((departure) => [departure, count] as const)))(
   '%s ends %i pipelined requests at their upstreams',
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -8,7 +8,12 @@
   UpstreamId,
   VmId,
 } from '@goldcrestscale/core';
-import { createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
+import {
+  EventLoopBarrier,
+  PauseMonitor,
+  createLogger,
+  createMetricsRegistry,
+} from '@goldcrestscale/runtime';
 import { createFleetState } from '../compose/createFleetState.js';
 import { RequestLog } from '../requestLog.js';
 import { ConnectionPool } from '../dispatch/connectionPool.js';
@@ -107,9 +112,13 @@
   const protocol = new TestCallerProtocol();
   const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
   const requestLog = new RequestLog(logger);
+  const stopController = new AbortController();
+  const pauseMonitor = new PauseMonitor({ readCounts: () => ({}), onPause: () => undefined });
+  pauseMonitor.start(stopController.signal);
   const gateway = createCallerServer({
     protocol,
     isLeaving: () => false,
+    estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts: { requestsRead: 0, callersLeft: 0 },
     filters: createGatewayFilters({
       errorResponse: { requestLog, metrics, protocol },
@@ -125,6 +134,7 @@
           operators,
         }),
         connections,
+        inputBarrier: new EventLoopBarrier(),
         protocol: new TestUpstreamProtocol(),
         retryBudget: new FleetRetryBudget(
           { ratio: bounds.retryRatio, allowance: bounds.retryAllowance, windowMs: 10_000 },
@@ -155,6 +165,7 @@
     operators,
     metrics,
     close(): void {
+      stopController.abort();
       connections.close();
       gateway.server.closeAllConnections();
       gateway.server.close();
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -1,5 +1,7 @@
 import { FleetRetryBudget } from '@goldcrestscale/core';
 import type { ServiceName } from '@goldcrestscale/core';
+import { EventLoopBarrier } from '@goldcrestscale/runtime';
+import type { PauseMonitor } from '@goldcrestscale/runtime';
 import { CONNECTION_LIMIT_FRACTION } from '../constants.js';
 import type { Shutdown } from '../controllers/shutdown.js';
 import { RequestLog } from '../requestLog.js';
@@ -19,6 +21,7 @@
   readonly shutdown: Shutdown;
   readonly connections: ConnectionPool;
   readonly gossip: Controllers['gossip'];
+  readonly pauseMonitor: PauseMonitor;
   /** Running counts for reports of pauses. */
   readonly counts: CallerCounts;
 }
@@ -35,7 +38,7 @@
 /** Creates the request path: the server for callers, the filter chain and the upstream chooser. */
 export const createDataPath = (
   { settings, metrics, callerProtocol, logger, upstreamProtocol }: GatewayOptions,
-  { fleetState, operators, shutdown, connections, gossip, counts }: DataPathOptions,
+  { fleetState, operators, shutdown, connections, gossip, pauseMonitor, counts }: DataPathOptions,
 ): CallerServer => {
   const { roster } = fleetState;
   const countVms = (): number => Math.max(1, roster.listPossibleSenders().length);
@@ -62,6 +65,7 @@
         operators: operators.state,
       }),
       connections,
+      inputBarrier: new EventLoopBarrier(),
       protocol: upstreamProtocol,
       retryBudget: createRetryBudget(settings, countVms),
       ejection: fleetState.ejection,
@@ -82,6 +86,7 @@
     protocol: callerProtocol,
     filters,
     isLeaving: () => shutdown.isLeaving,
+    estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts,
   });
 };
--- a/packages/gateway/src/dispatch/attemptResult.ts
+++ b/packages/gateway/src/dispatch/attemptResult.ts
@@ -9,6 +9,8 @@
       readonly kind: 'not-run';
       readonly reason: 'unreachable' | 'refused' | 'misdirected' | 'moved' | 'cancelled';
     }
+  /** The request was not sent: a check right before the write failed. */
+  | { readonly kind: 'withheld'; readonly reason: string }
   /** The upstream executed the request and returned a server error. */
   | { readonly kind: 'failed'; readonly head: ResponseHead; readonly body: Buffer }
   /** No valid response arrived; the request may have been executed. */
--- a/packages/gateway/src/dispatch/dispatchErrors.ts
+++ b/packages/gateway/src/dispatch/dispatchErrors.ts
@@ -23,14 +23,33 @@
     retryAfterMs: Math.max(NO_CAPACITY_RETRY_AFTER_MS, retryAfterMs),
   });
 
-/** Ends a request whose time is over, or whose caller has left. */
-export const createTimeoutError = (exchange: GatewayExchange): GoldcrestErrorInstance =>
+/** Ends a request whose caller has left; nobody receives it. */
+export const createCallerLeftError = (exchange: GatewayExchange): GoldcrestErrorInstance =>
+  createError('The caller left.', {
+    code: 'caller_left',
+    status: exchange.verdict === 'not-run' ? 503 : 504,
+    verdict: exchange.verdict,
+  });
+
+/** Ends a request whose time is over. */
+const createTimeoutError = (exchange: GatewayExchange): GoldcrestErrorInstance =>
   createError('The time for the answer is over.', {
     code: 'deadline',
     status: exchange.verdict === 'not-run' ? 503 : 504,
     verdict: exchange.verdict,
   });
 
+/**
+ * @param signal aborts when the caller leaves or the deadline passes
+ * @throws an error that ends the request if its caller has left or its time is over
+ */
+export const assertWaiting = (exchange: GatewayExchange, signal: AbortSignal): void => {
+  if (exchange.signal.aborted) throw createCallerLeftError(exchange);
+  // After a pause of the process, the deadline may have passed before its timer runs.
+  const isOver = signal.aborted || performance.now() >= exchange.deadlineAtMs;
+  if (isOver) throw createTimeoutError(exchange);
+};
+
 /**
  * Ends a request after its last attempt: relays the last server error, or throws.
  *
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -24,7 +24,7 @@
   readonly requestLog: RequestLog;
 }
 
-type FailedResult = Exclude<AttemptResult, { kind: 'answered' }>;
+type FailedResult = Exclude<AttemptResult, { kind: 'answered' | 'withheld' }>;
 
 type NotRunReason = Extract<AttemptResult, { kind: 'not-run' }>['reason'];
 
--- a/packages/gateway/src/dispatch/requestProgress.ts
+++ b/packages/gateway/src/dispatch/requestProgress.ts
@@ -9,12 +9,18 @@
   /** Defined if a broken stream may be resumed at another upstream. */
   readonly eventSplitter: EventSplitter | undefined;
 
-  /** Number of attempts that were sent. */
+  /** Number of attempts that were sent, or would have been at an upstream that can be reached. */
   attempts = 0;
 
+  /** Monotonic time at which the retry budget was charged for an attempt that is still to be sent. */
+  retryChargedAtMs: number | undefined;
+
   /** Number of permits that were requested under rate limits. */
   permitRequests = 0;
 
+  /** Number of attempts that were withheld right before they would have been sent. */
+  withheldSends = 0;
+
   /** Number of attempts that were executed or may have been. */
   executions = 0;
 
@@ -46,10 +52,22 @@
     this.permitRequests += 1;
   }
 
-  recordSend(): void {
+  recordWithheldSend(): void {
+    this.withheldSends += 1;
+  }
+
+  recordAttempt(): void {
     this.attempts += 1;
   }
 
+  recordRetryCharge(): void {
+    this.retryChargedAtMs ??= performance.now();
+  }
+
+  recordSend(): void {
+    this.retryChargedAtMs = undefined;
+  }
+
   recordExecution(upstreamId: UpstreamId): void {
     this.executions += 1;
     this.excluded.add(upstreamId);
--- /dev/null
+++ b/packages/gateway/src/dispatch/sendGate.ts
@@ -0,0 +1,82 @@
+import type {
+  AnnouncedRates,
+  CrashQuarantine,
+  EjectionPolicy,
+  UpstreamRegistry,
+} from '@goldcrestscale/core';
+import type { GatewayExchange } from '../filters/gatewayExchange.js';
+import { assertPromptAllowed, assertRequestAllowed } from '../filters/quarantineFilter.js';
+import type { GatewayMetrics } from '../metrics.js';
+import type { AttemptMetadata } from '../ports/index.js';
+import type { AttemptMetadataBuilder } from './attemptMetadataBuilder.js';
+import { assertWaiting } from './dispatchErrors.js';
+import type { RequestProgress } from './requestProgress.js';
+import type { UpstreamChoice, UpstreamChooser } from './upstreamChooser.js';
+
+/** Dependencies of the gate. */
+export interface SendGateOptions {
+  readonly chooser: UpstreamChooser;
+  readonly registry: UpstreamRegistry;
+  readonly quarantine: CrashQuarantine;
+  readonly announcedRates: AnnouncedRates;
+  readonly ejection: EjectionPolicy;
+  readonly metrics: GatewayMetrics;
+  /** Called with the tokens that an engine has to prefill for a prompt that is being sent. */
+  readonly onPromptSent: (tokens: number) => void;
+}
+
+/** Why a request is not sent to the chosen upstream; another one may be chosen. */
+export interface WithheldSend {
+  readonly withheld: string;
+}
+
+/**
+ * The last check of every request, right before it is written to an upstream. What was true when the
+ * request was read, or when its upstream was chosen, may not be true any more.
+ */
+export class SendGate {
+  constructor(
+    private readonly options: SendGateOptions,
+    private readonly metadataBuilder: AttemptMetadataBuilder,
+  ) {}
+
+  /**
+   * Takes what the request needs to be sent. No await may come between this and the write.
+   *
+   * @throws a refusal if the request must not be sent at all
+   */
+  claim(
+    exchange: GatewayExchange,
+    choice: UpstreamChoice,
+    progress: RequestProgress,
+    signal: AbortSignal,
+  ): AttemptMetadata | WithheldSend {
+    const { chooser, registry, quarantine } = this.options;
+    const { upstream } = choice;
+    assertWaiting(exchange, signal);
+    assertPromptAllowed(exchange, quarantine);
+    assertRequestAllowed(exchange, quarantine);
+    if (registry.find(upstream.upstreamId) !== upstream) return { withheld: 'upstream is gone' };
+    if (!chooser.isEligible(exchange, upstream, progress.excluded)) {
+      return { withheld: 'upstream is not eligible any more' };
+    }
+    if (!chooser.takePermit(upstream)) return { withheld: 'no permit is left' };
+    const metadata = this.metadataBuilder.build(exchange, choice, progress);
+    this.recordSend(exchange, choice, progress);
+    exchange.isSent = true;
+    return metadata;
+  }
+
+  private recordSend(
+    exchange: GatewayExchange,
+    { upstream, prefillTokens }: UpstreamChoice,
+    progress: RequestProgress,
+  ): void {
+    const { announcedRates, metrics, ejection, chooser, onPromptSent } = this.options;
+    progress.recordSend();
+    if (announcedRates.find(upstream.registered)) metrics.countLimitedSend(upstream.upstreamId);
+    ejection.recordStart(upstream.upstreamId);
+    chooser.recordSentParts(exchange, upstream);
+    onPromptSent(prefillTokens);
+  }
+}
--- a/packages/gateway/src/dispatch/singleConnectionAgent.ts
+++ b/packages/gateway/src/dispatch/singleConnectionAgent.ts
@@ -9,6 +9,12 @@
 /** Idle time after which the kernel sends TCP keep-alive probes. */
 const KEEP_ALIVE_PROBE_MS = 1_000;
 
+/** Where the connection leads. */
+export interface ConnectionTarget {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** Callbacks of the connection of an agent. */
 export interface SingleConnectionEvents {
   /** The connection can't be used any more. */
@@ -24,6 +30,10 @@
 export class SingleConnectionAgent extends Agent {
   private socket: Socket | undefined;
 
+  private opening: Promise<void> | undefined;
+
+  private isHandedOver = false;
+
   /** Whether a request is being sent or answered. */
   isInUse = false;
 
@@ -31,18 +41,40 @@
     super({ keepAlive: true, maxSockets: 1, maxFreeSockets: 1 });
   }
 
+  /**
+   * Opens the connection; later calls return the same promise.
+   *
+   * @throws ConnectionError or the socket's error, if it is not established in time
+   */
+  open(target: ConnectionTarget): Promise<void> {
+    this.opening ??= new Promise((resolve, reject) => {
+      const socket = this.connect(target);
+      socket.once('connect', resolve);
+      socket.once('error', reject);
+      socket.once('close', () => reject(new ConnectionError('the connection is closed')));
+    });
+    return this.opening;
+  }
+
   /** @returns undefined if the connection has been used up; the request then ends with an error */
   override createConnection(
-    options: ClientRequestArgs,
+    { host, port }: ClientRequestArgs,
     callback?: (error: Error | null, stream: Duplex) => void,
   ): Socket | undefined {
-    if (this.socket) {
+    if (this.socket && (this.isHandedOver || this.socket.destroyed)) {
       callback?.(new ConnectionError('the connection is closed'), this.socket);
       return undefined;
     }
+    this.isHandedOver = true;
+    // The request on the connection reports its errors.
+    this.open({ host: String(host), port: Number(port) }).catch(() => undefined);
+    return this.socket;
+  }
+
+  private connect({ host, port }: ConnectionTarget): Socket {
     const socket = connect({
-      host: String(options.host),
-      port: Number(options.port),
+      host,
+      port,
       noDelay: true,
       keepAlive: true,
       keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
@@ -63,6 +95,8 @@
       clearTimeout(timer);
       this.events.onClose();
     });
+    // Between the opening and the first request; the close of the connection tells the same.
+    socket.on('error', () => undefined);
     this.socket = socket;
     return socket;
   }
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -1,10 +1,12 @@
 import { MIN_SURVIVAL_EVENTS } from '@goldcrestscale/core';
 import type { TrackedUpstream } from '@goldcrestscale/core';
+import type { InputBarrier } from '@goldcrestscale/runtime';
 import { MAX_BUFFERED_RESPONSE_BYTES, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES } from '../constants.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { requireRoute } from '../filters/gatewayExchange.js';
 import type { ResponseHead, AttemptMetadata, UpstreamProtocol } from '../ports/index.js';
 import type { AttemptResult } from './attemptResult.js';
+import type { WithheldSend } from './sendGate.js';
 import { EventScanner } from './eventScanner.js';
 import type { EventSplitter } from './eventSplitter.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
@@ -22,7 +24,13 @@
   readonly upstream: TrackedUpstream;
   readonly connection: UpstreamConnection;
   readonly protocol: UpstreamProtocol;
-  readonly metadata: AttemptMetadata;
+  readonly inputBarrier: InputBarrier;
+  /**
+   * Decides right before the write whether the request may still be sent, and takes what it needs.
+   *
+   * @returns why it may not; an error ends the request
+   */
+  readonly claimSend: () => AttemptMetadata | WithheldSend;
   /** Aborts when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
   /** Shared by the attempts at one resumable stream. */
@@ -68,12 +76,14 @@
 
   private hasFinished = false;
 
+  private isConnected = false;
+
+  /** Whether the request was passed to the connection. */
+  hasSent = false;
+
   /** How the end of the response is marked; undefined before its head. */
   framing: BodyFraming | undefined;
 
-  /** Whether the connection may carry another request. */
-  isReusable = false;
-
   constructor(private readonly options: AttemptOptions) {}
 
   /** Whether the upstream lost the connection while it was beginning its answer. */
@@ -89,6 +99,11 @@
     return this.hasFinished || this.hasPassedBeginning;
   }
 
+  /** Whether the connection may carry another request. */
+  get isReusable(): boolean {
+    return this.hasSent ? this.hasFinished : this.isConnected;
+  }
+
   /** Whether any response head has come. */
   get hasHead(): boolean {
     return this.head !== undefined;
@@ -111,30 +126,50 @@
     return this.eventScanner.partialEventBytes;
   }
 
-  run(): Promise<AttemptResult> {
-    const { exchange, connection, protocol, metadata, signal } = this.options;
+  async run(): Promise<AttemptResult> {
+    const { connection, signal } = this.options;
     const cancel = (): void => {
       this.isAbandoned = true;
       this.phase = this.phase === 'offered' ? 'dropped' : this.phase;
-      connection.close();
+      // A connection that has carried nothing of this request can carry another one.
+      if (this.hasSent || !this.isConnected) connection.close();
     };
     const ended = new Promise<AttemptResult>((resolve) => {
       this.resolveResult = resolve;
     });
     signal.addEventListener('abort', cancel, { once: true });
-    connection.send(
-      {
-        method: exchange.method,
-        path: exchange.target,
-        headers: protocol.buildHeaders(exchange, metadata),
-        body: exchange.body,
-      },
-      this,
-    );
-    return ended.finally(() => {
+    try {
+      return (await this.send()) ?? (await ended);
+    } finally {
       signal.removeEventListener('abort', cancel);
       if (this.isStreamOpen) this.options.upstream.recordStreamEnd();
-    });
+    }
+  }
+
+  /** @returns the result if the request was not sent */
+  private async send(): Promise<AttemptResult | undefined> {
+    const { connection, inputBarrier } = this.options;
+    try {
+      await connection.waitForOpen();
+    } catch (error) {
+      return this.buildErrorResult(error as Error);
+    }
+    this.isConnected = true;
+    return inputBarrier.run(() => this.sendNow());
+  }
+
+  /** Nothing may be awaited between the checks and the write. */
+  private sendNow(): AttemptResult | undefined {
+    const { exchange, connection, protocol, claimSend } = this.options;
+    if (this.phase === 'dropped') return { kind: 'not-run', reason: 'cancelled' };
+    if (!connection.isOpen) return { kind: 'withheld', reason: 'connection closed' };
+    const claim = claimSend();
+    if ('withheld' in claim) return { kind: 'withheld', reason: claim.withheld };
+    const headers = protocol.buildHeaders(exchange, claim);
+    const { method, target: path, body } = exchange;
+    this.hasSent = true;
+    connection.send({ method, path, headers, body }, this);
+    return undefined;
   }
 
   onSend(): void {
@@ -181,7 +216,6 @@
       this.resolveResult?.(this.buildErrorResult(new ConnectionError(failure)));
       return;
     }
-    this.isReusable = true;
     this.hasFinished = true;
     this.resolveResult?.(this.finish());
   }
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -1,12 +1,10 @@
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import {
-  ColdStartBudget,
   PrefillRate,
   PromptLanes,
   PromptRouter,
   buildBlockKey,
-  computeColdStartShare,
   computeMaxWeightsAgeMs,
   findSessionPart,
   listEngineGroups,
@@ -17,7 +15,6 @@
 import type {
   AvailabilityZoneId,
   BlockDirectory,
-  ColdStartLimit,
   EjectionPolicy,
   EngineSettings,
   EntryRoster,
@@ -37,6 +34,7 @@
   ZoneRelays,
 } from '@goldcrestscale/core';
 import { buildSalt } from './cacheIdentity.js';
+import { ColdStartLimits } from './coldStartLimits.js';
 import { computeMaxFirstEventWaitMs, computeOutdatedWeightsLimitMs } from './firstEventWait.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { requireRoute } from '../filters/gatewayExchange.js';
@@ -73,10 +71,11 @@
 
   private readonly promptLanes = new PromptLanes();
 
-  private readonly coldStartBudget = new ColdStartBudget();
+  private readonly coldStartLimits: ColdStartLimits;
 
   constructor(private readonly options: UpstreamChooserOptions) {
     this.promptRouter = new PromptRouter(options.sentParts, this.prefillRate);
+    this.coldStartLimits = new ColdStartLimits(options);
   }
 
   /** Picks a service from the destinations of the route, by their traffic weights. */
@@ -103,15 +102,33 @@
    * @returns false if a rate limit of the upstream leaves none; of several limits, the lowest decides
    */
   takePermit(upstream: TrackedUpstream): boolean {
-    const { upstreamId, registered } = upstream;
-    const share = upstream.isCold ? this.computeColdStartShare(upstream) : undefined;
-    if (share && !this.coldStartBudget.canTake(upstreamId, share)) return false;
-    if (!this.options.rateLimits.tryTake(registered)) return false;
-    return !share || this.coldStartBudget.tryTake(upstreamId, share);
+    if (!this.coldStartLimits.canTake(upstream)) return false;
+    if (!this.options.rateLimits.tryTake(upstream.registered)) return false;
+    return this.coldStartLimits.tryTake(upstream);
   }
 
-  /** Whether an upstream is eligible. */
-  canServe(
+  /** Whether a request to an upstream need not wait for a permit under a rate limit. */
+  hasPermit({ registered }: TrackedUpstream): boolean {
+    return this.options.rateLimits.hasPermit(registered);
+  }
+
+  /** Whether an upstream may get the request now. */
+  isEligible(
+    exchange: GatewayExchange,
+    upstream: TrackedUpstream,
+    excluded: ReadonlySet<UpstreamId>,
+    loadingWeights = this.options.roster.listLoading(),
+  ): boolean {
+    return (
+      !upstream.isBusy &&
+      upstream.restMs === 0 &&
+      !loadingWeights.has(upstream.upstreamId) &&
+      this.canServe(exchange, upstream, excluded)
+    );
+  }
+
+  /** Whether an upstream may get the request, apart from what makes it wait for a moment. */
+  private canServe(
     exchange: GatewayExchange,
     upstream: TrackedUpstream,
     excluded: ReadonlySet<UpstreamId>,
@@ -140,7 +157,7 @@
       isAllowed(exchange.route?.regions) &&
       isAllowed(exchange.account?.regions) &&
       ejection.getState(upstream.upstreamId) !== 'open' &&
-      this.hasColdStartCapacity(upstream) &&
+      this.coldStartLimits.canTake(upstream) &&
       !this.hasOutdatedWeights(exchange, upstream)
     );
   }
@@ -165,13 +182,7 @@
     const candidates = registry.listService(service);
     const loadingWeights = roster.listLoading();
     const listEligible = (upstreams: readonly TrackedUpstream[]): readonly TrackedUpstream[] =>
-      upstreams.filter(
-        (upstream) =>
-          !upstream.isBusy &&
-          upstream.restMs === 0 &&
-          !loadingWeights.has(upstream.upstreamId) &&
-          this.canServe(exchange, upstream, excluded),
-      );
+      upstreams.filter((upstream) => this.isEligible(exchange, upstream, excluded, loadingWeights));
     if (!prompt) {
       const upstream = this.chooseLeastLoaded(listEligible(candidates));
       return upstream && { upstream, prefillTokens: 0, firstTokenMs: 0, isOutdated: false };
@@ -299,29 +310,6 @@
     return this.options.operators.view?.findService(service)?.engine;
   }
 
-  private hasColdStartCapacity(upstream: TrackedUpstream): boolean {
-    if (!upstream.isCold) return true;
-    const share = this.computeColdStartShare(upstream);
-    return !share || this.coldStartBudget.canTake(upstream.upstreamId, share);
-  }
-
-  private computeColdStartShare(upstream: TrackedUpstream) {
-    const { operators, bounds, roster, self } = this.options;
-    const service = operators.view?.findService(upstream.registered.service);
-    if (!service || service.coldRequestsPerSecond <= 0) return undefined;
-    const limit: ColdStartLimit = {
-      requestsPerSecond: service.coldRequestsPerSecond,
-      rateFactor: bounds.coldOverrun,
-      extraRequests: bounds.coldSlack,
-    };
-    return computeColdStartShare({
-      self,
-      sendingVms: roster.listPossibleSenders(),
-      upstreamId: upstream.upstreamId,
-      limit,
-    });
-  }
-
   /** Whether newer weights were announced so long ago that no request may start on the old ones. */
   private hasOutdatedWeights(exchange: GatewayExchange, upstream: TrackedUpstream): boolean {
     const model = exchange.head.prompt?.model;
--- a/packages/gateway/src/dispatch/upstreamConnection.ts
+++ b/packages/gateway/src/dispatch/upstreamConnection.ts
@@ -4,6 +4,7 @@
 import { ConnectionExchange } from './connectionExchange.js';
 import type { ExchangeHandler } from './connectionExchange.js';
 import { SingleConnectionAgent } from './singleConnectionAgent.js';
+import type { ConnectionTarget } from './singleConnectionAgent.js';
 
 /** Maximum size of an upstream's response head. */
 const MAX_HEADER_BYTES = 65_536;
@@ -34,7 +35,7 @@
 
   private readonly agent: SingleConnectionAgent;
 
-  private readonly target: { readonly host: string; readonly port: number };
+  private readonly target: ConnectionTarget;
 
   private open = true;
 
@@ -77,7 +78,15 @@
     this.agent.isInUse = false;
   }
 
-  /** Sends a request; the handler is called only after this method has returned. */
+  /** Waits until it is established. @throws the error that prevents it */
+  waitForOpen(): Promise<void> {
+    return this.agent.open(this.target);
+  }
+
+  /**
+   * Writes a request to the established connection, in this turn of the event loop; the handler is
+   * called only after this method has returned.
+   */
   send(options: ConnectionRequest, handler: ExchangeHandler): void {
     const request = openRequest({
       ...this.target,
--- a/packages/gateway/src/filters/bodyFilter.ts
+++ b/packages/gateway/src/filters/bodyFilter.ts
@@ -1,6 +1,7 @@
 import { createRefusal } from '@goldcrestscale/core';
 import type { DeploymentView, GoldcrestErrorInstance } from '@goldcrestscale/core';
 import { DEFAULT_MAX_BODY_BYTES } from '../constants.js';
+import { createCallerLeftError } from '../dispatch/dispatchErrors.js';
 import type { GatewayExchange } from './gatewayExchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
 import type { NextFilter } from './gatewayFilter.js';
@@ -11,20 +12,15 @@
     status: 413,
   });
 
-const createCallerDisconnectedError = (): GoldcrestErrorInstance =>
-  createRefusal('The caller left before its request was whole.', {
-    code: 'bad_request',
-    status: 400,
-  });
-
 /** Uses events, because leaving an async iteration early would destroy the caller's connection. */
-const readBody = ({ request }: GatewayExchange, maxBytes: number): Promise<Buffer> =>
+const readBody = (exchange: GatewayExchange, maxBytes: number): Promise<Buffer> =>
   new Promise((resolve, reject) => {
+    const { request } = exchange;
     const chunks: Buffer[] = [];
     let receivedBytes = 0;
     const fail = (): void => {
       // Every request closes; the error is created only for one that is incomplete.
-      if (!request.readableEnded) reject(createCallerDisconnectedError());
+      if (!request.readableEnded) reject(createCallerLeftError(exchange));
     };
     request.on('data', (chunk: Buffer) => {
       receivedBytes += chunk.length;
@@ -45,6 +41,8 @@
   }
 
   override async handle(exchange: GatewayExchange, next: NextFilter): Promise<void> {
+    // The end of the request may have been emitted already; it would never come again.
+    if (exchange.signal.aborted) throw createCallerLeftError(exchange);
     const maxBytes = this.getView()?.deployment.callerLimits.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     exchange.body = await readBody(exchange, maxBytes);
     await next();
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -10,10 +10,12 @@
   TrackedUpstream,
   UpstreamRegistry,
 } from '@goldcrestscale/core';
+import type { InputBarrier } from '@goldcrestscale/runtime';
 import {
   MAX_PERMIT_REQUESTS,
   MAX_RATE_WAIT_MS,
   MAX_UNEXECUTED_EXTRA_ATTEMPTS,
+  MAX_WITHHELD_SENDS,
   RATE_WAIT_OBJECTIVE_FRACTION,
 } from '../constants.js';
 import { AttemptMetadataBuilder } from '../dispatch/attemptMetadataBuilder.js';
@@ -22,13 +24,15 @@
 import type { ConnectionPool } from '../dispatch/connectionPool.js';
 import { CrashObserver } from '../dispatch/crashObserver.js';
 import {
+  assertWaiting,
   createNoUpstreamError,
   createOverloadError,
-  createTimeoutError,
   sendFailure,
 } from '../dispatch/dispatchErrors.js';
+import { LoadReservation } from '../dispatch/loadReservation.js';
 import { OutcomeRecorder } from '../dispatch/outcomeRecorder.js';
 import { RequestProgress } from '../dispatch/requestProgress.js';
+import { SendGate } from '../dispatch/sendGate.js';
 import { UpstreamAttempt } from '../dispatch/upstreamAttempt.js';
 import type {
   UpstreamChoice,
@@ -48,6 +52,7 @@
 export interface GatewayDispatchOptions {
   readonly chooser: UpstreamChooser;
   readonly connections: ConnectionPool;
+  readonly inputBarrier: InputBarrier;
   readonly protocol: UpstreamProtocol;
   readonly retryBudget: FleetRetryBudget;
   readonly ejection: EjectionPolicy;
@@ -90,7 +95,7 @@
 export class GatewayDispatchFilter extends GatewayFilter {
   override readonly name = 'dispatch';
 
-  private readonly metadataBuilder: AttemptMetadataBuilder;
+  private readonly sendGate: SendGate;
 
   private readonly outcomeRecorder: OutcomeRecorder;
 
@@ -98,7 +103,7 @@
 
   constructor(private readonly options: GatewayDispatchOptions) {
     super();
-    this.metadataBuilder = new AttemptMetadataBuilder(options);
+    this.sendGate = new SendGate(options, new AttemptMetadataBuilder(options));
     this.outcomeRecorder = new OutcomeRecorder(options);
     this.crashObserver = new CrashObserver({
       ...options,
@@ -124,6 +129,9 @@
     } finally {
       clearTimeout(timer);
       exchange.signal.removeEventListener('abort', abort);
+      if (progress.retryChargedAtMs !== undefined) {
+        this.options.retryBudget.withdrawRetry(service, progress.retryChargedAtMs);
+      }
     }
   }
 
@@ -132,8 +140,9 @@
     progress: RequestProgress,
     signal: AbortSignal,
   ): Promise<void> {
+    const { chooser } = this.options;
     for (;;) {
-      if (signal.aborted) throw createTimeoutError(exchange);
+      assertWaiting(exchange, signal);
       this.assertAllowed(exchange);
       const choice = this.chooseUpstream(exchange, progress);
       if (choice && 'retryAfterMs' in choice && progress.attempts === 0) {
@@ -143,11 +152,11 @@
         sendFailure(exchange, progress, choice?.retryAfterMs);
         return;
       }
-      const hasPermit = this.options.chooser.takePermit(choice.upstream);
-      if (!hasPermit) await this.acquirePermit(exchange, choice.upstream, progress);
-      if (signal.aborted) throw createTimeoutError(exchange);
-      const canSend = hasPermit || this.takeAcquiredPermit(exchange, choice.upstream, progress);
-      if (canSend && (await this.tryUpstream(exchange, choice, progress, signal))) return;
+      if (!chooser.hasPermit(choice.upstream)) {
+        await this.acquirePermit(exchange, choice.upstream, progress);
+      }
+      const canTry = chooser.hasPermit(choice.upstream);
+      if (canTry && (await this.tryUpstream(exchange, choice, progress, signal))) return;
     }
   }
 
@@ -161,13 +170,19 @@
     const { upstream } = choice;
     const result = await this.runAttempt(exchange, choice, progress, signal);
     this.options.metrics.countAttempt(progress.service, result.kind);
+    if (result.kind === 'withheld') {
+      progress.recordWithheldSend();
+      if (progress.withheldSends < MAX_WITHHELD_SENDS) return false;
+      sendFailure(exchange, progress);
+      return true;
+    }
     if (result.kind === 'answered') {
       exchange.verdict = 'ran';
       this.outcomeRecorder.recordSuccess(upstream);
       return true;
     }
     this.outcomeRecorder.recordFailure(exchange, upstream, progress, result);
-    if (signal.aborted) throw createTimeoutError(exchange);
+    assertWaiting(exchange, signal);
     if (this.canRetry(exchange, progress, result)) return false;
     sendFailure(exchange, progress);
     return true;
@@ -203,59 +218,48 @@
     });
   }
 
-  /** Takes a permit that was requested, unless the upstream became ineligible meanwhile. */
-  private takeAcquiredPermit(
-    exchange: GatewayExchange,
-    upstream: TrackedUpstream,
-    { excluded }: RequestProgress,
-  ): boolean {
-    const { chooser } = this.options;
-    this.assertAllowed(exchange);
-    return chooser.canServe(exchange, upstream, excluded) && chooser.takePermit(upstream);
-  }
-
   private async runAttempt(
     exchange: GatewayExchange,
     choice: UpstreamChoice,
     progress: RequestProgress,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { connections, protocol } = this.options;
+    const { connections, protocol, inputBarrier } = this.options;
+    const { prefillRate } = this.options.chooser;
     const { upstream, prefillTokens: tokens } = choice;
     const { address, service } = upstream.registered;
     const connection = connections.acquire(address, this.options.getConnectionShare(service));
     if (!connection) return { kind: 'not-run', reason: 'refused' };
     const queuedTokens = upstream.estimatePendingTokens();
-    const sentAtMs = performance.now();
+    let sentAtMs = performance.now();
     const logEntry = createAttemptLogEntry(exchange, choice);
-    let isPending = true;
-    const recordResponseStart = (): void => {
-      if (isPending) upstream.recordResponseStart(tokens);
-      isPending = false;
-    };
+    const promptTokens = exchange.head.prompt?.inputTokens ?? 0;
+    // Already now, so that other choices during the wait for the connection take it into account.
+    const reservation = new LoadReservation(upstream, tokens, promptTokens);
     const attempt = new UpstreamAttempt({
       exchange,
       upstream,
       connection,
       protocol,
-      metadata: this.metadataBuilder.build(exchange, choice, progress),
+      inputBarrier,
+      claimSend: () => {
+        sentAtMs = performance.now();
+        return this.sendGate.claim(exchange, choice, progress, signal);
+      },
       signal,
       eventSplitter: progress.eventSplitter,
       onResponseHead: (head) => {
-        recordResponseStart();
-        logEntry.headMs = Math.round(performance.now() - sentAtMs);
+        reservation.recordResponseStart();
+        const elapsedMs = performance.now() - sentAtMs;
+        logEntry.headMs = Math.round(elapsedMs);
         this.outcomeRecorder.recordResponseHead(exchange, upstream, head);
-        if (exchange.head.prompt) {
-          const elapsedMs = performance.now() - sentAtMs;
-          this.options.chooser.prefillRate.recordSample(tokens + queuedTokens, elapsedMs);
-        }
+        if (exchange.head.prompt) prefillRate.recordSample(tokens + queuedTokens, elapsedMs);
       },
     });
     exchange.attempts.push(logEntry);
-    const promptTokens = exchange.head.prompt?.inputTokens ?? 0;
-    this.recordSend(exchange, choice, progress);
     try {
       const result = await attempt.run();
+      if (result.kind !== 'withheld') progress.recordAttempt();
       logEntry.outcome = describeResult(result);
       this.crashObserver.recordOutcome(exchange, upstream, attempt, progress);
       if (attempt.framing === 'connection') {
@@ -264,28 +268,13 @@
       }
       return result;
     } finally {
-      recordResponseStart();
-      upstream.recordCompletion(promptTokens);
+      if (!attempt.hasSent && logEntry.outcome === 'open') logEntry.outcome = 'withheld';
+      reservation.release(attempt.hasSent);
       if (attempt.isReusable) connections.release(address, connection);
       else connections.discard(address, connection);
     }
   }
 
-  private recordSend(
-    exchange: GatewayExchange,
-    { upstream, prefillTokens }: UpstreamChoice,
-    progress: RequestProgress,
-  ): void {
-    const { announcedRates, metrics, ejection, chooser, onPromptSent } = this.options;
-    progress.recordSend();
-    exchange.isSent = true;
-    if (announcedRates.find(upstream.registered)) metrics.countLimitedSend(upstream.upstreamId);
-    upstream.recordDispatch(prefillTokens, exchange.head.prompt?.inputTokens ?? 0);
-    ejection.recordStart(upstream.upstreamId);
-    chooser.recordSentParts(exchange, upstream);
-    onPromptSent(prefillTokens);
-  }
-
   /** Logs how a response ended whose end only the close of the connection marks. */
   private logUnframedResponse(
     { head, route }: GatewayExchange,
@@ -304,7 +293,7 @@
   private canRetry(
     exchange: GatewayExchange,
     progress: RequestProgress,
-    result: Exclude<AttemptResult, { kind: 'answered' }>,
+    result: Exclude<AttemptResult, { kind: 'answered' | 'withheld' }>,
   ): boolean {
     const { maxUpstreams, idempotent, resumable } = requireRoute(exchange);
     if (exchange.signal.aborted || progress.isSuspect) return false;
@@ -314,6 +303,9 @@
         ? progress.attempts < maxAttempts
         : idempotent && progress.executions < maxUpstreams && progress.attempts < maxAttempts;
     if (!isAllowed || (result.kind === 'broken' && !resumable)) return false;
-    return this.options.retryBudget.tryRetry(progress.service);
+    const isCharged = progress.retryChargedAtMs !== undefined;
+    if (!isCharged && !this.options.retryBudget.tryRetry(progress.service)) return false;
+    progress.recordRetryCharge();
+    return true;
   }
 }
--- a/packages/gateway/src/filters/gatewayExchange.ts
+++ b/packages/gateway/src/filters/gatewayExchange.ts
@@ -18,9 +18,12 @@
   readonly target: string;
   readonly head: CallerRequestHead;
   readonly response: CallerResponse;
-  /** Aborts when the caller disconnects. */
+  /** Aborts when the caller leaves before its response has been sent. */
   readonly signal: AbortSignal;
-  /** Monotonic time. */
+  /**
+   * Monotonic time at which the request arrived at the earliest; it may have lain unread while the
+   * process stood still.
+   */
   readonly receivedAtMs: number;
   /** Set by the body filter. */
   body: Buffer;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -147,6 +147,7 @@
     shutdown,
     connections,
     gossip,
+    pauseMonitor,
     counts,
   });
   const servers = createAuxiliaryServers(options, controllers, shutdown, fleetState);
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { runChain } from '@goldcrestscale/core';
 import type { CallerLimits } from '@goldcrestscale/core';
+import { trackCaller } from '@goldcrestscale/runtime';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import type { GatewayFilter } from '../filters/gatewayFilter.js';
 import type { CallerProtocol } from '../ports/index.js';
@@ -20,6 +21,8 @@
   readonly filters: readonly GatewayFilter[];
   /** Whether responses close their connections, because this VM is shutting down. */
   readonly isLeaving: () => boolean;
+  /** Returns the earliest monotonic time at which a request that is being read may have arrived. */
+  readonly estimateArrivalMs: () => number;
   readonly counts: CallerCounts;
 }
 
@@ -52,7 +55,7 @@
   head: options.protocol.parseHead(request),
   response: new CallerResponse(response, options.isLeaving),
   signal,
-  receivedAtMs: performance.now(),
+  receivedAtMs: options.estimateArrivalMs(),
   body: Buffer.alloc(0),
   deadlineAtMs: Infinity,
   verdict: 'not-run',
@@ -70,13 +73,9 @@
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
     openCount += 1;
     counts.requestsRead += 1;
-    const disconnectController = new AbortController();
-    const { signal } = disconnectController;
-    response.once('close', () => {
+    const signal = trackCaller(request, response, (hasLeft) => {
       openCount -= 1;
-      if (response.writableFinished) return;
-      disconnectController.abort();
-      counts.callersLeft += 1;
+      if (hasLeft) counts.callersLeft += 1;
     });
     // The error response filter handles every error of the chain.
     void runChain(options.filters, buildExchange(request, response, options, signal)).finally(() =>
--- a/packages/gateway/src/http/errorResponse.ts
+++ b/packages/gateway/src/http/errorResponse.ts
@@ -4,7 +4,7 @@
 
 const SECOND_MS = 1_000;
 
-/** Sends an error response, or aborts a response that has already started, as it can't be completed. */
+/** Sends an error response; aborts one that has already started, or whose caller has left. */
 export const sendErrorResponse = (
   exchange: GatewayExchange,
   error: GoldcrestErrorInstance,
@@ -12,7 +12,7 @@
   protocol: CallerProtocol,
 ): void => {
   const { response, head } = exchange;
-  if (response.isHeadSent) {
+  if (response.isHeadSent || exchange.signal.aborted) {
     response.abort();
     return;
   }
--- /dev/null
+++ b/packages/runtime/src/http/index.ts
@@ -0,0 +1,1 @@
+export { trackCaller } from './callerConnection.js';
