--- a/packages/gateway/src/dispatch/connectionPool.ts
+++ b/packages/gateway/src/dispatch/connectionPool.ts
@@ -20,10 +20,7 @@
     const pool = this.getPool(address);
     for (let idle = pool.idle.pop(); idle; idle = pool.idle.pop()) {
       if (idle.isOpen && !idle.isStale) return idle;
-      if (idle.isOpen) {
-        pool.open -= 1;
-        idle.close();
-      }
+      idle.close();
     }
     if (pool.open >= maxOpen) return undefined;
     pool.open += 1;
@@ -40,17 +37,10 @@
     this.getPool(address).idle.push(connection);
   }
 
-  /** Closes a connection that must not be reused. */
-  discard(address: string, connection: UpstreamConnection): void {
-    if (!connection.isOpen) return;
-    this.getPool(address).open -= 1;
-    connection.close();
-  }
-
   /** Closes the idle connections to an address at which the upstream is unreachable. */
   closeIdle(address: string): void {
     const pool = this.pools.get(address);
-    pool?.idle.splice(0).forEach((connection) => this.discard(address, connection));
+    pool?.idle.splice(0).forEach((connection) => connection.close());
   }
 
   close(): void {
--- a/packages/gateway/src/dispatch/upstreamConnection.ts
+++ b/packages/gateway/src/dispatch/upstreamConnection.ts
@@ -43,14 +43,14 @@
 
   private hasBeenReset = false;
 
-  constructor(address: string, onClose: () => void) {
+  /** @param onClose called once, when either side has closed it or it could not be opened */
+  constructor(
+    address: string,
+    private readonly onClose: () => void,
+  ) {
     this.target = splitAddress(address);
     this.agent = new SingleConnectionAgent({
-      onClose: () => {
-        if (!this.open) return;
-        this.open = false;
-        onClose();
-      },
+      onClose: () => this.markClosed(),
       onReset: () => {
         this.hasBeenReset = true;
       },
@@ -104,10 +104,16 @@
   }
 
   close(): void {
-    this.open = false;
+    this.markClosed();
     this.agent.closeConnection();
   }
 
+  private markClosed(): void {
+    if (!this.open) return;
+    this.open = false;
+    this.onClose();
+  }
+
   /** Applies the idle timeout of the upstream's keep-alive header, which is in seconds. */
   private applyKeepAlive(header: string | string[] | undefined): void {
     const seconds = Number(/timeout=(\d+)/i.exec(String(header ?? ''))?.[1] ?? NaN);
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -271,7 +271,7 @@
       if (!attempt.hasSent && logEntry.outcome === 'open') logEntry.outcome = 'withheld';
       reservation.release(attempt.hasSent);
       if (attempt.isReusable) connections.release(address, connection);
-      else connections.discard(address, connection);
+      else connection.close();
     }
   }
 
