--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -3,6 +3,7 @@
   ENTRY_SENDER_TIMEOUT_MS,
   ENTRY_HEARTBEAT_TIMEOUT_MS,
   LOG_OUTAGE_GRACE_MS,
+  REQUESTS_STALL_TIMEOUT_MS,
 } from './constants.js';
 export { pickCallerEntries } from './callerEntries.js';
 export { EntryRoster } from './entryRoster.js';
--- a/packages/gateway/src/__tests__/gossipRelay.spec.ts
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -105,6 +105,7 @@
     announcedRates,
     rateLimits,
     listLoading: () => [],
+    hasReadFor: () => true,
     logger,
   });
   await gossip.start(signal);
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -1,6 +1,7 @@
 import { randomBytes, randomUUID } from 'node:crypto';
 import { ConditionalLease, pickByRendezvous, toId } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
+import type { PauseMonitor } from '@goldcrestscale/runtime';
 import { FIRST_START_DISCOVERY_MS, FOLLOWER_TIMEOUT_MS } from '../constants.js';
 import { BlockStoresController } from '../controllers/blockStoresController.js';
 import { EntriesController } from '../controllers/entriesController.js';
@@ -85,6 +86,7 @@
   readonly readers: ReturnType<typeof createReaders>;
   readonly entries: EntriesController;
   readonly rollout: RolloutController;
+  readonly pauseMonitor: PauseMonitor;
 }
 
 /** Creates the components that communicate with the other VMs. */
@@ -92,7 +94,7 @@
   { settings, logger: baseLogger }: GatewayOptions,
   fleetState: FleetState,
   key: string,
-  { readers, entries, rollout }: MeshDependencies,
+  { readers, entries, rollout, pauseMonitor }: MeshDependencies,
 ) => {
   const logger = baseLogger.createPartLogger('mesh');
   const { roster, relays } = fleetState;
@@ -109,6 +111,7 @@
     ...commonOptions,
     zone: settings.availabilityZone,
     listLoading: () => rollout.listLoading(),
+    hasReadFor: (durationMs) => pauseMonitor.hasReadFor(durationMs),
   });
   const topicReaders: Partial<Record<LogTopic, TopicReader>> = {
     operators: readers.operators.reader,
@@ -139,6 +142,7 @@
 export const createControllers = (
   options: GatewayOptions,
   fleetState: FleetState,
+  pauseMonitor: PauseMonitor,
   onDeployment: () => void,
 ) => {
   const { settings, logger, log, upstreamProtocol: protocol } = options;
@@ -180,7 +184,12 @@
     forwardHeartbeat: (record) => mesh.feedClient.forwardHeartbeat(record),
     listForwardedHeartbeats: () => mesh.feedServer.listFollowerHeartbeats(),
   });
-  const mesh: Mesh = createMesh(options, fleetState, meshKey, { readers, entries, rollout });
+  const mesh: Mesh = createMesh(options, fleetState, meshKey, {
+    readers,
+    entries,
+    rollout,
+    pauseMonitor,
+  });
   /* eslint-enable @typescript-eslint/no-use-before-define */
   return { ...readers, ...mesh, bootId, rollout, entries };
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -132,15 +132,15 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
     sendPermitRequest: (granter, request) => controllers.gossip.sendPermitRequest(granter, request),
   });
-  const controllers: Controllers = createControllers(options, fleetState, () => {
+  const counts = { requestsRead: 0, callersLeft: 0 };
+  const pauseMonitor = createPauseMonitor(options, () => ({ ...counts }));
+  const controllers: Controllers = createControllers(options, fleetState, pauseMonitor, () => {
     controllers.stores.refresh(workController.signal);
     const limits = controllers.operators.state.view?.deployment.callerLimits;
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
     if (limits) callers.applyLimits(limits);
   });
   const { operators, gossip } = controllers;
-  const counts = { requestsRead: 0, callersLeft: 0 };
-  const pauseMonitor = createPauseMonitor(options, () => ({ ...counts }));
   const callers = createDataPath(options, {
     fleetState,
     operators,
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -49,6 +49,8 @@
   readonly announcedRates: AnnouncedRates;
   readonly rateLimits: FleetRateLimits;
   readonly listLoading: () => readonly UpstreamId[];
+  /** Whether this VM has read its input without a pause for a duration. */
+  readonly hasReadFor: (durationMs: number) => boolean;
   readonly logger: Logger;
 }
 
--- a/packages/gateway/src/mesh/reportBuilder.ts
+++ b/packages/gateway/src/mesh/reportBuilder.ts
@@ -1,3 +1,4 @@
+import { REQUESTS_STALL_TIMEOUT_MS } from '@goldcrestscale/core';
 import type {
   AnnouncedRates,
   CrashQuarantine,
@@ -17,6 +18,8 @@
   readonly quarantine: CrashQuarantine;
   readonly announcedRates: AnnouncedRates;
   readonly listLoading: () => readonly UpstreamId[];
+  /** Whether this VM has read its input without a pause for a duration. */
+  readonly hasReadFor: (durationMs: number) => boolean;
   readonly logger: Logger;
 }
 
@@ -82,6 +85,8 @@
 
   /** Marks unresponsive upstreams as down and lists them; those that only peers reported are omitted. */
   private listDown(): readonly UpstreamId[] {
+    // After a pause, the bytes of live upstreams may still wait to be read.
+    if (!this.options.hasReadFor(REQUESTS_STALL_TIMEOUT_MS)) return [];
     return this.options.registry
       .list()
       .filter((upstream) => upstream.isStalled)
--- a/packages/runtime/src/eventLoop/__tests__/pauseMonitor.spec.ts
+++ b/packages/runtime/src/eventLoop/__tests__/pauseMonitor.spec.ts
@@ -68,6 +68,18 @@
   expect(counted).toEqual({ requests: 2 });
 });
 
+test('input has been read without a pause only since the end of the last one', async () => {
+  const { monitor } = startMonitor();
+  await wait(350);
+  expect(monitor.hasReadFor(300)).toBe(true);
+  blockFor(400);
+  expect(monitor.hasReadFor(0)).toBe(false);
+  await wait(300);
+  expect(monitor.hasReadFor(500)).toBe(false);
+  await wait(450);
+  expect(monitor.hasReadFor(400)).toBe(true);
+});
+
 test('an idle process has no pauses', async () => {
   const { monitor, pauses } = startMonitor();
   await wait(700);
--- a/packages/runtime/src/eventLoop/pauseMonitor.ts
+++ b/packages/runtime/src/eventLoop/pauseMonitor.ts
@@ -47,6 +47,9 @@
   /** Whether the input of a pause is being read. */
   private isSettling = false;
 
+  /** Monotonic time since which the process has read its input without a pause. */
+  private readingSinceMs = performance.now();
+
   constructor(private readonly options: PauseMonitorOptions) {}
 
   /** Checks until the signal aborts. */
@@ -62,6 +65,14 @@
     return this.isBehind ? this.checkedAtMs : performance.now();
   }
 
+  /**
+   * Whether the process has read its input without a pause for a duration. Otherwise the silence of
+   * a peer or an upstream may be its own.
+   */
+  hasReadFor(durationMs: number): boolean {
+    return !this.isBehind && performance.now() - this.readingSinceMs >= durationMs;
+  }
+
   /** Whether a pause has just ended, or has not been noticed yet. */
   private get isBehind(): boolean {
     const elapsedMs = performance.now() - this.checkedAtMs;
@@ -80,6 +91,7 @@
     this.isSettling = true;
     waitTurns(READ_TURNS, () => {
       this.isSettling = false;
+      this.readingSinceMs = nowMs;
       // What is read from now on arrived after these turns had begun.
       this.recordCheck(nowMs);
       waitTurns(END_TURNS, () => this.reportPause(startedAtMs, durationMs, counts));
