--- a/packages/core/src/rateLimit/__tests__/fleetRateLimits.spec.ts
+++ b/packages/core/src/rateLimit/__tests__/fleetRateLimits.spec.ts
@@ -1,4 +1,5 @@
-import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { withGlobal } from '@sinonjs/fake-timers';
+import { afterEach, beforeEach, expect, onTestFinished, test, vi } from 'vitest';
 import { toId } from '../../ids.js';
 import type { UpstreamId, VmId } from '../../ids.js';
 import { AnnouncedRates, FleetRateLimits } from '../index.js';
@@ -17,7 +18,10 @@
 const serving = ['vm-1', 'vm-2', 'vm-3'].map((name) => toId<VmId>(name));
 
 /** Creates the limits of three VMs; those in `silent` send no replies. */
-const createFleet = (silent: ReadonlySet<VmId>) => {
+const createFleet = (
+  silent: ReadonlySet<VmId>,
+  advance: (durationMs: number) => unknown = (durationMs) => vi.advanceTimersByTime(durationMs),
+) => {
   const limits = new Map<VmId, FleetRateLimits>();
   const requested: VmId[] = [];
   serving.forEach((self) => {
@@ -40,7 +44,7 @@
     limits.set(self, new FleetRateLimits(options));
   });
   limits.forEach((one) => one.refresh());
-  vi.advanceTimersByTime(3_000);
+  advance(3_000);
   const { granters } = limits.get(serving[0]!)!.dump()[0]!;
   const other = serving.find((vmId) => !granters.includes(vmId))!;
   return { limits, requested, granters, requester: limits.get(other)! };
@@ -62,6 +66,22 @@
   expect(requester.tryTake(boot)).toBe(false);
 });
 
+// Guards against a permit that is used long after its time, because the VM stood still meanwhile.
+test('a permit whose time passed while the VM stood still is not used', async () => {
+  vi.useRealTimers();
+  const clock = withGlobal(globalThis).install();
+  onTestFinished(() => clock.uninstall());
+  const { requester } = createFleet(new Set(), clock.tick);
+  const patientDemand = { maxWaitMs: 2_000, priority: 0 };
+  await requester.acquire(boot, patientDemand);
+  await requester.acquire(boot, patientDemand);
+  const acquired = requester.acquire(boot, patientDemand);
+  await clock.tickAsync(1);
+  clock.jump(3_000);
+  await acquired;
+  expect(requester.tryTake(boot)).toBe(false);
+});
+
 // Guards against an upstream that gets nothing while the VM that grants its permits is gone.
 test('the second granter stands in for one that sends no reply', async () => {
   const [first] = createFleet(new Set()).granters;
--- a/packages/core/src/rateLimit/fleetRateLimits.ts
+++ b/packages/core/src/rateLimit/fleetRateLimits.ts
@@ -133,7 +133,8 @@
     const state = this.getRequester(boot);
     const { requestsPerSecond, announcedAtMs } = limit;
     state.pendingRequests += 1;
-    const announcedAgeMs = performance.now() - announcedAtMs;
+    const requestedAtMs = performance.now();
+    const announcedAgeMs = requestedAtMs - announcedAtMs;
     const decision = await this.decide(boot, { ...demand, requestsPerSecond, announcedAgeMs });
     if (decision) {
       const pauseMs = 'startsInMs' in decision ? decision.nextAfterMs : decision.retryAfterMs;
@@ -142,7 +143,8 @@
     }
     if (decision && 'startsInMs' in decision) {
       if (decision.startsInMs > 0) await sleep(decision.startsInMs);
-      state.permitsUntilMs.push(performance.now() + PERMIT_USE_MS);
+      // The process may have stood still since the grant, and the rate has moved on.
+      state.permitsUntilMs.push(requestedAtMs + decision.startsInMs + PERMIT_USE_MS);
     }
     state.pendingRequests -= 1;
   }
