--- a/packages/core/src/quarantine/__tests__/crashingRequests.spec.ts
+++ b/packages/core/src/quarantine/__tests__/crashingRequests.spec.ts
@@ -154,3 +154,62 @@
   quarantine.takeRows();
   expect(quarantine.findRefused(request)).toBeUndefined();
 });
+
+/** Loses connections under a request, one after the other. */
+const loseConnections = (quarantine: CrashQuarantine, count: number) =>
+  Array.from({ length: count }, () => {
+    const loss = quarantine.recordLoss(request);
+    vi.advanceTimersByTime(SPACING_MS);
+    return loss;
+  });
+
+// Guards against ends that go on while it is not yet known that the lost connections were ends.
+test('a request is held after three losses until they are settled', () => {
+  const quarantine = new CrashQuarantine();
+  const losses = loseConnections(quarantine, 2);
+  expect(quarantine.hasSuspect(request)).toBe(true);
+  expect(quarantine.computeHoldMs(request)).toBe(0);
+  losses.push(...loseConnections(quarantine, 1));
+  expect(quarantine.computeHoldMs(request)).toBeGreaterThan(0);
+  expect(quarantine.computeHoldMs(makeRequest({ body: Buffer.from('other') }))).toBe(0);
+  losses.forEach((loss) => quarantine.settleLoss(loss));
+  expect(quarantine.computeHoldMs(request)).toBe(0);
+  expect(quarantine.isEmpty).toBe(true);
+});
+
+test('losses at the same time are held as one, and leave a second try', () => {
+  const quarantine = new CrashQuarantine();
+  for (let count = 0; count < 5; count += 1) {
+    expect(quarantine.hasSuspect(request)).toBe(false);
+    quarantine.recordLoss(request);
+  }
+  expect(quarantine.computeHoldMs(request)).toBe(0);
+});
+
+test('a confirmed end and two losses hold a request', () => {
+  const quarantine = new CrashQuarantine();
+  endUpstreams(quarantine, [1], [request]);
+  loseConnections(quarantine, 1);
+  expect(quarantine.computeHoldMs(request)).toBe(0);
+  loseConnections(quarantine, 1);
+  expect(quarantine.computeHoldMs(request)).toBeGreaterThan(0);
+});
+
+test('an answer ends the hold and clears the losses', () => {
+  const quarantine = new CrashQuarantine();
+  loseConnections(quarantine, 3);
+  quarantine.recordSurvival(request);
+  expect(quarantine.computeHoldMs(request)).toBe(0);
+  expect(quarantine.isEmpty).toBe(true);
+});
+
+// Guards against sound requests that are refused because ends are known late, before an answer counts.
+test('a request whose ends are known late can be cleared as long as any other', () => {
+  const quarantine = new CrashQuarantine();
+  [1, 2, 3].forEach((index) => quarantine.recordCrash(request, makeBoot(index), index * 1_000));
+  quarantine.takeRows();
+  expect(quarantine.findRefused(request)).toBeUndefined();
+  expect(quarantine.computeHoldMs(request)).toBeGreaterThan(0);
+  settle(quarantine);
+  expect(quarantine.findRefused(request)).toBeDefined();
+});
--- a/packages/gateway/src/dispatch/crashObserver.ts
+++ b/packages/gateway/src/dispatch/crashObserver.ts
@@ -71,9 +71,12 @@
     boot: RegisteredUpstream,
   ): Promise<void> {
     const { quarantine, upstreamEnds, requestLog, onRequestCrash } = this.options;
-    const lostAtMs = performance.now();
-    if (!(await upstreamEnds.checkEnd(upstream))) return;
-    quarantine.recordCrash(buildWholeRequest(exchange), boot, performance.now() - lostAtMs);
+    const request = buildWholeRequest(exchange);
+    const loss = quarantine.recordLoss(request);
+    const hasEnded = await upstreamEnds.checkEnd(upstream);
+    quarantine.settleLoss(loss);
+    if (!hasEnded) return;
+    quarantine.recordCrash(request, boot, performance.now() - loss.atMs);
     onRequestCrash();
     requestLog.log('upstream ended under a request', {
       id: exchange.head.requestId,
