--- a/bench/overload.bench.ts
+++ b/bench/overload.bench.ts
@@ -51,12 +51,12 @@
 ): void => {
   const random = createRandomGenerator(seed);
   const rows = createAccount(account, 1, DEADLINE_MS);
-  const endsAtMs = Date.now() + OFFERED_MS;
+  const endsAtMs = performance.now() + OFFERED_MS;
   const scheduleNext = (): void => {
     // Exponential gaps: arrivals form a Poisson process.
     const gapMs = (-Math.log(1 - uniformFloat64(random)) * 1_000) / perSecond;
     setTimeout(() => {
-      if (Date.now() >= endsAtMs) return;
+      if (performance.now() >= endsAtMs) return;
       const vm = Math.floor(uniformFloat64(random) * FLEET_SIZE.vmCount);
       const prefillMs = PREFILL_MIN_MS + uniformFloat64(random) * PREFILL_SPREAD_MS;
       void fleet.run({ ...rows, vm, prefillMs, decodeMs: DECODE_MS });
@@ -85,7 +85,7 @@
     const fleet = new SimulatedEntryFleet(FLEET_SIZE, policies);
     fleet.engines.forEach((engine) => engine.setResetShare(resetShare));
     offeredLoads.forEach((offeredLoad, index) => startLoad(fleet, offeredLoad, index + 1));
-    const measuredFromMs = Date.now() + WARM_UP_MS;
+    const measuredFromMs = performance.now() + WARM_UP_MS;
     const countCompleted = () => fleet.engines.reduce((sum, each) => sum + each.completedCount, 0);
     let completedBefore = 0;
     let completedWhileOffered = 0;
--- a/bench/simulatedEntryFleet.ts
+++ b/bench/simulatedEntryFleet.ts
@@ -68,11 +68,12 @@
       finish: () => undefined,
     },
     signal: new AbortController().signal,
-    receivedAtMs: Date.now(),
+    receivedAtMs: performance.now(),
+    readAtMs: performance.now(),
     account: request.account,
     workload: request.workload,
     isIdempotent: true,
-    deadlineAtMs: Date.now() + request.workload.deadlineMs,
+    deadlineAtMs: performance.now() + request.workload.deadlineMs,
     weightVersion: toId<WeightVersion>('v1'),
     assertSendable: () => undefined,
     verdict: 'not-run',
@@ -114,10 +115,10 @@
 
   /** Runs one request through the filter chain of an entry VM and records its outcome. */
   async run(request: OfferedRequest): Promise<void> {
-    const arrivedAtMs = Date.now();
+    const arrivedAtMs = performance.now();
     let firstTokenMs: number | undefined;
     const exchange = createExchange(request, () => {
-      firstTokenMs = Date.now() - arrivedAtMs;
+      firstTokenMs = performance.now() - arrivedAtMs;
     });
     const code = await runChain(this.vms[request.vm]!.filters, exchange).then(
       () => 'ok',
@@ -128,7 +129,7 @@
       account: request.account.id,
       arrivedAtMs,
       firstTokenMs,
-      endedAtMs: Date.now(),
+      endedAtMs: performance.now(),
       deadlineAtMs: exchange.deadlineAtMs ?? Infinity,
       code,
     });
--- a/bench/simulatedEntryVm.ts
+++ b/bench/simulatedEntryVm.ts
@@ -91,7 +91,7 @@
     const lifetime = new AbortController();
     setMaxListeners(0, lifetime.signal);
     void slots?.start(lifetime.signal);
-    const completions = slots ? new SlotRunner(runner, slots.slots, directory) : runner;
+    const completions = slots ? new SlotRunner(runner, slots.slots) : runner;
     this.filters = [
       new AdmissionFilter({ queue: this.queue, countCapacity }),
       new DispatchFilter({
--- a/packages/core/src/admission/__tests__/admissionFleet.ts
+++ b/packages/core/src/admission/__tests__/admissionFleet.ts
@@ -132,6 +132,6 @@
   workloadId: toId<WorkloadId>(`${account}-work`),
   workloadWeight: 1,
   priority: 5,
-  deadlineAtMs: Date.now() + 30_000,
+  deadlineAtMs: performance.now() + 30_000,
   ...rest,
 });
--- a/packages/core/src/admission/__tests__/admissionQueue.spec.ts
+++ b/packages/core/src/admission/__tests__/admissionQueue.spec.ts
@@ -51,7 +51,7 @@
   const outcome = { started: 0, refused: 0, waits: [] as number[] };
   repeatEvery(1_000 / perSecond, (perSecond * durationMs) / 1_000, (index) => {
     const arrivedAtMs = Date.now();
-    const request = makeRequest(account, { deadlineAtMs: arrivedAtMs + REFUSED_WAIT_MS });
+    const request = makeRequest(account, { deadlineAtMs: performance.now() + REFUSED_WAIT_MS });
     fleet.acquire((index * 5) % fleet.queues.length, request).then(
       (permit) => {
         outcome.started += 1;
@@ -174,7 +174,8 @@
   }
   await advanceFleet(300);
   const askedAtMs = Date.now();
-  const ask = () => fleet.run(0, makeRequest('large', { deadlineAtMs: Date.now() + 1_000 }), 1);
+  const ask = () =>
+    fleet.run(0, makeRequest('large', { deadlineAtMs: performance.now() + 1_000 }), 1);
   const error: unknown = await ask().catch((cause: unknown) => cause);
   expect(Date.now() - askedAtMs).toBe(0);
   if (!isGoldcrestError(error)) throw new Error('expected the request to be refused');
@@ -191,7 +192,7 @@
   const hold = makeRequest('a');
   fleet.run(0, hold, 60_000).catch(() => undefined);
   fleet.run(0, hold, 60_000).catch(() => undefined);
-  const waiting = fleet.run(0, makeRequest('a', { deadlineAtMs: Date.now() + 1_000 }), 1);
+  const waiting = fleet.run(0, makeRequest('a', { deadlineAtMs: performance.now() + 1_000 }), 1);
   const caught = waiting.catch((cause: unknown) => cause);
   await advanceFleet(1_050);
   expect(await caught).toMatchObject({ code: 'overloaded', verdict: 'not-run' });
--- a/packages/core/src/admission/admissionQueue.ts
+++ b/packages/core/src/admission/admissionQueue.ts
@@ -148,7 +148,7 @@
     if (!account.queues.has(waitingRequest)) return;
     const slots = this.options.policy.countSlots(pool, account);
     const waitMs = estimateWaitMs(pool, account, slots, requestsAhead);
-    const remainingMs = waitingRequest.request.deadlineAtMs - Date.now();
+    const remainingMs = waitingRequest.request.deadlineAtMs - performance.now();
     const isQueueFull = account.queues.size > MAX_WAITING_REQUESTS_PER_ACCOUNT;
     if (waitMs > remainingMs || isQueueFull) {
       refuseWaitingRequest(
@@ -227,7 +227,7 @@
     const slots = this.options.policy.countSlots(pool, account);
     let requestsAhead = 0;
     account.queues.list().forEach((waitingRequest) => {
-      const remainingMs = waitingRequest.request.deadlineAtMs - Date.now();
+      const remainingMs = waitingRequest.request.deadlineAtMs - performance.now();
       const waitMs = estimateWaitMs(pool, account, slots, requestsAhead);
       if (remainingMs <= 0 || waitMs > remainingMs * WAIT_ESTIMATE_TOLERANCE_FACTOR) {
         refuseWaitingRequest(account, waitingRequest, createOverloadRefusal(waitMs));
--- a/packages/core/src/admission/admissionRequest.ts
+++ b/packages/core/src/admission/admissionRequest.ts
@@ -10,7 +10,7 @@
   readonly workloadWeight: number;
   /** Priority class within the account; 0 is the highest. */
   readonly priority: number;
-  /** Latest start time, in Unix milliseconds. */
+  /** Latest start, in monotonic time. */
   readonly deadlineAtMs: number;
   /** Fleet-wide limits of the account. */
   readonly maxRequestsPerSecond?: number | undefined;
--- a/packages/entry/src/__tests__/entryHarness.ts
+++ b/packages/entry/src/__tests__/entryHarness.ts
@@ -26,10 +26,11 @@
   UpstreamView,
   WeightVersion,
 } from '@goldcrestscale/core';
-import { createMetricsRegistry } from '@goldcrestscale/runtime';
+import { EventLoopBarrier, createMetricsRegistry } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
 import { CompletionRunner } from '../dispatch/completionRunner.js';
 import type { AttemptRunner } from '../dispatch/attempt.js';
+import { SlotRunner } from '../dispatch/slotRunner.js';
 import { ServiceRunner } from '../dispatch/serviceRunner.js';
 import { AdmissionFilter } from '../filters/admissionFilter.js';
 import { DeadlineFilter } from '../filters/deadlineFilter.js';
@@ -42,7 +43,9 @@
 import { createEntryMetrics } from '../metrics.js';
 import { createUpstreamClient } from '../upstream/upstreamClient.js';
 import type { UpstreamClient } from '../upstream/upstreamClient.js';
+import { BOOT_ID } from './fakeUpstream.js';
 import type { FakeUpstream } from './fakeUpstream.js';
+import { CountingSlotPolicy } from './countingSlotPolicy.js';
 
 export const API_KEY = 'key-1';
 export const LIMITED_KEY = 'key-2';
@@ -98,6 +101,7 @@
   readonly outcomes: string[];
   /** Indices of the upstreams that are not eligible. */
   readonly ineligibleIndices: Set<number>;
+  readonly slots: CountingSlotPolicy;
   close(): Promise<void>;
 }
 
@@ -106,7 +110,7 @@
   role,
   address,
   availabilityZone: toId<AvailabilityZoneId>(`zone-${index}`),
-  bootId: toId<BootId>('boot'),
+  bootId: toId<BootId>(BOOT_ID),
   model: toId<ModelId>('small'),
   weightVersion: toId<WeightVersion>('v1'),
   eligible: true,
@@ -147,7 +151,9 @@
   options: HarnessOptions,
   client: UpstreamClient,
   directory: UpstreamDirectory,
+  slots: CountingSlotPolicy,
 ) => {
+  const createSlotRunner = (runner: AttemptRunner) => new SlotRunner(runner, slots);
   const table = createTable();
   const metrics = createEntryMetrics(createMetricsRegistry());
   const countCapacity = () => 64;
@@ -166,8 +172,10 @@
       router: new LeastLoadRouter(),
       retryPolicy: options.retryPolicy ?? new BudgetedRetryPolicy(createRandomGenerator(1)),
       directory,
-      completionRunner: options.createCompletionRunner?.(client) ?? new CompletionRunner(client),
-      serviceRunner: options.createServiceRunner?.(client) ?? new ServiceRunner(client),
+      completionRunner:
+        options.createCompletionRunner?.(client) ?? createSlotRunner(new CompletionRunner(client)),
+      serviceRunner:
+        options.createServiceRunner?.(client) ?? createSlotRunner(new ServiceRunner(client)),
       observer: { onFirstByte() {}, onUsage() {}, onFailure() {} },
     }),
   ];
@@ -175,15 +183,17 @@
 
 /** Starts an entry in front of fake upstreams. */
 export const startHarness = async (options: HarnessOptions): Promise<Harness> => {
-  const client = createUpstreamClient();
+  const client = createUpstreamClient(new EventLoopBarrier());
   const outcomes: string[] = [];
   const ineligibleIndices = new Set<number>();
   const directory = createDirectory(options, outcomes, ineligibleIndices);
+  const slots = new CountingSlotPolicy();
   const server = createCallerServer({
-    filters: createFilters(options, client, directory),
+    filters: createFilters(options, client, directory, slots),
     checkHeaders(headers) {
       authenticateCaller(createTable(), headers);
     },
+    estimateArrivalMs: () => performance.now(),
     buildEntries: () => ({ entries: [], ttlMs: 1 }),
   });
   await new Promise<void>((resolve) => {
@@ -194,6 +204,7 @@
     directory,
     outcomes,
     ineligibleIndices,
+    slots,
     async close() {
       server.closeAllConnections();
       await new Promise((resolve) => {
--- a/packages/entry/src/__tests__/fakeUpstream.ts
+++ b/packages/entry/src/__tests__/fakeUpstream.ts
@@ -24,6 +24,7 @@
   | 'unframedReset';
 
 export const TOKENS = [' t0', ' t1', ' t2', ' t3', ' t4', ' t5'];
+export const BOOT_ID = 'boot';
 export const COMPLETE_TEXT = TOKENS.join('');
 
 interface Call {
@@ -114,6 +115,19 @@
 
   canResume = true;
 
+  /** Number of cancellations that are cut before they are answered. */
+  cutCancellations = 0;
+
+  /** Whether load reports, which begin each connection, are answered. */
+  canReport = true;
+
+  /** Load reports that were asked for. */
+  reportCount = 0;
+
+  private cancelRequests = 0;
+
+  private readonly pendingReports: ServerResponse[] = [];
+
   /** Responses of requests that are never answered. */
   readonly hangingResponses: ServerResponse[] = [];
 
@@ -144,7 +158,18 @@
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const call = await readCall(request);
+    if (call.path === '/load') {
+      this.reportCount += 1;
+      this.pendingReports.push(response);
+      if (this.canReport) this.sendReports();
+      return;
+    }
     if (call.method === 'DELETE') {
+      this.cancelRequests += 1;
+      if (this.cancelRequests <= this.cutCancellations) {
+        response.destroy();
+        return;
+      }
       this.cancelled.push(call.path.split('/').at(-1) ?? '');
       sendJson(response, 200, {});
       return;
@@ -155,6 +180,13 @@
     else this.handleCall(call, response, this.script.shift() ?? 'ok');
   }
 
+  /** Answers the load reports that were asked for. */
+  sendReports(): void {
+    this.pendingReports
+      .splice(0)
+      .forEach((response) => sendJson(response, 200, { bootId: BOOT_ID }));
+  }
+
   private resume(call: Call, response: ServerResponse): void {
     if (this.canResume) streamTokens(call, response, Number(call.body.tokens), 'ok');
     else sendJson(response, 404, {});
--- a/packages/entry/src/compose/createDataPath.ts
+++ b/packages/entry/src/compose/createDataPath.ts
@@ -76,11 +76,11 @@
       retryPolicy: new BudgetedRetryPolicy(createRandomGenerator()),
       directory: upstreams,
       completionRunner: new ImportingRunner(
-        new SlotRunner(new CompletionRunner(client), slots, upstreams),
+        new SlotRunner(new CompletionRunner(client), slots),
         tiering,
         upstreams,
       ),
-      serviceRunner: new SlotRunner(new ServiceRunner(client), slots, upstreams),
+      serviceRunner: new SlotRunner(new ServiceRunner(client), slots),
     },
   });
 };
--- a/packages/entry/src/controllers/idempotency/__tests__/simulatedFleet.ts
+++ b/packages/entry/src/controllers/idempotency/__tests__/simulatedFleet.ts
@@ -180,8 +180,9 @@
   target: { kind: 'service', service: 'tickets', path: '/tickets' },
   response: answer,
   signal: new AbortController().signal,
-  receivedAtMs: Date.now(),
-  deadlineAtMs: Date.now() + 10_000,
+  receivedAtMs: performance.now(),
+  readAtMs: performance.now(),
+  deadlineAtMs: performance.now() + 10_000,
   account: {
     kind: 'account',
     id: request.account ?? 'account-a',
--- a/packages/entry/src/controllers/usage/__tests__/usageController.spec.ts
+++ b/packages/entry/src/controllers/usage/__tests__/usageController.spec.ts
@@ -40,7 +40,7 @@
   workloadId: toId<WorkloadId>('work'),
   workloadWeight: 1,
   priority: 5,
-  deadlineAtMs: Date.now() + 60_000,
+  deadlineAtMs: performance.now() + 60_000,
 });
 
 const enqueueRequests = (controller: UsageController, count: number): (() => number) => {
--- a/packages/entry/src/dispatch/attempt.ts
+++ b/packages/entry/src/dispatch/attempt.ts
@@ -12,12 +12,13 @@
   readonly signal: AbortSignal;
   /** Payloads of the stream events relayed to the caller so far, across all attempts. */
   readonly relayedEvents: string[];
+  /** Asserts that the caller still waits, and that the upstream may get requests. */
+  readonly assertSendable: () => void;
   /**
    * Checks, right before the request is written, that it may be sent to the upstream process at
-   * the other end of the connection, which the boot id identifies; throws if it may not. Absent if
-   * the attempt may go to any process.
+   * the other end of the connection, which the boot id identifies; throws if it may not.
    */
-  readonly onBeforeSend?: (connectionBootId: BootId) => void;
+  readonly onBeforeSend: (connectionBootId: BootId) => void;
   /** Called once, when the first part of the response has been received. */
   onFirstByte(): void;
   /** Called with the token counts reported by the engine. */
--- a/packages/entry/src/dispatch/attemptExecutor.ts
+++ b/packages/entry/src/dispatch/attemptExecutor.ts
@@ -1,12 +1,13 @@
 import { randomUUID } from 'node:crypto';
 import { combineVerdicts, isGoldcrestError, toId } from '@goldcrestscale/core';
-import type { AttemptId, UpstreamView } from '@goldcrestscale/core';
+import type { AttemptId } from '@goldcrestscale/core';
 import type { Exchange } from '../filters/exchange.js';
 import type { Attempt, AttemptRunner } from './attempt.js';
 import { decideFailureOutcome } from './attemptOutcome.js';
 import { createDeadline } from './deadline.js';
 import type { Deadline } from './deadline.js';
 import { addExclusion } from './dispatchProgress.js';
+import { createAttemptError } from '../upstream/upstreamErrors.js';
 import type { UpstreamSelection, DispatchProgress } from './dispatchProgress.js';
 import { createNoUpstreamRefusal } from './upstreamDirectory.js';
 import type { DispatchObserver, UpstreamDirectory } from './upstreamDirectory.js';
@@ -48,42 +49,54 @@
     const { exchange, selection } = plan;
     const { upstreamId } = selection.upstream;
     const deadline = createDeadline(exchange);
+    const signal = plan.signal ? AbortSignal.any([deadline.signal, plan.signal]) : deadline.signal;
+    const assertSendable = (): void => this.assertSendable(plan, signal);
     let isDispatched = false;
+    let isWithheld = false;
+    const onBeforeSend = (): void => {
+      isWithheld = true;
+      assertSendable();
+      isWithheld = false;
+    };
     try {
-      this.assertSendable(exchange, selection.upstream);
+      assertSendable();
       isDispatched = true;
       const uncachedTokens = estimatePromptTokens(exchange) - selection.route.expectedCachedTokens;
       directory.recordDispatch(upstreamId, uncachedTokens);
-      await this.getRunner(exchange).run(this.buildAttempt(plan, deadline));
+      await this.getRunner(exchange).run(
+        this.buildAttempt(plan, deadline, { signal, assertSendable, onBeforeSend }),
+      );
       directory.recordOutcome(upstreamId, 'success');
     } catch (cause) {
       const error = deadline.mapError(cause);
-      if (isDispatched) this.recordFailure(plan, error);
+      if (isDispatched) this.recordFailure(plan, error, isWithheld);
       throw error;
     } finally {
       deadline.clear();
     }
   }
 
-  /**
-   * Checks again what may have changed since the upstream was selected. There is no await between
-   * this check and the call of the runner.
-   */
-  private assertSendable(exchange: Exchange, upstream: UpstreamView): void {
+  /** Checks again what may have changed since the upstream was selected. */
+  private assertSendable({ exchange, selection }: AttemptPlan, signal: AbortSignal): void {
+    const { upstream } = selection;
     exchange.assertSendable();
+    if (signal.aborted) throw createAttemptError('The attempt was cancelled.', 'not-run');
     if (!this.options.directory.findView(upstream.upstreamId)?.eligible) {
       throw createNoUpstreamRefusal();
     }
   }
 
-  private buildAttempt(plan: AttemptPlan, deadline: Deadline): Attempt {
-    const { exchange, selection, progress, signal, onResponseStart } = plan;
+  private buildAttempt(
+    { exchange, selection, progress, onResponseStart }: AttemptPlan,
+    deadline: Deadline,
+    checks: Pick<Attempt, 'signal' | 'assertSendable' | 'onBeforeSend'>,
+  ): Attempt {
     const { observer } = this.options;
     return {
       attemptId: toId<AttemptId>(randomUUID()),
       exchange,
       ...selection,
-      signal: signal ? AbortSignal.any([deadline.signal, signal]) : deadline.signal,
+      ...checks,
       relayedEvents: progress.relayedEvents,
       onFirstByte: () => {
         onResponseStart?.();
@@ -101,12 +114,12 @@
       : this.options.serviceRunner;
   }
 
-  private recordFailure(plan: AttemptPlan, error: unknown): void {
+  private recordFailure(plan: AttemptPlan, error: unknown, isWithheld: boolean): void {
     const { exchange, selection, progress, signal } = plan;
     const { upstream } = selection;
     const isCancelled = exchange.signal.aborted || signal?.aborted === true;
     const isTyped = isGoldcrestError(error);
-    const outcome = isCancelled || !isTyped ? 'neutral' : decideFailureOutcome(error);
+    const outcome = isCancelled || isWithheld || !isTyped ? 'neutral' : decideFailureOutcome(error);
     this.options.directory.recordOutcome(upstream.upstreamId, outcome);
     if (!isTyped || signal?.aborted) return;
     addExclusion(progress, selection);
--- a/packages/entry/src/dispatch/completionRunner.ts
+++ b/packages/entry/src/dispatch/completionRunner.ts
@@ -1,4 +1,5 @@
 import { isGoldcrestError } from '@goldcrestscale/core';
+import type { BootId } from '@goldcrestscale/core';
 import { CONTROL_CALL_TIMEOUT_MS, MAX_STREAM_RESUMES } from '../constants.js';
 import { collectText, isJson, parseUsage } from '../upstream/completionPayload.js';
 import { END_MARKER, readEventStream } from '../upstream/eventStream.js';
@@ -57,14 +58,21 @@
   }
 
   override async run(attempt: Attempt): Promise<void> {
+    let bootId: BootId | undefined;
     const cancel = (): void => {
       void this.cancel(attempt);
     };
     attempt.signal.addEventListener('abort', cancel, { once: true });
     try {
-      const response = await this.client.send(attempt.upstream, buildEngineCall(attempt));
+      const response = await this.client.send(attempt.upstream, {
+        ...buildEngineCall(attempt),
+        onBeforeSend(connectionBootId) {
+          attempt.onBeforeSend(connectionBootId);
+          bootId = connectionBootId;
+        },
+      });
       if (String(response.headers['content-type']).startsWith(EVENT_STREAM_TYPE)) {
-        await this.relayStream(attempt, response);
+        await this.relayStream(attempt, response, bootId);
       } else {
         await relayBody(attempt, response);
       }
@@ -78,22 +86,28 @@
     }
   }
 
-  private async relayStream(attempt: Attempt, initialResponse: UpstreamResponse): Promise<void> {
+  /** @param bootId process that the stream comes from */
+  private async relayStream(
+    attempt: Attempt,
+    initialResponse: UpstreamResponse,
+    bootId: BootId | undefined,
+  ): Promise<void> {
     let end = await relayEvents(attempt, initialResponse);
     for (let resumes = 0; end === 'broken'; resumes += 1) {
       const mustStop = resumes === MAX_STREAM_RESUMES || attempt.signal.aborted;
-      if (mustStop || attempt.relayedEvents.length === 0) throw createBrokenStreamError();
-      end = await this.resume(attempt);
+      if (mustStop || !bootId || attempt.relayedEvents.length === 0)
+        throw createBrokenStreamError();
+      end = await this.resume(attempt, bootId);
     }
     attempt.exchange.verdict = 'ran';
     await attempt.exchange.response.write(`data: ${END_MARKER}\n\n`);
     attempt.exchange.response.finish();
   }
 
-  private async resume(attempt: Attempt): Promise<StreamEnd> {
+  private async resume(attempt: Attempt, bootId: BootId): Promise<StreamEnd> {
     const received = collectText(attempt.relayedEvents);
     const response = await this.client
-      .send(attempt.upstream, buildResumeCall(attempt, received))
+      .send(attempt.upstream, buildResumeCall(attempt, received, bootId))
       .catch(() => undefined);
     if (response?.status === 200) return relayEvents(attempt, response);
     await response?.body.dump();
@@ -103,7 +117,7 @@
   private async cancel(attempt: Attempt): Promise<void> {
     const timeoutSignal = AbortSignal.timeout(CONTROL_CALL_TIMEOUT_MS);
     const response = await this.client
-      .send(attempt.upstream, buildCancelCall(attempt, timeoutSignal))
+      .sendControlCall(attempt.upstream, buildCancelCall(attempt, timeoutSignal))
       .catch(() => undefined);
     await response?.body.dump();
   }
--- a/packages/entry/src/dispatch/deadline.ts
+++ b/packages/entry/src/dispatch/deadline.ts
@@ -1,4 +1,5 @@
 import { createError, isGoldcrestError } from '@goldcrestscale/core';
+import type { GoldcrestErrorInstance, Verdict } from '@goldcrestscale/core';
 import { DEFAULT_RETRY_AFTER_MS } from '../constants.js';
 import type { Exchange } from '../filters/exchange.js';
 
@@ -12,11 +13,12 @@
   mapError(cause: unknown): unknown;
 }
 
-const createDeadlineError = (cause: unknown): Error =>
+/** Creates the error for a request whose time is over. */
+export const createDeadlineError = (verdict: Verdict): GoldcrestErrorInstance =>
   createError('The answer had not begun by the deadline.', {
     code: 'deadline',
     status: 504,
-    verdict: isGoldcrestError(cause) ? cause.verdict : 'may-have-run',
+    verdict,
     retryAfterMs: DEFAULT_RETRY_AFTER_MS,
   });
 
@@ -24,11 +26,14 @@
 export const createDeadline = (exchange: Exchange): Deadline => {
   const expiry = new AbortController();
   const isTimed = exchange.deadlineAtMs !== undefined && !exchange.response.isHeadSent;
-  const remainingMs = (exchange.deadlineAtMs ?? 0) - Date.now();
+  const remainingMs = (exchange.deadlineAtMs ?? 0) - performance.now();
   const timer = isTimed ? setTimeout(() => expiry.abort(), Math.max(remainingMs, 0)) : undefined;
   return {
     signal: AbortSignal.any([exchange.signal, expiry.signal]),
     clear: () => clearTimeout(timer),
-    mapError: (cause) => (expiry.signal.aborted ? createDeadlineError(cause) : cause),
+    mapError(cause) {
+      if (!expiry.signal.aborted) return cause;
+      return createDeadlineError(isGoldcrestError(cause) ? cause.verdict : 'may-have-run');
+    },
   };
 };
--- a/packages/entry/src/dispatch/engineCalls.ts
+++ b/packages/entry/src/dispatch/engineCalls.ts
@@ -1,8 +1,10 @@
+import type { BootId } from '@goldcrestscale/core';
 import type { CompletionTarget } from '../filters/exchange.js';
 import { collectText } from '../upstream/completionPayload.js';
 import type { ReceivedText } from '../upstream/completionPayload.js';
-import type { UpstreamCall } from '../upstream/upstreamClient.js';
+import type { CallerCall, UpstreamCall } from '../upstream/upstreamClient.js';
 import type { Attempt } from './attempt.js';
+import { createNoUpstreamRefusal } from './upstreamDirectory.js';
 
 /** Returns the completion target of an attempt. */
 export const getCompletionTarget = (attempt: Attempt): CompletionTarget => {
@@ -33,7 +35,7 @@
 };
 
 /** Builds the call that starts a completion or continues one interrupted on another engine. */
-export const buildEngineCall = (attempt: Attempt): UpstreamCall => ({
+export const buildEngineCall = (attempt: Attempt): CallerCall => ({
   attemptId: attempt.attemptId,
   method: 'POST',
   path: getCompletionTarget(attempt).path,
@@ -44,14 +46,22 @@
   requiresAttemptIdEcho: true,
 });
 
-/** Builds the call that fetches the rest of a response from the engine that generates it. */
-export const buildResumeCall = (attempt: Attempt, received: ReceivedText): UpstreamCall => ({
+/** Builds the call that fetches the rest of a response from the process that generates it. */
+export const buildResumeCall = (
+  attempt: Attempt,
+  received: ReceivedText,
+  bootId: BootId,
+): CallerCall => ({
   attemptId: attempt.attemptId,
   method: 'POST',
   path: `/v1/requests/${attempt.attemptId}/resume`,
   headers: buildHeaders(attempt),
   body: JSON.stringify({ tokens: received.tokens }),
   signal: attempt.signal,
+  onBeforeSend(connectionBootId) {
+    attempt.assertSendable();
+    if (connectionBootId !== bootId) throw createNoUpstreamRefusal();
+  },
   requiresAttemptIdEcho: true,
 });
 
--- a/packages/entry/src/dispatch/slotRunner.ts
+++ b/packages/entry/src/dispatch/slotRunner.ts
@@ -3,14 +3,12 @@
 import { AttemptRunner } from './attempt.js';
 import type { Attempt } from './attempt.js';
 import { createNoUpstreamRefusal } from './upstreamDirectory.js';
-import type { UpstreamDirectory } from './upstreamDirectory.js';
 
 /** Holds a concurrency slot of the upstream for the duration of an attempt. */
 export class SlotRunner extends AttemptRunner {
   constructor(
     private readonly runner: AttemptRunner,
     private readonly slots: SlotPolicy,
-    private readonly directory: Pick<UpstreamDirectory, 'findView'>,
   ) {
     super();
   }
@@ -22,7 +20,7 @@
       await this.runner.run({
         ...attempt,
         onBeforeSend: (connectionBootId) => {
-          this.assertSendable(attempt);
+          attempt.onBeforeSend(connectionBootId);
           if (!handle.begin(connectionBootId)) throw createNoUpstreamRefusal();
         },
       });
@@ -43,10 +41,4 @@
       clearTimeout(timer);
     }
   }
-
-  /** Checks again what may have changed during the wait for the slot and the connection. */
-  private assertSendable({ exchange, upstream }: Attempt): void {
-    exchange.assertSendable();
-    if (!this.directory.findView(upstream.upstreamId)?.eligible) throw createNoUpstreamRefusal();
-  }
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,7 +3,12 @@
 import type { Server } from 'node:http';
 import { toId, waitForAbort } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
-import { createMetricsRegistry, listen } from '@goldcrestscale/runtime';
+import {
+  EventLoopBarrier,
+  PauseMonitor,
+  createMetricsRegistry,
+  listen,
+} from '@goldcrestscale/runtime';
 import type { Logger, MetricsRegistry } from '@goldcrestscale/runtime';
 import {
   createControllers,
@@ -96,13 +101,24 @@
     onInvalidKey: () => daemon.entryMetrics.recordInvalidKey('operations'),
   });
 
+/** Creates the monitor that reports how long this process stood still. */
+const createPauseMonitor = (logger: Logger): PauseMonitor => {
+  const partLogger = logger.createPartLogger('process');
+  return new PauseMonitor({
+    readCounts: () => ({}),
+    onPause: ({ durationMs }) =>
+      partLogger.warn('process stood still', { durationMs: Math.round(durationMs) }),
+  });
+};
+
 /** Runs the entry daemon until its signal aborts and all requests have completed. */
 export const runEntry = async (options: EntryOptions): Promise<void> => {
   const { settings, logger, signal } = options;
   const lifetime = new AbortController();
   // Every connection and controller adds a listener for the lifetime of the daemon.
   setMaxListeners(0, lifetime.signal, signal);
-  const client = createUpstreamClient();
+  const client = createUpstreamClient(new EventLoopBarrier());
+  const pauseMonitor = createPauseMonitor(logger);
   const daemon = await createDaemonComponents(options, lifetime.signal);
   const { controllers, entryMetrics, bootId } = daemon;
   let isReady = false;
@@ -121,6 +137,7 @@
       if (!controllers.membership.decideFreshness().accept) return;
       authenticateCaller(controllers.table.table, headers);
     },
+    estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     buildEntries: (affinityKey) =>
       buildEntriesResponse(controllers.membership.rankEntryVms(affinityKey), settings.entriesTtlMs),
   });
@@ -129,6 +146,7 @@
     daemon,
     () => isReady && !signal.aborted,
   );
+  pauseMonitor.start(lifetime.signal);
   await listen(operationsServer, settings.operations);
   await startControllers(listControllers(controllers), lifetime.signal);
   controllers.tableGossip.start(lifetime.signal);
--- a/packages/entry/src/filters/deadlineFilter.ts
+++ b/packages/entry/src/filters/deadlineFilter.ts
@@ -1,4 +1,6 @@
 import { createRefusal } from '@goldcrestscale/core';
+import { computeCallerDeadlineMs } from '@goldcrestscale/runtime';
+import { createDeadlineError } from '../dispatch/deadline.js';
 import type { Exchange } from './exchange.js';
 import { Filter } from './filter.js';
 import type { NextFilter } from './filter.js';
@@ -23,8 +25,16 @@
   override async handle(exchange: Exchange, next: NextFilter): Promise<void> {
     const workloadDeadlineMs = exchange.workload?.deadlineMs ?? Infinity;
     const requestedDeadlineMs = parseDeadlineMs(exchange);
-    exchange.deadlineAtMs =
-      exchange.receivedAtMs + Math.min(workloadDeadlineMs, requestedDeadlineMs);
+    const allowedMs = Math.min(workloadDeadlineMs, requestedDeadlineMs);
+    const deadlineAtMs = computeCallerDeadlineMs(exchange, allowedMs);
+    const { assertSendable } = exchange;
+    exchange.deadlineAtMs = deadlineAtMs;
+    exchange.assertSendable = () => {
+      assertSendable();
+      // After a pause of the process, the deadline may have passed before its timer runs.
+      const isOver = !exchange.response.isHeadSent && performance.now() >= deadlineAtMs;
+      if (isOver) throw createDeadlineError('not-run');
+    };
     await next();
   }
 }
--- a/packages/entry/src/filters/dispatchFilter.ts
+++ b/packages/entry/src/filters/dispatchFilter.ts
@@ -19,7 +19,7 @@
 }
 
 const computeRemainingMs = (exchange: Exchange): number =>
-  exchange.response.isHeadSent ? Infinity : (exchange.deadlineAtMs ?? Infinity) - Date.now();
+  exchange.response.isHeadSent ? Infinity : (exchange.deadlineAtMs ?? Infinity) - performance.now();
 
 /** Selects an upstream, sends the request and retries it if verdict and retry policy allow. */
 export class DispatchFilter extends Filter {
@@ -109,7 +109,7 @@
   ): Promise<void> {
     const hedgeDelay = this.hedgeDelays.get(service) ?? new HedgeDelay();
     this.hedgeDelays.set(service, hedgeDelay);
-    const startedAtMs = Date.now();
+    const startedAtMs = performance.now();
     const delayMs = hedgeDelay.computeDelayMs();
     if (delayMs === undefined) {
       await this.executor.run({ exchange, selection, progress });
@@ -118,7 +118,7 @@
       const createHedge = () => this.createHedge(exchange, selection, progress);
       await runHedgedRequest({ delayMs, startPrimary, createHedge });
     }
-    hedgeDelay.recordLatency(Date.now() - startedAtMs);
+    hedgeDelay.recordLatency(performance.now() - startedAtMs);
   }
 
   private createHedge(
--- a/packages/entry/src/filters/exchange.ts
+++ b/packages/entry/src/filters/exchange.ts
@@ -54,7 +54,10 @@
   response: ResponseWriter;
   /** Aborts when the caller disconnects; a filter may replace it to detach the chain. */
   signal: AbortSignal;
+  /** Earliest monotonic time at which the request may have arrived. */
   readonly receivedAtMs: number;
+  /** Monotonic time at which its head was read. */
+  readonly readAtMs: number;
   /** Set by the account filter. */
   account?: ClientAccountRow;
   /** Set by the account filter. */
@@ -63,7 +66,7 @@
   isIdempotent: boolean;
   /** Set by the idempotency filter for a non-idempotent request. */
   idempotencyKey?: IdempotencyKey;
-  /** Set by the deadline filter: latest start of the response, in terms of `Date.now()`. */
+  /** Set by the deadline filter: latest start of the response, in monotonic time. */
   deadlineAtMs?: number;
   /** Set by the weight version filter: the version that all attempts must use. */
   weightVersion?: WeightVersion;
--- a/packages/entry/src/filters/idempotencyFilter.ts
+++ b/packages/entry/src/filters/idempotencyFilter.ts
@@ -132,7 +132,7 @@
 
   private async claimWithTimeout(request: KeyedRequest, exchange: Exchange): Promise<ClaimResult> {
     const { deadlineAtMs = Infinity, signal } = exchange;
-    const timeoutMs = Math.min(Math.max(deadlineAtMs - Date.now(), 0), CLAIM_TIMEOUT_MS);
+    const timeoutMs = Math.min(Math.max(deadlineAtMs - performance.now(), 0), CLAIM_TIMEOUT_MS);
     const timeout = createTimeout(timeoutMs, [signal]);
     try {
       return await this.options.guard.claim(request, timeout.signal);
--- a/packages/entry/src/filters/index.ts
+++ b/packages/entry/src/filters/index.ts
@@ -51,7 +51,7 @@
 
 const createDispatchObserver = (metrics: EntryMetrics, cache: CacheObserver): DispatchObserver => ({
   onFirstByte: (exchange) =>
-    metrics.recordFirstByte(exchange.account?.id, Date.now() - exchange.receivedAtMs),
+    metrics.recordFirstByte(exchange.account?.id, performance.now() - exchange.receivedAtMs),
   onUsage(exchange, upstream, usage, expectedCachedTokens) {
     metrics.recordUsage(exchange.account?.id, usage);
     cache.onUsage(exchange, upstream, usage.cachedTokens, expectedCachedTokens);
--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -3,6 +3,8 @@
 import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createRefusal, isGoldcrestError, runChain, toId } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance, RequestId } from '@goldcrestscale/core';
+import { trackCaller } from '@goldcrestscale/runtime';
+import type { RequestArrival } from '@goldcrestscale/runtime';
 import { MAX_REQUEST_BODY_BYTES, REQUEST_TIMEOUT_MS } from '../constants.js';
 import type { Exchange } from '../filters/exchange.js';
 import type { Filter } from '../filters/filter.js';
@@ -17,6 +19,8 @@
   readonly filters: readonly Filter[];
   /** Checks the request headers before the body is read; throws to refuse the caller. */
   checkHeaders(headers: IncomingHttpHeaders): void;
+  /** Returns the earliest monotonic time at which a request that is being read may have arrived. */
+  readonly estimateArrivalMs: () => number;
   /** Builds the `/v1/entries` response for a prompt or session key. */
   buildEntries(affinityKey: string | undefined): EntriesResponse;
 }
@@ -38,6 +42,9 @@
 const createNoRouteRefusal = (): GoldcrestErrorInstance =>
   createRefusal('There is nothing at this path.', { code: 'bad_request', status: 404 });
 
+const createCallerLeftRefusal = (): GoldcrestErrorInstance =>
+  createRefusal('The caller left.', { code: 'caller_left', status: 503 });
+
 const sendRefusal = (
   response: ServerResponse,
   error: GoldcrestErrorInstance,
@@ -50,20 +57,18 @@
   response.end(JSON.stringify(buildErrorBody(error, error.verdict, requestId)));
 };
 
-const createDisconnectSignal = (response: ServerResponse): AbortSignal => {
-  const disconnected = new AbortController();
-  response.once('close', () => {
-    if (!response.writableFinished) disconnected.abort();
-  });
-  return disconnected.signal;
-};
+/** What is known about a request when its head has been read. */
+interface ReadRequest extends RequestArrival {
+  readonly requestId: RequestId;
+  /** Aborts when the caller leaves. */
+  readonly signal: AbortSignal;
+}
 
 const buildExchange = async (
   request: IncomingMessage,
   response: ServerResponse,
-  requestId: RequestId,
+  { requestId, signal, receivedAtMs, readAtMs }: ReadRequest,
 ): Promise<Exchange> => {
-  const receivedAtMs = Date.now();
   const body = await readBody(request, MAX_REQUEST_BODY_BYTES);
   const target = parseTarget(request.method ?? 'GET', request.url ?? '/', body);
   if (!target) throw createNoRouteRefusal();
@@ -74,10 +79,14 @@
     body,
     target,
     response: createResponseWriter(response),
-    signal: createDisconnectSignal(response),
+    signal,
     receivedAtMs,
+    readAtMs,
     isIdempotent: true,
-    assertSendable: () => undefined,
+    assertSendable() {
+      // A filter may have detached the exchange from its caller, but it must not be begun without it.
+      if (signal.aborted) throw createCallerLeftRefusal();
+    },
     verdict: 'not-run',
   };
 };
@@ -88,6 +97,8 @@
   response: ServerResponse,
 ): Promise<void> => {
   const requestId = chooseRequestId(request);
+  const signal = trackCaller(request, response);
+  const arrival = { receivedAtMs: options.estimateArrivalMs(), readAtMs: performance.now() };
   const [path, query] = (request.url ?? '/').split('?', 2);
   if (path === '/v1/entries') {
     const key = new URLSearchParams(query).get('key') ?? undefined;
@@ -100,7 +111,7 @@
     if (!parseRequestLine(request.method ?? 'GET', request.url ?? '/'))
       throw createNoRouteRefusal();
     options.checkHeaders(request.headers);
-    const exchange = await buildExchange(request, response, requestId);
+    const exchange = await buildExchange(request, response, { requestId, signal, ...arrival });
     await runChain(options.filters, exchange);
   } catch (cause) {
     if (isGoldcrestError(cause)) sendRefusal(response, cause, requestId);
--- a/packages/entry/src/upstream/upstreamClient.ts
+++ b/packages/entry/src/upstream/upstreamClient.ts
@@ -3,6 +3,7 @@
 import { Agent, request } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { AttemptId, BootId, UpstreamView, Verdict } from '@goldcrestscale/core';
+import type { InputBarrier } from '@goldcrestscale/runtime';
 import { BODY_IDLE_TIMEOUT_MS } from '../constants.js';
 import type { BoundConnection } from './boundConnection.js';
 import { createConnectionPool } from './connectionPool.js';
@@ -26,11 +27,15 @@
   readonly signal: AbortSignal;
   /** Whether a successful response must echo the attempt id; plain services don't. */
   readonly requiresAttemptIdEcho: boolean;
+}
+
+/** A call on behalf of a caller. */
+export interface CallerCall extends UpstreamCall {
   /**
    * Called with the boot id of the upstream process at the other end of the connection, right
    * before the request is written; if it throws, the call fails with nothing sent.
    */
-  readonly onBeforeSend?: ((connectionBootId: BootId) => void) | undefined;
+  readonly onBeforeSend: (connectionBootId: BootId) => void;
 }
 
 /** Response of an upstream whose head has been validated. */
@@ -40,6 +45,9 @@
   readonly body: Dispatcher.ResponseData['body'];
 }
 
+/** Upstream that a call is sent to. */
+type UpstreamTarget = Pick<UpstreamView, 'address' | 'upstreamId'>;
+
 /** Sends requests to upstreams. */
 export interface UpstreamClient {
   /**
@@ -47,15 +55,22 @@
    *
    * @throws GoldcrestError with the verdict on the attempt
    */
-  send(
-    upstream: Pick<UpstreamView, 'address' | 'upstreamId'>,
-    call: UpstreamCall,
-  ): Promise<UpstreamResponse>;
+  send(upstream: UpstreamTarget, call: CallerCall): Promise<UpstreamResponse>;
+  /**
+   * Sends a call of this VM's own, to whichever process has the upstream's address.
+   *
+   * @throws GoldcrestError with the verdict on the call
+   */
+  sendControlCall(upstream: UpstreamTarget, call: UpstreamCall): Promise<UpstreamResponse>;
   close(): Promise<void>;
 }
 
 const KEEP_ALIVE_TIMEOUT_MS = 4_000;
 const MAX_CONNECTIONS_PER_UPSTREAM = 256;
+
+/** Number of connections that may close while the requests that acquired them wait to be written. */
+const MAX_CONNECTION_TRIES = 3;
+
 const UNAVAILABLE_STATUS = 503;
 const CONFLICT_STATUS = 409;
 
@@ -112,8 +127,6 @@
     : createAttemptError(message, verdict);
 };
 
-type UpstreamTarget = Pick<UpstreamView, 'address' | 'upstreamId'>;
-
 const buildRequestOptions = (call: UpstreamCall) => ({
   method: call.method,
   headers: { ...call.headers, 'x-attempt-id': call.attemptId },
@@ -142,63 +155,94 @@
   }
 };
 
-/** Sends a call over a connection to a known upstream process. */
-const sendBound = async (
+/** Dependencies of calls on behalf of callers. */
+interface CallerCallOptions {
+  readonly pool: ConnectionPool;
+  readonly inputBarrier: InputBarrier;
+}
+
+/**
+ * Writes a call. Nothing is awaited between its check and the write.
+ *
+ * @returns the pending response; undefined, with nothing sent, if the connection is closed
+ */
+const writeCall = (
   pool: ConnectionPool,
   target: UpstreamTarget,
-  call: UpstreamCall,
-): Promise<Dispatcher.ResponseData> => {
-  const connection = await acquireConnection(pool, target);
+  connection: BoundConnection,
+  call: CallerCall,
+): { readonly pending: Promise<Dispatcher.ResponseData> } | undefined => {
+  if (!connection.isOpen) return undefined;
   try {
-    call.onBeforeSend?.(connection.bootId);
+    call.onBeforeSend(connection.bootId);
   } catch (error) {
     pool.release(target.address, connection);
     throw error;
   }
-  if (!connection.isOpen)
-    throw createCodedError('the connection is closed', CONNECTION_CLOSED_CODE);
-  try {
-    const response = await connection.client.request({
-      ...buildRequestOptions(call),
-      path: call.path,
-    });
-    response.body.once('end', () => pool.release(target.address, connection));
-    return response;
-  } catch (error) {
-    connection.close();
-    throw error;
+  return {
+    pending: connection.client.request({ ...buildRequestOptions(call), path: call.path }),
+  };
+};
+
+/** Sends a call over a connection to a known upstream process. */
+const sendBound = async (
+  { pool, inputBarrier }: CallerCallOptions,
+  target: UpstreamTarget,
+  call: CallerCall,
+): Promise<Dispatcher.ResponseData> => {
+  for (let tries = 0; tries < MAX_CONNECTION_TRIES; tries += 1) {
+    const connection = await acquireConnection(pool, target);
+    const written = await inputBarrier.run(() => writeCall(pool, target, connection, call));
+    if (written) {
+      try {
+        const response = await written.pending;
+        response.body.once('end', () => pool.release(target.address, connection));
+        return response;
+      } catch (error) {
+        connection.close();
+        throw error;
+      }
+    }
   }
+  throw createCodedError('the connection is closed', CONNECTION_CLOSED_CODE);
 };
 
-/** Creates a client with its own connection pools. */
-export const createUpstreamClient = (): UpstreamClient => {
+/**
+ * Creates a client with its own connection pools.
+ *
+ * @param inputBarrier what has arrived before is read before a caller's request is written
+ */
+export const createUpstreamClient = (inputBarrier: InputBarrier): UpstreamClient => {
   const agent = createAgent();
   const pool = createConnectionPool();
-  const sendCall = (
-    target: UpstreamTarget,
+  const receive = async (
+    { upstreamId }: UpstreamTarget,
     call: UpstreamCall,
-  ): Promise<Dispatcher.ResponseData> =>
-    call.onBeforeSend
-      ? sendBound(pool, target, call)
-      : request(`http://${target.address}${call.path}`, {
+    send: () => Promise<Dispatcher.ResponseData>,
+  ): Promise<UpstreamResponse> => {
+    try {
+      const { statusCode: status, headers, body } = await send();
+      const response = { status, headers, body };
+      await validateResponseHead(response, call);
+      return response;
+    } catch (cause) {
+      if (isGoldcrestError(cause)) throw cause;
+      throw createAttemptError(
+        `The call of upstream ${upstreamId} failed.`,
+        decideTransportVerdict(cause),
+      );
+    }
+  };
+  return {
+    send: (target, call) =>
+      receive(target, call, () => sendBound({ pool, inputBarrier }, target, call)),
+    sendControlCall: (target, call) =>
+      receive(target, call, () =>
+        request(`http://${target.address}${call.path}`, {
           ...buildRequestOptions(call),
           dispatcher: agent,
-        });
-  return {
-    async send(target, call) {
-      try {
-        const { statusCode: status, headers, body } = await sendCall(target, call);
-        const response = { status, headers, body };
-        await validateResponseHead(response, call);
-        return response;
-      } catch (cause) {
-        if (isGoldcrestError(cause)) throw cause;
-        throw createAttemptError(
-          `The call of upstream ${target.upstreamId} failed.`,
-          decideTransportVerdict(cause),
-        );
-      }
-    },
+        }),
+      ),
     async close() {
       pool.close();
       await agent.close();
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -72,12 +72,6 @@
 /** Maximum number of times that a request is withheld right before it is sent, and chosen for anew. */
 export const MAX_WITHHELD_SENDS = 6;
 
-/**
- * Least time that is left for a request when it is read, in milliseconds, however long it may have
- * lain unread.
- */
-export const MIN_PRESENT_CALLER_MS = 500;
-
 /** Longest wait of a control call for one permit. */
 export const CONTROL_RATE_WAIT_MS = 400;
 
--- a/packages/gateway/src/filters/deadlineFilter.ts
+++ b/packages/gateway/src/filters/deadlineFilter.ts
@@ -1,4 +1,4 @@
-import { MIN_PRESENT_CALLER_MS } from '../constants.js';
+import { computeCallerDeadlineMs } from '@goldcrestscale/runtime';
 import type { GatewayExchange } from './gatewayExchange.js';
 import { requireRoute } from './gatewayExchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
@@ -11,9 +11,9 @@
   override async handle(exchange: GatewayExchange, next: NextFilter): Promise<void> {
     const { timeoutMs } = requireRoute(exchange);
     const allowedMs = Math.min(timeoutMs, exchange.head.timeoutMs ?? Infinity);
-    // Nobody knows how long a request lay unread; its caller is still there when it is sent.
-    const earliestMs = performance.now() + Math.min(allowedMs, MIN_PRESENT_CALLER_MS);
-    exchange.deadlineAtMs = Math.max(exchange.receivedAtMs + allowedMs, earliestMs);
+    const { receivedAtMs } = exchange;
+    const arrival = { receivedAtMs, readAtMs: performance.now() };
+    exchange.deadlineAtMs = computeCallerDeadlineMs(arrival, allowedMs);
     await next();
   }
 }
