--- a/packages/core/src/admission/__tests__/admissionQueue.spec.ts
+++ b/packages/core/src/admission/__tests__/admissionQueue.spec.ts
@@ -264,3 +264,28 @@
     { seed: 1, numRuns: 300 },
   );
 });
+
+// Guards against starting a request whose deadline passed while the process stood still.
+test('an expired request is refused and the next one started', async () => {
+  const fleet = createFleet(() => new FairSharePolicy(), { vmCount: 1, capacity: 1 });
+  const permit = await fleet.acquire(0, makeRequest('a'));
+  const expired = fleet
+    .acquire(0, makeRequest('a', { deadlineAtMs: performance.now() + 10_000 }))
+    .catch((cause: unknown) => cause);
+  const next = fleet.acquire(0, makeRequest('a', { deadlineAtMs: performance.now() + 90_000 }));
+  const { now } = performance;
+  vi.spyOn(performance, 'now').mockImplementation(() => now.call(performance) + 20_000);
+  fleet.release(permit);
+  expect(await expired).toMatchObject({ code: 'overloaded', verdict: 'not-run' });
+  fleet.release(await next);
+  vi.restoreAllMocks();
+  fleet.close();
+});
+
+// Guards against queueing a request whose caller left before it came to the queue (GONE).
+test('a request whose caller has left is refused', async () => {
+  const fleet = createFleet(() => new FairSharePolicy(), { vmCount: 1, capacity: 1 });
+  const run = fleet.queues[0]!.acquire(makeRequest('a'), AbortSignal.abort());
+  await expect(run).rejects.toMatchObject({ code: 'overloaded', verdict: 'not-run' });
+  fleet.close();
+});
--- a/packages/core/src/admission/admissionQueue.ts
+++ b/packages/core/src/admission/admissionQueue.ts
@@ -43,6 +43,9 @@
   waitingRequest.refuse(error);
 };
 
+const hasExpired = ({ request }: WaitingRequest): boolean =>
+  request.deadlineAtMs <= performance.now();
+
 const getOrCreateAccount = (pool: PoolState, request: AdmissionRequest): AccountState => {
   const existing = pool.accounts.get(request.accountId);
   if (existing) return existing;
@@ -65,6 +68,7 @@
    * @throws GoldcrestError as soon as the request is estimated not to start before its deadline
    */
   acquire(request: AdmissionRequest, signal: AbortSignal): Promise<AdmissionPermit> {
+    if (signal.aborted) return Promise.reject(createOverloadRefusal(0));
     const pool = this.getOrCreatePool(request.poolId);
     const account = getOrCreateAccount(pool, request);
     if (account.demand === 0) this.options.policy.invalidate();
@@ -183,7 +187,9 @@
         .filter((account) => account.running < policy.countSlots(pool, account))
         .sort((left, right) => policy.compareAccounts(pool, left, right));
       if (!best) return;
-      best.startNextRequest();
+      const next = best.queues.findNext();
+      if (next && hasExpired(next)) refuseWaitingRequest(best, next, createOverloadRefusal(0));
+      else best.startNextRequest();
     }
   }
 
