--- a/bench/simulatedEntryVm.ts
+++ b/bench/simulatedEntryVm.ts
@@ -18,6 +18,7 @@
   VmId,
   VmRecord,
 } from '@goldcrestscale/core';
+import { EventLoopBarrier } from '@goldcrestscale/runtime';
 import { AdmissionFilter, DispatchFilter, SlotRunner, UpstreamState } from '@goldcrestscale/entry';
 import type { Filter, SlotsController, UpstreamDirectory } from '@goldcrestscale/entry';
 import type { SimulatedEngine } from './simulatedEngine.js';
@@ -100,6 +101,7 @@
           random: createRandomGenerator(index + 101),
         }),
         retryPolicy: policies.createRetries(index + 1),
+        inputBarrier: new EventLoopBarrier(),
         directory,
         completionRunner: completions,
         serviceRunner: runner,
--- a/packages/entry/src/__tests__/departedCallers.spec.ts
+++ b/packages/entry/src/__tests__/departedCallers.spec.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, onTestFinished, test, vi } from 'vitest';
-import { API_KEY, startHarness } from './entryHarness.js';
+import { API_KEY, callService, startHarness } from './entryHarness.js';
 import type { HarnessOptions } from './entryHarness.js';
 import { FakeUpstream } from './fakeUpstream.js';
 import { startPausableEntry } from './pausableEntry.js';
@@ -33,6 +33,10 @@
 
 const CALLERS = 4;
 
+/** Lookups that are answered before one may be hedged, and the time that each of them takes. */
+const HEDGE_SAMPLES = 20;
+const LOOKUP_MS = 200;
+
 const buildHead = (id: string, path: string, headers: readonly string[]): string =>
   [
     `${path} HTTP/1.1`,
@@ -262,3 +266,34 @@
   await sleep(READ_MS);
   expect(upstream.calls.filter(({ path }) => path.endsWith('/resume'))).toEqual([]);
 });
+
+const answerLookups = ({ hangingResponses }: FakeUpstream): void => {
+  hangingResponses.splice(0).forEach((response) => {
+    response.writeHead(200, { 'content-type': 'application/json' });
+    response.end('{}');
+  });
+};
+
+// Guards against a hedge whose delay passed while the answer to the first attempt lay unread (GONE).
+test.each(PAUSES)('%s for %i ms, no hedge if the answer lies unread', async (kind, durationMs) => {
+  const [first, second] = [await startUpstream(), await startUpstream()];
+  const { baseUrl, pause } = await startPausableEntry([first, second]);
+  first.script = Array.from({ length: HEDGE_SAMPLES }, () => 'hang');
+  const samples = first.script.map(() => callService({ baseUrl }, 'GET'));
+  await vi.waitFor(() => expect(first.hangingResponses).toHaveLength(HEDGE_SAMPLES));
+  await sleep(LOOKUP_MS);
+  answerLookups(first);
+  await Promise.all(samples);
+  // The second upstream gets one request, so that it has an idle connection.
+  first.script = ['busy', 'hang'];
+  await callService({ baseUrl }, 'GET');
+  expect(second.runCount).toBe(1);
+  const reply = callService({ baseUrl }, 'GET');
+  await vi.waitFor(() => expect(first.hangingResponses).toHaveLength(1), { interval: 1 });
+  const finishPause = await pause(kind, durationMs);
+  answerLookups(first);
+  await finishPause();
+  expect(await reply).toMatchObject({ status: 200, verdict: 'ran' });
+  await sleep(READ_MS);
+  expect(second.runCount).toBe(1);
+});
--- a/packages/entry/src/__tests__/entryHarness.ts
+++ b/packages/entry/src/__tests__/entryHarness.ts
@@ -170,6 +170,7 @@
     new AdmissionFilter({ queue, countCapacity }),
     new DispatchFilter({
       router: new LeastLoadRouter(),
+      inputBarrier: new EventLoopBarrier(),
       retryPolicy: options.retryPolicy ?? new BudgetedRetryPolicy(createRandomGenerator(1)),
       directory,
       completionRunner:
@@ -282,7 +283,7 @@
 
 /** Sends a request to the plain service. */
 export const callService = async (
-  { baseUrl }: Harness,
+  { baseUrl }: Pick<Harness, 'baseUrl'>,
   method: 'GET' | 'POST',
 ): Promise<ReceivedResponse> =>
   readResponse(
--- a/packages/entry/src/compose/createDataPath.ts
+++ b/packages/entry/src/compose/createDataPath.ts
@@ -1,6 +1,6 @@
 import { BudgetedRetryPolicy, LeastTimeRouter, createRandomGenerator } from '@goldcrestscale/core';
 import type { ConfigTable } from '@goldcrestscale/core';
-import type { Logger } from '@goldcrestscale/runtime';
+import type { InputBarrier, Logger } from '@goldcrestscale/runtime';
 import type { PrefixIndexController } from '../controllers/prefixIndex/index.js';
 import { ImportingRunner } from '../controllers/tiering/index.js';
 import type { TieringController } from '../controllers/tiering/index.js';
@@ -20,6 +20,7 @@
 export interface DataPathOptions {
   readonly controllers: Controllers;
   readonly client: UpstreamClient;
+  readonly inputBarrier: InputBarrier;
   readonly logger: Logger;
   readonly metrics: EntryMetrics;
   /** Secret from which the block keys of all client accounts are derived. */
@@ -74,6 +75,7 @@
         importSource: tiering.planner,
       }),
       retryPolicy: new BudgetedRetryPolicy(createRandomGenerator()),
+      inputBarrier: options.inputBarrier,
       directory: upstreams,
       completionRunner: new ImportingRunner(
         new SlotRunner(new CompletionRunner(client), slots),
--- a/packages/entry/src/dispatch/hedgedRequest.ts
+++ b/packages/entry/src/dispatch/hedgedRequest.ts
@@ -1,4 +1,5 @@
 import { sleep } from '@goldcrestscale/core';
+import type { InputBarrier } from '@goldcrestscale/runtime';
 
 /** Starts one attempt of a hedged request; calls `onResponseStart` right before it responds. */
 export type StartAttempt = (signal: AbortSignal, onResponseStart: () => void) => Promise<void>;
@@ -7,6 +8,8 @@
 export interface HedgedRequest {
   /** Delay before the second attempt, in milliseconds. */
   readonly delayMs: number;
+  /** The answer to the first attempt may have arrived when the delay is over. */
+  readonly inputBarrier: InputBarrier;
   readonly startPrimary: StartAttempt;
   /** Creates the second attempt; undefined if none is allowed. */
   createHedge(): StartAttempt | undefined;
@@ -20,6 +23,7 @@
  */
 export const runHedgedRequest = async ({
   delayMs,
+  inputBarrier,
   startPrimary,
   createHedge,
 }: HedgedRequest): Promise<void> => {
@@ -31,7 +35,9 @@
   );
   const hedgeRun = (async (): Promise<void> => {
     await sleep(delayMs, primarySettled.signal);
-    const start = primarySettled.signal.aborted ? undefined : createHedge();
+    const start = await inputBarrier.run(() =>
+      primarySettled.signal.aborted || hedge.signal.aborted ? undefined : createHedge(),
+    );
     if (start) await start(hedge.signal, () => primary.abort());
     else await primaryRun;
   })();
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -117,7 +117,8 @@
   const lifetime = new AbortController();
   // Every connection and controller adds a listener for the lifetime of the daemon.
   setMaxListeners(0, lifetime.signal, signal);
-  const client = createUpstreamClient(new EventLoopBarrier());
+  const inputBarrier = new EventLoopBarrier();
+  const client = createUpstreamClient(inputBarrier);
   const pauseMonitor = createPauseMonitor(logger);
   const daemon = await createDaemonComponents(options, lifetime.signal);
   const { controllers, entryMetrics, bootId } = daemon;
@@ -126,6 +127,7 @@
     filters: createDataPath({
       controllers,
       client,
+      inputBarrier,
       logger,
       metrics: entryMetrics,
       fleetSecret: options.secrets.fleetSecret,
--- a/packages/entry/src/filters/dispatchFilter.ts
+++ b/packages/entry/src/filters/dispatchFilter.ts
@@ -1,5 +1,6 @@
 import { HedgeDelay, isGoldcrestError, sleep } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance, RetryPolicy, Router } from '@goldcrestscale/core';
+import type { InputBarrier } from '@goldcrestscale/runtime';
 import { AttemptExecutor, estimatePromptTokens } from '../dispatch/attemptExecutor.js';
 import type { AttemptDependencies } from '../dispatch/attemptExecutor.js';
 import { runHedgedRequest } from '../dispatch/hedgedRequest.js';
@@ -16,6 +17,7 @@
 export interface DispatchFilterOptions extends AttemptDependencies {
   readonly router: Router;
   readonly retryPolicy: RetryPolicy;
+  readonly inputBarrier: InputBarrier;
 }
 
 const computeRemainingMs = (exchange: Exchange): number =>
@@ -116,7 +118,8 @@
     } else {
       const startPrimary = this.createStartAttempt(exchange, selection, progress);
       const createHedge = () => this.createHedge(exchange, selection, progress);
-      await runHedgedRequest({ delayMs, startPrimary, createHedge });
+      const { inputBarrier } = this.options;
+      await runHedgedRequest({ delayMs, inputBarrier, startPrimary, createHedge });
     }
     hedgeDelay.recordLatency(performance.now() - startedAtMs);
   }
