--- a/packages/entry/src/__tests__/departedCallers.spec.ts
+++ b/packages/entry/src/__tests__/departedCallers.spec.ts
@@ -297,3 +297,33 @@
   await sleep(READ_MS);
   expect(second.runCount).toBe(1);
 });
+
+// Guards against cancelling attempts that their engine never got.
+test('nothing is cancelled that was not sent', async () => {
+  const upstream = await startUpstream();
+  upstream.canReport = false;
+  const { baseUrl, slots } = await startEntry([upstream]);
+  const caller = await openCaller(baseUrl);
+  caller.write(buildRequest('departed-0'));
+  await vi.waitFor(() => expect(upstream.reportCount).toBe(1));
+  leave(caller, 'close');
+  await sleep(READ_MS);
+  upstream.sendReports();
+  await vi.waitFor(() => expect(slots.inUse).toBe(0));
+  await sleep(READ_MS);
+  expect(upstream.cancelled).toEqual([]);
+  expect(listDeparted(upstream)).toEqual([]);
+});
+
+// Guards against engines that run on because their cancellation was lost.
+test('a cancellation that is lost is sent again', async () => {
+  const upstream = await startUpstream();
+  upstream.script = ['hang'];
+  upstream.cutCancellations = 1;
+  const { baseUrl } = await startEntry([upstream]);
+  const caller = await openCaller(baseUrl);
+  caller.write(buildRequest('departed-0'));
+  await vi.waitFor(() => expect(upstream.runCount).toBe(1));
+  leave(caller, 'close');
+  await vi.waitFor(() => expect(upstream.cancelled).toEqual([upstream.calls[0]!.attemptId]));
+});
--- a/packages/entry/src/dispatch/completionRunner.ts
+++ b/packages/entry/src/dispatch/completionRunner.ts
@@ -1,6 +1,6 @@
 import { isGoldcrestError } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
-import { CONTROL_CALL_TIMEOUT_MS, MAX_STREAM_RESUMES } from '../constants.js';
+import { MAX_STREAM_RESUMES } from '../constants.js';
 import { collectText, isJson, parseUsage } from '../upstream/completionPayload.js';
 import { END_MARKER, readEventStream } from '../upstream/eventStream.js';
 import type { StreamEnd } from '../upstream/eventStream.js';
@@ -60,7 +60,7 @@
   override async run(attempt: Attempt): Promise<void> {
     let bootId: BootId | undefined;
     const cancel = (): void => {
-      void this.cancel(attempt);
+      if (bootId !== undefined) void this.cancel(attempt);
     };
     attempt.signal.addEventListener('abort', cancel, { once: true });
     try {
@@ -115,10 +115,11 @@
   }
 
   private async cancel(attempt: Attempt): Promise<void> {
-    const timeoutSignal = AbortSignal.timeout(CONTROL_CALL_TIMEOUT_MS);
-    const response = await this.client
-      .sendControlCall(attempt.upstream, buildCancelCall(attempt, timeoutSignal))
+    const send = (): Promise<UpstreamResponse> =>
+      this.client.sendControlCall(attempt.upstream, buildCancelCall(attempt));
+    const response = await send()
+      .catch(send)
       .catch(() => undefined);
-    await response?.body.dump();
+    await response?.body.dump().catch(() => undefined);
   }
 }
--- a/packages/entry/src/dispatch/engineCalls.ts
+++ b/packages/entry/src/dispatch/engineCalls.ts
@@ -66,11 +66,10 @@
 });
 
 /** Builds the call that cancels an attempt on its engine. */
-export const buildCancelCall = (attempt: Attempt, signal: AbortSignal): UpstreamCall => ({
+export const buildCancelCall = (attempt: Attempt): UpstreamCall => ({
   attemptId: attempt.attemptId,
   method: 'DELETE',
   path: `/v1/requests/${attempt.attemptId}`,
   headers: {},
-  signal,
   requiresAttemptIdEcho: false,
 });
--- a/packages/entry/src/upstream/upstreamClient.ts
+++ b/packages/entry/src/upstream/upstreamClient.ts
@@ -4,7 +4,7 @@
 import type { Dispatcher } from 'undici';
 import type { AttemptId, BootId, UpstreamView, Verdict } from '@goldcrestscale/core';
 import type { InputBarrier } from '@goldcrestscale/runtime';
-import { BODY_IDLE_TIMEOUT_MS } from '../constants.js';
+import { BODY_IDLE_TIMEOUT_MS, CONTROL_CALL_TIMEOUT_MS } from '../constants.js';
 import type { BoundConnection } from './boundConnection.js';
 import { createConnectionPool } from './connectionPool.js';
 import type { ConnectionPool } from './connectionPool.js';
@@ -24,13 +24,13 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body?: Buffer | string;
-  readonly signal: AbortSignal;
   /** Whether a successful response must echo the attempt id; plain services don't. */
   readonly requiresAttemptIdEcho: boolean;
 }
 
 /** A call on behalf of a caller. */
 export interface CallerCall extends UpstreamCall {
+  readonly signal: AbortSignal;
   /**
    * Called with the boot id of the upstream process at the other end of the connection, right
    * before the request is written; if it throws, the call fails with nothing sent.
@@ -131,7 +131,6 @@
   method: call.method,
   headers: { ...call.headers, 'x-attempt-id': call.attemptId },
   body: call.body ?? null,
-  signal: call.signal,
 });
 
 const createAgent = (): Agent =>
@@ -180,7 +179,11 @@
     throw error;
   }
   return {
-    pending: connection.client.request({ ...buildRequestOptions(call), path: call.path }),
+    pending: connection.client.request({
+      ...buildRequestOptions(call),
+      path: call.path,
+      signal: call.signal,
+    }),
   };
 };
 
@@ -241,6 +244,9 @@
         request(`http://${target.address}${call.path}`, {
           ...buildRequestOptions(call),
           dispatcher: agent,
+          // Counted from the write.
+          headersTimeout: CONTROL_CALL_TIMEOUT_MS,
+          bodyTimeout: CONTROL_CALL_TIMEOUT_MS,
         }),
       ),
     async close() {
