--- a/bench/unbudgetedRetryPolicy.ts
+++ b/bench/unbudgetedRetryPolicy.ts
@@ -17,4 +17,8 @@
   override tryHedge(): boolean {
     return true;
   }
+
+  override withdrawAttempt(): void {
+    // Has no budget.
+  }
 }
--- a/packages/core/src/retry/__tests__/retry.spec.ts
+++ b/packages/core/src/retry/__tests__/retry.spec.ts
@@ -24,6 +24,10 @@
   override tryHedge(): boolean {
     return true;
   }
+
+  override withdrawAttempt(): void {
+    // Has no budget.
+  }
 }
 
 const failure: RetryQuery = {
--- a/packages/core/src/retry/budgetedRetryPolicy.ts
+++ b/packages/core/src/retry/budgetedRetryPolicy.ts
@@ -28,6 +28,10 @@
     return this.budget.tryCharge();
   }
 
+  override withdrawAttempt(): void {
+    this.budget.withdrawCharge();
+  }
+
   private findRefusal(query: RetryQuery, delayMs: number): RetryRefusal | undefined {
     if (!canRetry(query.verdict, query.idempotent)) return 'verdict';
     if (query.attempts >= MAX_ATTEMPTS) return 'attempts';
--- a/packages/core/src/retry/retryBudget.ts
+++ b/packages/core/src/retry/retryBudget.ts
@@ -22,4 +22,9 @@
     this.balance -= 1;
     return true;
   }
+
+  /** Credits an extra attempt that was charged but not made. */
+  withdrawCharge(): void {
+    this.balance = Math.min(MAX_RETRY_BUDGET_BALANCE, this.balance + 1);
+  }
 }
--- a/packages/core/src/retry/retryPolicy.ts
+++ b/packages/core/src/retry/retryPolicy.ts
@@ -30,4 +30,7 @@
 
   /** Charges a hedge to the budget; false if the budget is exhausted. */
   abstract tryHedge(): boolean;
+
+  /** Credits a granted retry or hedge that was not sent. */
+  abstract withdrawAttempt(): void;
 }
--- a/packages/entry/src/__tests__/departedCallers.spec.ts
+++ b/packages/entry/src/__tests__/departedCallers.spec.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { BudgetedRetryPolicy, createRandomGenerator } from '@goldcrestscale/core';
 import { expect, onTestFinished, test, vi } from 'vitest';
 import { API_KEY, callService, startHarness } from './entryHarness.js';
 import type { HarnessOptions } from './entryHarness.js';
@@ -62,8 +63,11 @@
   return upstream;
 };
 
-const startEntry = async (upstreams: HarnessOptions['upstreams']) => {
-  const harness = await startHarness({ upstreams });
+const startEntry = async (
+  upstreams: HarnessOptions['upstreams'],
+  options: Partial<HarnessOptions> = {},
+) => {
+  const harness = await startHarness({ upstreams, ...options });
   onTestFinished(() => harness.close());
   return harness;
 };
@@ -327,3 +331,23 @@
   leave(caller, 'close');
   await vi.waitFor(() => expect(upstream.cancelled).toEqual([upstream.calls[0]!.attemptId]));
 });
+
+// Guards against charging the retry budget for retries that are not sent.
+test('a retry of a caller that left is not charged', async () => {
+  const [first, second] = [await startUpstream(), await startUpstream()];
+  first.script = ['busy'];
+  second.canReport = false;
+  const retryPolicy = new BudgetedRetryPolicy(createRandomGenerator(1));
+  const { baseUrl, slots } = await startEntry([first, second], { retryPolicy });
+  const caller = await openCaller(baseUrl);
+  caller.write(buildRequest('departed-0'));
+  await vi.waitFor(() => expect(second.reportCount).toBe(1));
+  leave(caller, 'close');
+  await sleep(READ_MS);
+  second.sendReports();
+  await vi.waitFor(() => expect(slots.inUse).toBe(0));
+  expect(listDeparted(second)).toEqual([]);
+  // Three extra attempts are granted before any request.
+  const granted = [1, 2, 3, 4].map(() => retryPolicy.tryHedge());
+  expect(granted).toEqual([true, true, true, false]);
+});
--- a/packages/entry/src/dispatch/attemptExecutor.ts
+++ b/packages/entry/src/dispatch/attemptExecutor.ts
@@ -27,6 +27,8 @@
   readonly progress: DispatchProgress;
   /** Aborts when a competing attempt has started to respond. */
   readonly signal?: AbortSignal;
+  /** Called if the attempt is not sent because nobody waits for it or its upstream may not get it. */
+  readonly onDrop?: (() => void) | undefined;
   /** Called right before the attempt starts to respond to the caller. */
   readonly onResponseStart?: () => void;
 }
@@ -53,10 +55,12 @@
     const assertSendable = (): void => this.assertSendable(plan, signal);
     let isDispatched = false;
     let isWithheld = false;
+    let isSent = false;
     const onBeforeSend = (): void => {
       isWithheld = true;
       assertSendable();
       isWithheld = false;
+      isSent = true;
     };
     try {
       assertSendable();
@@ -70,6 +74,8 @@
     } catch (cause) {
       const error = deadline.mapError(cause);
       if (isDispatched) this.recordFailure(plan, error, isWithheld);
+      const isDropped = !isDispatched || isWithheld || signal.aborted;
+      if (isDropped && !isSent) plan.onDrop?.();
       throw error;
     } finally {
       deadline.clear();
--- a/packages/entry/src/filters/dispatchFilter.ts
+++ b/packages/entry/src/filters/dispatchFilter.ts
@@ -2,7 +2,7 @@
 import type { GoldcrestErrorInstance, RetryPolicy, Router } from '@goldcrestscale/core';
 import type { InputBarrier } from '@goldcrestscale/runtime';
 import { AttemptExecutor, estimatePromptTokens } from '../dispatch/attemptExecutor.js';
-import type { AttemptDependencies } from '../dispatch/attemptExecutor.js';
+import type { AttemptDependencies, AttemptPlan } from '../dispatch/attemptExecutor.js';
 import { runHedgedRequest } from '../dispatch/hedgedRequest.js';
 import type { StartAttempt } from '../dispatch/hedgedRequest.js';
 import { addExclusion, createDispatchProgress } from '../dispatch/dispatchProgress.js';
@@ -29,6 +29,8 @@
 
   private readonly executor: AttemptExecutor;
 
+  private readonly withdrawAttempt = (): void => this.options.retryPolicy.withdrawAttempt();
+
   private readonly hedgeDelays = new Map<string, HedgeDelay>();
 
   constructor(private readonly options: DispatchFilterOptions) {
@@ -42,7 +44,8 @@
     for (let attempts = 1; ; attempts += 1) {
       const selection = this.selectUpstream(exchange, progress);
       try {
-        await this.runSelection(exchange, selection, progress);
+        const onDrop = attempts > 1 ? this.withdrawAttempt : undefined;
+        await this.runSelection(exchange, selection, progress, onDrop);
         return;
       } catch (cause) {
         if (!isGoldcrestError(cause)) throw cause;
@@ -67,7 +70,9 @@
     });
     if (!decision.retry) throw error;
     await sleep(decision.delayMs, exchange.signal);
-    if (exchange.signal.aborted) throw error;
+    if (!exchange.signal.aborted) return;
+    this.withdrawAttempt();
+    throw error;
   }
 
   private selectUpstream(exchange: Exchange, progress: DispatchProgress): UpstreamSelection {
@@ -95,28 +100,26 @@
     exchange: Exchange,
     selection: UpstreamSelection,
     progress: DispatchProgress,
+    onDrop: (() => void) | undefined,
   ): Promise<void> {
     const { target } = exchange;
     const isHedgeable =
       target.kind === 'service' && exchange.method === 'GET' && exchange.isIdempotent;
-    if (isHedgeable) await this.runHedgeable(exchange, selection, progress, target.service);
-    else await this.executor.run({ exchange, selection, progress });
+    if (isHedgeable)
+      await this.runHedgeable({ exchange, selection, progress, onDrop }, target.service);
+    else await this.executor.run({ exchange, selection, progress, onDrop });
   }
 
-  private async runHedgeable(
-    exchange: Exchange,
-    selection: UpstreamSelection,
-    progress: DispatchProgress,
-    service: string,
-  ): Promise<void> {
+  private async runHedgeable(plan: AttemptPlan, service: string): Promise<void> {
+    const { exchange, selection, progress } = plan;
     const hedgeDelay = this.hedgeDelays.get(service) ?? new HedgeDelay();
     this.hedgeDelays.set(service, hedgeDelay);
     const startedAtMs = performance.now();
     const delayMs = hedgeDelay.computeDelayMs();
     if (delayMs === undefined) {
-      await this.executor.run({ exchange, selection, progress });
+      await this.executor.run(plan);
     } else {
-      const startPrimary = this.createStartAttempt(exchange, selection, progress);
+      const startPrimary = this.createStartAttempt(plan);
       const createHedge = () => this.createHedge(exchange, selection, progress);
       const { inputBarrier } = this.options;
       await runHedgedRequest({ delayMs, inputBarrier, startPrimary, createHedge });
@@ -134,19 +137,15 @@
     try {
       const selection = this.selectUpstream(exchange, progress);
       if (!this.options.retryPolicy.tryHedge()) return undefined;
-      return this.createStartAttempt(exchange, selection, progress);
+      const { withdrawAttempt: onDrop } = this;
+      return this.createStartAttempt({ exchange, selection, progress, onDrop });
     } catch {
       // No other upstream is available, so the first attempt continues without a hedge.
       return undefined;
     }
   }
 
-  private createStartAttempt(
-    exchange: Exchange,
-    selection: UpstreamSelection,
-    progress: DispatchProgress,
-  ): StartAttempt {
-    return (signal, onResponseStart) =>
-      this.executor.run({ exchange, selection, progress, signal, onResponseStart });
+  private createStartAttempt(plan: AttemptPlan): StartAttempt {
+    return (signal, onResponseStart) => this.executor.run({ ...plan, signal, onResponseStart });
   }
 }
