--- a/packages/entry/src/filters/deadlineFilter.ts
+++ b/packages/entry/src/filters/deadlineFilter.ts
@@ -35,6 +35,8 @@
       const isOver = !exchange.response.isHeadSent && performance.now() >= deadlineAtMs;
       if (isOver) throw createDeadlineError('not-run');
     };
+    // The body may have ended after the deadline.
+    exchange.assertSendable();
     await next();
   }
 }
