--- a/packages/gateway/src/dispatch/sendGate.ts
+++ b/packages/gateway/src/dispatch/sendGate.ts
@@ -2,6 +2,7 @@
   AnnouncedRates,
   CrashQuarantine,
   EjectionPolicy,
+  RegisteredUpstream,
   UpstreamRegistry,
 } from '@goldcrestscale/core';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
@@ -13,6 +14,11 @@
 import type { RequestProgress } from './requestProgress.js';
 import type { UpstreamChoice, UpstreamChooser } from './upstreamChooser.js';
 
+/** A chosen upstream, and the boot of it to which the connection leads. */
+export interface ConnectedChoice extends UpstreamChoice {
+  readonly boot: RegisteredUpstream;
+}
+
 /** Dependencies of the gate. */
 export interface SendGateOptions {
   readonly chooser: UpstreamChooser;
@@ -47,16 +53,21 @@
    */
   claim(
     exchange: GatewayExchange,
-    choice: UpstreamChoice,
+    choice: ConnectedChoice,
     progress: RequestProgress,
     signal: AbortSignal,
   ): AttemptMetadata | WithheldSend {
     const { chooser, registry, quarantine } = this.options;
-    const { upstream } = choice;
+    const { upstream, boot } = choice;
     assertWaiting(exchange, signal);
     assertPromptAllowed(exchange, quarantine);
     assertRequestAllowed(exchange, quarantine);
-    if (registry.find(upstream.upstreamId) !== upstream) return { withheld: 'upstream is gone' };
+    const { registered } = upstream;
+    const isSameBoot =
+      registered.startedAtMs === boot.startedAtMs && registered.address === boot.address;
+    if (registry.find(upstream.upstreamId) !== upstream || !isSameBoot) {
+      return { withheld: 'upstream has ended' };
+    }
     if (!chooser.isEligible(exchange, upstream, progress.excluded)) {
       return { withheld: 'upstream is not eligible any more' };
     }
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -227,7 +227,8 @@
     const { connections, protocol, inputBarrier } = this.options;
     const { prefillRate } = this.options.chooser;
     const { upstream, prefillTokens: tokens } = choice;
-    const { address, service } = upstream.registered;
+    const { registered: boot } = upstream;
+    const { address, service } = boot;
     const connection = connections.acquire(address, this.options.getConnectionShare(service));
     if (!connection) return { kind: 'not-run', reason: 'refused' };
     const queuedTokens = upstream.estimatePendingTokens();
@@ -239,12 +240,13 @@
     const attempt = new UpstreamAttempt({
       exchange,
       upstream,
+      boot,
       connection,
       protocol,
       inputBarrier,
       claimSend: () => {
         sentAtMs = performance.now();
-        return this.sendGate.claim(exchange, choice, progress, signal);
+        return this.sendGate.claim(exchange, { ...choice, boot }, progress, signal);
       },
       signal,
       eventSplitter: progress.eventSplitter,
