--- a/packages/gateway/src/__tests__/upstreamConnection.spec.ts
+++ b/packages/gateway/src/__tests__/upstreamConnection.spec.ts
@@ -1,4 +1,5 @@
 import { expect, onTestFinished, test } from 'vitest';
+import { UPSTREAM_CONNECT_TIMEOUT_MS } from '../constants.js';
 import type { ExchangeHandler } from '../dispatch/connectionExchange.js';
 import { UpstreamConnection } from '../dispatch/upstreamConnection.js';
 import { FakeUpstream, buildResponse } from './fakeUpstream.js';
@@ -66,3 +67,15 @@
   expect(await sendRequest(connection)).toEqual(['error']);
   await expect.poll(() => connection.isOpen).toBe(false);
 });
+
+// Guards against an upstream that passes for unreachable because this VM stood still.
+test('a pause of the process is no connect timeout', async () => {
+  const address = await startUpstream(() => undefined);
+  const connection = new UpstreamConnection(address, () => undefined);
+  onTestFinished(() => connection.close());
+  const opened = connection.waitForOpen();
+  const endMs = performance.now() + UPSTREAM_CONNECT_TIMEOUT_MS + 100;
+  while (performance.now() < endMs);
+  await opened;
+  expect(connection.isOpen).toBe(true);
+});
--- a/packages/gateway/src/dispatch/singleConnectionAgent.ts
+++ b/packages/gateway/src/dispatch/singleConnectionAgent.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { EventLoopBarrier } from '@goldcrestscale/runtime';
 import { ConnectionError } from './connectionError.js';
 import { UPSTREAM_CONNECT_TIMEOUT_MS } from '../constants.js';
 
@@ -34,6 +35,8 @@
 
   private isHandedOver = false;
 
+  private readonly inputBarrier = new EventLoopBarrier();
+
   /** Whether a request is being sent or answered. */
   isInUse = false;
 
@@ -80,7 +83,10 @@
       keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
     });
     const timer = setTimeout(() => {
-      socket.destroy(new ConnectionError('connect timed out'));
+      // After a pause of the process, the connection may be there and not have been noticed yet.
+      void this.inputBarrier.run(() => {
+        if (socket.connecting) socket.destroy(new ConnectionError('connect timed out'));
+      });
     }, UPSTREAM_CONNECT_TIMEOUT_MS);
     socket.once('connect', () => clearTimeout(timer));
     // Data outside of an exchange belongs to no request, so what follows it can't be trusted either.
