--- a/packages/gateway/src/dispatch/crashObserver.ts
+++ b/packages/gateway/src/dispatch/crashObserver.ts
@@ -26,12 +26,13 @@
     attempt: UpstreamAttempt,
     progress: RequestProgress,
   ): void {
-    this.recordPromptOutcome(exchange, attempt, progress);
+    this.recordPromptOutcome(exchange, upstream, attempt, progress);
     this.recordRequestOutcome(exchange, upstream, attempt, progress);
   }
 
   private recordPromptOutcome(
     exchange: GatewayExchange,
+    { registered }: TrackedUpstream,
     attempt: UpstreamAttempt,
     progress: RequestProgress,
   ): void {
@@ -41,7 +42,7 @@
     if (attempt.survivedBeginning) quarantine.recordSurvival(prompt);
     if (!attempt.crashedAtBeginning) return;
     if (quarantine.hasSuspect(prompt)) progress.markSuspect();
-    quarantine.recordCrash(prompt, attempt.boot);
+    quarantine.recordCrash(prompt, registered);
   }
 
   private recordRequestOutcome(
@@ -61,17 +62,18 @@
     // A request in a queue doesn't run, and an upstream that leaves ends for another reason.
     const isQueued = !attempt.hasHead && upstream.estimateLoad() > upstream.registered.slots;
     if (isQueued || upstream.isLeaving) return;
-    void this.recordConfirmedCrash(exchange, attempt.boot);
+    void this.recordConfirmedCrash(exchange, upstream, upstream.registered);
   }
 
   private async recordConfirmedCrash(
     exchange: GatewayExchange,
+    upstream: TrackedUpstream,
     boot: RegisteredUpstream,
   ): Promise<void> {
     const { quarantine, upstreamEnds, requestLog, onRequestCrash } = this.options;
     const request = buildWholeRequest(exchange);
     const loss = quarantine.recordLoss(request);
-    const hasEnded = await upstreamEnds.checkEnd({ registered: boot });
+    const hasEnded = await upstreamEnds.checkEnd(upstream);
     quarantine.settleLoss(loss);
     if (!hasEnded) return;
     quarantine.recordCrash(request, boot, performance.now() - loss.atMs);
--- a/packages/gateway/src/dispatch/sendGate.ts
+++ b/packages/gateway/src/dispatch/sendGate.ts
@@ -2,7 +2,6 @@
   AnnouncedRates,
   CrashQuarantine,
   EjectionPolicy,
-  RegisteredUpstream,
   UpstreamRegistry,
 } from '@goldcrestscale/core';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
@@ -14,11 +13,6 @@
 import type { RequestProgress } from './requestProgress.js';
 import type { UpstreamChoice, UpstreamChooser } from './upstreamChooser.js';
 
-/** A chosen upstream, and the boot of it to which the connection leads. */
-export interface ConnectedChoice extends UpstreamChoice {
-  readonly boot: RegisteredUpstream;
-}
-
 /** Dependencies of the gate. */
 export interface SendGateOptions {
   readonly chooser: UpstreamChooser;
@@ -53,21 +47,16 @@
    */
   claim(
     exchange: GatewayExchange,
-    choice: ConnectedChoice,
+    choice: UpstreamChoice,
     progress: RequestProgress,
     signal: AbortSignal,
   ): AttemptMetadata | WithheldSend {
     const { chooser, registry, quarantine } = this.options;
-    const { upstream, boot } = choice;
+    const { upstream } = choice;
     assertWaiting(exchange, signal);
     assertPromptAllowed(exchange, quarantine);
     assertRequestAllowed(exchange, quarantine);
-    const { registered } = upstream;
-    const isSameBoot =
-      registered.startedAtMs === boot.startedAtMs && registered.address === boot.address;
-    if (registry.find(upstream.upstreamId) !== upstream || !isSameBoot) {
-      return { withheld: 'upstream has ended' };
-    }
+    if (registry.find(upstream.upstreamId) !== upstream) return { withheld: 'upstream is gone' };
     if (!chooser.isEligible(exchange, upstream, progress.excluded)) {
       return { withheld: 'upstream is not eligible any more' };
     }
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -1,5 +1,5 @@
 import { MIN_SURVIVAL_EVENTS } from '@goldcrestscale/core';
-import type { RegisteredUpstream, TrackedUpstream } from '@goldcrestscale/core';
+import type { TrackedUpstream } from '@goldcrestscale/core';
 import type { InputBarrier } from '@goldcrestscale/runtime';
 import { MAX_BUFFERED_RESPONSE_BYTES, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES } from '../constants.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
@@ -22,8 +22,6 @@
 export interface AttemptOptions {
   readonly exchange: GatewayExchange;
   readonly upstream: TrackedUpstream;
-  /** Registry entry of the boot for which the connection was opened or chosen. */
-  readonly boot: RegisteredUpstream;
   readonly connection: UpstreamConnection;
   readonly protocol: UpstreamProtocol;
   readonly inputBarrier: InputBarrier;
@@ -88,11 +86,6 @@
 
   constructor(private readonly options: AttemptOptions) {}
 
-  /** The boot that the request is for; the registry may show a later one by now. */
-  get boot(): RegisteredUpstream {
-    return this.options.boot;
-  }
-
   /** Whether the upstream lost the connection while it was beginning its answer. */
   get crashedAtBeginning(): boolean {
     if (!this.isConnectionLost) return false;
--- a/packages/gateway/src/dispatch/upstreamEnds.ts
+++ b/packages/gateway/src/dispatch/upstreamEnds.ts
@@ -42,7 +42,7 @@
   constructor(private readonly registry: UpstreamRegistry) {}
 
   /** Finds out whether an upstream that lost a connection of this VM has ended. */
-  checkEnd({ registered }: Pick<TrackedUpstream, 'registered'>): Promise<boolean> {
+  checkEnd({ registered }: TrackedUpstream): Promise<boolean> {
     const key = buildBootKey(registered);
     const startedAtMs = performance.now();
     const last = this.checks.get(key);
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -227,8 +227,7 @@
     const { connections, protocol, inputBarrier } = this.options;
     const { prefillRate } = this.options.chooser;
     const { upstream, prefillTokens: tokens } = choice;
-    const { registered: boot } = upstream;
-    const { address, service } = boot;
+    const { address, service } = upstream.registered;
     const connection = connections.acquire(address, this.options.getConnectionShare(service));
     if (!connection) return { kind: 'not-run', reason: 'refused' };
     const queuedTokens = upstream.estimatePendingTokens();
@@ -240,13 +239,12 @@
     const attempt = new UpstreamAttempt({
       exchange,
       upstream,
-      boot,
       connection,
       protocol,
       inputBarrier,
       claimSend: () => {
         sentAtMs = performance.now();
-        return this.sendGate.claim(exchange, { ...choice, boot }, progress, signal);
+        return this.sendGate.claim(exchange, choice, progress, signal);
       },
       signal,
       eventSplitter: progress.eventSplitter,
