--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -4,7 +4,6 @@
   ENTRY_HEARTBEAT_TIMEOUT_MS,
   LOG_OUTAGE_GRACE_MS,
   REQUESTS_STALL_TIMEOUT_MS,
-  MAX_HEARTBEAT_DELAY_MS,
 } from './constants.js';
 export { pickCallerEntries } from './callerEntries.js';
 export { EntryRoster } from './entryRoster.js';
--- a/packages/core/src/quarantine/__tests__/requestFleet.spec.ts
+++ b/packages/core/src/quarantine/__tests__/requestFleet.spec.ts
@@ -32,9 +32,6 @@
   },
 ] as const;
 
-/** The large fleet takes a minute. */
-const smallFleets = fleets.filter(({ isRelayed }) => !isRelayed);
-
 afterEach(() => {
   restoreClock();
 });
@@ -85,19 +82,6 @@
   expect(runs.filter(({ soundRefused }) => soundRefused > 0)).toEqual([]);
 });
 
-// Guards against the same where upstreams accept again at once and their ends are known late.
-test.each(smallFleets)(
-  '$vms VMs find a request that ends $upstreams upstreams restarted at once',
-  (options) => {
-    const runs = listSeeds().map((seed) =>
-      summarize(seed, runFleet(seed, { ...options, isRestartedAtOnce: true }, cutOffOneVm)),
-    );
-    printRuns(runs);
-    expect(runs.filter(({ late }) => late > ALLOWED_LATE_SENDS)).toEqual([]);
-    expect(runs.filter(({ soundRefused }) => soundRefused > 0)).toEqual([]);
-  },
-);
-
 /** Ends and resets that no request causes, while clients send what was lost again at once. */
 const disturbAll = (fleet: RequestFleet): void => {
   for (let atMs = 1_000; atMs < DURATION_MS; atMs += 900) {
@@ -119,17 +103,6 @@
   expect(runs.filter(({ soundRefused }) => soundRefused > 0)).toEqual([]);
 });
 
-// Guards against the same where upstreams accept again at once and their ends are known late.
-test.each(smallFleets)(
-  '$vms VMs refuse no request when $upstreams upstreams restart at once',
-  (options) => {
-    const quiet = { ...options, poisonPerSecond: 0, isRestartedAtOnce: true };
-    const runs = listSeeds().map((seed) => summarize(seed, runFleet(seed, quiet, disturbAll)));
-    printRuns(runs);
-    expect(runs.filter(({ soundRefused }) => soundRefused > 0)).toEqual([]);
-  },
-);
-
 const ANY_ROW: QuarantineRow = {
   kind: 'request',
   digest: 'digest',
--- a/packages/core/src/quarantine/__tests__/requestFleet.ts
+++ b/packages/core/src/quarantine/__tests__/requestFleet.ts
@@ -20,8 +20,6 @@
   readonly maxRunMs: number;
   /** Whether VMs report to each other through relays, four groups with two relays each. */
   readonly isRelayed: boolean;
-  /** Whether upstreams accept again at once, so that only the registry shows that they ended. */
-  readonly isRestartedAtOnce?: boolean;
   readonly createQuarantine?: () => CrashQuarantine;
 }
 
@@ -52,12 +50,6 @@
   open: Set<SimulatedCall>;
 }
 
-/** Time until the registry shows another boot, and until it shows that the same one lives on. */
-const OTHER_BOOT_MS = 800;
-const OTHER_BOOT_SPREAD_MS = 700;
-const SAME_BOOT_MS = 1_300;
-const SAME_BOOT_SPREAD_MS = 1_100;
-
 const SOUND_REQUESTS = 60;
 const MAX_TRIES = 2;
 const MAX_REPEATS = 3;
@@ -169,10 +161,6 @@
       open.forEach((call) => {
         if (uniformFloat64(this.random) >= fraction) return;
         open.delete(call);
-        if (this.options.isRestartedAtOnce) {
-          const delayMs = SAME_BOOT_MS + this.pickNumber(SAME_BOOT_SPREAD_MS);
-          this.checkLoss(call, delayMs);
-        }
         this.retry(call);
       }),
     );
@@ -240,31 +228,19 @@
     const boot = { upstreamId: upstream.upstreamId, startedAtMs: upstream.boot };
     const lost = upstream.open;
     Object.assign(upstream, { isUp: false, open: new Set(), boot: upstream.boot + 1 });
-    const { isRestartedAtOnce } = this.options;
-    const registryDelayMs = OTHER_BOOT_MS + this.pickNumber(OTHER_BOOT_SPREAD_MS);
     lost.forEach((call) => {
-      const delayMs = isRestartedAtOnce ? registryDelayMs : 5 + this.pickNumber(15);
-      if (isRestartedAtOnce) {
-        this.events.schedule(1, () => this.checkLoss(call, delayMs));
-      }
+      const delayMs = 5 + this.pickNumber(15);
       this.events.schedule(delayMs, () => {
         this.quarantines[call.vm]!.recordCrash(call.request, boot, delayMs);
         this.reportCrashes(call.vm);
       });
       this.events.schedule(1, () => this.retry(call));
     });
-    const downMs = isRestartedAtOnce ? 1 : 3_000 + this.pickNumber(3_000);
-    this.events.schedule(downMs, () => {
+    this.events.schedule(3_000 + this.pickNumber(3_000), () => {
       Object.assign(upstream, { isUp: true });
     });
   }
 
-  private checkLoss(call: SimulatedCall, durationMs: number): void {
-    const quarantine = this.quarantines[call.vm]!;
-    const loss = quarantine.recordLoss(call.request);
-    this.events.schedule(durationMs, () => quarantine.settleLoss(loss));
-  }
-
   private retry(call: SimulatedCall): void {
     const tries = call.tries + 1;
     const isSuspect = this.quarantines[call.vm]!.hasSuspect(call.request);
--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -19,15 +19,6 @@
 /** Minimum time between the first and the last of them; a rack or a kill ends all within less. */
 export const MIN_LARGE_CLUSTER_SPREAD_MS = 50;
 
-/**
- * Number of separate losses under a whole request, some of them not yet confirmed as ends, from which
- * on it is held back until they are.
- */
-export const MIN_HELD_LOSSES = 3;
-
-/** Maximum number of losses that wait for their confirmation. */
-export const MAX_PENDING_LOSSES = 256;
-
 /** Fraction of the recent ends of a service that come under a request which causes them. */
 export const MIN_FRACTION_OF_ENDS = 0.6;
 
--- a/packages/core/src/quarantine/crashQuarantine.ts
+++ b/packages/core/src/quarantine/crashQuarantine.ts
@@ -1,21 +1,15 @@
 import type { UpstreamBoot } from '../fleet/index.js';
 import {
-  CRASH_CLUSTER_MS,
   MAX_PATTERN_LABEL_LENGTH,
   MAX_REMEMBERED_SURVIVALS,
   MAX_ROWS_PER_MESSAGE,
   MAX_TRACKED_PATTERNS,
-  MIN_HELD_LOSSES,
-  REFUTATION_MS,
   ROW_REPEAT_MS,
 } from './constants.js';
-import { groupCrashTimes } from './crashClusters.js';
 import { PatternLister, buildRequestLabel } from './crashPattern.js';
 import type { CrashPattern, CrashSubject, WholeRequest } from './crashPattern.js';
 import { PatternEvidence } from './patternEvidence.js';
 import type { QuarantineRow } from './patternEvidence.js';
-import { PendingLosses } from './pendingLosses.js';
-import type { PendingLoss } from './pendingLosses.js';
 import { RecentAnswers } from './recentAnswers.js';
 import { RecentEnds } from './recentEnds.js';
 import { decideBlamedRequests } from './requestBlame.js';
@@ -51,8 +45,6 @@
 
   private readonly recentEnds = new RecentEnds();
 
-  private readonly pendingLosses = new PendingLosses();
-
   private readonly refused = new Set<string>();
 
   /** Monotonic time of the last survival by digest, the last recorded at the end. */
@@ -67,7 +59,7 @@
 
   /** Whether nothing is suspected. */
   get isEmpty(): boolean {
-    return this.evidence.size === 0 && this.pendingLosses.isEmpty;
+    return this.evidence.size === 0;
   }
 
   /** Number of patterns that are refused. */
@@ -96,37 +88,18 @@
   recordSurvival(subject: CrashSubject): void {
     if ('body' in subject) {
       this.recentAnswers.record(subject);
-      const label = buildRequestLabel(subject);
-      if (!this.requestLabels.has(label) && !this.pendingLosses.hasLabel(label)) return;
+      if (!this.requestLabels.has(buildRequestLabel(subject))) return;
     }
     this.patterns.list(subject).forEach(({ digest }) => {
-      this.pendingLosses.removeAll(digest);
       this.storeSurvival(digest, performance.now());
       const evidence = this.evidence.get(digest);
       if (evidence) this.clearIfSurvived(evidence);
     });
   }
 
-  /**
-   * Records that a connection was lost under a whole request. Until it is settled, the request may
-   * have ended an upstream.
-   */
-  recordLoss(request: WholeRequest): PendingLoss {
-    const [pattern] = this.patterns.list(request);
-    return this.pendingLosses.record(pattern!);
-  }
-
-  /** Forgets a loss, because it is known whether the upstream ended. */
-  settleLoss(loss: PendingLoss): void {
-    this.pendingLosses.remove(loss);
-  }
-
-  /** Whether an upstream has crashed under a pattern of the request, or may have. */
+  /** Whether an upstream has crashed under a pattern of the request. */
   hasSuspect(subject: CrashSubject): boolean {
-    if (this.listTracked(subject).some(({ isSuspect }) => isSuspect)) return true;
-    // One reset can lose many of the same request at about the same time.
-    const olderThanMs = performance.now() - CRASH_CLUSTER_MS;
-    return 'body' in subject && this.listPendingTimes(subject).some((atMs) => atMs <= olderThanMs);
+    return this.listTracked(subject).some(({ isSuspect }) => isSuspect);
   }
 
   /** Finds the pattern for which a request is refused. */
@@ -141,17 +114,11 @@
 
   /**
    * Returns the time for which a whole request is held back, because enough upstreams crashed under
-   * it but a survival can still clear it, or because enough may have; 0 if it is not.
+   * it but a survival can still clear it; 0 if it is not.
    */
   computeHoldMs(request: WholeRequest): number {
-    const tracked = this.listTracked(request);
-    const held = tracked.filter(({ hasEnoughCrashes }) => hasEnoughCrashes);
-    const holdMs = Math.max(0, ...held.map(({ refutationLeftMs }) => refutationLeftMs));
-    const pendingTimes = this.listPendingTimes(request);
-    if (pendingTimes.length === 0) return holdMs;
-    const crashes = tracked.flatMap(({ crashesByBoot }) => [...crashesByBoot.values()]);
-    const losses = groupCrashTimes([...pendingTimes, ...crashes.map(({ atMs }) => atMs)]);
-    return losses.length < MIN_HELD_LOSSES ? holdMs : Math.max(holdMs, REFUTATION_MS);
+    const held = this.listTracked(request).filter(({ hasEnoughCrashes }) => hasEnoughCrashes);
+    return Math.max(0, ...held.map(({ refutationLeftMs }) => refutationLeftMs));
   }
 
   /** Lifts a refusal by hand. @returns whether the pattern was tracked */
@@ -203,13 +170,6 @@
       .flatMap((digest) => this.evidence.get(digest)?.buildRow() ?? []);
   }
 
-  private listPendingTimes(request: WholeRequest): readonly number[] {
-    if (!this.pendingLosses.hasLabel(buildRequestLabel(request))) return [];
-    return this.patterns
-      .list(request)
-      .flatMap(({ digest }) => this.pendingLosses.listTimes(digest));
-  }
-
   private listTracked(subject: CrashSubject): readonly PatternEvidence[] {
     if (this.evidence.size === 0) return [];
     if ('body' in subject && !this.requestLabels.has(buildRequestLabel(subject))) return [];
--- a/packages/core/src/quarantine/patternEvidence.ts
+++ b/packages/core/src/quarantine/patternEvidence.ts
@@ -1,5 +1,6 @@
 import type { UpstreamBoot } from '../fleet/index.js';
 import {
+  CRASH_CLUSTER_MS,
   CRASH_MEMORY_MS,
   MAX_CRASHES_PER_PATTERN,
   MIN_PART_CRASHES,
@@ -7,7 +8,6 @@
   REFUTATION_MS,
   REQUEST_TIME_STEP_MS,
 } from './constants.js';
-import { groupCrashTimes } from './crashClusters.js';
 import type { CrashPattern } from './crashPattern.js';
 
 /** The end of an upstream that was running a request with a pattern, or beginning to answer it. */
@@ -57,9 +57,6 @@
   /** Monotonic time of the first crash that counts; infinite if there is none. */
   firstCrashAtMs = Infinity;
 
-  /** Monotonic time at which this VM got to know the first crash that counts. */
-  private suspectSinceMs = Infinity;
-
   private isBlamed = false;
 
   /** @param requestedAtMs monotonic time at which a request with the pattern last came */
@@ -80,9 +77,7 @@
 
   /** Time until the pattern is refused, in which a survival can still clear it; 0 if it is over. */
   get refutationLeftMs(): number {
-    // The end of an upstream may be known late, and a request is held back meanwhile.
-    const fromMs = this.pattern.kind === 'request' ? this.suspectSinceMs : this.firstCrashAtMs;
-    return Math.max(0, fromMs + REFUTATION_MS - performance.now());
+    return Math.max(0, this.firstCrashAtMs + REFUTATION_MS - performance.now());
   }
 
   /** Whether there are enough separate crashes for a refusal. */
@@ -108,7 +103,6 @@
     const known = this.crashes.get(key);
     if (known && known.atMs <= crash.atMs) return false;
     if (!known && this.crashes.size >= MAX_CRASHES_PER_PATTERN) return false;
-    if (!this.isSuspect) this.suspectSinceMs = performance.now();
     this.crashes.set(key, crash);
     this.countCrashes();
     this.requestedAtMs = Math.max(this.requestedAtMs, crash.atMs);
@@ -197,8 +191,17 @@
 
   /** Groups the crashes of some boots by time. @returns the times of each group, in order */
   listClusters(bootKeys: ReadonlySet<string>): readonly (readonly number[])[] {
-    const crashes = [...this.crashes].filter(([bootKey]) => bootKeys.has(bootKey));
-    return groupCrashTimes(crashes.map(([, { atMs }]) => atMs));
+    const times = [...this.crashes]
+      .filter(([bootKey]) => bootKeys.has(bootKey))
+      .map(([, { atMs }]) => atMs)
+      .sort((left, right) => left - right);
+    const clusters: number[][] = [];
+    times.forEach((atMs) => {
+      const last = clusters.at(-1);
+      if (last && atMs - last[0]! < CRASH_CLUSTER_MS) last.push(atMs);
+      else clusters.push([atMs]);
+    });
+    return clusters;
   }
 
   private countCrashes(): void {
--- a/packages/gateway/src/__tests__/crashingPart.spec.ts
+++ b/packages/gateway/src/__tests__/crashingPart.spec.ts
@@ -52,7 +52,7 @@
   onTestFinished(() => clearInterval(timer));
   const request = async (parts: string) => {
     const headers = { 'x-model': 'm', 'x-parts': parts };
-    const reply = await gateway.call({ headers, body: parts }).catch(() => undefined);
+    const reply = await gateway.call({ headers }).catch(() => undefined);
     ended.forEach((index) =>
       registry.apply({ kind: 'absent', upstreamId: toId<UpstreamId>(`up-${index}`) }),
     );
--- a/packages/gateway/src/__tests__/responseEndings.spec.ts
+++ b/packages/gateway/src/__tests__/responseEndings.spec.ts
@@ -162,8 +162,7 @@
     const { call } = await startGateway({ route: ROUTES.stream, upstreams: [serve] });
     const found: number[] = [];
     for (; cut <= body.length; cut += 1) {
-      // The same request again would be held after three losses without an answer.
-      const reply = await call({ path: `/a/${cut}` });
+      const reply = await call();
       if (reply.isWhole && reply.status === 200) found.push(cut);
     }
     expect(found).toEqual(completeCuts);
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -48,12 +48,9 @@
 /** Pause between the loss of a connection and the check whether its upstream has ended. */
 export const END_PROBE_DELAY_MS = 5;
 
-/** Time after which the check gets no answer from the upstream. */
+/** Time after which the check gets no answer from the upstream and goes by the registry. */
 export const END_PROBE_TIMEOUT_MS = 300;
 
-/** Losses of one boot within this time share one check. */
-export const SHARED_CHECK_MS = 100;
-
 /** Interval at which the registry is checked for the end of an upstream. */
 export const REGISTRY_END_POLL_MS = 200;
 
--- a/packages/gateway/src/dispatch/crashObserver.ts
+++ b/packages/gateway/src/dispatch/crashObserver.ts
@@ -71,12 +71,9 @@
     boot: RegisteredUpstream,
   ): Promise<void> {
     const { quarantine, upstreamEnds, requestLog, onRequestCrash } = this.options;
-    const request = buildWholeRequest(exchange);
-    const loss = quarantine.recordLoss(request);
-    const hasEnded = await upstreamEnds.checkEnd(upstream);
-    quarantine.settleLoss(loss);
-    if (!hasEnded) return;
-    quarantine.recordCrash(request, boot, performance.now() - loss.atMs);
+    const lostAtMs = performance.now();
+    if (!(await upstreamEnds.checkEnd(upstream))) return;
+    quarantine.recordCrash(buildWholeRequest(exchange), boot, performance.now() - lostAtMs);
     onRequestCrash();
     requestLog.log('upstream ended under a request', {
       id: exchange.head.requestId,
