--- a/packages/gateway/src/__tests__/fakeUpstream.ts
+++ b/packages/gateway/src/__tests__/fakeUpstream.ts
@@ -37,6 +37,11 @@
     this.server.close();
   }
 
+  /** Drops all connections, and accepts new ones at the same address at once. */
+  dropConnections(): void {
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+
   private accept(socket: Socket): void {
     this.connections += 1;
     this.sockets.add(socket);
