--- a/bench/dataPath.bench.ts
+++ b/bench/dataPath.bench.ts
@@ -5,6 +5,8 @@
 // The entry package does not export its test harness.
 // eslint-disable-next-line import-x/no-relative-packages
 import { startHarness } from '../packages/entry/src/__tests__/entryHarness.js';
+// eslint-disable-next-line import-x/no-relative-packages
+import { BOOT_ID } from '../packages/entry/src/__tests__/fakeUpstream.js';
 import type { Benchmark, Measurement } from './measurement.js';
 
 const REQUESTS_PER_ROUND = 150;
@@ -30,6 +32,10 @@
 /** Simulated engine that streams `max_tokens` tokens, with one write per token. */
 const createEngine = (): Server =>
   createServer((incoming, response) => {
+    if (incoming.url === '/load') {
+      response.end(JSON.stringify({ bootId: BOOT_ID }));
+      return;
+    }
     let text = '';
     incoming.on('data', (chunk: Buffer) => {
       text += chunk.toString();
