--- a/review/lib/service.mjs
+++ b/review/lib/service.mjs
@@ -61,6 +61,16 @@
     this.register();
   }
 
+  /** Ends without a word; the store removes its entry after three heartbeats of silence. */
+  crash() {
+    clearInterval(this.timer);
+    closeServer(this.server);
+    setTimeout(
+      () => this.store.append('keyed.servers', this.id, undefined),
+      3 * HEARTBEAT_MS,
+    ).unref();
+  }
+
   stop() {
     clearInterval(this.timer);
     closeServer(this.server);
