fix(gateway): an invalid answer ends its exchange, not the process

Cause: Node.js parses any three digits as a status, and writeHead throws for one below 100. It was called in an event handler of the upstream's response, which nobody awaits, so the exception ended the process.

Change: a status outside of 200 to 599 is refused where it is decoded, as an answer with unknown outcome; whatever a handler throws ends that exchange alone. The same guard holds for callers' requests, auxiliary requests, datagrams of the mesh, and the entry daemon's requests. Each fault has a counter and a bounded log line. It works because no code that sees outside bytes runs without a guard on these ways any more.

--- a/packages/entry/src/__tests__/entryHarness.ts
+++ b/packages/entry/src/__tests__/entryHarness.ts
@@ -196,6 +196,7 @@
     },
     estimateArrivalMs: () => performance.now(),
     buildEntries: () => ({ entries: [], ttlMs: 1 }),
+    onFault: () => undefined,
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -142,6 +142,10 @@
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     buildEntries: (affinityKey) =>
       buildEntriesResponse(controllers.membership.rankEntryVms(affinityKey), settings.entriesTtlMs),
+    onFault(cause) {
+      entryMetrics.recordFault();
+      logger.error('request ended by an unexpected error', { error: String(cause) });
+    },
   });
   const operationsServer = createDaemonOperationsServer(
     options,
--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -23,6 +23,8 @@
   readonly estimateArrivalMs: () => number;
   /** Builds the `/v1/entries` response for a prompt or session key. */
   buildEntries(affinityKey: string | undefined): EntriesResponse;
+  /** Called with an unexpected error, which ended one request. */
+  onFault(cause: unknown): void;
 }
 
 const REQUEST_ID_PATTERN = /^[\w.:-]{1,128}$/;
@@ -114,15 +116,18 @@
     const exchange = await buildExchange(request, response, { requestId, signal, ...arrival });
     await runChain(options.filters, exchange);
   } catch (cause) {
-    if (isGoldcrestError(cause)) sendRefusal(response, cause, requestId);
-    else response.destroy();
+    if (!isGoldcrestError(cause)) throw cause;
+    sendRefusal(response, cause, requestId);
   }
 };
 
 /** Creates the HTTP server for callers. */
 export const createCallerServer = (options: CallerServerOptions): Server => {
   const server = createServer((request, response) => {
-    void handleRequest(options, request, response);
+    handleRequest(options, request, response).catch((cause: unknown) => {
+      options.onFault(cause);
+      response.destroy();
+    });
   });
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   return server;
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -9,6 +9,8 @@
   recordUsage(accountId: ClientAccountId | undefined, usage: TokenUsage): void;
   recordFailure(upstreamId: string, error: GoldcrestErrorInstance): void;
   recordInvalidKey(listener: 'operations' | 'mesh'): void;
+  /** Counts an unexpected error that ended one request. */
+  recordFault(): void;
 }
 
 const UNKNOWN_ACCOUNT = 'unknown';
@@ -40,7 +42,12 @@
     help: 'Requests with a wrong key by listener.',
     labelNames: ['listener'],
   });
+  const faults = metrics.createCounter({
+    name: 'goldcrest_faults_total',
+    help: 'Unexpected errors, each of which ended one request; see the log.',
+  });
   return {
+    recordFault: () => faults.inc(),
     recordResponse: (account, code, verdict) =>
       responses.inc({ account: account ?? UNKNOWN_ACCOUNT, code, verdict }),
     recordFirstByte: (account, elapsedMs) =>
--- a/packages/gateway/src/__tests__/gossipRelay.spec.ts
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -26,6 +26,7 @@
 } from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
 import { RELAYED_GOSSIP_INTERVAL_MS } from '../constants.js';
+import { createTestFaults } from './testFaults.js';
 import { Gossip } from '../mesh/gossip.js';
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
@@ -107,6 +108,7 @@
     listLoading: () => [],
     hasReadFor: () => true,
     logger,
+    faults: createTestFaults().faults,
   });
   await gossip.start(signal);
   const sumPeers = (): number => peerLoads.getTotals(upstreamId).inFlight;
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -15,6 +15,7 @@
   createMetricsRegistry,
 } from '@goldcrestscale/runtime';
 import { createFleetState } from '../compose/createFleetState.js';
+import { FaultRecorder } from '../faultRecorder.js';
 import { RequestLog } from '../requestLog.js';
 import { ConnectionPool } from '../dispatch/connectionPool.js';
 import { UpstreamChooser } from '../dispatch/upstreamChooser.js';
@@ -112,6 +113,7 @@
   const protocol = new TestCallerProtocol();
   const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
   const requestLog = new RequestLog(logger);
+  const faults = new FaultRecorder(requestLog, metrics);
   const stopController = new AbortController();
   const pauseMonitor = new PauseMonitor({ readCounts: () => ({}), onPause: () => undefined });
   pauseMonitor.start(stopController.signal);
@@ -120,6 +122,7 @@
     isLeaving: () => false,
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts: { requestsRead: 0, callersLeft: 0 },
+    faults,
     filters: createGatewayFilters({
       errorResponse: { requestLog, metrics, protocol },
       getView: () => operators.view,
@@ -147,6 +150,7 @@
         rateLimits: fleetState.rateLimits,
         quarantine: fleetState.quarantine,
         requestLog,
+        faults,
         fetchWindow: new FetchWindow(operators),
         metrics,
         getConnectionShare: () => 50,
--- a/packages/gateway/src/__tests__/testProtocols.ts
+++ b/packages/gateway/src/__tests__/testProtocols.ts
@@ -20,6 +20,7 @@
 /** A minimal caller protocol with short header names. */
 export class TestCallerProtocol extends CallerProtocol {
   override parseHead(request: IncomingMessage): CallerRequestHead {
+    if (getHeader(request, 'x-fault') !== undefined) throw new Error('fault of the test protocol');
     const deadline = getHeader(request, 'x-wait');
     return {
       requestId: getHeader(request, 'x-id'),
@@ -83,6 +84,7 @@
     headers: Headers,
     rawHeaders: readonly string[],
   ): ResponseHead {
+    if (headers['x-fault'] !== undefined) throw new Error('fault of the test protocol');
     const instance = asText(headers['x-instance']);
     return {
       status,
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -10,6 +10,7 @@
 import { RolloutController } from '../controllers/rolloutController.js';
 import type { TopicReader } from '../controllers/topicReader.js';
 import { GatewayUpstreamsController } from '../controllers/upstreamsController.js';
+import type { FaultRecorder } from '../faultRecorder.js';
 import type { GatewayOptions } from '../gatewayOptions.js';
 import { FeedClient } from '../mesh/feedClient.js';
 import type { RelayedBatch, RelayedBlocks } from '../mesh/feedMessage.js';
@@ -81,12 +82,17 @@
   return { operators, upstreams, stores };
 };
 
+/** What is known about this process. */
+export interface ProcessState {
+  readonly pauseMonitor: PauseMonitor;
+  readonly faults: FaultRecorder;
+}
+
 /** The sources and the receivers of the messages of the mesh. */
-interface MeshDependencies {
+interface MeshDependencies extends ProcessState {
   readonly readers: ReturnType<typeof createReaders>;
   readonly entries: EntriesController;
   readonly rollout: RolloutController;
-  readonly pauseMonitor: PauseMonitor;
 }
 
 /** Creates the components that communicate with the other VMs. */
@@ -94,7 +100,7 @@
   { settings, logger: baseLogger }: GatewayOptions,
   fleetState: FleetState,
   key: string,
-  { readers, entries, rollout, pauseMonitor }: MeshDependencies,
+  { readers, entries, rollout, pauseMonitor, faults }: MeshDependencies,
 ) => {
   const logger = baseLogger.createPartLogger('mesh');
   const { roster, relays } = fleetState;
@@ -105,6 +111,7 @@
     roster,
     relays,
     logger,
+    faults,
   };
   const gossip = new Gossip({
     ...fleetState,
@@ -142,7 +149,7 @@
 export const createControllers = (
   options: GatewayOptions,
   fleetState: FleetState,
-  pauseMonitor: PauseMonitor,
+  processState: ProcessState,
   onDeployment: () => void,
 ) => {
   const { settings, logger, log, upstreamProtocol: protocol } = options;
@@ -188,7 +195,7 @@
     readers,
     entries,
     rollout,
-    pauseMonitor,
+    ...processState,
   });
   /* eslint-enable @typescript-eslint/no-use-before-define */
   return { ...readers, ...mesh, bootId, rollout, entries };
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -6,6 +6,7 @@
 import type { Shutdown } from '../controllers/shutdown.js';
 import { RequestLog } from '../requestLog.js';
 import type { ConnectionPool } from '../dispatch/connectionPool.js';
+import type { FaultRecorder } from '../faultRecorder.js';
 import { UpstreamChooser } from '../dispatch/upstreamChooser.js';
 import { createGatewayFilters } from '../filters/index.js';
 import type { GatewayOptions } from '../gatewayOptions.js';
@@ -24,6 +25,7 @@
   readonly pauseMonitor: PauseMonitor;
   /** Running counts for reports of pauses. */
   readonly counts: CallerCounts;
+  readonly faults: FaultRecorder;
 }
 
 const createRetryBudget = (
@@ -38,8 +40,10 @@
 /** Creates the request path: the server for callers, the filter chain and the upstream chooser. */
 export const createDataPath = (
   { settings, metrics, callerProtocol, logger, upstreamProtocol }: GatewayOptions,
-  { fleetState, operators, shutdown, connections, gossip, pauseMonitor, counts }: DataPathOptions,
+  dependencies: DataPathOptions,
 ): CallerServer => {
+  const { fleetState, operators, shutdown, connections, gossip } = dependencies;
+  const { pauseMonitor, counts, faults } = dependencies;
   const { roster } = fleetState;
   const countVms = (): number => Math.max(1, roster.listPossibleSenders().length);
   const getConnectionShare = (service: ServiceName): number => {
@@ -75,6 +79,7 @@
       rateLimits: fleetState.rateLimits,
       quarantine: fleetState.quarantine,
       requestLog,
+      faults,
       fetchWindow: operators.fetchWindow,
       metrics,
       getConnectionShare,
@@ -88,5 +93,6 @@
     isLeaving: () => shutdown.isLeaving,
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts,
+    faults,
   });
 };
--- a/packages/gateway/src/dispatch/connectionExchange.ts
+++ b/packages/gateway/src/dispatch/connectionExchange.ts
@@ -2,6 +2,8 @@
 import type { Socket } from 'node:net';
 import { MAX_INFORMATIONAL_RESPONSES } from '../constants.js';
 import { ConnectionError } from './connectionError.js';
+import { FaultError } from './faultError.js';
+import { InvalidResponseError } from './invalidResponseError.js';
 
 /** What ends a body: its content length, its last chunk or the end of the connection. */
 export type BodyFraming = 'length' | 'chunks' | 'connection';
@@ -38,7 +40,15 @@
   onError(error: Error): void;
 }
 
-/** Passes the events of one request and its response to a handler, in a fixed order. */
+/** Statuses that HTTP defines for a final response; Node.js parses any three digits. */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
+
+/**
+ * Passes the events of one request and its response to a handler, in a fixed order. What the handler
+ * throws ends this exchange only: nobody awaits the event handlers of a socket, so an error that
+ * left them would end the process.
+ */
 export class ConnectionExchange implements ResponseFlow {
   private isDone = false;
 
@@ -71,8 +81,8 @@
   }
 
   private handleSocket(socket: Socket): void {
-    if (socket.connecting) socket.once('connect', () => this.handler.onSend());
-    else this.handler.onSend();
+    if (socket.connecting) socket.once('connect', () => this.guard(() => this.handler.onSend()));
+    else this.guard(() => this.handler.onSend());
   }
 
   private handleInformation(): void {
@@ -86,13 +96,27 @@
     this.response = response;
     const { statusCode = 0, headers, rawHeaders } = response;
     response.on('data', (chunk: Buffer) => {
-      if (!this.isDone) this.handler.onData(chunk, this);
+      if (!this.isDone) this.guard(() => this.handler.onData(chunk, this));
     });
     response.on('end', () => this.finish(response));
     response.on('error', (error) => this.fail(error));
     response.on('close', () => this.failIfOpen('response cut short'));
+    if (statusCode < MIN_STATUS || statusCode > MAX_STATUS) {
+      this.abort(new InvalidResponseError(`response with status ${statusCode}`));
+      return;
+    }
     const framing = findFraming(headers);
-    this.handler.onHead({ status: statusCode, headers, rawHeaders, framing }, this);
+    this.guard(() =>
+      this.handler.onHead({ status: statusCode, headers, rawHeaders, framing }, this),
+    );
+  }
+
+  private guard(handle: () => void): void {
+    try {
+      handle();
+    } catch (cause) {
+      this.abort(new FaultError('the response could not be handled', { cause }));
+    }
   }
 
   private finish(response: IncomingMessage): void {
@@ -101,8 +125,8 @@
       this.failIfOpen('response cut short');
       return;
     }
+    this.guard(() => this.handler.onEnd());
     this.isDone = true;
-    this.handler.onEnd();
   }
 
   /** Every exchange closes; the error is created only for one that has not ended. */
--- /dev/null
+++ b/packages/gateway/src/dispatch/invalidResponseError.ts
@@ -0,0 +1,4 @@
+import { ConnectionError } from './connectionError.js';
+
+/** An upstream sent what is no HTTP response. */
+export class InvalidResponseError extends ConnectionError {}
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -11,6 +11,8 @@
 import type { EventSplitter } from './eventSplitter.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
 import { ConnectionError } from './connectionError.js';
+import { FaultError } from './faultError.js';
+import { InvalidResponseError } from './invalidResponseError.js';
 import type {
   BodyFraming,
   ExchangeHandler,
@@ -47,6 +49,13 @@
 
 const MIN_SERVER_ERROR_STATUS = 500;
 
+/** Prefix of the codes of errors of the HTTP parser. */
+const PARSER_ERROR_PREFIX = 'HPE_';
+
+const isInvalidResponse = (error: Error): boolean =>
+  error instanceof InvalidResponseError ||
+  ('code' in error && String(error.code).startsWith(PARSER_ERROR_PREFIX));
+
 const EVENT_STREAM_TYPE = 'text/event-stream';
 
 const isEventStream = ({ 'content-type': type }: RawResponseHead['headers']): boolean =>
@@ -81,6 +90,12 @@
   /** Whether the request was passed to the connection. */
   hasSent = false;
 
+  /** Unexpected error of this program that ended the exchange. */
+  fault: FaultError | undefined;
+
+  /** Why the response was refused; undefined for one that was taken. */
+  invalidResponse: string | undefined;
+
   /** How the end of the response is marked; undefined before its head. */
   framing: BodyFraming | undefined;
 
@@ -189,7 +204,7 @@
       const reason = isMismatched
         ? 'response is for another request'
         : 'response encoded, unsigned or without request id';
-      this.abandon(flow, new Error(reason));
+      this.abandon(flow, new InvalidResponseError(reason));
       return;
     }
     onResponseHead(head);
@@ -206,7 +221,7 @@
     if (this.phase === 'stream') this.relayChunk(flow, chunk);
     else if (this.phase === 'whole') this.collectChunk(chunk);
     const excess = this.findExcess();
-    if (excess !== undefined) this.abandon(flow, new ConnectionError(excess));
+    if (excess !== undefined) this.abandon(flow, new InvalidResponseError(excess));
   }
 
   onEnd(): void {
@@ -216,12 +231,17 @@
       this.resolveResult?.(this.buildErrorResult(new ConnectionError(failure)));
       return;
     }
+    const result = this.finish();
     this.hasFinished = true;
-    this.resolveResult?.(this.finish());
+    this.resolveResult?.(result);
   }
 
   onError(error: Error): void {
-    this.isConnectionLost = this.phase !== 'offered' && !this.isAbandoned;
+    if (error instanceof FaultError) this.fault = error;
+    if (isInvalidResponse(error)) this.invalidResponse = error.message;
+    const isEndedHere =
+      this.isAbandoned || error instanceof FaultError || error instanceof InvalidResponseError;
+    this.isConnectionLost = this.phase !== 'offered' && !isEndedHere;
     this.resolveResult?.(this.buildErrorResult(error));
   }
 
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -42,6 +42,7 @@
 import { UpstreamEnds } from '../dispatch/upstreamEnds.js';
 import type { GatewayMetrics } from '../metrics.js';
 import type { UpstreamProtocol } from '../ports/index.js';
+import type { FaultRecorder } from '../faultRecorder.js';
 import type { RequestLog } from '../requestLog.js';
 import type { AttemptLogEntry, GatewayExchange } from './gatewayExchange.js';
 import { requireRoute } from './gatewayExchange.js';
@@ -64,6 +65,7 @@
   readonly rateLimits: FleetRateLimits;
   readonly quarantine: CrashQuarantine;
   readonly requestLog: RequestLog;
+  readonly faults: FaultRecorder;
   /** Returns this VM's share of the connections that an upstream accepts. */
   readonly getConnectionShare: (service: ServiceName) => number;
   /** Called when an upstream has ended under a request. */
@@ -261,6 +263,7 @@
       const result = await attempt.run();
       if (result.kind !== 'withheld') progress.recordAttempt();
       logEntry.outcome = describeResult(result);
+      this.reportInvalidity(exchange, logEntry, attempt, progress.service);
       this.crashObserver.recordOutcome(exchange, upstream, attempt, progress);
       if (attempt.framing === 'connection') {
         this.options.metrics.countUnframedResponse(result.kind);
@@ -275,6 +278,21 @@
     }
   }
 
+  /** Reports a response that was refused, or that this program could not handle. */
+  private reportInvalidity(
+    { head, route }: GatewayExchange,
+    { upstreamId }: AttemptLogEntry,
+    { fault, invalidResponse: reason }: UpstreamAttempt,
+    service: ServiceName,
+  ): void {
+    const { requestLog, metrics, faults } = this.options;
+    const fields = { id: head.requestId, route: route?.name, upstreamId };
+    if (fault) faults.record('upstream response', fault.cause, fields);
+    if (reason === undefined) return;
+    metrics.countInvalidResponse(service);
+    requestLog.log('invalid response of upstream', { ...fields, reason });
+  }
+
   /** Logs how a response ended whose end only the close of the connection marks. */
   private logUnframedResponse(
     { head, route }: GatewayExchange,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,16 +1,18 @@
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
-import type { QuarantineChange, RateChange } from '@goldcrestscale/core';
+import type { PermitRequest, QuarantineChange, RateChange, VmId } from '@goldcrestscale/core';
 import { PauseMonitor, listen } from '@goldcrestscale/runtime';
 import type { EventCounts, Logger } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
 import { createDataPath } from './compose/createDataPath.js';
 import { createFleetState } from './compose/createFleetState.js';
+import type { FleetState } from './compose/createFleetState.js';
 import { DIRECTORY_TTL_MS } from './constants.js';
 import { Shutdown } from './controllers/shutdown.js';
 import { ConnectionPool } from './dispatch/connectionPool.js';
+import { FaultRecorder } from './faultRecorder.js';
 import type { GatewayOptions } from './gatewayOptions.js';
 import type { CallerServer } from './http/callerServer.js';
 import { createAuxiliaryServer } from './http/auxiliaryServer.js';
@@ -40,6 +42,22 @@
   });
 };
 
+/** Creates the state of the fleet, whose changes are logged and counted. */
+const createReportedFleetState = (
+  { settings, logger, metrics }: GatewayOptions,
+  sendPermitRequest: (granter: VmId, request: PermitRequest) => void,
+): FleetState => {
+  const rateLog = new RequestLog(logger.createPartLogger('rates'));
+  return createFleetState(settings.vmId, settings.availabilityZone, {
+    onQuarantineChange: (change) => logQuarantineChange(logger, change),
+    onRateChange(change) {
+      logRateChange(rateLog, change);
+      metrics.setAnnouncedRate(change.upstreamId, change.requestsPerSecond);
+    },
+    sendPermitRequest,
+  });
+};
+
 /** Polling interval while a shutdown drains. */
 const DRAIN_POLL_MS = 50;
 
@@ -62,7 +80,7 @@
   { settings, callerProtocol, metrics: counters }: GatewayOptions,
   { operators, upstreams, entries }: Controllers,
   shutdown: Shutdown,
-  operated: OperatedState,
+  { operated, faults }: { readonly operated: OperatedState; readonly faults: FaultRecorder },
 ): { readonly directory: Server; readonly readiness: Server; readonly metrics: Server } => {
   const commonOptions = {
     protocol: callerProtocol,
@@ -70,6 +88,7 @@
     ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
     renderMetrics: () => counters.render(),
     operated: undefined,
+    faults,
   };
   return {
     directory: createAuxiliaryServer({
@@ -122,19 +141,15 @@
   setMaxListeners(0, workController.signal, signal);
   const shutdown = new Shutdown(settings.bounds.shutdownMs);
   const connections = new ConnectionPool(() => metrics.countConnection());
-  const rateLog = new RequestLog(logger.createPartLogger('rates'));
-  const fleetState = createFleetState(settings.vmId, settings.availabilityZone, {
-    onQuarantineChange: (change) => logQuarantineChange(logger, change),
-    onRateChange(change) {
-      logRateChange(rateLog, change);
-      metrics.setAnnouncedRate(change.upstreamId, change.requestsPerSecond);
-    },
+  const fleetState = createReportedFleetState(options, (granter, request) =>
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
-    sendPermitRequest: (granter, request) => controllers.gossip.sendPermitRequest(granter, request),
-  });
+    controllers.gossip.sendPermitRequest(granter, request),
+  );
+  const faults = new FaultRecorder(new RequestLog(logger.createPartLogger('faults')), metrics);
   const counts = { requestsRead: 0, callersLeft: 0 };
   const pauseMonitor = createPauseMonitor(options, () => ({ ...counts }));
-  const controllers: Controllers = createControllers(options, fleetState, pauseMonitor, () => {
+  const processState = { pauseMonitor, faults };
+  const controllers: Controllers = createControllers(options, fleetState, processState, () => {
     controllers.stores.refresh(workController.signal);
     const limits = controllers.operators.state.view?.deployment.callerLimits;
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
@@ -147,10 +162,13 @@
     shutdown,
     connections,
     gossip,
-    pauseMonitor,
+    ...processState,
     counts,
   });
-  const servers = createAuxiliaryServers(options, controllers, shutdown, fleetState);
+  const servers = createAuxiliaryServers(options, controllers, shutdown, {
+    operated: fleetState,
+    faults,
+  });
   const { directory, readiness } = servers;
   await Promise.all([
     listen(callers.server, splitAddress(settings.listen.callers)),
--- a/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
@@ -3,6 +3,7 @@
 import { expect, onTestFinished, test } from 'vitest';
 import { AnnouncedRates, FleetRateLimits, CrashQuarantine, toId } from '@goldcrestscale/core';
 import type { ModelId, PromptPartId, QuarantineRow, UpstreamId, VmId } from '@goldcrestscale/core';
+import { createTestFaults } from '../../__tests__/testFaults.js';
 import { TestCallerProtocol } from '../../__tests__/testProtocols.js';
 import { createAuxiliaryServer } from '../auxiliaryServer.js';
 import type { OperatedState } from '../auxiliaryServer.js';
@@ -15,6 +16,7 @@
     ttlMs: 1_000,
     renderMetrics: () => Promise.resolve(''),
     operated,
+    faults: createTestFaults().faults,
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
--- a/packages/gateway/src/http/auxiliaryServer.ts
+++ b/packages/gateway/src/http/auxiliaryServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { FleetRateLimits, CrashQuarantine } from '@goldcrestscale/core';
+import type { FaultRecorder } from '../faultRecorder.js';
 import type { CallerProtocol } from '../ports/index.js';
 
 /** State that operators read and change. */
@@ -19,6 +20,7 @@
   readonly renderMetrics: () => Promise<string>;
   /** Undefined if the server serves no operators. */
   readonly operated: OperatedState | undefined;
+  readonly faults: FaultRecorder;
 }
 
 const METRICS_PATH = '/metrics';
@@ -46,27 +48,36 @@
   } else response.writeHead(404).end();
 };
 
+const handleRequest = async (
+  options: AuxiliaryServerOptions,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> => {
+  const { protocol } = options;
+  const query = options.listAddresses && protocol.parseDirectoryQuery(request);
+  if (query) {
+    const addresses = options.listAddresses?.(query.zone) ?? [];
+    response.writeHead(200, { 'content-type': 'application/json' });
+    response.end(protocol.encodeDirectoryResponse(addresses, options.ttlMs));
+  } else if (protocol.isReadinessCheck(request)) {
+    response.writeHead(options.isReady() ? 200 : 503).end();
+  } else if (request.url === METRICS_PATH) {
+    response.end(await options.renderMetrics());
+  } else if (options.operated && request.url?.startsWith(QUARANTINE_PATH)) {
+    answerQuarantineRequest(request, response, options.operated.quarantine);
+  } else if (options.operated && request.url === RATE_LIMITS_PATH) {
+    sendJson(response, options.operated.rateLimits.dump());
+  } else {
+    response.writeHead(404).end();
+  }
+};
+
 /** Creates an HTTP server for readiness checks, metrics and, optionally, directory queries. */
 export const createAuxiliaryServer = (options: AuxiliaryServerOptions): Server =>
   createServer((request, response) => {
-    const { protocol } = options;
-    const query = options.listAddresses && protocol.parseDirectoryQuery(request);
-    if (query) {
-      const addresses = options.listAddresses?.(query.zone) ?? [];
-      response.writeHead(200, { 'content-type': 'application/json' });
-      response.end(protocol.encodeDirectoryResponse(addresses, options.ttlMs));
-    } else if (protocol.isReadinessCheck(request)) {
-      response.writeHead(options.isReady() ? 200 : 503).end();
-    } else if (request.url === METRICS_PATH) {
-      void options.renderMetrics().then(
-        (text) => response.end(text),
-        () => response.writeHead(500).end(),
-      );
-    } else if (options.operated && request.url?.startsWith(QUARANTINE_PATH)) {
-      answerQuarantineRequest(request, response, options.operated.quarantine);
-    } else if (options.operated && request.url === RATE_LIMITS_PATH) {
-      sendJson(response, options.operated.rateLimits.dump());
-    } else {
-      response.writeHead(404).end();
-    }
+    handleRequest(options, request, response).catch((cause: unknown) => {
+      options.faults.record('auxiliary request', cause);
+      if (response.headersSent) response.destroy();
+      else response.writeHead(500).end();
+    });
   });
--- a/packages/gateway/src/http/callerResponse.ts
+++ b/packages/gateway/src/http/callerResponse.ts
@@ -35,13 +35,13 @@
 
   start({ status, headers, contentLength }: ResponseStart): void {
     if (this.started || this.response.destroyed) return;
-    this.started = true;
     const raw = [...headers];
     if (contentLength !== undefined && !NO_BODY_STATUSES.has(status)) {
       raw.push('content-length', String(contentLength));
     }
     if (this.isClosing()) this.response.shouldKeepAlive = false;
     this.response.writeHead(status, raw);
+    this.started = true;
     if (contentLength !== undefined) return;
     this.response.flushHeaders();
     // Responses that wait behind another one on their connection have no socket yet.
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -5,6 +5,7 @@
 import { trackCaller } from '@goldcrestscale/runtime';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import type { GatewayFilter } from '../filters/gatewayFilter.js';
+import type { FaultRecorder } from '../faultRecorder.js';
 import type { CallerProtocol } from '../ports/index.js';
 import { CallerResponse } from './callerResponse.js';
 
@@ -24,6 +25,7 @@
   /** Returns the earliest monotonic time at which a request that is being read may have arrived. */
   readonly estimateArrivalMs: () => number;
   readonly counts: CallerCounts;
+  readonly faults: FaultRecorder;
 }
 
 /** The HTTP server for callers. */
@@ -63,6 +65,25 @@
   attempts: [],
 });
 
+/** Runs a request through the filters; a fault in a filter or in the decoding ends its exchange alone. */
+const handleRequest = async (
+  options: CallerServerOptions,
+  request: IncomingMessage,
+  response: ServerResponse,
+  signal: AbortSignal,
+): Promise<void> => {
+  response.on('error', (error) => options.faults.record('caller response', error));
+  try {
+    await runChain(options.filters, buildExchange(request, response, options, signal));
+  } catch (cause) {
+    // The error response filter handles the errors of the other filters.
+    options.faults.record('caller request', cause);
+    response.destroy();
+  } finally {
+    request.resume();
+  }
+};
+
 /** Creates the HTTP server for callers. */
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
   const { counts } = options;
@@ -77,10 +98,7 @@
       openCount -= 1;
       if (hasLeft) counts.callersLeft += 1;
     });
-    // The error response filter handles every error of the chain.
-    void runChain(options.filters, buildExchange(request, response, options, signal)).finally(() =>
-      request.resume(),
-    );
+    void handleRequest(options, request, response, signal);
   });
   return {
     server,
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -25,6 +25,7 @@
   RELAYED_GOSSIP_INTERVAL_MS,
   RELAY_FAILOVER_MS,
 } from '../constants.js';
+import type { FaultRecorder } from '../faultRecorder.js';
 import { RemoteAggregates } from './remoteAggregates.js';
 import type { GossipMessage } from './gossipMessage.js';
 import { MeshSocket } from './meshSocket.js';
@@ -52,6 +53,7 @@
   /** Whether this VM has read its input without a pause for a duration. */
   readonly hasReadFor: (durationMs: number) => boolean;
   readonly logger: Logger;
+  readonly faults: FaultRecorder;
 }
 
 /** Number of own reports that are kept, so that they can be subtracted from a relay's sums. */
--- a/packages/gateway/src/mesh/meshSocket.ts
+++ b/packages/gateway/src/mesh/meshSocket.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:dgram';
 import type { EntryHeartbeat, EntryRoster, QuarantineRow, VmId } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
+import type { FaultRecorder } from '../faultRecorder.js';
 import { splitAddress } from '../socketAddress.js';
 import { decodeGossipFields, encodeGossip } from './gossipMessage.js';
 import type { GossipMessage } from './gossipMessage.js';
@@ -19,6 +20,7 @@
   readonly key: string;
   readonly roster: EntryRoster;
   readonly logger: Logger;
+  readonly faults: FaultRecorder;
   /** Called with each authenticated gossip message. */
   readonly onMessage: (message: GossipMessage) => void;
   readonly onRateMessage: (sender: VmId, message: RateMessage) => void;
@@ -36,7 +38,9 @@
   private readonly highestSequences = new Map<string, number>();
 
   constructor(private readonly options: MeshSocketOptions) {
-    this.socket.on('message', (bytes) => this.handleDatagram(bytes));
+    this.socket.on('message', (bytes) => {
+      options.faults.guard('mesh datagram', () => this.handleDatagram(bytes));
+    });
     this.socket.on('error', (error) => {
       options.logger.warn('gossip socket failed', { error: String(error) });
     });
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -10,6 +10,10 @@
   countLateResponse(route: string): void;
   /** Counts a response with neither a length nor chunks, by the outcome of its attempt. */
   countUnframedResponse(outcome: string): void;
+  /** Counts a response that was refused because it is invalid. */
+  countInvalidResponse(service: string): void;
+  /** Counts an unexpected error by the part of the gateway that caught it. */
+  countFault(part: string): void;
   observeResponse(elapsedMs: number): void;
   observeFirstByte(elapsedMs: number): void;
   countConnection(): void;
@@ -75,6 +79,25 @@
   };
 };
 
+const createFaultMetrics = (
+  metrics: MetricsRegistry,
+): Pick<GatewayMetrics, 'countInvalidResponse' | 'countFault'> => {
+  const invalidResponses = metrics.createCounter({
+    name: 'goldcrest_gateway_invalid_answers_total',
+    help: 'Answers of upstreams that were refused: no HTTP, another request, unsigned or too large.',
+    labelNames: ['service'],
+  });
+  const faults = metrics.createCounter({
+    name: 'goldcrest_gateway_faults_total',
+    help: 'Unexpected errors, each of which ended one exchange, record or task; see the log.',
+    labelNames: ['part'],
+  });
+  return {
+    countInvalidResponse: (service) => invalidResponses.inc({ service }),
+    countFault: (part) => faults.inc({ part }),
+  };
+};
+
 /** Creates the metrics of the gateway. */
 export const createGatewayMetrics = (metrics: MetricsRegistry): GatewayMetrics => {
   const responses = metrics.createCounter({
@@ -117,6 +140,7 @@
     observeResponse: (elapsedMs) => responseLatency.observe(elapsedMs),
     observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
     countConnection: () => connections.inc(),
+    ...createFaultMetrics(metrics),
     ...createPresenceMetrics(metrics),
     ...createRateMetrics(metrics),
     render: () => metrics.render(),
