fix(gateway): count the age of a relayed fact from its proof

Cause: a follower took a position whose proof was up to 1.2 s old, relied on it for 1.1 s from its arrival, and looked again in steps of 0.15 s. Three lags, each counted from another moment, and no sum.

Change: factTiming.ts splits one bound for each relayed topic into the age of the proof, the span over which followers begin to read, the read and the send. TopicReader keeps the moment of the newest proof and relies on it until that moment is too old.

--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -76,8 +76,7 @@
     logger,
     getLongPollMs: () => 0,
     getPauseMs: () => 100,
-    maxRelayLagMs: 1_200,
-    relaySyncTtlMs: 1_100,
+    timing: { boundMs: 2_000, maxProofAgeMs: 1_150, readSpreadMs: 0, readMs: 250, sendMs: 100 },
     onSnapshot: (records, isSettled) =>
       events.push(
         `snapshot:${records.map(({ key }) => key).join()}${isSettled ? '' : ' (unsettled)'}`,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -126,24 +126,6 @@
 /** Maximum send backlog of a slow follower before it is disconnected. */
 export const MAX_FOLLOWER_BACKLOG_BYTES = 8 * 1024 * 1024;
 
-/** Time after a relay's position for which a follower does not read a topic itself. */
-export const RELAY_SYNC_TTL_MS = 1_100;
-
-/** The same for operator records, which must be in force within two seconds. */
-export const OPERATOR_RELAY_SYNC_TTL_MS = 700;
-
-/** Maximum age of a relay's own reads of operator records for a follower to rely on them. */
-export const MAX_OPERATOR_RELAY_LAG_MS = 900;
-
-/** The same for the registry of upstreams. */
-export const MAX_UPSTREAM_RELAY_LAG_MS = 1_200;
-
-/** The same for heartbeats of entry VMs, which relays read less often. */
-export const MAX_ENTRY_RELAY_LAG_MS = 1_800;
-
-/** Minimum interval at which a follower checks whether it must read the log itself. */
-export const MIN_RELAY_CHECK_INTERVAL_MS = 150;
-
 /** Time for which messages to followers are batched. */
 export const FEED_BATCH_DELAY_MS = 80;
 
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -2,16 +2,12 @@
 import type { BootId, EntryHeartbeat, EntryRoster, CrashQuarantine } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GatewaySettings } from '../config.js';
-import {
-  HEARTBEAT_INTERVAL_MS,
-  LOG_RETRY_DELAY_MS,
-  MAX_ENTRY_RELAY_LAG_MS,
-  RELAY_SYNC_TTL_MS,
-} from '../constants.js';
+import { HEARTBEAT_INTERVAL_MS, LOG_RETRY_DELAY_MS } from '../constants.js';
 import type { KeyedRecord, SharedLog } from '../ports/index.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
 import { HeartbeatDecoder, encodeHeartbeat, readRefusedPatterns } from './heartbeatRecord.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
+import { ENTRY_FACT_TIMING } from './factTiming.js';
 import { TopicReader } from './topicReader.js';
 
 /** Dependencies of the controller. */
@@ -54,8 +50,7 @@
       logger,
       getLongPollMs: () => 0,
       getPauseMs: () => HEARTBEAT_INTERVAL_MS,
-      maxRelayLagMs: MAX_ENTRY_RELAY_LAG_MS,
-      relaySyncTtlMs: RELAY_SYNC_TTL_MS,
+      timing: ENTRY_FACT_TIMING,
       onSnapshot: (records) => this.applyRecords(records),
       onRecords: (records) => {
         this.applyRecords(records).forEach((heartbeat) =>
--- a/packages/gateway/src/controllers/operatorsController.ts
+++ b/packages/gateway/src/controllers/operatorsController.ts
@@ -1,14 +1,10 @@
 import { FetchWindow, OperatorState } from '@goldcrestscale/core';
 import type { OperatorChange } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import {
-  MAX_OPERATOR_RELAY_LAG_MS,
-  OPERATOR_POLL_MS,
-  OPERATOR_RELAY_SYNC_TTL_MS,
-  RELAY_OPERATOR_POLL_MS,
-} from '../constants.js';
+import { OPERATOR_POLL_MS, RELAY_OPERATOR_POLL_MS } from '../constants.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
+import { OPERATOR_FACT_TIMING } from './factTiming.js';
 import { TopicReader } from './topicReader.js';
 
 /** Dependencies of the controller. */
@@ -43,8 +39,7 @@
       logger: options.logger,
       getLongPollMs: () => (options.isRelay() ? RELAY_OPERATOR_POLL_MS : OPERATOR_POLL_MS),
       getPauseMs: () => 0,
-      maxRelayLagMs: MAX_OPERATOR_RELAY_LAG_MS,
-      relaySyncTtlMs: OPERATOR_RELAY_SYNC_TTL_MS,
+      timing: OPERATOR_FACT_TIMING,
       onSnapshot: (records, isSettled) => this.applySnapshot(records, isSettled),
       onRecords: (records) => records.forEach((record) => this.applyRecord(record)),
       onCaughtUp: (at) => {
--- a/packages/gateway/src/controllers/topicReader.ts
+++ b/packages/gateway/src/controllers/topicReader.ts
@@ -1,10 +1,11 @@
 import { advanceClockReading, computeMaxElapsedMs, readClocks, sleep } from '@goldcrestscale/core';
 import type { ClockReading } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import { ERA_SETTLE_MS, LOG_RETRY_DELAY_MS, MIN_RELAY_CHECK_INTERVAL_MS } from '../constants.js';
+import { ERA_SETTLE_MS, LOG_RETRY_DELAY_MS } from '../constants.js';
 import type { RelayedBatch, RelayedPosition } from '../mesh/feedMessage.js';
 import { LogTrimmedError } from '../ports/index.js';
 import type { KeyedRecord, LogEra, LogTopic, SharedLog } from '../ports/index.js';
+import type { FactTiming } from './factTiming.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
 
 /** Consecutive responses of an earlier era that are ignored before it counts as the current one. */
@@ -19,10 +20,10 @@
   readonly getLongPollMs: () => number;
   /** Returns the pause between two reads. */
   readonly getPauseMs: () => number;
-  /** Maximum age of a relay's own reads for this reader to rely on them. */
-  readonly maxRelayLagMs: number;
-  /** Time after a relay's position for which this reader does not read the log itself. */
-  readonly relaySyncTtlMs: number;
+  /** How long this reader relies on a relay's proof. */
+  readonly timing: FactTiming;
+  /** Random numbers, uniformly distributed in [0, 1). @default Math.random */
+  readonly random?: () => number;
   /**
    * Called with the newest record of each key.
    *
@@ -61,9 +62,15 @@
 
   private caughtUpAt: ClockReading | undefined;
 
-  private relaySyncedAtMs = -Infinity;
+  /** Newest moment of which a relay proved that this reader knows all records before it. */
+  private relayProvedAt: ClockReading | undefined;
+
+  /** Age of that proof at which this reader reads the log; differs between the followers of a relay. */
+  private readonly maxProofAgeMs: number;
 
   constructor(private readonly options: TopicReaderOptions) {
+    const { timing, random = Math.random } = options;
+    this.maxProofAgeMs = timing.maxProofAgeMs - random() * timing.readSpreadMs;
     this.logHealth = new LogHealthMonitor(options.topic, options.logger);
   }
 
@@ -96,10 +103,13 @@
   ): void {
     if (era !== this.era || this.needsSettledSnapshot) return;
     if (this.position === undefined || position > this.position) return;
-    if (provedAgeMs > this.options.maxRelayLagMs) return;
-    this.relaySyncedAtMs = performance.now();
+    const provedAt = advanceClockReading(requestedAt, -provedAgeMs);
+    if (computeMaxElapsedMs(provedAt) > this.maxProofAgeMs) return;
+    if (provedAt.monotonicMs > (this.relayProvedAt?.monotonicMs ?? -Infinity)) {
+      this.relayProvedAt = provedAt;
+    }
     this.recordSuccess();
-    this.options.onCaughtUp?.(advanceClockReading(requestedAt, -provedAgeMs));
+    this.options.onCaughtUp?.(provedAt);
   }
 
   /** Returns the position of its own reads; undefined before the first one and while it is relayed. */
@@ -110,9 +120,11 @@
     return { topic: this.options.topic, era: this.era, position: this.position, provedAgeMs };
   }
 
-  /** Remaining time for which the relay's last position is valid. */
+  /** Remaining time for which this reader relies on the relay's proof, in milliseconds. */
   private get relayValidForMs(): number {
-    return this.relaySyncedAtMs + this.options.relaySyncTtlMs - performance.now();
+    return this.relayProvedAt
+      ? this.maxProofAgeMs - computeMaxElapsedMs(this.relayProvedAt)
+      : -Infinity;
   }
 
   private get isRelayed(): boolean {
@@ -124,7 +136,7 @@
     while (!signal.aborted) {
       try {
         if (this.isRelayed) {
-          await sleep(Math.max(MIN_RELAY_CHECK_INTERVAL_MS, this.relayValidForMs), signal);
+          await sleep(Math.ceil(this.relayValidForMs), signal);
         } else {
           await this.readOnce(signal);
           const pauseMs = this.options.getPauseMs();
@@ -200,7 +212,7 @@
     this.era = era;
     this.position = undefined;
     this.caughtUpAt = undefined;
-    this.relaySyncedAtMs = -Infinity;
+    this.relayProvedAt = undefined;
     this.settledAtMs = performance.now() + ERA_SETTLE_MS;
     this.needsSettledSnapshot = true;
     onNewEra?.();
--- a/packages/gateway/src/controllers/upstreamsController.ts
+++ b/packages/gateway/src/controllers/upstreamsController.ts
@@ -1,12 +1,9 @@
 import type { RegisteredUpstream, UpstreamRegistry } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import {
-  MAX_UPSTREAM_RELAY_LAG_MS,
-  RELAY_SYNC_TTL_MS,
-  UPSTREAM_READ_INTERVAL_MS,
-} from '../constants.js';
+import { UPSTREAM_READ_INTERVAL_MS } from '../constants.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
+import { UPSTREAM_FACT_TIMING } from './factTiming.js';
 import { TopicReader } from './topicReader.js';
 
 /** Dependencies of the controller. */
@@ -31,8 +28,7 @@
       // Each heartbeat is a record, so a long poll would return at once.
       getLongPollMs: () => 0,
       getPauseMs: () => UPSTREAM_READ_INTERVAL_MS,
-      maxRelayLagMs: MAX_UPSTREAM_RELAY_LAG_MS,
-      relaySyncTtlMs: RELAY_SYNC_TTL_MS,
+      timing: UPSTREAM_FACT_TIMING,
       onSnapshot: (records) => this.applySnapshot(records),
       onRecords: (records) => this.applyRecords(records),
       onRecovery: () => registry.recordLogRecovery(),
