fix(gateway): leave a relay that is cut off from the log

Cause: a follower judged its relay by the bytes that came from it, not by what the relay proved to have read.

Change: the client keeps the newest moment that its relay proved. From 1.3 s on the follower writes its heartbeats itself; from 2 s on, if the log answers the follower, it goes to the other relay of the group. A relay of a log that answers nobody is kept, so that an outage moves no followers.

--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -104,8 +104,17 @@
   size,
 });
 
+interface FeedOptions {
+  /** Returns the age of the relay's newest proof. */
+  readonly getProvedAgeMs?: () => number;
+  readonly canReadLog?: () => boolean;
+}
+
 /** Starts a relay and one follower, in a zone with enough VMs to need relays. */
-const startFeed = async () => {
+const startFeed = async ({
+  getProvedAgeMs = () => 20,
+  canReadLog = () => true,
+}: FeedOptions = {}) => {
   const roster = new EntryRoster();
   for (let index = 0; index < 30; index += 1)
     roster.recordHeartbeat(makeEntry(`vm-${index}`, 1, 1));
@@ -121,7 +130,9 @@
     key: relay.meshKey,
     roster,
     logger,
-    listPositions: () => [{ topic: 'upstreams', era: 1, position: 6, provedAgeMs: 20 }],
+    listPositions: () => [
+      { topic: 'upstreams', era: 1, position: 6, provedAgeMs: getProvedAgeMs() },
+    ],
     listBlockSnapshots: () => [
       { address: 'store', epoch: 1, isWhole: true, clockMs: undefined, changes: [] },
     ],
@@ -138,11 +149,36 @@
     onPosition: ({ position }) => positions.push(position),
     onBlockChanges: (message) => blocks.push(message),
     onRelayLost: () => positions.push(-1),
+    canReadLog,
   });
   void client.run(abortController.signal);
   return { server, client, batches, blocks, positions, abortController };
 };
 
+// Guards against heartbeats that a relay takes but can't write, so that VMs drop out of each other's rosters.
+test('a follower writes its own heartbeat once its relay proves no reads', async () => {
+  let provedAgeMs = 20;
+  const { client, positions } = await startFeed({
+    getProvedAgeMs: () => provedAgeMs,
+    canReadLog: () => false,
+  });
+  const record = { key: 'vm-3', value: Buffer.from('{}') };
+  await vi.waitFor(() => expect(positions).toContain(6));
+  expect(client.forwardHeartbeat(record)).toBe(true);
+  provedAgeMs = 1_500;
+  await vi.waitFor(() => expect(positions).toContain(-1), { timeout: 2_000 });
+  expect(client.forwardHeartbeat(record)).toBe(false);
+  provedAgeMs = 20;
+  await vi.waitFor(() => expect(client.forwardHeartbeat(record)).toBe(true), { timeout: 2_000 });
+});
+
+// Guards against a relay that is cut off from the log and keeps its followers.
+test('a follower that reads the log leaves a relay that does not', async () => {
+  const { server, positions } = await startFeed({ getProvedAgeMs: () => 3_000 });
+  await vi.waitFor(() => expect(positions).toContain(6));
+  await vi.waitFor(() => expect(server.countFollowers()).toBe(0), { timeout: 3_000 });
+});
+
 test('sends relayed records to the follower and its heartbeat to the relay', async () => {
   const { server, client, batches, blocks, positions } = await startFeed();
   await vi.waitFor(() => expect(positions).toContain(6));
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -139,6 +139,7 @@
       topicReaders[position.topic]?.recordRelayPosition(position, requestedAt),
     onBlockChanges: (blocks) => readers.stores.applyRelayed(blocks),
     onRelayLost: () => entries.publishHeartbeat(),
+    canReadLog: () => Object.values(topicReaders).some((reader) => reader.isReading),
   });
   return { gossip, feedServer, feedClient };
 };
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -117,6 +117,15 @@
 /** Time without data after which followers disconnect from a relay: three position requests. */
 export const FEED_TIMEOUT_MS = 1_400;
 
+/**
+ * Age of a relay's newest proof from which followers write their heartbeats themselves, so that these
+ * are written before they expire.
+ */
+export const RELAY_STALE_MS = 1_300;
+
+/** Age of a relay's newest proof from which a follower that reads the log itself leaves it. */
+export const RELAY_CUT_OFF_MS = 2_000;
+
 /** Delay before reconnecting to a relay whose connection was lost. */
 export const RELAY_RETRY_DELAY_MS = 3_000;
 
--- a/packages/gateway/src/controllers/topicReader.ts
+++ b/packages/gateway/src/controllers/topicReader.ts
@@ -83,6 +83,12 @@
     return this.logHealth.isDown;
   }
 
+  /** Whether it reads the log itself, and the last read was answered not long ago. */
+  get isReading(): boolean {
+    if (this.isRelayed || this.isDown || !this.caughtUpAt) return false;
+    return computeMaxElapsedMs(this.caughtUpAt) < this.options.timing.maxProofAgeMs;
+  }
+
   /** Applies records from a relay. A batch after a gap is ignored; the next own read fills the gap. */
   applyRelayed({ from, next, records, era }: RelayedBatch): void {
     if (era !== this.era) return;
--- a/packages/gateway/src/mesh/feedClient.ts
+++ b/packages/gateway/src/mesh/feedClient.ts
@@ -1,10 +1,16 @@
 import { randomUUID } from 'node:crypto';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
-import { readClocks, sleep } from '@goldcrestscale/core';
+import { advanceClockReading, computeMaxElapsedMs, readClocks, sleep } from '@goldcrestscale/core';
 import type { EntryHeartbeat, ClockReading, VmId, ZoneRelays } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import { FEED_TIMEOUT_MS, POSITION_POLL_INTERVAL_MS, RELAY_RETRY_DELAY_MS } from '../constants.js';
+import {
+  FEED_TIMEOUT_MS,
+  POSITION_POLL_INTERVAL_MS,
+  RELAY_CUT_OFF_MS,
+  RELAY_RETRY_DELAY_MS,
+  RELAY_STALE_MS,
+} from '../constants.js';
 import type { KeyedRecord } from '../ports/index.js';
 import { splitAddress } from '../socketAddress.js';
 import { encodeFeedContent } from './feedMessage.js';
@@ -23,7 +29,10 @@
   /** @param requestedAt moment before the position was requested */
   readonly onPosition: (position: RelayedPosition, requestedAt: ClockReading) => void;
   readonly onBlockChanges: (blocks: RelayedBlocks) => void;
+  /** Called when the relay can't be relied on to write this VM's heartbeats any more. */
   readonly onRelayLost: () => void;
+  /** Whether this VM reads the log itself and gets answers. */
+  readonly canReadLog: () => boolean;
 }
 
 interface RelayConnection {
@@ -31,6 +40,10 @@
   readonly writer: FeedWriter;
   /** Time of the last data from the relay. */
   receivedAtMs: number;
+  /** Newest moment of which the relay proved that it had read a topic of the log up to then. */
+  provedAt: ClockReading;
+  /** Whether that moment is so old that the relay may be cut off from the log. */
+  isStale: boolean;
 }
 
 const sendMessage = ({ socket, writer }: RelayConnection, message: FeedMessage): void => {
@@ -55,8 +68,8 @@
   /** Sends a heartbeat for the relay to append with its own; false if no relay is connected. */
   forwardHeartbeat(record: KeyedRecord): boolean {
     const { connection } = this;
-    if (!connection || performance.now() - connection.receivedAtMs > 2 * POSITION_POLL_INTERVAL_MS)
-      return false;
+    if (!connection || connection.isStale) return false;
+    if (performance.now() - connection.receivedAtMs > 2 * POSITION_POLL_INTERVAL_MS) return false;
     sendMessage(connection, { kind: 'heartbeat', record });
     return true;
   }
@@ -95,6 +108,8 @@
       socket,
       writer: new FeedWriter({ key: this.options.key, nonce }),
       receivedAtMs: performance.now(),
+      provedAt: readClocks(),
+      isStale: false,
     };
     const reader = new FeedReader(() => ({ key: relay.meshKey, nonce }));
     return new Promise((resolve) => {
@@ -141,7 +156,29 @@
     const isRelay = relays.listOwnFeed().some(({ vmId }) => vmId === relay.vmId);
     if (performance.now() - connection.receivedAtMs > FEED_TIMEOUT_MS) finish('timed out');
     else if (!isRelay || relays.isFeedRelay) finish('no longer a relay');
-    else if (this.connection === connection) this.requestPositions(connection);
+    else if (this.isCutOff(connection)) finish('cut off from the log');
+    else if (this.connection === connection) {
+      this.checkProof(connection);
+      this.requestPositions(connection);
+    }
+  }
+
+  /** Whether the relay proves no reads, although the log answers this VM. */
+  private isCutOff({ provedAt }: RelayConnection): boolean {
+    return computeMaxElapsedMs(provedAt) > RELAY_CUT_OFF_MS && this.options.canReadLog();
+  }
+
+  private checkProof(connection: RelayConnection): void {
+    const wasStale = connection.isStale;
+    connection.isStale = computeMaxElapsedMs(connection.provedAt) > RELAY_STALE_MS;
+    if (connection.isStale && !wasStale) this.options.onRelayLost();
+  }
+
+  private recordProofs(positions: readonly RelayedPosition[]): void {
+    if (!this.connection || positions.length === 0) return;
+    const youngestMs = Math.min(...positions.map(({ provedAgeMs }) => provedAgeMs));
+    this.connection.provedAt = advanceClockReading(this.requestedAt, -youngestMs);
+    this.checkProof(this.connection);
   }
 
   /** Only the latest request counts, because its time bounds how old the returned position is. */
@@ -157,6 +194,7 @@
     else if (message.kind === 'batch') onBatch(message.batch);
     else if (message.kind === 'blocks') onBlockChanges(message.blocks);
     else if (message.kind === 'positions' && message.question === this.lastPositionRequest) {
+      this.recordProofs(message.positions);
       message.positions.forEach((position) => onPosition(position, this.requestedAt));
     }
   }
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -68,6 +68,10 @@
     this.flushTimer ??= setTimeout(() => this.flush(), FEED_BATCH_DELAY_MS);
   }
 
+  countFollowers(): number {
+    return this.followers.size;
+  }
+
   /** Lists the heartbeats of the live followers. */
   listFollowerHeartbeats(): readonly KeyedRecord[] {
     const oldestMs = performance.now() - FOLLOWER_TIMEOUT_MS;
