fix(gateway): a relay learns that its follower shuts down

Cause: a VM that shuts down wrote its heartbeat to the log only. Its relay, which still heard it, went on writing the heartbeat from before, in which the VM serves, after each of its own.

Change: the VM forwards the heartbeat to its relay as before and writes it itself too, so that neither copy is older than the other.

--- a/packages/gateway/src/__tests__/relayedFleet.ts
+++ b/packages/gateway/src/__tests__/relayedFleet.ts
@@ -126,7 +126,8 @@
   }
 }
 
-const buildSettings = (vmId: string) =>
+/** Builds valid settings of a VM. */
+export const buildSettings = (vmId: string) =>
   resolveGatewaySettings({
     vmId,
     availabilityZone: 'z1',
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -108,8 +108,10 @@
     const { quarantine, isReportingRefusals } = this.options;
     const refused = isReportingRefusals() ? quarantine.listRefused() : [];
     const ownRecord = encodeHeartbeat(this.buildHeartbeat(), refused);
-    // A VM that shuts down writes to the log itself, without the delay of a relay.
-    if (!this.isLeaving && forwardHeartbeat(ownRecord)) return;
+    // Also while it shuts down; otherwise the relay would go on writing the record from before.
+    const isForwarded = forwardHeartbeat(ownRecord);
+    // A VM that shuts down writes to the log itself too, without the delay of a relay.
+    if (isForwarded && !this.isLeaving) return;
     await log.append('entries', [ownRecord, ...listForwardedHeartbeats()], signal);
   }
 
--- a/packages/gateway/src/mesh/feedClient.ts
+++ b/packages/gateway/src/mesh/feedClient.ts
@@ -158,7 +158,7 @@
     else if (!isRelay || relays.isFeedRelay) finish('no longer a relay');
     else if (this.isCutOff(connection)) finish('cut off from the log');
     else if (this.connection === connection) {
-      this.checkProof(connection);
+      this.checkProof();
       this.requestPositions(connection);
     }
   }
@@ -168,7 +168,9 @@
     return computeMaxElapsedMs(provedAt) > RELAY_CUT_OFF_MS && this.options.canReadLog();
   }
 
-  private checkProof(connection: RelayConnection): void {
+  private checkProof(): void {
+    const { connection } = this;
+    if (!connection) return;
     const wasStale = connection.isStale;
     connection.isStale = computeMaxElapsedMs(connection.provedAt) > RELAY_STALE_MS;
     if (connection.isStale && !wasStale) this.options.onRelayLost();
@@ -178,7 +180,7 @@
     if (!this.connection || positions.length === 0) return;
     const youngestMs = Math.min(...positions.map(({ provedAgeMs }) => provedAgeMs));
     this.connection.provedAt = advanceClockReading(this.requestedAt, -youngestMs);
-    this.checkProof(this.connection);
+    this.checkProof();
   }
 
   /** Only the latest request counts, because its time bounds how old the returned position is. */
