fix: an odd entry of another writer names nothing and stops nobody

Cause: addresses, numbers and ids were checked for their type, not for what the code does with them.

Change: bounds where each list is decoded, with one bounded log line; behind that, each record is applied on its own and a task that ends by an error is recorded and run again. It works because no entry reaches a function that throws, and a fault that is left costs one record.

Tests of heartbeat records moved to a file of their own, unchanged.

--- a/packages/core/src/fleet/upstreamRegistry.ts
+++ b/packages/core/src/fleet/upstreamRegistry.ts
@@ -7,8 +7,8 @@
 /** A change of a registry entry. */
 export type RegistryChange =
   | { readonly kind: 'present'; readonly upstream: RegisteredUpstream }
-  /** The entry was removed or does not describe a usable upstream. */
-  | { readonly kind: 'absent'; readonly upstreamId: UpstreamId };
+  /** The entry was removed, or does not describe a usable upstream and tells why. */
+  | { readonly kind: 'absent'; readonly upstreamId: UpstreamId; readonly invalid?: string };
 
 const isStale = (next: RegisteredUpstream, current: RegisteredUpstream): boolean =>
   next.startedAtMs < current.startedAtMs ||
--- a/packages/entry/src/compose/createControllers.ts
+++ b/packages/entry/src/compose/createControllers.ts
@@ -152,7 +152,10 @@
   const generator = createRandomGenerator();
   const openStream = (name: StreamName) => createHttpLogStream(platform.logUrl, name);
   const logReports = new LogReports();
-  const vmListClient = createVmListClient(platform.vmListUrl);
+  const vmListLogger = logger.createPartLogger('vmList');
+  const vmListClient = createVmListClient(platform.vmListUrl, {
+    onInvalidEntry: (problems) => vmListLogger.warn('ignoring invalid entry', { problems }),
+  });
   const table = createConfigTableController({
     stream: openStream(CONFIG_STREAM),
     retentionMs: platform.logRetentionMs,
--- a/packages/entry/src/mesh/peerConnector.ts
+++ b/packages/entry/src/mesh/peerConnector.ts
@@ -1,4 +1,5 @@
 import { WebSocket } from 'ws';
+import { isSocketAddress } from '@goldcrestscale/core';
 import type { VmId } from '@goldcrestscale/core';
 import { computeReconnectDelayMs } from './backoff.js';
 import { HANDSHAKE_TIMEOUT_MS, MAX_MESSAGE_BYTES } from './constants.js';
@@ -81,6 +82,11 @@
   private openConnection(): Promise<boolean> {
     const { address, vmId } = this.peer;
     return new Promise((resolve) => {
+      if (!isSocketAddress(address)) {
+        // The constructor would throw, and the rejected attempt would be returned for ever.
+        resolve(false);
+        return;
+      }
       const socket = new WebSocket(`ws://${address}/`, {
         perMessageDeflate: false,
         maxPayload: MAX_MESSAGE_BYTES,
--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -1,24 +1,19 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
-import { readClocks, toId } from '@goldcrestscale/core';
+import { PeerLoads, UpstreamRegistry, readClocks, toId } from '@goldcrestscale/core';
 import type {
   AvailabilityZoneId,
-  BootId,
-  EntryHeartbeat,
-  QuarantineRow,
-  VmId,
+  RegistryChange,
+  ServiceName,
   UpstreamId,
 } from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
 import { resolveGatewaySettings } from '../config.js';
-import {
-  HeartbeatDecoder,
-  encodeHeartbeat,
-  readRefusedPatterns,
-} from '../controllers/heartbeatRecord.js';
 import { Shutdown } from '../controllers/shutdown.js';
 import { TopicReader } from '../controllers/topicReader.js';
+import { GatewayUpstreamsController } from '../controllers/upstreamsController.js';
 import { RequestLog } from '../requestLog.js';
-import { LogTrimmedError, SharedLog } from '../ports/index.js';
+import { createTestFaults } from './testFaults.js';
+import { LogTrimmedError, RecordCodec, SharedLog } from '../ports/index.js';
 import type { AppendedRecord, KeyedRecord, LogBatch, LogSnapshot } from '../ports/index.js';
 
 beforeEach(() => {
@@ -32,6 +27,32 @@
 
 const makeRecord = (key: string): KeyedRecord => ({ key, value: Buffer.from('1') });
 
+/** Decodes every record as an upstream, but fails for one key. */
+class FaultyCodec extends RecordCodec {
+  override decodeOperatorChange(): undefined {
+    return undefined;
+  }
+
+  override decodeRegistryChange({ key }: KeyedRecord): RegistryChange {
+    if (key === 'fault') throw new RangeError('fault of the test codec');
+    return {
+      kind: 'present',
+      upstream: {
+        upstreamId: toId<UpstreamId>(key),
+        service: toId<ServiceName>('service'),
+        address: '127.0.0.1:1',
+        availabilityZone: toId<AvailabilityZoneId>('z1'),
+        slots: 8,
+        draining: false,
+        coldRemainingMs: 0,
+        weights: [],
+        heartbeat: 1,
+        startedAtMs: 1,
+      },
+    };
+  }
+}
+
 /** A log with scripted responses. */
 class ScriptedLog extends SharedLog {
   readonly responses: (Error | LogBatch)[] = [];
@@ -101,6 +122,32 @@
   expect(log.reads).toEqual([10, 12]);
 });
 
+// Guards against one record that stops the reader: it would be read again for ever.
+test('a record that can not be applied stops neither the reader nor the records beside it', async () => {
+  const log = new ScriptedLog();
+  const { faults, metrics } = createTestFaults();
+  const registry = new UpstreamRegistry(new PeerLoads(1_500));
+  const codec = new FaultyCodec();
+  const present = (key: string): KeyedRecord => ({ key, value: Buffer.from('present') });
+  log.snapshot = { records: ['a', 'fault', 'b'].map(present), endOffset: 3, era: 1 };
+  log.responses.push({ records: ['fault', 'c'].map(present), nextOffset: 5, era: 1 });
+  const controller = new GatewayUpstreamsController({
+    log,
+    codec,
+    logger,
+    registry,
+    faults,
+    onBatch: () => undefined,
+  });
+  const abortController = new AbortController();
+  void controller.run(abortController.signal);
+  await vi.advanceTimersByTimeAsync(2_000);
+  abortController.abort();
+  expect(registry.list().map(({ upstreamId }) => upstreamId)).toEqual(['a', 'b', 'c']);
+  expect(log.reads.at(-1)).toBe(5);
+  expect(await metrics.render()).toContain('goldcrest_gateway_faults_total{part="record"} 2');
+});
+
 test('reads a new snapshot after the log was trimmed', async () => {
   const log = new ScriptedLog();
   log.responses.push(new LogTrimmedError('gone'));
@@ -242,33 +289,6 @@
   expect(lines.at(-1)).toEqual({ isFailure: true });
 });
 
-test('rejects an incomplete heartbeat record', () => {
-  const decoder = new HeartbeatDecoder();
-  expect(decoder.decode(makeRecord('vm'))).toBeUndefined();
-  expect(decoder.decode({ key: 'vm', value: Buffer.from('{"vmId":"a"}') })).toBeUndefined();
-  expect(decoder.decode({ key: 'vm', value: undefined })).toBeUndefined();
-});
-
-const heartbeat: EntryHeartbeat = {
-  vmId: toId<VmId>('vm-1'),
-  bootId: toId<BootId>('boot'),
-  availabilityZone: toId<AvailabilityZoneId>('z1'),
-  address: 'a:1',
-  meshAddress: 'a:2',
-  meshKey: 'key',
-  leaving: false,
-  size: 1,
-};
-
-test('an unchanged heartbeat record is decoded to the same object', () => {
-  const decoder = new HeartbeatDecoder();
-  const first = decoder.decode(encodeHeartbeat(heartbeat, []));
-  expect(first).toEqual(heartbeat);
-  expect(decoder.decode(encodeHeartbeat(heartbeat, []))).toBe(first);
-  const leaving = { ...heartbeat, leaving: true };
-  expect(decoder.decode(encodeHeartbeat(leaving, []))).toEqual(leaving);
-});
-
 const settings = {
   vmId: 'vm-1',
   availabilityZone: 'z1',
@@ -302,21 +322,3 @@
   const invalid = { ...settings, vmId: '', listen: { ...settings.listen, callers: 'nowhere' } };
   expect(() => resolveGatewaySettings(invalid)).toThrow(/vmId.*listen\.callers/s);
 });
-
-// Guards against a VM that reaches the log but no other VM and keeps sending refused prompts.
-test('a heartbeat reports the refused patterns', () => {
-  const row: QuarantineRow = {
-    kind: 'request',
-    digest: 'digest',
-    label: 'part',
-    clearings: 0,
-    requestedAgeMs: 10,
-    crashes: [
-      { upstreamId: toId<UpstreamId>('up'), startedAtMs: 1, account: '', service: '', ageMs: 20 },
-    ],
-  };
-  const decoder = new HeartbeatDecoder();
-  const decoded = decoder.decode(encodeHeartbeat(heartbeat, [row]))!;
-  expect(readRefusedPatterns(decoded)).toEqual([row]);
-  expect(readRefusedPatterns(decoder.decode(encodeHeartbeat(heartbeat, []))!)).toEqual([]);
-});
--- a/packages/gateway/src/__tests__/relayedFleet.ts
+++ b/packages/gateway/src/__tests__/relayedFleet.ts
@@ -23,6 +23,7 @@
 import { GatewayUpstreamsController } from '../controllers/upstreamsController.js';
 import type { TopicReader } from '../controllers/topicReader.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
+import { createTestFaults } from './testFaults.js';
 import { RecordCodec, SharedLog } from '../ports/index.js';
 import type {
   AppendedRecord,
@@ -157,6 +158,7 @@
   onBatch: (batch: RelayedBatch) => void,
 ) => {
   const log = new SimulatedLog(topics);
+  const { faults } = createTestFaults();
   const codec = new NamingCodec();
   const registry = new UpstreamRegistry(new PeerLoads(1_500));
   const roster = new EntryRoster();
@@ -168,9 +170,17 @@
     onDeployment: () => undefined,
     onChange: () => undefined,
     isRelay: () => vmId === 'relay',
+    faults,
+    onBatch,
+  });
+  const upstreams = new GatewayUpstreamsController({
+    log,
+    codec,
+    logger,
+    registry,
+    faults,
     onBatch,
   });
-  const upstreams = new GatewayUpstreamsController({ log, codec, logger, registry, onBatch });
   const entries = new EntriesController({
     log,
     logger,
@@ -180,6 +190,7 @@
     quarantine: new CrashQuarantine(),
     isReportingRefusals: () => false,
     meshKey: 'key',
+    faults,
     onBatch,
     forwardHeartbeat: () => true,
     listForwardedHeartbeats: () => [],
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -37,6 +37,7 @@
   { settings, logger, log, codec, upstreamProtocol: protocol }: GatewayOptions,
   { roster, registry, blocks, relays }: FleetState,
   { onBatch, onBlockChanges, onChange }: ReaderCallbacks,
+  faults: FaultRecorder,
   onDeployment: () => void,
 ) => {
   const startedAtMs = performance.now();
@@ -51,6 +52,7 @@
     },
     onChange,
     isRelay: () => relays.isFeedRelay,
+    faults,
     onBatch,
   });
   const upstreams = new GatewayUpstreamsController({
@@ -58,6 +60,7 @@
     codec,
     logger: logger.createPartLogger('upstreams'),
     registry,
+    faults,
     onBatch,
   });
   const stores = new BlockStoresController({
@@ -163,7 +166,8 @@
     onBatch: (batch) => mesh.feedServer.publish({ kind: 'batch', batch }),
     onBlockChanges: (blocks) => mesh.feedServer.publish({ kind: 'blocks', blocks }),
   };
-  const readers = createReaders(options, fleetState, callbacks, onDeployment);
+  const { faults } = processState;
+  const readers = createReaders(options, fleetState, callbacks, faults, onDeployment);
   const rollout: RolloutController = new RolloutController({
     self: settings.vmId,
     holder: settings.vmId,
@@ -188,6 +192,7 @@
     quarantine,
     isReportingRefusals: () => relays.listOwnFeed().length === 0 || relays.isFeedRelay,
     meshKey,
+    faults,
     onBatch: callbacks.onBatch,
     forwardHeartbeat: (record) => mesh.feedClient.forwardHeartbeat(record),
     listForwardedHeartbeats: () => mesh.feedServer.listFollowerHeartbeats(),
--- a/packages/gateway/src/controllers/__tests__/entriesController.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/entriesController.spec.ts
@@ -3,6 +3,7 @@
 import type { BootId } from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
 import { buildSettings } from '../../__tests__/relayedFleet.js';
+import { createTestFaults } from '../../__tests__/testFaults.js';
 import { SharedLog } from '../../ports/index.js';
 import type { AppendedRecord, KeyedRecord, LogBatch, LogSnapshot } from '../../ports/index.js';
 import { EntriesController } from '../entriesController.js';
@@ -55,6 +56,7 @@
     quarantine: new CrashQuarantine(),
     isReportingRefusals: () => false,
     meshKey: 'key',
+    faults: createTestFaults().faults,
     onBatch: () => undefined,
     forwardHeartbeat(record) {
       forwarded.push(record);
--- /dev/null
+++ b/packages/gateway/src/controllers/__tests__/heartbeatRecord.spec.ts
@@ -0,0 +1,73 @@
+import { expect, test } from 'vitest';
+import { toId } from '@goldcrestscale/core';
+import type {
+  AvailabilityZoneId,
+  BootId,
+  EntryHeartbeat,
+  QuarantineRow,
+  UpstreamId,
+  VmId,
+} from '@goldcrestscale/core';
+import type { KeyedRecord } from '../../ports/index.js';
+import { HeartbeatDecoder, encodeHeartbeat, readRefusedPatterns } from '../heartbeatRecord.js';
+
+const makeRecord = (key: string): KeyedRecord => ({ key, value: Buffer.from('1') });
+
+test('rejects an incomplete heartbeat record', () => {
+  const decoder = new HeartbeatDecoder();
+  expect(decoder.decode(makeRecord('vm'))).toBeUndefined();
+  expect(decoder.decode({ key: 'vm', value: Buffer.from('{"vmId":"a"}') })).toBeUndefined();
+  expect(decoder.decode({ key: 'vm', value: undefined })).toBeUndefined();
+});
+
+const heartbeat: EntryHeartbeat = {
+  vmId: toId<VmId>('vm-1'),
+  bootId: toId<BootId>('boot'),
+  availabilityZone: toId<AvailabilityZoneId>('z1'),
+  address: 'a:1',
+  meshAddress: 'a:2',
+  meshKey: 'key',
+  leaving: false,
+  size: 1,
+};
+
+// Guards against a heartbeat of another writer whose addresses no socket can connect to.
+test.each([
+  ['address', '10.0.0.1:99999'],
+  ['address', '10.0.0.1'],
+  ['meshAddress', '10.0.0.1:0'],
+  ['meshAddress', '10.0.0.1:65536'],
+  ['meshAddress', 'a b:80'],
+  ['size', -1],
+])('a heartbeat whose %s is %j is ignored', (name, value) => {
+  const record = { ...heartbeat, [name]: value };
+  const bytes = Buffer.from(JSON.stringify(record));
+  expect(new HeartbeatDecoder().decode({ key: 'vm', value: bytes })).toBeUndefined();
+});
+
+test('an unchanged heartbeat record is decoded to the same object', () => {
+  const decoder = new HeartbeatDecoder();
+  const first = decoder.decode(encodeHeartbeat(heartbeat, []));
+  expect(first).toEqual(heartbeat);
+  expect(decoder.decode(encodeHeartbeat(heartbeat, []))).toBe(first);
+  const leaving = { ...heartbeat, leaving: true };
+  expect(decoder.decode(encodeHeartbeat(leaving, []))).toEqual(leaving);
+});
+
+// Guards against a VM that reaches the log but no other VM and keeps sending refused prompts.
+test('a heartbeat reports the refused patterns', () => {
+  const row: QuarantineRow = {
+    kind: 'request',
+    digest: 'digest',
+    label: 'part',
+    clearings: 0,
+    requestedAgeMs: 10,
+    crashes: [
+      { upstreamId: toId<UpstreamId>('up'), startedAtMs: 1, account: '', service: '', ageMs: 20 },
+    ],
+  };
+  const decoder = new HeartbeatDecoder();
+  const decoded = decoder.decode(encodeHeartbeat(heartbeat, [row]))!;
+  expect(readRefusedPatterns(decoded)).toEqual([row]);
+  expect(readRefusedPatterns(decoder.decode(encodeHeartbeat(heartbeat, []))!)).toEqual([]);
+});
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -4,9 +4,12 @@
 import type { GatewaySettings } from '../config.js';
 import { HEARTBEAT_INTERVAL_MS, LOG_RETRY_DELAY_MS } from '../constants.js';
 import type { KeyedRecord, SharedLog } from '../ports/index.js';
+import type { FaultRecorder } from '../faultRecorder.js';
+import { RequestLog } from '../requestLog.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
 import { HeartbeatDecoder, encodeHeartbeat, readRefusedPatterns } from './heartbeatRecord.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
+import { applyRecords } from './applyRecords.js';
 import { ENTRY_FACT_TIMING } from './factTiming.js';
 import { TopicReader } from './topicReader.js';
 
@@ -22,6 +25,7 @@
   readonly isReportingRefusals: () => boolean;
   /** Key with which other VMs authenticate this VM's messages. */
   readonly meshKey: string;
+  readonly faults: FaultRecorder;
   readonly onBatch: (batch: RelayedBatch) => void;
   /** Sends the heartbeat to a relay, which appends it with its own; false if no relay is connected. */
   readonly forwardHeartbeat: (record: KeyedRecord) => boolean;
@@ -35,6 +39,9 @@
 
   private readonly logHealth: LogHealthMonitor;
 
+  /** Bounds the number of lines about records of other writers. */
+  private readonly recordLog: RequestLog;
+
   private readonly decoder = new HeartbeatDecoder();
 
   private isLeaving = false;
@@ -44,6 +51,7 @@
   constructor(private readonly options: EntriesOptions) {
     const { roster, logger } = options;
     this.logHealth = new LogHealthMonitor('heartbeat', logger);
+    this.recordLog = new RequestLog(logger);
     this.reader = new TopicReader({
       log: options.log,
       topic: 'entries',
@@ -53,7 +61,7 @@
       timing: ENTRY_FACT_TIMING,
       onSnapshot: (records) => this.applyRecords(records),
       onRecords: (records) => {
-        this.applyRecords(records).forEach((heartbeat) =>
+        this.applyRecords(records, (heartbeat) =>
           options.quarantine.merge(readRefusedPatterns(heartbeat)),
         );
       },
@@ -129,14 +137,17 @@
     };
   }
 
-  /** @returns the heartbeats of the valid records */
-  private applyRecords(records: readonly KeyedRecord[]): readonly EntryHeartbeat[] {
-    const { roster, logger } = this.options;
-    return records.flatMap((record) => {
+  private applyRecords(
+    records: readonly KeyedRecord[],
+    onHeartbeat: (heartbeat: EntryHeartbeat) => void = () => undefined,
+  ): void {
+    const { roster, faults } = this.options;
+    applyRecords('entries', records, faults, (record) => {
       const heartbeat = this.decoder.decode(record);
-      if (heartbeat) roster.recordHeartbeat(heartbeat);
-      else logger.warn('ignoring invalid heartbeat record', { key: record.key });
-      return heartbeat ?? [];
+      if (heartbeat) {
+        roster.recordHeartbeat(heartbeat);
+        onHeartbeat(heartbeat);
+      } else this.recordLog.log('ignoring invalid heartbeat record', { key: record.key });
     });
   }
 }
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -1,3 +1,4 @@
+import { isSocketAddress } from '@goldcrestscale/core';
 import type { EntryHeartbeat, QuarantineRow } from '@goldcrestscale/core';
 import { decodeQuarantineRow, encodeQuarantineRow } from '../mesh/quarantineRow.js';
 import type { KeyedRecord } from '../ports/index.js';
@@ -30,10 +31,13 @@
     typeof fields.bootId === 'string' &&
     typeof fields.availabilityZone === 'string' &&
     typeof fields.address === 'string' &&
+    isSocketAddress(fields.address) &&
     typeof fields.meshAddress === 'string' &&
+    isSocketAddress(fields.meshAddress) &&
     typeof fields.meshKey === 'string' &&
     typeof fields.leaving === 'boolean' &&
-    typeof fields.size === 'number'
+    typeof fields.size === 'number' &&
+    fields.size >= 0
   );
 };
 
--- a/packages/gateway/src/controllers/operatorsController.ts
+++ b/packages/gateway/src/controllers/operatorsController.ts
@@ -2,8 +2,10 @@
 import type { OperatorChange } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { OPERATOR_POLL_MS, RELAY_OPERATOR_POLL_MS } from '../constants.js';
+import type { FaultRecorder } from '../faultRecorder.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
+import { applyRecords } from './applyRecords.js';
 import { OPERATOR_FACT_TIMING } from './factTiming.js';
 import { TopicReader } from './topicReader.js';
 
@@ -19,6 +21,7 @@
   readonly onChange: () => void;
   /** Whether this VM is a relay, so that other VMs depend on how current its reads are. */
   readonly isRelay: () => boolean;
+  readonly faults: FaultRecorder;
   readonly onBatch: (batch: RelayedBatch) => void;
 }
 
@@ -41,7 +44,7 @@
       getPauseMs: () => 0,
       timing: OPERATOR_FACT_TIMING,
       onSnapshot: (records, isSettled) => this.applySnapshot(records, isSettled),
-      onRecords: (records) => records.forEach((record) => this.applyRecord(record)),
+      onRecords: (records) => this.applyRecords(records),
       onCaughtUp: (at) => {
         this.fetchWindow.recordConfirmation(at);
         this.state.recordConfirmation(at);
@@ -55,14 +58,20 @@
   }
 
   private applySnapshot(records: readonly KeyedRecord[], isSettled: boolean): void {
-    const changes = records.map((record) => this.applyRecord(record));
+    const changes = this.applyRecords(records);
     // A zone stays out of service until the operators had time to write its record again.
     if (!isSettled) return;
-    const zonesOut = changes.flatMap((change) => (change?.kind === 'zone-out' ? change.zone : []));
+    const zonesOut = changes.flatMap((change) => (change.kind === 'zone-out' ? change.zone : []));
     if (this.state.replaceZonesOut(zonesOut))
       this.options.logger.info('zones out of service', { zonesOut });
   }
 
+  private applyRecords(records: readonly KeyedRecord[]): readonly OperatorChange[] {
+    return applyRecords('operators', records, this.options.faults, (record) =>
+      this.applyRecord(record),
+    );
+  }
+
   private applyRecord(record: KeyedRecord): OperatorChange | undefined {
     const { codec, logger } = this.options;
     const change = codec.decodeOperatorChange(record);
--- a/packages/gateway/src/controllers/upstreamsController.ts
+++ b/packages/gateway/src/controllers/upstreamsController.ts
@@ -1,8 +1,11 @@
-import type { RegisteredUpstream, UpstreamRegistry } from '@goldcrestscale/core';
+import type { RegisteredUpstream, RegistryChange, UpstreamRegistry } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { UPSTREAM_READ_INTERVAL_MS } from '../constants.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
+import type { FaultRecorder } from '../faultRecorder.js';
+import { RequestLog } from '../requestLog.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
+import { applyRecords } from './applyRecords.js';
 import { UPSTREAM_FACT_TIMING } from './factTiming.js';
 import { TopicReader } from './topicReader.js';
 
@@ -12,6 +15,7 @@
   readonly codec: RecordCodec;
   readonly logger: Logger;
   readonly registry: UpstreamRegistry;
+  readonly faults: FaultRecorder;
   readonly onBatch: (batch: RelayedBatch) => void;
 }
 
@@ -19,8 +23,12 @@
 export class GatewayUpstreamsController {
   readonly reader: TopicReader;
 
+  /** Bounds the number of lines about entries of other writers. */
+  private readonly entryLog: RequestLog;
+
   constructor(private readonly options: GatewayUpstreamsOptions) {
     const { registry } = options;
+    this.entryLog = new RequestLog(options.logger);
     this.reader = new TopicReader({
       log: options.log,
       topic: 'upstreams',
@@ -48,8 +56,8 @@
 
   private applySnapshot(records: readonly KeyedRecord[]): void {
     const present: RegisteredUpstream[] = [];
-    records.forEach((record) => {
-      const change = this.options.codec.decodeRegistryChange(record);
+    applyRecords('upstreams', records, this.options.faults, (record) => {
+      const change = this.decode(record);
       if (change.kind === 'present') present.push(change.upstream);
     });
     this.options.registry.replaceAll(present);
@@ -57,9 +65,9 @@
   }
 
   private applyRecords(records: readonly KeyedRecord[]): void {
-    const { registry, codec, logger } = this.options;
-    records.forEach((record) => {
-      const change = codec.decodeRegistryChange(record);
+    const { registry, logger, faults } = this.options;
+    applyRecords('upstreams', records, faults, (record) => {
+      const change = this.decode(record);
       if (!registry.apply(change)) return;
       if (change.kind === 'absent') logger.info('upstream removed', { ...change });
       else {
@@ -69,4 +77,13 @@
     });
     registry.expireRemovals();
   }
+
+  private decode(record: KeyedRecord): RegistryChange {
+    const change = this.options.codec.decodeRegistryChange(record);
+    if (change.kind === 'absent' && change.invalid !== undefined) {
+      const { upstreamId, invalid } = change;
+      this.entryLog.log('ignoring invalid registry entry', { upstreamId, invalid });
+    }
+    return change;
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { createAuxiliaryServer } from './http/auxiliaryServer.js';
 import type { OperatedState } from './http/auxiliaryServer.js';
 import { RequestLog } from './requestLog.js';
+import { runTask } from './runTask.js';
 import { splitAddress } from './socketAddress.js';
 
 const logQuarantineChange = (logger: Logger, { kind, row }: QuarantineChange): void => {
@@ -116,14 +117,17 @@
 };
 
 /** Starts the controllers, which run until the signal aborts. */
-const startControllers = async (controllers: Controllers, signal: AbortSignal): Promise<void> => {
+const startControllers = async (
+  controllers: Controllers,
+  faults: FaultRecorder,
+  signal: AbortSignal,
+): Promise<void> => {
   await controllers.gossip.start(signal);
   await controllers.feedServer.start(signal);
-  void controllers.feedClient.run(signal);
-  void controllers.operators.run(signal);
-  void controllers.upstreams.run(signal);
-  void controllers.entries.run(signal);
-  void controllers.rollout.run(signal);
+  const { feedClient, operators, upstreams, entries, rollout } = controllers;
+  Object.entries({ feedClient, operators, upstreams, entries, rollout }).forEach(([name, task]) => {
+    void runTask((taskSignal) => task.run(taskSignal), { name, faults, signal });
+  });
 };
 
 /** Waits until no request is open and callers had time to switch to other VMs, or until the time limit. */
@@ -177,7 +181,7 @@
   ]);
   await listenForMetrics(servers.metrics, options);
   pauseMonitor.start(workController.signal);
-  await startControllers(controllers, workController.signal);
+  await startControllers(controllers, faults, workController.signal);
   logger.info('started', { vmId: settings.vmId, bootId: controllers.bootId });
   await waitForAbort(signal);
   logger.info('draining', { openRequests: callers.countOpenRequests() });
--- a/packages/platform/src/__tests__/clients.spec.ts
+++ b/packages/platform/src/__tests__/clients.spec.ts
@@ -78,8 +78,28 @@
   });
 });
 
+const nest = (depth: number): unknown => JSON.parse(`${'['.repeat(depth)}${']'.repeat(depth)}`);
+
+// Guards against one odd entry of the VM list that stops all VMs from following it.
+test.each([
+  ['a port out of range', { address: 'x:99999' }],
+  ['no port', { address: 'x' }],
+  ['a mesh port out of range', { meshAddress: 'x:0' }],
+  ['another role', { role: 'other' }],
+  ['a number for an id', { vmId: 1e300 }],
+  ['a deeply nested id', { vmId: nest(2_000) }],
+])('an entry of the VM list with %s hides no other one', async (_, odd) => {
+  const vm = { vmId: 'a', role: 'entry', address: 'x:1', availabilityZone: 'z', state: 'live' };
+  const problems: string[] = [];
+  const vms = [null, { ...vm, ...odd }, vm];
+  const url = await startServer(() => ({ status: 200, body: { vms } }));
+  const list = createVmListClient(url, { onInvalidEntry: (problem) => problems.push(problem) });
+  expect(await list.listVms()).toEqual([vm]);
+  expect(problems).toHaveLength(2);
+});
+
 test('reads the VM list and the retry delay of the weight store', async () => {
-  const vm = { vmId: 'a', role: 'entry', address: 'x', availabilityZone: 'z', state: 'live' };
+  const vm = { vmId: 'a', role: 'entry', address: 'x:1', availabilityZone: 'z', state: 'live' };
   const list = createVmListClient(await startServer(() => ({ status: 200, body: { vms: [vm] } })));
   expect(await list.listVms()).toEqual([vm]);
   const url = await startServer(() => ({ status: 429, headers: { 'retry-after': '3' } }));
