fix(retry): a VM that does not know its fleet has no part of the allowance

Cause: the allowance was divided by the VMs heard of in the last 15 s. Just after a start that is nobody, so each VM took the whole; and a restarted VM took again what the process before it had used in the same window.

Change: the number of VMs is unknown until the heartbeats have been read and have settled; a VM that does not know it, or that has lived for less than a window and the lag of the heartbeats, goes by its own requests alone. It works because parts of the allowance are used only by VMs that all others count, and never twice in one window.

--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -28,6 +28,15 @@
  */
 export const ENTRY_SENDER_TIMEOUT_MS = 15_000;
 
+/**
+ * Time after the first snapshot of the heartbeats until those of VMs that started together with this
+ * one have been read, in milliseconds: two heartbeats.
+ */
+export const ROSTER_SETTLE_MS = 2_800;
+
+/** Longest time until the other VMs know of one that has started, in milliseconds. */
+export const ROSTER_LAG_MS = 5_000;
+
 /**
  * Time without bytes, with a stream open, after which an upstream is considered stalled, in
  * milliseconds.
--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -3,6 +3,7 @@
   ENTRY_SENDER_TIMEOUT_MS,
   ENTRY_HEARTBEAT_TIMEOUT_MS,
   LOADING_REPORT_TTL_MS,
+  ROSTER_SETTLE_MS,
 } from './constants.js';
 
 /** Heartbeat that an entry VM writes to the log. */
@@ -45,6 +46,13 @@
 
   private logDownAtMs: number | undefined;
 
+  private firstSnapshotAtMs: number | undefined;
+
+  /** Records that the newest heartbeats of all VMs have been read. */
+  recordSnapshot(): void {
+    this.firstSnapshotAtMs ??= performance.now();
+  }
+
   recordLogOutage(): void {
     this.logDownAtMs ??= performance.now();
   }
@@ -100,6 +108,16 @@
     return this.listSeenWithin(ENTRY_SENDER_TIMEOUT_MS).map(({ vmId }) => vmId);
   }
 
+  /** Counts them; undefined while this VM may not know of all VMs, for limits that are divided. */
+  countPossibleSenders(): number | undefined {
+    return this.isSettled ? Math.max(1, this.listPossibleSenders().length) : undefined;
+  }
+
+  private get isSettled(): boolean {
+    const snapshotAtMs = this.firstSnapshotAtMs ?? Infinity;
+    return performance.now() - snapshotAtMs >= ROSTER_SETTLE_MS;
+  }
+
   private listSeenWithin(timeoutMs: number): readonly EntryHeartbeat[] {
     const nowMs = this.readOutageAdjustedMs();
     return [...this.entries.values()]
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -4,6 +4,7 @@
   ENTRY_HEARTBEAT_TIMEOUT_MS,
   LOG_OUTAGE_GRACE_MS,
   REQUESTS_STALL_TIMEOUT_MS,
+  ROSTER_LAG_MS,
 } from './constants.js';
 export { pickCallerEntries } from './callerEntries.js';
 export { EntryRoster } from './entryRoster.js';
--- a/packages/core/src/retry/fleetRetryBudget.ts
+++ b/packages/core/src/retry/fleetRetryBudget.ts
@@ -8,6 +8,11 @@
   readonly allowance: number;
   /** Sliding window in which both are counted, in milliseconds. */
   readonly windowMs: number;
+  /**
+   * Time after its start for which a VM uses no part of the allowance, in milliseconds. Until then the
+   * process before it, or the VMs that did not know of it yet, may have used its part of the window.
+   */
+  readonly allowanceDelayMs: number;
 }
 
 /**
@@ -28,9 +33,12 @@
 export class FleetRetryBudget {
   private readonly windows = new Map<ServiceName, RetryWindow>();
 
+  private readonly startedAtMs = performance.now();
+
+  /** @param countVms number of VMs that may be sending; undefined while this VM does not know it */
   constructor(
     private readonly limit: FleetRetryLimit,
-    private readonly countVms: () => number,
+    private readonly countVms: () => number | undefined,
   ) {}
 
   recordRequest(service: ServiceName): void {
@@ -43,9 +51,9 @@
   tryRetry(service: ServiceName): boolean {
     const window = this.getOrCreateWindow(service);
     this.prune(window);
-    const allowance = this.limit.allowance / Math.max(1, this.countVms());
+    const { ratio } = this.limit;
     const allowed =
-      (window.firstAttemptsAtMs.length * this.limit.ratio + allowance) * USED_FRACTION;
+      (window.firstAttemptsAtMs.length * ratio + this.computeAllowance()) * USED_FRACTION;
     if (window.retriesAtMs.length + 1 > allowed) return false;
     window.retriesAtMs.push(performance.now());
     return true;
@@ -58,6 +66,13 @@
     if (index >= 0) retriesAtMs.splice(index, 1);
   }
 
+  /** Computes this VM's part of the fleet's allowance; none for a VM that may not be alone with it. */
+  private computeAllowance(): number {
+    const vmCount = this.countVms();
+    const isDelayed = performance.now() - this.startedAtMs < this.limit.allowanceDelayMs;
+    return vmCount === undefined || isDelayed ? 0 : this.limit.allowance / Math.max(1, vmCount);
+  }
+
   private getOrCreateWindow(service: ServiceName): RetryWindow {
     const existing = this.windows.get(service);
     if (existing) return existing;
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -140,7 +140,12 @@
         inputBarrier: new EventLoopBarrier(),
         protocol: new TestUpstreamProtocol(),
         retryBudget: new FleetRetryBudget(
-          { ratio: bounds.retryRatio, allowance: bounds.retryAllowance, windowMs: 10_000 },
+          {
+            ratio: bounds.retryRatio,
+            allowance: bounds.retryAllowance,
+            windowMs: 10_000,
+            allowanceDelayMs: 0,
+          },
           () => 1,
         ),
         ejection: fleetState.ejection,
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -1,5 +1,5 @@
-import { FleetRetryBudget } from '@goldcrestscale/core';
-import type { ServiceName } from '@goldcrestscale/core';
+import { FleetRetryBudget, ROSTER_LAG_MS } from '@goldcrestscale/core';
+import type { EntryRoster, ServiceName } from '@goldcrestscale/core';
 import { EventLoopBarrier } from '@goldcrestscale/runtime';
 import type { PauseMonitor } from '@goldcrestscale/runtime';
 import { CONNECTION_LIMIT_FRACTION } from '../constants.js';
@@ -30,11 +30,16 @@
 
 const createRetryBudget = (
   { bounds }: GatewayOptions['settings'],
-  countVms: () => number,
+  roster: EntryRoster,
 ): FleetRetryBudget =>
   new FleetRetryBudget(
-    { ratio: bounds.retryRatio, allowance: bounds.retryAllowance, windowMs: bounds.retryWindowMs },
-    countVms,
+    {
+      ratio: bounds.retryRatio,
+      allowance: bounds.retryAllowance,
+      windowMs: bounds.retryWindowMs,
+      allowanceDelayMs: bounds.retryWindowMs + ROSTER_LAG_MS,
+    },
+    () => roster.countPossibleSenders(),
   );
 
 /** Creates the request path: the server for callers, the filter chain and the upstream chooser. */
@@ -71,7 +76,7 @@
       connections,
       inputBarrier: new EventLoopBarrier(),
       protocol: upstreamProtocol,
-      retryBudget: createRetryBudget(settings, countVms),
+      retryBudget: createRetryBudget(settings, roster),
       ejection: fleetState.ejection,
       blocks: fleetState.blocks,
       registry: fleetState.registry,
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -59,7 +59,10 @@
       getLongPollMs: () => 0,
       getPauseMs: () => HEARTBEAT_INTERVAL_MS,
       timing: ENTRY_FACT_TIMING,
-      onSnapshot: (records) => this.applyRecords(records),
+      onSnapshot: (records) => {
+        this.applyRecords(records);
+        roster.recordSnapshot();
+      },
       onRecords: (records) => {
         this.applyRecords(records, (heartbeat) =>
           options.quarantine.merge(readRefusedPatterns(heartbeat)),
