fix(coldStart): a VM that does not know its fleet sends nothing to a cold upstream

Cause: an empty list of VMs counted as "this VM alone", so each took the whole limit; the same cause as that of the retry allowance.

Change: the list is unknown until the heartbeats have been read and have settled, and without it a VM has no share. It works because only VMs that all others count divide the limit.

--- a/packages/core/src/coldStart/__tests__/coldStartBudget.spec.ts
+++ b/packages/core/src/coldStart/__tests__/coldStartBudget.spec.ts
@@ -49,6 +49,26 @@
   },
 );
 
+// Guards against VMs that start while the heartbeats can't be read, and each take the whole limit.
+test.each([1, 3, 7, 86])('%i VMs that know of nobody send nothing to a cold upstream', (size) => {
+  const fleet = makeFleet(size);
+  const peak = measurePeak(fleet, (self) =>
+    computeColdStartShare({ self, sendingVms: undefined, upstreamId: UPSTREAM, limit }),
+  );
+  expect(peak).toBe(0);
+});
+
+test('a VM that knows that it is alone takes the whole limit', () => {
+  const [self] = makeFleet(1);
+  const share = computeColdStartShare({
+    self: self!,
+    sendingVms: [],
+    upstreamId: UPSTREAM,
+    limit,
+  });
+  expect(share.requestsPerSecond).toBeGreaterThan(limit.requestsPerSecond / 2);
+});
+
 test('giving every VM the full rate exceeds the limit', () => {
   const naive: ColdStartShare = { burst: 1, requestsPerSecond: limit.requestsPerSecond };
   const peak = measurePeak(makeFleet(7), () => naive);
--- a/packages/core/src/coldStart/coldStartBudget.ts
+++ b/packages/core/src/coldStart/coldStartBudget.ts
@@ -16,8 +16,11 @@
 /** Inputs for the cold-start share of a VM. */
 export interface ColdStartShareInput {
   readonly self: VmId;
-  /** All VMs that may send requests, including those that failed recently. */
-  readonly sendingVms: readonly VmId[];
+  /**
+   * All VMs that may send requests, including those that failed recently; undefined while this VM may
+   * not know of all.
+   */
+  readonly sendingVms: readonly VmId[] | undefined;
   readonly upstreamId: UpstreamId;
   readonly limit: ColdStartLimit;
 }
@@ -44,6 +47,7 @@
  */
 export const computeColdStartShare = (input: ColdStartShareInput): ColdStartShare => {
   const { limit, sendingVms, self, upstreamId } = input;
+  if (!sendingVms) return NO_SHARE;
   const usableRequestsPerSecond =
     (limit.requestsPerSecond * limit.rateFactor + limit.extraRequests) * USED_FRACTION;
   const senderCount = Math.min(
--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -103,14 +103,14 @@
     return new Set(recent.flatMap(({ upstreamIds }) => upstreamIds));
   }
 
-  /** Lists all VMs that may still be sending requests, for limits that must not be exceeded. */
+  /** Lists the VMs heard of that may still be sending requests. */
   listPossibleSenders(): readonly VmId[] {
     return this.listSeenWithin(ENTRY_SENDER_TIMEOUT_MS).map(({ vmId }) => vmId);
   }
 
-  /** Counts them; undefined while this VM may not know of all VMs, for limits that are divided. */
-  countPossibleSenders(): number | undefined {
-    return this.isSettled ? Math.max(1, this.listPossibleSenders().length) : undefined;
+  /** The same, for limits that must not be exceeded; undefined while this VM may not know of all. */
+  findAllSenders(): readonly VmId[] | undefined {
+    return this.isSettled ? this.listPossibleSenders() : undefined;
   }
 
   private get isSettled(): boolean {
--- a/packages/core/src/retry/__tests__/fleetRetryBudget.spec.ts
+++ b/packages/core/src/retry/__tests__/fleetRetryBudget.spec.ts
@@ -58,8 +58,9 @@
 type CreateBudget = (roster: EntryRoster) => FleetRetryBudget;
 
 const createBudget: CreateBudget = (roster) =>
-  new FleetRetryBudget({ ...limit, allowanceDelayMs: limit.windowMs + ROSTER_LAG_MS }, () =>
-    roster.countPossibleSenders(),
+  new FleetRetryBudget(
+    { ...limit, allowanceDelayMs: limit.windowMs + ROSTER_LAG_MS },
+    () => roster.findAllSenders()?.length,
   );
 
 /** Takes whom it has heard of for the whole fleet, from its first moment on. */
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -39,7 +39,7 @@
       windowMs: bounds.retryWindowMs,
       allowanceDelayMs: bounds.retryWindowMs + ROSTER_LAG_MS,
     },
-    () => roster.countPossibleSenders(),
+    () => roster.findAllSenders()?.length,
   );
 
 /** Creates the request path: the server for callers, the filter chain and the upstream chooser. */
--- a/packages/gateway/src/dispatch/coldStartLimits.ts
+++ b/packages/gateway/src/dispatch/coldStartLimits.ts
@@ -42,7 +42,7 @@
     if (!service || service.coldRequestsPerSecond <= 0) return undefined;
     return computeColdStartShare({
       self,
-      sendingVms: roster.listPossibleSenders(),
+      sendingVms: roster.findAllSenders(),
       upstreamId: upstream.upstreamId,
       limit: {
         requestsPerSecond: service.coldRequestsPerSecond,
