--- a/packages/core/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/core/src/fleet/__tests__/fleet.spec.ts
@@ -130,6 +130,33 @@
   expect(roster.listPossibleSenders()).toEqual(['a', 'b', 'c']);
 });
 
+// Guards against a snapshot that makes each VM that ever wrote a heartbeat look alive.
+test('a snapshot of the heartbeats brings no lost VM back', () => {
+  const roster = new EntryRoster();
+  roster.recordSnapshot([makeHeartbeat('a'), makeHeartbeat('lost')]);
+  expect(roster.listLive().map(({ vmId }) => vmId)).toEqual(['a', 'lost']);
+  for (let count = 0; count < 10; count += 1) {
+    vi.advanceTimersByTime(1_400);
+    roster.recordHeartbeat(makeHeartbeat('a'));
+  }
+  roster.recordSnapshot([makeHeartbeat('a'), makeHeartbeat('lost'), makeHeartbeat('unheard')]);
+  expect(roster.listLive().map(({ vmId }) => vmId)).toEqual(['a']);
+  expect(roster.listPossibleSenders()).toEqual(['a', 'unheard']);
+  roster.recordHeartbeat(makeHeartbeat('unheard'));
+  expect(roster.listLive().map(({ vmId }) => vmId)).toEqual(['a', 'unheard']);
+});
+
+// Guards against lost VMs that a VM which starts names for longer than it takes to hear from the others.
+test('a VM of the first snapshot that writes no heartbeat is soon not live', () => {
+  const roster = new EntryRoster();
+  roster.recordSnapshot([makeHeartbeat('lost')]);
+  vi.advanceTimersByTime(2_000);
+  expect(roster.listLive()).toEqual([]);
+  expect(roster.findAllSenders()).toBeUndefined();
+  vi.advanceTimersByTime(1_000);
+  expect(roster.findAllSenders()).toEqual(['lost']);
+});
+
 test('missing heartbeats during a log outage do not count', () => {
   const roster = new EntryRoster();
   roster.recordHeartbeat(makeHeartbeat('a'));
--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -34,6 +34,9 @@
  */
 export const ROSTER_SETTLE_MS = 2_800;
 
+/** Age that a heartbeat of the first snapshot is taken to have, in milliseconds: one interval. */
+export const SNAPSHOT_HEARTBEAT_AGE_MS = 1_400;
+
 /** Longest time until the other VMs know of one that has started, in milliseconds. */
 export const ROSTER_LAG_MS = 5_000;
 
--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -4,6 +4,7 @@
   ENTRY_HEARTBEAT_TIMEOUT_MS,
   LOADING_REPORT_TTL_MS,
   ROSTER_SETTLE_MS,
+  SNAPSHOT_HEARTBEAT_AGE_MS,
 } from './constants.js';
 
 /** Heartbeat that an entry VM writes to the log. */
@@ -48,9 +49,20 @@
 
   private firstSnapshotAtMs: number | undefined;
 
-  /** Records that the newest heartbeats of all VMs have been read. */
-  recordSnapshot(): void {
+  /**
+   * Records the newest heartbeat of each VM that ever wrote one. It may have been written long ago, so
+   * that it is no sign of life of a VM that is known.
+   */
+  recordSnapshot(heartbeats: readonly EntryHeartbeat[]): void {
+    // At the start, all VMs may be alive; each of them writes again within one interval.
+    const isFirst = this.firstSnapshotAtMs === undefined;
     this.firstSnapshotAtMs ??= performance.now();
+    const assumedAgeMs = isFirst ? SNAPSHOT_HEARTBEAT_AGE_MS : ENTRY_HEARTBEAT_TIMEOUT_MS;
+    const lastSeenAtMs = this.readOutageAdjustedMs() - assumedAgeMs;
+    heartbeats.forEach((heartbeat) => {
+      if (this.entries.has(heartbeat.vmId)) return;
+      this.entries.set(heartbeat.vmId, { heartbeat, lastSeenAtMs });
+    });
   }
 
   recordLogOutage(): void {
--- a/packages/core/src/retry/__tests__/fleetRetryBudget.spec.ts
+++ b/packages/core/src/retry/__tests__/fleetRetryBudget.spec.ts
@@ -100,8 +100,8 @@
       });
     vms.forEach(({ budget, roster, seesFrom }) => {
       if (step >= seesFrom && (step - seesFrom) % HEARTBEAT_STEPS === 0) {
+        roster.recordSnapshot([]);
         vms.forEach((_, vm) => roster.recordHeartbeat(makeHeartbeat(vm)));
-        roster.recordSnapshot();
       }
       budget.recordRequest(SERVICE);
       sentAtMs.push(performance.now());
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -59,14 +59,12 @@
       getLongPollMs: () => 0,
       getPauseMs: () => HEARTBEAT_INTERVAL_MS,
       timing: ENTRY_FACT_TIMING,
-      onSnapshot: (records) => {
-        this.applyRecords(records);
-        roster.recordSnapshot();
-      },
+      onSnapshot: (records) => roster.recordSnapshot(this.decode(records)),
       onRecords: (records) => {
-        this.applyRecords(records, (heartbeat) =>
-          options.quarantine.merge(readRefusedPatterns(heartbeat)),
-        );
+        this.decode(records).forEach((heartbeat) => {
+          roster.recordHeartbeat(heartbeat);
+          options.quarantine.merge(readRefusedPatterns(heartbeat));
+        });
       },
       onRecovery: () => roster.recordLogRecovery(),
       onOutage: () => roster.recordLogOutage(),
@@ -140,17 +138,14 @@
     };
   }
 
-  private applyRecords(
-    records: readonly KeyedRecord[],
-    onHeartbeat: (heartbeat: EntryHeartbeat) => void = () => undefined,
-  ): void {
-    const { roster, faults } = this.options;
-    applyRecords('entries', records, faults, (record) => {
+  /** @returns the heartbeats of the valid records */
+  private decode(records: readonly KeyedRecord[]): readonly EntryHeartbeat[] {
+    return applyRecords('entries', records, this.options.faults, (record) => {
       const heartbeat = this.decoder.decode(record);
-      if (heartbeat) {
-        roster.recordHeartbeat(heartbeat);
-        onHeartbeat(heartbeat);
-      } else this.recordLog.log('ignoring invalid heartbeat record', { key: record.key });
+      if (!heartbeat) {
+        this.recordLog.log('ignoring invalid heartbeat record', { key: record.key });
+      }
+      return heartbeat;
     });
   }
 }
