--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -1,11 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
-import { PeerLoads, UpstreamRegistry, readClocks, toId } from '@goldcrestscale/core';
-import type {
-  AvailabilityZoneId,
-  RegistryChange,
-  ServiceName,
-  UpstreamId,
-} from '@goldcrestscale/core';
+import { PeerLoads, UpstreamRegistry, readClocks } from '@goldcrestscale/core';
+import type { RegistryChange } from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
 import { resolveGatewaySettings } from '../config.js';
 import { Shutdown } from '../controllers/shutdown.js';
@@ -13,6 +8,7 @@
 import { GatewayUpstreamsController } from '../controllers/upstreamsController.js';
 import { RequestLog } from '../requestLog.js';
 import { createTestFaults } from './testFaults.js';
+import { buildTestUpstream } from './testUpstream.js';
 import { LogTrimmedError, RecordCodec, SharedLog } from '../ports/index.js';
 import type { AppendedRecord, KeyedRecord, LogBatch, LogSnapshot } from '../ports/index.js';
 
@@ -35,21 +31,7 @@
 
   override decodeRegistryChange({ key }: KeyedRecord): RegistryChange {
     if (key === 'fault') throw new RangeError('fault of the test codec');
-    return {
-      kind: 'present',
-      upstream: {
-        upstreamId: toId<UpstreamId>(key),
-        service: toId<ServiceName>('service'),
-        address: '127.0.0.1:1',
-        availabilityZone: toId<AvailabilityZoneId>('z1'),
-        slots: 8,
-        draining: false,
-        coldRemainingMs: 0,
-        weights: [],
-        heartbeat: 1,
-        startedAtMs: 1,
-      },
-    };
+    return { kind: 'present', upstream: buildTestUpstream(key) };
   }
 }
 
--- a/packages/gateway/src/__tests__/invalidResponses.spec.ts
+++ b/packages/gateway/src/__tests__/invalidResponses.spec.ts
@@ -10,23 +10,23 @@
 
 const isValidStatus = (status: number): boolean => status >= MIN_STATUS && status <= MAX_STATUS;
 
-const respondSoundly = ({ id, socket }: TestRequest): void => {
-  socket.write(buildResponse(200, { 'x-id': id, 'x-sig': 's' }, 'sound'));
+const respondValidly = ({ id, socket }: TestRequest): void => {
+  socket.write(buildResponse(200, { 'x-id': id, 'x-sig': 's' }, 'valid'));
 };
 
 /** The head of a response with a status line that is sent as it is. */
 const buildRawResponse = (statusLine: string, lines: readonly string[], body: string): string =>
   [statusLine, ...lines, `content-length: ${Buffer.byteLength(body)}`, '', body].join('\r\n');
 
-/** Starts a gateway with one upstream, which answers every path with `/odd` as told. */
-const startWithOddUpstream = (
+/** Starts a gateway with one upstream, which answers every path with `/invalid` as told. */
+const startWithInvalidUpstream = (
   respond: (request: TestRequest) => void,
   route: { readonly streaming?: boolean; readonly idempotent?: boolean } = {},
 ) =>
   startGateway({
     route: { idempotent: false, maxUpstreams: 1, ...route },
     upstreams: [
-      (request) => (request.head.includes('/odd') ? respond(request) : respondSoundly(request)),
+      (request) => (request.head.includes('/invalid') ? respond(request) : respondValidly(request)),
     ],
   });
 
@@ -37,22 +37,22 @@
   let status = 0;
   const respond = ({ id, socket }: TestRequest): void => {
     const lines = [`x-id: ${id}`, 'x-sig: s'];
-    socket.write(buildRawResponse(`HTTP/1.1 ${formatStatus(status)} Odd`, lines, 'no'));
+    socket.write(buildRawResponse(`HTTP/1.1 ${formatStatus(status)} Unknown`, lines, 'no'));
   };
-  const plain = await startWithOddUpstream(respond);
-  const stream = await startWithOddUpstream(respond, { streaming: true });
+  const plain = await startWithInvalidUpstream(respond);
+  const stream = await startWithInvalidUpstream(respond, { streaming: true });
   const anyStatus = fc.oneof(fc.integer({ min: 0, max: 99 }), fc.integer({ min: 0, max: 999 }));
   await fc.assert(
     fc.asyncProperty(anyStatus, fc.boolean(), async (nextStatus, isStream) => {
       status = nextStatus;
       const gateway = isStream ? stream : plain;
-      const reply = await gateway.call({ path: '/a/odd', headers: { 'x-wait': '300' } });
+      const reply = await gateway.call({ path: '/a/invalid', headers: { 'x-wait': '300' } });
       if (!isValidStatus(status)) expect([502, 504]).toContain(reply.status);
       else if (reply.isWhole && status !== MISDIRECTED_STATUS)
         expect([status, 502]).toContain(reply.status);
       // The upstream has not run the request, and there is no other one.
       else if (reply.isWhole) expect(reply.status).toBe(503);
-      expect((await gateway.call()).body).toBe('sound');
+      expect((await gateway.call()).body).toBe('valid');
     }),
     {
       numRuns: 150,
@@ -74,29 +74,29 @@
 // Guards against a header that Node.js refuses to send on: what it throws ends one exchange, not the VM.
 test.each([
   ['trailer', 'Trailer: x-after'],
-  ['second length', 'x-odd: 1\r\nContent-Length: 2'],
-  ['latin-1 text', 'x-odd: \u00e9\u00ff'],
-  ['empty value', 'x-odd:'],
+  ['second length', 'x-unusual: 1\r\nContent-Length: 2'],
+  ['latin-1 text', 'x-unusual: \u00e9\u00ff'],
+  ['empty value', 'x-unusual:'],
   ['connection option', 'Connection: x-sig, x-id'],
-])('a response with an odd header (%s) leaves other requests alone', async (_, line) => {
-  const gateway = await startWithOddUpstream(({ id, socket }) => {
+])('a response with an unusual header (%s) leaves other requests alone', async (_, line) => {
+  const gateway = await startWithInvalidUpstream(({ id, socket }) => {
     const lines = [`x-id: ${id}`, 'x-sig: s', line];
     socket.write(Buffer.from(buildRawResponse('HTTP/1.1 200 OK', lines, 'no'), 'latin1'));
   });
   const slow = gateway.call({ path: '/a/slow' });
-  await gateway.call({ path: '/a/odd', headers: { 'x-wait': '300' } }).catch(() => undefined);
-  expect((await slow).body).toBe('sound');
-  expect((await gateway.call()).body).toBe('sound');
+  await gateway.call({ path: '/a/invalid', headers: { 'x-wait': '300' } }).catch(() => undefined);
+  expect((await slow).body).toBe('valid');
+  expect((await gateway.call()).body).toBe('valid');
 });
 
 // Guards against a fault in the code that handles a response: it ends that exchange and is counted.
 test('a fault in the handling of a response ends its exchange alone', async () => {
-  const gateway = await startWithOddUpstream(({ id, socket }) => {
+  const gateway = await startWithInvalidUpstream(({ id, socket }) => {
     socket.write(buildResponse(200, { 'x-id': id, 'x-sig': 's', 'x-fault': '1' }, 'no'));
   });
-  const reply = await gateway.call({ path: '/a/odd', headers: { 'x-wait': '1000' } });
+  const reply = await gateway.call({ path: '/a/invalid', headers: { 'x-wait': '1000' } });
   expect(reply.status).toBe(502);
-  expect((await gateway.call()).body).toBe('sound');
+  expect((await gateway.call()).body).toBe('valid');
   expect(await gateway.metrics.render()).toContain(
     'goldcrest_gateway_faults_total{part="upstream response"} 1',
   );
@@ -104,9 +104,9 @@
 
 // Guards against a fault while the head of a request is decoded, which nobody awaited.
 test('a fault in the decoding of a request ends its exchange alone', async () => {
-  const gateway = await startGateway({ upstreams: [respondSoundly] });
+  const gateway = await startGateway({ upstreams: [respondValidly] });
   await expect(gateway.call({ headers: { 'x-fault': '1' } })).rejects.toThrow();
-  expect((await gateway.call()).body).toBe('sound');
+  expect((await gateway.call()).body).toBe('valid');
   expect(await gateway.metrics.render()).toContain(
     'goldcrest_gateway_faults_total{part="caller request"} 1',
   );
--- a/packages/gateway/src/__tests__/relayedFleet.ts
+++ b/packages/gateway/src/__tests__/relayedFleet.ts
@@ -11,7 +11,6 @@
   BootId,
   OperatorChange,
   RegistryChange,
-  ServiceName,
   UpstreamId,
 } from '@goldcrestscale/core';
 import { setMaxListeners } from 'node:events';
@@ -24,6 +23,7 @@
 import type { TopicReader } from '../controllers/topicReader.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
 import { createTestFaults } from './testFaults.js';
+import { buildTestUpstream } from './testUpstream.js';
 import { RecordCodec, SharedLog } from '../ports/index.js';
 import type {
   AppendedRecord,
@@ -109,21 +109,8 @@
   }
 
   override decodeRegistryChange({ key, value }: KeyedRecord): RegistryChange {
-    return {
-      kind: 'present',
-      upstream: {
-        upstreamId: toId<UpstreamId>(key),
-        service: toId<ServiceName>('service'),
-        address: '127.0.0.1:1',
-        availabilityZone: toId<AvailabilityZoneId>('z1'),
-        slots: 8,
-        draining: value?.toString() === 'draining',
-        coldRemainingMs: 0,
-        weights: [],
-        heartbeat: 1,
-        startedAtMs: 1,
-      },
-    };
+    const draining = value?.toString() === 'draining';
+    return { kind: 'present', upstream: buildTestUpstream(key, { draining }) };
   }
 }
 
--- a/packages/gateway/src/__tests__/resumedStreams.spec.ts
+++ b/packages/gateway/src/__tests__/resumedStreams.spec.ts
@@ -17,7 +17,7 @@
 const RESET_DELAY_MS = 30;
 
 /** Text that would look like a part of a stream, or like the head of a response. */
-const ODD_BODIES = [
+const OTHER_BODIES = [
   'the server failed',
   'id: 9\ndata: the server failed\n\n',
   'HTTP/1.1 500 Internal Server Error\r\ncontent-length: 2\r\n\r\nno',
@@ -40,7 +40,7 @@
 
 const answers: readonly (readonly [string, Answer])[] = [
   ...FAILURE_STATUSES.flatMap((status) =>
-    ODD_BODIES.flatMap((body, index) => [
+    OTHER_BODIES.flatMap((body, index) => [
       [`status ${status}, body ${index}`, answerWhole(status, {}, body)] as const,
       [
         `status ${status} as a stream, body ${index}`,
@@ -48,7 +48,7 @@
       ] as const,
     ]),
   ),
-  ...ODD_BODIES.slice(0, 3).map(
+  ...OTHER_BODIES.slice(0, 3).map(
     (body, index) =>
       [
         `plain text, body ${index}`,
@@ -64,7 +64,7 @@
     () => buildResponse(200, { 'x-id': 'other', 'x-sig': 's', ...STREAM_TYPE }, EVENTS[2]!),
   ],
   ['refusal', ({ id }) => buildResponse(503, { 'x-id': id, 'x-not-run': '1' }, 'busy\n\n')],
-  ['status 000', ({ id }) => `HTTP/1.1 000 Odd\r\nx-id: ${id}\r\ncontent-length: 0\r\n\r\n`],
+  ['status 000', ({ id }) => `HTTP/1.1 000 Unknown\r\nx-id: ${id}\r\ncontent-length: 0\r\n\r\n`],
   ['no HTTP', () => 'id: 3\ndata: no head\n\n'],
   [
     'informational head and error',
--- a/packages/gateway/src/dispatch/invalidResponseError.ts
+++ b/packages/gateway/src/dispatch/invalidResponseError.ts
@@ -1,4 +1,4 @@
 import { ConnectionError } from './connectionError.js';
 
-/** An upstream sent what is no HTTP response. */
+/** An upstream sent something other than a valid response to the request. */
 export class InvalidResponseError extends ConnectionError {}
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -203,9 +203,9 @@
     const { protocol, exchange, onResponseHead } = this.options;
     const head = protocol.parseResponseHead(status, headers, rawHeaders);
     this.head = head;
-    const distrust = this.findDistrust(head, 'content-encoding' in headers);
-    if (distrust !== undefined) {
-      this.abandon(flow, new InvalidResponseError(distrust));
+    const rejectionReason = this.findRejectionReason(head, 'content-encoding' in headers);
+    if (rejectionReason !== undefined) {
+      this.abandon(flow, new InvalidResponseError(rejectionReason));
       return;
     }
     onResponseHead(head);
@@ -258,8 +258,8 @@
     return isEmpty && this.framing === 'connection' ? 'stream ended without an event' : undefined;
   }
 
-  /** Finds out why a response is not to be believed; undefined if it is the upstream's to this send. */
-  private findDistrust(head: ResponseHead, isEncoded: boolean): string | undefined {
+  /** Finds out why a response is rejected; undefined if it is the upstream's response to this send. */
+  private findRejectionReason(head: ResponseHead, isEncoded: boolean): string | undefined {
     const { requestId } = head;
     if (requestId !== undefined && requestId !== this.options.exchange.head.requestId)
       return 'response is for another request';
--- a/packages/platform/src/__tests__/clients.spec.ts
+++ b/packages/platform/src/__tests__/clients.spec.ts
@@ -80,7 +80,7 @@
 
 const nest = (depth: number): unknown => JSON.parse(`${'['.repeat(depth)}${']'.repeat(depth)}`);
 
-// Guards against one odd entry of the VM list that stops all VMs from following it.
+// Guards against one invalid entry of the VM list that stops all VMs from following it.
 test.each([
   ['a port out of range', { address: 'x:99999' }],
   ['no port', { address: 'x' }],
@@ -88,10 +88,10 @@
   ['another role', { role: 'other' }],
   ['a number for an id', { vmId: 1e300 }],
   ['a deeply nested id', { vmId: nest(2_000) }],
-])('an entry of the VM list with %s hides no other one', async (_, odd) => {
+])('an entry of the VM list with %s hides no other one', async (_, invalid) => {
   const vm = { vmId: 'a', role: 'entry', address: 'x:1', availabilityZone: 'z', state: 'live' };
   const problems: string[] = [];
-  const vms = [null, { ...vm, ...odd }, vm];
+  const vms = [null, { ...vm, ...invalid }, vm];
   const url = await startServer(() => ({ status: 200, body: { vms } }));
   const list = createVmListClient(url, { onInvalidEntry: (problem) => problems.push(problem) });
   expect(await list.listVms()).toEqual([vm]);
