--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -4,13 +4,14 @@
 import { expect, onTestFinished, test, vi } from 'vitest';
 import { EntryRoster, ZoneRelays, toId } from '@goldcrestscale/core';
 import type { AvailabilityZoneId, BootId, EntryHeartbeat, VmId } from '@goldcrestscale/core';
-import { createLogger } from '@goldcrestscale/runtime';
+import { createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
 import { FeedClient } from '../mesh/feedClient.js';
 import { encodeFeedContent } from '../mesh/feedMessage.js';
 import type { FeedMessage, RelayedBatch, RelayedBlocks } from '../mesh/feedMessage.js';
 import { FeedReader } from '../mesh/feedReader.js';
 import { FeedServer } from '../mesh/feedServer.js';
 import { FeedWriter } from '../mesh/feedWriter.js';
+import { createGatewayMetrics } from '../metrics.js';
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
 
@@ -130,6 +131,8 @@
     key: relay.meshKey,
     roster,
     logger,
+    metrics: createGatewayMetrics(createMetricsRegistry()),
+    linkMbps: 1_000,
     listPositions: () => [
       { topic: 'upstreams', era: 1, position: 6, provedAgeMs: getProvedAgeMs() },
     ],
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -100,7 +100,7 @@
 
 /** Creates the components that communicate with the other VMs. */
 const createMesh = (
-  { settings, logger: baseLogger }: GatewayOptions,
+  { settings, logger: baseLogger, metrics }: GatewayOptions,
   fleetState: FleetState,
   key: string,
   { readers, entries, rollout, pauseMonitor, faults }: MeshDependencies,
@@ -130,6 +130,8 @@
   };
   const feedServer = new FeedServer({
     ...commonOptions,
+    metrics,
+    linkMbps: settings.linkMbps,
     listPositions: () =>
       Object.values(topicReaders).flatMap((reader) => reader.getOwnPosition() ?? []),
     listBlockSnapshots: () => readers.stores.listSnapshots(),
--- a/packages/gateway/src/config.ts
+++ b/packages/gateway/src/config.ts
@@ -97,6 +97,8 @@
   readonly isFirstStart: boolean;
   /** Cores times bandwidth; a capacity measure for comparing VMs. */
   readonly capacityScore: number;
+  /** Bandwidth of this VM's link, in Mbit/s. */
+  readonly linkMbps: number;
   readonly logAddress: string;
   readonly leaseMs: number;
   readonly bounds: FleetBounds;
@@ -140,6 +142,7 @@
     ),
     isFirstStart: parsed.data.firstStart ?? false,
     capacityScore: machine.cores * machine.coreShare * machine.linkMbps,
+    linkMbps: machine.linkMbps,
     listen: { ...listen, metrics: listen.metrics },
     logAddress: log.address,
     leaseMs: log.leaseMs,
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -8,6 +8,7 @@
   FOLLOWER_TIMEOUT_MS,
   MAX_FOLLOWER_BACKLOG_BYTES,
 } from '../constants.js';
+import type { GatewayMetrics } from '../metrics.js';
 import type { KeyedRecord } from '../ports/index.js';
 import { splitAddress } from '../socketAddress.js';
 import type { FrameAuth } from './feedFrame.js';
@@ -24,6 +25,9 @@
   readonly key: string;
   readonly roster: EntryRoster;
   readonly logger: Logger;
+  readonly metrics: Pick<GatewayMetrics, 'setFollowers' | 'countFeedBytes'>;
+  /** Bandwidth of this VM's link, in Mbit/s. */
+  readonly linkMbps: number;
   /** Lists the positions of the topics that this VM reads from the log itself. */
   readonly listPositions: () => readonly RelayedPosition[];
   /** Lists the contents of the block stores that this VM reads itself. */
@@ -49,6 +53,11 @@
 
   private flushTimer: NodeJS.Timeout | undefined;
 
+  /** Bytes sent since the first follower connected. */
+  private sentBytes = 0;
+
+  private relayingSinceMs: number | undefined;
+
   constructor(private readonly options: FeedServerOptions) {}
 
   async start(signal: AbortSignal): Promise<void> {
@@ -105,7 +114,25 @@
     socket.on('error', (error) => {
       this.options.logger.info('follower connection failed', { error: String(error) });
     });
-    socket.on('close', () => this.followers.delete(socket));
+    socket.on('close', () => {
+      if (this.followers.delete(socket)) this.recordFollowers();
+    });
+  }
+
+  /** Logs when this VM begins to relay, and when its last follower has left. */
+  private recordFollowers(): void {
+    const { logger, metrics, linkMbps } = this.options;
+    const count = this.followers.size;
+    metrics.setFollowers(count);
+    if (count > 0 && this.relayingSinceMs === undefined) {
+      this.relayingSinceMs = performance.now();
+      this.sentBytes = 0;
+      logger.info('first follower connected', { linkMbps });
+    } else if (count === 0 && this.relayingSinceMs !== undefined) {
+      const durationMs = Math.round(performance.now() - this.relayingSinceMs);
+      this.relayingSinceMs = undefined;
+      logger.info('last follower left', { durationMs, sentBytes: this.sentBytes, linkMbps });
+    }
   }
 
   private findSenderAuth(first: FeedMessage): FrameAuth | undefined {
@@ -129,6 +156,7 @@
       // The pending changes are part of the snapshots that the new follower gets.
       this.flush();
       this.followers.set(socket, newFollower);
+      this.recordFollowers();
       this.options
         .listBlockSnapshots()
         .forEach((blocks) => this.send(newFollower, encodeFeedContent({ kind: 'blocks', blocks })));
@@ -149,6 +177,9 @@
       socket.destroy();
       return;
     }
-    socket.write(writer.encode(content));
+    const frame = writer.encode(content);
+    this.sentBytes += frame.length;
+    this.options.metrics.countFeedBytes(frame.length);
+    socket.write(frame);
   }
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -25,6 +25,10 @@
   setAnnouncedRate(upstreamId: string, requestsPerSecond: number | undefined): void;
   /** Counts a request that this VM sends to an upstream with a rate limit. */
   countLimitedSend(upstreamId: string): void;
+  /** Sets the number of VMs that follow this one as their relay. */
+  setFollowers(count: number): void;
+  /** Counts bytes that this VM passed to the connections of its followers. */
+  countFeedBytes(bytes: number): void;
   render(): Promise<string>;
 }
 
@@ -79,6 +83,23 @@
   };
 };
 
+const createFeedMetrics = (
+  metrics: MetricsRegistry,
+): Pick<GatewayMetrics, 'setFollowers' | 'countFeedBytes'> => {
+  const followers = metrics.createGauge({
+    name: 'goldcrest_gateway_followers',
+    help: 'VMs that follow this one as their relay.',
+  });
+  const feedBytes = metrics.createCounter({
+    name: 'goldcrest_gateway_feed_bytes_total',
+    help: 'Bytes that this VM passed to the connections of its followers.',
+  });
+  return {
+    setFollowers: (count) => followers.set(count),
+    countFeedBytes: (bytes) => feedBytes.inc(bytes),
+  };
+};
+
 const createFaultMetrics = (
   metrics: MetricsRegistry,
 ): Pick<GatewayMetrics, 'countInvalidResponse' | 'countFault'> => {
@@ -140,6 +161,7 @@
     observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
     countConnection: () => connections.inc(),
     ...createFaultMetrics(metrics),
+    ...createFeedMetrics(metrics),
     ...createPresenceMetrics(metrics),
     ...createRateMetrics(metrics),
     render: () => metrics.render(),
