test(mesh): a relay fills its link, and what waits there is sent for departed callers

Twenty followers that connect at once to a relay with a link of 7 Mbit/s are sent 6.13 MB in 1.5 s (bound 0.88 MB, half of the link); a zone whose large VMs are lost takes small ones as relays; a request whose caller leaves ends with a regular close, behind which its bytes are still sent.

--- a/packages/core/src/fleet/__tests__/zoneRelays.spec.ts
+++ b/packages/core/src/fleet/__tests__/zoneRelays.spec.ts
@@ -90,6 +90,46 @@
   expect(relays.listOwnZone()[0]!.vmId).toBe(second);
 });
 
+/** Zones of 28 VMs with small links and two with large ones; those of z2 are lost. */
+const fillMixedRoster = (): EntryRoster => {
+  const roster = new EntryRoster();
+  ZONES.forEach((zone) => {
+    for (let index = zone === 'z2' ? 2 : 0; index < 30; index += 1) {
+      const isLarge = index < 2;
+      roster.recordHeartbeat(
+        makeHeartbeat(`${zone}-${index}`, {
+          availabilityZone: toZone(zone),
+          size: isLarge ? 189 : 2.3,
+          linkMbps: isLarge ? 140 : 7,
+        }),
+      );
+    }
+  });
+  return roster;
+};
+
+// Guards against a small VM that becomes the relay of a zone and whose requests then wait behind what it relays.
+test('a zone that lost its large VMs is relayed by those of another zone', () => {
+  const roster = fillMixedRoster();
+  const views = ZONES.map((zone) => createRelays(roster, `${zone}-5`, zone));
+  views.forEach((view) => {
+    expect(view.listOwnZone().map(({ linkMbps }) => linkMbps)).toEqual([140, 140]);
+    expect(view.listOwnFeed()).toEqual(view.listOwnZone());
+    expect(view.listAllZones()).toHaveLength(4);
+  });
+  expect(createRelays(roster, 'z2-5', 'z2').listOtherZones()).toHaveLength(2);
+});
+
+// Guards against no relays at all where every VM has a small link.
+test('a fleet of small links has relays in each zone', () => {
+  const roster = new EntryRoster();
+  for (let index = 0; index < 60; index += 1) {
+    const availabilityZone = toZone(ZONES[index % ZONES.length]!);
+    roster.recordHeartbeat(makeHeartbeat(`vm-${index}`, { availabilityZone, linkMbps: 7 }));
+  }
+  expect(createRelays(roster).listAllZones()).toHaveLength(6);
+});
+
 test('callers get the VMs of their own zone if there are enough', () => {
   const serving = fillRoster(90).listServing();
   expect(pickCallerEntries(serving, 'z2')).toHaveLength(30);
--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -22,6 +22,8 @@
   readonly leaving: boolean;
   /** Relative CPU and network capacity, without a unit; larger VMs are preferred as relays. */
   readonly size: number;
+  /** Bandwidth of its link, in Mbit/s; undefined if its version does not tell. */
+  readonly linkMbps?: number | undefined;
 }
 
 interface EntryRecord {
--- a/packages/gateway/src/__tests__/departedCallers.spec.ts
+++ b/packages/gateway/src/__tests__/departedCallers.spec.ts
@@ -216,6 +216,21 @@
   },
 );
 
+// Guards against requests that leave the VM after their callers have left, because its link was full.
+test.each(DEPARTURES)('%s resets the connection to the upstream', async (departure) => {
+  const { port, upstreams } = await startGateway({ route: ROUTE, upstreams: [ignore] });
+  const { received } = upstreams[0]!;
+  const caller = await openCaller(port);
+  caller.write(buildRequest('departed'));
+  await vi.waitFor(() => expect(received).toHaveLength(1));
+  const endings: string[] = [];
+  const { socket } = received[0]!;
+  socket.once('error', (error) => endings.push((error as NodeJS.ErrnoException).code ?? ''));
+  socket.once('end', () => endings.push('end'));
+  leave(caller, departure);
+  await vi.waitFor(() => expect(endings).toEqual(['ECONNRESET']));
+});
+
 // Guards against upstreams that work on for a request behind another one.
 test.each(DEPARTURES)('%s ends requests behind an unanswered one', async (departure) => {
   const { port, upstreams } = await startGateway({ route: ROUTE, upstreams: [ignore] });
