fix(mesh): a VM whose link can't carry a group is no relay of it

When the log turned both large VMs of a zone away, a VM with a link of 7 Mbit/s became its relay and had to send 3 MB/s; its requests, and the closes of their connections, queued behind that for seconds, and after its followers had left it the next small VM met the same.

Heartbeats tell the bandwidth now, and a relay needs 1.5 Mbit/s for each VM of its group. A zone without such a VM joins the group of another zone that can carry it; where none can, its largest VMs relay as before. The group replaces the zone in the aggregation of load, too.

--- a/packages/core/src/fleet/__tests__/zoneRelays.spec.ts
+++ b/packages/core/src/fleet/__tests__/zoneRelays.spec.ts
@@ -64,11 +64,11 @@
   const views = [0, 1, 2, 44].map((index) =>
     createRelays(roster, `vm-${index}`, ZONES[index % ZONES.length]),
   );
-  const all = views.map((view) => view.listAllZones().map(({ vmId }) => vmId));
+  const all = views.map((view) => view.listAllGroups().map(({ vmId }) => vmId));
   expect(new Set(all.map((one) => one.join()))).toHaveProperty('size', 1);
   expect(all[0]).toHaveLength(6);
-  expect(views[0]!.listOwnZone()[0]!.vmId).toBe('vm-33');
-  expect(views[0]!.listOtherZones().map(({ availabilityZone }) => availabilityZone)).not.toContain(
+  expect(views[0]!.listOwnGroup()[0]!.vmId).toBe('vm-33');
+  expect(views[0]!.listOtherGroups().map(({ availabilityZone }) => availabilityZone)).not.toContain(
     'z1',
   );
 });
@@ -76,7 +76,7 @@
 test('a relay that stops sending heartbeats is replaced', () => {
   const roster = fillRoster(30);
   const relays = createRelays(roster);
-  const [first, second] = relays.listOwnZone().map(({ vmId }) => vmId);
+  const [first, second] = relays.listOwnGroup().map(({ vmId }) => vmId);
   vi.advanceTimersByTime(3_000);
   for (let index = 0; index < 30; index += 1) {
     const vmId = `vm-${index}`;
@@ -87,7 +87,7 @@
     }
   }
   vi.advanceTimersByTime(1_000);
-  expect(relays.listOwnZone()[0]!.vmId).toBe(second);
+  expect(relays.listOwnGroup()[0]!.vmId).toBe(second);
 });
 
 /** Zones of 28 VMs with small links and two with large ones; those of z2 are lost. */
@@ -113,11 +113,11 @@
   const roster = fillMixedRoster();
   const views = ZONES.map((zone) => createRelays(roster, `${zone}-5`, zone));
   views.forEach((view) => {
-    expect(view.listOwnZone().map(({ linkMbps }) => linkMbps)).toEqual([140, 140]);
-    expect(view.listOwnFeed()).toEqual(view.listOwnZone());
-    expect(view.listAllZones()).toHaveLength(4);
+    expect(view.listOwnGroup().map(({ linkMbps }) => linkMbps)).toEqual([140, 140]);
+    expect(view.listOwnFeed()).toEqual(view.listOwnGroup());
+    expect(view.listAllGroups()).toHaveLength(4);
   });
-  expect(createRelays(roster, 'z2-5', 'z2').listOtherZones()).toHaveLength(2);
+  expect(createRelays(roster, 'z2-5', 'z2').listOtherGroups()).toHaveLength(2);
 });
 
 // Guards against no relays at all where every VM has a small link.
@@ -127,7 +127,7 @@
     const availabilityZone = toZone(ZONES[index % ZONES.length]!);
     roster.recordHeartbeat(makeHeartbeat(`vm-${index}`, { availabilityZone, linkMbps: 7 }));
   }
-  expect(createRelays(roster).listAllZones()).toHaveLength(6);
+  expect(createRelays(roster).listAllGroups()).toHaveLength(6);
 });
 
 test('callers get the VMs of their own zone if there are enough', () => {
--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -79,5 +79,11 @@
 /** Number of relays per group; the second takes over if the first stops sending. */
 export const RELAYS_PER_GROUP = 2;
 
+/**
+ * Bandwidth that a relay needs for each VM of its group, in Mbit/s. Half of it is left to the
+ * relay's own requests.
+ */
+export const RELAY_LINK_MBPS_PER_VM = 1.5;
+
 /** Time for which the selection of relays is cached, in milliseconds. */
 export const RELAY_SELECTION_TTL_MS = 300;
--- a/packages/gateway/src/__tests__/gossipRelay.spec.ts
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -94,7 +94,6 @@
   });
   const gossip = new Gossip({
     self: entry.vmId,
-    zone: entry.availabilityZone,
     address: entry.meshAddress,
     key: entry.meshKey,
     roster,
@@ -115,17 +114,27 @@
   return { sumPeers, quarantine, announcedRates, rateLimits, gossip };
 };
 
-/** Starts two relays of one zone, another VM of it, and the relay of a second zone. */
-const startRelayedFleet = async () => {
+/**
+ * Starts two relays of one zone, another VM of it, and the relay of a second zone.
+ *
+ * @param linkMbps bandwidth of the VMs of the first zone
+ */
+const startRelayedFleet = async (linkMbps = 1_000) => {
   const abortController = new AbortController();
   onTestFinished(() => abortController.abort());
   const ports = await Promise.all(Array.from({ length: 4 }, () => findPort()));
-  const relay = makeEntry('relay', 'z1', 9, ports[0]!);
-  const second = makeEntry('second', 'z1', 8, ports[1]!);
-  const member = makeEntry('member', 'z1', 1, ports[2]!);
+  const makeFirstZoneEntry = (name: string, size: number, port: number): EntryHeartbeat => ({
+    ...makeEntry(name, 'z1', size, port),
+    linkMbps,
+  });
+  const relay = makeFirstZoneEntry('relay', 9, ports[0]!);
+  const second = makeFirstZoneEntry('second', 8, ports[1]!);
+  const member = makeFirstZoneEntry('member', 1, ports[2]!);
   const foreign = makeEntry('foreign', 'z2', 9, ports[3]!);
   const silent = Array.from({ length: 20 }, (_, index) =>
-    makeEntry(`silent-${index}`, index % 2 === 0 ? 'z1' : 'z2', 1, 9),
+    index % 2 === 0
+      ? makeFirstZoneEntry(`silent-${index}`, 1, 9)
+      : makeEntry(`silent-${index}`, 'z2', 1, 9),
   );
   const entries = [relay, second, member, foreign, ...silent];
   return Promise.all(
@@ -135,14 +144,18 @@
   );
 };
 
-test('relays the in-flight requests of all other VMs to each VM, without its own', async () => {
-  const vms = await startRelayedFleet();
-  // The VMs have 1, 2, 3 and 4 requests in flight, 10 in total; each VM sees those of the others.
-  await vi.waitFor(() => expect(vms.map(({ sumPeers }) => sumPeers())).toEqual([9, 8, 7, 6]), {
-    timeout: 5_000,
-    interval: 50,
-  });
-});
+// Guards also against a zone whose VMs can't relay and that is left out.
+test.each([1_000, 7])(
+  'relays the load of the other VMs to each VM (%i Mbit/s)',
+  async (linkMbps) => {
+    const vms = await startRelayedFleet(linkMbps);
+    // The VMs have 1, 2, 3 and 4 requests in flight, 10 in total; each VM sees those of the others.
+    await vi.waitFor(() => expect(vms.map(({ sumPeers }) => sumPeers())).toEqual([9, 8, 7, 6]), {
+      timeout: 5_000,
+      interval: 50,
+    });
+  },
+);
 
 // Guards against a VM behind a relay that keeps sending prompts which crash engines elsewhere.
 test('relays a crashing prompt part to each VM', async () => {
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -119,7 +119,6 @@
   const gossip = new Gossip({
     ...fleetState,
     ...commonOptions,
-    zone: settings.availabilityZone,
     listLoading: () => rollout.listLoading(),
     hasReadFor: (durationMs) => pauseMonitor.hasReadFor(durationMs),
   });
--- a/packages/gateway/src/controllers/__tests__/heartbeatRecord.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/heartbeatRecord.spec.ts
@@ -39,6 +39,8 @@
   ['meshAddress', '10.0.0.1:65536'],
   ['meshAddress', 'a b:80'],
   ['size', -1],
+  ['linkMbps', 0],
+  ['linkMbps', '140'],
 ])('a heartbeat whose %s is %j is ignored', (name, value) => {
   const record = { ...heartbeat, [name]: value };
   const bytes = Buffer.from(JSON.stringify(record));
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -135,6 +135,7 @@
       meshKey,
       leaving: this.isLeaving,
       size: settings.capacityScore,
+      linkMbps: settings.linkMbps,
     };
   }
 
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -37,7 +37,9 @@
     typeof fields.meshKey === 'string' &&
     typeof fields.leaving === 'boolean' &&
     typeof fields.size === 'number' &&
-    fields.size >= 0
+    fields.size >= 0 &&
+    // VMs of an earlier version don't tell their bandwidth.
+    (fields.linkMbps === undefined || (typeof fields.linkMbps === 'number' && fields.linkMbps > 0))
   );
 };
 
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -1,6 +1,5 @@
 import type {
   AnnouncedRates,
-  AvailabilityZoneId,
   EntryHeartbeat,
   EntryRoster,
   FleetRateLimits,
@@ -36,7 +35,6 @@
 /** Dependencies of the gossip protocol. */
 export interface GossipOptions {
   readonly self: VmId;
-  readonly zone: AvailabilityZoneId;
   /** HOST:PORT of this VM. */
   readonly address: string;
   /** Key that authenticates this VM's messages; other VMs learn it from its heartbeat in the log. */
@@ -61,7 +59,7 @@
 
 /**
  * Gossips this VM's load to the other entry VMs. In a small fleet, every VM sends to every other; in
- * a large one, a relay aggregates the reports of each zone and sends the sums.
+ * a large one, a relay aggregates the reports of each group and sends the sums.
  */
 export class Gossip {
   private readonly socket: MeshSocket;
@@ -107,7 +105,7 @@
     });
   }
 
-  /** Whether a VM of this zone has sent a report within the last `withinMs`. */
+  /** Whether a VM of this group has sent a report within the last `withinMs`. */
   hasReportFrom(vmId: VmId, withinMs: number): boolean {
     return this.aggregator.hasReportFrom(vmId, withinMs);
   }
@@ -150,7 +148,7 @@
     rateLimits.refresh();
     const report = this.reportBuilder.build();
     if (relays.isAggregating) {
-      this.sendWithinZone(report);
+      this.sendWithinGroup(report);
       return;
     }
     // One empty message clears the figures of the previous report at the peers.
@@ -167,43 +165,45 @@
     return GOSSIP_INTERVAL_MS * Math.max(1, peerCount / GOSSIP_BASE_PEER_COUNT);
   }
 
-  /** Sends reports to the zone's relays even when they are empty, as a sign of liveness. */
-  private sendWithinZone(report: GossipMessage): void {
+  /** Sends reports to the group's relays even when they are empty, as a sign of liveness. */
+  private sendWithinGroup(report: GossipMessage): void {
     const { relays } = this.options;
     this.ownReports.push(report);
     if (this.ownReports.length > MAX_OWN_REPORTS) this.ownReports.shift();
-    this.socket.send(report, relays.listOwnZone());
+    this.socket.send(report, relays.listOwnGroup());
     const remoteAggregates = this.remoteAggregates.takeAll();
     if (!this.isActiveRelay()) {
       this.aggregator.discardSent();
       return;
     }
     const aggregate = this.aggregator.build(report, this.reportBuilder.takeNextSequence());
-    this.socket.send(aggregate, relays.listOtherZones());
-    const zoneMessage = mergeAggregates(
+    this.socket.send(aggregate, relays.listOtherGroups());
+    const groupMessage = mergeAggregates(
       aggregate,
       remoteAggregates,
       this.reportBuilder.takeNextSequence(),
     );
-    this.socket.send(zoneMessage, this.listZoneFollowers());
+    this.socket.send(groupMessage, this.listGroupFollowers());
   }
 
-  /** Whether this VM is the first relay of the zone that is alive; only that one sends aggregates. */
+  /** Whether this VM is the first relay of the group that is alive; only that one sends aggregates. */
   private isActiveRelay(): boolean {
     const { self, relays } = this.options;
     const first = relays
-      .listOwnZone()
+      .listOwnGroup()
       .find(({ vmId }) => vmId === self || this.hasReportFrom(vmId, RELAY_FAILOVER_MS));
     return first?.vmId === self;
   }
 
-  /** Lists the VMs of this zone that receive the aggregates from its relay. */
-  private listZoneFollowers(): readonly EntryHeartbeat[] {
-    const { roster, zone, relays } = this.options;
-    const own = new Set(relays.listOwnZone().map(({ vmId }) => vmId));
+  /** Lists the VMs of this group that receive the aggregates from its relay. */
+  private listGroupFollowers(): readonly EntryHeartbeat[] {
+    const { roster, relays } = this.options;
+    const own = new Set(relays.listOwnGroup().map(({ vmId }) => vmId));
     return roster
       .listLive()
-      .filter(({ availabilityZone, vmId }) => availabilityZone === zone && !own.has(vmId));
+      .filter(
+        ({ availabilityZone, vmId }) => relays.isOwnGroup(availabilityZone) && !own.has(vmId),
+      );
   }
 
   private handleRateMessage(sender: VmId, message: RateMessage): void {
@@ -236,26 +236,26 @@
   }
 
   private recordReport(message: GossipMessage): void {
-    const { peerLoads, relays, roster, zone } = this.options;
+    const { peerLoads, relays, roster } = this.options;
     peerLoads.recordReport(message.vmId, message.loads);
-    const isOfOwnZone = roster.findHeartbeat(message.vmId)?.availabilityZone === zone;
-    if (relays.isZoneRelay && isOfOwnZone) this.aggregator.add(message);
+    const senderZone = roster.findHeartbeat(message.vmId)?.availabilityZone;
+    if (relays.isGroupRelay && relays.isOwnGroup(senderZone)) this.aggregator.add(message);
   }
 
   private recordAggregate(
     message: GossipMessage,
     members: NonNullable<GossipMessage['members']>,
   ): void {
-    const { roster, zone, peerLoads, relays, self } = this.options;
+    const { roster, peerLoads, relays, self } = this.options;
     const senderZone = roster.findHeartbeat(message.vmId)?.availabilityZone;
     if (senderZone === undefined) return;
-    if (senderZone !== zone) {
+    if (!relays.isOwnGroup(senderZone)) {
       peerLoads.recordReport(senderZone, message.loads);
       this.remoteAggregates.add(senderZone, message);
       return;
     }
-    // A relay receives the individual reports of its zone.
-    if (relays.isZoneRelay) return;
+    // A relay receives the individual reports of its group.
+    if (relays.isGroupRelay) return;
     const ownSequence = members.find(({ vmId }) => vmId === self)?.sequence;
     const ownReport = this.ownReports.find(({ sequence }) => sequence === ownSequence);
     peerLoads.recordReport(
