fix(mesh): relayed data takes at most half of a relay's link

Whatever the link of a relay, the first data of followers that connect at once, and a feed that grows with the fleet's traffic, could take all of it, and requests of callers waited in the same queue.

A token bucket counts what is sent to followers. The contents of block stores are sent one store after the other as the bucket allows, built when they are sent. If the feed itself has to wait for more than 0.5 s, the newer half of the followers is dropped, and no more are taken for 10 s; they follow the next relay or read for themselves, as after any loss of a relay.

--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -136,9 +136,14 @@
     listPositions: () => [
       { topic: 'upstreams', era: 1, position: 6, provedAgeMs: getProvedAgeMs() },
     ],
-    listBlockSnapshots: () => [
-      { address: 'store', epoch: 1, isWhole: true, clockMs: undefined, changes: [] },
-    ],
+    listStores: () => ['store'],
+    findBlocks: (address) => ({
+      address,
+      epoch: 1,
+      isWhole: true,
+      clockMs: undefined,
+      changes: [],
+    }),
     isAlive: () => true,
   });
   await server.start(abortController.signal);
--- a/packages/gateway/src/__tests__/relayLink.spec.ts
+++ b/packages/gateway/src/__tests__/relayLink.spec.ts
@@ -80,7 +80,8 @@
     },
     linkMbps: LINK_MBPS,
     listPositions: () => [{ topic: 'upstreams', era: 1, position: 6, provedAgeMs: 20 }],
-    listBlockSnapshots: () => STORES.map(buildBlocks),
+    listStores: () => STORES,
+    findBlocks: buildBlocks,
     isAlive: () => true,
   });
   await server.start(abortController.signal);
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -133,7 +133,8 @@
     linkMbps: settings.linkMbps,
     listPositions: () =>
       Object.values(topicReaders).flatMap((reader) => reader.getOwnPosition() ?? []),
-    listBlockSnapshots: () => readers.stores.listSnapshots(),
+    listStores: () => readers.stores.listRead(),
+    findBlocks: (address) => readers.stores.findSnapshot(address),
     isAlive: (vmId) => gossip.hasReportFrom(vmId, FOLLOWER_TIMEOUT_MS),
   });
   const feedClient = new FeedClient({
--- a/packages/gateway/src/controllers/blockStoresController.ts
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -61,17 +61,23 @@
     changes.forEach((change) => blocks.applyChange(address, change));
   }
 
-  /** Lists the contents of all stores; empty if this VM does not read the stores directly. */
-  listSnapshots(): readonly RelayedBlocks[] {
+  /** Lists the addresses of all stores; empty if this VM does not read the stores directly. */
+  listRead(): readonly string[] {
     const { blocks, isDirectReader } = this.options;
-    if (!isDirectReader()) return [];
-    return blocks.listStores().map(({ address }) => ({
+    return isDirectReader() ? blocks.listStores().map(({ address }) => address) : [];
+  }
+
+  /** Returns the contents of a store; undefined if this VM does not read it directly. */
+  findSnapshot(address: string): RelayedBlocks | undefined {
+    if (!this.listRead().includes(address)) return undefined;
+    const { blocks } = this.options;
+    return {
       address,
       epoch: blocks.findEpoch(address),
       isWhole: true,
       clockMs: undefined,
       changes: blocks.listBlocks(address),
-    }));
+    };
   }
 
   private async followStore(address: string, signal: AbortSignal): Promise<void> {
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -16,6 +16,7 @@
 import type { FeedMessage, RelayedBlocks, RelayedPosition } from './feedMessage.js';
 import { FeedReader } from './feedReader.js';
 import { FeedWriter } from './feedWriter.js';
+import { LinkShare } from './linkShare.js';
 
 /** Dependencies of the server. */
 export interface FeedServerOptions {
@@ -30,8 +31,10 @@
   readonly linkMbps: number;
   /** Lists the positions of the topics that this VM reads from the log itself. */
   readonly listPositions: () => readonly RelayedPosition[];
-  /** Lists the contents of the block stores that this VM reads itself. */
-  readonly listBlockSnapshots: () => readonly RelayedBlocks[];
+  /** Lists the addresses of the block stores that this VM reads itself. */
+  readonly listStores: () => readonly string[];
+  /** Returns the contents of a block store; undefined if this VM doesn't read it any more. */
+  readonly findBlocks: (address: string) => RelayedBlocks | undefined;
   /** Whether a VM has sent gossip recently, which a small fleet does only while it has load. */
   readonly isAlive: (vmId: VmId) => boolean;
 }
@@ -43,8 +46,19 @@
   heartbeat: KeyedRecord | undefined;
   /** Time of the last data from it; followers ask for positions at a fixed interval. */
   receivedAtMs: number;
+  /** Block stores whose contents it still has to get. */
+  readonly pendingStores: string[];
 }
 
+/** Wait for the link from which a relay has too many followers, in milliseconds. */
+const MAX_LINK_WAIT_MS = 500;
+
+/** Fraction of the followers that stays if there are too many. */
+const KEPT_FRACTION = 0.5;
+
+/** Time for which no more followers are taken after that than have stayed, in milliseconds. */
+const FOLLOWER_LIMIT_TTL_MS = 10_000;
+
 /** Relays what this VM reads from the log and the block stores to the followers in its group. */
 export class FeedServer {
   private readonly followers = new Map<Socket, Follower>();
@@ -58,7 +72,15 @@
 
   private relayingSinceMs: number | undefined;
 
-  constructor(private readonly options: FeedServerOptions) {}
+  private readonly linkShare: LinkShare;
+
+  private snapshotTimer: NodeJS.Timeout | undefined;
+
+  private followerLimit: { readonly count: number; readonly expiresAtMs: number } | undefined;
+
+  constructor(private readonly options: FeedServerOptions) {
+    this.linkShare = new LinkShare(options.linkMbps);
+  }
 
   async start(signal: AbortSignal): Promise<void> {
     const server = createServer((socket) => this.accept(socket));
@@ -66,6 +88,7 @@
     signal.addEventListener('abort', () => {
       server.close();
       clearTimeout(this.flushTimer);
+      clearTimeout(this.snapshotTimer);
       this.followers.forEach(({ socket }) => socket.destroy());
     });
   }
@@ -96,6 +119,30 @@
     const content = encodeFeedContent({ kind: 'several', messages: this.pendingMessages });
     this.pendingMessages = [];
     this.followers.forEach((follower) => this.send(follower, content));
+    if (this.linkShare.computeWaitMs() > MAX_LINK_WAIT_MS) this.dropFollowers();
+  }
+
+  /** Drops the newest followers, because the link can't carry them all. */
+  private dropFollowers(): void {
+    const followers = [...this.followers.values()];
+    const count = Math.max(1, Math.floor(followers.length * KEPT_FRACTION));
+    this.followerLimit = { count, expiresAtMs: performance.now() + FOLLOWER_LIMIT_TTL_MS };
+    const dropped = followers.slice(count);
+    if (dropped.length === 0) return;
+    this.options.logger.warn('dropping followers that the link can not carry', {
+      kept: count,
+      dropped: dropped.length,
+      linkMbps: this.options.linkMbps,
+    });
+    dropped.forEach(({ socket }) => socket.resetAndDestroy());
+    this.linkShare.reset();
+  }
+
+  /** Whether the link carries one more follower, as far as is known. */
+  private canAccept(): boolean {
+    const limit = this.followerLimit;
+    if (limit && performance.now() < limit.expiresAtMs) return this.followers.size < limit.count;
+    return this.linkShare.computeWaitMs() < MAX_LINK_WAIT_MS;
   }
 
   private accept(socket: Socket): void {
@@ -145,21 +192,7 @@
     const follower = this.followers.get(socket);
     if (follower) follower.receivedAtMs = performance.now();
     if (message.kind === 'hello') {
-      const writer = new FeedWriter({ key: this.options.key, nonce: message.nonce });
-      const newFollower = {
-        socket,
-        vmId: message.vmId,
-        writer,
-        heartbeat: undefined,
-        receivedAtMs: performance.now(),
-      };
-      // The pending changes are part of the snapshots that the new follower gets.
-      this.flush();
-      this.followers.set(socket, newFollower);
-      this.recordFollowers();
-      this.options
-        .listBlockSnapshots()
-        .forEach((blocks) => this.send(newFollower, encodeFeedContent({ kind: 'blocks', blocks })));
+      this.acceptFollower(socket, message);
     } else if (message.kind === 'ask' && follower) {
       // The records before a position must be sent before the position.
       this.flush();
@@ -171,6 +204,51 @@
     }
   }
 
+  private acceptFollower(
+    socket: Socket,
+    { vmId, nonce }: Extract<FeedMessage, { kind: 'hello' }>,
+  ): void {
+    if (!this.canAccept()) {
+      this.options.logger.info('refusing follower that the link can not carry', { vmId });
+      socket.destroy();
+      return;
+    }
+    // The pending changes are part of the snapshots that the new follower gets.
+    this.flush();
+    this.followers.set(socket, {
+      socket,
+      vmId,
+      writer: new FeedWriter({ key: this.options.key, nonce }),
+      heartbeat: undefined,
+      receivedAtMs: performance.now(),
+      pendingStores: [...this.options.listStores()],
+    });
+    this.recordFollowers();
+    this.sendSnapshots();
+  }
+
+  /**
+   * Sends the contents of block stores as fast as the share of the link allows: all stores to one
+   * follower, then to the next.
+   */
+  private sendSnapshots(): void {
+    clearTimeout(this.snapshotTimer);
+    const waiting = [...this.followers.values()].filter(
+      ({ pendingStores }) => pendingStores.length > 0,
+    );
+    for (const follower of waiting) {
+      while (follower.pendingStores.length > 0) {
+        const waitMs = this.linkShare.computeWaitMs();
+        if (waitMs > 0) {
+          this.snapshotTimer = setTimeout(() => this.sendSnapshots(), Math.ceil(waitMs));
+          return;
+        }
+        const blocks = this.options.findBlocks(follower.pendingStores.shift()!);
+        if (blocks) this.send(follower, encodeFeedContent({ kind: 'blocks', blocks }));
+      }
+    }
+  }
+
   private send({ socket, writer, vmId }: Follower, content: Buffer): void {
     if (socket.writableLength > MAX_FOLLOWER_BACKLOG_BYTES) {
       this.options.logger.warn('closing connection of slow follower', { vmId });
@@ -179,6 +257,7 @@
     }
     const frame = writer.encode(content);
     this.sentBytes += frame.length;
+    this.linkShare.charge(frame.length);
     this.options.metrics.countFeedBytes(frame.length);
     socket.write(frame);
   }
