fix(dispatch): reset the connection of an abandoned request

An attempt that is abandoned after its write resets the connection: the kernel discards what it has not sent, and the upstream learns of the reset without reading what came before. Connections that end by themselves, or after an answer, are closed as before.

Three tests (close, reset and half-close of the caller) failed before: the upstream saw an end in place of a reset.

--- a/packages/gateway/src/dispatch/singleConnectionAgent.ts
+++ b/packages/gateway/src/dispatch/singleConnectionAgent.ts
@@ -112,4 +112,11 @@
     this.socket?.destroy();
     this.destroy();
   }
+
+  /** Resets the connection; a request on it ends with an error. */
+  resetConnection(): void {
+    // A socket that is still connecting would be reset only once it is connected.
+    if (!this.socket?.connecting) this.socket?.resetAndDestroy();
+    this.closeConnection();
+  }
 }
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -154,7 +154,8 @@
       this.isAbandoned = true;
       this.phase = this.phase === 'offered' ? 'dropped' : this.phase;
       // A connection that has carried nothing of this request can carry another one.
-      if (this.hasSent || !this.isConnected) connection.close();
+      if (this.hasSent) connection.abort();
+      else if (!this.isConnected) connection.close();
     };
     const ended = new Promise<AttemptResult>((resolve) => {
       this.resolveResult = resolve;
--- a/packages/gateway/src/dispatch/upstreamConnection.ts
+++ b/packages/gateway/src/dispatch/upstreamConnection.ts
@@ -108,6 +108,15 @@
     this.agent.closeConnection();
   }
 
+  /**
+   * Resets it, so that what has not left this VM yet is discarded. After a regular close, the request
+   * would still be sent, and the upstream would learn of the close only behind it.
+   */
+  abort(): void {
+    this.markClosed();
+    this.agent.resetConnection();
+  }
+
   private markClosed(): void {
     if (!this.open) return;
     this.open = false;
