fix(mesh): a new relay reads the block stores from where the one before was

What is relayed tells the offset of the store's next event; a follower that becomes a relay goes on from there, unless the store has restarted.

--- a/packages/gateway/src/__tests__/testProtocols.ts
+++ b/packages/gateway/src/__tests__/testProtocols.ts
@@ -7,6 +7,7 @@
   ResponseHead,
   AttemptMetadata,
   BlockEvents,
+  BlockEventsQuery,
   CallerRequestHead,
   EngineState,
   OrderOutcome,
@@ -119,7 +120,7 @@
     throw new Error('not used');
   }
 
-  override readBlockEvents(): Promise<BlockEvents> {
+  override readBlockEvents(_query: BlockEventsQuery): Promise<BlockEvents> {
     throw new Error('not used');
   }
 
--- a/packages/gateway/src/controllers/blockStoresController.ts
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -30,6 +30,9 @@
 export class BlockStoresController {
   private readonly readers = new Map<string, AbortController>();
 
+  /** Offset of the next event of each store, whether read directly or relayed. */
+  private readonly nextOffsets = new Map<string, number>();
+
   constructor(private readonly options: BlockStoresOptions) {}
 
   /** Starts and stops event readers so that they match the stores in the directory. */
@@ -51,12 +54,14 @@
   }
 
   /** Applies changes of a store that were received from a relay. */
-  applyRelayed({ address, epoch, isWhole, clockMs, changes }: RelayedBlocks): void {
+  applyRelayed({ address, epoch, isWhole, clockMs, changes, next }: RelayedBlocks): void {
     const { blocks, isDirectReader } = this.options;
     if (isDirectReader()) return;
     if (clockMs !== undefined) blocks.updateServerClock(clockMs);
     if (isWhole || epoch === undefined) blocks.clearStore(address);
+    this.nextOffsets.delete(address);
     if (epoch === undefined) return;
+    if (next !== undefined) this.nextOffsets.set(address, next);
     blocks.updateEpoch(address, epoch);
     changes.forEach((change) => blocks.applyChange(address, change));
   }
@@ -77,15 +82,15 @@
       isWhole: true,
       clockMs: undefined,
       changes: blocks.listBlocks(address),
+      next: this.nextOffsets.get(address),
     };
   }
 
   private async followStore(address: string, signal: AbortSignal): Promise<void> {
-    let next = START_OFFSET;
     let isUnavailable = false;
     while (!signal.aborted) {
       try {
-        next = await this.readNext(address, next, signal);
+        await this.readNext(address, signal);
         if (isUnavailable) this.options.logger.info('block store available again', { address });
         isUnavailable = false;
       } catch (cause) {
@@ -95,7 +100,7 @@
           // Its contents are rebuilt from the events that it has retained.
           this.options.blocks.clearStore(address);
           this.publish({ address, epoch: undefined });
-          next = START_OFFSET;
+          this.nextOffsets.delete(address);
         }
         isUnavailable = true;
         await sleep(LOG_RETRY_DELAY_MS, signal);
@@ -128,28 +133,28 @@
     logger.info('freed outdated blocks', { address, blocks: keys.length });
   }
 
-  private async readNext(address: string, since: number, signal: AbortSignal): Promise<number> {
-    if (this.options.isDirectReader()) return this.readOnce(address, since, signal);
-    await sleep(STORE_READER_CHECK_INTERVAL_MS, signal);
-    return START_OFFSET;
+  private async readNext(address: string, signal: AbortSignal): Promise<void> {
+    if (this.options.isDirectReader()) await this.readOnce(address, signal);
+    else await sleep(STORE_READER_CHECK_INTERVAL_MS, signal);
   }
 
-  /** @returns the offset of the next read */
-  private async readOnce(address: string, since: number, signal: AbortSignal): Promise<number> {
+  private async readOnce(address: string, signal: AbortSignal): Promise<void> {
     const { blocks, protocol, logger } = this.options;
+    const since = this.nextOffsets.get(address) ?? START_OFFSET;
     const query = { address, since, longPollMs: BLOCK_EVENTS_LONG_POLL_MS, signal };
     const events = await protocol.readBlockEvents(query);
     if (events.clockMs !== undefined) blocks.updateServerClock(events.clockMs);
     if (blocks.updateEpoch(address, events.epoch)) {
       logger.info('block store restarted', { address, epoch: events.epoch });
       // A restarted store numbers its events from the beginning.
-      if (since !== START_OFFSET) return START_OFFSET;
+      this.nextOffsets.delete(address);
+      if (since !== START_OFFSET) return;
     }
     events.changes.forEach((change) => blocks.applyChange(address, change));
-    const { epoch, clockMs, changes } = events;
-    if (changes.length > 0) this.publish({ address, epoch, clockMs, changes });
+    const { epoch, clockMs, changes, nextOffset: next } = events;
+    this.nextOffsets.set(address, next);
+    if (changes.length > 0) this.publish({ address, epoch, clockMs, changes, next });
     await this.releaseOutdatedBlocks(address, events.epoch, signal);
     if (changes.length > 0) await sleep(BLOCK_EVENTS_BATCH_DELAY_MS, signal);
-    return events.nextOffset;
   }
 }
--- a/packages/gateway/src/mesh/feedMessage.ts
+++ b/packages/gateway/src/mesh/feedMessage.ts
@@ -33,6 +33,8 @@
   /** Time on the servers' clock when the store was read. */
   readonly clockMs: number | undefined;
   readonly changes: readonly StoredBlockChange[];
+  /** Offset of the store's next event; undefined if it is unavailable, or from an earlier version. */
+  readonly next?: number | undefined;
 }
 
 /** Message between a relay and a follower of its group. Sent over the network. */
