--- a/packages/core/src/fleet/registeredUpstream.ts
+++ b/packages/core/src/fleet/registeredUpstream.ts
@@ -1,4 +1,11 @@
-import type { AvailabilityZoneId, ModelId, ServiceName, UpstreamId, WeightNumber } from '../ids.js';
+import type {
+  AvailabilityZoneId,
+  ModelId,
+  ServiceName,
+  SoftwareVersion,
+  UpstreamId,
+  WeightNumber,
+} from '../ids.js';
 
 /** Weights of one model that an engine has loaded. */
 export interface LoadedWeights {
@@ -28,6 +35,8 @@
   readonly weights: readonly LoadedWeights[];
   /** Number of heartbeats since the upstream's last boot. */
   readonly heartbeat: number;
+  /** Undefined if the entry does not tell. */
+  readonly softwareVersion?: SoftwareVersion | undefined;
   /** Time of the last boot by the upstream's clock, in Unix milliseconds; 0 if unknown. */
   readonly startedAtMs: number;
 }
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -154,6 +154,7 @@
       isRestarted ||
       next.draining !== previous.draining ||
       next.address !== previous.address ||
+      next.softwareVersion !== previous.softwareVersion ||
       next.weights.some(
         ({ weightNumber }, index) => weightNumber !== previous.weights[index]?.weightNumber,
       )
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -54,6 +54,9 @@
 /** Converts a validated number to a log offset. */
 export const toLogOffset = (value: number): LogOffset => value as LogOffset;
 
+/** Identifies a version of the software of a service's upstreams; versions have no order. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
+
 /** Name of a service, which is a group of interchangeable upstreams. */
 export type ServiceName = Brand<string, 'ServiceName'>;
 
--- a/packages/entry/src/__tests__/dispatch.spec.ts
+++ b/packages/entry/src/__tests__/dispatch.spec.ts
@@ -65,7 +65,7 @@
   });
 }
 
-test('resumes an interrupted stream at its offset on the same engine', async () => {
+test('an interrupted stream is resumed at its offset on the same engine', async () => {
   const engine = await startUpstream('resetMidBody');
   const response = await requestCompletion(await startEntry([engine]));
   expect(response).toMatchObject({ isComplete: true, text: COMPLETE_TEXT });
@@ -73,7 +73,7 @@
   expect(engine.runCount).toBe(1);
 });
 
-test('resumes an interrupted stream at its offset on another engine', async () => {
+test('an interrupted stream is resumed at its offset on another engine', async () => {
   const [first, second] = [await startUpstream('resetMidBody'), await startUpstream()];
   first.canResume = false;
   const response = await requestCompletion(await startEntry([first, second]));
--- a/packages/gateway/src/__tests__/dispatch.spec.ts
+++ b/packages/gateway/src/__tests__/dispatch.spec.ts
@@ -171,7 +171,7 @@
   expect(countRequests(upstreams)).toBe(1);
 });
 
-test('resumes a broken stream at another upstream after its last complete event', async () => {
+test('a broken stream is resumed at another upstream after its last complete event', async () => {
   let streamCount = 0;
   const serve = (request: TestRequest): void => {
     streamCount += 1;
--- a/packages/gateway/src/controllers/upstreamsController.ts
+++ b/packages/gateway/src/controllers/upstreamsController.ts
@@ -71,8 +71,15 @@
       if (!registry.apply(change)) return;
       if (change.kind === 'absent') logger.info('upstream removed', { ...change });
       else {
-        const { upstreamId, draining, coldRemainingMs, address } = change.upstream;
-        logger.info('upstream changed', { upstreamId, draining, coldRemainingMs, address });
+        const { upstreamId, draining, coldRemainingMs, address, softwareVersion } = change.upstream;
+        const version = softwareVersion;
+        logger.info('upstream changed', {
+          upstreamId,
+          draining,
+          coldRemainingMs,
+          address,
+          version,
+        });
       }
     });
     registry.expireRemovals();
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -85,6 +85,7 @@
   { upstream, prefillTokens, firstTokenMs }: UpstreamChoice,
 ): AttemptLogEntry => ({
   upstreamId: upstream.upstreamId,
+  version: upstream.registered.softwareVersion,
   weights: findExpectedWeights(exchange, upstream),
   load: upstream.estimateLoad(),
   pendingTokens: Math.round(upstream.estimatePendingTokens()),
--- a/packages/gateway/src/filters/gatewayExchange.ts
+++ b/packages/gateway/src/filters/gatewayExchange.ts
@@ -2,6 +2,7 @@
 import type {
   DeployedAccount,
   RouteRule,
+  SoftwareVersion,
   UpstreamId,
   Verdict,
   WeightNumber,
@@ -44,6 +45,7 @@
 /** Log record of one attempt. Its field names appear in the log. */
 export interface AttemptLogEntry {
   readonly upstreamId: UpstreamId;
+  readonly version: SoftwareVersion | undefined;
   readonly weights: WeightNumber | undefined;
   /** Estimated requests and prompt tokens at the upstream when the attempt was sent. */
   readonly load: number;
--- a/packages/gateway/src/ports/callerProtocol.ts
+++ b/packages/gateway/src/ports/callerProtocol.ts
@@ -11,6 +11,8 @@
   readonly prompt: Prompt | undefined;
   /** Id of the last event that the caller of a resumed stream has received. */
   readonly lastEventId: string | undefined;
+  /** Request that brought the first event of a resumed stream; undefined if its caller doesn't tell. */
+  readonly resumedRequestId?: string | undefined;
 }
 
 /** A caller's query of the address directory. */
