--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -5,6 +5,7 @@
   DeployedAccount,
   RouteRule,
   ServiceName,
+  SoftwareVersion,
   UpstreamId,
   VmId,
 } from '@goldcrestscale/core';
@@ -64,6 +65,8 @@
   readonly isRefusing?: () => boolean;
   /** Addresses of the upstreams. */
   readonly addresses: readonly string[];
+  /** Software versions of the upstreams; undefined if their entries tell none. */
+  readonly versions?: readonly string[];
 }
 
 /** Creates a gateway that listens on a free port. */
@@ -105,6 +108,7 @@
         weights: [],
         heartbeat: 1,
         startedAtMs: 1,
+        softwareVersion: options.versions && toId<SoftwareVersion>(options.versions[index]!),
       },
     }),
   );
--- a/packages/gateway/src/__tests__/testProtocols.ts
+++ b/packages/gateway/src/__tests__/testProtocols.ts
@@ -38,7 +38,8 @@
               .map((id) => ({ id: toId<PromptPartId>(id), tokens: 10 })),
           }
         : undefined,
-      lastEventId: undefined,
+      lastEventId: getHeader(request, 'x-last'),
+      resumedRequestId: getHeader(request, 'x-resumes'),
     };
   }
 
