fix(gateway): a stream goes on only at the software version that began it

Cause: no VM knew versions, so any upstream of the service was eligible.

One place decides now where a stream may go on, for both ways; the chooser and the last check before each send keep to it. The version is known from the VM's own memory, from the fact that only one version may have begun a stream (heartbeats tell which versions VMs have seen in the last 20 s, also across a loss of all VMs), or from records in the log, which are written only while versions mix.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -20,6 +20,7 @@
   | 'deadline'
   | 'caller_left'
   | 'no_upstream'
+  | 'stream_origin_unknown'
   | 'zone_out'
   | 'stale_configuration'
   | 'log_unavailable'
--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -1,4 +1,5 @@
 import type { AvailabilityZoneId, BootId, VmId } from '../ids.js';
+import type { VersionSighting } from '../streams/index.js';
 import {
   ENTRY_SENDER_TIMEOUT_MS,
   ENTRY_HEARTBEAT_TIMEOUT_MS,
@@ -24,6 +25,8 @@
   readonly size: number;
   /** Bandwidth of its link, in Mbit/s; undefined if its version does not tell. */
   readonly linkMbps?: number | undefined;
+  /** Software versions of upstreams that it has seen; undefined if its version does not tell. */
+  readonly versions?: readonly VersionSighting[] | undefined;
 }
 
 interface EntryRecord {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,7 @@
 export * from './retry/index.js';
 export * from './routing/index.js';
 export * from './slots/index.js';
+export * from './streams/index.js';
 export * from './socketAddress.js';
 export * from './tiering/index.js';
 export * from './verdict.js';
--- /dev/null
+++ b/packages/core/src/streams/versionsInUse.ts
@@ -0,0 +1,88 @@
+import type { ServiceName, SoftwareVersion } from '../ids.js';
+import { STREAM_LIFE_MS, VERSION_AGE_STEP_MS } from './constants.js';
+
+/** A software version of a service, and for how long no VM has seen an upstream of it. */
+export interface VersionSighting {
+  readonly service: ServiceName;
+  readonly version: SoftwareVersion;
+  readonly ageMs: number;
+}
+
+type SeenAt = Map<ServiceName, Map<SoftwareVersion, number>>;
+
+const recordSeen = (seen: SeenAt, { service, version, ageMs }: VersionSighting): void => {
+  const versions = seen.get(service) ?? new Map<SoftwareVersion, number>();
+  const seenAtMs = performance.now() - ageMs;
+  versions.set(version, Math.max(seenAtMs, versions.get(version) ?? -Infinity));
+  seen.set(service, versions);
+};
+
+const listRecent = (seen: SeenAt, service: ServiceName): readonly SoftwareVersion[] => {
+  const oldestMs = performance.now() - STREAM_LIFE_MS;
+  return [...(seen.get(service) ?? [])].flatMap(([version, seenAtMs]) =>
+    seenAtMs > oldestMs ? [version] : [],
+  );
+};
+
+/**
+ * Knows which software versions of a service may have begun streams that callers can still take up.
+ * Reports of other VMs count, because those may have used versions that this VM has never seen.
+ */
+export class VersionsInUse {
+  private readonly own: SeenAt = new Map();
+
+  private readonly reported: SeenAt = new Map();
+
+  private hasReports = false;
+
+  /**
+   * Records that the registry lists an upstream of a version.
+   *
+   * @returns whether this VM has not reported that version yet
+   */
+  recordRegistered(service: ServiceName, version: SoftwareVersion): boolean {
+    const isNew = !listRecent(this.own, service).includes(version);
+    recordSeen(this.own, { service, version, ageMs: 0 });
+    return isNew;
+  }
+
+  /**
+   * Records the last reports of all VMs, which this VM read when it started. They are passed on with
+   * its own, because its first report replaces the one from before its start.
+   */
+  recordFirstReports(sightings: readonly VersionSighting[]): void {
+    sightings.forEach((sighting) => recordSeen(this.own, sighting));
+    this.hasReports = true;
+  }
+
+  /** Records a report of another VM. */
+  recordReport(sightings: readonly VersionSighting[]): void {
+    sightings.forEach((sighting) => recordSeen(this.reported, sighting));
+  }
+
+  /** Lists what this VM reports. */
+  listOwn(): readonly VersionSighting[] {
+    const nowMs = performance.now();
+    return [...this.own].flatMap(([service, versions]) =>
+      listRecent(this.own, service).map((version) => {
+        const ageMs = nowMs - versions.get(version)!;
+        return { service, version, ageMs: ageMs - (ageMs % VERSION_AGE_STEP_MS) };
+      }),
+    );
+  }
+
+  /** Whether streams of several versions of a service may be taken up. */
+  hasSeveral(service: ServiceName): boolean {
+    return this.listAll(service).size > 1;
+  }
+
+  /** Returns the version that began every stream of a service; undefined if there may be several. */
+  findOnly(service: ServiceName): SoftwareVersion | undefined {
+    const versions = this.listAll(service);
+    return this.hasReports && versions.size === 1 ? [...versions][0] : undefined;
+  }
+
+  private listAll(service: ServiceName): ReadonlySet<SoftwareVersion> {
+    return new Set([...listRecent(this.own, service), ...listRecent(this.reported, service)]);
+  }
+}
--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
-import { PeerLoads, UpstreamRegistry, readClocks } from '@goldcrestscale/core';
+import { PeerLoads, UpstreamRegistry, readClocks, VersionsInUse } from '@goldcrestscale/core';
 import type { RegistryChange } from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
 import { resolveGatewaySettings } from '../config.js';
@@ -118,6 +118,8 @@
     codec,
     logger,
     registry,
+    versions: new VersionsInUse(),
+    onVersions: () => undefined,
     faults,
     onBatch: () => undefined,
   });
--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -11,6 +11,7 @@
 import { FeedReader } from '../mesh/feedReader.js';
 import { FeedServer } from '../mesh/feedServer.js';
 import { FeedWriter } from '../mesh/feedWriter.js';
+import type { KeyedRecord } from '../ports/index.js';
 import { createGatewayMetrics } from '../metrics.js';
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
@@ -126,6 +127,7 @@
   const blocks: RelayedBlocks[] = [];
   const batches: RelayedBatch[] = [];
   const positions: number[] = [];
+  const streamRecords: KeyedRecord[] = [];
   const server = new FeedServer({
     address: relay.meshAddress,
     key: relay.meshKey,
@@ -144,6 +146,7 @@
       clockMs: undefined,
       changes: [],
     }),
+    onStreamRecord: (record) => streamRecords.push(record),
     isAlive: () => true,
   });
   await server.start(abortController.signal);
@@ -160,7 +163,7 @@
     canReadLog,
   });
   void client.run(abortController.signal);
-  return { server, client, batches, blocks, positions, abortController };
+  return { server, client, batches, blocks, positions, streamRecords, abortController };
 };
 
 // Guards against heartbeats that a relay takes but can't write, so that VMs drop out of each other's rosters.
@@ -187,6 +190,14 @@
   await vi.waitFor(() => expect(server.countFollowers()).toBe(0), { timeout: 3_000 });
 });
 
+test('a follower sends its begun streams to the relay', async () => {
+  const { client, positions, streamRecords } = await startFeed();
+  await vi.waitFor(() => expect(positions).toContain(6));
+  const record = { key: 'vm-3', value: Buffer.from('streams') };
+  expect(client.forwardStreams(record)).toBe(true);
+  await vi.waitFor(() => expect(streamRecords).toEqual([record]));
+});
+
 test('sends relayed records to the follower and its heartbeat to the relay', async () => {
   const { server, client, batches, blocks, positions } = await startFeed();
   await vi.waitFor(() => expect(positions).toContain(6));
--- a/packages/gateway/src/__tests__/relayLink.spec.ts
+++ b/packages/gateway/src/__tests__/relayLink.spec.ts
@@ -82,6 +82,7 @@
     listPositions: () => [{ topic: 'upstreams', era: 1, position: 6, provedAgeMs: 20 }],
     listStores: () => STORES,
     findBlocks: buildBlocks,
+    onStreamRecord: () => undefined,
     isAlive: () => true,
   });
   await server.start(abortController.signal);
--- a/packages/gateway/src/__tests__/relayedFleet.ts
+++ b/packages/gateway/src/__tests__/relayedFleet.ts
@@ -3,6 +3,7 @@
   EntryRoster,
   PeerLoads,
   UpstreamRegistry,
+  VersionsInUse,
   readClocks,
   toId,
 } from '@goldcrestscale/core';
@@ -149,6 +150,7 @@
   const codec = new NamingCodec();
   const registry = new UpstreamRegistry(new PeerLoads(1_500));
   const roster = new EntryRoster();
+  const versions = new VersionsInUse();
   const operators = new OperatorsController({
     log,
     codec,
@@ -165,6 +167,8 @@
     codec,
     logger,
     registry,
+    versions,
+    onVersions: () => undefined,
     faults,
     onBatch,
   });
@@ -175,6 +179,8 @@
     bootId: toId<BootId>('boot'),
     roster,
     quarantine: new CrashQuarantine(),
+    versions,
+    onNewEra: () => undefined,
     isReportingRefusals: () => false,
     meshKey: 'key',
     faults,
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -19,6 +19,7 @@
 import { FaultRecorder } from '../faultRecorder.js';
 import { RequestLog } from '../requestLog.js';
 import { ConnectionPool } from '../dispatch/connectionPool.js';
+import { StreamContinuity } from '../dispatch/streamContinuity.js';
 import { UpstreamChooser } from '../dispatch/upstreamChooser.js';
 import { createGatewayFilters } from '../filters/index.js';
 import { createCallerServer } from '../http/callerServer.js';
@@ -112,6 +113,11 @@
       },
     }),
   );
+  const { begunStreams, versions } = fleetState;
+  versions.recordFirstReports([]);
+  options.versions?.forEach((version) =>
+    versions.recordRegistered(SERVICE, toId<SoftwareVersion>(version)),
+  );
   const connections = new ConnectionPool(() => undefined);
   const metrics = createGatewayMetrics(createMetricsRegistry());
   const protocol = new TestCallerProtocol();
@@ -159,6 +165,13 @@
         rateLimits: fleetState.rateLimits,
         quarantine: fleetState.quarantine,
         requestLog,
+        streamContinuity: new StreamContinuity({
+          versions,
+          findKnown: (requestId) => begunStreams.find(requestId),
+          findBegun: async (requestId) => begunStreams.find(requestId),
+          recordBegun: (stream) => begunStreams.record(stream),
+          requestLog,
+        }),
         faults,
         fetchWindow: new FetchWindow(operators),
         metrics,
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -1,6 +1,6 @@
 import { randomBytes, randomUUID } from 'node:crypto';
 import { ConditionalLease, pickByRendezvous, toId } from '@goldcrestscale/core';
-import type { BootId } from '@goldcrestscale/core';
+import type { BootId, OperatorState } from '@goldcrestscale/core';
 import type { PauseMonitor } from '@goldcrestscale/runtime';
 import { FIRST_START_DISCOVERY_MS, FOLLOWER_TIMEOUT_MS } from '../constants.js';
 import { BlockStoresController } from '../controllers/blockStoresController.js';
@@ -8,6 +8,7 @@
 import { LogLeaseStream } from '../controllers/logLeaseStream.js';
 import { OperatorsController } from '../controllers/operatorsController.js';
 import { RolloutController } from '../controllers/rolloutController.js';
+import { StreamRecordsController } from '../controllers/streamRecordsController.js';
 import type { TopicReader } from '../controllers/topicReader.js';
 import { GatewayUpstreamsController } from '../controllers/upstreamsController.js';
 import type { FaultRecorder } from '../faultRecorder.js';
@@ -16,7 +17,7 @@
 import type { RelayedBatch, RelayedBlocks } from '../mesh/feedMessage.js';
 import { FeedServer } from '../mesh/feedServer.js';
 import { Gossip } from '../mesh/gossip.js';
-import type { LogTopic } from '../ports/index.js';
+import type { KeyedRecord, LogTopic } from '../ports/index.js';
 import type { FleetState } from './createFleetState.js';
 
 /** The holder of a lease stops using it this long before it expires. */
@@ -25,9 +26,10 @@
 /** Length of the key that authenticates this VM's messages. */
 const MESH_KEY_BYTES = 24;
 
-/** Callbacks for what the readers read themselves. */
+/** Callbacks for what the readers read. */
 interface ReaderCallbacks {
   readonly onChange: () => void;
+  readonly onVersions: (hasNewVersion: boolean) => void;
   readonly onBatch: (batch: RelayedBatch) => void;
   readonly onBlockChanges: (blocks: RelayedBlocks) => void;
 }
@@ -35,8 +37,8 @@
 /** Creates the controllers that follow the log and the block stores. */
 const createReaders = (
   { settings, logger, log, codec, upstreamProtocol: protocol }: GatewayOptions,
-  { roster, registry, blocks, relays }: FleetState,
-  { onBatch, onBlockChanges, onChange }: ReaderCallbacks,
+  { roster, registry, blocks, relays, versions }: FleetState,
+  { onBatch, onBlockChanges, onChange, onVersions }: ReaderCallbacks,
   faults: FaultRecorder,
   onDeployment: () => void,
 ) => {
@@ -60,6 +62,8 @@
     codec,
     logger: logger.createPartLogger('upstreams'),
     registry,
+    versions,
+    onVersions,
     faults,
     onBatch,
   });
@@ -96,6 +100,7 @@
   readonly readers: ReturnType<typeof createReaders>;
   readonly entries: EntriesController;
   readonly rollout: RolloutController;
+  readonly streamRecords: StreamRecordsController;
 }
 
 /** Creates the components that communicate with the other VMs. */
@@ -103,7 +108,7 @@
   { settings, logger: baseLogger, metrics }: GatewayOptions,
   fleetState: FleetState,
   key: string,
-  { readers, entries, rollout, pauseMonitor, faults }: MeshDependencies,
+  { readers, entries, rollout, streamRecords, pauseMonitor, faults }: MeshDependencies,
 ) => {
   const logger = baseLogger.createPartLogger('mesh');
   const { roster, relays } = fleetState;
@@ -135,6 +140,7 @@
       Object.values(topicReaders).flatMap((reader) => reader.getOwnPosition() ?? []),
     listStores: () => readers.stores.listRead(),
     findBlocks: (address) => readers.stores.findSnapshot(address),
+    onStreamRecord: (record) => streamRecords.relayRecord(record),
     isAlive: (vmId) => gossip.hasReportFrom(vmId, FOLLOWER_TIMEOUT_MS),
   });
   const feedClient = new FeedClient({
@@ -143,7 +149,10 @@
     onPosition: (position, requestedAt) =>
       topicReaders[position.topic]?.recordRelayPosition(position, requestedAt),
     onBlockChanges: (blocks) => readers.stores.applyRelayed(blocks),
-    onRelayLost: () => entries.publishHeartbeat(),
+    onRelayLost() {
+      entries.publishHeartbeat();
+      streamRecords.rewrite();
+    },
     canReadLog: () => Object.values(topicReaders).some((reader) => reader.isReading),
   });
   return { gossip, feedServer, feedClient };
@@ -151,6 +160,44 @@
 
 type Mesh = ReturnType<typeof createMesh>;
 
+const createStreamRecords = (
+  { settings, log, logger }: GatewayOptions,
+  { begunStreams: streams, versions }: FleetState,
+  faults: FaultRecorder,
+  forwardRecord: (record: KeyedRecord) => boolean,
+): StreamRecordsController =>
+  new StreamRecordsController({
+    self: settings.vmId,
+    log,
+    logger: logger.createPartLogger('streams'),
+    faults,
+    streams,
+    versions,
+    forwardRecord,
+  });
+
+const createRollout = (
+  { settings, log, logger, upstreamProtocol: protocol }: GatewayOptions,
+  fleetState: FleetState,
+  operators: OperatorState,
+  { bootId, onLoadingChange }: { readonly bootId: BootId; readonly onLoadingChange: () => void },
+): RolloutController =>
+  new RolloutController({
+    self: settings.vmId,
+    holder: settings.vmId,
+    lease: new ConditionalLease({
+      holder: `${settings.vmId}/${bootId}`,
+      stream: new LogLeaseStream(log),
+      durationMs: settings.leaseMs,
+      marginMs: LEASE_MARGIN_MS,
+    }),
+    ...fleetState,
+    operators,
+    protocol,
+    logger: logger.createPartLogger('rollout'),
+    onLoadingChange,
+  });
+
 /** Creates the controllers; `onDeployment` is called on each new configuration. */
 export const createControllers = (
   options: GatewayOptions,
@@ -158,33 +205,29 @@
   processState: ProcessState,
   onDeployment: () => void,
 ) => {
-  const { settings, logger, log, upstreamProtocol: protocol } = options;
+  const { settings, logger, log } = options;
   const { roster, relays, quarantine } = fleetState;
   const bootId = toId<BootId>(randomUUID());
   const meshKey = randomBytes(MESH_KEY_BYTES).toString('base64');
   /* eslint-disable @typescript-eslint/no-use-before-define -- called later */
   const callbacks: ReaderCallbacks = {
     onChange: () => rollout.check(),
+    onVersions(hasNewVersion) {
+      if (hasNewVersion) entries.publishHeartbeat();
+      streamRecords.checkVersions();
+    },
     onBatch: (batch) => mesh.feedServer.publish({ kind: 'batch', batch }),
     onBlockChanges: (blocks) => mesh.feedServer.publish({ kind: 'blocks', blocks }),
   };
   const { faults } = processState;
   const readers = createReaders(options, fleetState, callbacks, faults, onDeployment);
-  const rollout: RolloutController = new RolloutController({
-    self: settings.vmId,
-    holder: settings.vmId,
-    lease: new ConditionalLease({
-      holder: `${settings.vmId}/${bootId}`,
-      stream: new LogLeaseStream(log),
-      durationMs: settings.leaseMs,
-      marginMs: LEASE_MARGIN_MS,
-    }),
-    ...fleetState,
-    operators: readers.operators.state,
-    protocol,
-    logger: logger.createPartLogger('rollout'),
+  const rollout: RolloutController = createRollout(options, fleetState, readers.operators.state, {
+    bootId,
     onLoadingChange: () => mesh.gossip.send(),
   });
+  const streamRecords = createStreamRecords(options, fleetState, faults, (record) =>
+    mesh.feedClient.forwardStreams(record),
+  );
   const entries = new EntriesController({
     log,
     logger: logger.createPartLogger('entries'),
@@ -192,6 +235,8 @@
     bootId,
     roster,
     quarantine,
+    versions: fleetState.versions,
+    onNewEra: () => streamRecords.rewrite(),
     isReportingRefusals: () => relays.listOwnFeed().length === 0 || relays.isFeedRelay,
     meshKey,
     faults,
@@ -203,10 +248,11 @@
     readers,
     entries,
     rollout,
+    streamRecords,
     ...processState,
   });
   /* eslint-enable @typescript-eslint/no-use-before-define */
-  return { ...readers, ...mesh, bootId, rollout, entries };
+  return { ...readers, ...mesh, bootId, rollout, entries, streamRecords };
 };
 
 export type Controllers = ReturnType<typeof createControllers>;
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -7,6 +7,7 @@
 import { RequestLog } from '../requestLog.js';
 import type { ConnectionPool } from '../dispatch/connectionPool.js';
 import type { FaultRecorder } from '../faultRecorder.js';
+import { StreamContinuity } from '../dispatch/streamContinuity.js';
 import { UpstreamChooser } from '../dispatch/upstreamChooser.js';
 import { createGatewayFilters } from '../filters/index.js';
 import type { GatewayOptions } from '../gatewayOptions.js';
@@ -22,6 +23,7 @@
   readonly shutdown: Shutdown;
   readonly connections: ConnectionPool;
   readonly gossip: Controllers['gossip'];
+  readonly streamRecords: Controllers['streamRecords'];
   readonly pauseMonitor: PauseMonitor;
   /** Running counts for reports of pauses. */
   readonly counts: CallerCounts;
@@ -42,6 +44,18 @@
     () => roster.findAllSenders()?.length,
   );
 
+const createStreamContinuity = (
+  { fleetState, streamRecords }: DataPathOptions,
+  requestLog: RequestLog,
+): StreamContinuity =>
+  new StreamContinuity({
+    versions: fleetState.versions,
+    findKnown: (requestId) => fleetState.begunStreams.find(requestId),
+    findBegun: (requestId, signal) => streamRecords.find(requestId, signal),
+    recordBegun: (stream) => streamRecords.recordBegun(stream),
+    requestLog,
+  });
+
 /** Creates the request path: the server for callers, the filter chain and the upstream chooser. */
 export const createDataPath = (
   { settings, metrics, callerProtocol, logger, upstreamProtocol }: GatewayOptions,
@@ -84,6 +98,7 @@
       rateLimits: fleetState.rateLimits,
       quarantine: fleetState.quarantine,
       requestLog,
+      streamContinuity: createStreamContinuity(dependencies, requestLog),
       faults,
       fetchWindow: operators.fetchWindow,
       metrics,
--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -1,5 +1,6 @@
 import {
   AnnouncedRates,
+  BegunStreams,
   BlockDirectory,
   CappedEjectionPolicy,
   EntryRoster,
@@ -8,6 +9,7 @@
   PeerLoads,
   SentParts,
   UpstreamRegistry,
+  VersionsInUse,
   ZoneRelays,
   createRandomGenerator,
 } from '@goldcrestscale/core';
@@ -46,6 +48,8 @@
     registry: new UpstreamRegistry(peerLoads),
     blocks: new BlockDirectory(),
     sentParts: new SentParts(),
+    begunStreams: new BegunStreams(),
+    versions: new VersionsInUse(),
     announcedRates,
     rateLimits: new FleetRateLimits({
       self,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -4,6 +4,15 @@
 /** Retry-after while no configuration is known: about one read of the log. */
 export const NO_CONFIGURATION_RETRY_AFTER_MS = 500;
 
+/** Delay of a record of begun streams, which batches them; a VM that is lost takes those with it. */
+export const STREAM_RECORD_DELAY_MS = 200;
+
+/** Time after which a begun stream that the log does not know is looked up once more. */
+export const STREAM_LOOKUP_DELAY_MS = 300;
+
+/** Maximum number of streams in one record; the next record takes the rest. */
+export const MAX_STREAM_RECORDS_PER_APPEND = 2_000;
+
 /** Minimum retry-after when no upstream has capacity. */
 export const NO_CAPACITY_RETRY_AFTER_MS = 400;
 
--- a/packages/gateway/src/controllers/__tests__/entriesController.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/entriesController.spec.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
-import { CrashQuarantine, EntryRoster, toId } from '@goldcrestscale/core';
+import { CrashQuarantine, EntryRoster, VersionsInUse, toId } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
 import { buildSettings } from '../../__tests__/relayedFleet.js';
@@ -54,6 +54,8 @@
     bootId: toId<BootId>('boot'),
     roster: new EntryRoster(),
     quarantine: new CrashQuarantine(),
+    versions: new VersionsInUse(),
+    onNewEra: () => undefined,
     isReportingRefusals: () => false,
     meshKey: 'key',
     faults: createTestFaults().faults,
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -1,5 +1,11 @@
-import { pickCallerEntries, sleep } from '@goldcrestscale/core';
-import type { BootId, EntryHeartbeat, EntryRoster, CrashQuarantine } from '@goldcrestscale/core';
+import { pickCallerEntries, sleep, waitForAbort } from '@goldcrestscale/core';
+import type {
+  BootId,
+  EntryHeartbeat,
+  EntryRoster,
+  CrashQuarantine,
+  VersionsInUse,
+} from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GatewaySettings } from '../config.js';
 import { HEARTBEAT_INTERVAL_MS, LOG_RETRY_DELAY_MS } from '../constants.js';
@@ -21,6 +27,9 @@
   readonly bootId: BootId;
   readonly roster: EntryRoster;
   readonly quarantine: CrashQuarantine;
+  readonly versions: VersionsInUse;
+  /** Called when the log came back from an older copy. */
+  readonly onNewEra: () => void;
   /** Whether this VM reports refused patterns in its heartbeats; of a group, the relays do. */
   readonly isReportingRefusals: () => boolean;
   /** Key with which other VMs authenticate this VM's messages. */
@@ -48,6 +57,10 @@
 
   private pauseController = new AbortController();
 
+  private hasSnapshot = false;
+
+  private readonly firstSnapshotController = new AbortController();
+
   constructor(private readonly options: EntriesOptions) {
     const { roster, logger } = options;
     this.logHealth = new LogHealthMonitor('heartbeat', logger);
@@ -59,16 +72,21 @@
       getLongPollMs: () => 0,
       getPauseMs: () => HEARTBEAT_INTERVAL_MS,
       timing: ENTRY_FACT_TIMING,
-      onSnapshot: (records) => roster.recordSnapshot(this.decode(records)),
+      onSnapshot: (records) => this.applySnapshot(records),
       onRecords: (records) => {
         this.decode(records).forEach((heartbeat) => {
           roster.recordHeartbeat(heartbeat);
           options.quarantine.merge(readRefusedPatterns(heartbeat));
+          if (heartbeat.vmId !== options.settings.vmId)
+            options.versions.recordReport(heartbeat.versions ?? []);
         });
       },
       onRecovery: () => roster.recordLogRecovery(),
       onOutage: () => roster.recordLogOutage(),
-      onNewEra: () => this.publishHeartbeat(),
+      onNewEra: () => {
+        this.publishHeartbeat();
+        options.onNewEra();
+      },
       onBatch: options.onBatch,
     });
   }
@@ -97,7 +115,25 @@
     return pickCallerEntries(serving, zone).map(({ address }) => address);
   }
 
+  private applySnapshot(records: readonly KeyedRecord[]): void {
+    const { roster, versions } = this.options;
+    const heartbeats = this.decode(records);
+    const sightings = heartbeats.flatMap((heartbeat) => heartbeat.versions ?? []);
+    roster.recordSnapshot(heartbeats);
+    if (this.hasSnapshot) versions.recordReport(sightings);
+    else versions.recordFirstReports(sightings);
+    this.hasSnapshot = true;
+    this.firstSnapshotController.abort();
+  }
+
+  /** The first heartbeat replaces the one from before the start, so that has to be read first. */
+  private async waitForSnapshot(signal: AbortSignal): Promise<void> {
+    const { signal: snapshotSignal } = this.firstSnapshotController;
+    if (!this.hasSnapshot) await waitForAbort(AbortSignal.any([signal, snapshotSignal]));
+  }
+
   private async writeHeartbeats(signal: AbortSignal): Promise<void> {
+    await this.waitForSnapshot(signal);
     while (!signal.aborted) {
       this.pauseController = new AbortController();
       try {
@@ -136,6 +172,7 @@
       leaving: this.isLeaving,
       size: settings.capacityScore,
       linkMbps: settings.linkMbps,
+      versions: this.options.versions.listOwn(),
     };
   }
 
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -1,5 +1,5 @@
 import { isSocketAddress } from '@goldcrestscale/core';
-import type { EntryHeartbeat, QuarantineRow } from '@goldcrestscale/core';
+import type { EntryHeartbeat, QuarantineRow, VersionSighting } from '@goldcrestscale/core';
 import { decodeQuarantineRow, encodeQuarantineRow } from '../mesh/quarantineRow.js';
 import type { KeyedRecord } from '../ports/index.js';
 
@@ -23,6 +23,17 @@
 export const readRefusedPatterns = ({ quarantine }: HeartbeatContent): readonly QuarantineRow[] =>
   Array.isArray(quarantine) ? quarantine.flatMap(decodeQuarantineRow) : [];
 
+const isSighting = (value: unknown): value is VersionSighting => {
+  if (typeof value !== 'object' || value === null) return false;
+  const { service, version, ageMs } = value as Partial<Record<keyof VersionSighting, unknown>>;
+  return (
+    typeof service === 'string' &&
+    typeof version === 'string' &&
+    typeof ageMs === 'number' &&
+    ageMs >= 0
+  );
+};
+
 const isHeartbeat = (value: unknown): value is EntryHeartbeat => {
   if (typeof value !== 'object' || value === null) return false;
   const fields = value as Partial<Record<keyof EntryHeartbeat, unknown>>;
@@ -38,7 +49,9 @@
     typeof fields.leaving === 'boolean' &&
     typeof fields.size === 'number' &&
     fields.size >= 0 &&
-    // VMs of an earlier version don't tell their bandwidth.
+    // VMs of an earlier version don't tell the following fields.
+    (fields.versions === undefined ||
+      (Array.isArray(fields.versions) && fields.versions.every(isSighting))) &&
     (fields.linkMbps === undefined || (typeof fields.linkMbps === 'number' && fields.linkMbps > 0))
   );
 };
--- /dev/null
+++ b/packages/gateway/src/controllers/streamRecordsController.ts
@@ -0,0 +1,218 @@
+import { STREAM_LIFE_MS, sleep } from '@goldcrestscale/core';
+import type {
+  BegunStream,
+  BegunStreams,
+  RequestId,
+  VersionsInUse,
+  VmId,
+} from '@goldcrestscale/core';
+import type { Logger } from '@goldcrestscale/runtime';
+import {
+  MAX_STREAM_RECORDS_PER_APPEND,
+  STREAM_LOOKUP_DELAY_MS,
+  STREAM_RECORD_DELAY_MS,
+} from '../constants.js';
+import type { FaultRecorder } from '../faultRecorder.js';
+import { LogTrimmedError } from '../ports/index.js';
+import type { KeyedRecord, LogEra, SharedLog } from '../ports/index.js';
+import { LogHealthMonitor } from './logHealthMonitor.js';
+import { applyRecords } from './applyRecords.js';
+import { decodeStreams, encodeStreams } from './streamRecord.js';
+
+/** Dependencies of the controller. */
+export interface StreamRecordsOptions {
+  readonly self: VmId;
+  readonly log: SharedLog;
+  readonly logger: Logger;
+  readonly faults: FaultRecorder;
+  readonly streams: BegunStreams;
+  readonly versions: VersionsInUse;
+  /** Sends a record to a relay, which appends it with those of others; false without a relay. */
+  readonly forwardRecord: (record: KeyedRecord) => boolean;
+}
+
+interface OwnStream {
+  readonly stream: BegunStream;
+  readonly begunAtMs: number;
+  isWritten: boolean;
+}
+
+const START_OFFSET = 0;
+
+/**
+ * Keeps in the log which version began a stream, so that any VM can go on with it, also after the
+ * loss of all VMs. Streams of a service with a single version are not written: no other one can have
+ * begun them.
+ */
+export class StreamRecordsController {
+  private ownStreams: OwnStream[] = [];
+
+  private readonly relayedRecords: KeyedRecord[] = [];
+
+  private writeTimer: NodeJS.Timeout | undefined;
+
+  private readonly logHealth: LogHealthMonitor;
+
+  private nextOffset = START_OFFSET;
+
+  private era: LogEra | undefined;
+
+  private reading: Promise<void> | undefined;
+
+  private nextReading: Promise<void> | undefined;
+
+  /** Undefined before the start. */
+  private signal: AbortSignal | undefined;
+
+  constructor(private readonly options: StreamRecordsOptions) {
+    this.logHealth = new LogHealthMonitor('streams', options.logger);
+  }
+
+  /** Writes records until the signal aborts. */
+  start(signal: AbortSignal): void {
+    this.signal = signal;
+    signal.addEventListener('abort', () => clearTimeout(this.writeTimer));
+  }
+
+  /** Records a stream whose first event is being passed on. */
+  recordBegun(stream: BegunStream): void {
+    this.options.streams.record(stream);
+    this.expire();
+    this.ownStreams.push({ stream, begunAtMs: performance.now(), isWritten: false });
+    if (this.options.versions.hasSeveral(stream.service)) this.scheduleWrite();
+  }
+
+  /** Writes the streams of services that have got a second version. */
+  checkVersions(): void {
+    const { versions } = this.options;
+    this.expire();
+    const unwritten = this.ownStreams.filter(({ isWritten }) => !isWritten);
+    const services = new Set(unwritten.map(({ stream }) => stream.service));
+    if ([...services].some((service) => versions.hasSeveral(service))) this.scheduleWrite();
+  }
+
+  /** Writes all live streams again, because a relay or the log has lost what it was given. */
+  rewrite(): void {
+    this.ownStreams.forEach((own) => {
+      Object.assign(own, { isWritten: false });
+    });
+    this.scheduleWrite();
+  }
+
+  /** Appends a follower's record with the next own ones. */
+  relayRecord(record: KeyedRecord): void {
+    this.relayedRecords.push(record);
+    this.scheduleWrite();
+  }
+
+  /**
+   * Finds a stream that any VM has begun.
+   *
+   * @returns undefined if its version is not known
+   */
+  async find(requestId: RequestId, signal: AbortSignal): Promise<BegunStream | undefined> {
+    const { streams } = this.options;
+    const known = streams.find(requestId);
+    if (known) return known;
+    await this.readRecords();
+    if (!streams.find(requestId) && !signal.aborted) {
+      // The VM that began it may have been lost while its record was under way to the log.
+      await sleep(STREAM_LOOKUP_DELAY_MS, signal);
+      await this.readRecords();
+    }
+    return streams.find(requestId);
+  }
+
+  private expire(): void {
+    const oldestMs = performance.now() - STREAM_LIFE_MS;
+    const firstLive = this.ownStreams.findIndex(({ begunAtMs }) => begunAtMs > oldestMs);
+    if (firstLive !== 0) this.ownStreams = firstLive < 0 ? [] : this.ownStreams.slice(firstLive);
+  }
+
+  private scheduleWrite(): void {
+    const { signal } = this;
+    if (!signal || signal.aborted) return;
+    this.writeTimer ??= setTimeout(() => {
+      this.writeTimer = undefined;
+      void this.write(signal);
+    }, STREAM_RECORD_DELAY_MS);
+  }
+
+  private async write(signal: AbortSignal): Promise<void> {
+    const { self, versions, forwardRecord, log } = this.options;
+    this.expire();
+    const pending = this.ownStreams
+      .filter(({ stream, isWritten }) => !isWritten && versions.hasSeveral(stream.service))
+      .slice(0, MAX_STREAM_RECORDS_PER_APPEND);
+    const records = this.relayedRecords.splice(0);
+    if (pending.length > 0) {
+      const record = encodeStreams(
+        self,
+        pending.map(({ stream }) => stream),
+      );
+      pending.forEach((own) => Object.assign(own, { isWritten: true }));
+      if (!forwardRecord(record)) records.push(record);
+    }
+    if (records.length === 0) return;
+    try {
+      await log.append('streams', records, signal);
+      this.logHealth.recordSuccess();
+    } catch (cause) {
+      if (signal.aborted) return;
+      this.logHealth.recordFailure(cause);
+      pending.forEach((own) => Object.assign(own, { isWritten: false }));
+    }
+    if (pending.length === MAX_STREAM_RECORDS_PER_APPEND || this.logHealth.isDown)
+      this.scheduleWrite();
+  }
+
+  /** Reads all records that had been appended at the time of the call. */
+  private readRecords(): Promise<void> {
+    if (!this.reading) {
+      this.reading = this.readToEnd().finally(() => {
+        this.reading = undefined;
+      });
+      return this.reading;
+    }
+    // The read under way may have passed the record already.
+    this.nextReading ??= this.reading.then(() => {
+      this.nextReading = undefined;
+      return this.readRecords();
+    });
+    return this.nextReading;
+  }
+
+  /** A log that can't be read leaves the streams unknown, so that they don't go on. */
+  private async readToEnd(): Promise<void> {
+    const { log, streams, faults } = this.options;
+    const { signal } = this;
+    if (!signal) return;
+    try {
+      for (;;) {
+        const batch = await log.read('streams', this.nextOffset, { longPollMs: 0, signal });
+        const isOtherEra = this.era !== undefined && batch.era !== this.era;
+        this.era = batch.era;
+        if (isOtherEra) this.nextOffset = START_OFFSET;
+        else {
+          applyRecords('streams', batch.records, faults, (record) =>
+            decodeStreams(record).forEach((stream) => streams.record(stream)),
+          );
+          this.nextOffset = batch.nextOffset;
+          if (batch.records.length === 0) break;
+        }
+      }
+      this.logHealth.recordSuccess();
+    } catch (cause) {
+      if (signal.aborted) return;
+      if (cause instanceof LogTrimmedError) {
+        // Offsets beyond the end are trimmed as well, after the log came back from a copy.
+        const first = cause.firstOffset ?? START_OFFSET;
+        const canGoOn = first !== this.nextOffset;
+        this.nextOffset = first;
+        if (canGoOn) await this.readToEnd();
+        return;
+      }
+      this.logHealth.recordFailure(cause);
+    }
+  }
+}
--- a/packages/gateway/src/controllers/upstreamsController.ts
+++ b/packages/gateway/src/controllers/upstreamsController.ts
@@ -1,4 +1,9 @@
-import type { RegisteredUpstream, RegistryChange, UpstreamRegistry } from '@goldcrestscale/core';
+import type {
+  RegisteredUpstream,
+  RegistryChange,
+  UpstreamRegistry,
+  VersionsInUse,
+} from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { UPSTREAM_READ_INTERVAL_MS } from '../constants.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
@@ -15,6 +20,9 @@
   readonly codec: RecordCodec;
   readonly logger: Logger;
   readonly registry: UpstreamRegistry;
+  readonly versions: VersionsInUse;
+  /** Called after changes of the registry have been applied. */
+  readonly onVersions: (hasNewVersion: boolean) => void;
   readonly faults: FaultRecorder;
   readonly onBatch: (batch: RelayedBatch) => void;
 }
@@ -61,6 +69,7 @@
       if (change.kind === 'present') present.push(change.upstream);
     });
     this.options.registry.replaceAll(present);
+    this.recordVersions();
     this.options.logger.info('upstream registry loaded', { upstreams: present.length });
   }
 
@@ -83,6 +92,18 @@
       }
     });
     registry.expireRemovals();
+    this.recordVersions();
+  }
+
+  private recordVersions(): void {
+    const { registry, versions, onVersions } = this.options;
+    const newVersions = registry
+      .list()
+      .filter(
+        ({ registered: { service, softwareVersion } }) =>
+          softwareVersion !== undefined && versions.recordRegistered(service, softwareVersion),
+      );
+    onVersions(newVersions.length > 0);
   }
 
   private decode(record: KeyedRecord): RegistryChange {
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -38,6 +38,8 @@
   /** Shared by the attempts at one resumable stream. */
   readonly eventSplitter: EventSplitter | undefined;
   readonly onResponseHead: (head: ResponseHead) => void;
+  /** Called before the first event of a resumable stream is passed on. */
+  readonly onFirstEvent: () => void;
 }
 
 type Phase = 'offered' | 'sent' | 'whole' | 'stream' | 'dropped';
@@ -304,6 +306,7 @@
     const { exchange, eventSplitter } = this.options;
     const eventEnds = this.isStreamOpen ? this.eventScanner.scan(chunk) : [];
     const data = eventSplitter ? eventSplitter.push(chunk, eventEnds) : chunk;
+    if (eventSplitter && data.length > 0) this.options.onFirstEvent();
     if (data.length === 0 || exchange.response.write(data)) return;
     flow.pause();
     exchange.response.onDrain(() => flow.resume());
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -158,7 +158,9 @@
       isAllowed(exchange.account?.regions) &&
       ejection.getState(upstream.upstreamId) !== 'open' &&
       this.coldStartLimits.canTake(upstream) &&
-      !this.hasOutdatedWeights(exchange, upstream)
+      !this.hasOutdatedWeights(exchange, upstream) &&
+      (exchange.streamVersion === undefined ||
+        registered.softwareVersion === exchange.streamVersion)
     );
   }
 
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -34,6 +34,7 @@
 import { RequestProgress } from '../dispatch/requestProgress.js';
 import { ResponseReporter } from '../dispatch/responseReporter.js';
 import { SendGate } from '../dispatch/sendGate.js';
+import type { StreamContinuity } from '../dispatch/streamContinuity.js';
 import { UpstreamAttempt } from '../dispatch/upstreamAttempt.js';
 import type {
   UpstreamChoice,
@@ -66,6 +67,7 @@
   readonly rateLimits: FleetRateLimits;
   readonly quarantine: CrashQuarantine;
   readonly requestLog: RequestLog;
+  readonly streamContinuity: StreamContinuity;
   readonly faults: FaultRecorder;
   /** Returns this VM's share of the connections that an upstream accepts. */
   readonly getConnectionShare: (service: ServiceName) => number;
@@ -119,9 +121,14 @@
   }
 
   override async handle(exchange: GatewayExchange): Promise<void> {
-    const service = this.options.chooser.pickService(exchange);
-    if (service === undefined) throw createNoUpstreamError();
+    const picked = this.options.chooser.pickService(exchange);
+    if (picked === undefined) throw createNoUpstreamError();
     const route = requireRoute(exchange);
+    const { streamContinuity } = this.options;
+    const origin = await streamContinuity.resolveOrigin(exchange, picked, exchange.signal);
+
+    exchange.streamVersion = origin?.version;
+    const service = origin?.service ?? picked;
     this.options.retryBudget.recordRequest(service);
     const progress = new RequestProgress(service, route);
     // One controller for both causes is cheaper than AbortSignal.any.
@@ -259,6 +266,7 @@
       },
       signal,
       eventSplitter: progress.eventSplitter,
+      onFirstEvent: () => this.options.streamContinuity.recordFirstEvent(exchange, upstream),
       onResponseHead: (head) => {
         reservation.recordResponseStart();
         const elapsedMs = performance.now() - sentAtMs;
--- a/packages/gateway/src/filters/gatewayExchange.ts
+++ b/packages/gateway/src/filters/gatewayExchange.ts
@@ -36,6 +36,8 @@
   deadlineAtMs: number;
   /** The verdict of the attempts so far that promises the least. */
   verdict: Verdict;
+  /** Version of the upstreams at which its stream may go on; undefined before the first event. */
+  streamVersion?: SoftwareVersion | undefined;
   /** Whether it has been sent to an upstream. */
   isSent: boolean;
   /** Attempts so far, for the log. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -124,6 +124,7 @@
 ): Promise<void> => {
   await controllers.gossip.start(signal);
   await controllers.feedServer.start(signal);
+  controllers.streamRecords.start(signal);
   const { feedClient, operators, upstreams, entries, rollout } = controllers;
   Object.entries({ feedClient, operators, upstreams, entries, rollout }).forEach(([name, task]) => {
     void runTask((taskSignal) => task.run(taskSignal), { name, faults, signal });
@@ -159,13 +160,14 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
     if (limits) callers.applyLimits(limits);
   });
-  const { operators, gossip } = controllers;
+  const { operators, gossip, streamRecords } = controllers;
   const callers = createDataPath(options, {
     fleetState,
     operators,
     shutdown,
     connections,
     gossip,
+    streamRecords,
     ...processState,
     counts,
   });
--- a/packages/gateway/src/mesh/feedClient.ts
+++ b/packages/gateway/src/mesh/feedClient.ts
@@ -74,6 +74,15 @@
     return true;
   }
 
+  /** Sends a record of begun streams for the relay to append; false if no relay is connected. */
+  forwardStreams(record: KeyedRecord): boolean {
+    const { connection } = this;
+    if (!connection || connection.isStale) return false;
+    // A relay of an earlier version ignores messages in a list that it does not know.
+    sendMessage(connection, { kind: 'several', messages: [{ kind: 'streams', record }] });
+    return true;
+  }
+
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const relay = this.pickRelay();
--- a/packages/gateway/src/mesh/feedMessage.ts
+++ b/packages/gateway/src/mesh/feedMessage.ts
@@ -45,6 +45,8 @@
   | { readonly kind: 'ask'; readonly question: number }
   /** A follower's heartbeat, for the relay to append to the log with its own. */
   | { readonly kind: 'heartbeat'; readonly record: KeyedRecord }
+  /** Streams that a follower has begun, for the relay to append to the log. */
+  | { readonly kind: 'streams'; readonly record: KeyedRecord }
   | { readonly kind: 'batch'; readonly batch: RelayedBatch }
   | {
       readonly kind: 'positions';
@@ -59,6 +61,7 @@
   'hello',
   'ask',
   'heartbeat',
+  'streams',
   'batch',
   'positions',
   'blocks',
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -35,6 +35,8 @@
   readonly listStores: () => readonly string[];
   /** Returns the contents of a block store; undefined if this VM doesn't read it any more. */
   readonly findBlocks: (address: string) => RelayedBlocks | undefined;
+  /** Called with a follower's record of begun streams. */
+  readonly onStreamRecord: (record: KeyedRecord) => void;
   /** Whether a VM has sent gossip recently, which a small fleet does only while it has load. */
   readonly isAlive: (vmId: VmId) => boolean;
 }
@@ -201,6 +203,10 @@
       this.send(follower, encodeFeedContent(response));
     } else if (message.kind === 'heartbeat' && follower) {
       follower.heartbeat = message.record;
+    } else if (message.kind === 'streams' && follower) {
+      this.options.onStreamRecord(message.record);
+    } else if (message.kind === 'several') {
+      message.messages.forEach((one) => this.handleMessage(socket, one));
     }
   }
 
--- a/packages/gateway/src/ports/sharedLog.ts
+++ b/packages/gateway/src/ports/sharedLog.ts
@@ -1,5 +1,5 @@
 /** Topics of the platform's log that the gateway uses. */
-export type LogTopic = 'operators' | 'upstreams' | 'entries' | 'leases';
+export type LogTopic = 'operators' | 'upstreams' | 'entries' | 'leases' | 'streams';
 
 /** A keyed log record. */
 export interface KeyedRecord {
