--- a/packages/entry/src/__tests__/invalidResponses.spec.ts
+++ b/packages/entry/src/__tests__/invalidResponses.spec.ts
@@ -24,3 +24,24 @@
   },
   8_000,
 );
+
+const WHOLE = buildRawResponse('HTTP/1.1 200 OK', ['x-attempt-id: ID'], '{"fine":true}');
+
+const CUTS = Array.from({ length: Math.ceil(WHOLE.indexOf('{') / 6) }, (_, index) => 1 + index * 6);
+
+// Guards against a success for an answer whose head was never complete.
+test.each(CUTS.flatMap((cutAt) => [[cutAt, 'end'] as const, [cutAt, 'reset'] as const]))(
+  'a head that is cut after %i bytes by %s ends its request with a typed error',
+  async (cutAt, ending) => {
+    const address = await startRawService(({ id, socket }) => {
+      socket.write(WHOLE.replace('ID', id).slice(0, cutAt));
+      setImmediate(() => (ending === 'end' ? socket.end() : socket.resetAndDestroy()));
+    });
+    const harness = await startHarness({ upstreams: [address] });
+    onTestFinished(() => harness.close());
+    const response = await callService(harness, 'POST');
+    expect(response.errorCode).toBeDefined();
+    expect(response.status).toBeGreaterThanOrEqual(500);
+  },
+  8_000,
+);
