fix(gateway): a request that waits into the end of a shutdown is not sent

New requests were refused here from 0.35 of the grace on, but only when their heads were read: one whose body came after that was sent, at any time until the exit, and could be cut with no answer (LOST).

The last check before the first send refuses as well, with the same 503, as not run. Retries of what was sent before go on.

--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -136,8 +136,8 @@
     filters: createGatewayFilters({
       errorResponse: { requestLog, metrics, protocol },
       getView: () => operators.view,
-      isRefusing: options.isRefusing ?? (() => false),
       dispatch: {
+        isRefusing: options.isRefusing ?? (() => false),
         chooser: new UpstreamChooser({
           ...fleetState,
           self: toId<VmId>('vm-1'),
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -77,8 +77,8 @@
       protocol: callerProtocol,
     },
     getView: () => operators.state.view,
-    isRefusing: () => shutdown.isRefusing,
     dispatch: {
+      isRefusing: () => shutdown.isRefusing,
       chooser: new UpstreamChooser({
         ...fleetState,
         self: settings.vmId,
--- a/packages/gateway/src/dispatch/sendGate.ts
+++ b/packages/gateway/src/dispatch/sendGate.ts
@@ -6,6 +6,7 @@
 } from '@goldcrestscale/core';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { assertPromptAllowed, assertRequestAllowed } from '../filters/quarantineFilter.js';
+import { assertServing } from '../filters/shutdownFilter.js';
 import type { GatewayMetrics } from '../metrics.js';
 import type { AttemptMetadata } from '../ports/index.js';
 import type { AttemptMetadataBuilder } from './attemptMetadataBuilder.js';
@@ -21,6 +22,8 @@
   readonly announcedRates: AnnouncedRates;
   readonly ejection: EjectionPolicy;
   readonly metrics: GatewayMetrics;
+  /** Whether this VM shuts down and takes no requests any more. */
+  readonly isRefusing: () => boolean;
   /** Called with the tokens that an engine has to prefill for a prompt that is being sent. */
   readonly onPromptSent: (tokens: number) => void;
 }
@@ -54,6 +57,8 @@
     const { chooser, registry, quarantine } = this.options;
     const { upstream } = choice;
     assertWaiting(exchange, signal);
+    // A request that waited for its body may be read long before it could be sent.
+    if (!exchange.isSent) assertServing(this.options.isRefusing);
     assertPromptAllowed(exchange, quarantine);
     assertRequestAllowed(exchange, quarantine);
     if (registry.find(upstream.upstreamId) !== upstream) return { withheld: 'upstream is gone' };
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -69,6 +69,8 @@
   readonly requestLog: RequestLog;
   readonly streamContinuity: StreamContinuity;
   readonly faults: FaultRecorder;
+  /** Whether this VM shuts down and takes no requests any more. */
+  readonly isRefusing: () => boolean;
   /** Returns this VM's share of the connections that an upstream accepts. */
   readonly getConnectionShare: (service: ServiceName) => number;
   /** Called when an upstream has ended under a request. */
--- a/packages/gateway/src/filters/index.ts
+++ b/packages/gateway/src/filters/index.ts
@@ -16,14 +16,13 @@
 export interface GatewayFilterOptions {
   readonly errorResponse: ErrorResponseFilterOptions;
   readonly getView: () => DeploymentView | undefined;
-  readonly isRefusing: () => boolean;
   readonly dispatch: GatewayDispatchOptions;
 }
 
 /** Creates the filter chain, outermost filter first. */
 export const createGatewayFilters = (options: GatewayFilterOptions): readonly GatewayFilter[] => [
   new ErrorResponseFilter(options.errorResponse),
-  new ShutdownFilter(options.isRefusing),
+  new ShutdownFilter(options.dispatch.isRefusing),
   new RouteFilter(options.getView),
   new AccountFilter(options.getView),
   new QuarantineFilter(options.dispatch.quarantine),
