fix(gateway): bound what begun streams cost while the log is away

Records are kept, 1,000 at most, and tried again once a second; a look-up waits 0.5 s at most and isn't repeated in an outage; versions are dropped with the streams that they can have begun.

--- a/packages/core/src/streams/versionsInUse.ts
+++ b/packages/core/src/streams/versionsInUse.ts
@@ -24,6 +24,16 @@
   );
 };
 
+/** Drops versions whose streams can't be taken up any more. */
+const dropExpired = (seen: SeenAt): void => {
+  const oldestMs = performance.now() - STREAM_LIFE_MS;
+  seen.forEach((versions) =>
+    versions.forEach((seenAtMs, version) => {
+      if (seenAtMs <= oldestMs) versions.delete(version);
+    }),
+  );
+};
+
 /**
  * Knows which software versions of a service may have begun streams that callers can still take up.
  * Reports of other VMs count, because those may have used versions that this VM has never seen.
@@ -63,9 +73,11 @@
   /** Lists what this VM reports. */
   listOwn(): readonly VersionSighting[] {
     const nowMs = performance.now();
+    dropExpired(this.own);
+    dropExpired(this.reported);
     return [...this.own].flatMap(([service, versions]) =>
-      listRecent(this.own, service).map((version) => {
-        const ageMs = nowMs - versions.get(version)!;
+      [...versions].map(([version, seenAtMs]) => {
+        const ageMs = nowMs - seenAtMs;
         return { service, version, ageMs: ageMs - (ageMs % VERSION_AGE_STEP_MS) };
       }),
     );
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -10,8 +10,17 @@
 /** Time after which a begun stream that the log does not know is looked up once more. */
 export const STREAM_LOOKUP_DELAY_MS = 300;
 
+/** Delay of records while the log does not take them. */
+export const STREAM_RECORD_RETRY_MS = 1_000;
+
+/** Longest time for which a caller waits until the log tells which version began its stream. */
+export const STREAM_LOOKUP_TIMEOUT_MS = 500;
+
 /** Maximum number of streams in one record; the next record takes the rest. */
-export const MAX_STREAM_RECORDS_PER_APPEND = 2_000;
+export const MAX_STREAMS_PER_RECORD = 2_000;
+
+/** Maximum number of records that a relay keeps while the log does not take them. */
+export const MAX_PENDING_STREAM_RECORDS = 1_000;
 
 /** Minimum retry-after when no upstream has capacity. */
 export const NO_CAPACITY_RETRY_AFTER_MS = 400;
--- a/packages/gateway/src/controllers/streamRecordsController.ts
+++ b/packages/gateway/src/controllers/streamRecordsController.ts
@@ -8,9 +8,12 @@
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import {
-  MAX_STREAM_RECORDS_PER_APPEND,
+  MAX_PENDING_STREAM_RECORDS,
+  MAX_STREAMS_PER_RECORD,
   STREAM_LOOKUP_DELAY_MS,
+  STREAM_LOOKUP_TIMEOUT_MS,
   STREAM_RECORD_DELAY_MS,
+  STREAM_RECORD_RETRY_MS,
 } from '../constants.js';
 import type { FaultRecorder } from '../faultRecorder.js';
 import { LogTrimmedError } from '../ports/index.js';
@@ -47,7 +50,8 @@
 export class StreamRecordsController {
   private ownStreams: OwnStream[] = [];
 
-  private readonly relayedRecords: KeyedRecord[] = [];
+  /** Records to append: those of followers, and those that could not be appended. */
+  private pendingRecords: KeyedRecord[] = [];
 
   private writeTimer: NodeJS.Timeout | undefined;
 
@@ -101,7 +105,7 @@
 
   /** Appends a follower's record with the next own ones. */
   relayRecord(record: KeyedRecord): void {
-    this.relayedRecords.push(record);
+    this.addPending([record]);
     this.scheduleWrite();
   }
 
@@ -114,15 +118,22 @@
     const { streams } = this.options;
     const known = streams.find(requestId);
     if (known) return known;
-    await this.readRecords();
-    if (!streams.find(requestId) && !signal.aborted) {
+    const read = (): Promise<void> =>
+      Promise.race([this.readRecords(), sleep(STREAM_LOOKUP_TIMEOUT_MS, signal)]);
+    await read();
+    if (!streams.find(requestId) && !this.logHealth.isDown && !signal.aborted) {
       // The VM that began it may have been lost while its record was under way to the log.
       await sleep(STREAM_LOOKUP_DELAY_MS, signal);
-      await this.readRecords();
+      await read();
     }
     return streams.find(requestId);
   }
 
+  /** Keeps the newest records, if the log is away for so long that they become too many. */
+  private addPending(records: readonly KeyedRecord[]): void {
+    this.pendingRecords = [...this.pendingRecords, ...records].slice(-MAX_PENDING_STREAM_RECORDS);
+  }
+
   private expire(): void {
     const oldestMs = performance.now() - STREAM_LIFE_MS;
     const firstLive = this.ownStreams.findIndex(({ begunAtMs }) => begunAtMs > oldestMs);
@@ -132,37 +143,38 @@
   private scheduleWrite(): void {
     const { signal } = this;
     if (!signal || signal.aborted) return;
+    const delayMs = this.logHealth.isDown ? STREAM_RECORD_RETRY_MS : STREAM_RECORD_DELAY_MS;
     this.writeTimer ??= setTimeout(() => {
       this.writeTimer = undefined;
       void this.write(signal);
-    }, STREAM_RECORD_DELAY_MS);
+    }, delayMs);
   }
 
   private async write(signal: AbortSignal): Promise<void> {
     const { self, versions, forwardRecord, log } = this.options;
     this.expire();
-    const pending = this.ownStreams
+    const unwritten = this.ownStreams
       .filter(({ stream, isWritten }) => !isWritten && versions.hasSeveral(stream.service))
-      .slice(0, MAX_STREAM_RECORDS_PER_APPEND);
-    const records = this.relayedRecords.splice(0);
-    if (pending.length > 0) {
-      const record = encodeStreams(
-        self,
-        pending.map(({ stream }) => stream),
-      );
-      pending.forEach((own) => Object.assign(own, { isWritten: true }));
-      if (!forwardRecord(record)) records.push(record);
+      .slice(0, MAX_STREAMS_PER_RECORD);
+    if (unwritten.length > 0) {
+      const streams = unwritten.map(({ stream }) => stream);
+      const record = encodeStreams(self, streams);
+      unwritten.forEach((own) => Object.assign(own, { isWritten: true }));
+      if (!forwardRecord(record)) this.addPending([record]);
     }
-    if (records.length === 0) return;
-    try {
-      await log.append('streams', records, signal);
-      this.logHealth.recordSuccess();
-    } catch (cause) {
-      if (signal.aborted) return;
-      this.logHealth.recordFailure(cause);
-      pending.forEach((own) => Object.assign(own, { isWritten: false }));
+    const records = this.pendingRecords;
+    this.pendingRecords = [];
+    if (records.length > 0) {
+      try {
+        await log.append('streams', records, signal);
+        this.logHealth.recordSuccess();
+      } catch (cause) {
+        if (signal.aborted) return;
+        this.logHealth.recordFailure(cause);
+        this.addPending(records);
+      }
     }
-    if (pending.length === MAX_STREAM_RECORDS_PER_APPEND || this.logHealth.isDown)
+    if (unwritten.length === MAX_STREAMS_PER_RECORD || this.pendingRecords.length > 0)
       this.scheduleWrite();
   }
 
