--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -1,23 +1,20 @@
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import fc from 'fast-check';
 import { expect, onTestFinished, test, vi } from 'vitest';
 import { EntryRoster, ZoneRelays, toId } from '@goldcrestscale/core';
-import type { AvailabilityZoneId, BootId, EntryHeartbeat, VmId } from '@goldcrestscale/core';
+import type { VmId } from '@goldcrestscale/core';
 import { createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
 import { FeedClient } from '../mesh/feedClient.js';
 import { encodeFeedContent } from '../mesh/feedMessage.js';
 import type { FeedMessage, RelayedBatch, RelayedBlocks } from '../mesh/feedMessage.js';
 import { FeedReader } from '../mesh/feedReader.js';
 import { FeedServer } from '../mesh/feedServer.js';
+import { FEED_ZONE, findPort, makeEntry } from './feedFixtures.js';
 import { FeedWriter } from '../mesh/feedWriter.js';
 import type { KeyedRecord } from '../ports/index.js';
 import { createGatewayMetrics } from '../metrics.js';
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
 
-const zone = toId<AvailabilityZoneId>('z1');
-
 const batch: RelayedBatch = {
   topic: 'upstreams',
   era: 1,
@@ -86,26 +83,6 @@
   );
 });
 
-const findPort = (): Promise<number> =>
-  new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-
-const makeEntry = (name: string, port: number, size: number): EntryHeartbeat => ({
-  vmId: toId<VmId>(name),
-  bootId: toId<BootId>('boot'),
-  availabilityZone: zone,
-  address: `127.0.0.1:${port}`,
-  meshAddress: `127.0.0.1:${port}`,
-  meshKey: `key of ${name}`,
-  leaving: false,
-  size,
-});
-
 interface FeedOptions {
   /** Returns the age of the relay's newest proof. */
   readonly getProvedAgeMs?: () => number;
@@ -154,7 +131,7 @@
   const client = new FeedClient({
     self,
     key: 'key of vm-3',
-    relays: new ZoneRelays(roster, self, zone),
+    relays: new ZoneRelays(roster, self, FEED_ZONE),
     logger,
     onBatch: (message) => batches.push(message),
     onPosition: ({ position }) => positions.push(position),
--- a/packages/gateway/src/__tests__/relayLink.spec.ts
+++ b/packages/gateway/src/__tests__/relayLink.spec.ts
@@ -1,18 +1,15 @@
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, onTestFinished, test, vi } from 'vitest';
 import { EntryRoster, ZoneRelays, toId } from '@goldcrestscale/core';
-import type { AvailabilityZoneId, BootId, EntryHeartbeat, VmId } from '@goldcrestscale/core';
+import type { VmId } from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
 import { FeedClient } from '../mesh/feedClient.js';
 import type { RelayedBlocks } from '../mesh/feedMessage.js';
 import { FeedServer } from '../mesh/feedServer.js';
+import { FEED_ZONE, findPort, makeEntry } from './feedFixtures.js';
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
 
-const zone = toId<AvailabilityZoneId>('z1');
-
 const LINK_MBPS = 7;
 
 const LINK_BYTES_PER_MS = 875;
@@ -37,26 +34,6 @@
   })),
 });
 
-const findPort = (): Promise<number> =>
-  new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-
-const makeEntry = (name: string, port: number, size: number): EntryHeartbeat => ({
-  vmId: toId<VmId>(name),
-  bootId: toId<BootId>('boot'),
-  availabilityZone: zone,
-  address: `127.0.0.1:${port}`,
-  meshAddress: `127.0.0.1:${port}`,
-  meshKey: `key of ${name}`,
-  leaving: false,
-  size,
-});
-
 /** Starts a relay with a small link, and followers that all connect to it at once. */
 const startRelay = async () => {
   const roster = new EntryRoster();
@@ -92,7 +69,7 @@
     const client = new FeedClient({
       self,
       key: `key of ${name}`,
-      relays: new ZoneRelays(roster, self, zone),
+      relays: new ZoneRelays(roster, self, FEED_ZONE),
       logger,
       onBatch: () => undefined,
       onPosition: () => undefined,
