test(gateway): a VM out of step goes on with streams at another version

Callers saw a stream joined from two software versions if they took it up at a VM that had not read of the version that began it.

--- a/packages/gateway/src/__tests__/relayedFleet.ts
+++ b/packages/gateway/src/__tests__/relayedFleet.ts
@@ -25,84 +25,17 @@
 import type { RelayedBatch } from '../mesh/feedMessage.js';
 import { createTestFaults } from './testFaults.js';
 import { buildTestUpstream } from './testUpstream.js';
-import { RecordCodec, SharedLog } from '../ports/index.js';
-import type {
-  AppendedRecord,
-  KeyedRecord,
-  LogBatch,
-  LogReadOptions,
-  LogSnapshot,
-  LogTopic,
-} from '../ports/index.js';
+import { RecordCodec } from '../ports/index.js';
+import type { KeyedRecord, LogTopic } from '../ports/index.js';
+import { SimulatedLog, TRANSIT_MS } from './simulatedLog.js';
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
 
-/** Time that a message takes one way, in milliseconds. */
-const TRANSIT_MS = 3;
-
-/** Time after which a call to a log that can't be reached fails, in milliseconds. */
-const UNREACHABLE_MS = 600;
-
 const RELAYED_TOPICS = ['operators', 'upstreams', 'entries'] as const;
 
 /** A topic whose records relays pass on. */
 export type RelayedTopic = (typeof RELAYED_TOPICS)[number];
 
-const pause = (durationMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-
-/** The log as one VM sees it; the records are shared by all VMs. */
-class SimulatedLog extends SharedLog {
-  isCut = false;
-
-  readonly readsAtMs: number[] = [];
-
-  constructor(private readonly topics: ReadonlyMap<LogTopic, KeyedRecord[]>) {
-    super();
-  }
-
-  override async readSnapshot(topic: LogTopic): Promise<LogSnapshot> {
-    await this.reach();
-    const records = [...this.getRecords(topic)];
-    return { era: 1, records, endOffset: records.length };
-  }
-
-  override async read(topic: LogTopic, from: number, options: LogReadOptions): Promise<LogBatch> {
-    const startedAtMs = performance.now();
-    this.readsAtMs.push(startedAtMs);
-    await this.reach();
-    const isEmpty = (): boolean => this.getRecords(topic).length <= from;
-    while (isEmpty() && performance.now() - startedAtMs < options.longPollMs) await pause(10);
-    if (this.isCut) await this.reach();
-    const records = this.getRecords(topic).slice(from);
-    await pause(TRANSIT_MS);
-    return { era: 1, records, nextOffset: from + records.length };
-  }
-
-  override async append(): Promise<void> {
-    await this.reach();
-  }
-
-  override async appendAt(): Promise<AppendedRecord | undefined> {
-    throw new Error('not used');
-  }
-
-  override close(): void {
-    // Nothing to close.
-  }
-
-  private getRecords(topic: LogTopic): readonly KeyedRecord[] {
-    return this.topics.get(topic) ?? [];
-  }
-
-  private async reach(): Promise<void> {
-    await pause(this.isCut ? UNREACHABLE_MS : TRANSIT_MS);
-    if (this.isCut) throw new Error('log not reached');
-  }
-}
-
 /** Decodes records that name an upstream that drains, or a zone that is out of service. */
 class NamingCodec extends RecordCodec {
   override decodeOperatorChange({ key }: KeyedRecord): OperatorChange {
@@ -142,7 +75,7 @@
 
 const createVm = (
   vmId: string,
-  topics: ReadonlyMap<LogTopic, KeyedRecord[]>,
+  topics: Map<LogTopic, KeyedRecord[]>,
   onBatch: (batch: RelayedBatch) => void,
 ) => {
   const log = new SimulatedLog(topics);
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -44,8 +44,9 @@
     () => roster.findAllSenders()?.length,
   );
 
-const createStreamContinuity = (
-  { fleetState, streamRecords }: DataPathOptions,
+/** Creates the decision at which upstreams streams may go on. */
+export const createStreamContinuity = (
+  { fleetState, streamRecords }: Pick<DataPathOptions, 'fleetState' | 'streamRecords'>,
   requestLog: RequestLog,
 ): StreamContinuity =>
   new StreamContinuity({
