fix(gateway): a stream goes on only where the log proves its version

Callers that took a stream up at a VM out of step got the rest of it from another software version (ORDER).

Cause: "only one version may have begun any stream" was taken for a proof, though it only says what this VM has read. A VM that is cut off, stands still, follows a relay or has its next read before it reads no news, and took that for news of absence. The versions were counted from what the registry listed after a batch, so that one that came and went within it was never seen.

Now a take-up that this VM doesn't remember waits for reads of the registry and the heartbeats that start after it, are answered by the log itself and reach the end that the log had then; take-ups that wait share them. Every record on the way counts. Without the reads: 503, not run. A look-up of records that isn't answered in time isn't made a second time. The line 'stream taken up again' tells what proved the version.

The price: with one version, a VM for which the log doesn't answer now refuses what it doesn't remember; before, up to 20 s, it went on.

--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -52,6 +52,7 @@
     const response = this.responses.shift() ?? {
       records: [],
       nextOffset: from,
+      endOffset: from,
       era: this.snapshot.era,
     };
     if (response instanceof Error) throw response;
@@ -96,7 +97,12 @@
 
 test('reads the snapshot of a topic, then the records after it', async () => {
   const log = new ScriptedLog();
-  log.responses.push({ records: [makeRecord('a'), makeRecord('b')], nextOffset: 12, era: 1 });
+  log.responses.push({
+    records: [makeRecord('a'), makeRecord('b')],
+    nextOffset: 12,
+    endOffset: 12,
+    era: 1,
+  });
   const { events, end } = startReader(log);
   await vi.advanceTimersByTimeAsync(250);
   end();
@@ -112,7 +118,7 @@
   const codec = new FaultyCodec();
   const present = (key: string): KeyedRecord => ({ key, value: Buffer.from('present') });
   log.snapshot = { records: ['a', 'fault', 'b'].map(present), endOffset: 3, era: 1 };
-  log.responses.push({ records: ['fault', 'c'].map(present), nextOffset: 5, era: 1 });
+  log.responses.push({ records: ['fault', 'c'].map(present), nextOffset: 5, endOffset: 5, era: 1 });
   const controller = new GatewayUpstreamsController({
     log,
     codec,
@@ -221,7 +227,7 @@
   log.snapshot = { ...log.snapshot, era: 5 };
   const { events, end } = startReader(log);
   await vi.advanceTimersByTimeAsync(10);
-  log.responses.push({ records: [makeRecord('stale')], nextOffset: 11, era: 4 });
+  log.responses.push({ records: [makeRecord('stale')], nextOffset: 11, endOffset: 11, era: 4 });
   await vi.advanceTimersByTimeAsync(1_000);
   expect(events).toEqual(['snapshot:first', 'down', 'return']);
   log.snapshot = { records: [makeRecord('lower')], endOffset: 3, era: 2 };
@@ -235,6 +241,7 @@
   log.responses.push(new Error('no response'), new Error('no response'), {
     records: [makeRecord('a')],
     nextOffset: 11,
+    endOffset: 11,
     era: 1,
   });
   const { events, end } = startReader(log);
--- a/packages/gateway/src/__tests__/simulatedLog.ts
+++ b/packages/gateway/src/__tests__/simulatedLog.ts
@@ -52,7 +52,8 @@
     if (this.isCut) await this.reach();
     const records = this.getRecords(topic).slice(from);
     await pause(TRANSIT_MS);
-    return { era: 1, records, nextOffset: from + records.length };
+    const nextOffset = from + records.length;
+    return { era: 1, records, nextOffset, endOffset: nextOffset };
   }
 
   override async append(topic: LogTopic, records: readonly KeyedRecord[]): Promise<void> {
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -169,6 +169,7 @@
           versions,
           findKnown: (requestId) => begunStreams.find(requestId),
           findBegun: async (requestId) => begunStreams.find(requestId),
+          readVersions: async () => true,
           recordBegun: (stream) => begunStreams.record(stream),
           requestLog,
         }),
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -3,6 +3,7 @@
 import { EventLoopBarrier } from '@goldcrestscale/runtime';
 import type { PauseMonitor } from '@goldcrestscale/runtime';
 import { CONNECTION_LIMIT_FRACTION } from '../constants.js';
+import { refreshReaders } from '../controllers/refreshReaders.js';
 import type { Shutdown } from '../controllers/shutdown.js';
 import { RequestLog } from '../requestLog.js';
 import type { ConnectionPool } from '../dispatch/connectionPool.js';
@@ -24,6 +25,8 @@
   readonly connections: ConnectionPool;
   readonly gossip: Controllers['gossip'];
   readonly streamRecords: Controllers['streamRecords'];
+  readonly upstreams: Controllers['upstreams'];
+  readonly entries: Controllers['entries'];
   readonly pauseMonitor: PauseMonitor;
   /** Running counts for reports of pauses. */
   readonly counts: CallerCounts;
@@ -44,15 +47,22 @@
     () => roster.findAllSenders()?.length,
   );
 
+type StreamContinuityParts = Pick<
+  DataPathOptions,
+  'fleetState' | 'streamRecords' | 'upstreams' | 'entries'
+>;
+
 /** Creates the decision at which upstreams streams may go on. */
 export const createStreamContinuity = (
-  { fleetState, streamRecords }: Pick<DataPathOptions, 'fleetState' | 'streamRecords'>,
+  { fleetState, streamRecords, upstreams, entries }: StreamContinuityParts,
   requestLog: RequestLog,
 ): StreamContinuity =>
   new StreamContinuity({
     versions: fleetState.versions,
     findKnown: (requestId) => fleetState.begunStreams.find(requestId),
     findBegun: (requestId, signal) => streamRecords.find(requestId, signal),
+    readVersions: (signal) =>
+      refreshReaders([upstreams.reader, entries.reader], requestLog, signal),
     recordBegun: (stream) => streamRecords.recordBegun(stream),
     requestLog,
   });
--- a/packages/gateway/src/controllers/__tests__/entriesController.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/entriesController.spec.ts
@@ -23,7 +23,7 @@
   }
 
   override async read(): Promise<LogBatch> {
-    return { era: 1, records: [], nextOffset: 0 };
+    return { era: 1, records: [], nextOffset: 0, endOffset: 0 };
   }
 
   override async append(_topic: string, records: readonly KeyedRecord[]): Promise<void> {
--- a/packages/gateway/src/controllers/__tests__/streamRecordsController.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/streamRecordsController.spec.ts
@@ -49,7 +49,8 @@
       throw new LogTrimmedError('trimmed', this.firstOffset);
     }
     const records = this.records.slice(from, from + 2);
-    return { era: this.era, records, nextOffset: from + records.length };
+    const nextOffset = from + records.length;
+    return { era: this.era, records, nextOffset, endOffset: this.records.length };
   }
 
   override async append(_topic: string, records: readonly KeyedRecord[]): Promise<void> {
--- a/packages/gateway/src/controllers/streamRecordsController.ts
+++ b/packages/gateway/src/controllers/streamRecordsController.ts
@@ -19,6 +19,7 @@
 import { LogTrimmedError } from '../ports/index.js';
 import type { KeyedRecord, LogEra, SharedLog } from '../ports/index.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
+import { SharedRead } from './sharedRead.js';
 import { applyRecords } from './applyRecords.js';
 import { decodeStreams, encodeStreams } from './streamRecord.js';
 
@@ -61,9 +62,8 @@
 
   private era: LogEra | undefined;
 
-  private reading: Promise<void> | undefined;
-
-  private nextReading: Promise<void> | undefined;
+  /** Reads all records that had been appended at the time of the call. */
+  private readonly records = new SharedRead(() => this.readToEnd());
 
   /** Undefined before the start. */
   private signal: AbortSignal | undefined;
@@ -118,10 +118,13 @@
     const { streams } = this.options;
     const known = streams.find(requestId);
     if (known) return known;
-    const read = (): Promise<void> =>
-      Promise.race([this.readRecords(), sleep(STREAM_LOOKUP_TIMEOUT_MS, signal)]);
-    await read();
-    if (!streams.find(requestId) && !this.logHealth.isDown && !signal.aborted) {
+    const read = (): Promise<boolean> =>
+      Promise.race([
+        this.records.run().then(() => true),
+        sleep(STREAM_LOOKUP_TIMEOUT_MS, signal).then(() => false),
+      ]);
+    const isInTime = await read();
+    if (isInTime && !streams.find(requestId) && !this.logHealth.isDown && !signal.aborted) {
       // The VM that began it may have been lost while its record was under way to the log.
       await sleep(STREAM_LOOKUP_DELAY_MS, signal);
       await read();
@@ -178,22 +181,6 @@
       this.scheduleWrite();
   }
 
-  /** Reads all records that had been appended at the time of the call. */
-  private readRecords(): Promise<void> {
-    if (!this.reading) {
-      this.reading = this.readToEnd().finally(() => {
-        this.reading = undefined;
-      });
-      return this.reading;
-    }
-    // The read under way may have passed the record already.
-    this.nextReading ??= this.reading.then(() => {
-      this.nextReading = undefined;
-      return this.readRecords();
-    });
-    return this.nextReading;
-  }
-
   /** A log that can't be read leaves the streams unknown, so that they don't go on. */
   private async readToEnd(): Promise<void> {
     const { log, streams, faults } = this.options;
--- a/packages/gateway/src/controllers/topicReader.ts
+++ b/packages/gateway/src/controllers/topicReader.ts
@@ -7,6 +7,7 @@
 import type { KeyedRecord, LogEra, LogTopic, SharedLog } from '../ports/index.js';
 import type { FactTiming } from './factTiming.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
+import { SharedRead } from './sharedRead.js';
 
 /** Consecutive responses of an earlier era that are ignored before it counts as the current one. */
 const MAX_EARLIER_ERA_RESPONSES = 5;
@@ -62,6 +63,11 @@
 
   private caughtUpAt: ClockReading | undefined;
 
+  private readonly newest = new SharedRead(() => this.readToEnd());
+
+  /** Undefined before the start. */
+  private signal: AbortSignal | undefined;
+
   /** Newest moment of which a relay proved that this reader knows all records before it. */
   private relayProvedAt: ClockReading | undefined;
 
@@ -90,11 +96,18 @@
   }
 
   /** Applies records from a relay. A batch after a gap is ignored; the next own read fills the gap. */
-  applyRelayed({ from, next, records, era }: RelayedBatch): void {
-    if (era !== this.era) return;
-    if (this.position === undefined || from > this.position || next <= this.position) return;
-    this.options.onRecords(records.slice(this.position - from));
-    this.position = next;
+  applyRelayed(batch: RelayedBatch): void {
+    if (batch.era === this.era) this.applyBatch(batch);
+  }
+
+  /**
+   * Reads from the log itself all records that it had accepted before the call; callers that wait
+   * share the reads. What a relay tells doesn't count, because its view may be older than the call.
+   *
+   * @throws if the log doesn't tell, or hasn't settled since it came back from a copy
+   */
+  refresh(): Promise<void> {
+    return this.newest.run();
   }
 
   /**
@@ -139,6 +152,7 @@
 
   /** Runs until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    this.signal = signal;
     while (!signal.aborted) {
       try {
         if (this.isRelayed) {
@@ -182,6 +196,38 @@
     this.recordCaughtUp(advanceClockReading(startedAt, waitedMs));
   }
 
+  private async readToEnd(): Promise<void> {
+    const { log, topic, onBatch } = this.options;
+    const { signal } = this;
+    const startedAt = readClocks();
+    let endOffset: number | undefined;
+    do {
+      const from = this.position;
+      if (!signal || from === undefined || this.needsSettledSnapshot) {
+        throw new Error(`${topic}: no settled snapshot has been read`);
+      }
+      const batch = await log.read(topic, from, { longPollMs: 0, signal });
+      if (!this.checkEra(batch.era)) throw new Error(`${topic}: the log came back from a copy`);
+      const applied = this.applyBatch({ ...batch, topic, from, next: batch.nextOffset });
+      if (applied) onBatch?.(applied);
+      endOffset ??= batch.endOffset;
+      if (batch.nextOffset === from && from < endOffset) {
+        throw new Error(`${topic}: no records at offset ${from} before the end ${endOffset}`);
+      }
+    } while ((this.position ?? 0) < endOffset);
+    this.recordCaughtUp(startedAt);
+  }
+
+  /** @returns the part of the batch that was new; undefined if none was, or if records before it lack */
+  private applyBatch(batch: RelayedBatch): RelayedBatch | undefined {
+    const { position } = this;
+    if (position === undefined || batch.from > position || batch.next <= position) return undefined;
+    const records = batch.records.slice(position - batch.from);
+    this.options.onRecords(records);
+    this.position = batch.next;
+    return { ...batch, from: position, records };
+  }
+
   private async readSnapshot(startedAt: ClockReading, signal: AbortSignal): Promise<void> {
     const { log, topic, onSnapshot } = this.options;
     const snapshot = await log.readSnapshot(topic, signal);
--- a/packages/gateway/src/controllers/upstreamsController.ts
+++ b/packages/gateway/src/controllers/upstreamsController.ts
@@ -1,9 +1,4 @@
-import type {
-  RegisteredUpstream,
-  RegistryChange,
-  UpstreamRegistry,
-  VersionsInUse,
-} from '@goldcrestscale/core';
+import type { RegistryChange, UpstreamRegistry, VersionsInUse } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { UPSTREAM_READ_INTERVAL_MS } from '../constants.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
@@ -63,21 +58,22 @@
   }
 
   private applySnapshot(records: readonly KeyedRecord[]): void {
-    const present: RegisteredUpstream[] = [];
-    applyRecords('upstreams', records, this.options.faults, (record) => {
-      const change = this.decode(record);
-      if (change.kind === 'present') present.push(change.upstream);
-    });
+    const changes = applyRecords('upstreams', records, this.options.faults, (record) =>
+      this.decode(record),
+    );
+    const present = changes.flatMap((change) =>
+      change.kind === 'present' ? [change.upstream] : [],
+    );
     this.options.registry.replaceAll(present);
-    this.recordVersions();
+    this.recordVersions(changes);
     this.options.logger.info('upstream registry loaded', { upstreams: present.length });
   }
 
   private applyRecords(records: readonly KeyedRecord[]): void {
     const { registry, logger, faults } = this.options;
-    applyRecords('upstreams', records, faults, (record) => {
+    const changes = applyRecords('upstreams', records, faults, (record) => {
       const change = this.decode(record);
-      if (!registry.apply(change)) return;
+      if (!registry.apply(change)) return change;
       if (change.kind === 'absent') logger.info('upstream removed', { ...change });
       else {
         const { upstreamId, draining, coldRemainingMs, address, softwareVersion } = change.upstream;
@@ -90,19 +86,22 @@
           version,
         });
       }
+      return change;
     });
     registry.expireRemovals();
-    this.recordVersions();
+    this.recordVersions(changes);
   }
 
-  private recordVersions(): void {
+  /** An upstream may have come and gone within the changes, and begun streams meanwhile. */
+  private recordVersions(changes: readonly RegistryChange[]): void {
     const { registry, versions, onVersions } = this.options;
-    const newVersions = registry
-      .list()
-      .filter(
-        ({ registered: { service, softwareVersion } }) =>
-          softwareVersion !== undefined && versions.recordRegistered(service, softwareVersion),
-      );
+    const changed = changes.flatMap((change) =>
+      change.kind === 'present' ? [change.upstream] : [],
+    );
+    const newVersions = [...changed, ...registry.list().map(({ registered }) => registered)].filter(
+      ({ service, softwareVersion }) =>
+        softwareVersion !== undefined && versions.recordRegistered(service, softwareVersion),
+    );
     onVersions(newVersions.length > 0);
   }
 
--- a/packages/gateway/src/dispatch/streamContinuity.ts
+++ b/packages/gateway/src/dispatch/streamContinuity.ts
@@ -22,6 +22,13 @@
     requestId: RequestId,
     signal: AbortSignal,
   ) => Promise<BegunStream | undefined>;
+  /**
+   * Reads the versions that the registry and the other VMs tell, from the log itself and not before
+   * the call.
+   *
+   * @returns false if the log doesn't tell them in time
+   */
+  readonly readVersions: (signal: AbortSignal) => Promise<boolean>;
   readonly recordBegun: (stream: BegunStream) => void;
   readonly requestLog: RequestLog;
 }
@@ -32,6 +39,22 @@
   readonly version: SoftwareVersion;
 }
 
+/** Ignores streams of other accounts and of services to which the route does not lead. */
+const selectOwn = (
+  exchange: GatewayExchange,
+  begun: BegunStream | undefined,
+): BegunStream | undefined => {
+  const isOwn =
+    begun?.account === exchange.account?.id &&
+    requireRoute(exchange).destinations.some(({ service }) => service === begun?.service);
+  return isOwn ? begun : undefined;
+};
+
+interface ProvedOrigin extends StreamOrigin {
+  /** What proves the version: a record of the stream, or that no other version serves. */
+  readonly proof: 'record' | 'only version';
+}
+
 /**
  * Decides at which upstreams a stream may go on. What two software versions of a service write does
  * not fit together, and upstreams don't check it; so a stream goes on at the version that began it,
@@ -50,20 +73,19 @@
     service: ServiceName,
     signal: AbortSignal,
   ): Promise<StreamOrigin | undefined> {
-    const { versions, requestLog } = this.options;
+    const { requestLog } = this.options;
     const { lastEventId, resumedRequestId, requestId } = exchange.head;
     if (!requireRoute(exchange).resumable) return undefined;
     if (lastEventId === undefined && resumedRequestId === undefined) return undefined;
-    const begun = await this.findOwnBegun(exchange, signal);
-    const version = begun?.version ?? versions.findOnly(service);
+    const origin = await this.findOrigin(exchange, service, signal);
     requestLog.log('stream taken up again', {
       id: requestId,
       resumes: resumedRequestId,
       lastEventId,
-      version: version ?? 'unknown',
-      isRecorded: begun !== undefined,
+      version: origin?.version ?? 'unknown',
+      proof: origin?.proof ?? 'none',
     });
-    if (version !== undefined) return { service: begun?.service ?? service, version };
+    if (origin) return origin;
     throw createRefusal('The version that began this stream is not known; begin it anew.', {
       code: 'stream_origin_unknown',
       status: 503,
@@ -83,22 +105,32 @@
     this.options.recordBegun({ requestId: toId<RequestId>(requestId), service, version, account });
   }
 
-  /** Ignores streams of other accounts and of services to which the route does not lead. */
-  private async findOwnBegun(
+  private async findOrigin(
     exchange: GatewayExchange,
+    service: ServiceName,
     signal: AbortSignal,
-  ): Promise<BegunStream | undefined> {
-    const { versions, findKnown, findBegun } = this.options;
+  ): Promise<ProvedOrigin | undefined> {
+    const { versions, findKnown, findBegun, readVersions } = this.options;
     const { resumedRequestId } = exchange.head;
     const { destinations } = requireRoute(exchange);
-    if (resumedRequestId === undefined) return undefined;
-    // The streams of a service with a single version are not written, so there is nothing to read.
-    const isSingle = destinations.every(({ service }) => versions.findOnly(service) !== undefined);
-    const id = toId<RequestId>(resumedRequestId);
-    const begun = isSingle ? findKnown(id) : await findBegun(id, signal);
-    const isOwn =
-      begun?.account === exchange.account?.id &&
-      destinations.some(({ service }) => service === begun?.service);
-    return isOwn ? begun : undefined;
+    const isMixed = (): boolean =>
+      destinations.some((destination) => versions.findOnly(destination.service) === undefined);
+    const id = resumedRequestId === undefined ? undefined : toId<RequestId>(resumedRequestId);
+    const findRecorded = async (): Promise<BegunStream | undefined> =>
+      id && selectOwn(exchange, await findBegun(id, signal));
+    const known = id && selectOwn(exchange, findKnown(id));
+    if (known) return { ...known, proof: 'record' };
+
+    const wasMixed = isMixed();
+    const recorded = wasMixed ? await findRecorded() : undefined;
+    if (recorded) return { ...recorded, proof: 'record' };
+    if (versions.findOnly(service) === undefined) return undefined;
+
+    // What this VM has read so far may be older than the stream.
+    if (!(await readVersions(signal))) return undefined;
+    const recordedMeanwhile = !wasMixed && isMixed() ? await findRecorded() : undefined;
+    if (recordedMeanwhile) return { ...recordedMeanwhile, proof: 'record' };
+    const version = versions.findOnly(service);
+    return version === undefined ? undefined : { service, version, proof: 'only version' };
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -160,7 +160,7 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
     if (limits) callers.applyLimits(limits);
   });
-  const { operators, gossip, streamRecords } = controllers;
+  const { operators, gossip, streamRecords, upstreams, entries } = controllers;
   const callers = createDataPath(options, {
     fleetState,
     operators,
@@ -168,6 +168,8 @@
     connections,
     gossip,
     streamRecords,
+    upstreams,
+    entries,
     ...processState,
     counts,
   });
--- a/packages/gateway/src/ports/sharedLog.ts
+++ b/packages/gateway/src/ports/sharedLog.ts
@@ -31,6 +31,8 @@
   readonly records: readonly KeyedRecord[];
   /** Offset after the last record of the batch. */
   readonly nextOffset: number;
+  /** End offset of the topic when the batch was read. */
+  readonly endOffset: number;
 }
 
 /** A record that was appended at the expected end. */
