fix(gateway): a reader that is refreshed reports the end of an outage first

A refresh applied what it read before the reader knew that the log answers again. Entries that expired in an outage of the log would have been dropped at once, without the time that live upstreams get to register again, so callers would have been refused for want of upstreams.

--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -4,13 +4,13 @@
 import { createLogger } from '@goldcrestscale/runtime';
 import { resolveGatewaySettings } from '../config.js';
 import { Shutdown } from '../controllers/shutdown.js';
-import { TopicReader } from '../controllers/topicReader.js';
 import { GatewayUpstreamsController } from '../controllers/upstreamsController.js';
 import { RequestLog } from '../requestLog.js';
+import { ScriptedLog, makeRecord, startReader } from './scriptedLog.js';
 import { createTestFaults } from './testFaults.js';
 import { buildTestUpstream } from './testUpstream.js';
-import { LogTrimmedError, RecordCodec, SharedLog } from '../ports/index.js';
-import type { AppendedRecord, KeyedRecord, LogBatch, LogSnapshot } from '../ports/index.js';
+import { LogTrimmedError, RecordCodec } from '../ports/index.js';
+import type { KeyedRecord } from '../ports/index.js';
 
 beforeEach(() => {
   vi.useFakeTimers();
@@ -21,8 +21,6 @@
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
 
-const makeRecord = (key: string): KeyedRecord => ({ key, value: Buffer.from('1') });
-
 /** Decodes every record as an upstream, but fails for one key. */
 class FaultyCodec extends RecordCodec {
   override decodeOperatorChange(): undefined {
@@ -35,66 +33,6 @@
   }
 }
 
-/** A log with scripted responses. */
-class ScriptedLog extends SharedLog {
-  readonly responses: (Error | LogBatch)[] = [];
-
-  readonly reads: number[] = [];
-
-  snapshot: LogSnapshot = { records: [makeRecord('first')], endOffset: 10, era: 1 };
-
-  override async readSnapshot(): Promise<LogSnapshot> {
-    return this.snapshot;
-  }
-
-  override async read(_topic: string, from: number): Promise<LogBatch> {
-    this.reads.push(from);
-    const response = this.responses.shift() ?? {
-      records: [],
-      nextOffset: from,
-      endOffset: from,
-      era: this.snapshot.era,
-    };
-    if (response instanceof Error) throw response;
-    return response;
-  }
-
-  override async append(): Promise<void> {
-    throw new Error('not used');
-  }
-
-  override async appendAt(): Promise<AppendedRecord | undefined> {
-    throw new Error('not used');
-  }
-
-  override close(): void {
-    // Nothing to close.
-  }
-}
-
-const startReader = (log: ScriptedLog) => {
-  const events: string[] = [];
-  const reader = new TopicReader({
-    log,
-    topic: 'operators',
-    logger,
-    getLongPollMs: () => 0,
-    getPauseMs: () => 100,
-    timing: { boundMs: 2_000, maxProofAgeMs: 1_150, readSpreadMs: 0, readMs: 250, sendMs: 100 },
-    onSnapshot: (records, isSettled) =>
-      events.push(
-        `snapshot:${records.map(({ key }) => key).join()}${isSettled ? '' : ' (unsettled)'}`,
-      ),
-    onNewEra: () => events.push('new era'),
-    onRecords: (records) => records.forEach(({ key }) => events.push(key)),
-    onOutage: () => events.push('down'),
-    onRecovery: () => events.push('return'),
-  });
-  const abortController = new AbortController();
-  void reader.run(abortController.signal);
-  return { events, reader, end: () => abortController.abort() };
-};
-
 test('reads the snapshot of a topic, then the records after it', async () => {
   const log = new ScriptedLog();
   log.responses.push({
--- a/packages/gateway/src/controllers/topicReader.ts
+++ b/packages/gateway/src/controllers/topicReader.ts
@@ -207,6 +207,7 @@
         throw new Error(`${topic}: no settled snapshot has been read`);
       }
       const batch = await log.read(topic, from, { longPollMs: 0, signal });
+      this.recordSuccess();
       if (!this.checkEra(batch.era)) throw new Error(`${topic}: the log came back from a copy`);
       const applied = this.applyBatch({ ...batch, topic, from, next: batch.nextOffset });
       if (applied) onBatch?.(applied);
