fix(streams): a version counts for as long as the registry is known to list it

Cause: a version was stamped as seen with each read, so that no read looked like no version. Now what the registry lists counts until a later list lacks it, and its 20 s begin there.

Two tests: one of the reports, which failed before (nothing was listed), and one of the class, whose method is new.

--- a/packages/core/src/streams/__tests__/versionsInUse.spec.ts
+++ b/packages/core/src/streams/__tests__/versionsInUse.spec.ts
@@ -45,6 +45,21 @@
   expect(versions.findOnly(service)).toBe(v2);
 });
 
+// Guards against refusals in a long outage of the log, though a single version serves.
+test('a version that the registry lists counts for as long as nothing newer is read', () => {
+  const versions = createVersions();
+  versions.recordRegistered(service, v1);
+  versions.updateListed([{ service, version: v1 }]);
+  vi.advanceTimersByTime(5 * STREAM_LIFE_MS);
+  expect(versions.findOnly(service)).toBe(v1);
+  expect(versions.listOwn()).toEqual([{ service, version: v1, ageMs: 0 }]);
+  versions.recordRegistered(service, v2);
+  versions.updateListed([{ service, version: v2 }]);
+  expect(versions.hasSeveral(service)).toBe(true);
+  vi.advanceTimersByTime(STREAM_LIFE_MS);
+  expect(versions.findOnly(service)).toBe(v2);
+});
+
 // Guards against a VM that has started after the upstreams of another version had left.
 test('versions that other VMs have used count', () => {
   const versions = createVersions();
--- a/packages/core/src/streams/index.ts
+++ b/packages/core/src/streams/index.ts
@@ -3,4 +3,4 @@
 export type { BegunStream } from './begunStreams.js';
 export { STREAM_LIFE_MS } from './constants.js';
 export { VersionsInUse } from './versionsInUse.js';
-export type { VersionSighting } from './versionsInUse.js';
+export type { RegisteredVersion, VersionSighting } from './versionsInUse.js';
--- a/packages/core/src/streams/versionsInUse.ts
+++ b/packages/core/src/streams/versionsInUse.ts
@@ -1,10 +1,14 @@
 import type { ServiceName, SoftwareVersion } from '../ids.js';
 import { STREAM_LIFE_MS, VERSION_AGE_STEP_MS } from './constants.js';
 
-/** A software version of a service, and for how long no VM has seen an upstream of it. */
-export interface VersionSighting {
+/** A software version of a service. */
+export interface RegisteredVersion {
   readonly service: ServiceName;
   readonly version: SoftwareVersion;
+}
+
+/** A software version, and for how long no VM has seen an upstream of it. */
+export interface VersionSighting extends RegisteredVersion {
   readonly ageMs: number;
 }
 
@@ -41,21 +45,32 @@
 export class VersionsInUse {
   private readonly own: SeenAt = new Map();
 
+  /** What the registry lists, as far as this VM has read. */
+  private listed: readonly RegisteredVersion[] = [];
+
   private readonly reported: SeenAt = new Map();
 
   private hasReports = false;
 
   /**
-   * Records that the registry lists an upstream of a version.
+   * Records that the registry listed an upstream of a version; it may be gone again.
    *
    * @returns whether this VM has not reported that version yet
    */
   recordRegistered(service: ServiceName, version: SoftwareVersion): boolean {
+    this.recordListed();
     const isNew = !listRecent(this.own, service).includes(version);
     recordSeen(this.own, { service, version, ageMs: 0 });
     return isNew;
   }
 
+  /** Updates what the registry lists; that counts until a later list lacks it, however old it is. */
+  updateListed(listed: readonly RegisteredVersion[]): void {
+    this.recordListed();
+    const distinct = new Map(listed.map((one) => [`${one.service} ${one.version}`, one]));
+    this.listed = [...distinct.values()];
+  }
+
   /**
    * Records the last reports of all VMs, which this VM read when it started. They are passed on with
    * its own, because its first report replaces the one from before its start.
@@ -72,6 +87,7 @@
 
   /** Lists what this VM reports. */
   listOwn(): readonly VersionSighting[] {
+    this.recordListed();
     const nowMs = performance.now();
     dropExpired(this.own);
     dropExpired(this.reported);
@@ -95,6 +111,12 @@
   }
 
   private listAll(service: ServiceName): ReadonlySet<SoftwareVersion> {
+    this.recordListed();
     return new Set([...listRecent(this.own, service), ...listRecent(this.reported, service)]);
   }
+
+  /** A version counts as seen for as long as it is listed. */
+  private recordListed(): void {
+    this.listed.forEach((one) => recordSeen(this.own, { ...one, ageMs: 0 }));
+  }
 }
--- a/packages/gateway/src/__tests__/outOfStep.spec.ts
+++ b/packages/gateway/src/__tests__/outOfStep.spec.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, onTestFinished, test, vi } from 'vitest';
-import { readClocks } from '@goldcrestscale/core';
+import { STREAM_LIFE_MS, readClocks } from '@goldcrestscale/core';
 import { startStreamFleet } from './streamFleet.js';
 import type { StreamVm } from './streamFleet.js';
 
@@ -118,3 +118,13 @@
   const reads = taking.log.readsAtMs.filter((readAtMs) => readAtMs - startedAtMs < 100);
   expect(reads.length).toBeLessThanOrEqual(3);
 });
+
+// Guards against versions that a VM still uses and forgets in a long outage of the log.
+test('a VM for which the log is away for long still knows the version that it uses', async () => {
+  const { taking } = await startFleet();
+  taking.log.isCut = true;
+  await vi.advanceTimersByTimeAsync(2 * STREAM_LIFE_MS);
+  expect(taking.versions.listOwn().map(({ version, ageMs }) => [version, ageMs])).toEqual([
+    ['v1', 0],
+  ]);
+});
--- a/packages/gateway/src/controllers/upstreamsController.ts
+++ b/packages/gateway/src/controllers/upstreamsController.ts
@@ -1,4 +1,10 @@
-import type { RegistryChange, UpstreamRegistry, VersionsInUse } from '@goldcrestscale/core';
+import type {
+  RegisteredUpstream,
+  RegisteredVersion,
+  RegistryChange,
+  UpstreamRegistry,
+  VersionsInUse,
+} from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import { UPSTREAM_READ_INTERVAL_MS } from '../constants.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
@@ -22,6 +28,11 @@
   readonly onBatch: (batch: RelayedBatch) => void;
 }
 
+const listVersion = (upstream: RegisteredUpstream): readonly RegisteredVersion[] => {
+  const { service, softwareVersion: version } = upstream;
+  return version === undefined ? [] : [{ service, version }];
+};
+
 /** Keeps the upstream registry in sync with its topic of the log. */
 export class GatewayUpstreamsController {
   readonly reader: TopicReader;
@@ -95,13 +106,10 @@
   /** An upstream may have come and gone within the changes, and begun streams meanwhile. */
   private recordVersions(changes: readonly RegistryChange[]): void {
     const { registry, versions, onVersions } = this.options;
-    const changed = changes.flatMap((change) =>
-      change.kind === 'present' ? [change.upstream] : [],
-    );
-    const newVersions = [...changed, ...registry.list().map(({ registered }) => registered)].filter(
-      ({ service, softwareVersion }) =>
-        softwareVersion !== undefined && versions.recordRegistered(service, softwareVersion),
-    );
+    const newVersions = changes
+      .flatMap((change) => (change.kind === 'present' ? listVersion(change.upstream) : []))
+      .filter(({ service, version }) => versions.recordRegistered(service, version));
+    versions.updateListed(registry.list().flatMap(({ registered }) => listVersion(registered)));
     onVersions(newVersions.length > 0);
   }
 
