fix(fleet): a VM that stood still does not take itself for the only one

A VM whose heartbeats are all over 15 s old, its own too, listed no VM that may send, and the limits that all VMs share read that as a fleet of one: it took the whole retry allowance and the whole rate of cold upstreams until it read the next heartbeat. Callers would have seen it as load beyond the limits at cold upstreams. Outages of the log don't count as age, so it takes a process that stands still for over 15 s.

Now nobody heard of means not known, as before the first heartbeats: no share.

The test failed before: the list was empty instead of undefined.

--- a/packages/core/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/core/src/fleet/__tests__/fleet.spec.ts
@@ -157,6 +157,19 @@
   expect(roster.findAllSenders()).toEqual(['lost']);
 });
 
+// Guards against a VM that stood still and takes the limits of the whole fleet for its own.
+test('a VM that has heard of nobody for long does not know all senders', () => {
+  const roster = new EntryRoster();
+  roster.recordSnapshot([]);
+  ['self', 'other'].forEach((name) => roster.recordHeartbeat(makeHeartbeat(name)));
+  vi.advanceTimersByTime(14_000);
+  expect(roster.findAllSenders()).toEqual(['self', 'other']);
+  vi.advanceTimersByTime(6_000);
+  expect(roster.findAllSenders()).toBeUndefined();
+  ['self', 'other'].forEach((name) => roster.recordHeartbeat(makeHeartbeat(name)));
+  expect(roster.findAllSenders()).toEqual(['self', 'other']);
+});
+
 test('missing heartbeats during a log outage do not count', () => {
   const roster = new EntryRoster();
   roster.recordHeartbeat(makeHeartbeat('a'));
--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -127,7 +127,9 @@
 
   /** The same, for limits that must not be exceeded; undefined while this VM may not know of all. */
   findAllSenders(): readonly VmId[] | undefined {
-    return this.isSettled ? this.listPossibleSenders() : undefined;
+    const senders = this.listPossibleSenders();
+    // Its own heartbeat would be listed as well.
+    return this.isSettled && senders.length > 0 ? senders : undefined;
   }
 
   private get isSettled(): boolean {
