fix(gateway): bound the bytes of request bodies by the memory of the VM

What callers saw: a process with many callers in their bodies at once grew with their number and was killed at its limit (200 MB), with all requests.

Cause: nothing bounded the bodies that are read at the same time; the limit of one body says nothing about their sum. Chunks that wait for the rest of their body also lived long enough to become garbage that is collected late.

Change: one budget for the process (ByteBudget), a fifth of machine.memoryMb. A declared length is reserved before the body is read, and filled into one buffer; a body in chunks is counted as it comes. Without room the request is refused at once, 503 memory_full, not run, and the rest of its body is discarded, so that its caller reads the answer and keeps its connection.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -8,6 +8,7 @@
   | 'unknown_model'
   | 'unknown_service'
   | 'body_too_large'
+  | 'memory_full'
   | 'key_reused'
   | 'key_expired'
   | 'key_in_future'
--- a/packages/gateway/src/__tests__/controllers.spec.ts
+++ b/packages/gateway/src/__tests__/controllers.spec.ts
@@ -247,6 +247,13 @@
   expect(resolved.regions.get('z1' as never)).toBe('r1');
 });
 
+// Guards against a limit that allows more than the VM has.
+test('what is buffered for callers takes a fifth of the memory of the VM', () => {
+  const machine = { cores: 1, coreShare: 1, linkMbps: 1_000, memoryMb: 200 };
+  expect(resolveGatewaySettings({ ...settings, machine }).bufferBytes).toBe(40_000_000);
+  expect(resolveGatewaySettings(settings).bufferBytes).toBe(51_200_000);
+});
+
 test('lists every problem of invalid settings with its path', () => {
   const invalid = { ...settings, vmId: '', listen: { ...settings.listen, callers: 'nowhere' } };
   expect(() => resolveGatewaySettings(invalid)).toThrow(/vmId.*listen\.callers/s);
--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -69,7 +69,7 @@
     gateway.close();
     upstreams.forEach((upstream) => upstream.close());
   });
-  const { port, fleetState, operators, metrics } = gateway;
+  const { port, fleetState, operators, metrics, budget } = gateway;
   return {
     port,
     call: (call: TestCall = {}) => sendCall(port, call),
@@ -77,5 +77,6 @@
     fleetState,
     operators,
     metrics,
+    budget,
   };
 };
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -10,6 +10,7 @@
   VmId,
 } from '@goldcrestscale/core';
 import {
+  ByteBudget,
   EventLoopBarrier,
   PauseMonitor,
   createLogger,
@@ -64,6 +65,8 @@
   /** Starts without a configuration. */
   readonly isUnconfigured?: boolean;
   readonly isRefusing?: () => boolean;
+  /** Limit of the bytes that are buffered for callers. */
+  readonly bufferBytes?: number;
   /** Addresses of the upstreams. */
   readonly addresses: readonly string[];
   /** Software versions of the upstreams; undefined if their entries tell none. */
@@ -124,6 +127,7 @@
   const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
   const requestLog = new RequestLog(logger);
   const faults = new FaultRecorder(requestLog, metrics);
+  const budget = new ByteBudget(options.bufferBytes ?? Infinity);
   const stopController = new AbortController();
   const pauseMonitor = new PauseMonitor({ readCounts: () => ({}), onPause: () => undefined });
   pauseMonitor.start(stopController.signal);
@@ -132,6 +136,7 @@
     isLeaving: () => false,
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts: { requestsRead: 0, callersLeft: 0 },
+    budget,
     faults,
     filters: createGatewayFilters({
       errorResponse: { requestLog, metrics, protocol },
@@ -191,6 +196,7 @@
     fleetState,
     operators,
     metrics,
+    budget,
     close(): void {
       stopController.abort();
       connections.close();
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -1,7 +1,7 @@
 import { FleetRetryBudget, ROSTER_LAG_MS } from '@goldcrestscale/core';
 import type { EntryRoster, ServiceName } from '@goldcrestscale/core';
 import { EventLoopBarrier } from '@goldcrestscale/runtime';
-import type { PauseMonitor } from '@goldcrestscale/runtime';
+import type { ByteBudget, PauseMonitor } from '@goldcrestscale/runtime';
 import { CONNECTION_LIMIT_FRACTION } from '../constants.js';
 import { refreshReaders } from '../controllers/refreshReaders.js';
 import type { Shutdown } from '../controllers/shutdown.js';
@@ -30,6 +30,7 @@
   readonly pauseMonitor: PauseMonitor;
   /** Running counts for reports of pauses. */
   readonly counts: CallerCounts;
+  readonly budget: ByteBudget;
   readonly faults: FaultRecorder;
 }
 
@@ -73,7 +74,7 @@
   dependencies: DataPathOptions,
 ): CallerServer => {
   const { fleetState, operators, shutdown, connections, gossip } = dependencies;
-  const { pauseMonitor, counts, faults } = dependencies;
+  const { pauseMonitor, counts, budget, faults } = dependencies;
   const { roster } = fleetState;
   const countVms = (): number => Math.max(1, roster.listPossibleSenders().length);
   const getConnectionShare = (service: ServiceName): number => {
@@ -124,6 +125,7 @@
     isLeaving: () => shutdown.isLeaving,
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts,
+    budget,
     faults,
   });
 };
--- a/packages/gateway/src/config.ts
+++ b/packages/gateway/src/config.ts
@@ -15,7 +15,14 @@
 
 const nonnegative = z.number().check(z.nonnegative());
 
-const DEFAULT_MACHINE = { cores: 1, coreShare: 1, linkMbps: 1_000 };
+const DEFAULT_MACHINE = { cores: 1, coreShare: 1, linkMbps: 1_000, memoryMb: undefined };
+
+const DEFAULT_MEMORY_MB = 256;
+
+const MEGABYTE = 1_000_000;
+
+/** Share of the memory for what is buffered for callers; the rest is the program and its garbage. */
+const BUFFER_MEMORY_FRACTION = 0.2;
 
 // Unknown fields are ignored, so that newer platforms can add some.
 const settingsSchema = z.object({
@@ -32,6 +39,8 @@
       /** Fraction of each core that the process gets. */
       coreShare: positive,
       linkMbps: positive,
+      /** Memory of the process; above it, the process is killed. */
+      memoryMb: z.optional(positive),
     }),
   ),
   /** Listeners, as HOST:PORT. */
@@ -99,6 +108,8 @@
   readonly capacityScore: number;
   /** Bandwidth of this VM's link, in Mbit/s. */
   readonly linkMbps: number;
+  /** Limit of the bytes that are buffered for all callers together. */
+  readonly bufferBytes: number;
   readonly logAddress: string;
   readonly leaseMs: number;
   readonly bounds: FleetBounds;
@@ -143,6 +154,7 @@
     isFirstStart: parsed.data.firstStart ?? false,
     capacityScore: machine.cores * machine.coreShare * machine.linkMbps,
     linkMbps: machine.linkMbps,
+    bufferBytes: (machine.memoryMb ?? DEFAULT_MEMORY_MB) * MEGABYTE * BUFFER_MEMORY_FRACTION,
     listen: { ...listen, metrics: listen.metrics },
     logAddress: log.address,
     leaseMs: log.leaseMs,
--- a/packages/gateway/src/filters/gatewayExchange.ts
+++ b/packages/gateway/src/filters/gatewayExchange.ts
@@ -7,6 +7,7 @@
   Verdict,
   WeightNumber,
 } from '@goldcrestscale/core';
+import type { ByteReservation } from '@goldcrestscale/runtime';
 import type { CallerRequestHead } from '../ports/index.js';
 import type { CallerResponse } from '../http/callerResponse.js';
 
@@ -26,6 +27,8 @@
    * process stood still.
    */
   readonly receivedAtMs: number;
+  /** Its share of the memory for what is buffered for callers; released after the response. */
+  readonly reservation: ByteReservation;
   /** Set by the body filter. */
   body: Buffer;
   /** Set by the route filter. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
 import type { PermitRequest, QuarantineChange, RateChange, VmId } from '@goldcrestscale/core';
-import { PauseMonitor, listen } from '@goldcrestscale/runtime';
+import { ByteBudget, PauseMonitor, listen } from '@goldcrestscale/runtime';
 import type { EventCounts, Logger } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
@@ -81,13 +81,24 @@
   { settings, callerProtocol, metrics: counters }: GatewayOptions,
   { operators, upstreams, entries }: Controllers,
   shutdown: Shutdown,
-  { operated, faults }: { readonly operated: OperatedState; readonly faults: FaultRecorder },
+  {
+    operated,
+    faults,
+    budget,
+  }: {
+    readonly operated: OperatedState;
+    readonly faults: FaultRecorder;
+    readonly budget: ByteBudget;
+  },
 ): { readonly directory: Server; readonly readiness: Server; readonly metrics: Server } => {
   const commonOptions = {
     protocol: callerProtocol,
     isReady: () => !shutdown.isLeaving && !!operators.state.view && upstreams.hasSnapshot,
     ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
-    renderMetrics: () => counters.render(),
+    renderMetrics: () => {
+      counters.setBufferedBytes(budget.heldBytes);
+      return counters.render();
+    },
     operated: undefined,
     faults,
   };
@@ -151,9 +162,10 @@
     controllers.gossip.sendPermitRequest(granter, request),
   );
   const faults = new FaultRecorder(new RequestLog(logger.createPartLogger('faults')), metrics);
+  const budget = new ByteBudget(settings.bufferBytes);
   const counts = { requestsRead: 0, callersLeft: 0 };
   const pauseMonitor = createPauseMonitor(options, () => ({ ...counts }));
-  const processState = { pauseMonitor, faults };
+  const processState = { pauseMonitor, faults, budget };
   const controllers: Controllers = createControllers(options, fleetState, processState, () => {
     controllers.stores.refresh(workController.signal);
     const limits = controllers.operators.state.view?.deployment.callerLimits;
@@ -175,7 +187,7 @@
   });
   const servers = createAuxiliaryServers(options, controllers, shutdown, {
     operated: fleetState,
-    faults,
+    ...processState,
   });
   const { directory, readiness } = servers;
   await Promise.all([
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -2,7 +2,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { runChain } from '@goldcrestscale/core';
 import type { CallerLimits } from '@goldcrestscale/core';
-import { trackCaller } from '@goldcrestscale/runtime';
+import { ByteReservation, trackCaller } from '@goldcrestscale/runtime';
+import type { ByteBudget } from '@goldcrestscale/runtime';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import type { GatewayFilter } from '../filters/gatewayFilter.js';
 import type { FaultRecorder } from '../faultRecorder.js';
@@ -25,6 +26,8 @@
   /** Returns the earliest monotonic time at which a request that is being read may have arrived. */
   readonly estimateArrivalMs: () => number;
   readonly counts: CallerCounts;
+  /** Memory for the bodies of requests and what is buffered of responses. */
+  readonly budget: ByteBudget;
   readonly faults: FaultRecorder;
 }
 
@@ -42,13 +45,23 @@
 /** Margin added to the configured timeouts of callers' connections. */
 const TIMEOUT_MARGIN_MS = 1_000;
 
+/** Users of a request's memory: the filters, and the connection until the response has been sent. */
+const REQUEST_PARTS = 2;
+
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
+/** What the server knows of the caller of a request. */
+interface CallerState {
+  /** Aborts when the caller leaves. */
+  readonly signal: AbortSignal;
+  readonly reservation: ByteReservation;
+}
+
 const buildExchange = (
   request: IncomingMessage,
   response: ServerResponse,
   options: CallerServerOptions,
-  signal: AbortSignal,
+  { signal, reservation }: CallerState,
 ): GatewayExchange => ({
   request,
   method: request.method ?? 'GET',
@@ -57,6 +70,7 @@
   head: options.protocol.parseHead(request),
   response: new CallerResponse(response, options.isLeaving),
   signal,
+  reservation,
   receivedAtMs: options.estimateArrivalMs(),
   body: Buffer.alloc(0),
   deadlineAtMs: Infinity,
@@ -70,11 +84,11 @@
   options: CallerServerOptions,
   request: IncomingMessage,
   response: ServerResponse,
-  signal: AbortSignal,
+  state: CallerState,
 ): Promise<void> => {
   response.on('error', (error) => options.faults.record('caller response', error));
   try {
-    await runChain(options.filters, buildExchange(request, response, options, signal));
+    await runChain(options.filters, buildExchange(request, response, options, state));
   } catch (cause) {
     // The error response filter handles the errors of the other filters.
     options.faults.record('caller request', cause);
@@ -94,11 +108,18 @@
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
     openCount += 1;
     counts.requestsRead += 1;
+    const reservation = new ByteReservation(options.budget);
+    let parts = REQUEST_PARTS;
+    const releasePart = (): void => {
+      parts -= 1;
+      if (parts === 0) reservation.release();
+    };
     const signal = trackCaller(request, response, (hasLeft) => {
       openCount -= 1;
       if (hasLeft) counts.callersLeft += 1;
+      releasePart();
     });
-    void handleRequest(options, request, response, signal);
+    void handleRequest(options, request, response, { signal, reservation }).finally(releasePart);
   });
   return {
     server,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -29,6 +29,8 @@
   setFollowers(count: number): void;
   /** Counts bytes that this VM passed to the connections of its followers. */
   countFeedBytes(bytes: number): void;
+  /** Sets the bytes of bodies and responses that are held for callers. */
+  setBufferedBytes(bytes: number): void;
   render(): Promise<string>;
 }
 
@@ -100,6 +102,16 @@
   };
 };
 
+const createMemoryMetrics = (
+  metrics: MetricsRegistry,
+): Pick<GatewayMetrics, 'setBufferedBytes'> => {
+  const bufferedBytes = metrics.createGauge({
+    name: 'goldcrest_gateway_buffered_bytes',
+    help: 'Bytes of request bodies and responses that are held for callers.',
+  });
+  return { setBufferedBytes: (bytes) => bufferedBytes.set(bytes) };
+};
+
 const createFaultMetrics = (
   metrics: MetricsRegistry,
 ): Pick<GatewayMetrics, 'countInvalidResponse' | 'countFault'> => {
@@ -162,6 +174,7 @@
     countConnection: () => connections.inc(),
     ...createFaultMetrics(metrics),
     ...createFeedMetrics(metrics),
+    ...createMemoryMetrics(metrics),
     ...createPresenceMetrics(metrics),
     ...createRateMetrics(metrics),
     render: () => metrics.render(),
--- /dev/null
+++ b/packages/runtime/src/http/readRequestBody.ts
@@ -0,0 +1,99 @@
+import type { IncomingMessage } from 'node:http';
+import { createRefusal } from '@goldcrestscale/core';
+import type { GoldcrestErrorInstance } from '@goldcrestscale/core';
+import type { ByteReservation } from './byteReservation.js';
+
+/** Options for reading a request body. */
+export interface ReadBodyOptions {
+  readonly maxBytes: number;
+  /** Takes the bytes of the body as they come. */
+  readonly reservation: ByteReservation;
+  /** Creates the error for a caller that leaves before its body is complete. */
+  readonly createLeftError: () => Error;
+}
+
+/** Other VMs may have memory, so that a retry need not wait long. */
+const MEMORY_RETRY_AFTER_MS = 400;
+
+const createTooLargeError = (maxBytes: number): GoldcrestErrorInstance =>
+  createRefusal(`The body is larger than ${maxBytes} bytes.`, {
+    code: 'body_too_large',
+    status: 413,
+  });
+
+const createNoMemoryError = (): GoldcrestErrorInstance =>
+  createRefusal('This VM has no memory for the body now; try again.', {
+    code: 'memory_full',
+    status: 503,
+    retryAfterMs: MEMORY_RETRY_AFTER_MS,
+  });
+
+/** Collects a body; one whose length is known goes into a buffer of that size, so that no chunk is kept. */
+class BodyBuffer {
+  private readonly chunks: Buffer[] = [];
+
+  private whole: Buffer | undefined;
+
+  private receivedBytes = 0;
+
+  constructor(private readonly declaredBytes: number | undefined) {}
+
+  add(chunk: Buffer): void {
+    const { declaredBytes, receivedBytes } = this;
+    this.receivedBytes += chunk.length;
+    if (declaredBytes === undefined || chunk.length === declaredBytes) this.chunks.push(chunk);
+    else {
+      this.whole ??= Buffer.allocUnsafeSlow(declaredBytes);
+      chunk.copy(this.whole, receivedBytes);
+    }
+  }
+
+  build(): Buffer {
+    return this.whole ?? (this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks));
+  }
+}
+
+const readDeclaredBytes = ({ headers }: IncomingMessage): number | undefined =>
+  headers['content-length'] === undefined ? undefined : Number(headers['content-length']);
+
+/**
+ * Reads a complete request body. A declared length is reserved before the body is read, and a body
+ * without one as it comes. A body that is refused is read on and discarded, so that its caller can
+ * read the response: a connection that is closed with unread bytes is reset.
+ *
+ * @throws GoldcrestError `body_too_large`, or `memory_full` if the budget has no room for it
+ */
+export const readRequestBody = (
+  request: IncomingMessage,
+  { maxBytes, reservation, createLeftError }: ReadBodyOptions,
+): Promise<Buffer> =>
+  new Promise((resolve, reject) => {
+    const declaredBytes = readDeclaredBytes(request);
+    let body: BodyBuffer | undefined = new BodyBuffer(declaredBytes);
+    let totalBytes = 0;
+    const refuse = (error: GoldcrestErrorInstance): void => {
+      body = undefined;
+      reservation.release();
+      reject(error);
+    };
+    const reserve = (bytes: number): void => {
+      totalBytes += bytes;
+      if (totalBytes > maxBytes) refuse(createTooLargeError(maxBytes));
+      else if (!reservation.tryGrow(bytes)) refuse(createNoMemoryError());
+    };
+    const fail = (): void => {
+      // Every request closes; the error is created only for one that is incomplete.
+      if (!request.readableEnded) reject(createLeftError());
+    };
+    reserve(declaredBytes ?? 0);
+    // Events, because leaving an async iteration early would destroy the caller's connection.
+    request.on('data', (chunk: Buffer) => {
+      if (body && declaredBytes === undefined) reserve(chunk.length);
+      body?.add(chunk);
+    });
+    request.once('end', () => {
+      if (body) resolve(body.build());
+    });
+    request.once('error', fail);
+    request.once('close', fail);
+  });
