fix(gateway): end the wait for a body when the time of the request is over

What callers saw: a request whose body stops before its end got no answer at all, however long its caller waited, and its bytes stayed in memory.

Cause: the deadline was set before the body is read, but only the dispatch looked at it; the server has no timeout for requests of its own.

Change: reading ends at the deadline with the error of other requests whose time is over: 503 deadline, not run. The rest of the body is discarded; the idle timeout of the connection ends it where no more bytes come.

--- a/packages/gateway/src/__tests__/callerMemory.spec.ts
+++ b/packages/gateway/src/__tests__/callerMemory.spec.ts
@@ -55,6 +55,25 @@
   await vi.waitUntil(() => budget.heldBytes === 0);
 });
 
+// Guards against callers that stop in their bodies and hold memory and connection for ever.
+test('a body that stops is refused when the time for the request is over', async () => {
+  const { port, upstreams, budget } = await startGateway({
+    route: { timeoutMs: 300 },
+    upstreams: [respond],
+    bufferBytes: BODY_BYTES,
+  });
+  const startedAtMs = performance.now();
+  const caller = sendMostOfBody(port, 'slow');
+  await caller.waitFor(' 503 ');
+  expect(performance.now() - startedAtMs).toBeGreaterThan(290);
+  expect(caller.read()).toContain('"deadline"');
+  await vi.waitUntil(() => budget.heldBytes === 0);
+  caller.socket.write('x');
+  caller.socket.write(`${buildRequestHead('next', 'content-length: 1')}x`);
+  await caller.waitFor('fine');
+  expect(upstreams[0]!.received.map(({ id }) => id)).toEqual(['next']);
+});
+
 // Guards against memory that is never given back, which ends in the refusal of every body.
 test('the memory of a body is free again after a response, a refusal or a departure', async () => {
   const { port, call, budget } = await startGateway({
--- a/packages/gateway/src/dispatch/dispatchErrors.ts
+++ b/packages/gateway/src/dispatch/dispatchErrors.ts
@@ -32,7 +32,7 @@
   });
 
 /** Ends a request whose time is over. */
-const createTimeoutError = (exchange: GatewayExchange): GoldcrestErrorInstance =>
+export const createTimeoutError = (exchange: GatewayExchange): GoldcrestErrorInstance =>
   createError('The time for the answer is over.', {
     code: 'deadline',
     status: exchange.verdict === 'not-run' ? 503 : 504,
--- a/packages/gateway/src/filters/bodyFilter.ts
+++ b/packages/gateway/src/filters/bodyFilter.ts
@@ -1,7 +1,7 @@
 import type { DeploymentView } from '@goldcrestscale/core';
 import { readRequestBody } from '@goldcrestscale/runtime';
 import { DEFAULT_MAX_BODY_BYTES } from '../constants.js';
-import { createCallerLeftError } from '../dispatch/dispatchErrors.js';
+import { createCallerLeftError, createTimeoutError } from '../dispatch/dispatchErrors.js';
 import type { GatewayExchange } from './gatewayExchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
 import type { NextFilter } from './gatewayFilter.js';
@@ -20,6 +20,8 @@
     exchange.body = await readRequestBody(exchange.request, {
       maxBytes: this.getView()?.deployment.callerLimits.bodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       reservation: exchange.reservation,
+      deadlineAtMs: exchange.deadlineAtMs,
+      createTimeoutError: () => createTimeoutError(exchange),
       createLeftError: () => createCallerLeftError(exchange),
     });
     await next();
--- a/packages/runtime/src/http/readRequestBody.ts
+++ b/packages/runtime/src/http/readRequestBody.ts
@@ -8,6 +8,9 @@
   readonly maxBytes: number;
   /** Takes the bytes of the body as they come. */
   readonly reservation: ByteReservation;
+  /** Monotonic time at which the body must be complete. */
+  readonly deadlineAtMs: number;
+  readonly createTimeoutError: () => Error;
   /** Creates the error for a caller that leaves before its body is complete. */
   readonly createLeftError: () => Error;
 }
@@ -61,17 +64,18 @@
  * without one as it comes. A body that is refused is read on and discarded, so that its caller can
  * read the response: a connection that is closed with unread bytes is reset.
  *
- * @throws GoldcrestError `body_too_large`, or `memory_full` if the budget has no room for it
+ * @throws GoldcrestError `body_too_large`, the timeout error, or `memory_full` if the budget has no room for it
  */
 export const readRequestBody = (
   request: IncomingMessage,
-  { maxBytes, reservation, createLeftError }: ReadBodyOptions,
+  { maxBytes, reservation, deadlineAtMs, createTimeoutError, createLeftError }: ReadBodyOptions,
 ): Promise<Buffer> =>
   new Promise((resolve, reject) => {
     const declaredBytes = readDeclaredBytes(request);
     let body: BodyBuffer | undefined = new BodyBuffer(declaredBytes);
     let totalBytes = 0;
-    const refuse = (error: GoldcrestErrorInstance): void => {
+    const refuse = (error: Error): void => {
+      if (!body) return;
       body = undefined;
       reservation.release();
       reject(error);
@@ -81,7 +85,12 @@
       if (totalBytes > maxBytes) refuse(createTooLargeError(maxBytes));
       else if (!reservation.tryGrow(bytes)) refuse(createNoMemoryError());
     };
+    const timer = setTimeout(
+      () => refuse(createTimeoutError()),
+      Math.max(0, deadlineAtMs - performance.now()),
+    );
     const fail = (): void => {
+      clearTimeout(timer);
       // Every request closes; the error is created only for one that is incomplete.
       if (!request.readableEnded) reject(createLeftError());
     };
@@ -92,6 +101,7 @@
       body?.add(chunk);
     });
     request.once('end', () => {
+      clearTimeout(timer);
       if (body) resolve(body.build());
     });
     request.once('error', fail);
