--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -27,6 +27,8 @@
 export interface HarnessOptions extends Omit<TestGatewayOptions, 'addresses'> {
   /** The request handler of each upstream. */
   readonly upstreams: readonly ((request: TestRequest) => void)[];
+  /** Number of upstreams in the log whose addresses nobody serves. */
+  readonly deadUpstreams?: number;
 }
 
 let lastId = 0;
@@ -60,10 +62,20 @@
     request.end(call.body ?? '');
   });
 
+/** Finds addresses that refuse connections: each was free a moment ago. */
+const findDeadAddresses = async (count: number): Promise<readonly string[]> => {
+  const servers = Array.from({ length: count }, () => new FakeUpstream(() => undefined));
+  const addresses = await Promise.all(servers.map((server) => server.listen()));
+  servers.forEach((server) => server.close());
+  return addresses;
+};
+
 /** Starts a gateway with scripted upstreams; closes everything when the test ends. */
 export const startGateway = async (options: HarnessOptions) => {
   const upstreams = options.upstreams.map((handleRequest) => new FakeUpstream(handleRequest));
-  const addresses = await Promise.all(upstreams.map((upstream) => upstream.listen()));
+  const soundAddresses = await Promise.all(upstreams.map((upstream) => upstream.listen()));
+  const deadAddresses = await findDeadAddresses(options.deadUpstreams ?? 0);
+  const addresses = [...deadAddresses, ...soundAddresses];
   const gateway = await createTestGateway({ ...options, addresses });
   onTestFinished(() => {
     gateway.close();
@@ -74,6 +86,7 @@
     port,
     call: (call: TestCall = {}) => sendCall(port, call),
     upstreams,
+    deadAddresses,
     fleetState,
     operators,
     metrics,
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -67,6 +67,8 @@
   readonly isRefusing?: () => boolean;
   /** Limit of the bytes that are buffered for callers. */
   readonly bufferBytes?: number;
+  /** Time after the start for which it has no part of the fleet's retry allowance. */
+  readonly retryAllowanceDelayMs?: number;
   /** Addresses of the upstreams. */
   readonly addresses: readonly string[];
   /** Software versions of the upstreams; undefined if their entries tell none. */
@@ -159,7 +161,7 @@
             ratio: bounds.retryRatio,
             allowance: bounds.retryAllowance,
             windowMs: 10_000,
-            allowanceDelayMs: 0,
+            allowanceDelayMs: options.retryAllowanceDelayMs ?? 0,
           },
           () => 1,
         ),
--- /dev/null
+++ b/packages/gateway/src/__tests__/unreachedRetries.spec.ts
@@ -0,0 +1,95 @@
+import { afterEach, expect, test, vi } from 'vitest';
+import { ConnectionPool } from '../dispatch/connectionPool.js';
+import { buildResponse } from './fakeUpstream.js';
+import type { TestRequest } from './fakeUpstream.js';
+import { startGateway } from './gatewayHarness.js';
+
+afterEach(() => {
+  vi.restoreAllMocks();
+});
+
+/** A VM that has just started has no part of the allowance, so that one request pays for no repeat. */
+const STARTING = { retryAllowanceDelayMs: 60_000 };
+
+const UPSTREAM_COUNT = 6;
+
+const FIRST_REQUESTS = 60;
+
+const respond = ({ id, socket }: TestRequest): void => {
+  socket.write(buildResponse(200, { 'x-id': id, 'x-sig': 's' }, 'fine'));
+};
+
+const reject = ({ id, socket }: TestRequest): void => {
+  socket.write(buildResponse(503, { 'x-id': id, 'x-not-run': '1' }, ''));
+};
+
+const reset = ({ socket }: TestRequest): void => {
+  socket.resetAndDestroy();
+};
+
+const truncate = ({ id, socket }: TestRequest): void => {
+  socket.end(buildResponse(200, { 'x-id': id, 'x-sig': 's' }, 'fine').slice(0, -1));
+};
+
+const fail = ({ id, socket }: TestRequest): void => {
+  socket.write(buildResponse(500, { 'x-id': id, 'x-sig': 's' }, 'failed'));
+};
+
+/** Lists the addresses at which the gateway asks for a connection. */
+const watchConnections = (): string[] => {
+  const addresses: string[] = [];
+  const { acquire } = ConnectionPool.prototype;
+  vi.spyOn(ConnectionPool.prototype, 'acquire').mockImplementation(function record(
+    this: ConnectionPool,
+    address,
+    ...rest
+  ) {
+    addresses.push(address);
+    return acquire.call(this, address, ...rest);
+  });
+  return addresses;
+};
+
+// Guards against a first request that pays for a retry although it reached no upstream.
+test.each([1, UPSTREAM_COUNT / 2, UPSTREAM_COUNT - 1])(
+  'a starting gateway with %i of 6 upstreams dead serves all its first requests',
+  async (deadUpstreams) => {
+    const upstreams = Array.from({ length: UPSTREAM_COUNT - deadUpstreams }, () => respond);
+    const { call } = await startGateway({ ...STARTING, upstreams, deadUpstreams });
+    const replies = [];
+    for (let count = 0; count < FIRST_REQUESTS; count += 1) replies.push((await call()).status);
+    expect(replies).toEqual(replies.map(() => 200));
+  },
+);
+
+// Guards against the same for requests that come at once, each of which meets dead upstreams.
+test('a starting gateway with half of its upstreams dead serves requests that come at once', async () => {
+  const upstreams = Array.from({ length: 3 }, () => respond);
+  const { call } = await startGateway({ ...STARTING, upstreams, deadUpstreams: 3 });
+  const replies = await Promise.all(Array.from({ length: 20 }, () => call()));
+  expect(replies.map(({ status }) => status)).toEqual(replies.map(() => 200));
+});
+
+// Guards against repeats of arrived requests that nothing pays for.
+test.each([
+  ['rejected', reject],
+  ['reset', reset],
+  ['truncated', truncate],
+  ['failed', fail],
+])('a starting gateway does not repeat a request that was %s', async (_, end) => {
+  const { call, upstreams } = await startGateway({ ...STARTING, upstreams: [end, end] });
+  expect((await call()).status).toBeGreaterThanOrEqual(500);
+  expect(upstreams.flatMap(({ received }) => received)).toHaveLength(1);
+});
+
+// Guards against requests that try dead upstreams in a circle.
+test('a request tries no dead upstream twice', async () => {
+  const connections = watchConnections();
+  const { call, deadAddresses } = await startGateway({
+    ...STARTING,
+    upstreams: [],
+    deadUpstreams: UPSTREAM_COUNT,
+  });
+  expect((await call()).status).toBe(503);
+  expect(connections.toSorted()).toEqual(deadAddresses.toSorted());
+});
