fix(gateway): charge only sends after one that may have arrived

Callers of a gateway that had just started got 503 no_upstream when its first send met an address that nobody serves: it charged the retry budget for the next send whatever the last result was, and a VM has no part of the allowance in its first window.

Whether a send may have arrived is now decided in one place, by how it ended (canHaveArrived). A send is charged when it is written, and only if an earlier one of the request may have arrived; so nothing is charged in advance and withdrawn later, and a charge stands in the window in which the upstream counts the arrival. A connection that this VM's limit does not allow was taken for a rejection by the upstream; it has a reason of its own.

Tries that no budget limits are bounded: 32 further ones a request, none at an upstream that it tried before, and 200 a VM and second after connects that failed. The caller's deadline ends them as before.

--- a/packages/core/src/retry/constants.ts
+++ b/packages/core/src/retry/constants.ts
@@ -24,3 +24,9 @@
 export const HEDGE_QUANTILE = 0.95;
 
 export const MIN_HEDGE_DELAY_MS = 10;
+
+/** Maximum number of further tries of a request after connections that could not be opened. */
+export const MAX_UNREACHED_TRIES = 32;
+
+/** Maximum number of such tries of a VM per second, for all its requests. */
+export const MAX_UNREACHED_TRIES_PER_SECOND = 200;
--- a/packages/core/src/retry/fleetRetryBudget.ts
+++ b/packages/core/src/retry/fleetRetryBudget.ts
@@ -47,23 +47,26 @@
     this.prune(window);
   }
 
-  /** Charges one retry to the budget; false if the budget is exhausted. */
-  tryRetry(service: ServiceName): boolean {
+  /** Whether the budget has room for one more retry. */
+  canRetry(service: ServiceName): boolean {
     const window = this.getOrCreateWindow(service);
     this.prune(window);
     const { ratio } = this.limit;
     const allowed =
       (window.firstAttemptsAtMs.length * ratio + this.computeAllowance()) * USED_FRACTION;
-    if (window.retriesAtMs.length + 1 > allowed) return false;
-    window.retriesAtMs.push(performance.now());
-    return true;
+    return window.retriesAtMs.length + 1 <= allowed;
+  }
+
+  /** Charges a retry that is being sent; what has left this VM is never credited again. */
+  recordRetry(service: ServiceName): void {
+    this.getOrCreateWindow(service).retriesAtMs.push(performance.now());
   }
 
-  /** Credits a retry that was charged at a monotonic time but not sent. */
-  withdrawRetry(service: ServiceName, chargedAtMs: number): void {
-    const { retriesAtMs } = this.getOrCreateWindow(service);
-    const index = retriesAtMs.findLastIndex((atMs) => atMs <= chargedAtMs);
-    if (index >= 0) retriesAtMs.splice(index, 1);
+  /** Charges one retry to the budget; false if the budget is exhausted. */
+  tryRetry(service: ServiceName): boolean {
+    if (!this.canRetry(service)) return false;
+    this.recordRetry(service);
+    return true;
   }
 
   /** Computes this VM's part of the fleet's allowance; none for a VM that may not be alone with it. */
--- a/packages/gateway/src/__tests__/unreachedRetries.spec.ts
+++ b/packages/gateway/src/__tests__/unreachedRetries.spec.ts
@@ -1,3 +1,8 @@
+import {
+  FleetRetryBudget,
+  MAX_UNREACHED_TRIES_PER_SECOND,
+  TrackedUpstream,
+} from '@goldcrestscale/core';
 import { afterEach, expect, test, vi } from 'vitest';
 import { ConnectionPool } from '../dispatch/connectionPool.js';
 import { buildResponse } from './fakeUpstream.js';
@@ -35,7 +40,7 @@
   socket.write(buildResponse(500, { 'x-id': id, 'x-sig': 's' }, 'failed'));
 };
 
-/** Lists the addresses at which the gateway asks for a connection. */
+/** Lists the addresses of the connections that the gateway takes or opens. */
 const watchConnections = (): string[] => {
   const addresses: string[] = [];
   const { acquire } = ConnectionPool.prototype;
@@ -44,8 +49,9 @@
     address,
     ...rest
   ) {
-    addresses.push(address);
-    return acquire.call(this, address, ...rest);
+    const connection = acquire.call(this, address, ...rest);
+    if (connection) addresses.push(address);
+    return connection;
   });
   return addresses;
 };
@@ -93,3 +99,34 @@
   expect((await call()).status).toBe(503);
   expect(connections.toSorted()).toEqual(deadAddresses.toSorted());
 });
+
+// Guards against a storm of connects when all upstreams of a service are gone.
+test('further tries of all requests of a VM are limited when no upstream can be reached', async () => {
+  const connections = watchConnections();
+  // As while their heartbeats still come, each of which takes the mark back.
+  vi.spyOn(TrackedUpstream.prototype, 'markDown').mockReturnValue();
+  const { call } = await startGateway({ ...STARTING, upstreams: [], deadUpstreams: 24 });
+  const startedAtMs = performance.now();
+  const replies = await Promise.all(Array.from({ length: 200 }, () => call()));
+  expect(replies.map(({ status }) => status)).toEqual(replies.map(() => 503));
+  const seconds = Math.ceil((performance.now() - startedAtMs) / 1_000);
+  const maxConnections = replies.length + seconds * MAX_UNREACHED_TRIES_PER_SECOND;
+  expect(connections.length).toBeLessThanOrEqual(maxConnections);
+});
+
+// Guards against charges that differ from what upstreams count as repeats.
+test('exactly the arrivals beyond the first of each request are charged', async () => {
+  const charge = vi.spyOn(FleetRetryBudget.prototype, 'recordRetry');
+  let received = 0;
+  const rejectSome = (request: TestRequest): void => {
+    received += 1;
+    if (received % 3 === 0) reject(request);
+    else respond(request);
+  };
+  const sound = [rejectSome, rejectSome, rejectSome];
+  const { call, upstreams } = await startGateway({ upstreams: sound, deadUpstreams: 3 });
+  for (let count = 0; count < 30; count += 1) await call();
+  const requests = new Set(upstreams.flatMap(({ received: all }) => all.map(({ id }) => id)));
+  expect(received).toBeGreaterThan(requests.size);
+  expect(charge).toHaveBeenCalledTimes(received - requests.size);
+});
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -48,7 +48,10 @@
 /** Maximum number of informational responses (1xx) before a response. */
 export const MAX_INFORMATIONAL_RESPONSES = 8;
 
-/** Attempts beyond the route's limit, if no earlier attempt was executed. */
+/**
+ * Sends beyond the route's limit that may arrive at an upstream. The limit itself counts those that may
+ * have been executed; a send that never left this VM counts for neither.
+ */
 export const MAX_UNEXECUTED_EXTRA_ATTEMPTS = 2;
 
 /**
--- a/packages/gateway/src/dispatch/attemptResult.ts
+++ b/packages/gateway/src/dispatch/attemptResult.ts
@@ -1,5 +1,13 @@
+import type { SendEnd } from '@goldcrestscale/core';
 import type { ResponseHead } from '../ports/index.js';
 
+/**
+ * Why a request was not run: `unreachable`, `no-connection` (the limit of connections is reached) and
+ * `cancelled` never left this VM; the upstream itself gave the others.
+ */
+export type NotRunReason =
+  'unreachable' | 'no-connection' | 'cancelled' | 'refused' | 'misdirected' | 'moved';
+
 /** Result of one attempt at an upstream. */
 export type AttemptResult =
   /** The upstream's response was passed to the caller in full. */
@@ -7,7 +15,7 @@
   /** The request was not executed; another upstream may be tried. */
   | {
       readonly kind: 'not-run';
-      readonly reason: 'unreachable' | 'refused' | 'misdirected' | 'moved' | 'cancelled';
+      readonly reason: NotRunReason;
     }
   /** The request was not sent: a check right before the write failed. */
   | { readonly kind: 'withheld'; readonly reason: string }
@@ -17,3 +25,19 @@
   | { readonly kind: 'unknown'; readonly reason: string }
   /** The stream broke after a part of it was sent to the caller. */
   | { readonly kind: 'broken'; readonly reason: string };
+
+const SEND_ENDS: Readonly<Record<NotRunReason, SendEnd>> = {
+  unreachable: 'unreachable',
+  'no-connection': 'unreachable',
+  cancelled: 'dropped',
+  refused: 'rejected',
+  misdirected: 'rejected',
+  moved: 'rejected',
+};
+
+/** Finds out how the send of an attempt ended. */
+export const findSendEnd = (result: AttemptResult): SendEnd => {
+  if (result.kind === 'not-run') return SEND_ENDS[result.reason];
+  if (result.kind === 'withheld') return 'withheld';
+  return result.kind === 'answered' || result.kind === 'failed' ? 'answered' : 'lost';
+};
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -10,7 +10,7 @@
 import type { GatewayMetrics } from '../metrics.js';
 import type { ResponseHead } from '../ports/index.js';
 import type { RequestLog } from '../requestLog.js';
-import type { AttemptResult } from './attemptResult.js';
+import type { AttemptResult, NotRunReason } from './attemptResult.js';
 import type { ConnectionPool } from './connectionPool.js';
 import type { RequestProgress } from './requestProgress.js';
 
@@ -26,8 +26,6 @@
 
 type FailedResult = Exclude<AttemptResult, { kind: 'answered' | 'withheld' }>;
 
-type NotRunReason = Extract<AttemptResult, { kind: 'not-run' }>['reason'];
-
 const MIN_SERVER_ERROR_STATUS = 500;
 
 /** Applies the outcome of an attempt to the upstream's state, the request and the connection pool. */
@@ -117,14 +115,15 @@
   ): void {
     const { ejection, connections } = this.options;
     ejection.recordOutcome(upstream.upstreamId, 'neutral');
-    if (reason === 'refused') upstream.markBusy(UPSTREAM_REFUSAL_BACKOFF_MS);
+    if (reason === 'refused' || reason === 'no-connection')
+      upstream.markBusy(UPSTREAM_REFUSAL_BACKOFF_MS);
     if (reason === 'unreachable' || reason === 'moved') {
       upstream.markDown();
       upstream.markSuspectedCold();
       connections.closeIdle(upstream.registered.address);
     }
     // After one mismatch of weights, the same upstream may accept a retry with the version it reported.
-    if (reason !== 'misdirected' || progress.attempts > 1)
+    if (reason !== 'misdirected' || progress.arrivals > 1)
       progress.excluded.add(upstream.upstreamId);
   }
 }
--- a/packages/gateway/src/dispatch/requestProgress.ts
+++ b/packages/gateway/src/dispatch/requestProgress.ts
@@ -1,4 +1,5 @@
-import type { RouteRule, ServiceName, UpstreamId } from '@goldcrestscale/core';
+import { canHaveArrived } from '@goldcrestscale/core';
+import type { RouteRule, SendEnd, ServiceName, UpstreamId } from '@goldcrestscale/core';
 import type { AttemptResult } from './attemptResult.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
@@ -13,11 +14,11 @@
   /** Defined if a broken stream may be resumed at another upstream. */
   readonly eventSplitter: EventSplitter | undefined;
 
-  /** Number of attempts that were sent, or would have been at an upstream that can be reached. */
-  attempts = 0;
+  /** Number of sends that may have arrived at an upstream. */
+  arrivals = 0;
 
-  /** Monotonic time at which the retry budget was charged for an attempt that is still to be sent. */
-  retryChargedAtMs: number | undefined;
+  /** Number of sends for which no connection could be opened. */
+  unreachedSends = 0;
 
   /** Number of permits that were requested under rate limits. */
   permitRequests = 0;
@@ -44,6 +45,11 @@
     this.eventSplitter = route.resumable ? new EventSplitter() : undefined;
   }
 
+  /** Whether the next send is no repeat, since none before it can have arrived. */
+  get isNextSendFree(): boolean {
+    return this.arrivals === 0;
+  }
+
   recordLoss(): void {
     this.hasLoss = true;
   }
@@ -56,20 +62,10 @@
     this.permitRequests += 1;
   }
 
-  recordWithheldSend(): void {
-    this.withheldSends += 1;
-  }
-
-  recordAttempt(): void {
-    this.attempts += 1;
-  }
-
-  recordRetryCharge(): void {
-    this.retryChargedAtMs ??= performance.now();
-  }
-
-  recordSend(): void {
-    this.retryChargedAtMs = undefined;
+  recordSendEnd(end: SendEnd): void {
+    if (canHaveArrived(end)) this.arrivals += 1;
+    else if (end === 'withheld') this.withheldSends += 1;
+    else this.unreachedSends += 1;
   }
 
   recordExecution(upstreamId: UpstreamId): void {
--- /dev/null
+++ b/packages/gateway/src/dispatch/resendPolicy.ts
@@ -0,0 +1,45 @@
+import { MAX_UNREACHED_TRIES, UnreachedTries, canHaveArrived } from '@goldcrestscale/core';
+import type { FleetRetryBudget } from '@goldcrestscale/core';
+import { MAX_UNEXECUTED_EXTRA_ATTEMPTS, MAX_WITHHELD_SENDS } from '../constants.js';
+import type { GatewayExchange } from '../filters/gatewayExchange.js';
+import { requireRoute } from '../filters/gatewayExchange.js';
+import { findSendEnd } from './attemptResult.js';
+import type { AttemptResult } from './attemptResult.js';
+import type { RequestProgress } from './requestProgress.js';
+
+type EndedResult = Exclude<AttemptResult, { kind: 'answered' }>;
+
+/** Whether the route allows one more send after one that may have arrived. */
+const canRepeat = (
+  exchange: GatewayExchange,
+  { arrivals, executions }: RequestProgress,
+  { kind }: EndedResult,
+): boolean => {
+  const { maxUpstreams, idempotent, resumable } = requireRoute(exchange);
+  if (arrivals >= maxUpstreams + MAX_UNEXECUTED_EXTRA_ATTEMPTS) return false;
+  if (kind === 'not-run') return true;
+  return idempotent && executions < maxUpstreams && (kind !== 'broken' || resumable);
+};
+
+/** Decides whether a request may be sent again after a send that did not answer it. */
+export class ResendPolicy {
+  private readonly unreachedTries = new UnreachedTries();
+
+  constructor(private readonly retryBudget: FleetRetryBudget) {}
+
+  canSendAgain(exchange: GatewayExchange, progress: RequestProgress, result: EndedResult): boolean {
+    if (!progress.isNextSendFree && !this.retryBudget.canRetry(progress.service)) return false;
+    if (result.kind === 'withheld') return progress.withheldSends < MAX_WITHHELD_SENDS;
+    if (exchange.signal.aborted || progress.isSuspect) return false;
+    return canHaveArrived(findSendEnd(result))
+      ? canRepeat(exchange, progress, result)
+      : this.canTryOther(progress, result);
+  }
+
+  private canTryOther({ unreachedSends }: RequestProgress, result: EndedResult): boolean {
+    if (unreachedSends > MAX_UNREACHED_TRIES) return false;
+    // Where no connection may be opened, none was.
+    const isConnectFailure = result.kind !== 'not-run' || result.reason !== 'no-connection';
+    return !isConnectFailure || this.unreachedTries.tryTake();
+  }
+}
--- a/packages/gateway/src/dispatch/sendGate.ts
+++ b/packages/gateway/src/dispatch/sendGate.ts
@@ -2,6 +2,7 @@
   AnnouncedRates,
   CrashQuarantine,
   EjectionPolicy,
+  FleetRetryBudget,
   UpstreamRegistry,
 } from '@goldcrestscale/core';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
@@ -21,6 +22,7 @@
   readonly quarantine: CrashQuarantine;
   readonly announcedRates: AnnouncedRates;
   readonly ejection: EjectionPolicy;
+  readonly retryBudget: FleetRetryBudget;
   readonly metrics: GatewayMetrics;
   /** Whether this VM shuts down and takes no requests any more. */
   readonly isRefusing: () => boolean;
@@ -54,7 +56,7 @@
     progress: RequestProgress,
     signal: AbortSignal,
   ): AttemptMetadata | WithheldSend {
-    const { chooser, registry, quarantine } = this.options;
+    const { chooser, registry, quarantine, retryBudget } = this.options;
     const { upstream } = choice;
     assertWaiting(exchange, signal);
     // A request that waited for its body may be read long before it could be sent.
@@ -65,6 +67,9 @@
     if (!chooser.isEligible(exchange, upstream, progress.excluded)) {
       return { withheld: 'upstream is not eligible any more' };
     }
+    if (!progress.isNextSendFree && !retryBudget.canRetry(progress.service)) {
+      return { withheld: 'retry budget is exhausted' };
+    }
     if (!chooser.takePermit(upstream)) return { withheld: 'no permit is left' };
     const metadata = this.metadataBuilder.build(exchange, choice, progress);
     this.recordSend(exchange, choice, progress);
@@ -77,8 +82,8 @@
     { upstream, prefillTokens }: UpstreamChoice,
     progress: RequestProgress,
   ): void {
-    const { announcedRates, metrics, ejection, chooser, onPromptSent } = this.options;
-    progress.recordSend();
+    const { announcedRates, metrics, ejection, chooser, retryBudget, onPromptSent } = this.options;
+    if (!progress.isNextSendFree) retryBudget.recordRetry(progress.service);
     if (announcedRates.find(upstream.registered)) metrics.countLimitedSend(upstream.upstreamId);
     ejection.recordStart(upstream.upstreamId);
     chooser.recordSentParts(exchange, upstream);
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -14,11 +14,10 @@
 import {
   MAX_PERMIT_REQUESTS,
   MAX_RATE_WAIT_MS,
-  MAX_UNEXECUTED_EXTRA_ATTEMPTS,
-  MAX_WITHHELD_SENDS,
   RATE_WAIT_OBJECTIVE_FRACTION,
 } from '../constants.js';
 import { AttemptMetadataBuilder } from '../dispatch/attemptMetadataBuilder.js';
+import { findSendEnd } from '../dispatch/attemptResult.js';
 import type { AttemptResult } from '../dispatch/attemptResult.js';
 import { findExpectedWeights } from '../dispatch/cacheIdentity.js';
 import type { ConnectionPool } from '../dispatch/connectionPool.js';
@@ -32,6 +31,7 @@
 import { LoadReservation } from '../dispatch/loadReservation.js';
 import { OutcomeRecorder } from '../dispatch/outcomeRecorder.js';
 import { RequestProgress } from '../dispatch/requestProgress.js';
+import { ResendPolicy } from '../dispatch/resendPolicy.js';
 import { ResponseReporter } from '../dispatch/responseReporter.js';
 import { SendGate } from '../dispatch/sendGate.js';
 import type { StreamContinuity } from '../dispatch/streamContinuity.js';
@@ -105,6 +105,8 @@
 
   private readonly sendGate: SendGate;
 
+  private readonly resendPolicy: ResendPolicy;
+
   private readonly outcomeRecorder: OutcomeRecorder;
 
   private readonly crashObserver: CrashObserver;
@@ -114,6 +116,7 @@
   constructor(private readonly options: GatewayDispatchOptions) {
     super();
     this.sendGate = new SendGate(options, new AttemptMetadataBuilder(options));
+    this.resendPolicy = new ResendPolicy(options.retryBudget);
     this.outcomeRecorder = new OutcomeRecorder(options);
     this.responseReporter = new ResponseReporter(options);
     this.crashObserver = new CrashObserver({
@@ -145,9 +148,6 @@
     } finally {
       clearTimeout(timer);
       exchange.signal.removeEventListener('abort', abort);
-      if (progress.retryChargedAtMs !== undefined) {
-        this.options.retryBudget.withdrawRetry(service, progress.retryChargedAtMs);
-      }
     }
   }
 
@@ -161,7 +161,7 @@
       assertWaiting(exchange, signal);
       this.assertAllowed(exchange);
       const choice = this.chooseUpstream(exchange, progress);
-      if (choice && 'retryAfterMs' in choice && progress.attempts === 0) {
+      if (choice && 'retryAfterMs' in choice && progress.arrivals === 0) {
         throw createOverloadError(choice);
       }
       if (!choice || 'retryAfterMs' in choice) {
@@ -186,20 +186,17 @@
     const { upstream } = choice;
     const result = await this.runAttempt(exchange, choice, progress, signal);
     this.options.metrics.countAttempt(progress.service, result.kind);
-    if (result.kind === 'withheld') {
-      progress.recordWithheldSend();
-      if (progress.withheldSends < MAX_WITHHELD_SENDS) return false;
-      sendFailure(exchange, progress);
-      return true;
-    }
+    progress.recordSendEnd(findSendEnd(result));
     if (result.kind === 'answered') {
       exchange.verdict = 'ran';
       this.outcomeRecorder.recordSuccess(upstream);
       return true;
     }
-    this.outcomeRecorder.recordFailure(exchange, upstream, progress, result);
-    assertWaiting(exchange, signal);
-    if (this.canRetry(exchange, progress, result)) return false;
+    if (result.kind !== 'withheld') {
+      this.outcomeRecorder.recordFailure(exchange, upstream, progress, result);
+      assertWaiting(exchange, signal);
+    }
+    if (this.resendPolicy.canSendAgain(exchange, progress, result)) return false;
     sendFailure(exchange, progress);
     return true;
   }
@@ -249,7 +246,7 @@
       this.options.getConnectionShare(service),
       progress.usedConnections,
     );
-    if (!connection) return { kind: 'not-run', reason: 'refused' };
+    if (!connection) return { kind: 'not-run', reason: 'no-connection' };
     const queuedTokens = upstream.estimatePendingTokens();
     let sentAtMs = performance.now();
     const logEntry = createAttemptLogEntry(exchange, choice);
@@ -280,7 +277,6 @@
     exchange.attempts.push(logEntry);
     try {
       const result = await attempt.run();
-      if (result.kind !== 'withheld') progress.recordAttempt();
       logEntry.outcome = describeResult(result);
       this.responseReporter.report(exchange, logEntry, { attempt, result });
       this.crashObserver.recordOutcome(exchange, upstream, attempt, progress);
@@ -293,23 +289,4 @@
       else connection.close();
     }
   }
-
-  private canRetry(
-    exchange: GatewayExchange,
-    progress: RequestProgress,
-    result: Exclude<AttemptResult, { kind: 'answered' | 'withheld' }>,
-  ): boolean {
-    const { maxUpstreams, idempotent, resumable } = requireRoute(exchange);
-    if (exchange.signal.aborted || progress.isSuspect) return false;
-    const maxAttempts = maxUpstreams + MAX_UNEXECUTED_EXTRA_ATTEMPTS;
-    const isAllowed =
-      result.kind === 'not-run'
-        ? progress.attempts < maxAttempts
-        : idempotent && progress.executions < maxUpstreams && progress.attempts < maxAttempts;
-    if (!isAllowed || (result.kind === 'broken' && !resumable)) return false;
-    const isCharged = progress.retryChargedAtMs !== undefined;
-    if (!isCharged && !this.options.retryBudget.tryRetry(progress.service)) return false;
-    progress.recordRetryCharge();
-    return true;
-  }
 }
