--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -5,14 +5,20 @@
 
 /**
  * Bundles the gateway and its platform adapter into `target/`, and writes its code cache; both speed
- * up the start. With `--readable`, it keeps names and writes no cache, for profiles.
+ * up the start. With `--readable`, it keeps names and writes no cache, for profiles; `--folder` names
+ * another folder to write to.
  */
 
 const resolvePath = (path) => fileURLToPath(new URL(`../${path}`, import.meta.url));
 
 const isReadable = process.argv.includes('--readable');
 
-const target = resolvePath(isReadable ? 'target/readable' : 'target');
+const folderIndex = process.argv.indexOf('--folder');
+
+const target =
+  folderIndex >= 0
+    ? process.argv[folderIndex + 1]
+    : resolvePath(isReadable ? 'target/readable' : 'target');
 
 const packages = ['core', 'runtime', 'gateway'];
 
