fix(runtime): a start waits for an address that is in use

Callers saw a VM missing: with a port of callers, readiness, directory or mesh in use for 1.5 s the process ended with 1 (EADDRINUSE), and with the datagram port of the mesh in use it ran on and was never ready, because only the success of the bind was awaited.

Cause: what a start found in its first millisecond was final. `listen` and the datagram socket now share `bindAddress`, which repeats a bind that failed with EADDRINUSE or EADDRNOTAVAIL for 15 s, with a line for each wait; the signal that stops the process ends the wait. Any other error fails at once, with the address and what to do. The metrics listener no longer holds up the start while its address is in use.

A server that listens had no listener for its errors, so that a failed accept (ENOBUFS, ENOMEM) would have ended the process; they are logged and counted now. The same for goldcrest-entry, where in addition a stop waited for the log as long as the controllers did.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,7 +9,7 @@
   createMetricsRegistry,
   listen,
 } from '@goldcrestscale/runtime';
-import type { Logger, MetricsRegistry } from '@goldcrestscale/runtime';
+import type { ListenAddress, Logger, MetricsRegistry } from '@goldcrestscale/runtime';
 import {
   createControllers,
   listControllers,
@@ -66,18 +66,25 @@
     secret: Buffer.from(options.secrets.meshSecret),
     logger: options.logger.createPartLogger('mesh'),
     signal,
+    stopSignal: options.signal,
   });
 
+/** Creates the parts of the daemon; undefined if it was stopped meanwhile. */
 const createDaemonComponents = async (
   options: EntryOptions,
   signal: AbortSignal,
-): Promise<DaemonComponents> => {
+): Promise<DaemonComponents | undefined> => {
   const { settings, logger } = options;
   const bootId = toId<BootId>(randomUUID());
   const metrics = createMetricsRegistry();
   metrics.collectDefaults();
   const entryMetrics = createEntryMetrics(metrics);
-  const mesh = await createDaemonMesh(options, bootId, signal);
+  const mesh = await createDaemonMesh(options, bootId, signal).catch((cause: unknown) => {
+    // A stop ends the wait for the address of the mesh.
+    if (options.signal.aborted) return undefined;
+    throw cause;
+  });
+  if (!mesh) return undefined;
   const controllers = createControllers({ settings, logger, transport: mesh });
   return { bootId, metrics, entryMetrics, mesh, controllers };
 };
@@ -111,6 +118,54 @@
   });
 };
 
+/** Servers of the entry daemon. */
+interface DaemonServers {
+  readonly operationsServer: Server;
+  readonly callerServer: Server;
+}
+
+/** Starts the servers and controllers; returns whether all run, or false if the daemon was stopped. */
+const startDaemon = async (
+  { settings, logger, signal }: EntryOptions,
+  { controllers, entryMetrics }: DaemonComponents,
+  { operationsServer, callerServer }: DaemonServers,
+  lifetimeSignal: AbortSignal,
+): Promise<boolean> => {
+  const startServer = (server: Server, address: ListenAddress): Promise<void> =>
+    listen(server, address, {
+      logger,
+      signal,
+      onError(error) {
+        entryMetrics.recordFault();
+        logger.error('listener failed', { port: address.port, error: String(error) });
+      },
+    });
+  const start = async (): Promise<void> => {
+    await startServer(operationsServer, settings.operations);
+    await startControllers(listControllers(controllers), lifetimeSignal);
+    if (signal.aborted) return;
+    controllers.tableGossip.start(lifetimeSignal);
+    await startServer(callerServer, settings.listen);
+  };
+  // The controllers wait for the log, which a stop must not.
+  await Promise.race([start(), waitForAbort(signal)]);
+  return callerServer.listening;
+};
+
+/** Lets running requests finish and hands over what this VM holds. */
+const drainDaemon = async (
+  { settings, logger }: EntryOptions,
+  { controllers }: DaemonComponents,
+  callerServer: Server,
+  lifetimeSignal: AbortSignal,
+): Promise<void> => {
+  logger.info('draining');
+  controllers.membership.leave();
+  await drainServer(callerServer, settings.entriesTtlMs);
+  await controllers.idempotency.flush();
+  await controllers.slots.leave(lifetimeSignal);
+};
+
 /** Runs the entry daemon until its signal aborts and all requests have completed. */
 export const runEntry = async (options: EntryOptions): Promise<void> => {
   const { settings, logger, signal } = options;
@@ -121,6 +176,10 @@
   const client = createUpstreamClient(inputBarrier);
   const pauseMonitor = createPauseMonitor(logger);
   const daemon = await createDaemonComponents(options, lifetime.signal);
+  if (!daemon) {
+    await client.close();
+    return;
+  }
   const { controllers, entryMetrics, bootId } = daemon;
   let isReady = false;
   const callerServer = createCallerServer({
@@ -153,18 +212,13 @@
     () => isReady && !signal.aborted,
   );
   pauseMonitor.start(lifetime.signal);
-  await listen(operationsServer, settings.operations);
-  await startControllers(listControllers(controllers), lifetime.signal);
-  controllers.tableGossip.start(lifetime.signal);
-  await listen(callerServer, settings.listen);
-  isReady = true;
-  logger.info('listening', { address: settings.advertise, bootId });
-  await waitForAbort(signal);
-  logger.info('draining');
-  controllers.membership.leave();
-  await drainServer(callerServer, settings.entriesTtlMs);
-  await controllers.idempotency.flush();
-  await controllers.slots.leave(lifetime.signal);
+  const servers = { operationsServer, callerServer };
+  isReady = await startDaemon(options, daemon, servers, lifetime.signal);
+  if (isReady) {
+    logger.info('listening', { address: settings.advertise, bootId });
+    await waitForAbort(signal);
+    await drainDaemon(options, daemon, callerServer, lifetime.signal);
+  }
   lifetime.abort();
   await client.close();
   operationsServer.close();
--- a/packages/entry/src/mesh/mesh.ts
+++ b/packages/entry/src/mesh/mesh.ts
@@ -3,6 +3,7 @@
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
 import type { BootId, VmId } from '@goldcrestscale/core';
+import { bindAddress } from '@goldcrestscale/runtime';
 import type { PeerIdentity } from './authentication.js';
 import {
   CONNECTION_IDLE_TIMEOUT_MS,
@@ -25,7 +26,7 @@
 /** Logger of the mesh. */
 export interface MeshLogger {
   readonly info: (message: string) => void;
-  readonly warn: (message: string) => void;
+  readonly warn: (message: string, fields?: Readonly<Record<string, unknown>>) => void;
 }
 
 /** Options of the mesh. */
@@ -39,6 +40,8 @@
   readonly logger?: MeshLogger;
   /** Closes the mesh when aborted. */
   readonly signal: AbortSignal;
+  /** Ends the wait for an address that is in use. @default signal */
+  readonly stopSignal?: AbortSignal;
   /** Source of jitter, uniformly distributed in [0, 1). @default Math.random */
   readonly random?: () => number;
 }
@@ -242,11 +245,20 @@
       `mesh secret has ${options.secret.length} bytes; at least ${MIN_MESH_SECRET_BYTES} required`,
     );
   }
-  const server = new WebSocketServer({
-    ...options.listen,
-    perMessageDeflate: false,
-    maxPayload: MAX_MESSAGE_BYTES,
+  const { logger = silentLogger, stopSignal = options.signal } = options;
+  let server: WebSocketServer | undefined;
+  await bindAddress(options.listen, { logger, signal: stopSignal }, async () => {
+    const candidate = new WebSocketServer({
+      ...options.listen,
+      perMessageDeflate: false,
+      maxPayload: MAX_MESSAGE_BYTES,
+    });
+    await once(candidate, 'listening');
+    server = candidate;
+  });
+  if (!server) throw new MeshError('stopped before the mesh listened', 'aborted');
+  server.on('error', (error) => {
+    logger.warn('mesh listener failed', { error: String(error) });
   });
-  await once(server, 'listening');
   return new Mesh(options, server);
 };
--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -12,6 +12,7 @@
 import { FeedWriter } from '../mesh/feedWriter.js';
 import type { KeyedRecord } from '../ports/index.js';
 import { createGatewayMetrics } from '../metrics.js';
+import { createTestFaults } from './testFaults.js';
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
 
@@ -110,6 +111,7 @@
     key: relay.meshKey,
     roster,
     logger,
+    faults: createTestFaults().faults,
     metrics: createGatewayMetrics(createMetricsRegistry()),
     linkMbps: 1_000,
     listPositions: () => [
--- a/packages/gateway/src/__tests__/relayLink.spec.ts
+++ b/packages/gateway/src/__tests__/relayLink.spec.ts
@@ -7,6 +7,7 @@
 import type { RelayedBlocks } from '../mesh/feedMessage.js';
 import { FeedServer } from '../mesh/feedServer.js';
 import { FEED_ZONE, findPort, makeEntry } from './feedFixtures.js';
+import { createTestFaults } from './testFaults.js';
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
 
@@ -49,6 +50,7 @@
     key: relay.meshKey,
     roster,
     logger,
+    faults: createTestFaults().faults,
     metrics: {
       setFollowers: () => undefined,
       countFeedBytes(bytes) {
--- a/packages/gateway/src/faultRecorder.ts
+++ b/packages/gateway/src/faultRecorder.ts
@@ -6,6 +6,7 @@
   | 'caller request'
   | 'caller response'
   | 'auxiliary request'
+  | 'listener'
   | 'upstream response'
   | 'mesh datagram'
   | 'record'
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -62,18 +62,40 @@
 /** Polling interval while a shutdown drains. */
 const DRAIN_POLL_MS = 50;
 
-/** Serves metrics on a separate address. A failure is only logged, since requests don't depend on it. */
-const listenForMetrics = async (
-  server: Server,
-  { settings, logger }: GatewayOptions,
+/** Servers that start with the gateway. */
+interface GatewayServers {
+  readonly callers: Server;
+  readonly directory: Server;
+  readonly readiness: Server;
+  readonly metrics: Server;
+}
+
+/** Starts the servers; the signal that stops the gateway ends the wait for their addresses. */
+const startServers = async (
+  servers: GatewayServers,
+  { settings, logger, signal }: GatewayOptions,
+  faults: FaultRecorder,
 ): Promise<void> => {
-  const address = settings.listen.metrics;
-  if (address === undefined) return;
-  try {
-    await listen(server, splitAddress(address));
-  } catch (cause) {
-    logger.warn('could not listen on the metrics address', { address, error: String(cause) });
-  }
+  const startServer = (name: keyof GatewayServers, address: string): Promise<void> =>
+    listen(servers[name], splitAddress(address), {
+      logger,
+      signal,
+      onError: (error) => faults.record('listener', error, { listener: name }),
+    });
+  const { callers, directory, readiness, metrics } = settings.listen;
+  await Promise.all([
+    startServer('callers', callers),
+    startServer('directory', directory),
+    startServer('readiness', readiness),
+  ]);
+  if (metrics === undefined) return;
+  // Requests don't depend on the metrics, so that the start doesn't wait for their address.
+  startServer('metrics', metrics).catch((cause: unknown) => {
+    logger.warn('could not listen on the metrics address', {
+      address: metrics,
+      error: String(cause),
+    });
+  });
 };
 
 /** Creates the servers for the directory, readiness checks and metrics. */
@@ -127,14 +149,16 @@
   });
 };
 
-/** Starts the controllers, which run until the signal aborts. */
+/** Starts the controllers, which run until the signal aborts; the stop signal ends the start. */
 const startControllers = async (
   controllers: Controllers,
   faults: FaultRecorder,
   signal: AbortSignal,
+  stopSignal: AbortSignal,
 ): Promise<void> => {
-  await controllers.gossip.start(signal);
-  await controllers.feedServer.start(signal);
+  await controllers.gossip.start(signal, stopSignal);
+  await controllers.feedServer.start(signal, stopSignal);
+  if (stopSignal.aborted) return;
   controllers.streamRecords.start(signal);
   const { feedClient, operators, upstreams, entries, rollout } = controllers;
   Object.entries({ feedClient, operators, upstreams, entries, rollout }).forEach(([name, task]) => {
@@ -185,30 +209,27 @@
     ...processState,
     counts,
   });
+  options.onServing?.(() => callers.countOpenRequests());
   const servers = createAuxiliaryServers(options, controllers, shutdown, {
     operated: fleetState,
     ...processState,
   });
-  const { directory, readiness } = servers;
-  await Promise.all([
-    listen(callers.server, splitAddress(settings.listen.callers)),
-    listen(directory, splitAddress(settings.listen.directory)),
-    listen(readiness, splitAddress(settings.listen.readiness)),
-  ]);
-  await listenForMetrics(servers.metrics, options);
+  await startServers({ callers: callers.server, ...servers }, options, faults);
   pauseMonitor.start(workController.signal);
-  await startControllers(controllers, faults, workController.signal);
-  logger.info('started', { vmId: settings.vmId, bootId: controllers.bootId });
+  await startControllers(controllers, faults, workController.signal, signal);
+  if (signal.aborted) logger.info('stopped before the start was complete');
+  else logger.info('started', { vmId: settings.vmId, bootId: controllers.bootId });
   await waitForAbort(signal);
   logger.info('draining', { openRequests: callers.countOpenRequests() });
   shutdown.start();
   controllers.entries.leave();
-  await drain(callers, shutdown);
+  // Nobody has connected if the start ended before callers could.
+  if (callers.server.listening) await drain(callers, shutdown);
   workController.abort();
   connections.close();
   options.upstreamProtocol.close();
   options.log.close();
-  [callers.server, directory, readiness, servers.metrics].forEach((server) => {
+  [callers.server, ...Object.values(servers)].forEach((server) => {
     server.close();
     server.closeAllConnections();
   });
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -14,4 +14,6 @@
   readonly upstreamProtocol: UpstreamProtocol;
   /** Aborts to start a graceful shutdown. */
   readonly signal: AbortSignal;
+  /** Called with a function that counts the open requests. */
+  readonly onServing?: (countOpenRequests: () => number) => void;
 }
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -8,6 +8,7 @@
   FOLLOWER_TIMEOUT_MS,
   MAX_FOLLOWER_BACKLOG_BYTES,
 } from '../constants.js';
+import type { FaultRecorder } from '../faultRecorder.js';
 import type { GatewayMetrics } from '../metrics.js';
 import type { KeyedRecord } from '../ports/index.js';
 import { splitAddress } from '../socketAddress.js';
@@ -26,6 +27,7 @@
   readonly key: string;
   readonly roster: EntryRoster;
   readonly logger: Logger;
+  readonly faults: FaultRecorder;
   readonly metrics: Pick<GatewayMetrics, 'setFollowers' | 'countFeedBytes'>;
   /** Bandwidth of this VM's link, in Mbit/s. */
   readonly linkMbps: number;
@@ -84,9 +86,15 @@
     this.linkShare = new LinkShare(options.linkMbps);
   }
 
-  async start(signal: AbortSignal): Promise<void> {
+  /** Listens until the signal aborts; the stop signal ends the start. */
+  async start(signal: AbortSignal, stopSignal = signal): Promise<void> {
+    const { address, logger, faults } = this.options;
     const server = createServer((socket) => this.accept(socket));
-    await listen(server, splitAddress(this.options.address));
+    await listen(server, splitAddress(address), {
+      logger,
+      signal: stopSignal,
+      onError: (error) => faults.record('listener', error, { listener: 'mesh' }),
+    });
     signal.addEventListener('abort', () => {
       server.close();
       clearTimeout(this.flushTimer);
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -90,8 +90,9 @@
     });
   }
 
-  async start(signal: AbortSignal): Promise<void> {
-    await this.socket.start(signal);
+  async start(signal: AbortSignal, stopSignal = signal): Promise<void> {
+    await this.socket.start(signal, stopSignal);
+    if (stopSignal.aborted) return;
     let timer: NodeJS.Timeout;
     const send = (): void => {
       this.send();
--- a/packages/gateway/src/mesh/meshSocket.ts
+++ b/packages/gateway/src/mesh/meshSocket.ts
@@ -1,6 +1,8 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
+import { once } from 'node:events';
 import type { EntryHeartbeat, EntryRoster, QuarantineRow, VmId } from '@goldcrestscale/core';
+import { bindAddress } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { FaultRecorder } from '../faultRecorder.js';
 import { splitAddress } from '../socketAddress.js';
@@ -46,12 +48,17 @@
     });
   }
 
-  async start(signal: AbortSignal): Promise<void> {
-    const { host, port } = splitAddress(this.options.address);
-    await new Promise<void>((resolve) => {
-      this.socket.bind(port, host, () => resolve());
-    });
+  /** Binds the socket, which is open until the signal aborts; the stop signal ends the start. */
+  async start(signal: AbortSignal, stopSignal = signal): Promise<void> {
+    const { address, logger } = this.options;
     signal.addEventListener('abort', () => this.socket.close());
+    const { host, port } = splitAddress(address);
+    await bindAddress({ host, port }, { logger, signal: stopSignal }, async () => {
+      // Rejects if the bind fails.
+      const bound = once(this.socket, 'listening');
+      this.socket.bind(port, host);
+      await bound;
+    });
   }
 
   send(message: GossipMessage, targets: readonly EntryHeartbeat[]): void {
