fix(runtime): a start waits for a complete settings file

Seen as a process that ends by itself at its start: with a settings file that is empty, cut off or missing for 0.6 s, the process ended with 1 at once. A platform that writes the file in place, at each start and at each change, can be met in the middle of it.

Cause: one read was final. Both daemons now share `readSettingsFile`, which reads a file that is missing or no complete JSON again for 5 s, logs the wait once, and then gives up with an error that tells what to do. A complete file with invalid content fails at once as before, as do a folder, a larger file, an unset variable, and `--check` and `--print-config`. The tools (goldcrestctl, goldcrest-load) don't wait.

--- a/packages/gateway/src/config.ts
+++ b/packages/gateway/src/config.ts
@@ -1,7 +1,8 @@
-import { readFile } from 'node:fs/promises';
 import en from 'zod/v4/locales/en.js';
 import * as z from 'zod/mini';
 import type { AvailabilityZoneId, RegionId, VmId } from '@goldcrestscale/core';
+import { readSettingsFile } from '@goldcrestscale/runtime';
+import type { ReadSettingsOptions } from '@goldcrestscale/runtime';
 
 const SECOND_MS = 1_000;
 
@@ -176,12 +177,18 @@
  *
  * @throws GatewaySettingsError
  */
-export const loadGatewaySettings = async (path: string): Promise<GatewaySettings> => {
+export const loadGatewaySettings = async (
+  path: string,
+  options: ReadSettingsOptions = {},
+): Promise<GatewaySettings> => {
   let value: unknown;
   try {
-    value = JSON.parse(await readFile(path, 'utf8'));
+    value = await readSettingsFile(path, options);
   } catch (cause) {
-    throw new GatewaySettingsError(`Could not read ${path} as JSON: ${String(cause)}`, { cause });
+    throw new GatewaySettingsError(
+      `Could not read "${path}" as JSON: ${String(cause)}; write the complete file, then start again`,
+      { cause },
+    );
   }
   return resolveGatewaySettings(value);
 };
--- a/packages/runtime/src/cli/cli.ts
+++ b/packages/runtime/src/cli/cli.ts
@@ -6,6 +6,7 @@
 import { logSettingsSchema } from '../logger/logSettings.js';
 import { redactText } from '../logger/redact.js';
 import { loadSettings, parseSettings } from '../settings/loadSettings.js';
+import { SETTINGS_WAIT_MS } from '../settings/readSettingsFile.js';
 import { maskSecrets } from '../settings/maskSecrets.js';
 import { findExitCode } from './cliError.js';
 import { createProcessHost } from './cliHost.js';
@@ -45,6 +46,8 @@
   readonly usage?: string;
   readonly flags?: Flags;
   readonly schema: Schema;
+  /** Whether a start reads a settings file again that is missing or cut off. @default false */
+  readonly waitsForSettings?: boolean;
   /** Runs the command; the signal aborts on SIGTERM and SIGINT. The default exit code is 0. */
   readonly run: (
     signal: AbortSignal,
@@ -131,13 +134,16 @@
   try {
     if (commonFlagValues.help) return printText(host, help.trim());
     if (commonFlagValues.version) return printText(host, `${options.name} ${options.version}`);
+    const isStart = !commonFlagValues.printConfig && !commonFlagValues.check;
     const settings = commonFlagValues.settings
-      ? await loadSettings(options.schema, commonFlagValues.settings)
+      ? await loadSettings(options.schema, commonFlagValues.settings, {
+          waitMs: isStart && options.waitsForSettings ? SETTINGS_WAIT_MS : 0,
+        })
       : parseSettings(options.schema, {}, 'settings (no --settings FILE)');
     if (commonFlagValues.printConfig)
       printText(host, JSON.stringify(maskSecrets(settings), undefined, 2));
     if (commonFlagValues.check) printText(host, `${commonFlagValues.settings ?? 'settings'}: ok`);
-    if (commonFlagValues.printConfig || commonFlagValues.check) return exitCodes.ok;
+    if (!isStart) return exitCodes.ok;
     const logger = createCliLogger(options.name, settings, host);
     const invocation = { flags: flags as Result<Flags>['flags'], input, stdout: host.stdout };
     const code = await runWithStopSignal(host, logger, (signal) =>
