fix(platform): one decision on signals, from the first instruction to the exit

Callers lost every running request when a supervisor repeated its SIGTERM (8 of 8 without an answer): the handler was taken off after the first signal, which left the default action to the second. A SIGHUP or SIGTERM while the bundle was being compiled ended the process by the signal.

Cause: what comes before the program has control, and after it has begun to give it up, was left to defaults. DaemonLifecycle then keeps them to the exit: the first SIGTERM or SIGINT stops in order, later ones change nothing, SIGHUP checks the settings; a stop before the start is complete ends it in order with 0.

Each signal has a line with its effect, time since the start and open requests; repeated ones are counted. An uncaught error or rejection is one line with time and VM, and `exit` with code and reason is the last line, for which the exit waits up to 0.3 s. Errors of the start go to the log rather than to the error output.

--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -14,6 +14,8 @@
   countInvalidResponse(): void;
   /** Counts an unexpected error by the part of the gateway that caught it. */
   countFault(part: string): void;
+  /** Counts a signal to stop while the process was stopping already. */
+  countRepeatedStop(): void;
   observeResponse(elapsedMs: number): void;
   observeFirstByte(elapsedMs: number): void;
   countConnection(): void;
@@ -114,7 +116,7 @@
 
 const createFaultMetrics = (
   metrics: MetricsRegistry,
-): Pick<GatewayMetrics, 'countInvalidResponse' | 'countFault'> => {
+): Pick<GatewayMetrics, 'countInvalidResponse' | 'countFault' | 'countRepeatedStop'> => {
   const invalidResponses = metrics.createCounter({
     name: 'goldcrest_gateway_invalid_answers_total',
     help: 'Answers of upstreams that were refused: no HTTP, another request, unsigned or too large.',
@@ -124,7 +126,12 @@
     help: 'Unexpected errors, each of which ended one exchange, record or task; see the log.',
     labelNames: ['part'],
   });
+  const repeatedStops = metrics.createCounter({
+    name: 'goldcrest_gateway_repeated_stops_total',
+    help: 'Signals to stop while the process was stopping already.',
+  });
   return {
+    countRepeatedStop: () => repeatedStops.inc(),
     countInvalidResponse: () => invalidResponses.inc(),
     countFault: (part) => faults.inc({ part }),
   };
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,4 +6,5 @@
 export * from './listen.js';
 export * from './logger/index.js';
 export * from './metrics/index.js';
+export * from './process/index.js';
 export * from './settings/index.js';
--- a/packages/runtime/src/logger/nonBlockingStream.ts
+++ b/packages/runtime/src/logger/nonBlockingStream.ts
@@ -1,14 +1,19 @@
 import { write } from 'node:fs';
 import { Writable } from 'node:stream';
+import { sleep } from '@goldcrestscale/core';
 
 /** Maximum number of buffered bytes before lines are dropped. */
 const MAX_PENDING_BYTES = 256 * 1024;
 
+const FLUSH_POLL_MS = 5;
+
 /** A stream to a file descriptor that never blocks: it drops lines if the reader is too slow. */
 export interface NonBlockingStream {
   readonly stream: Writable;
   /** Counts the lines dropped so far. */
   readonly countDroppedLines: () => number;
+  /** Waits until all lines are written, at most for this time. */
+  readonly flush: (limitMs: number) => Promise<void>;
 }
 
 /** Creates a stream to a file descriptor, for example 1 for standard output. */
@@ -17,7 +22,7 @@
   let pendingBytes = 0;
   let droppedLines = 0;
   let isWriting = false;
-  const flush = (): void => {
+  const writePending = (): void => {
     if (isWriting || pendingBytes === 0) return;
     const batch = Buffer.concat(pending);
     pending = [];
@@ -31,8 +36,8 @@
         pending.unshift(unwritten);
         pendingBytes += unwritten.length;
       }
-      if (error) setTimeout(flush, 10);
-      else flush();
+      if (error) setTimeout(writePending, 10);
+      else writePending();
     });
   };
   const stream = new Writable({
@@ -42,10 +47,16 @@
       else {
         pending.push(chunk);
         pendingBytes += chunk.length;
-        flush();
+        writePending();
       }
       callback();
     },
   });
-  return { stream, countDroppedLines: () => droppedLines };
+  const flush = async (limitMs: number): Promise<void> => {
+    const deadlineAtMs = performance.now() + limitMs;
+    // The logger passes its lines on in later ticks.
+    await sleep(0);
+    while (pendingBytes > 0 && performance.now() < deadlineAtMs) await sleep(FLUSH_POLL_MS);
+  };
+  return { stream, countDroppedLines: () => droppedLines, flush };
 };
--- /dev/null
+++ b/packages/runtime/src/process/index.ts
@@ -0,0 +1,3 @@
+/** Signals, crash and exit of a process. */
+export * from './daemonLifecycle.js';
+export * from './processSignals.js';
