fix(entry): charge only retries after a send that may have arrived

Callers of an entry with dead upstreams in its directory got 502 or 503 after three connects that failed, and each of them took one of the retries that the budget grants. The entry charged and counted every attempt; it credited only those that nobody waited for any more.

Errors of attempts now tell how the send ended, and the retry policy goes by the same table as the gateway (canHaveArrived, SendCounts): the three attempts are sends that may have arrived, only what follows one is charged, a retry or hedge that did not leave this VM is credited, and tries after failed connects are bounded like the gateway's, without a delay. A call that a slot refused behind the other checks, charged until now, counts as withheld.

RetryQuery has the counts of sends instead of one number of attempts, so the fixtures of retry.spec.ts changed their shape, none of its bounds; bench/unbudgetedRetryPolicy goes on counting all.

--- a/bench/unbudgetedRetryPolicy.ts
+++ b/bench/unbudgetedRetryPolicy.ts
@@ -7,10 +7,11 @@
     // Has no retry budget.
   }
 
-  override decide({ attempts, verdict, idempotent }: RetryQuery): RetryDecision {
+  override decide({ sends, verdict, idempotent }: RetryQuery): RetryDecision {
+    const attempts = sends.arrivals + sends.unreached + sends.withheld;
     const mayRepeat = verdict === 'not-run' || (idempotent && verdict === 'may-have-run');
     return mayRepeat && attempts < 3
-      ? { retry: true, delayMs: 0 }
+      ? { retry: true, delayMs: 0, isCharged: false }
       : { retry: false, reason: 'attempts' };
   }
 
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -1,4 +1,5 @@
 import ModernError from 'modern-errors';
+import type { SendEnd } from './retry/index.js';
 import type { Verdict } from './verdict.js';
 
 /** Machine-readable reason of a refusal or failure, returned to callers as `error.code`. */
@@ -42,6 +43,8 @@
   readonly verdict: Verdict;
   /** Time after which the caller may retry, in milliseconds; absent if a retry does not help. */
   readonly retryAfterMs?: number;
+  /** How the send of the request ended, if it was an attempt at an upstream that failed. */
+  readonly sendEnd?: SendEnd;
 }
 
 const defaultProperties: ErrorProperties = {
--- a/packages/core/src/retry/__tests__/retry.spec.ts
+++ b/packages/core/src/retry/__tests__/retry.spec.ts
@@ -17,8 +17,10 @@
     // Has no budget.
   }
 
-  override decide({ attempts }: RetryQuery): RetryDecision {
-    return attempts < 10 ? { retry: true, delayMs: 0 } : { retry: false, reason: 'attempts' };
+  override decide({ sends }: RetryQuery): RetryDecision {
+    return sends.arrivals < 10
+      ? { retry: true, delayMs: 0, isCharged: false }
+      : { retry: false, reason: 'attempts' };
   }
 
   override tryHedge(): boolean {
@@ -30,8 +32,15 @@
   }
 }
 
+const countArrivals = (arrivals: number): RetryQuery['sends'] => ({
+  arrivals,
+  unreached: 0,
+  withheld: 0,
+  lastEnd: 'rejected',
+});
+
 const failure: RetryQuery = {
-  attempts: 1,
+  sends: countArrivals(1),
   verdict: 'not-run',
   idempotent: true,
   remainingMs: 10_000,
@@ -43,7 +52,11 @@
   let extraAttempts = 0;
   for (let request = 0; request < requests; request += 1) {
     policy.recordRequest();
-    for (let attempts = 1; policy.decide({ ...failure, attempts }).retry; attempts += 1)
+    for (
+      let attempts = 1;
+      policy.decide({ ...failure, sends: countArrivals(attempts) }).retry;
+      attempts += 1
+    )
       extraAttempts += 1;
     if (policy.tryHedge()) extraAttempts += 1;
   }
@@ -62,7 +75,7 @@
   fc.assert(
     fc.property(
       fc.record({
-        attempts: fc.integer({ min: 1, max: 5 }),
+        sends: fc.integer({ min: 1, max: 5 }).map(countArrivals),
         verdict: fc.constantFrom('not-run' as const, 'may-have-run' as const, 'ran' as const),
         idempotent: fc.boolean(),
         remainingMs: fc.integer({ min: -10, max: 1_000 }),
--- a/packages/core/src/retry/constants.ts
+++ b/packages/core/src/retry/constants.ts
@@ -5,7 +5,7 @@
 
 export const MAX_RETRY_BUDGET_BALANCE = 50;
 
-/** Maximum number of attempts per request. */
+/** Maximum number of sends of a request that may arrive, and of those that are withheld. */
 export const MAX_ATTEMPTS = 3;
 
 /** Maximum delay before the first retry, in milliseconds. */
--- a/packages/core/src/retry/index.ts
+++ b/packages/core/src/retry/index.ts
@@ -15,4 +15,5 @@
 export type { RetryDecision, RetryQuery, RetryRefusal } from './retryPolicy.js';
 export { FleetRetryBudget } from './fleetRetryBudget.js';
 export type { FleetRetryLimit } from './fleetRetryBudget.js';
+export { SendCounts } from './sendCounts.js';
 export { UnreachedTries } from './unreachedTries.js';
--- a/packages/entry/src/dispatch/attemptExecutor.ts
+++ b/packages/entry/src/dispatch/attemptExecutor.ts
@@ -1,9 +1,9 @@
 import { randomUUID } from 'node:crypto';
-import { combineVerdicts, isGoldcrestError, toId } from '@goldcrestscale/core';
+import { canHaveArrived, combineVerdicts, isGoldcrestError, toId } from '@goldcrestscale/core';
 import type { AttemptId } from '@goldcrestscale/core';
 import type { Exchange } from '../filters/exchange.js';
 import type { Attempt, AttemptRunner } from './attempt.js';
-import { decideFailureOutcome } from './attemptOutcome.js';
+import { decideFailureOutcome, findSendEnd } from './attemptOutcome.js';
 import { createDeadline } from './deadline.js';
 import type { Deadline } from './deadline.js';
 import { addExclusion } from './dispatchProgress.js';
@@ -27,7 +27,7 @@
   readonly progress: DispatchProgress;
   /** Aborts when a competing attempt has started to respond. */
   readonly signal?: AbortSignal;
-  /** Called if the attempt is not sent because nobody waits for it or its upstream may not get it. */
+  /** Called if the attempt did not leave this VM. */
   readonly onDrop?: (() => void) | undefined;
   /** Called right before the attempt starts to respond to the caller. */
   readonly onResponseStart?: () => void;
@@ -74,8 +74,9 @@
     } catch (cause) {
       const error = deadline.mapError(cause);
       if (isDispatched) this.recordFailure(plan, error, isWithheld);
-      const isDropped = !isDispatched || isWithheld || signal.aborted;
-      if (isDropped && !isSent) plan.onDrop?.();
+      const end = findSendEnd(cause, { isSent, isAborted: signal.aborted });
+      plan.progress.sends.recordEnd(end);
+      if (!canHaveArrived(end)) plan.onDrop?.();
       throw error;
     } finally {
       deadline.clear();
@@ -86,7 +87,8 @@
   private assertSendable({ exchange, selection }: AttemptPlan, signal: AbortSignal): void {
     const { upstream } = selection;
     exchange.assertSendable();
-    if (signal.aborted) throw createAttemptError('The attempt was cancelled.', 'not-run');
+    if (signal.aborted)
+      throw createAttemptError('The attempt was cancelled.', 'not-run', 'dropped');
     if (!this.options.directory.findView(upstream.upstreamId)?.eligible) {
       throw createNoUpstreamRefusal();
     }
--- a/packages/entry/src/dispatch/dispatchProgress.ts
+++ b/packages/entry/src/dispatch/dispatchProgress.ts
@@ -1,3 +1,4 @@
+import { SendCounts } from '@goldcrestscale/core';
 import type { AvailabilityZoneId, Route, UpstreamId, UpstreamView } from '@goldcrestscale/core';
 
 /** Upstream selected for an attempt, with the router's result. */
@@ -12,6 +13,7 @@
   readonly avoidedZones: Set<AvailabilityZoneId>;
   /** Payloads of the stream events relayed to the caller so far. */
   readonly relayedEvents: string[];
+  readonly sends: SendCounts;
 }
 
 /** Creates the dispatch state of a new exchange. */
@@ -19,6 +21,7 @@
   excludedUpstreams: new Set(),
   avoidedZones: new Set(),
   relayedEvents: [],
+  sends: new SendCounts(),
 });
 
 /** Excludes an upstream from further attempts, which also avoid its zone if possible. */
--- a/packages/entry/src/filters/dispatchFilter.ts
+++ b/packages/entry/src/filters/dispatchFilter.ts
@@ -41,37 +41,41 @@
   override async handle(exchange: Exchange): Promise<void> {
     const progress = createDispatchProgress();
     this.options.retryPolicy.recordRequest();
-    for (let attempts = 1; ; attempts += 1) {
+    let isCharged = false;
+    for (;;) {
       const selection = this.selectUpstream(exchange, progress);
       try {
-        const onDrop = attempts > 1 ? this.withdrawAttempt : undefined;
+        const onDrop = isCharged ? this.withdrawAttempt : undefined;
         await this.runSelection(exchange, selection, progress, onDrop);
         return;
       } catch (cause) {
         if (!isGoldcrestError(cause)) throw cause;
         addExclusion(progress, selection);
-        await this.waitForRetry(exchange, cause, attempts);
+        isCharged = await this.waitForRetry(exchange, cause, progress);
       }
     }
   }
 
-  /** @throws the given error if the request must not be retried */
+  /**
+   * @returns whether the retry is charged to the budget
+   * @throws the given error if the request must not be retried
+   */
   private async waitForRetry(
     exchange: Exchange,
     error: GoldcrestErrorInstance,
-    attempts: number,
-  ): Promise<void> {
+    { sends }: DispatchProgress,
+  ): Promise<boolean> {
     if (exchange.signal.aborted || error.code === 'deadline') throw error;
     const decision = this.options.retryPolicy.decide({
-      attempts,
+      sends,
       verdict: error.verdict,
       idempotent: exchange.isIdempotent,
       remainingMs: computeRemainingMs(exchange),
     });
     if (!decision.retry) throw error;
     await sleep(decision.delayMs, exchange.signal);
-    if (!exchange.signal.aborted) return;
-    this.withdrawAttempt();
+    if (!exchange.signal.aborted) return decision.isCharged;
+    if (decision.isCharged) this.withdrawAttempt();
     throw error;
   }
 
--- a/packages/entry/src/upstream/upstreamClient.ts
+++ b/packages/entry/src/upstream/upstreamClient.ts
@@ -15,6 +15,7 @@
   createCodedError,
   createUnavailableError,
   decideTransportVerdict,
+  findTransportEnd,
 } from './upstreamErrors.js';
 
 /** One HTTP call to an upstream. */
@@ -113,7 +114,11 @@
   }
   if (isWeightVersionConflict(response, call)) {
     await response.body.dump();
-    throw createUnavailableError('The upstream holds another weight version.', 'not-run');
+    throw createUnavailableError(
+      'The upstream holds another weight version.',
+      'not-run',
+      'rejected',
+    );
   }
   if (hasOtherWeightVersion(response, call)) {
     discardBody(response);
@@ -122,10 +127,11 @@
   const verdict = decideErrorVerdict(response);
   if (verdict === undefined) return;
   await response.body.dump();
+  const end = verdict === 'not-run' ? 'rejected' : 'answered';
   const message = `The upstream answered with status ${response.status}.`;
   throw response.status === UNAVAILABLE_STATUS && verdict === 'not-run'
-    ? createUnavailableError(message, verdict)
-    : createAttemptError(message, verdict);
+    ? createUnavailableError(message, verdict, end)
+    : createAttemptError(message, verdict, end);
 };
 
 const buildRequestOptions = (call: UpstreamCall) => ({
@@ -151,7 +157,11 @@
   try {
     return await pool.acquire(target.address);
   } catch {
-    throw createAttemptError(`No connection to upstream ${target.upstreamId}.`, 'not-run');
+    throw createAttemptError(
+      `No connection to upstream ${target.upstreamId}.`,
+      'not-run',
+      'unreachable',
+    );
   }
 };
 
@@ -244,6 +254,7 @@
       throw createAttemptError(
         `The call of upstream ${upstreamId} failed.`,
         decideTransportVerdict(cause),
+        findTransportEnd(cause),
       );
     }
   };
--- a/packages/entry/src/upstream/upstreamErrors.ts
+++ b/packages/entry/src/upstream/upstreamErrors.ts
@@ -1,5 +1,5 @@
 import { createError } from '@goldcrestscale/core';
-import type { GoldcrestErrorInstance, Verdict } from '@goldcrestscale/core';
+import type { GoldcrestErrorInstance, SendEnd, Verdict } from '@goldcrestscale/core';
 import { DEFAULT_RETRY_AFTER_MS } from '../constants.js';
 
 /** Error code for a connection that was closed before the request was written. */
@@ -29,20 +29,36 @@
 export const decideTransportVerdict = (cause: unknown): Verdict =>
   NOT_SENT_CODES.has(getErrorCode(cause)) ? 'not-run' : 'may-have-run';
 
+/** Finds out how the send ended of a request whose HTTP call failed. */
+export const findTransportEnd = (cause: unknown): SendEnd => {
+  if (decideTransportVerdict(cause) !== 'not-run') return 'lost';
+  return getErrorCode(cause) === CONNECTION_CLOSED_CODE ? 'withheld' : 'unreachable';
+};
+
 /** Creates the error for an upstream that is healthy but can't serve this request now. */
-export const createUnavailableError = (message: string, verdict: Verdict): GoldcrestErrorInstance =>
+export const createUnavailableError = (
+  message: string,
+  verdict: Verdict,
+  sendEnd: SendEnd = 'lost',
+): GoldcrestErrorInstance =>
   createError(message, {
     code: 'upstream_failed',
     status: 503,
     verdict,
+    sendEnd,
     retryAfterMs: DEFAULT_RETRY_AFTER_MS,
   });
 
 /** Creates the error for a failed attempt. */
-export const createAttemptError = (message: string, verdict: Verdict): GoldcrestErrorInstance =>
+export const createAttemptError = (
+  message: string,
+  verdict: Verdict,
+  sendEnd: SendEnd = 'lost',
+): GoldcrestErrorInstance =>
   createError(message, {
     code: 'upstream_failed',
     status: 502,
     verdict,
+    sendEnd,
     retryAfterMs: DEFAULT_RETRY_AFTER_MS,
   });
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -123,7 +123,7 @@
       connections.closeIdle(upstream.registered.address);
     }
     // After one mismatch of weights, the same upstream may accept a retry with the version it reported.
-    if (reason !== 'misdirected' || progress.arrivals > 1)
+    if (reason !== 'misdirected' || progress.sends.arrivals > 1)
       progress.excluded.add(upstream.upstreamId);
   }
 }
--- a/packages/gateway/src/dispatch/requestProgress.ts
+++ b/packages/gateway/src/dispatch/requestProgress.ts
@@ -1,5 +1,5 @@
-import { canHaveArrived } from '@goldcrestscale/core';
-import type { RouteRule, SendEnd, ServiceName, UpstreamId } from '@goldcrestscale/core';
+import { SendCounts } from '@goldcrestscale/core';
+import type { RouteRule, ServiceName, UpstreamId } from '@goldcrestscale/core';
 import type { AttemptResult } from './attemptResult.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
@@ -14,18 +14,11 @@
   /** Defined if a broken stream may be resumed at another upstream. */
   readonly eventSplitter: EventSplitter | undefined;
 
-  /** Number of sends that may have arrived at an upstream. */
-  arrivals = 0;
-
-  /** Number of sends for which no connection could be opened. */
-  unreachedSends = 0;
+  readonly sends = new SendCounts();
 
   /** Number of permits that were requested under rate limits. */
   permitRequests = 0;
 
-  /** Number of attempts that were withheld right before they would have been sent. */
-  withheldSends = 0;
-
   /** Number of attempts that were executed or may have been. */
   executions = 0;
 
@@ -45,11 +38,6 @@
     this.eventSplitter = route.resumable ? new EventSplitter() : undefined;
   }
 
-  /** Whether the next send is no repeat, since none before it can have arrived. */
-  get isNextSendFree(): boolean {
-    return this.arrivals === 0;
-  }
-
   recordLoss(): void {
     this.hasLoss = true;
   }
@@ -62,12 +50,6 @@
     this.permitRequests += 1;
   }
 
-  recordSendEnd(end: SendEnd): void {
-    if (canHaveArrived(end)) this.arrivals += 1;
-    else if (end === 'withheld') this.withheldSends += 1;
-    else this.unreachedSends += 1;
-  }
-
   recordExecution(upstreamId: UpstreamId): void {
     this.executions += 1;
     this.excluded.add(upstreamId);
--- a/packages/gateway/src/dispatch/resendPolicy.ts
+++ b/packages/gateway/src/dispatch/resendPolicy.ts
@@ -12,11 +12,11 @@
 /** Whether the route allows one more send after one that may have arrived. */
 const canRepeat = (
   exchange: GatewayExchange,
-  { arrivals, executions }: RequestProgress,
+  { sends, executions }: RequestProgress,
   { kind }: EndedResult,
 ): boolean => {
   const { maxUpstreams, idempotent, resumable } = requireRoute(exchange);
-  if (arrivals >= maxUpstreams + MAX_UNEXECUTED_EXTRA_ATTEMPTS) return false;
+  if (sends.arrivals >= maxUpstreams + MAX_UNEXECUTED_EXTRA_ATTEMPTS) return false;
   if (kind === 'not-run') return true;
   return idempotent && executions < maxUpstreams && (kind !== 'broken' || resumable);
 };
@@ -28,16 +28,16 @@
   constructor(private readonly retryBudget: FleetRetryBudget) {}
 
   canSendAgain(exchange: GatewayExchange, progress: RequestProgress, result: EndedResult): boolean {
-    if (!progress.isNextSendFree && !this.retryBudget.canRetry(progress.service)) return false;
-    if (result.kind === 'withheld') return progress.withheldSends < MAX_WITHHELD_SENDS;
+    if (!progress.sends.isNextFree && !this.retryBudget.canRetry(progress.service)) return false;
+    if (result.kind === 'withheld') return progress.sends.withheld < MAX_WITHHELD_SENDS;
     if (exchange.signal.aborted || progress.isSuspect) return false;
     return canHaveArrived(findSendEnd(result))
       ? canRepeat(exchange, progress, result)
       : this.canTryOther(progress, result);
   }
 
-  private canTryOther({ unreachedSends }: RequestProgress, result: EndedResult): boolean {
-    if (unreachedSends > MAX_UNREACHED_TRIES) return false;
+  private canTryOther({ sends }: RequestProgress, result: EndedResult): boolean {
+    if (sends.unreached > MAX_UNREACHED_TRIES) return false;
     // Where no connection may be opened, none was.
     const isConnectFailure = result.kind !== 'not-run' || result.reason !== 'no-connection';
     return !isConnectFailure || this.unreachedTries.tryTake();
--- a/packages/gateway/src/dispatch/sendGate.ts
+++ b/packages/gateway/src/dispatch/sendGate.ts
@@ -67,7 +67,7 @@
     if (!chooser.isEligible(exchange, upstream, progress.excluded)) {
       return { withheld: 'upstream is not eligible any more' };
     }
-    if (!progress.isNextSendFree && !retryBudget.canRetry(progress.service)) {
+    if (!progress.sends.isNextFree && !retryBudget.canRetry(progress.service)) {
       return { withheld: 'retry budget is exhausted' };
     }
     if (!chooser.takePermit(upstream)) return { withheld: 'no permit is left' };
@@ -83,7 +83,7 @@
     progress: RequestProgress,
   ): void {
     const { announcedRates, metrics, ejection, chooser, retryBudget, onPromptSent } = this.options;
-    if (!progress.isNextSendFree) retryBudget.recordRetry(progress.service);
+    if (!progress.sends.isNextFree) retryBudget.recordRetry(progress.service);
     if (announcedRates.find(upstream.registered)) metrics.countLimitedSend(upstream.upstreamId);
     ejection.recordStart(upstream.upstreamId);
     chooser.recordSentParts(exchange, upstream);
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -161,7 +161,7 @@
       assertWaiting(exchange, signal);
       this.assertAllowed(exchange);
       const choice = this.chooseUpstream(exchange, progress);
-      if (choice && 'retryAfterMs' in choice && progress.arrivals === 0) {
+      if (choice && 'retryAfterMs' in choice && progress.sends.arrivals === 0) {
         throw createOverloadError(choice);
       }
       if (!choice || 'retryAfterMs' in choice) {
@@ -186,7 +186,7 @@
     const { upstream } = choice;
     const result = await this.runAttempt(exchange, choice, progress, signal);
     this.options.metrics.countAttempt(progress.service, result.kind);
-    progress.recordSendEnd(findSendEnd(result));
+    progress.sends.recordEnd(findSendEnd(result));
     if (result.kind === 'answered') {
       exchange.verdict = 'ran';
       this.outcomeRecorder.recordSuccess(upstream);
