fix(runtime): signals of goldcrest-entry from its first instruction to its exit

The same cause as in the gateway: a second SIGTERM or SIGINT ended the entry daemon at once with 1 and cut the requests of its callers, SIGHUP ended it at any time, and signals while the program was loaded or the settings were read had their default action.

The command line now uses ProcessSignals for the whole life of a process. A daemon (`isDaemon`, which also covers the wait for its settings) does nothing at a repeated stop signal, checks its settings at SIGHUP, and ends with 0 if it is stopped before its start is complete. Its binary imports one small module first, which collects signals until the program takes them, because the rest is loaded over several turns of the event loop. goldcrestctl and goldcrest-load still end at once at the second signal: they hold no requests of other parties, and a person who waits for them must be able to leave.

The test "the first stop signal aborts, the second exits" expected this of all binaries. It now holds for tools, word for word, and a second test demands of a daemon that three later signals change nothing.

--- a/packages/ctl/src/__tests__/ctl.spec.ts
+++ b/packages/ctl/src/__tests__/ctl.spec.ts
@@ -29,7 +29,7 @@
     argv,
     stdout,
     stderr,
-    onStopSignal: (handler) => handlers.push(handler),
+    onSignals: (_names, handler) => handlers.push(handler),
     exit: () => {},
   };
   const readText = (stream: PassThrough): string => String(stream.read() ?? '');
--- a/packages/entry/bin/goldcrest-entry.js
+++ b/packages/entry/bin/goldcrest-entry.js
@@ -1,2 +1,6 @@
 #!/usr/bin/env node
-import '../dist/cli.js';
+// Imported alone, so that signals are kept while the program is loaded.
+import { collectSignals } from '@goldcrestscale/runtime/earlySignals';
+
+collectSignals();
+await import('../dist/cli.js');
--- a/packages/entry/src/cli.ts
+++ b/packages/entry/src/cli.ts
@@ -8,7 +8,7 @@
   version: '0.1.0',
   description: 'Entry daemon: accepts requests from callers and routes them to the upstreams.',
   schema: entrySettingsSchema,
-  waitsForSettings: true,
+  isDaemon: true,
   async run(signal, settings, logger) {
     const [operationsKey, meshSecret, fleetSecret] = await Promise.all([
       loadSecret(settings.operations.key),
--- a/packages/runtime/src/cli/__tests__/cli.spec.ts
+++ b/packages/runtime/src/cli/__tests__/cli.spec.ts
@@ -12,9 +12,13 @@
 
 type Run = CliOptions<typeof schema, { all: { type: 'boolean' } }>['run'];
 
-let sendSignal = (): void => {};
+let sendSignal: (name?: string) => void = () => {};
 
-const runWith = async (argv: readonly string[], run: Run = async () => {}) => {
+const runWith = async (
+  argv: readonly string[],
+  run: Run = async () => {},
+  extra: { readonly isDaemon?: boolean } = {},
+) => {
   const stdout = new PassThrough();
   const stderr = new PassThrough();
   const exits: number[] = [];
@@ -23,7 +27,7 @@
     argv,
     stdout,
     stderr,
-    onStopSignal: (handler) => handlers.push(handler),
+    onSignals: (_names, handler) => handlers.push(handler),
     exit: (code) => exits.push(code),
   };
   const options = {
@@ -33,8 +37,9 @@
     flags: { all: { type: 'boolean' } },
     schema,
     run,
+    ...extra,
   } as const;
-  sendSignal = () => handlers.forEach((handler) => handler('SIGTERM'));
+  sendSignal = (name = 'SIGTERM') => handlers.forEach((handler) => handler(name));
   const code = await runCommand(options, host);
   return { code, exits, out: String(stdout.read() ?? ''), err: String(stderr.read() ?? '') };
 };
@@ -77,7 +82,8 @@
   expect(result.code).toBe(code);
 });
 
-test('the first stop signal aborts, the second exits', async () => {
+// A tool holds no requests of others, and may wait for an answer that never comes.
+test('the first stop signal aborts a tool, the second exits', async () => {
   const result = await runWith([], async (signal) => {
     sendSignal();
     expect(signal.aborted).toBe(true);
@@ -86,3 +92,19 @@
   });
   expect(result).toMatchObject({ code: exitCodes.unavailable, exits: [exitCodes.failure] });
 });
+
+// A supervisor that repeated its signal cut the requests of all callers.
+test('only the first stop signal changes anything in a daemon', async () => {
+  const run: Run = async (signal) => {
+    sendSignal('SIGHUP');
+    expect(signal.aborted).toBe(false);
+    sendSignal();
+    expect(signal.aborted).toBe(true);
+    sendSignal();
+    sendSignal('SIGINT');
+    sendSignal('SIGHUP');
+  };
+  const result = await runWith([], run, { isDaemon: true });
+  expect(result).toMatchObject({ code: exitCodes.ok, exits: [] });
+  expect(result.err.match(/the process is stopping already/g)).toHaveLength(2);
+});
--- a/packages/runtime/src/cli/cli.ts
+++ b/packages/runtime/src/cli/cli.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '../logger/logger.js';
 import { logSettingsSchema } from '../logger/logSettings.js';
 import { redactText } from '../logger/redact.js';
+import { DAEMON_SIGNALS, ProcessSignals, STOP_SIGNALS } from '../process/processSignals.js';
 import { loadSettings, parseSettings } from '../settings/loadSettings.js';
 import { SETTINGS_WAIT_MS } from '../settings/readSettingsFile.js';
 import { maskSecrets } from '../settings/maskSecrets.js';
@@ -46,8 +47,14 @@
   readonly usage?: string;
   readonly flags?: Flags;
   readonly schema: Schema;
-  /** Whether a start reads a settings file again that is missing or cut off. @default false */
-  readonly waitsForSettings?: boolean;
+  /**
+   * Whether the command serves requests of others. A daemon reads a settings file again that is
+   * missing or cut off, survives SIGHUP, and does nothing at a second stop signal, which ends a tool
+   * at once.
+   *
+   * @default false
+   */
+  readonly isDaemon?: boolean;
   /** Runs the command; the signal aborts on SIGTERM and SIGINT. The default exit code is 0. */
   readonly run: (
     signal: AbortSignal,
@@ -95,26 +102,61 @@
   });
 };
 
-const runWithStopSignal = async <Value>(
-  host: CliHost,
+/** Has the settings file checked, and logs the outcome. */
+const checkSettings = async (
+  { schema }: CliOptions<z.ZodType, AnyFlags>,
+  file: string | undefined,
   logger: Logger,
-  run: (signal: AbortSignal) => Promise<Value>,
-): Promise<Value> => {
-  const stopController = new AbortController();
-  const runFinished = new AbortController();
-  host.onStopSignal((name) => {
-    if (stopController.signal.aborted) {
-      logger.warn('second stop signal; exiting immediately', { signal: name });
-      host.exit(exitCodes.failure);
-      return;
-    }
-    logger.info('stopping', { signal: name });
-    stopController.abort();
-  }, runFinished.signal);
+): Promise<void> => {
+  if (file === undefined) return;
+  try {
+    await loadSettings(schema, file, { waitMs: SETTINGS_WAIT_MS });
+    logger.info('settings file is valid; changes take effect on restart');
+  } catch (error) {
+    logger.error('settings file is invalid; keeping the current settings', {
+      error: redactText((error as Error).message),
+    });
+  }
+};
+
+/** Handles the signals of the process from now on; returns the signal to stop. */
+const handleSignals = (
+  options: CliOptions<z.ZodType, AnyFlags>,
+  host: CliHost,
+  file: string | undefined,
+  log: { readonly logger: Logger },
+): AbortSignal => {
+  const isDaemon = options.isDaemon ?? false;
+  const signals = new ProcessSignals({
+    get logger() {
+      return log.logger;
+    },
+    onCheck() {
+      void checkSettings(options, file, log.logger);
+    },
+    onRepeatedStop() {
+      if (!isDaemon) host.exit(exitCodes.failure);
+    },
+  });
+  host.onSignals(isDaemon ? DAEMON_SIGNALS : STOP_SIGNALS, (name) => signals.handle(name));
+  return signals.stopSignal;
+};
+
+/** Loads the settings; undefined if a daemon was stopped meanwhile. */
+const loadFirstSettings = async <Schema extends z.ZodType>(
+  { schema, isDaemon = false }: Pick<CliOptions<Schema, AnyFlags>, 'schema' | 'isDaemon'>,
+  file: string,
+  isStart: boolean,
+  signal: AbortSignal,
+): Promise<z.output<Schema> | undefined> => {
   try {
-    return await run(stopController.signal);
-  } finally {
-    runFinished.abort();
+    return await loadSettings(schema, file, {
+      waitMs: isStart && isDaemon ? SETTINGS_WAIT_MS : 0,
+      signal,
+    });
+  } catch (error) {
+    if (isDaemon && signal.aborted) return undefined;
+    throw error;
   }
 };
 
@@ -134,21 +176,27 @@
   try {
     if (commonFlagValues.help) return printText(host, help.trim());
     if (commonFlagValues.version) return printText(host, `${options.name} ${options.version}`);
+    // Replaced by the one that the settings describe.
+    const log = { logger: createCliLogger(options.name, undefined, host) };
     const isStart = !commonFlagValues.printConfig && !commonFlagValues.check;
-    const settings = commonFlagValues.settings
-      ? await loadSettings(options.schema, commonFlagValues.settings, {
-          waitMs: isStart && options.waitsForSettings ? SETTINGS_WAIT_MS : 0,
-        })
+    const file = commonFlagValues.settings;
+    const signal = handleSignals(
+      options as unknown as CliOptions<z.ZodType, AnyFlags>,
+      host,
+      file,
+      log,
+    );
+    const settings = file
+      ? await loadFirstSettings(options, file, isStart, signal)
       : parseSettings(options.schema, {}, 'settings (no --settings FILE)');
+    if (settings === undefined) return exitCodes.ok;
     if (commonFlagValues.printConfig)
       printText(host, JSON.stringify(maskSecrets(settings), undefined, 2));
     if (commonFlagValues.check) printText(host, `${commonFlagValues.settings ?? 'settings'}: ok`);
     if (!isStart) return exitCodes.ok;
-    const logger = createCliLogger(options.name, settings, host);
+    log.logger = createCliLogger(options.name, settings, host);
     const invocation = { flags: flags as Result<Flags>['flags'], input, stdout: host.stdout };
-    const code = await runWithStopSignal(host, logger, (signal) =>
-      options.run(signal, settings, logger, invocation),
-    );
+    const code = await options.run(signal, settings, log.logger, invocation);
     return code ?? exitCodes.ok;
   } catch (error) {
     host.stderr.write(`${options.name}: ${redactText((error as Error).message)}\n`);
--- a/packages/runtime/src/process/processSignals.ts
+++ b/packages/runtime/src/process/processSignals.ts
@@ -1,7 +1,7 @@
 import type { LogFields, Logger } from '../logger/logger.js';
 
 /** Signals that stop a process in order. */
-const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+export const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 
 /** Signal that has the settings file checked. */
 const CHECK_SIGNAL = 'SIGHUP';
