--- a/packages/gateway/src/__tests__/outOfStep.spec.ts
+++ b/packages/gateway/src/__tests__/outOfStep.spec.ts
@@ -11,6 +11,9 @@
 /** Time in which a VM that the log answers reads of a change, and writes the streams that it began. */
 const READ_MS = 1_500;
 
+/** Records of the registry once a second upstream has come and gone. */
+const REGISTRY_RECORDS = 3;
+
 const IDS = Array.from({ length: STREAMS }, (_, index) => `stream-${index}`);
 
 beforeEach(() => {
@@ -106,6 +109,20 @@
   expect(await taking.takeUp(undefined)).toBe(503);
 });
 
+// Guards against a snapshot, which does not tell what came and went before it.
+test('a version counts though the history that told of it was trimmed', async () => {
+  const { taking, beginStreams, register, remove } = await startFleet();
+  taking.log.isCut = true;
+  register('new', 'v2');
+  await vi.advanceTimersByTimeAsync(READ_MS);
+  await beginStreams('new');
+  remove('new');
+  taking.log.firstOffsets.set('upstreams', REGISTRY_RECORDS);
+  taking.log.isCut = false;
+  expect((await takeUpAll(taking, IDS.slice(0, 5))).outcomes).toEqual(new Set([503]));
+  expect((await takeUpAll(taking)).outcomes).toEqual(new Set(['v2']));
+});
+
 // Guards against take-ups that are refused, or that each read the log, in a fleet with one version.
 test('streams that are taken up together share one read while one version serves', async () => {
   const { taking, beginStreams } = await startFleet();
--- a/packages/gateway/src/__tests__/simulatedLog.ts
+++ b/packages/gateway/src/__tests__/simulatedLog.ts
@@ -1,4 +1,4 @@
-import { SharedLog } from '../ports/index.js';
+import { LogTrimmedError, SharedLog } from '../ports/index.js';
 import type {
   AppendedRecord,
   KeyedRecord,
@@ -28,6 +28,9 @@
 
   readonly readsAtMs: number[] = [];
 
+  /** First offsets of topics whose older records were trimmed. */
+  readonly firstOffsets = new Map<LogTopic, number>();
+
   constructor(private readonly topics: Map<LogTopic, KeyedRecord[]>) {
     super();
   }
@@ -47,6 +50,8 @@
     const startedAtMs = performance.now();
     this.readsAtMs.push(startedAtMs);
     await this.reach();
+    const firstOffset = this.firstOffsets.get(topic) ?? 0;
+    if (from < firstOffset) throw new LogTrimmedError('trimmed', firstOffset);
     const isEmpty = (): boolean => this.getRecords(topic).length <= from;
     while (isEmpty() && performance.now() - startedAtMs < options.longPollMs) await pause(10);
     if (this.isCut) await this.reach();
