test(gateway): the repeat limit of a fleet that restarts among dead upstreams

Scripted: what a VM has heard of the others (fleetRetryBudget.spec.ts has the roster itself) and a window of 1 s.

--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -33,7 +33,8 @@
 
 let lastId = 0;
 
-const sendCall = (port: number, call: TestCall): Promise<CallerReply> =>
+/** Sends a request to a gateway's port. */
+export const sendCall = (port: number, call: TestCall): Promise<CallerReply> =>
   new Promise((resolve, reject) => {
     lastId += 1;
     const request = sendRequest({
@@ -63,7 +64,7 @@
   });
 
 /** Finds addresses that refuse connections: each was free a moment ago. */
-const findDeadAddresses = async (count: number): Promise<readonly string[]> => {
+export const findDeadAddresses = async (count: number): Promise<readonly string[]> => {
   const servers = Array.from({ length: count }, () => new FakeUpstream(() => undefined));
   const addresses = await Promise.all(servers.map((server) => server.listen()));
   servers.forEach((server) => server.close());
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -47,7 +47,8 @@
   regions: [],
 };
 
-const bounds = {
+/** Bounds of the fleet. */
+export const bounds = {
   shutdownMs: 8_000,
   retryRatio: 0.2,
   retryAllowance: 50,
@@ -69,6 +70,9 @@
   readonly bufferBytes?: number;
   /** Time after the start for which it has no part of the fleet's retry allowance. */
   readonly retryAllowanceDelayMs?: number;
+  readonly retryWindowMs?: number;
+  /** Number of VMs that it has heard of; undefined while it can't know it. */
+  readonly countVms?: () => number | undefined;
   /** Addresses of the upstreams. */
   readonly addresses: readonly string[];
   /** Software versions of the upstreams; undefined if their entries tell none. */
@@ -160,10 +164,10 @@
           {
             ratio: bounds.retryRatio,
             allowance: bounds.retryAllowance,
-            windowMs: 10_000,
+            windowMs: options.retryWindowMs ?? bounds.retryWindowMs,
             allowanceDelayMs: options.retryAllowanceDelayMs ?? 0,
           },
-          () => 1,
+          options.countVms ?? (() => 1),
         ),
         ejection: fleetState.ejection,
         blocks: fleetState.blocks,
