fix(gateway): bound what is buffered of responses, and end unread ones

What callers saw: the process was killed, with all requests, when upstreams sent many large plain answers at once or callers did not read theirs.

Cause: a plain answer of up to 1 MB is buffered until it is whole, so that the request can be retried, and stays in memory until its caller has read it, without a limit for all of them and without an end.

Change: these bytes count in the budget of request bodies. A success for which there is no room is passed on as it comes, with back-pressure to its upstream; a failure ends in 502. A body of known length goes into one buffer (ResponseBuffer). A caller that reads nothing for the idle timeout loses its connection, with the line 'response not read'. A response that is streamed only for its size does not pass through the splitter of events any more.

--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -82,7 +82,7 @@
     gateway.close();
     upstreams.forEach((upstream) => upstream.close());
   });
-  const { port, fleetState, operators, metrics, budget } = gateway;
+  const { port, fleetState, operators, metrics, budget, applyLimits } = gateway;
   return {
     port,
     call: (call: TestCall = {}) => sendCall(port, call),
@@ -92,5 +92,6 @@
     operators,
     metrics,
     budget,
+    applyLimits,
   };
 };
--- /dev/null
+++ b/packages/gateway/src/__tests__/responseMemory.spec.ts
@@ -0,0 +1,99 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import { expect, test, vi } from 'vitest';
+import { buildHead, buildResponse } from './fakeUpstream.js';
+import type { TestRequest } from './fakeUpstream.js';
+import { startGateway } from './gatewayHarness.js';
+import { buildRequestHead, connectRawCaller } from './rawCaller.js';
+import type { RawCaller } from './rawCaller.js';
+
+const BUFFER_BYTES = 1_000;
+
+const BODY_BYTES = 5_000;
+
+const LARGE_BYTES = 1_000_000;
+
+const LARGE_RESPONSES = 12;
+
+const READ_INTERVAL_MS = 300;
+
+const startResponse = (status: number, { id, socket }: TestRequest): void => {
+  const headers = { 'x-id': id, 'x-sig': 's', 'content-length': String(BODY_BYTES) };
+  socket.write(`${buildHead(status, headers)}${'a'.repeat(BODY_BYTES - 1)}`);
+};
+
+// Guards against a process that is killed because upstreams send many large responses at once.
+test('a response for which there is no memory is passed on as it comes', async () => {
+  const requests: TestRequest[] = [];
+  const { port } = await startGateway({
+    upstreams: [
+      (request) => {
+        requests.push(request);
+        startResponse(200, request);
+      },
+    ],
+    bufferBytes: BUFFER_BYTES,
+  });
+  const caller = connectRawCaller(port);
+  caller.socket.write(buildRequestHead('large', 'content-length: 0'));
+  await caller.waitFor('a'.repeat(100));
+  requests[0]!.socket.write('z');
+  await caller.waitFor('z\r\n0\r\n\r\n');
+  expect(caller.read().match(/a/g)!.length).toBeGreaterThanOrEqual(BODY_BYTES - 1);
+});
+
+// Guards against a failure that is held in memory, or passed on in part, because it might be retried.
+test('a failure for which there is no memory ends in a whole error response', async () => {
+  const { call } = await startGateway({
+    route: { idempotent: false, maxUpstreams: 1 },
+    upstreams: [(request) => startResponse(500, request)],
+    bufferBytes: BUFFER_BYTES,
+  });
+  expect(await call()).toMatchObject({ status: 502, isWhole: true });
+});
+
+/** Requests whose responses together are larger than what the sockets of a connection take. */
+const sendLargeRequests = (caller: RawCaller): void => {
+  for (let index = 0; index < LARGE_RESPONSES; index += 1) {
+    caller.socket.write(buildRequestHead(`large-${index}`, 'content-length: 0'));
+  }
+};
+
+const respondLarge = ({ id, socket }: TestRequest): void => {
+  socket.write(buildResponse(200, { 'x-id': id, 'x-sig': 's' }, 'a'.repeat(LARGE_BYTES)));
+};
+
+const SHORT_LIMITS = { bodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 50 };
+
+/** The server adds a second to the timeout. */
+const EFFECTIVE_TIMEOUT_MS = SHORT_LIMITS.idleTimeoutMs + 1_000;
+
+// Guards against callers that never read and fill the memory for all others.
+test('a caller that reads nothing for the idle timeout loses its connection', async () => {
+  const { port, budget, applyLimits } = await startGateway({ upstreams: [respondLarge] });
+  applyLimits(SHORT_LIMITS);
+  const caller = connectRawCaller(port);
+  caller.socket.pause();
+  sendLargeRequests(caller);
+  await pause(EFFECTIVE_TIMEOUT_MS / 2);
+  expect(budget.heldBytes).toBeGreaterThan(LARGE_BYTES);
+  await vi.waitUntil(() => budget.heldBytes === 0, { timeout: 3 * EFFECTIVE_TIMEOUT_MS });
+});
+
+// Guards against a limit that cuts callers who read slowly.
+test('a caller that reads slowly gets all of its responses', async () => {
+  const { port, applyLimits } = await startGateway({ upstreams: [respondLarge] });
+  applyLimits(SHORT_LIMITS);
+  const caller = connectRawCaller(port);
+  caller.socket.pause();
+  const startedAtMs = performance.now();
+  sendLargeRequests(caller);
+  const timer = setInterval(() => {
+    caller.socket.resume();
+    setImmediate(() => caller.socket.pause());
+  }, READ_INTERVAL_MS);
+  const totalBytes = LARGE_RESPONSES * LARGE_BYTES;
+  await vi.waitUntil(() => caller.read().length > totalBytes, { timeout: 20_000 });
+  clearInterval(timer);
+  expect(performance.now() - startedAtMs).toBeGreaterThan(EFFECTIVE_TIMEOUT_MS);
+  expect(caller.read().match(/a/g)!.length).toBeGreaterThanOrEqual(totalBytes);
+}, 25_000);
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -143,6 +143,7 @@
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts: { requestsRead: 0, callersLeft: 0 },
     budget,
+    onUnreadResponse: (unreadBytes) => requestLog.log('response not read', { unreadBytes }),
     faults,
     filters: createGatewayFilters({
       errorResponse: { requestLog, metrics, protocol },
@@ -203,6 +204,7 @@
     operators,
     metrics,
     budget,
+    applyLimits: gateway.applyLimits,
     close(): void {
       stopController.abort();
       connections.close();
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -48,6 +48,8 @@
     () => roster.findAllSenders()?.length,
   );
 
+const countVms = (roster: EntryRoster): number => Math.max(1, roster.listPossibleSenders().length);
+
 type StreamContinuityParts = Pick<
   DataPathOptions,
   'fleetState' | 'streamRecords' | 'upstreams' | 'entries'
@@ -76,10 +78,9 @@
   const { fleetState, operators, shutdown, connections, gossip } = dependencies;
   const { pauseMonitor, counts, budget, faults } = dependencies;
   const { roster } = fleetState;
-  const countVms = (): number => Math.max(1, roster.listPossibleSenders().length);
   const getConnectionShare = (service: ServiceName): number => {
     const limit = operators.state.view?.findService(service)?.connectionLimit ?? Infinity;
-    return Math.max(1, Math.floor((limit * CONNECTION_LIMIT_FRACTION) / countVms()));
+    return Math.max(1, Math.floor((limit * CONNECTION_LIMIT_FRACTION) / countVms(roster)));
   };
   const requestLog = new RequestLog(logger.createPartLogger('requests'));
   const filters = createGatewayFilters({
@@ -127,5 +128,6 @@
     counts,
     budget,
     faults,
+    onUnreadResponse: (unreadBytes) => requestLog.log('response not read', { unreadBytes }),
   });
 };
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -13,6 +13,7 @@
 import { ConnectionError } from './connectionError.js';
 import { FaultError } from './faultError.js';
 import { InvalidResponseError } from './invalidResponseError.js';
+import { ResponseBuffer } from './responseBuffer.js';
 import type {
   BodyFraming,
   ExchangeHandler,
@@ -61,6 +62,8 @@
   error instanceof InvalidResponseError ||
   ('code' in error && String(error.code).startsWith(PARSER_ERROR_PREFIX));
 
+const NO_BYTES = Buffer.alloc(0);
+
 const EVENT_STREAM_TYPE = 'text/event-stream';
 
 const isEventStream = ({ 'content-type': type }: RawResponseHead['headers']): boolean =>
@@ -72,7 +75,7 @@
 
   private head: ResponseHead | undefined;
 
-  private readonly chunks: Buffer[] = [];
+  private buffer: ResponseBuffer | undefined;
 
   private receivedBytes = 0;
 
@@ -216,6 +219,8 @@
     const isStream =
       requireRoute(exchange).streaming && status === OK_STATUS && isEventStream(headers);
     this.phase = isStream ? 'stream' : 'whole';
+    const declaredBytes = framing === 'length' ? Number(headers['content-length']) : undefined;
+    this.buffer = new ResponseBuffer(exchange.reservation, declaredBytes);
     if (isStream) this.startStream(head);
   }
 
@@ -223,7 +228,7 @@
     this.options.upstream.recordActivity();
     this.receivedBytes += chunk.length;
     if (this.phase === 'stream') this.relayChunk(flow, chunk);
-    else if (this.phase === 'whole') this.collectChunk(chunk);
+    else if (this.phase === 'whole') this.collectChunk(flow, chunk);
     const excess = this.findExcess();
     if (excess !== undefined) this.abandon(flow, new InvalidResponseError(excess));
   }
@@ -303,26 +308,40 @@
   }
 
   private relayChunk(flow: ResponseFlow, chunk: Buffer): void {
-    const { exchange, eventSplitter } = this.options;
+    // A response that is streamed only for its size has no events.
+    const eventSplitter = this.isStreamOpen ? this.options.eventSplitter : undefined;
     const eventEnds = this.isStreamOpen ? this.eventScanner.scan(chunk) : [];
     const data = eventSplitter ? eventSplitter.push(chunk, eventEnds) : chunk;
     if (eventSplitter && data.length > 0) this.options.onFirstEvent();
-    if (data.length === 0 || exchange.response.write(data)) return;
+    if (data.length > 0) this.relayData(flow, [data]);
+  }
+
+  /** Passes data on; reads no more of the response while the caller's connection is congested. */
+  private relayData(flow: ResponseFlow, data: readonly Buffer[]): void {
+    const { response } = this.options.exchange;
+    const canContinue = data.map((part) => response.write(part)).every(Boolean);
+    if (canContinue) return;
     flow.pause();
-    exchange.response.onDrain(() => flow.resume());
+    response.onDrain(() => flow.resume());
   }
 
-  private collectChunk(chunk: Buffer): void {
+  private collectChunk(flow: ResponseFlow, chunk: Buffer): void {
     const { response } = this.options.exchange;
-    this.chunks.push(chunk);
     const { head } = this;
     const canStream = head && isSuccess(head.status) && !response.isHeadSent;
-    if (this.receivedBytes <= MAX_BUFFERED_RESPONSE_BYTES || !canStream) return;
-    // Too large to buffer: stream it. If it is then cut short, the caller's connection is cut as well.
+    if (this.buffer?.tryAdd(chunk)) return;
+    if (!canStream) {
+      // A failure that is too large is refused as invalid.
+      if (this.receivedBytes > MAX_BUFFERED_RESPONSE_BYTES) return;
+      this.abandon(flow, new ConnectionError('no memory for the response'));
+      return;
+    }
+    // Too large to buffer, or no memory for it: stream it. If it is then cut short, the caller's
+    // connection is cut as well.
     const { status, forwardedHeaders } = head;
     this.phase = 'stream';
     response.start({ status, headers: forwardedHeaders, contentLength: undefined });
-    this.chunks.splice(0).forEach((buffered) => response.write(buffered));
+    this.relayData(flow, [...(this.buffer?.take() ?? []), chunk]);
   }
 
   private finish(): AttemptResult {
@@ -342,7 +361,7 @@
     if (head.isNotExecuted) return { kind: 'not-run', reason: 'refused' };
     if (UNEXECUTED_STATUSES.has(head.status))
       return { kind: 'unknown', reason: `status ${head.status}` };
-    const body = Buffer.concat(this.chunks);
+    const body = this.buffer?.build() ?? NO_BYTES;
     // A caller that already has a part of a stream can't be given another response.
     if (head.status >= MIN_SERVER_ERROR_STATUS || response.isHeadSent)
       return { kind: 'failed', head, body };
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -29,6 +29,8 @@
   /** Memory for the bodies of requests and what is buffered of responses. */
   readonly budget: ByteBudget;
   readonly faults: FaultRecorder;
+  /** Called when a caller has read nothing of its response for the idle timeout. */
+  readonly onUnreadResponse: (unreadBytes: number) => void;
 }
 
 /** The HTTP server for callers. */
@@ -55,6 +57,8 @@
   /** Aborts when the caller leaves. */
   readonly signal: AbortSignal;
   readonly reservation: ByteReservation;
+  /** Ends the connection if its caller reads nothing of the response for the idle timeout. */
+  readonly watchSending: () => void;
 }
 
 const buildExchange = (
@@ -95,6 +99,7 @@
     response.destroy();
   } finally {
     request.resume();
+    if (!response.writableFinished) state.watchSending();
   }
 };
 
@@ -119,7 +124,14 @@
       if (hasLeft) counts.callersLeft += 1;
       releasePart();
     });
-    void handleRequest(options, request, response, { signal, reservation }).finally(releasePart);
+    const watchSending = (): void => {
+      response.setTimeout(server.keepAliveTimeout, () => {
+        options.onUnreadResponse(response.writableLength);
+        response.destroy();
+      });
+    };
+    const state = { signal, reservation, watchSending };
+    void handleRequest(options, request, response, state).finally(releasePart);
   });
   return {
     server,
--- a/packages/runtime/src/http/readRequestBody.ts
+++ b/packages/runtime/src/http/readRequestBody.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { createRefusal } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance } from '@goldcrestscale/core';
+import { BodyBuffer } from './bodyBuffer.js';
 import type { ByteReservation } from './byteReservation.js';
 
 /** Options for reading a request body. */
@@ -31,31 +32,6 @@
     retryAfterMs: MEMORY_RETRY_AFTER_MS,
   });
 
-/** Collects a body; one whose length is known goes into a buffer of that size, so that no chunk is kept. */
-class BodyBuffer {
-  private readonly chunks: Buffer[] = [];
-
-  private whole: Buffer | undefined;
-
-  private receivedBytes = 0;
-
-  constructor(private readonly declaredBytes: number | undefined) {}
-
-  add(chunk: Buffer): void {
-    const { declaredBytes, receivedBytes } = this;
-    this.receivedBytes += chunk.length;
-    if (declaredBytes === undefined || chunk.length === declaredBytes) this.chunks.push(chunk);
-    else {
-      this.whole ??= Buffer.allocUnsafeSlow(declaredBytes);
-      chunk.copy(this.whole, receivedBytes);
-    }
-  }
-
-  build(): Buffer {
-    return this.whole ?? (this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks));
-  }
-}
-
 const readDeclaredBytes = ({ headers }: IncomingMessage): number | undefined =>
   headers['content-length'] === undefined ? undefined : Number(headers['content-length']);
 
