fix(gateway): close a connection of a leaving VM behind its newest request

What callers saw: pipelined requests that had been read and sent to upstreams were lost around a SIGTERM; and a request that was refused inside its body ended with a reset instead of its 503.

Cause: from the signal on, each response said Connection: close. Node.js closes the connection behind the first of them, although responses to other requests of the connection are due, or the rest of the body is unread; and it still emits requests that are read behind the response that says so.

Change: ConnectionOrder knows the newest request of a connection. Only its response closes the connection, and only if its body has been read; a request behind it, which has crossed the close, is not handled. A connection that is kept for this reason is told to close with its next response.

--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -65,6 +65,7 @@
   readonly accounts?: readonly DeployedAccount[];
   /** Starts without a configuration. */
   readonly isUnconfigured?: boolean;
+  readonly isLeaving?: () => boolean;
   readonly isRefusing?: () => boolean;
   /** Limit of the bytes that are buffered for callers. */
   readonly bufferBytes?: number;
@@ -139,7 +140,7 @@
   pauseMonitor.start(stopController.signal);
   const gateway = createCallerServer({
     protocol,
-    isLeaving: () => false,
+    isLeaving: options.isLeaving ?? (() => false),
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts: { requestsRead: 0, callersLeft: 0 },
     budget,
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -9,6 +9,7 @@
 import type { FaultRecorder } from '../faultRecorder.js';
 import type { CallerProtocol } from '../ports/index.js';
 import { CallerResponse } from './callerResponse.js';
+import { getConnectionOrder } from './connectionOrder.js';
 
 /** Running counts of what callers did. */
 export interface CallerCounts {
@@ -57,6 +58,8 @@
   /** Aborts when the caller leaves. */
   readonly signal: AbortSignal;
   readonly reservation: ByteReservation;
+  /** Whether its connection closes after the response. */
+  readonly isClosing: () => boolean;
   /** Ends the connection if its caller reads nothing of the response for the idle timeout. */
   readonly watchSending: () => void;
 }
@@ -65,14 +68,14 @@
   request: IncomingMessage,
   response: ServerResponse,
   options: CallerServerOptions,
-  { signal, reservation }: CallerState,
+  { signal, reservation, isClosing }: CallerState,
 ): GatewayExchange => ({
   request,
   method: request.method ?? 'GET',
   host: request.headers.host ?? '',
   target: request.url ?? '/',
   head: options.protocol.parseHead(request),
-  response: new CallerResponse(response, options.isLeaving),
+  response: new CallerResponse(response, isClosing),
   signal,
   reservation,
   receivedAtMs: options.estimateArrivalMs(),
@@ -111,6 +114,13 @@
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + TIMEOUT_MARGIN_MS;
   server.requestTimeout = 0;
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    const order = getConnectionOrder(request.socket);
+    if (order.isEnding) {
+      // Its caller sent it before it knew of the close, and nobody runs it.
+      request.resume();
+      return;
+    }
+    order.add(request);
     openCount += 1;
     counts.requestsRead += 1;
     const reservation = new ByteReservation(options.budget);
@@ -130,7 +140,8 @@
         response.destroy();
       });
     };
-    const state = { signal, reservation, watchSending };
+    const isClosing = (): boolean => options.isLeaving() && order.tryEnd(request);
+    const state = { signal, reservation, isClosing, watchSending };
     void handleRequest(options, request, response, state).finally(releasePart);
   });
   return {
