--- /dev/null
+++ b/soak/checks/checkLost.ts
@@ -0,0 +1,137 @@
+import type { UpstreamRun } from '@goldcrestscale/adapter/standin/index.js';
+import { groupBy } from '../groupBy.js';
+import type {
+  Finding,
+  ImpairmentRecord,
+  LifeRecord,
+  RequestRecord,
+  SignalRecord,
+  SoakBounds,
+  SoakHistory,
+} from '../history.js';
+
+const SECOND_MS = 1_000;
+
+/** Requests that a VM may cut at any time, in touch and without planned work. */
+const ALLOWED_CUTS = 3;
+
+/** A request that is still at work in this last part of a shutdown may be cut. */
+const LAST_PART = 1 / 6;
+
+/** Requests sent later than this after the signal must be kept even then. */
+const SHUTDOWN_SENT_MS = 3_000;
+
+const ENDING_SIGNALS: ReadonlySet<string> = new Set(['SIGTERM', 'SIGINT']);
+
+/** Unplanned trouble; a port that is taken and a settings file in part are no reason to cut. */
+const EXCUSES: ReadonlySet<string> = new Set(['kill', 'freeze', 'log', 'upstreamLinks']);
+
+interface Cut {
+  readonly request: RequestRecord;
+  readonly runs: readonly UpstreamRun[];
+  readonly endedAtMs: number;
+  readonly signals: readonly SignalRecord[];
+}
+
+const isImpaired = (
+  { request, endedAtMs }: Cut,
+  impairments: readonly ImpairmentRecord[],
+  stableMs: number,
+): boolean =>
+  impairments.some(
+    ({ vmId, kind, fromMs, toMs }) =>
+      EXCUSES.has(kind) &&
+      // Trouble of the log alone excuses nothing for requests that aren't streams.
+      (kind !== 'log' || request.kind === 'stream') &&
+      (vmId === undefined || vmId === request.vmId) &&
+      fromMs <= endedAtMs &&
+      toMs + stableMs >= request.sentAtMs,
+  );
+
+/** Whether the upstream broke off or the time of the request was over. */
+const isExcused = ({ request, runs, endedAtMs }: Cut, { routeTimeoutMs }: SoakBounds): boolean =>
+  runs.some(({ isUnsound }) => isUnsound) ||
+  endedAtMs - request.sentAtMs >= Math.min(request.timeoutMs, routeTimeoutMs);
+
+const isAtWorkAtTheEnd = ({ request, runs }: Cut, atMs: number, shutdownMs: number): boolean =>
+  request.sentAtMs <= atMs + SHUTDOWN_SENT_MS &&
+  runs.some(
+    ({ endedAtMs, startedAtMs }) =>
+      startedAtMs <= atMs + shutdownMs &&
+      (endedAtMs ?? Infinity) >= atMs + shutdownMs * (1 - LAST_PART),
+  );
+
+const findPlannedWork = (cut: Cut, bounds: SoakBounds): SignalRecord | undefined =>
+  cut.signals.findLast(({ signal, atMs }) => {
+    if (atMs > cut.endedAtMs) return false;
+    if (signal === 'SIGHUP') {
+      return (
+        cut.request.sentAtMs <= atMs + bounds.applyMs && cut.endedAtMs - atMs <= bounds.shutdownMs
+      );
+    }
+    return (
+      ENDING_SIGNALS.has(signal) &&
+      cut.endedAtMs <= atMs + bounds.shutdownMs + SECOND_MS &&
+      !isAtWorkAtTheEnd(cut, atMs, bounds.shutdownMs)
+    );
+  });
+
+const listCuts = ({ requests, runs, lives }: SoakHistory): Cut[] => {
+  const runsById = groupBy(runs, ({ requestId }) => requestId);
+  const livesByVm = groupBy(lives, ({ vmId }) => vmId);
+  return requests.flatMap((request) => {
+    if (request.end?.type !== 'cut' || request.wholeAtMs === undefined) return [];
+    const vmLives = livesByVm.get(request.vmId) ?? [];
+    return [
+      {
+        request,
+        runs: runsById.get(request.id) ?? [],
+        endedAtMs: request.endedAtMs ?? 0,
+        signals: vmLives.flatMap(({ signals }) => signals),
+      },
+    ];
+  });
+};
+
+const checkPlanned = (cut: Cut, bounds: SoakBounds): Finding[] => {
+  const { request, runs, endedAtMs } = cut;
+  const afterMs = Math.round(endedAtMs - (request.wholeAtMs ?? endedAtMs));
+  if (runs.length === 0 && afterMs <= bounds.lossSlackMs) return [];
+  const work = findPlannedWork(cut, bounds);
+  if (!work) return [];
+  const sentMs = Math.round(request.sentAtMs - work.atMs);
+  const text =
+    `${request.kind} ${request.id} cut ${afterMs} ms after it was whole, with ${runs.length} runs, ` +
+    `sent ${sentMs} ms and cut ${Math.round(endedAtMs - work.atMs)} ms after ${work.signal}`;
+  return [{ rule: 'LOST', vmId: request.vmId, atMs: endedAtMs, text }];
+};
+
+const isInTouch = (
+  { request, endedAtMs, signals }: Cut,
+  lives: readonly LifeRecord[],
+  { stableMs }: SoakBounds,
+): boolean => {
+  const times = [
+    ...signals.filter(({ signal }) => signal !== 'SIGHUP').map(({ atMs }) => atMs),
+    ...lives.filter(({ vmId }) => vmId === request.vmId).map(({ startedAtMs }) => startedAtMs),
+  ];
+  return !times.some((atMs) => atMs <= endedAtMs && atMs >= request.sentAtMs - stableMs);
+};
+
+/** LOST: requests that were read and got no answer, around planned work or at calm machines. */
+export const checkLost = (history: SoakHistory, bounds: SoakBounds): Finding[] => {
+  const cuts = listCuts(history).filter(
+    (cut) => !isImpaired(cut, history.impairments, bounds.stableMs) && !isExcused(cut, bounds),
+  );
+  const planned = cuts.flatMap((cut) => checkPlanned(cut, bounds));
+  const calm = cuts.filter((cut) => cut.runs.length > 0 && isInTouch(cut, history.lives, bounds));
+  return [
+    ...planned,
+    ...(calm.length > ALLOWED_CUTS ? calm : []).map(({ request, endedAtMs }): Finding => ({
+      rule: 'LOST',
+      vmId: request.vmId,
+      atMs: endedAtMs,
+      text: `${request.kind} ${request.id} cut by a calm VM, one of ${calm.length}`,
+    })),
+  ];
+};
--- /dev/null
+++ b/soak/checks/index.ts
@@ -0,0 +1,12 @@
+import type { Finding, SoakBounds, SoakHistory } from '../history.js';
+import { checkLost } from './checkLost.js';
+import { checkProcesses } from './checkProcesses.js';
+import { checkRequests } from './checkRequests.js';
+
+/** Checks all rules, and gives the findings in the order of time. */
+export const checkHistory = (history: SoakHistory, bounds: SoakBounds): readonly Finding[] =>
+  [
+    ...checkProcesses(history, bounds),
+    ...checkLost(history, bounds),
+    ...checkRequests(history),
+  ].toSorted((first, second) => first.atMs - second.atMs);
--- /dev/null
+++ b/soak/cli.ts
@@ -0,0 +1,145 @@
+import { execFileSync } from 'node:child_process';
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { parseArgs } from 'node:util';
+import { checkHistory } from './checks/index.js';
+import type { DaemonCommand } from './daemonProcess.js';
+import { drawFaultPlan } from './faultPlan.js';
+import type { Finding, SoakBounds, SoakHistory } from './history.js';
+import { SoakRun } from './soakRun.js';
+
+/** Runs seeds of the soak; exits with 1 if one of them broke a rule. */
+
+const MS_PER_MINUTE = 60_000;
+
+const MAX_CONCURRENT = 4;
+
+const CPU_TRIALS = 3;
+
+const root = fileURLToPath(new URL('..', import.meta.url));
+
+/** Reads the daemon's command from the deploy file. */
+const readCommand = (): DaemonCommand => {
+  const text = readFileSync(join(root, 'deploy/system.toml'), 'utf8');
+  const [, words = ''] = /^run = "node (.*)"$/m.exec(text) ?? [];
+  const parts = words.split(' ');
+  return { flags: parts.slice(0, -1), program: join(root, parts.at(-1) ?? '') };
+};
+
+/** Processor time of the runtime's start, before it runs the first line of a program. */
+const measureRuntimeStart = ({ flags }: DaemonCommand): number => {
+  const script = 'const {user,system}=process.cpuUsage();console.log((user+system)/1000)';
+  const samples = Array.from({ length: CPU_TRIALS }, () =>
+    Number(execFileSync(process.execPath, [...flags, '-e', script], { encoding: 'utf8' })),
+  );
+  return Math.max(...samples);
+};
+
+const createBounds = (command: DaemonCommand): SoakBounds => ({
+  shutdownMs: 8_000,
+  lossSlackMs: 200,
+  applyMs: 2_000,
+  stableMs: 3_000,
+  readyMs: 8_000,
+  memoryMb: 200,
+  routeTimeoutMs: 10_000,
+  runtimeStartCpuMs: measureRuntimeStart(command),
+});
+
+const countByRule = (findings: readonly Finding[]): string => {
+  const counts = new Map<string, number>();
+  findings.forEach(({ rule }) => counts.set(rule, (counts.get(rule) ?? 0) + 1));
+  return [...counts].map(([rule, count]) => `${rule} ${count}`).join(', ') || 'no finding';
+};
+
+const describeHistory = ({ requests, runs, lives }: SoakHistory): string => {
+  const answered = requests.filter(({ end }) => end?.type === 'answered');
+  const served = answered.filter(({ end }) => end?.type === 'answered' && end.answer.status < 300);
+  const peakMb = Math.max(...lives.map(({ peakMemoryMb }) => peakMemoryMb));
+  return (
+    `${requests.length} requests, ${served.length} served, ${answered.length} answered, ` +
+    `${runs.length} runs, ${lives.length} processes, peak ${Math.round(peakMb)} MB`
+  );
+};
+
+const running = new Set<SoakRun>();
+
+const runSeed = async (
+  seed: number,
+  command: DaemonCommand,
+  bounds: SoakBounds,
+  parent: string,
+): Promise<boolean> => {
+  const folder = join(parent, `seed-${seed}`);
+  mkdirSync(folder, { recursive: true });
+  const plan = drawFaultPlan(seed);
+  const run = new SoakRun(plan, { command, bounds, folder });
+  running.add(run);
+  const history = await run.run().finally(() => {
+    run.kill();
+    running.delete(run);
+  });
+  const findings = checkHistory(history, bounds);
+  const faults = findings.filter(({ rule }) => rule !== 'EARLY');
+  console.log(`seed ${seed}: ${countByRule(findings)}; ${describeHistory(history)}`);
+  faults.slice(0, 20).forEach(({ rule, vmId, atMs, text }) => {
+    console.log(`  ${rule} ${vmId} at ${Math.round(atMs)} ms: ${text}`);
+  });
+  if (faults.length === 0) rmSync(folder, { recursive: true });
+  else {
+    writeFileSync(join(folder, 'history.json'), JSON.stringify({ plan, findings, history }));
+    console.log(`  plan, history and output of the processes: ${folder}`);
+  }
+  return faults.length === 0;
+};
+
+const main = async (): Promise<void> => {
+  const { values } = parseArgs({
+    options: {
+      seeds: { type: 'string', default: '1' },
+      first: { type: 'string', default: '1' },
+      seed: { type: 'string' },
+      minutes: { type: 'string', default: '600' },
+      concurrent: { type: 'string', default: '1' },
+      folder: { type: 'string' },
+    },
+  });
+  const first = Number(values.seed ?? values.first);
+  const count = values.seed === undefined ? Number(values.seeds) : 1;
+  const deadlineAtMs = performance.now() + Number(values.minutes) * MS_PER_MINUTE;
+  const parent = values.folder ?? mkdtempSync(join(tmpdir(), 'goldcrest-soak-'));
+  const command = readCommand();
+  const bounds = createBounds(command);
+  const seeds = Array.from({ length: count }, (_value, index) => first + index);
+  const failed: number[] = [];
+  let played = 0;
+  const runWorker = async (): Promise<void> => {
+    while (performance.now() < deadlineAtMs) {
+      const seed = seeds.shift();
+      if (seed === undefined) return;
+      const isClean = await runSeed(seed, command, bounds, parent);
+      played += 1;
+      if (!isClean) failed.push(seed);
+    }
+  };
+  const workers = Math.min(MAX_CONCURRENT, Number(values.concurrent));
+  await Promise.all(Array.from({ length: workers }, runWorker));
+  console.log(`${played} seeds, ${failed.length} failed: ${failed.join(', ') || 'none'}`);
+  process.exit(failed.length === 0 && played > 0 ? 0 : 1);
+};
+
+const killAll = (): void => running.forEach((run) => run.kill());
+process.once('exit', killAll);
+['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((signal) => {
+  process.once(signal, () => {
+    killAll();
+    process.exit(1);
+  });
+});
+
+main().catch((cause: unknown) => {
+  console.error(cause);
+  process.exit(1);
+});
--- /dev/null
+++ b/soak/faultPlan.ts
@@ -0,0 +1,212 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { createRandomGenerator } from '@goldcrestscale/core';
+import type { AnswerFault } from '@goldcrestscale/adapter/standin/index.js';
+import type { SoakSignal } from './history.js';
+import type { LinkFault } from './faultyProxy.js';
+
+/** One step of a seed's plan; `vm` and `upstream` are indexes. */
+export type PlanStep = { readonly atMs: number } & (
+  | { readonly type: 'signal'; readonly vm: number; readonly signal: SoakSignal }
+  | { readonly type: 'freeze'; readonly vm: number; readonly forMs: number }
+  /** Ends a process and signals the next one of this VM after its start. */
+  | {
+      readonly type: 'restart';
+      readonly vm: number;
+      readonly signal: 'SIGTERM' | 'SIGKILL';
+      /** Signals to the process that follows, by time after its start. */
+      readonly early: readonly { readonly afterMs: number; readonly signal: SoakSignal }[];
+      /** How long another socket has one of its ports after its end; 0 for none. */
+      readonly portHeldMs: number;
+      readonly portIndex: number;
+    }
+  | {
+      readonly type: 'settings';
+      readonly vm: number;
+      /** How long the file is there in part. */
+      readonly partMs: number;
+      readonly hasSignal: boolean;
+    }
+  | {
+      readonly type: 'logLink';
+      /** Undefined for all VMs. */
+      readonly vm: number | undefined;
+      readonly fault: LinkFault;
+      readonly forMs: number;
+    }
+  | {
+      readonly type: 'upstreamLink';
+      readonly upstream: number;
+      readonly fault: LinkFault;
+      readonly forMs: number;
+    }
+  | { readonly type: 'crash'; readonly upstream: number; readonly forMs: number }
+  | { readonly type: 'leave'; readonly upstream: number; readonly forMs: number }
+  | {
+      readonly type: 'answers';
+      readonly upstream: number;
+      readonly fault: AnswerFault;
+      readonly forMs: number;
+    }
+  | { readonly type: 'configuration' }
+);
+
+/** What a seed of the soak does. */
+export interface FaultPlan {
+  readonly seed: number;
+  readonly vms: number;
+  readonly upstreams: number;
+  readonly durationMs: number;
+  readonly steps: readonly PlanStep[];
+}
+
+const MIN_VMS = 7;
+const MAX_VMS = 9;
+const UPSTREAMS = 8;
+const MIN_DURATION_MS = 20_000;
+const MAX_DURATION_MS = 40_000;
+
+/** No step comes so late that its effect could not be seen. */
+const QUIET_END_MS = 4_000;
+
+const STEP_INTERVAL_MS = 1_100;
+
+/** Ports of a VM: callers, readiness, directory, mesh. */
+const HELD_PORTS = 4;
+
+const LINK_FAULTS: readonly LinkFault[] = [
+  'delay',
+  'reset',
+  'cutUp',
+  'cutDown',
+  'silent',
+  'refuse',
+];
+
+const ANSWER_FAULTS: readonly AnswerFault[] = [
+  'cutHead',
+  'cutBody',
+  'badStatus',
+  'extraAnswer',
+  'silent',
+];
+
+const SHUTDOWN_SIGNALS: readonly SoakSignal[] = ['SIGTERM', 'SIGTERM', 'SIGINT', 'SIGHUP'];
+
+/** Random choices of a plan. */
+class PlanDraw {
+  private readonly generator;
+
+  constructor(seed: number) {
+    this.generator = createRandomGenerator(seed);
+  }
+
+  next(min: number, max: number): number {
+    return uniformInt(this.generator, min, max);
+  }
+
+  pick<Item>(items: readonly Item[]): Item {
+    return items[this.next(0, items.length - 1)]!;
+  }
+
+  isChosen(percent: number): boolean {
+    return this.next(1, 100) <= percent;
+  }
+}
+
+const drawRestart = (draw: PlanDraw, atMs: number, vm: number): PlanStep => {
+  const early = Array.from({ length: draw.next(0, 2) }, () => ({
+    afterMs: draw.next(5, 300),
+    signal: draw.pick<SoakSignal>(['SIGHUP', 'SIGHUP', 'SIGTERM']),
+  }));
+  return {
+    atMs,
+    type: 'restart',
+    vm,
+    signal: draw.isChosen(70) ? 'SIGTERM' : 'SIGKILL',
+    early,
+    portHeldMs: draw.isChosen(30) ? draw.next(200, 1_500) : 0,
+    portIndex: draw.next(0, HELD_PORTS - 1),
+  };
+};
+
+/** A SIGTERM to one or several VMs, repeated, in a series or overlapping. */
+const drawSeries = (draw: PlanDraw, startMs: number, vms: number): PlanStep[] => {
+  const count = draw.next(1, 3);
+  const first = draw.next(0, vms - 1);
+  const gapMs = draw.next(0, 1_500);
+  return Array.from({ length: count }, (_value, index) => (first + index) % vms).flatMap(
+    (vm, index) => {
+      const atMs = startMs + index * gapMs;
+      const repeats = Array.from({ length: draw.next(0, 3) }, () => ({
+        type: 'signal' as const,
+        vm,
+        signal: draw.pick(SHUTDOWN_SIGNALS),
+        atMs: atMs + draw.next(1, draw.isChosen(50) ? 60 : 2_000),
+      }));
+      return [{ atMs, type: 'signal' as const, vm, signal: 'SIGTERM' as const }, ...repeats];
+    },
+  );
+};
+
+const drawSignals = (draw: PlanDraw, atMs: number, vms: number): PlanStep[] => {
+  const vm = draw.next(0, vms - 1);
+  if (draw.isChosen(25)) return [{ atMs, type: 'signal', vm, signal: 'SIGHUP' }];
+  if (draw.isChosen(25)) {
+    return [{ atMs, type: 'freeze', vm, forMs: draw.next(100, 3_000) }];
+  }
+  return [drawRestart(draw, atMs, vm)];
+};
+
+const drawTrouble = (draw: PlanDraw, atMs: number, vms: number): PlanStep => {
+  const upstream = draw.next(0, UPSTREAMS - 1);
+  const forMs = draw.next(300, 4_000);
+  switch (draw.next(0, 5)) {
+    case 0: {
+      const vm = draw.isChosen(40) ? undefined : draw.next(0, vms - 1);
+      return { atMs, type: 'logLink', vm, fault: draw.pick(LINK_FAULTS), forMs };
+    }
+    case 1:
+      return { atMs, type: 'upstreamLink', upstream, fault: draw.pick(LINK_FAULTS), forMs };
+    case 2:
+      return { atMs, type: 'crash', upstream, forMs };
+    case 3:
+      return { atMs, type: 'leave', upstream, forMs };
+    case 4:
+      return { atMs, type: 'answers', upstream, fault: draw.pick(ANSWER_FAULTS), forMs };
+    default:
+      return { atMs, type: 'configuration' };
+  }
+};
+
+const drawSteps = (draw: PlanDraw, atMs: number, vms: number): PlanStep[] => {
+  if (draw.isChosen(30)) return drawSeries(draw, atMs, vms);
+  if (draw.isChosen(45)) return drawSignals(draw, atMs, vms);
+  if (draw.isChosen(25)) {
+    const vm = draw.next(0, vms - 1);
+    const partMs = draw.next(50, 1_000);
+    const settings = { atMs, type: 'settings' as const, vm, partMs, hasSignal: draw.isChosen(60) };
+    // A start that reads the file while it is there in part.
+    const restart = { ...drawRestart(draw, atMs + 1, vm), signal: 'SIGTERM' as const };
+    return draw.isChosen(50) ? [settings, restart] : [settings];
+  }
+  return [drawTrouble(draw, atMs, vms)];
+};
+
+/** Draws the plan of a seed. */
+export const drawFaultPlan = (seed: number): FaultPlan => {
+  const draw = new PlanDraw(seed);
+  const vms = draw.next(MIN_VMS, MAX_VMS);
+  const durationMs = draw.next(MIN_DURATION_MS, MAX_DURATION_MS);
+  const lastMs = durationMs - QUIET_END_MS;
+  const steps: PlanStep[] = [];
+  for (let atMs = 0; atMs < lastMs; atMs += draw.next(100, 2 * STEP_INTERVAL_MS)) {
+    steps.push(...drawSteps(draw, atMs, vms));
+  }
+  return {
+    seed,
+    vms,
+    upstreams: UPSTREAMS,
+    durationMs,
+    steps: steps.toSorted((first, second) => first.atMs - second.atMs),
+  };
+};
--- /dev/null
+++ b/soak/history.ts
@@ -0,0 +1,97 @@
+import type { RequestEnd, UpstreamRun } from '@goldcrestscale/adapter/standin/index.js';
+
+/** Kinds of requests that callers send. */
+export type RequestKind = 'safe' | 'unsafe' | 'stream';
+
+/** Signals that the soak sends. */
+export type SoakSignal = 'SIGTERM' | 'SIGINT' | 'SIGHUP' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT';
+
+/** A request as its caller saw it; times are of the soak's monotonic clock. */
+export interface RequestRecord {
+  readonly id: string;
+  readonly kind: RequestKind;
+  readonly vmId: string;
+  readonly path: string;
+  readonly bodyHash: string;
+  readonly timeoutMs: number;
+  /** Events of a whole stream; 0 for other kinds. */
+  readonly events: number;
+  readonly sentAtMs: number;
+  /** When its last byte was written. */
+  wholeAtMs: number | undefined;
+  end: RequestEnd | undefined;
+  endedAtMs: number | undefined;
+}
+
+/** A signal as the soak sent it. */
+export interface SignalRecord {
+  readonly signal: SoakSignal;
+  readonly atMs: number;
+  /** Processor time of the process before the signal. */
+  readonly cpuMs: number;
+  /** Whether the supervisor sent it because the time of a shutdown was over. */
+  readonly isOverdue: boolean;
+}
+
+/** One process of a VM, from its start to its end. */
+export interface LifeRecord {
+  readonly vmId: string;
+  readonly pid: number;
+  readonly startedAtMs: number;
+  readonly signals: SignalRecord[];
+  /** Times at which it was found ready. */
+  readonly readyAtMs: number[];
+  peakMemoryMb: number;
+  exit:
+    | { readonly code: number | null; readonly signal: string | null; readonly atMs: number }
+    | undefined;
+}
+
+/** Trouble that no plan of an operator explains; `vmId` is undefined where it concerns all VMs. */
+export interface ImpairmentRecord {
+  readonly vmId: string | undefined;
+  readonly kind: 'kill' | 'freeze' | 'port' | 'log' | 'upstreamLinks' | 'settings';
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** All that callers, upstreams and the supervisor saw of one seed. */
+export interface SoakHistory {
+  readonly requests: readonly RequestRecord[];
+  readonly runs: readonly UpstreamRun[];
+  readonly lives: readonly LifeRecord[];
+  readonly impairments: readonly ImpairmentRecord[];
+  /** Answers that came while no request waited for one. */
+  readonly strays: readonly string[];
+  readonly configurationsAtMs: readonly number[];
+  readonly endedAtMs: number;
+}
+
+/** Rules of the users that the checks know. */
+export type SoakRule =
+  'FAULT' | 'LOST' | 'TWICE' | 'REFUSED' | 'MIXED' | 'ORDER' | 'UNASKED' | 'EARLY';
+
+/** One breach of a rule. */
+export interface Finding {
+  readonly rule: SoakRule;
+  readonly vmId: string;
+  readonly atMs: number;
+  readonly text: string;
+}
+
+/** Bounds of the users' rules. */
+export interface SoakBounds {
+  readonly shutdownMs: number;
+  /** Time in which a request that wasn't passed on may still be cut. */
+  readonly lossSlackMs: number;
+  /** Time in which a changed configuration is in force. */
+  readonly applyMs: number;
+  /** Calm before a moment that lets rules hold again. */
+  readonly stableMs: number;
+  readonly readyMs: number;
+  readonly memoryMb: number;
+  /** Time limit of all routes. */
+  readonly routeTimeoutMs: number;
+  /** Processor time of the runtime's own start, in which no program can handle a signal. */
+  readonly runtimeStartCpuMs: number;
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -21,6 +21,7 @@
           include: [
             'packages/*/src/**/__tests__/**/*.spec.ts',
             'platform/src/**/__tests__/**/*.spec.ts',
+            'soak/**/__tests__/**/*.spec.ts',
             'tests/docs/**/*.spec.ts',
           ],
           sequence: { groupOrder: 0 },
