--- /dev/null
+++ b/soak/__tests__/soakStandIns.spec.ts
@@ -0,0 +1,93 @@
+import { StandInConnection, StandInService } from '@goldcrestscale/adapter/standin/index.js';
+import type { AnswerFault, RequestEnd } from '@goldcrestscale/adapter/standin/index.js';
+import { expect, onTestFinished, test } from 'vitest';
+import { FaultyProxy } from '../faultyProxy.js';
+
+const PROMPT = { model: 'model-s', outputTokens: 3, parts: [{ id: 'a', tokens: 10 }] };
+
+const startService = async (fault: AnswerFault): Promise<[StandInService, string]> => {
+  const service = new StandInService('u-0', () => ({ fault, workMs: 1, eventIntervalMs: 1 }));
+  const address = await service.start();
+  onTestFinished(() => service.stop());
+  return [service, address];
+};
+
+const connectTo = async (address: string): Promise<StandInConnection> => {
+  const connection = await StandInConnection.open(address, 1_000);
+  onTestFinished(() => connection.leave());
+  return connection;
+};
+
+const sendPlain = (connection: StandInConnection, requestId: string): Promise<RequestEnd> =>
+  connection.begin({
+    requestId,
+    method: 'GET',
+    path: '/plain/1',
+    host: 'soak.example',
+    body: '',
+    timeoutMs: 1_000,
+  });
+
+test('a caller reads whole, pipelined and chunked answers', async () => {
+  const [service, address] = await startService('sound');
+  const connection = await connectTo(address);
+  const plain = await Promise.all([sendPlain(connection, 'a'), sendPlain(connection, 'b')]);
+  expect(plain.map((end) => end.type === 'answered' && end.answer.requestId)).toEqual(['a', 'b']);
+  const stream = await connection.begin({
+    requestId: 's',
+    method: 'POST',
+    path: '/prompt/1',
+    host: 'soak.example',
+    body: '',
+    timeoutMs: 1_000,
+    prompt: PROMPT,
+  });
+  expect(stream).toMatchObject({
+    type: 'answered',
+    answer: {
+      body: 'id: 1\ndata: s 1\n\nid: 2\ndata: s 2\n\nid: 3\ndata: s 3\n\n',
+      isSigned: true,
+    },
+  });
+  expect(service.runs.map(({ isUnsound }) => isUnsound)).toEqual([false, false, false]);
+});
+
+test.each<AnswerFault>(['cutHead', 'cutBody'])('an answer with %s is not whole', async (fault) => {
+  const [service, address] = await startService(fault);
+  const connection = await connectTo(address);
+  expect(await sendPlain(connection, 'a')).toEqual({ type: 'cut', hasPart: true });
+  expect(service.runs).toMatchObject([{ isUnsound: true }]);
+});
+
+test('an answer to no request is a stray one', async () => {
+  const [, address] = await startService('extraAnswer');
+  const connection = await connectTo(address);
+  await sendPlain(connection, 'a');
+  await expect.poll(() => connection.strays).toEqual(['answer 200 to no request']);
+});
+
+test('a caller that leaves is not cut', async () => {
+  const [, address] = await startService('silent');
+  const connection = await connectTo(address);
+  const end = sendPlain(connection, 'a');
+  connection.leave();
+  expect(await end).toEqual({ type: 'left' });
+});
+
+test('a harmed proxy silences, resets and delays, and then passes again', async () => {
+  const [, address] = await startService('sound');
+  const proxy = new FaultyProxy(address);
+  const proxied = await proxy.start();
+  onTestFinished(() => proxy.stop());
+  const connection = await connectTo(proxied);
+  proxy.setFault('delay');
+  const startedAtMs = performance.now();
+  expect(await sendPlain(connection, 'a')).toMatchObject({ type: 'answered' });
+  expect(performance.now() - startedAtMs).toBeGreaterThan(490);
+  proxy.setFault('cutDown');
+  const silenced = sendPlain(connection, 'b');
+  proxy.setFault('reset');
+  expect(await silenced).toMatchObject({ type: 'cut' });
+  proxy.setFault(undefined);
+  expect(await sendPlain(await connectTo(proxied), 'c')).toMatchObject({ type: 'answered' });
+});
