--- a/soak/checks/__tests__/checkLost.spec.ts
+++ b/soak/checks/__tests__/checkLost.spec.ts
@@ -26,6 +26,11 @@
   expect(countLost({ requests: [createCut(10_209)], lives: [terminated] })).toBe(0);
 });
 
+test('a close that a caller sees late because it paused is not a late cut', () => {
+  const requests = [createCut(11_000, { readAgainAtMs: 10_990 })];
+  expect(countLost({ requests, lives: [terminated] })).toBe(0);
+});
+
 test('LOST: a request is cut soon after a SIGHUP', () => {
   const lives = [createLife({ signals: [createSignal('SIGHUP', 9_500)] })];
   expect(countLost({ requests: [createCut(10_100)], runs: [createRun({})], lives })).toBe(1);
--- a/soak/checks/__tests__/historyFixtures.ts
+++ b/soak/checks/__tests__/historyFixtures.ts
@@ -58,6 +58,7 @@
   events: 0,
   sentAtMs: 10_000,
   wholeAtMs: 10_010,
+  readAgainAtMs: 0,
   end: {
     type: 'answered',
     answer: {
--- a/soak/checks/checkLost.ts
+++ b/soak/checks/checkLost.ts
@@ -95,13 +95,14 @@
 
 const checkPlanned = (cut: Cut, bounds: SoakBounds): Finding[] => {
   const { request, runs, endedAtMs } = cut;
-  const afterMs = Math.round(endedAtMs - (request.wholeAtMs ?? endedAtMs));
+  const seenFromMs = Math.max(request.wholeAtMs ?? endedAtMs, request.readAgainAtMs);
+  const afterMs = Math.round(endedAtMs - seenFromMs);
   if (runs.length === 0 && afterMs <= bounds.lossSlackMs) return [];
   const work = findPlannedWork(cut, bounds);
   if (!work) return [];
   const sentMs = Math.round(request.sentAtMs - work.atMs);
   const text =
-    `${request.kind} ${request.id} cut ${afterMs} ms after it was whole, with ${runs.length} runs, ` +
+    `${request.kind} ${request.id} cut ${afterMs} ms after it was whole and read, with ${runs.length} runs, ` +
     `sent ${sentMs} ms and cut ${Math.round(endedAtMs - work.atMs)} ms after ${work.signal}`;
   return [{ rule: 'LOST', vmId: request.vmId, atMs: endedAtMs, text }];
 };
--- a/soak/cli.ts
+++ b/soak/cli.ts
@@ -48,6 +48,13 @@
   runtimeStartCpuMs: measureRuntimeStart(command),
 });
 
+/** Seeds that failed once, from a file with a line `SEED CAUSE` for each. */
+const readKnownSeeds = (): readonly number[] =>
+  readFileSync(join(root, 'soak/seeds.txt'), 'utf8')
+    .split('\n')
+    .flatMap((line) => /^\d+/.exec(line)?.[0] ?? [])
+    .map(Number);
+
 const countByRule = (findings: readonly Finding[]): string => {
   const counts = new Map<string, number>();
   findings.forEach(({ rule }) => counts.set(rule, (counts.get(rule) ?? 0) + 1));
@@ -101,6 +108,7 @@
       seeds: { type: 'string', default: '1' },
       first: { type: 'string', default: '1' },
       seed: { type: 'string' },
+      known: { type: 'boolean', default: false },
       minutes: { type: 'string', default: '600' },
       concurrent: { type: 'string', default: '1' },
       folder: { type: 'string' },
@@ -108,11 +116,12 @@
   });
   const first = Number(values.seed ?? values.first);
   const count = values.seed === undefined ? Number(values.seeds) : 1;
+  const drawn = Array.from({ length: count }, (_value, index) => first + index);
   const deadlineAtMs = performance.now() + Number(values.minutes) * MS_PER_MINUTE;
   const parent = values.folder ?? mkdtempSync(join(tmpdir(), 'goldcrest-soak-'));
   const command = readCommand();
   const bounds = createBounds(command);
-  const seeds = Array.from({ length: count }, (_value, index) => first + index);
+  const seeds = values.known ? [...readKnownSeeds()] : drawn;
   const failed: number[] = [];
   let played = 0;
   const runWorker = async (): Promise<void> => {
--- a/soak/faultPlan.ts
+++ b/soak/faultPlan.ts
@@ -3,22 +3,18 @@
 import type { AnswerFault } from '@goldcrestscale/adapter/standin/index.js';
 import type { SoakSignal } from './history.js';
 import type { LinkFault } from './faultyProxy.js';
+import type { HeldPort, NextStart } from './supervisedVm.js';
 
 /** One step of a seed's plan; `vm` and `upstream` are indexes. */
 export type PlanStep = { readonly atMs: number } & (
   | { readonly type: 'signal'; readonly vm: number; readonly signal: SoakSignal }
   | { readonly type: 'freeze'; readonly vm: number; readonly forMs: number }
   /** Ends a process and signals the next one of this VM after its start. */
-  | {
+  | ({
       readonly type: 'restart';
       readonly vm: number;
       readonly signal: 'SIGTERM' | 'SIGKILL';
-      /** Signals to the process that follows, by time after its start. */
-      readonly early: readonly { readonly afterMs: number; readonly signal: SoakSignal }[];
-      /** How long another socket has one of its ports after its end; 0 for none. */
-      readonly portHeldMs: number;
-      readonly portIndex: number;
-    }
+    } & NextStart)
   | {
       readonly type: 'settings';
       readonly vm: number;
@@ -70,8 +66,14 @@
 
 const STEP_INTERVAL_MS = 1_100;
 
-/** Ports of a VM: callers, readiness, directory, mesh. */
-const HELD_PORTS = 4;
+const HELD_PORTS: readonly HeldPort[] = [
+  'callers',
+  'readiness',
+  'directory',
+  'mesh',
+  'meshDatagrams',
+  'metrics',
+];
 
 const LINK_FAULTS: readonly LinkFault[] = [
   'delay',
@@ -113,20 +115,28 @@
   }
 }
 
-const drawRestart = (draw: PlanDraw, atMs: number, vm: number): PlanStep => {
-  const early = Array.from({ length: draw.next(0, 2) }, () => ({
+const drawNextStart = (draw: PlanDraw): NextStart => ({
+  early: Array.from({ length: draw.next(0, 2) }, () => ({
     afterMs: draw.next(5, 300),
     signal: draw.pick<SoakSignal>(['SIGHUP', 'SIGHUP', 'SIGTERM']),
-  }));
-  return {
+  })),
+  heldPort: draw.isChosen(30) ? draw.pick(HELD_PORTS) : undefined,
+  portHeldMs: draw.next(200, 1_500),
+  settingsPartMs: draw.isChosen(20) ? draw.next(50, 1_000) : 0,
+});
+
+/** Restarts of one VM, or of several at once. */
+const drawRestarts = (draw: PlanDraw, atMs: number, vms: number): PlanStep[] => {
+  const first = draw.next(0, vms - 1);
+  const count = draw.isChosen(75) ? 1 : draw.next(2, 4);
+  const signal = draw.isChosen(70) ? 'SIGTERM' : 'SIGKILL';
+  return Array.from({ length: count }, (_value, index) => ({
     atMs,
     type: 'restart',
-    vm,
-    signal: draw.isChosen(70) ? 'SIGTERM' : 'SIGKILL',
-    early,
-    portHeldMs: draw.isChosen(30) ? draw.next(200, 1_500) : 0,
-    portIndex: draw.next(0, HELD_PORTS - 1),
-  };
+    vm: (first + index) % vms,
+    signal,
+    ...drawNextStart(draw),
+  }));
 };
 
 /** A SIGTERM to one or several VMs, repeated, in a series or overlapping. */
@@ -154,7 +164,7 @@
   if (draw.isChosen(25)) {
     return [{ atMs, type: 'freeze', vm, forMs: draw.next(100, 3_000) }];
   }
-  return [drawRestart(draw, atMs, vm)];
+  return drawRestarts(draw, atMs, vms);
 };
 
 const drawTrouble = (draw: PlanDraw, atMs: number, vms: number): PlanStep => {
@@ -184,10 +194,7 @@
   if (draw.isChosen(25)) {
     const vm = draw.next(0, vms - 1);
     const partMs = draw.next(50, 1_000);
-    const settings = { atMs, type: 'settings' as const, vm, partMs, hasSignal: draw.isChosen(60) };
-    // A start that reads the file while it is there in part.
-    const restart = { ...drawRestart(draw, atMs + 1, vm), signal: 'SIGTERM' as const };
-    return draw.isChosen(50) ? [settings, restart] : [settings];
+    return [{ atMs, type: 'settings', vm, partMs, hasSignal: draw.isChosen(60) }];
   }
   return [drawTrouble(draw, atMs, vms)];
 };
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -19,6 +19,8 @@
   readonly sentAtMs: number;
   /** When its last byte was written. */
   wholeAtMs: number | undefined;
+  /** When its caller reads again after a pause; what it sees before then came earlier. */
+  readAgainAtMs: number;
   end: RequestEnd | undefined;
   endedAtMs: number | undefined;
 }
--- a/soak/soakCaller.ts
+++ b/soak/soakCaller.ts
@@ -97,6 +97,10 @@
     connection.pause();
     await sleep(this.options.pickInt(100, 1_500));
     connection.resume();
+    // Later ones of this caller begin after this one has ended.
+    this.requests.forEach((request) => {
+      if (request.end === undefined) Object.assign(request, { readAgainAtMs: performance.now() });
+    });
   }
 
   private drawKind(isPipelined: boolean): RequestKind {
@@ -153,6 +157,7 @@
       events: request.events,
       sentAtMs: performance.now(),
       wholeAtMs: undefined,
+      readAgainAtMs: 0,
       end: undefined,
       endedAtMs: undefined,
     };
--- a/soak/supervisedVm.ts
+++ b/soak/supervisedVm.ts
@@ -1,5 +1,6 @@
 import { writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
+import { createSocket } from 'node:dgram';
+import { createServer, Server } from 'node:net';
 import { join } from 'node:path';
 import { sleep } from '@goldcrestscale/core';
 import { DaemonProcess } from './daemonProcess.js';
@@ -15,11 +16,16 @@
   readonly metrics: number;
 }
 
-/** What the supervisor does between the end of a process and soon after the next start. */
+/** Port that another socket can have when a process starts. */
+export type HeldPort = keyof VmPorts | 'meshDatagrams';
+
+/** What meets the next start of a VM. */
 export interface NextStart {
   readonly early: readonly { readonly afterMs: number; readonly signal: SoakSignal }[];
+  readonly heldPort: HeldPort | undefined;
   readonly portHeldMs: number;
-  readonly portIndex: number;
+  /** How long the settings file is there in part; 0 if it is whole. */
+  readonly settingsPartMs: number;
 }
 
 /** Options of a VM. */
@@ -36,21 +42,25 @@
 
 const RESTART_DELAY_MS = 60;
 
-const PLAIN_START: NextStart = { early: [], portHeldMs: 0, portIndex: 0 };
+const PLAIN_START: NextStart = {
+  early: [],
+  heldPort: undefined,
+  portHeldMs: 0,
+  settingsPartMs: 0,
+};
 
 /** First bytes of a settings file that is there in part. */
 const PART_BYTES = 200;
 
-/** Holds a port, as a connection would that got it by chance. */
-const listenOnPort = async (port: number, durationMs: number): Promise<void> => {
-  const holder = createServer();
-  const isHeld = await new Promise<boolean>((resolve) => {
-    holder.once('error', () => resolve(false));
-    holder.listen(port, LOOPBACK, () => resolve(true));
-  });
-  if (!isHeld) return;
+/** Holds a port, as a socket would that got it by chance. */
+const listenOnPort = async (port: number, isDatagram: boolean, durationMs: number) => {
+  const holder = isDatagram
+    ? createSocket('udp4').bind(port, LOOPBACK)
+    : createServer((socket) => socket.destroy()).listen(port, LOOPBACK);
+  // The next process may already have the port.
+  holder.once('error', () => {});
   await sleep(durationMs);
-  holder.close();
+  if (holder instanceof Server ? holder.listening : true) holder.close();
 };
 
 /** A VM whose supervisor starts its process again each time it has ended. */
@@ -162,14 +172,14 @@
 
   private async onEnd(): Promise<void> {
     if (this.isStopping) return;
-    const { portHeldMs, portIndex } = this.next;
-    const { ports } = this.options;
-    const port = [ports.callers, ports.readiness, ports.directory, ports.mesh][portIndex];
-    if (portHeldMs > 0 && port !== undefined) {
+    const { heldPort, portHeldMs, settingsPartMs } = this.next;
+    if (heldPort !== undefined) {
       const atMs = performance.now();
       this.recordImpairment('port', atMs, atMs + portHeldMs);
-      void listenOnPort(port, portHeldMs);
+      const port = this.options.ports[heldPort === 'meshDatagrams' ? 'mesh' : heldPort];
+      void listenOnPort(port, heldPort === 'meshDatagrams', portHeldMs);
     }
+    if (settingsPartMs > 0) this.rewriteSettings(settingsPartMs, false);
     await sleep(RESTART_DELAY_MS);
     if (!this.isStopping) this.start();
   }
