--- a/soak/__tests__/soakStandIns.spec.ts
+++ b/soak/__tests__/soakStandIns.spec.ts
@@ -1,4 +1,8 @@
-import { StandInConnection, StandInService } from '@goldcrestscale/adapter/standin/index.js';
+import {
+  hashBody,
+  StandInConnection,
+  StandInService,
+} from '@goldcrestscale/adapter/standin/index.js';
 import type { AnswerFault, RequestEnd } from '@goldcrestscale/adapter/standin/index.js';
 import { expect, onTestFinished, test } from 'vitest';
 import { FaultyProxy } from '../faultyProxy.js';
@@ -52,6 +56,26 @@
   expect(service.runs.map(({ isUnsound }) => isUnsound)).toEqual([false, false, false]);
 });
 
+test('a body in chunks arrives as it was sent', async () => {
+  const [service, address] = await startService('sound');
+  const connection = await connectTo(address);
+  const request = {
+    requestId: 'a',
+    method: 'POST' as const,
+    path: '/unsafe/1',
+    host: 'soak.example',
+    body: 'one two',
+    isChunked: true,
+    timeoutMs: 1_000,
+  };
+  const end = connection.begin(request);
+  connection.write('one', request);
+  connection.write(' two', request);
+  connection.finish(request);
+  expect(await end).toMatchObject({ type: 'answered' });
+  expect(service.runs).toMatchObject([{ bodyHash: hashBody('one two') }]);
+});
+
 test.each<AnswerFault>(['cutHead', 'cutBody'])('an answer with %s is not whole', async (fault) => {
   const [service, address] = await startService(fault);
   const connection = await connectTo(address);
--- a/soak/faultPlan.ts
+++ b/soak/faultPlan.ts
@@ -1,9 +1,9 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { createRandomGenerator } from '@goldcrestscale/core';
-import type { AnswerFault } from '@goldcrestscale/adapter/standin/index.js';
+import type { AnswerFault, StandInAnswer } from '@goldcrestscale/adapter/standin/index.js';
 import type { SoakSignal } from './history.js';
 import type { LinkFault } from './faultyProxy.js';
-import type { HeldPort, NextStart } from './supervisedVm.js';
+import type { VmPort, NextStart } from './supervisedVm.js';
 
 /** One step of a seed's plan; `vm` and `upstream` are indexes. */
 export type PlanStep = { readonly atMs: number } & (
@@ -43,6 +43,14 @@
       readonly fault: AnswerFault;
       readonly forMs: number;
     }
+  | { readonly type: 'logAnswers'; readonly answer: StandInAnswer; readonly forMs: number }
+  /** Bytes of a stranger at a port of a VM. */
+  | {
+      readonly type: 'noise';
+      readonly vm: number;
+      readonly port: VmPort;
+      readonly bytes: string;
+    }
   | { readonly type: 'configuration' }
 );
 
@@ -66,7 +74,7 @@
 
 const STEP_INTERVAL_MS = 1_100;
 
-const HELD_PORTS: readonly HeldPort[] = [
+const VM_PORTS: readonly VmPort[] = [
   'callers',
   'readiness',
   'directory',
@@ -92,6 +100,27 @@
   'silent',
 ];
 
+const LOG_ANSWERS: readonly StandInAnswer[] = [
+  { status: 503 },
+  { status: 429 },
+  { status: 500, body: 'no' },
+  { status: 410, body: '{}' },
+  { status: 200 },
+  { status: 200, body: '{"items":[{"key":1}],"end":"x"}' },
+  { status: 200, body: Buffer.alloc(40, 0xff).toString('latin1') },
+];
+
+const NOISES = [
+  '',
+  '\0\0\0\u0010',
+  '\u00ff'.repeat(2_000),
+  'GET / HTTP/1.1\r\n\r\n',
+  'POST /unsafe/1 HTTP/1.1\r\nhost: soak.example\r\ncontent-length: 50\r\n\r\nhalf',
+  'GET /plain/1 HTTP/1.1\r\nhost: soak.example\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n',
+  `GET /${'a'.repeat(20_000)} HTTP/1.1\r\n`,
+  '{"kind":"x"}\n',
+];
+
 const SHUTDOWN_SIGNALS: readonly SoakSignal[] = ['SIGTERM', 'SIGTERM', 'SIGINT', 'SIGHUP'];
 
 /** Random choices of a plan. */
@@ -120,7 +149,7 @@
     afterMs: draw.next(5, 300),
     signal: draw.pick<SoakSignal>(['SIGHUP', 'SIGHUP', 'SIGTERM']),
   })),
-  heldPort: draw.isChosen(30) ? draw.pick(HELD_PORTS) : undefined,
+  heldPort: draw.isChosen(30) ? draw.pick(VM_PORTS) : undefined,
   portHeldMs: draw.next(200, 1_500),
   settingsPartMs: draw.isChosen(20) ? draw.next(50, 1_000) : 0,
 });
@@ -170,7 +199,7 @@
 const drawTrouble = (draw: PlanDraw, atMs: number, vms: number): PlanStep => {
   const upstream = draw.next(0, UPSTREAMS - 1);
   const forMs = draw.next(300, 4_000);
-  switch (draw.next(0, 5)) {
+  switch (draw.next(0, 7)) {
     case 0: {
       const vm = draw.isChosen(40) ? undefined : draw.next(0, vms - 1);
       return { atMs, type: 'logLink', vm, fault: draw.pick(LINK_FAULTS), forMs };
@@ -183,6 +212,12 @@
       return { atMs, type: 'leave', upstream, forMs };
     case 4:
       return { atMs, type: 'answers', upstream, fault: draw.pick(ANSWER_FAULTS), forMs };
+    case 5:
+      return { atMs, type: 'logAnswers', answer: draw.pick(LOG_ANSWERS), forMs };
+    case 6: {
+      const vm = draw.next(0, vms - 1);
+      return { atMs, type: 'noise', vm, port: draw.pick(VM_PORTS), bytes: draw.pick(NOISES) };
+    }
     default:
       return { atMs, type: 'configuration' };
   }
--- a/soak/soakCaller.ts
+++ b/soak/soakCaller.ts
@@ -87,7 +87,7 @@
     if (pickInt(1, 12) === 1) await this.readSlowly(connection);
     if (pickInt(1, 30) === 1) {
       await sleep(pickInt(5, 300));
-      connection.leave();
+      connection.leave(pickInt(1, 2) === 1);
     }
     await Promise.all(sent);
     await sleep(pickInt(20, 350));
@@ -133,6 +133,7 @@
       path: `${PATHS[kind]}${this.requests.length}`,
       host: HOST,
       body: kind === 'safe' ? '' : requestId.padEnd(bytes, '-'),
+      isChunked: kind !== 'safe' && pickInt(1, 4) === 1,
       timeoutMs: TIMEOUT_MS,
       events,
       prompt: kind === 'stream' ? this.createPrompt(events) : undefined,
@@ -169,9 +170,10 @@
     });
     for (let start = 0; start < request.body.length && connection.isOpen;) {
       if (start > 0) await sleep(this.options.pickInt(2, 25));
-      connection.write(request.body.slice(start, start + BODY_PIECE_BYTES));
+      connection.write(request.body.slice(start, start + BODY_PIECE_BYTES), request);
       start += BODY_PIECE_BYTES;
     }
+    connection.finish(request);
     if (connection.isOpen) record.wholeAtMs = performance.now();
     return { ended };
   }
--- a/soak/soakPlatform.ts
+++ b/soak/soakPlatform.ts
@@ -8,6 +8,7 @@
 import type {
   AnswerFault,
   ServiceWork,
+  StandInAnswer,
   UpstreamRun,
 } from '@goldcrestscale/adapter/standin/index.js';
 import { FaultyProxy } from './faultyProxy.js';
@@ -123,6 +124,16 @@
     harmed.forEach((proxy) => proxy?.setFault(undefined));
   }
 
+  /** The log answers all calls wrongly. */
+  async harmLogAnswers(answer: StandInAnswer, durationMs: number): Promise<void> {
+    const fromMs = performance.now();
+    const toMs = fromMs + durationMs;
+    this.impairments.push({ vmId: undefined, kind: 'log', fromMs, toMs });
+    this.log.wrongAnswer = answer;
+    await sleep(durationMs);
+    this.log.wrongAnswer = undefined;
+  }
+
   async harmUpstreamLink(index: number, fault: LinkFault, durationMs: number): Promise<void> {
     const fromMs = performance.now();
     const toMs = fromMs + durationMs;
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -165,6 +165,12 @@
       case 'upstreamLink':
         await platform.harmUpstreamLink(step.upstream, step.fault, step.forMs);
         break;
+      case 'logAnswers':
+        await platform.harmLogAnswers(step.answer, step.forMs);
+        break;
+      case 'noise':
+        await this.vms[step.vm]?.receiveNoise(step.port, step.bytes);
+        break;
       case 'answers':
         await platform.harmAnswers(step.upstream, step.fault, step.forMs);
         break;
--- a/soak/supervisedVm.ts
+++ b/soak/supervisedVm.ts
@@ -1,6 +1,6 @@
 import { writeFileSync } from 'node:fs';
 import { createSocket } from 'node:dgram';
-import { createServer, Server } from 'node:net';
+import { connect, createServer, Server } from 'node:net';
 import { join } from 'node:path';
 import { sleep } from '@goldcrestscale/core';
 import { DaemonProcess } from './daemonProcess.js';
@@ -16,13 +16,13 @@
   readonly metrics: number;
 }
 
-/** Port that another socket can have when a process starts. */
-export type HeldPort = keyof VmPorts | 'meshDatagrams';
+/** Port of a VM, by protocol. */
+export type VmPort = keyof VmPorts | 'meshDatagrams';
 
 /** What meets the next start of a VM. */
 export interface NextStart {
   readonly early: readonly { readonly afterMs: number; readonly signal: SoakSignal }[];
-  readonly heldPort: HeldPort | undefined;
+  readonly heldPort: VmPort | undefined;
   readonly portHeldMs: number;
   /** How long the settings file is there in part; 0 if it is whole. */
   readonly settingsPartMs: number;
@@ -42,6 +42,9 @@
 
 const RESTART_DELAY_MS = 60;
 
+/** How long a stranger stays. */
+const NOISE_MS = 300;
+
 const PLAIN_START: NextStart = {
   early: [],
   heldPort: undefined,
@@ -63,6 +66,21 @@
   if (holder instanceof Server ? holder.listening : true) holder.close();
 };
 
+/** Sends the bytes of a stranger to a port and drops the connection. */
+const sendNoise = async (port: number, isDatagram: boolean, bytes: string): Promise<void> => {
+  if (isDatagram) {
+    const socket = createSocket('udp4');
+    socket.send(Buffer.from(bytes, 'latin1'), port, LOOPBACK, () => socket.close());
+    return;
+  }
+  const socket = connect(port, LOOPBACK);
+  // The VM may be away.
+  socket.on('error', () => socket.destroy());
+  socket.write(bytes, 'latin1');
+  await sleep(NOISE_MS);
+  socket.resetAndDestroy();
+};
+
 /** A VM whose supervisor starts its process again each time it has ended. */
 export class SupervisedVm {
   readonly lives: LifeRecord[] = [];
@@ -147,6 +165,10 @@
     this.schedule(partMs, () => this.writeSettings());
   }
 
+  async receiveNoise(port: VmPort, bytes: string): Promise<void> {
+    await sendNoise(this.findPort(port), port === 'meshDatagrams', bytes);
+  }
+
   /** Ends the process for good: SIGTERM, and SIGKILL when its time is over. */
   async stop(): Promise<void> {
     this.isStopping = true;
@@ -176,14 +198,17 @@
     if (heldPort !== undefined) {
       const atMs = performance.now();
       this.recordImpairment('port', atMs, atMs + portHeldMs);
-      const port = this.options.ports[heldPort === 'meshDatagrams' ? 'mesh' : heldPort];
-      void listenOnPort(port, heldPort === 'meshDatagrams', portHeldMs);
+      void listenOnPort(this.findPort(heldPort), heldPort === 'meshDatagrams', portHeldMs);
     }
     if (settingsPartMs > 0) this.rewriteSettings(settingsPartMs, false);
     await sleep(RESTART_DELAY_MS);
     if (!this.isStopping) this.start();
   }
 
+  private findPort(port: VmPort): number {
+    return this.options.ports[port === 'meshDatagrams' ? 'mesh' : port];
+  }
+
   private recordImpairment(kind: ImpairmentRecord['kind'], fromMs: number, toMs: number): void {
     this.impairments.push({ vmId: this.vmId, kind, fromMs, toMs });
   }
