--- a/soak/checks/__tests__/checkLost.spec.ts
+++ b/soak/checks/__tests__/checkLost.spec.ts
@@ -31,6 +31,15 @@
   expect(countLost({ requests, lives: [terminated] })).toBe(0);
 });
 
+test('only the time in which the soak itself stood still is taken off the slack', () => {
+  const requests = [createCut(10_300)];
+  const stall = (toMs: number) => [{ fromMs: 9_000, toMs }];
+  expect(countLost({ requests, lives: [terminated], stalls: stall(10_101) })).toBe(0);
+  expect(countLost({ requests, lives: [terminated], stalls: stall(10_099) })).toBe(1);
+  const rest = { requests, lives: [terminated], stalls: stall(10_200) };
+  expect(countLost({ ...rest, runs: [createRun({})] })).toBe(1);
+});
+
 test('LOST: a request is cut soon after a SIGHUP', () => {
   const lives = [createLife({ signals: [createSignal('SIGHUP', 9_500)] })];
   expect(countLost({ requests: [createCut(10_100)], runs: [createRun({})], lives })).toBe(1);
--- a/soak/checks/__tests__/historyFixtures.ts
+++ b/soak/checks/__tests__/historyFixtures.ts
@@ -26,6 +26,7 @@
   lives: [],
   impairments: [],
   strays: [],
+  stalls: [],
   configurationsAtMs: [],
   endedAtMs: 40_000,
   ...parts,
--- a/soak/checks/checkLost.ts
+++ b/soak/checks/checkLost.ts
@@ -93,11 +93,19 @@
   });
 };
 
-const checkPlanned = (cut: Cut, bounds: SoakBounds): Finding[] => {
+/** Time in which the soak stood still between two moments. */
+const sumStalls = ({ stalls }: SoakHistory, startMs: number, endMs: number): number =>
+  stalls.reduce(
+    (sum, { fromMs, toMs }) => sum + Math.max(0, Math.min(toMs, endMs) - Math.max(fromMs, startMs)),
+    0,
+  );
+
+const checkPlanned = (cut: Cut, history: SoakHistory, bounds: SoakBounds): Finding[] => {
   const { request, runs, endedAtMs } = cut;
   const seenFromMs = Math.max(request.wholeAtMs ?? endedAtMs, request.readAgainAtMs);
   const afterMs = Math.round(endedAtMs - seenFromMs);
-  if (runs.length === 0 && afterMs <= bounds.lossSlackMs) return [];
+  const stalledMs = sumStalls(history, seenFromMs, endedAtMs);
+  if (runs.length === 0 && afterMs - stalledMs <= bounds.lossSlackMs) return [];
   const work = findPlannedWork(cut, bounds);
   if (!work) return [];
   const sentMs = Math.round(request.sentAtMs - work.atMs);
@@ -124,7 +132,7 @@
   const cuts = listCuts(history).filter(
     (cut) => !isImpaired(cut, history.impairments, bounds.stableMs) && !isExcused(cut, bounds),
   );
-  const planned = cuts.flatMap((cut) => checkPlanned(cut, bounds));
+  const planned = cuts.flatMap((cut) => checkPlanned(cut, history, bounds));
   const calm = cuts.filter((cut) => cut.runs.length > 0 && isInTouch(cut, history.lives, bounds));
   return [
     ...planned,
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -65,6 +65,8 @@
   readonly impairments: readonly ImpairmentRecord[];
   /** Answers that came while no request waited for one. */
   readonly strays: readonly string[];
+  /** Spans in which the soak itself stood still, and saw what happened later than it did. */
+  readonly stalls: readonly { readonly fromMs: number; readonly toMs: number }[];
   readonly configurationsAtMs: readonly number[];
   readonly endedAtMs: number;
 }
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -7,6 +7,7 @@
 import type { SoakBounds, SoakHistory } from './history.js';
 import { SoakCaller } from './soakCaller.js';
 import { SoakPlatform } from './soakPlatform.js';
+import { StallMeter } from './stallMeter.js';
 import { SupervisedVm } from './supervisedVm.js';
 import type { VmPorts } from './supervisedVm.js';
 
@@ -64,6 +65,8 @@
 
   private readonly platform: SoakPlatform;
 
+  private readonly stallMeter = new StallMeter();
+
   private vms: readonly SupervisedVm[] = [];
 
   private callers: readonly SoakCaller[] = [];
@@ -77,6 +80,7 @@
   }
 
   async run(): Promise<SoakHistory> {
+    this.stallMeter.start();
     await this.start();
     const calls = this.callers.map((caller) => caller.run());
     await sleep(WARM_UP_MS);
@@ -87,6 +91,7 @@
     this.callers.forEach((caller) => caller.stop());
     await Promise.all(calls);
     this.platform.stop();
+    this.stallMeter.stop();
     return this.collectHistory(endedAtMs);
   }
 
@@ -193,6 +198,7 @@
       lives: vms.flatMap(({ lives }) => lives),
       impairments: [...platform.impairments, ...vms.flatMap(({ impairments }) => impairments)],
       strays: callers.flatMap(({ strays }) => strays),
+      stalls: this.stallMeter.stalls,
       configurationsAtMs: platform.configurationsAtMs,
       endedAtMs,
     };
