fix(entry): bound the bytes of request bodies by the memory of the VM

What callers saw: nothing bounded the bodies (up to 16 MB each) that the entry daemon read at the same time, as in the gateway.

Cause: the same; and a body over the limit was left unread, with the connection closed, so that its caller could lose the 413 to a reset.

Change: bodies are read by readRequestBody of the gateway, with a budget of a fifth of the new setting memoryMb (default 1,024); a body that is too large or has no room is discarded, and the connection stays. A body that takes longer than 30 s is answered 408 at that time.

Memory of the entry daemon was not measured.

--- a/packages/entry/src/__tests__/entryHarness.ts
+++ b/packages/entry/src/__tests__/entryHarness.ts
@@ -26,7 +26,7 @@
   UpstreamView,
   WeightVersion,
 } from '@goldcrestscale/core';
-import { EventLoopBarrier, createMetricsRegistry } from '@goldcrestscale/runtime';
+import { ByteBudget, EventLoopBarrier, createMetricsRegistry } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
 import { CompletionRunner } from '../dispatch/completionRunner.js';
 import type { AttemptRunner } from '../dispatch/attempt.js';
@@ -89,6 +89,8 @@
 export interface HarnessOptions {
   readonly upstreams: readonly (FakeUpstream | string)[];
   readonly retryPolicy?: RetryPolicy;
+  /** Limit of the bytes that are buffered for callers. */
+  readonly bufferBytes?: number;
   createCompletionRunner?(client: UpstreamClient): AttemptRunner;
   createServiceRunner?(client: UpstreamClient): AttemptRunner;
 }
@@ -102,6 +104,7 @@
   /** Indices of the upstreams that are not eligible. */
   readonly ineligibleIndices: Set<number>;
   readonly slots: CountingSlotPolicy;
+  readonly budget: ByteBudget;
   close(): Promise<void>;
 }
 
@@ -189,8 +192,10 @@
   const ineligibleIndices = new Set<number>();
   const directory = createDirectory(options, outcomes, ineligibleIndices);
   const slots = new CountingSlotPolicy();
+  const budget = new ByteBudget(options.bufferBytes ?? Infinity);
   const server = createCallerServer({
     filters: createFilters(options, client, directory, slots),
+    budget,
     checkHeaders(headers) {
       authenticateCaller(createTable(), headers);
     },
@@ -207,6 +212,7 @@
     outcomes,
     ineligibleIndices,
     slots,
+    budget,
     async close() {
       server.closeAllConnections();
       await new Promise((resolve) => {
--- a/packages/entry/src/config.ts
+++ b/packages/entry/src/config.ts
@@ -8,6 +8,7 @@
   DEFAULT_CLAIM_SHARD_COUNT,
   DEFAULT_WEIGHT_LOADS_PER_MINUTE,
   DEFAULT_ENTRIES_TTL_MS,
+  DEFAULT_MEMORY_MB,
 } from './constants.js';
 
 const MAX_PORT = 65_535;
@@ -76,6 +77,11 @@
     .max(MAX_ENTRIES_TTL_MS)
     .default(DEFAULT_ENTRIES_TTL_MS)
     .describe('time that callers may keep an answer of /v1/entries, in milliseconds'),
+  memoryMb: z
+    .number()
+    .positive()
+    .default(DEFAULT_MEMORY_MB)
+    .describe('memory of the process, in megabytes; a fifth of it is for the bodies of requests'),
   once: z
     .strictObject({
       shardCount: z
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -1,6 +1,9 @@
 /** Maximum size of a request body, in bytes. */
 export const MAX_REQUEST_BODY_BYTES = 16 * 1024 * 1024;
 
+/** Default memory of the process, in megabytes. */
+export const DEFAULT_MEMORY_MB = 1_024;
+
 /** Interval between reads of an upstream's load report, in milliseconds. */
 export const LOAD_POLL_INTERVAL_MS = 500;
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,8 +4,10 @@
 import { toId, waitForAbort } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
 import {
+  ByteBudget,
   EventLoopBarrier,
   PauseMonitor,
+  computeBufferBytes,
   createMetricsRegistry,
   listen,
 } from '@goldcrestscale/runtime';
@@ -193,6 +195,7 @@
       settings,
       signal: lifetime.signal,
     }),
+    budget: new ByteBudget(computeBufferBytes(settings.memoryMb)),
     checkHeaders(headers) {
       // An outdated table must not reject an API key; the freshness filter refuses it instead.
       if (!controllers.membership.decideFreshness().accept) return;
--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -3,8 +3,8 @@
 import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createRefusal, isGoldcrestError, runChain, toId } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance, RequestId } from '@goldcrestscale/core';
-import { trackCaller } from '@goldcrestscale/runtime';
-import type { RequestArrival } from '@goldcrestscale/runtime';
+import { ByteReservation, readRequestBody, trackCaller } from '@goldcrestscale/runtime';
+import type { ByteBudget, RequestArrival } from '@goldcrestscale/runtime';
 import { MAX_REQUEST_BODY_BYTES, REQUEST_TIMEOUT_MS } from '../constants.js';
 import type { Exchange } from '../filters/exchange.js';
 import type { Filter } from '../filters/filter.js';
@@ -12,11 +12,12 @@
 import type { EntriesResponse } from './entriesResponse.js';
 import { buildErrorBody, buildErrorHeaders } from './errorResponse.js';
 import { parseRequestLine, parseTarget } from './parseTarget.js';
-import { readBody } from './readBody.js';
 
 /** Dependencies of the HTTP server for callers. */
 export interface CallerServerOptions {
   readonly filters: readonly Filter[];
+  /** Memory for the bodies of requests. */
+  readonly budget: ByteBudget;
   /** Checks the request headers before the body is read; throws to refuse the caller. */
   checkHeaders(headers: IncomingHttpHeaders): void;
   /** Returns the earliest monotonic time at which a request that is being read may have arrived. */
@@ -38,8 +39,8 @@
   );
 };
 
-/** Refusals that may be sent before the body is read; the connection is then closed. */
-const EARLY_REFUSAL_CODES: ReadonlySet<string> = new Set(['body_too_large', 'unauthorized']);
+/** Refusals that are sent before the body is read; the connection is then closed. */
+const EARLY_REFUSAL_CODES: ReadonlySet<string> = new Set(['unauthorized']);
 
 const createNoRouteRefusal = (): GoldcrestErrorInstance =>
   createRefusal('There is nothing at this path.', { code: 'bad_request', status: 404 });
@@ -47,6 +48,9 @@
 const createCallerLeftRefusal = (): GoldcrestErrorInstance =>
   createRefusal('The caller left.', { code: 'caller_left', status: 503 });
 
+const createSlowBodyRefusal = (): GoldcrestErrorInstance =>
+  createRefusal('The body did not arrive in time.', { code: 'deadline', status: 408 });
+
 const sendRefusal = (
   response: ServerResponse,
   error: GoldcrestErrorInstance,
@@ -64,14 +68,21 @@
   readonly requestId: RequestId;
   /** Aborts when the caller leaves. */
   readonly signal: AbortSignal;
+  readonly reservation: ByteReservation;
 }
 
 const buildExchange = async (
   request: IncomingMessage,
   response: ServerResponse,
-  { requestId, signal, receivedAtMs, readAtMs }: ReadRequest,
+  { requestId, signal, reservation, receivedAtMs, readAtMs }: ReadRequest,
 ): Promise<Exchange> => {
-  const body = await readBody(request, MAX_REQUEST_BODY_BYTES);
+  const body = await readRequestBody(request, {
+    maxBytes: MAX_REQUEST_BODY_BYTES,
+    reservation,
+    deadlineAtMs: readAtMs + REQUEST_TIMEOUT_MS,
+    createTimeoutError: createSlowBodyRefusal,
+    createLeftError: createCallerLeftRefusal,
+  });
   const target = parseTarget(request.method ?? 'GET', request.url ?? '/', body);
   if (!target) throw createNoRouteRefusal();
   return {
@@ -97,9 +108,9 @@
   options: CallerServerOptions,
   request: IncomingMessage,
   response: ServerResponse,
+  { signal, reservation }: Pick<ReadRequest, 'signal' | 'reservation'>,
 ): Promise<void> => {
   const requestId = chooseRequestId(request);
-  const signal = trackCaller(request, response);
   const arrival = { receivedAtMs: options.estimateArrivalMs(), readAtMs: performance.now() };
   const [path, query] = (request.url ?? '/').split('?', 2);
   if (path === '/v1/entries') {
@@ -113,7 +124,12 @@
     if (!parseRequestLine(request.method ?? 'GET', request.url ?? '/'))
       throw createNoRouteRefusal();
     options.checkHeaders(request.headers);
-    const exchange = await buildExchange(request, response, { requestId, signal, ...arrival });
+    const exchange = await buildExchange(request, response, {
+      requestId,
+      signal,
+      reservation,
+      ...arrival,
+    });
     await runChain(options.filters, exchange);
   } catch (cause) {
     if (!isGoldcrestError(cause)) throw cause;
@@ -124,10 +140,19 @@
 /** Creates the HTTP server for callers. */
 export const createCallerServer = (options: CallerServerOptions): Server => {
   const server = createServer((request, response) => {
-    handleRequest(options, request, response).catch((cause: unknown) => {
-      options.onFault(cause);
-      response.destroy();
+    const reservation = new ByteReservation(options.budget);
+    let finishCaller = (): void => undefined;
+    const callerOver = new Promise<void>((resolve) => {
+      finishCaller = resolve;
     });
+    const signal = trackCaller(request, response, finishCaller);
+    handleRequest(options, request, response, { signal, reservation })
+      .catch((cause: unknown) => {
+        options.onFault(cause);
+        response.destroy();
+      })
+      .then(() => callerOver)
+      .finally(() => reservation.release());
   });
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   return server;
--- a/packages/gateway/src/config.ts
+++ b/packages/gateway/src/config.ts
@@ -1,7 +1,7 @@
 import en from 'zod/v4/locales/en.js';
 import * as z from 'zod/mini';
 import type { AvailabilityZoneId, RegionId, VmId } from '@goldcrestscale/core';
-import { readSettingsFile } from '@goldcrestscale/runtime';
+import { computeBufferBytes, readSettingsFile } from '@goldcrestscale/runtime';
 import type { ReadSettingsOptions } from '@goldcrestscale/runtime';
 
 const SECOND_MS = 1_000;
@@ -20,11 +20,6 @@
 
 const DEFAULT_MEMORY_MB = 256;
 
-const MEGABYTE = 1_000_000;
-
-/** Share of the memory for what is buffered for callers; the rest is the program and its garbage. */
-const BUFFER_MEMORY_FRACTION = 0.2;
-
 // Unknown fields are ignored, so that newer platforms can add some.
 const settingsSchema = z.object({
   /** Name of this VM, unique in the fleet. */
@@ -155,7 +150,7 @@
     isFirstStart: parsed.data.firstStart ?? false,
     capacityScore: machine.cores * machine.coreShare * machine.linkMbps,
     linkMbps: machine.linkMbps,
-    bufferBytes: (machine.memoryMb ?? DEFAULT_MEMORY_MB) * MEGABYTE * BUFFER_MEMORY_FRACTION,
+    bufferBytes: computeBufferBytes(machine.memoryMb ?? DEFAULT_MEMORY_MB),
     listen: { ...listen, metrics: listen.metrics },
     logAddress: log.address,
     leaseMs: log.leaseMs,
--- a/packages/runtime/src/http/byteBudget.ts
+++ b/packages/runtime/src/http/byteBudget.ts
@@ -1,3 +1,12 @@
+const MEGABYTE = 1_000_000;
+
+/** Share of the memory for what is buffered for callers; the rest is the program and its garbage. */
+const BUFFER_MEMORY_FRACTION = 0.2;
+
+/** Computes how many bytes a process may buffer for all of its callers together. */
+export const computeBufferBytes = (memoryMb: number): number =>
+  memoryMb * MEGABYTE * BUFFER_MEMORY_FRACTION;
+
 /** Bytes that this process buffers for its callers, with one limit for all of them. */
 export class ByteBudget {
   private held = 0;
