--- a/soak/cli.ts
+++ b/soak/cli.ts
@@ -18,6 +18,8 @@
 
 const CPU_TRIALS = 3;
 
+const PERCENT = 100;
+
 const root = fileURLToPath(new URL('..', import.meta.url));
 
 /** Reads the daemon's command from the deploy file. */
@@ -61,13 +63,22 @@
   return [...counts].map(([rule, count]) => `${rule} ${count}`).join(', ') || 'no finding';
 };
 
-const describeHistory = ({ requests, runs, lives }: SoakHistory): string => {
+/** Share of the time in which the soak itself stood still, in percent. */
+const computeStallShare = ({ stalls, lives, endedAtMs }: SoakHistory): number => {
+  const startedAtMs = Math.min(...lives.map((life) => life.startedAtMs));
+  const stalledMs = stalls.reduce((sum, { fromMs, toMs }) => sum + toMs - fromMs, 0);
+  return Math.round((stalledMs * PERCENT) / (endedAtMs - startedAtMs));
+};
+
+const describeHistory = (history: SoakHistory): string => {
+  const { requests, runs, lives } = history;
   const answered = requests.filter(({ end }) => end?.type === 'answered');
   const served = answered.filter(({ end }) => end?.type === 'answered' && end.answer.status < 300);
   const peakMb = Math.max(...lives.map(({ peakMemoryMb }) => peakMemoryMb));
   return (
     `${requests.length} requests, ${served.length} served, ${answered.length} answered, ` +
-    `${runs.length} runs, ${lives.length} processes, peak ${Math.round(peakMb)} MB`
+    `${runs.length} runs, ${lives.length} processes, peak ${Math.round(peakMb)} MB, ` +
+    `stood still ${computeStallShare(history)} %`
   );
 };
 
