fix(http): a body takes memory as it comes, not when it is declared

What callers saw: 503 memory_full although next to no memory was in use.

Cause: the budget for bodies was charged the declared length at the head and kept it until the body or the time of the request was over. A size that is declared is not a size that is used.

Bytes are now charged as they come, of a declared length in steps of 64 kB at most ahead of them. The bound is the same; a request that it does not allow is refused as before, as not run, at the latest with its last bytes.

--- a/packages/runtime/src/http/readRequestBody.ts
+++ b/packages/runtime/src/http/readRequestBody.ts
@@ -16,6 +16,9 @@
   readonly createLeftError: () => Error;
 }
 
+/** Step in which the bytes of a declared length are reserved. */
+const RESERVATION_STEP_BYTES = 65_536;
+
 /** Other VMs may have memory, so that a retry need not wait long. */
 const MEMORY_RETRY_AFTER_MS = 400;
 
@@ -36,8 +39,8 @@
   headers['content-length'] === undefined ? undefined : Number(headers['content-length']);
 
 /**
- * Reads a complete request body. A declared length is reserved before the body is read, and a body
- * without one as it comes. A body that is refused is read on and discarded, so that its caller can
+ * Reads a complete request body. Its bytes are reserved as they come, because a length that is only
+ * declared takes no memory. A body that is refused is read on and discarded, so that its caller can
  * read the response: a connection that is closed with unread bytes is reset.
  *
  * @throws GoldcrestError `body_too_large`, the timeout error, or `memory_full` if the budget has no room for it
@@ -49,17 +52,24 @@
   new Promise((resolve, reject) => {
     const declaredBytes = readDeclaredBytes(request);
     let body: BodyBuffer | undefined = new BodyBuffer(declaredBytes);
-    let totalBytes = 0;
+    let receivedBytes = 0;
+    let reservedBytes = 0;
     const refuse = (error: Error): void => {
       if (!body) return;
       body = undefined;
       reservation.release();
       reject(error);
     };
-    const reserve = (bytes: number): void => {
-      totalBytes += bytes;
-      if (totalBytes > maxBytes) refuse(createTooLargeError(maxBytes));
-      else if (!reservation.tryGrow(bytes)) refuse(createNoMemoryError());
+    /** Reserves what has been received; of a declared length, the next step at least. */
+    const reserve = (): void => {
+      const missingBytes = receivedBytes - reservedBytes;
+      if (missingBytes <= 0) return;
+      const stepBytes =
+        declaredBytes === undefined
+          ? missingBytes
+          : Math.min(declaredBytes - reservedBytes, Math.max(missingBytes, RESERVATION_STEP_BYTES));
+      reservedBytes += stepBytes;
+      if (!reservation.tryGrow(stepBytes)) refuse(createNoMemoryError());
     };
     const timer = setTimeout(
       () => refuse(createTimeoutError()),
@@ -70,10 +80,13 @@
       // Every request closes; the error is created only for one that is incomplete.
       if (!request.readableEnded) reject(createLeftError());
     };
-    reserve(declaredBytes ?? 0);
+    if ((declaredBytes ?? 0) > maxBytes) refuse(createTooLargeError(maxBytes));
     // Events, because leaving an async iteration early would destroy the caller's connection.
     request.on('data', (chunk: Buffer) => {
-      if (body && declaredBytes === undefined) reserve(chunk.length);
+      if (!body) return;
+      receivedBytes += chunk.length;
+      if (receivedBytes > maxBytes) refuse(createTooLargeError(maxBytes));
+      else reserve();
       body?.add(chunk);
     });
     request.once('end', () => {
