fix(gateway): bound the heads that callers have not completed, in bytes and time

And a head that stopped held its connection for up to 30 s, whatever header_timeout a deployment sets.

Cause: the parser bounds each head by itself, nothing bounds their sum; and the runtime looks at late heads every 30 s unless told otherwise.

HeadMemory sums what has been read of incomplete heads while there are so many connections that they could exceed the budget for callers, and closes those with the longest heads with 503 until the others fit in what the budget has left. With fewer connections it costs nothing. Late heads are looked for every 0.5 s.

--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -16,6 +16,7 @@
   createLogger,
   createMetricsRegistry,
 } from '@goldcrestscale/runtime';
+import { createCallerReports } from '../compose/createDataPath.js';
 import { createFleetState } from '../compose/createFleetState.js';
 import { FaultRecorder } from '../faultRecorder.js';
 import { RequestLog } from '../requestLog.js';
@@ -144,7 +145,7 @@
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts: { requestsRead: 0, callersLeft: 0 },
     budget,
-    onUnreadResponse: (unreadBytes) => requestLog.log('response not read', { unreadBytes }),
+    ...createCallerReports(requestLog),
     faults,
     filters: createGatewayFilters({
       errorResponse: { requestLog, metrics, protocol },
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -13,7 +13,7 @@
 import { createGatewayFilters } from '../filters/index.js';
 import type { GatewayOptions } from '../gatewayOptions.js';
 import { createCallerServer } from '../http/callerServer.js';
-import type { CallerCounts, CallerServer } from '../http/callerServer.js';
+import type { CallerCounts, CallerServer, CallerServerOptions } from '../http/callerServer.js';
 import type { Controllers } from './createControllers.js';
 import type { FleetState } from './createFleetState.js';
 
@@ -70,6 +70,14 @@
     requestLog,
   });
 
+/** Logs what the server for callers does to connections on its own. */
+export const createCallerReports = (
+  requestLog: RequestLog,
+): Pick<CallerServerOptions, 'onUnreadResponse' | 'onHeadDropped'> => ({
+  onUnreadResponse: (unreadBytes) => requestLog.log('response not read', { unreadBytes }),
+  onHeadDropped: (headBytes) => requestLog.log('no memory for a head', { headBytes }),
+});
+
 /** Creates the request path: the server for callers, the filter chain and the upstream chooser. */
 export const createDataPath = (
   { settings, metrics, callerProtocol, logger, upstreamProtocol }: GatewayOptions,
@@ -128,6 +136,6 @@
     counts,
     budget,
     faults,
-    onUnreadResponse: (unreadBytes) => requestLog.log('response not read', { unreadBytes }),
+    ...createCallerReports(requestLog),
   });
 };
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -10,6 +10,7 @@
 import type { CallerProtocol } from '../ports/index.js';
 import { CallerResponse } from './callerResponse.js';
 import { getConnectionOrder } from './connectionOrder.js';
+import { HeadMemory } from './headMemory.js';
 
 /** Running counts of what callers did. */
 export interface CallerCounts {
@@ -32,6 +33,8 @@
   readonly faults: FaultRecorder;
   /** Called when a caller has read nothing of its response for the idle timeout. */
   readonly onUnreadResponse: (unreadBytes: number) => void;
+  /** Called with the bytes of a head that was not complete, and for which there is no memory. */
+  readonly onHeadDropped: (headBytes: number) => void;
 }
 
 /** The HTTP server for callers. */
@@ -45,6 +48,9 @@
 /** Maximum size of a request head. */
 const MAX_HEADER_BYTES = 65_536;
 
+/** Interval at which connections are checked for heads that are late. */
+const TIMEOUT_CHECK_INTERVAL_MS = 500;
+
 /** Margin added to the configured timeouts of callers' connections. */
 const TIMEOUT_MARGIN_MS = 1_000;
 
@@ -110,9 +116,15 @@
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
   const { counts } = options;
   let openCount = 0;
-  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
+  const server = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    noDelay: true,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+  });
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + TIMEOUT_MARGIN_MS;
   server.requestTimeout = 0;
+  const { budget, onHeadDropped: onDrop } = options;
+  new HeadMemory({ budget, maxHeadBytes: MAX_HEADER_BYTES, onDrop }).watch(server);
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
     const order = getConnectionOrder(request.socket);
     if (order.isEnding) {
