--- a/soak/checks/__tests__/checkLost.spec.ts
+++ b/soak/checks/__tests__/checkLost.spec.ts
@@ -89,6 +89,29 @@
   expect(checkLost(createHistory({ requests: [late], runs, lives }), bounds)).toHaveLength(1);
 });
 
+test('a signal that comes again begins no new shutdown', () => {
+  const runs = [createRun({ endedAtMs: undefined })];
+  const signals = [
+    createSignal('SIGTERM', 9_500),
+    createSignal('SIGINT', 10_050),
+    createSignal('SIGHUP', 17_000),
+  ];
+  const lives = [createLife({ signals })];
+  const atEnd = createCut(17_400, { timeoutMs: 9_000 });
+  expect(countLost({ requests: [atEnd], runs, lives })).toBe(0);
+  const before = createCut(16_100, { timeoutMs: 9_000 });
+  expect(countLost({ requests: [before], runs, lives })).toBe(1);
+});
+
+test('the shutdown of the process before excuses nothing', () => {
+  const runs = [createRun({ endedAtMs: undefined })];
+  const exit = { code: 0, signal: null, atMs: 9_900 };
+  const before = createLife({ signals: [createSignal('SIGTERM', 9_500)], exit });
+  const life = createLife({ startedAtMs: 9_950, signals: [createSignal('SIGHUP', 17_000)] });
+  const requests = [createCut(17_400, { timeoutMs: 9_000 })];
+  expect(countLost({ requests, runs, lives: [before, life] })).toBe(1);
+});
+
 test.each<[ImpairmentRecord['kind'], number, number]>([
   ['kill', 0, 0],
   ['freeze', 0, 0],
