--- a/packages/runtime/src/cli/earlySignals.ts
+++ b/packages/runtime/src/cli/earlySignals.ts
@@ -1,6 +1,5 @@
 /** Signals of a daemon that come before its program is loaded. */
-
-const DAEMON_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
+import { DAEMON_SIGNALS } from '../process/processSignals.js';
 
 const collected: string[] = [];
 
