feat(gateway): count and log what happens at the port of the mesh

Connections were counted only once they were followers, lines about invalid data had no bound, and the address of the sender was in none of them.

MeshConnections holds the connections of followers and of others alike. It sets their number and the bytes held for messages in part and for unsent ones, counts each closing by its reason, and writes one line for each with the address, bounded to 40 a second. What is closed, and when, is as before; a connection that is closed for a reason is reset, so that nothing unsent is kept for it.

feed.spec.ts and relayLink.spec.ts pass unchanged but for the new metrics that relayLink.spec.ts hands in.

--- a/packages/gateway/src/__tests__/relayLink.spec.ts
+++ b/packages/gateway/src/__tests__/relayLink.spec.ts
@@ -2,11 +2,12 @@
 import { expect, onTestFinished, test, vi } from 'vitest';
 import { EntryRoster, ZoneRelays, toId } from '@goldcrestscale/core';
 import type { VmId } from '@goldcrestscale/core';
-import { createLogger } from '@goldcrestscale/runtime';
+import { createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
 import { FeedClient } from '../mesh/feedClient.js';
 import type { RelayedBlocks } from '../mesh/feedMessage.js';
 import { FeedServer } from '../mesh/feedServer.js';
 import { FEED_ZONE, findPort, makeEntry } from './feedFixtures.js';
+import { createGatewayMetrics } from '../metrics.js';
 import { createTestFaults } from './testFaults.js';
 
 const logger = createLogger({ part: 'test', level: 'error', format: 'json' });
@@ -52,7 +53,7 @@
     logger,
     faults: createTestFaults().faults,
     metrics: {
-      setFollowers: () => undefined,
+      ...createGatewayMetrics(createMetricsRegistry()),
       countFeedBytes(bytes) {
         sentBytes += bytes;
       },
--- a/packages/gateway/src/mesh/feedReader.ts
+++ b/packages/gateway/src/mesh/feedReader.ts
@@ -19,6 +19,11 @@
   /** @param findSenderAuth finds the key and nonce of the sender from its first message */
   constructor(private readonly findSenderAuth: (first: FeedMessage) => FrameAuth | undefined) {}
 
+  /** Bytes that are held of a message in part. */
+  get heldBytes(): number {
+    return this.buffered.length;
+  }
+
   /** @throws FeedError if a frame is invalid or fails authentication */
   push(chunk: Buffer): readonly FeedMessage[] {
     this.buffered = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -15,9 +15,10 @@
 import type { FrameAuth } from './feedFrame.js';
 import { encodeFeedContent } from './feedMessage.js';
 import type { FeedMessage, RelayedBlocks, RelayedPosition } from './feedMessage.js';
-import { FeedReader } from './feedReader.js';
 import { FeedWriter } from './feedWriter.js';
 import { LinkShare } from './linkShare.js';
+import { MeshConnections } from './meshConnections.js';
+import type { MeshConnectionMetrics } from './meshConnections.js';
 
 /** Dependencies of the server. */
 export interface FeedServerOptions {
@@ -28,7 +29,7 @@
   readonly roster: EntryRoster;
   readonly logger: Logger;
   readonly faults: FaultRecorder;
-  readonly metrics: Pick<GatewayMetrics, 'setFollowers' | 'countFeedBytes'>;
+  readonly metrics: Pick<GatewayMetrics, 'setFollowers' | 'countFeedBytes'> & MeshConnectionMetrics;
   /** Bandwidth of this VM's link, in Mbit/s. */
   readonly linkMbps: number;
   /** Lists the positions of the topics that this VM reads from the log itself. */
@@ -82,24 +83,35 @@
 
   private followerLimit: { readonly count: number; readonly expiresAtMs: number } | undefined;
 
+  private readonly connections: MeshConnections;
+
   constructor(private readonly options: FeedServerOptions) {
     this.linkShare = new LinkShare(options.linkMbps);
+    this.connections = new MeshConnections({
+      logger: options.logger,
+      metrics: options.metrics,
+      findSenderAuth: (first) => this.findSenderAuth(first),
+      onMessage: (socket, message) => this.handleMessage(socket, message),
+      onClose: (socket) => {
+        if (this.followers.delete(socket)) this.recordFollowers();
+      },
+    });
   }
 
   /** Listens until the signal aborts; the stop signal ends the start. */
   async start(signal: AbortSignal, stopSignal = signal): Promise<void> {
     const { address, logger, faults } = this.options;
-    const server = createServer((socket) => this.accept(socket));
+    const server = createServer((socket) => this.connections.accept(socket));
     await listen(server, splitAddress(address), {
       logger,
       signal: stopSignal,
       onError: (error) => faults.record('listener', error, { listener: 'mesh' }),
     });
+    this.connections.start(signal);
     signal.addEventListener('abort', () => {
       server.close();
       clearTimeout(this.flushTimer);
       clearTimeout(this.snapshotTimer);
-      this.followers.forEach(({ socket }) => socket.destroy());
     });
   }
 
@@ -144,7 +156,7 @@
       dropped: dropped.length,
       linkMbps: this.options.linkMbps,
     });
-    dropped.forEach(({ socket }) => socket.resetAndDestroy());
+    dropped.forEach(({ socket, vmId }) => this.connections.close(socket, 'link full', { vmId }));
     this.linkShare.reset();
   }
 
@@ -155,27 +167,6 @@
     return this.linkShare.computeWaitMs() < MAX_LINK_WAIT_MS;
   }
 
-  private accept(socket: Socket): void {
-    socket.setNoDelay(true);
-    const reader = new FeedReader((first) => this.findSenderAuth(first));
-    socket.on('data', (chunk) => {
-      try {
-        reader.push(chunk).forEach((message) => this.handleMessage(socket, message));
-      } catch (cause) {
-        this.options.logger.warn('closing follower connection after invalid data', {
-          error: String(cause),
-        });
-        socket.destroy();
-      }
-    });
-    socket.on('error', (error) => {
-      this.options.logger.info('follower connection failed', { error: String(error) });
-    });
-    socket.on('close', () => {
-      if (this.followers.delete(socket)) this.recordFollowers();
-    });
-  }
-
   /** Logs when this VM begins to relay, and when its last follower has left. */
   private recordFollowers(): void {
     const { logger, metrics, linkMbps } = this.options;
@@ -223,8 +214,7 @@
     { vmId, nonce }: Extract<FeedMessage, { kind: 'hello' }>,
   ): void {
     if (!this.canAccept()) {
-      this.options.logger.info('refusing follower that the link can not carry', { vmId });
-      socket.destroy();
+      this.connections.close(socket, 'link full', { vmId });
       return;
     }
     // The pending changes are part of the snapshots that the new follower gets.
@@ -265,8 +255,7 @@
 
   private send({ socket, writer, vmId }: Follower, content: Buffer): void {
     if (socket.writableLength > MAX_FOLLOWER_BACKLOG_BYTES) {
-      this.options.logger.warn('closing connection of slow follower', { vmId });
-      socket.destroy();
+      this.connections.close(socket, 'slow follower', { vmId, unsent: socket.writableLength });
       return;
     }
     const frame = writer.encode(content);
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -31,6 +31,12 @@
   setFollowers(count: number): void;
   /** Counts bytes that this VM passed to the connections of its followers. */
   countFeedBytes(bytes: number): void;
+  /** Sets the number of connections of followers and of those who have not proved who they are. */
+  setMeshConnections(count: number): void;
+  /** Sets the bytes that the connections of the mesh hold: incomplete messages and unsent ones. */
+  setMeshHeldBytes(direction: 'received' | 'unsent', bytes: number): void;
+  /** Counts a connection of the mesh that this VM closed, by the reason. */
+  countMeshClosing(reason: string): void;
   /** Sets the bytes of bodies and responses that are held for callers. */
   setBufferedBytes(bytes: number): void;
   render(): Promise<string>;
@@ -89,7 +95,10 @@
 
 const createFeedMetrics = (
   metrics: MetricsRegistry,
-): Pick<GatewayMetrics, 'setFollowers' | 'countFeedBytes'> => {
+): Pick<
+  GatewayMetrics,
+  'setFollowers' | 'countFeedBytes' | 'setMeshConnections' | 'setMeshHeldBytes' | 'countMeshClosing'
+> => {
   const followers = metrics.createGauge({
     name: 'goldcrest_gateway_followers',
     help: 'VMs that follow this one as their relay.',
@@ -98,7 +107,24 @@
     name: 'goldcrest_gateway_feed_bytes_total',
     help: 'Bytes that this VM passed to the connections of its followers.',
   });
+  const connections = metrics.createGauge({
+    name: 'goldcrest_gateway_mesh_connections',
+    help: 'Connections at the port of the mesh: followers, and others before their first message.',
+  });
+  const heldBytes = metrics.createGauge({
+    name: 'goldcrest_gateway_mesh_held_bytes',
+    help: 'Bytes held for connections of the mesh: messages in part, and those not yet sent.',
+    labelNames: ['direction'],
+  });
+  const closings = metrics.createCounter({
+    name: 'goldcrest_gateway_mesh_closings_total',
+    help: 'Connections at the port of the mesh that this VM closed, by the reason.',
+    labelNames: ['reason'],
+  });
   return {
+    setMeshConnections: (count) => connections.set(count),
+    setMeshHeldBytes: (direction, bytes) => heldBytes.set({ direction }, bytes),
+    countMeshClosing: (reason) => closings.inc({ reason }),
     setFollowers: (count) => followers.set(count),
     countFeedBytes: (bytes) => feedBytes.inc(bytes),
   };
