fix(gateway): keep next to nothing for strangers at the port of the mesh

What callers saw: no answers, or 503, while others than VMs sent to the port of the mesh.

Cause: a message of 16 MB was collected before anything was known of its sender; each chunk copied all that was there before, which also kept the process from anything else; and nothing bounded the number of connections, their time, or what messages in part took together.

Afterwards messages of followers have at most 1 MB, begin and end within 5 s, and share one budget, a fifth of what is buffered for callers. A VM has one connection: a second one takes the place of the first. Values of messages don't keep the chunk that they came in. A relay's messages stay at 16 MB, and must end within 15 s. After a pause of the process nothing is closed for its time, because what was sent may still wait to be read.

--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -2,7 +2,7 @@
 import { expect, onTestFinished, test, vi } from 'vitest';
 import { EntryRoster, ZoneRelays, toId } from '@goldcrestscale/core';
 import type { VmId } from '@goldcrestscale/core';
-import { createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
+import { ByteBudget, createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
 import { FeedClient } from '../mesh/feedClient.js';
 import { encodeFeedContent } from '../mesh/feedMessage.js';
 import type { FeedMessage, RelayedBatch, RelayedBlocks } from '../mesh/feedMessage.js';
@@ -33,7 +33,9 @@
   { kind: 'batch', batch },
 ];
 
-const createReader = () => new FeedReader(() => ({ key: 'key', nonce: 'nonce' }));
+const limits = { maxMessageBytes: 1_000_000, budget: new ByteBudget(1_000_000) };
+
+const createReader = () => new FeedReader(() => ({ key: 'key', nonce: 'nonce' }), limits);
 
 const encodeAll = (): Buffer => {
   const writer = new FeedWriter({ key: 'key', nonce: 'nonce' });
@@ -113,6 +115,7 @@
     logger,
     faults: createTestFaults().faults,
     metrics: createGatewayMetrics(createMetricsRegistry()),
+    memoryBytes: 1_000_000,
     linkMbps: 1_000,
     listPositions: () => [
       { topic: 'upstreams', era: 1, position: 6, provedAgeMs: getProvedAgeMs() },
--- /dev/null
+++ b/packages/gateway/src/__tests__/meshStrangers.spec.ts
@@ -0,0 +1,157 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { expect, onTestFinished, test, vi } from 'vitest';
+import { EntryRoster, sleep } from '@goldcrestscale/core';
+import { ByteBudget, createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
+import { encodeFeedContent } from '../mesh/feedMessage.js';
+import type { FeedMessage } from '../mesh/feedMessage.js';
+import { FeedReader } from '../mesh/feedReader.js';
+import { FeedServer } from '../mesh/feedServer.js';
+import { FeedWriter } from '../mesh/feedWriter.js';
+import { createGatewayMetrics } from '../metrics.js';
+import { findPort, makeEntry } from './feedFixtures.js';
+import { createTestFaults } from './testFaults.js';
+
+const NONCE = 'nonce';
+
+const MEMORY_BYTES = 1_000_000;
+
+/** Starts a relay that knows 40 VMs, and counts the connections that it keeps. */
+const startServer = async () => {
+  const port = await findPort();
+  const roster = new EntryRoster();
+  for (let index = 0; index < 40; index += 1)
+    roster.recordHeartbeat(makeEntry(`vm-${index}`, 1, 1));
+  const abortController = new AbortController();
+  onTestFinished(() => abortController.abort());
+  const metrics = createGatewayMetrics(createMetricsRegistry());
+  const server = new FeedServer({
+    address: `127.0.0.1:${port}`,
+    key: 'key of relay',
+    roster,
+    logger: createLogger({ part: 'test', level: 'error', format: 'json' }),
+    faults: createTestFaults().faults,
+    metrics,
+    memoryBytes: MEMORY_BYTES,
+    linkMbps: 1_000,
+    listPositions: () => [],
+    listStores: () => [],
+    findBlocks: () => undefined,
+    onStreamRecord: () => undefined,
+    isAlive: () => true,
+  });
+  await server.start(abortController.signal);
+  const open = (bytes?: Uint8Array): Socket => {
+    const socket = connect(port, '127.0.0.1');
+    onTestFinished(() => {
+      socket.destroy();
+    });
+    socket.on('error', () => undefined);
+    if (bytes) socket.write(bytes);
+    return socket;
+  };
+  /** Connects as a VM that the relay knows. */
+  const follow = (name: string) => {
+    const writer = new FeedWriter({ key: `key of ${name}`, nonce: NONCE });
+    const encode = (message: unknown): Buffer =>
+      writer.encode(encodeFeedContent(message as FeedMessage));
+    const socket = open(encode({ kind: 'hello', vmId: name, nonce: NONCE }));
+    return { socket, encode };
+  };
+  return { server, open, follow, metrics };
+};
+
+const isClosed = async (socket: Socket, timeoutMs: number): Promise<boolean> => {
+  const closed = new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  if (!socket.destroyed) await Promise.race([closed, sleep(timeoutMs)]);
+  return socket.destroyed;
+};
+
+const countOpen = (sockets: readonly Socket[]): number =>
+  sockets.filter(({ destroyed }) => !destroyed).length;
+
+// Guards against 16 MB of memory for each stranger that declares a message of that size.
+test('a stranger that declares a large message is refused at once', async () => {
+  const { open } = await startServer();
+  const socket = open(Buffer.from([0x00, 0xff, 0xff, 0xff]));
+  expect(await isClosed(socket, 500)).toBe(true);
+});
+
+// Guards against connections that say nothing and are kept for ever.
+test('a stranger that says nothing is closed', async () => {
+  const { open } = await startServer();
+  const sockets = [open(), open(Buffer.from([0, 0, 0, 40, 1]))];
+  const closed = await Promise.all(sockets.map((socket) => isClosed(socket, 3_000)));
+  expect(closed).toEqual([true, true]);
+});
+
+// Guards against descriptors that run out by connections to the mesh.
+test('600 strangers keep fewer connections, and a follower gets in', async () => {
+  const { server, open, follow } = await startServer();
+  const sockets = Array.from({ length: 600 }, () => open());
+  await Promise.all(sockets.map((socket) => once(socket, 'connect')));
+  follow('vm-1');
+  await vi.waitFor(() => expect(server.countFollowers()).toBe(1));
+  await vi.waitFor(() => expect(countOpen(sockets)).toBeLessThanOrEqual(256), { timeout: 900 });
+});
+
+// Guards against a follower that stops within a message and is kept for ever.
+test('a follower that stops within a message is closed', async () => {
+  const { server, follow } = await startServer();
+  const { socket, encode } = follow('vm-1');
+  await vi.waitFor(() => expect(server.countFollowers()).toBe(1));
+  socket.write(encode({ kind: 'ask', question: 1 }).subarray(0, 20));
+  expect(await isClosed(socket, 7_000)).toBe(true);
+});
+
+// Guards against one VM that holds any number of connections, each with a part of a message.
+test('a VM has one connection, and a second one takes its place', async () => {
+  const { server, follow } = await startServer();
+  const { socket } = follow('vm-1');
+  await vi.waitFor(() => expect(server.countFollowers()).toBe(1));
+  follow('vm-1');
+  expect(await isClosed(socket, 500)).toBe(true);
+  expect(server.countFollowers()).toBe(1);
+});
+
+// Guards against messages in part that each have a limit, and together none.
+test('messages in part of all followers share one memory', async () => {
+  const { server, follow, metrics } = await startServer();
+  const followers = Array.from({ length: 30 }, (_value, index) => follow(`vm-${index}`));
+  await vi.waitFor(() => expect(server.countFollowers()).toBe(30));
+  const record = { key: 'key', value: Buffer.alloc(900_000) };
+  followers.forEach(({ socket, encode }) =>
+    socket.write(encode({ kind: 'streams', record }).subarray(0, 600_000)),
+  );
+  await vi.waitFor(() => expect(server.countFollowers()).toBeLessThan(2));
+  await vi.waitFor(async () =>
+    expect(await metrics.render()).toMatch(
+      /mesh_closings_total\{reason="invalid data"\} (29|30)\n/,
+    ),
+  );
+});
+
+// Guards against copies of the whole part for each chunk, which keep the process from anything else.
+test('a message in small parts takes a time in proportion to its size', () => {
+  const value = Buffer.alloc(900_000, 1);
+  const writer = new FeedWriter({ key: 'key', nonce: NONCE });
+  const first = writer.encode(encodeFeedContent({ kind: 'ask', question: 1 }));
+  const frame = writer.encode(
+    encodeFeedContent({ kind: 'streams', record: { key: 'key', value } }),
+  );
+  const budget = new ByteBudget(MEMORY_BYTES);
+  const reader = new FeedReader(() => ({ key: 'key', nonce: NONCE }), {
+    maxMessageBytes: MEMORY_BYTES,
+    budget,
+  });
+  reader.push(first);
+  const startedAtMs = performance.now();
+  for (let offset = 0; offset < frame.length; offset += 8) {
+    reader.push(frame.subarray(offset, offset + 8));
+  }
+  expect(performance.now() - startedAtMs).toBeLessThan(2_000);
+  expect(budget.heldBytes).toBe(0);
+});
--- a/packages/gateway/src/__tests__/relayLink.spec.ts
+++ b/packages/gateway/src/__tests__/relayLink.spec.ts
@@ -58,6 +58,7 @@
         sentBytes += bytes;
       },
     },
+    memoryBytes: 1_000_000,
     linkMbps: LINK_MBPS,
     listPositions: () => [{ topic: 'upstreams', era: 1, position: 6, provedAgeMs: 20 }],
     listStores: () => STORES,
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -26,6 +26,9 @@
 /** Length of the key that authenticates this VM's messages. */
 const MESH_KEY_BYTES = 24;
 
+/** Memory for the connections of the mesh, relative to what is buffered for callers. */
+const MESH_MEMORY_FRACTION = 0.2;
+
 /** Callbacks for what the readers read. */
 interface ReaderCallbacks {
   readonly onChange: () => void;
@@ -135,6 +138,7 @@
   const feedServer = new FeedServer({
     ...commonOptions,
     metrics,
+    memoryBytes: settings.bufferBytes * MESH_MEMORY_FRACTION,
     linkMbps: settings.linkMbps,
     listPositions: () =>
       Object.values(topicReaders).flatMap((reader) => reader.getOwnPosition() ?? []),
--- a/packages/gateway/src/mesh/feedClient.ts
+++ b/packages/gateway/src/mesh/feedClient.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { advanceClockReading, computeMaxElapsedMs, readClocks, sleep } from '@goldcrestscale/core';
 import type { EntryHeartbeat, ClockReading, VmId, ZoneRelays } from '@goldcrestscale/core';
+import { ByteBudget } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
 import {
   FEED_TIMEOUT_MS,
@@ -18,6 +19,12 @@
 import { FeedReader } from './feedReader.js';
 import { FeedWriter } from './feedWriter.js';
 
+/** Maximum size of a message of a relay. The largest messages list all blocks of a large store. */
+const MAX_RELAY_MESSAGE_BYTES = 16 * 1024 * 1024;
+
+/** Time within which a message of a relay that has begun must have come, in milliseconds. */
+const MAX_RELAY_MESSAGE_MS = 15_000;
+
 /** Dependencies and callbacks of the client. */
 export interface FeedClientOptions {
   readonly self: VmId;
@@ -38,8 +45,7 @@
 interface RelayConnection {
   readonly socket: Socket;
   readonly writer: FeedWriter;
-  /** Time of the last data from the relay. */
-  receivedAtMs: number;
+  readonly reader: FeedReader;
   /** Newest moment of which the relay proved that it had read a topic of the log up to then. */
   provedAt: ClockReading;
   /** Whether that moment is so old that the relay may be cut off from the log. */
@@ -69,7 +75,8 @@
   forwardHeartbeat(record: KeyedRecord): boolean {
     const { connection } = this;
     if (!connection || connection.isStale) return false;
-    if (performance.now() - connection.receivedAtMs > 2 * POSITION_POLL_INTERVAL_MS) return false;
+    if (performance.now() - connection.reader.receivedAtMs > 2 * POSITION_POLL_INTERVAL_MS)
+      return false;
     sendMessage(connection, { kind: 'heartbeat', record });
     return true;
   }
@@ -113,14 +120,20 @@
     const nonce = randomUUID();
     const { host, port } = splitAddress(relay.meshAddress);
     const socket = connect({ host, port, noDelay: true });
+    const reader = new FeedReader(
+      { key: relay.meshKey, nonce },
+      {
+        maxMessageBytes: MAX_RELAY_MESSAGE_BYTES,
+        budget: new ByteBudget(MAX_RELAY_MESSAGE_BYTES),
+      },
+    );
     const connection = {
       socket,
       writer: new FeedWriter({ key: this.options.key, nonce }),
-      receivedAtMs: performance.now(),
+      reader,
       provedAt: readClocks(),
       isStale: false,
     };
-    const reader = new FeedReader(() => ({ key: relay.meshKey, nonce }));
     return new Promise((resolve) => {
       let reason = 'closed';
       const finish = (closeReason: string): void => {
@@ -139,7 +152,6 @@
         this.requestPositions(connection);
       });
       socket.on('data', (chunk) => {
-        connection.receivedAtMs = performance.now();
         try {
           reader.push(chunk).forEach((message) => this.handleMessage(message));
         } catch (cause) {
@@ -163,7 +175,10 @@
   ): void {
     const { relays } = this.options;
     const isRelay = relays.listOwnFeed().some(({ vmId }) => vmId === relay.vmId);
-    if (performance.now() - connection.receivedAtMs > FEED_TIMEOUT_MS) finish('timed out');
+    const nowMs = performance.now();
+    const { receivedAtMs, partStartedAtMs = nowMs } = connection.reader;
+    if (nowMs - receivedAtMs > FEED_TIMEOUT_MS) finish('timed out');
+    else if (nowMs - partStartedAtMs > MAX_RELAY_MESSAGE_MS) finish('incomplete message');
     else if (!isRelay || relays.isFeedRelay) finish('no longer a relay');
     else if (this.isCutOff(connection)) finish('cut off from the log');
     else if (this.connection === connection) {
--- a/packages/gateway/src/mesh/feedMessage.ts
+++ b/packages/gateway/src/mesh/feedMessage.ts
@@ -68,7 +68,8 @@
   'several',
 ]);
 
-const packr = new Packr({ useRecords: false });
+// Decoded values must not keep what they came in.
+const packr = new Packr({ useRecords: false, copyBuffers: true });
 
 /** Encodes the content of a message, which is the same for all connections. */
 export const encodeFeedContent = (message: FeedMessage): Buffer => packr.pack(message);
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -12,6 +12,7 @@
 import type { GatewayMetrics } from '../metrics.js';
 import type { KeyedRecord } from '../ports/index.js';
 import { splitAddress } from '../socketAddress.js';
+import { FeedError } from './feedError.js';
 import type { FrameAuth } from './feedFrame.js';
 import { encodeFeedContent } from './feedMessage.js';
 import type { FeedMessage, RelayedBlocks, RelayedPosition } from './feedMessage.js';
@@ -30,6 +31,8 @@
   readonly logger: Logger;
   readonly faults: FaultRecorder;
   readonly metrics: Pick<GatewayMetrics, 'setFollowers' | 'countFeedBytes'> & MeshConnectionMetrics;
+  /** Memory for messages in part of all followers. */
+  readonly memoryBytes: number;
   /** Bandwidth of this VM's link, in Mbit/s. */
   readonly linkMbps: number;
   /** Lists the positions of the topics that this VM reads from the log itself. */
@@ -90,6 +93,7 @@
     this.connections = new MeshConnections({
       logger: options.logger,
       metrics: options.metrics,
+      memoryBytes: options.memoryBytes,
       findSenderAuth: (first) => this.findSenderAuth(first),
       onMessage: (socket, message) => this.handleMessage(socket, message),
       onClose: (socket) => {
@@ -193,6 +197,7 @@
     const follower = this.followers.get(socket);
     if (follower) follower.receivedAtMs = performance.now();
     if (message.kind === 'hello') {
+      if (follower) throw new FeedError('repeated first message');
       this.acceptFollower(socket, message);
     } else if (message.kind === 'ask' && follower) {
       // The records before a position must be sent before the position.
@@ -217,6 +222,9 @@
       this.connections.close(socket, 'link full', { vmId });
       return;
     }
+    this.followers.forEach((other) => {
+      if (other.vmId === vmId) this.connections.close(other.socket, 'second connection', { vmId });
+    });
     // The pending changes are part of the snapshots that the new follower gets.
     this.flush();
     this.followers.set(socket, {
--- a/packages/gateway/src/mesh/meshConnections.ts
+++ b/packages/gateway/src/mesh/meshConnections.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net';
+import { ByteBudget } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GatewayMetrics } from '../metrics.js';
 import { RequestLog } from '../requestLog.js';
@@ -7,7 +8,30 @@
 import { FeedReader } from './feedReader.js';
 
 /** Why this VM closed a connection at its port of the mesh. */
-export type MeshClosingReason = 'invalid data' | 'slow follower' | 'link full';
+export type MeshClosingReason =
+  | 'invalid data'
+  | 'no first message'
+  | 'too many strangers'
+  | 'incomplete message'
+  | 'silent follower'
+  | 'second connection'
+  | 'slow follower'
+  | 'link full';
+
+/** Maximum size of a message of a follower; the largest lists the streams that it has begun. */
+export const MAX_FOLLOWER_MESSAGE_BYTES = 1024 * 1024;
+
+/** Maximum number of connections without a first message; more than followers that connect at once. */
+export const MAX_STRANGERS = 256;
+
+/** Time within which the first message of a connection must have come, in milliseconds. */
+export const FIRST_MESSAGE_TIMEOUT_MS = 1_000;
+
+/** Time within which a message that has begun must have come, in milliseconds. */
+export const MESSAGE_TIMEOUT_MS = 5_000;
+
+/** Time without data from a follower after which its connection is closed; it asks more often. */
+export const FOLLOWER_IDLE_TIMEOUT_MS = 10_000;
 
 /** Interval at which the connections are looked at, in milliseconds. */
 const SWEEP_INTERVAL_MS = 500;
@@ -22,6 +46,8 @@
 export interface MeshConnectionsOptions {
   readonly logger: Logger;
   readonly metrics: MeshConnectionMetrics;
+  /** Memory for messages in part of all connections. */
+  readonly memoryBytes: number;
   /** Finds the key and nonce of a sender from its first message. */
   readonly findSenderAuth: (first: FeedMessage) => FrameAuth | undefined;
   /** Called with each authenticated message. */
@@ -29,25 +55,36 @@
   readonly onClose: (socket: Socket) => void;
 }
 
+interface MeshConnection {
+  readonly socket: Socket;
+  readonly reader: FeedReader;
+  readonly openedAtMs: number;
+}
+
 /** The connections at this VM's port of the mesh, of followers and of strangers. */
 export class MeshConnections {
-  private readonly readers = new Map<Socket, FeedReader>();
+  private readonly connections = new Map<Socket, MeshConnection>();
+
+  /** Connections without a first message, the oldest first. */
+  private readonly strangers = new Set<MeshConnection>();
+
+  private readonly budget: ByteBudget;
 
   private readonly log: RequestLog;
 
+  private sweptAtMs = performance.now();
+
   constructor(private readonly options: MeshConnectionsOptions) {
     this.log = new RequestLog(options.logger);
+    this.budget = new ByteBudget(options.memoryBytes);
   }
 
   accept(socket: Socket): void {
-    const { findSenderAuth, onMessage, onClose } = this.options;
     socket.setNoDelay(true);
-    const reader = new FeedReader(findSenderAuth);
-    this.readers.set(socket, reader);
-    this.recordCount();
+    const connection = this.add(socket);
     socket.on('data', (chunk) => {
       try {
-        reader.push(chunk).forEach((message) => onMessage(socket, message));
+        this.receive(connection, chunk);
       } catch (cause) {
         this.close(socket, 'invalid data', { error: String(cause) });
       }
@@ -56,9 +93,11 @@
       this.log.log('mesh connection failed', { error: String(error) });
     });
     socket.on('close', () => {
-      this.readers.delete(socket);
+      connection.reader.release();
+      this.connections.delete(socket);
+      this.strangers.delete(connection);
       this.recordCount();
-      onClose(socket);
+      this.options.onClose(socket);
     });
   }
 
@@ -68,6 +107,7 @@
     reason: MeshClosingReason,
     fields: Readonly<Record<string, unknown>> = {},
   ): void {
+    if (socket.destroyed) return;
     this.options.metrics.countMeshClosing(reason);
     const from = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`;
     this.log.log('closing mesh connection', { reason, from, ...fields });
@@ -76,23 +116,69 @@
 
   /** Looks at the connections at intervals until the signal aborts, which closes them. */
   start(signal: AbortSignal): void {
+    this.sweptAtMs = performance.now();
     const timer = setInterval(() => this.sweep(), SWEEP_INTERVAL_MS);
     signal.addEventListener('abort', () => {
       clearInterval(timer);
-      this.readers.forEach((_reader, socket) => socket.destroy());
+      this.connections.forEach((_connection, socket) => socket.destroy());
+    });
+  }
+
+  private add(socket: Socket): MeshConnection {
+    const reader = new FeedReader(this.options.findSenderAuth, {
+      maxMessageBytes: MAX_FOLLOWER_MESSAGE_BYTES,
+      budget: this.budget,
+    });
+    const connection = { socket, reader, openedAtMs: performance.now() };
+    this.connections.set(socket, connection);
+    this.strangers.add(connection);
+    this.recordCount();
+    if (this.strangers.size > MAX_STRANGERS) {
+      const [oldest] = this.strangers;
+      this.strangers.delete(oldest!);
+      this.close(oldest!.socket, 'too many strangers');
+    }
+    return connection;
+  }
+
+  private receive(connection: MeshConnection, chunk: Buffer): void {
+    const { socket, reader } = connection;
+    if (socket.destroyed) return;
+    reader.push(chunk).forEach((message) => {
+      this.strangers.delete(connection);
+      this.options.onMessage(socket, message);
     });
   }
 
   private sweep(): void {
+    const nowMs = performance.now();
+    const isAfterPause = nowMs - this.sweptAtMs > 2 * SWEEP_INTERVAL_MS;
+    this.sweptAtMs = nowMs;
     const { metrics } = this.options;
-    const [sockets, readers] = [[...this.readers.keys()], [...this.readers.values()]];
-    const unsent = sockets.reduce((sum, { writableLength }) => sum + writableLength, 0);
-    metrics.setMeshHeldBytes('unsent', unsent);
-    const received = readers.reduce((sum, { heldBytes }) => sum + heldBytes, 0);
-    metrics.setMeshHeldBytes('received', received);
+    metrics.setMeshHeldBytes('received', this.budget.heldBytes);
+    const lengths = [...this.connections.keys()].map(({ writableLength }) => writableLength);
+    metrics.setMeshHeldBytes(
+      'unsent',
+      lengths.reduce((total, length) => total + length, 0),
+    );
+    // After a pause, what was sent in time may still wait to be read.
+    if (isAfterPause) return;
+    this.connections.forEach((connection) => {
+      const reason = this.findExpiry(connection, nowMs);
+      if (reason) this.close(connection.socket, reason);
+    });
+  }
+
+  private findExpiry(connection: MeshConnection, nowMs: number): MeshClosingReason | undefined {
+    const { openedAtMs, reader } = connection;
+    if (this.strangers.has(connection)) {
+      return nowMs - openedAtMs > FIRST_MESSAGE_TIMEOUT_MS ? 'no first message' : undefined;
+    }
+    if (nowMs - (reader.partStartedAtMs ?? nowMs) > MESSAGE_TIMEOUT_MS) return 'incomplete message';
+    return nowMs - reader.receivedAtMs > FOLLOWER_IDLE_TIMEOUT_MS ? 'silent follower' : undefined;
   }
 
   private recordCount(): void {
-    this.options.metrics.setMeshConnections(this.readers.size);
+    this.options.metrics.setMeshConnections(this.connections.size);
   }
 }
