fix(gateway): bound the prompt parts of an aggregate, so that a datagram carries it

In a zone with many busy VMs the relay's aggregate did not fit into a datagram, and was lost as a whole: the other zones knew neither its loads nor its parts. Between two sends, or while nothing is sent any more, the parts of other VMs were kept without bound.

Cause: a VM announces at most 60 parts a message, and nothing bounded their sum over the VMs of a zone and over zones.

Change: an aggregate carries the newest 1,000 parts, and no more than those wait to be forwarded. A part that is left out only means that another VM may prefill it once more.

zoneAggregator.spec.ts failed before: an aggregate of 86 VMs with 60 parts each took 120,190 bytes of 65,507, and 6,000 parts waited.

--- a/packages/gateway/src/__tests__/zoneAggregator.spec.ts
+++ b/packages/gateway/src/__tests__/zoneAggregator.spec.ts
@@ -1,8 +1,10 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { toId } from '@goldcrestscale/core';
-import type { UpstreamId, VmId } from '@goldcrestscale/core';
+import type { AvailabilityZoneId, UpstreamId, VmId } from '@goldcrestscale/core';
 import type { GossipMessage } from '../mesh/gossipMessage.js';
-import { ZoneAggregator, subtractLoads } from '../mesh/zoneAggregator.js';
+import { encodeGossip } from '../mesh/gossipMessage.js';
+import { RemoteAggregates } from '../mesh/remoteAggregates.js';
+import { ZoneAggregator, mergeAggregates, subtractLoads } from '../mesh/zoneAggregator.js';
 
 const toUpstream = (name: string) => toId<UpstreamId>(name);
 
@@ -70,3 +72,32 @@
   aggregator.discardSent();
   expect(aggregator.build(makeReport('relay', {}), 9).sentParts).toHaveLength(1);
 });
+
+const MAX_DATAGRAM_BYTES = 65_507;
+
+const makeBusyReport = (name: string): GossipMessage => ({
+  ...makeReport(name, { a: 2 }),
+  sentParts: Array.from({ length: 60 }, (_value, index) => ({
+    hash: 4_000_000_000 + index,
+    upstreamId: toUpstream(`upstream-${name}-${index % 8}`),
+  })),
+});
+
+// Guards against aggregates that no datagram carries, so that a busy zone reports no loads at all.
+test('an aggregate of many busy VMs fits into a datagram', () => {
+  const aggregator = new ZoneAggregator(1_500);
+  for (let index = 0; index < 86; index += 1) aggregator.add(makeBusyReport(`vm-${index}`));
+  const message = aggregator.build(makeBusyReport('relay'), 9);
+  expect(encodeGossip(message, 'key').length).toBeLessThan(MAX_DATAGRAM_BYTES);
+  const merged = mergeAggregates(message, [message, message], 10);
+  expect(encodeGossip(merged, 'key').length).toBeLessThan(MAX_DATAGRAM_BYTES);
+  expect(message.loads[0]).toMatchObject({ inFlight: 174 });
+});
+
+// Guards against memory for the parts of a zone whose aggregates are not forwarded any more.
+test('the parts of a zone that wait to be forwarded are bounded', () => {
+  const aggregates = new RemoteAggregates(1_500);
+  for (let index = 0; index < 100; index += 1)
+    aggregates.add(toId<AvailabilityZoneId>('z'), makeBusyReport('relay'));
+  expect(aggregates.takeAll()[0]!.sentParts).toHaveLength(1_000);
+});
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -123,6 +123,9 @@
 /** Number of peers up to which the gossip interval applies; it grows in proportion with more peers. */
 export const GOSSIP_BASE_PEER_COUNT = 10;
 
+/** Maximum number of sent prompt parts in an aggregate, so that it fits into a datagram. */
+export const MAX_FORWARDED_PARTS = 1_000;
+
 /** Age at which a peer's load figures expire. */
 export const PEER_LOAD_TTL_MS = 1_500;
 
--- a/packages/gateway/src/mesh/remoteAggregates.ts
+++ b/packages/gateway/src/mesh/remoteAggregates.ts
@@ -1,4 +1,5 @@
 import type { AvailabilityZoneId, SentPart } from '@goldcrestscale/core';
+import { MAX_FORWARDED_PARTS } from '../constants.js';
 import type { GossipMessage } from './gossipMessage.js';
 
 interface ReceivedAggregate {
@@ -16,7 +17,8 @@
   constructor(private readonly maxAgeMs: number) {}
 
   add(zone: AvailabilityZoneId, aggregate: GossipMessage): void {
-    const sentParts = [...(this.aggregates.get(zone)?.sentParts ?? []), ...aggregate.sentParts];
+    const pendingParts = this.aggregates.get(zone)?.sentParts ?? [];
+    const sentParts = [...pendingParts, ...aggregate.sentParts].slice(-MAX_FORWARDED_PARTS);
     this.aggregates.set(zone, { aggregate, receivedAtMs: performance.now(), sentParts });
   }
 
--- a/packages/gateway/src/mesh/zoneAggregator.ts
+++ b/packages/gateway/src/mesh/zoneAggregator.ts
@@ -1,4 +1,5 @@
 import type { PeerLoad, SentPart, UpstreamBoot, UpstreamId, VmId } from '@goldcrestscale/core';
+import { MAX_FORWARDED_PARTS } from '../constants.js';
 import type { GossipMessage, LearnedWeights } from './gossipMessage.js';
 
 interface ReceivedReport {
@@ -75,7 +76,7 @@
     ...own,
     ...combineMessages(all),
     sequence,
-    sentParts: all.flatMap(({ sentParts }) => sentParts),
+    sentParts: all.flatMap(({ sentParts }) => sentParts).slice(-MAX_FORWARDED_PARTS),
   };
 };
 
@@ -90,7 +91,7 @@
 
   add(report: GossipMessage): void {
     this.reports.set(report.vmId, { report, receivedAtMs: performance.now() });
-    this.sentParts.push(...report.sentParts);
+    this.sentParts = [...this.sentParts, ...report.sentParts].slice(-MAX_FORWARDED_PARTS);
   }
 
   /** Discards the collected sent parts, because another relay forwards them. */
@@ -108,7 +109,7 @@
   build(own: GossipMessage, sequence: number): GossipMessage {
     this.expire();
     const reports = [own, ...[...this.reports.values()].map(({ report }) => report)];
-    const sentParts = [...own.sentParts, ...this.sentParts];
+    const sentParts = [...own.sentParts, ...this.sentParts].slice(-MAX_FORWARDED_PARTS);
     this.sentParts = [];
     return {
       vmId: own.vmId,
