fix(core): bound what is kept of upstreams that other VMs name

What callers saw: nothing that was measured; found when the maps were looked through that grow by what comes over the mesh.

Cause: the upstreams that a prompt part was sent to, and those that announce a rate, are taken from messages of other VMs, also if the registry knows no such upstream, and their number had no bound. The number of parts had one, but each may have any number of upstreams.

Change: 100,000 pairs of a part and an upstream are kept, and the part that was used longest ago makes room; announcements are kept of 8,192 upstreams, and one that is not known yet waits until another is forgotten, so that no limit in force is lost.

--- a/packages/core/src/promptRouting/constants.ts
+++ b/packages/core/src/promptRouting/constants.ts
@@ -33,6 +33,9 @@
 /** Maximum number of prompt parts whose upstreams are tracked. */
 export const MAX_TRACKED_PARTS = 20_000;
 
+/** Maximum number of tracked pairs of a prompt part and an upstream that it was sent to. */
+export const MAX_TRACKED_SENDS = 100_000;
+
 /**
  * Time after the announcement of newer weights during which older ones have no extra cost, in
  * milliseconds.
--- a/packages/core/src/promptRouting/sentParts.ts
+++ b/packages/core/src/promptRouting/sentParts.ts
@@ -1,6 +1,11 @@
 import type { UpstreamId } from '../ids.js';
 import { hashString } from '../membership/rendezvous.js';
-import { SENT_PART_TTL_MS, MAX_TRACKED_PARTS, MAX_ANNOUNCED_PARTS } from './constants.js';
+import {
+  MAX_ANNOUNCED_PARTS,
+  MAX_TRACKED_PARTS,
+  MAX_TRACKED_SENDS,
+  SENT_PART_TTL_MS,
+} from './constants.js';
 
 /** A prompt part and the upstream that a VM has sent it to. */
 export interface SentPart {
@@ -16,6 +21,9 @@
 export class SentParts {
   private readonly sentAtMsByPart = new Map<number, Map<UpstreamId, number>>();
 
+  /** Number of pairs of a part and an upstream. */
+  private trackedSends = 0;
+
   private unannounced: SentPart[] = [];
 
   /** @param key cache key of the part, including the salt that isolates its cached blocks */
@@ -28,11 +36,13 @@
   /** Records a part announced by another VM. */
   recordPart({ hash, upstreamId }: SentPart): void {
     const sentAtMsByUpstream = this.sentAtMsByPart.get(hash) ?? new Map<UpstreamId, number>();
+    if (!sentAtMsByUpstream.has(upstreamId)) this.trackedSends += 1;
     // Reinsertion keeps the map in LRU order.
     this.sentAtMsByPart.delete(hash);
     this.sentAtMsByPart.set(hash, sentAtMsByUpstream.set(upstreamId, performance.now()));
-    if (this.sentAtMsByPart.size > MAX_TRACKED_PARTS)
-      this.sentAtMsByPart.delete(this.sentAtMsByPart.keys().next().value!);
+    if (this.sentAtMsByPart.size > MAX_TRACKED_PARTS || this.trackedSends > MAX_TRACKED_SENDS) {
+      this.evictOldest();
+    }
   }
 
   has(key: string, upstreamId: UpstreamId): boolean {
@@ -46,4 +56,12 @@
     this.unannounced = [];
     return unannounced;
   }
+
+  private evictOldest(): void {
+    const [oldest] = this.sentAtMsByPart;
+    if (!oldest) return;
+    const [hash, sentAtMsByUpstream] = oldest;
+    this.sentAtMsByPart.delete(hash);
+    this.trackedSends -= sentAtMsByUpstream.size;
+  }
 }
--- a/packages/core/src/rateLimit/__tests__/announcedRates.spec.ts
+++ b/packages/core/src/rateLimit/__tests__/announcedRates.spec.ts
@@ -128,3 +128,17 @@
     ),
   );
 });
+
+// Guards against memory for any number of upstreams that other VMs announce rates of.
+test('announcements are kept of a bounded number of upstreams', () => {
+  const rates = new AnnouncedRates();
+  rates.record(boot, 2.2);
+  const rows = Array.from({ length: 20_000 }, (_value, index) => ({
+    ...makeRow(1, 0),
+    upstreamId: toId<UpstreamId>(`unknown-${index}`),
+  }));
+  rates.merge(rows);
+  expect(rates.list()).toHaveLength(8_192);
+  rates.record(boot, 1.1);
+  expect(rates.find(boot)?.requestsPerSecond).toBe(1.1);
+});
--- a/packages/core/src/rateLimit/announcedRates.ts
+++ b/packages/core/src/rateLimit/announcedRates.ts
@@ -2,7 +2,7 @@
 import type { UpstreamId } from '../ids.js';
 import { BootAnnouncements } from './bootAnnouncements.js';
 import type { AnnouncedRate, RateChange, RateRow } from './bootAnnouncements.js';
-import { MAX_RATE_ROWS_PER_MESSAGE } from './constants.js';
+import { MAX_RATE_ROWS_PER_MESSAGE, MAX_TRACKED_UPSTREAMS } from './constants.js';
 
 /**
  * Request rates that upstreams announce in their responses, as known from the responses of this VM
@@ -27,6 +27,8 @@
     if (known && known.startedAtMs > boot.startedAtMs) return;
     // Most upstreams never announce a limit; nothing is kept for them.
     if (requestsPerSecond === undefined && !isKnownBoot) return;
+    // What other VMs announce may be of any number of upstreams.
+    if (!known && this.boots.size >= MAX_TRACKED_UPSTREAMS) return;
     const announcements = isKnownBoot ? known : new BootAnnouncements(boot.startedAtMs);
     this.boots.set(boot.upstreamId, announcements);
     announcements.add({
--- a/packages/core/src/rateLimit/constants.ts
+++ b/packages/core/src/rateLimit/constants.ts
@@ -16,6 +16,9 @@
 /** Maximum number of upstreams in a message to other VMs. */
 export const MAX_RATE_ROWS_PER_MESSAGE = 64;
 
+/** Maximum number of upstreams whose announcements are kept. */
+export const MAX_TRACKED_UPSTREAMS = 8_192;
+
 /** Interval at which unchanged rows are sent again, for VMs that missed them or have just started. */
 export const RATE_ROW_REPEAT_MS = 1_000;
 
