feat(platform): log and count the calls of a VM that fail, and what they hold

A call to the log, an engine or a block store that failed left a line only when it was the first one of an outage, or none: of a response that was given up for its size, neither its kind, nor its size, nor the server was told, and no metric knew how much such responses hold.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,3 +7,5 @@
 export { createGatewayMetrics } from './metrics.js';
 export type { GatewayMetrics } from './metrics.js';
 export * from './ports/index.js';
+export { RequestLog } from './requestLog.js';
+export type { RequestLogOptions } from './requestLog.js';
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,7 +1,9 @@
 import type { MetricsRegistry } from '@goldcrestscale/runtime';
+import { createCallMetrics } from './callMetrics.js';
+import type { CallMetrics } from './callMetrics.js';
 
 /** Counters and latency histograms of the gateway. */
-export interface GatewayMetrics {
+export interface GatewayMetrics extends CallMetrics {
   /** Counts a response to a caller by route and outcome. */
   countResponse(route: string | undefined, outcome: string): void;
   /** Counts an attempt at an upstream by its outcome. */
@@ -179,6 +181,7 @@
     observeResponse: (elapsedMs) => responseLatency.observe(elapsedMs),
     observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
     countConnection: () => connections.inc(),
+    ...createCallMetrics(metrics),
     ...createFaultMetrics(metrics),
     ...createFeedMetrics(metrics),
     ...createMemoryMetrics(metrics),
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -14,6 +14,14 @@
   leftOut: number;
 }
 
+/** Limits of each kind of line. */
+export interface RequestLogOptions {
+  /** @default MAX_LINES_PER_SECOND */
+  readonly linesPerSecond?: number;
+  /** @default MAX_BURST_LINES */
+  readonly burstLines?: number;
+}
+
 /**
  * Rate-limited log about requests. Each kind of line has its own limit, so that late responses never
  * suppress failures. The next line of a kind reports how many were suppressed.
@@ -21,7 +29,17 @@
 export class RequestLog {
   private readonly buckets = new Map<string, TokenBucket>();
 
-  constructor(private readonly logger: Logger) {}
+  private readonly linesPerSecond: number;
+
+  private readonly burstLines: number;
+
+  constructor(
+    private readonly logger: Logger,
+    { linesPerSecond = MAX_LINES_PER_SECOND, burstLines = MAX_BURST_LINES }: RequestLogOptions = {},
+  ) {
+    this.linesPerSecond = linesPerSecond;
+    this.burstLines = burstLines;
+  }
 
   /** @param message log message, which is also the kind of line */
   log(message: string, fields: Readonly<Record<string, unknown>>): void {
@@ -39,13 +57,13 @@
   private updateBucket(message: string): TokenBucket {
     const nowMs = performance.now();
     const bucket = this.buckets.get(message) ?? {
-      tokens: MAX_BURST_LINES,
+      tokens: this.burstLines,
       refilledAtMs: nowMs,
       leftOut: 0,
     };
     this.buckets.set(message, bucket);
-    const refilledTokens = ((nowMs - bucket.refilledAtMs) / SECOND_MS) * MAX_LINES_PER_SECOND;
-    bucket.tokens = Math.min(MAX_BURST_LINES, bucket.tokens + refilledTokens);
+    const refilledTokens = ((nowMs - bucket.refilledAtMs) / SECOND_MS) * this.linesPerSecond;
+    bucket.tokens = Math.min(this.burstLines, bucket.tokens + refilledTokens);
     bucket.refilledAtMs = nowMs;
     return bucket;
   }
