--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
 import type { PermitRequest, QuarantineChange, RateChange, VmId } from '@goldcrestscale/core';
-import { ByteBudget, PauseMonitor, listen } from '@goldcrestscale/runtime';
+import { ByteBudget, EventLoopBarrier, PauseMonitor, listen } from '@goldcrestscale/runtime';
 import type { EventCounts, Logger } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
@@ -168,9 +168,11 @@
 
 /** Waits until no request is open and callers had time to switch to other VMs, or until the time limit. */
 const drain = async (callers: CallerServer, shutdown: Shutdown): Promise<void> => {
-  while (!shutdown.isOver && !(shutdown.isRefusing && callers.countOpenRequests() === 0)) {
-    await sleep(DRAIN_POLL_MS);
-  }
+  const inputBarrier = new EventLoopBarrier();
+  const isDone = (): boolean =>
+    shutdown.isOver || (shutdown.isRefusing && callers.countOpenRequests() === 0);
+  // After a pause, timers run before the requests that came in it are read.
+  while (!(isDone() && (await inputBarrier.run(isDone)))) await sleep(DRAIN_POLL_MS);
 };
 
 /** Runs the gateway until the signal aborts and the shutdown has drained. */
