--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,6 +59,9 @@
   });
 };
 
+/** Longest time for which connections and requests are still read once a shutdown is over. */
+const MAX_LAST_READ_MS = 200;
+
 /** Polling interval while a shutdown drains. */
 const DRAIN_POLL_MS = 50;
 
@@ -169,10 +172,24 @@
 /** Waits until no request is open and callers had time to switch to other VMs, or until the time limit. */
 const drain = async (callers: CallerServer, shutdown: Shutdown): Promise<void> => {
   const inputBarrier = new EventLoopBarrier();
+  let arrivalCount = 0;
+  const recordArrival = (): void => {
+    arrivalCount += 1;
+  };
+  callers.server.on('connection', recordArrival).on('request', recordArrival);
   const isDone = (): boolean =>
     shutdown.isOver || (shutdown.isRefusing && callers.countOpenRequests() === 0);
-  // After a pause, timers run before the requests that came in it are read.
-  while (!(isDone() && (await inputBarrier.run(isDone)))) await sleep(DRAIN_POLL_MS);
+  let readUntilMs: number | undefined;
+  // After a pause, timers run before the connections and requests that came in it are read.
+  const hasReadAll = async (): Promise<boolean> => {
+    const countBefore = arrivalCount;
+    await inputBarrier.run(() => undefined);
+    if (shutdown.isOver) readUntilMs ??= performance.now() + MAX_LAST_READ_MS;
+    return arrivalCount === countBefore || performance.now() > (readUntilMs ?? Infinity);
+  };
+  while (!(isDone() && (await hasReadAll()) && isDone())) {
+    if (!isDone()) await sleep(DRAIN_POLL_MS);
+  }
 };
 
 /** Runs the gateway until the signal aborts and the shutdown has drained. */
