fix(gateway): check messages of the mesh before they are applied

What callers saw: nothing that was measured; found when the messages of a peer were looked through.

Cause: only the kind of the outermost message was checked. A list within a list was applied to any depth, and a field of another type reached the log readers and block stores, where it threw after a part had been applied, or was kept.

Change: the fields of each message and of those in a list are checked before any of them is applied, a list holds no list, and what can't be decoded is a FeedError as well, which ends that connection with one line. Kinds of a later version in a list are ignored as before.

--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -4,6 +4,7 @@
 import type { VmId } from '@goldcrestscale/core';
 import { ByteBudget, createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
 import { FeedClient } from '../mesh/feedClient.js';
+import { FeedError } from '../mesh/feedError.js';
 import { encodeFeedContent } from '../mesh/feedMessage.js';
 import type { FeedMessage, RelayedBatch, RelayedBlocks } from '../mesh/feedMessage.js';
 import { FeedReader } from '../mesh/feedReader.js';
@@ -192,3 +193,36 @@
   await vi.waitFor(() => expect(server.listFollowerHeartbeats()).toHaveLength(1));
   expect(server.listFollowerHeartbeats()[0]!.key).toBe('vm-3');
 });
+
+const nest = (depth: number): unknown =>
+  depth === 0 ? { kind: 'ask', question: 1 } : { kind: 'several', messages: [nest(depth - 1)] };
+
+// Guards against a message of a peer that ends the work of more than its own connection.
+test.each([
+  ['a list within a list', nest(2)],
+  ['lists 300 deep', nest(300)],
+  ['a list without messages', { kind: 'several' }],
+  ['a list of numbers', { kind: 'several', messages: [1] }],
+  ['a batch without records', { kind: 'batch', batch: { ...batch, records: undefined } }],
+  ['a batch of numbers', { kind: 'batch', batch: { ...batch, records: [1] } }],
+  ['an offset that is no number', { kind: 'batch', batch: { ...batch, next: 'x' } }],
+  ['a record of text', { kind: 'heartbeat', record: { key: 'a', value: 'text' } }],
+  ['no record', { kind: 'several', messages: [{ kind: 'streams' }] }],
+  ['changes that are no list', { kind: 'blocks', blocks: { address: 'a', isWhole: true } }],
+  ['positions that are no list', { kind: 'positions', question: 1, positions: 'x' }],
+  ['a hello of numbers', { kind: 'hello', vmId: 1, nonce: 2 }],
+])('rejects %s', (_name, message) => {
+  const writer = new FeedWriter({ key: 'key', nonce: 'nonce' });
+  const bytes = writer.encode(encodeFeedContent(message as FeedMessage));
+  const reader = new FeedReader({ key: 'key', nonce: 'nonce' }, limits);
+  expect(() => reader.push(bytes)).toThrow(FeedError);
+});
+
+// Guards against followers that leave a relay of a later version.
+test('a list may hold kinds of a later version', () => {
+  const writer = new FeedWriter({ key: 'key', nonce: 'nonce' });
+  const messagesOfLater = [{ kind: 'later', fields: [1] }, messages[1]];
+  const list = { kind: 'several', messages: messagesOfLater } as unknown as FeedMessage;
+  const reader = new FeedReader({ key: 'key', nonce: 'nonce' }, limits);
+  expect(reader.push(writer.encode(encodeFeedContent(list)))).toHaveLength(1);
+});
--- a/packages/gateway/src/mesh/feedMessage.ts
+++ b/packages/gateway/src/mesh/feedMessage.ts
@@ -1,6 +1,7 @@
 import { Packr } from 'msgpackr';
 import type { StoredBlockChange, VmId } from '@goldcrestscale/core';
 import type { KeyedRecord, LogEra, LogTopic } from '../ports/index.js';
+import { assertFeedMessage } from './assertFeedMessage.js';
 import { FeedError } from './feedError.js';
 
 /** Records of a topic that a relay has read. Sent over the network. */
@@ -57,27 +58,20 @@
   /** Several messages in one frame. */
   | { readonly kind: 'several'; readonly messages: readonly FeedMessage[] };
 
-const KINDS: ReadonlySet<string> = new Set<FeedMessage['kind']>([
-  'hello',
-  'ask',
-  'heartbeat',
-  'streams',
-  'batch',
-  'positions',
-  'blocks',
-  'several',
-]);
-
 // Decoded values must not keep what they came in.
 const packr = new Packr({ useRecords: false, copyBuffers: true });
 
 /** Encodes the content of a message, which is the same for all connections. */
 export const encodeFeedContent = (message: FeedMessage): Buffer => packr.pack(message);
 
-/** @throws FeedError if the message kind is unknown */
+/** @throws FeedError if the message is invalid or its kind unknown */
 export const decodeFeedContent = (content: Buffer): FeedMessage => {
-  const message: unknown = packr.unpack(content);
-  const kind = (message as { readonly kind?: unknown } | null)?.kind;
-  if (typeof kind !== 'string' || !KINDS.has(kind)) throw new FeedError('unknown message kind');
-  return message as FeedMessage;
+  let message: unknown;
+  try {
+    message = packr.unpack(content);
+  } catch (cause) {
+    throw new FeedError('message can not be decoded', { cause });
+  }
+  assertFeedMessage(message);
+  return message;
 };
