fix(runtime): let 4,096 connections wait to be accepted

Callers that came by the thousand got ECONNRESET after their request had been written, 1.2 or 2.4 s later: the users saw 63 and 346 of 1,800 and 1,365 and 1,411 of 3,500.

Cause: listen() left the queue of connections at the runtime's default of 511, and the kernel drops what comes beyond it. What a caller sees of a full queue depends on the kernel (here a second SYN after 1 s, then 3 s).

All servers that listen through the runtime's listen() now ask for 4,096; the kernel may allow fewer (net.core.somaxconn, 4,096 by default).

--- a/packages/runtime/src/listen.ts
+++ b/packages/runtime/src/listen.ts
@@ -29,6 +29,12 @@
 
 const MAX_RETRY_MS = 500;
 
+/**
+ * Connections that wait in the kernel until the process accepts them. The default of the runtime, 511,
+ * is full at once when many callers come together, or while the process stands still.
+ */
+const MAX_WAITING_CONNECTIONS = 4_096;
+
 /** Errors of an address that another socket has, or that the machine does not have yet. */
 const PASSING_ERRORS: ReadonlySet<string | undefined> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL']);
 
@@ -84,7 +90,7 @@
     };
     server.once('error', handleError);
     server.once('listening', handleListening);
-    server.listen(port, host);
+    server.listen(port, host, MAX_WAITING_CONNECTIONS);
   });
 
 /** Starts a server, as `bindAddress` does. Later errors of the server are passed on, not thrown. */
