fix(gateway): forget a head with its refusal

A caller whose head was dropped for want of memory, and which read nothing, stayed in the sum of heads until its connection was closed: each check, 20 a second, counted it, logged it and ended it again, and spared the heads that still took memory.

Cause: only the close of the connection removed the head, and the close waited until the refusal had been flushed.

The head is forgotten when it is dropped, and its connection destroyed at once. The refusal is in the kernel's buffer by then, where there is room; a caller that is still sending may be reset, as before.

--- a/packages/gateway/src/http/headMemory.ts
+++ b/packages/gateway/src/http/headMemory.ts
@@ -83,7 +83,10 @@
       if (excessBytes <= 0 || headBytes === 0) return;
       excessBytes -= headBytes;
       onDrop(headBytes);
-      socket.end(REFUSAL, () => socket.destroy());
+      this.startBytes.delete(socket);
+      // The refusal is handed to the kernel at once; a caller that reads nothing would hold the head otherwise.
+      socket.end(REFUSAL);
+      socket.destroy();
     }
   }
 }
