fix(gateway): estimate the memory of heads by their fields

FAULT: 3,500 callers that each sent 990 small fields of a head and no end ended a process of 200 MB by SIGABRT (trial, 178 MB just before); 5 of 5 sound requests got ECONNRESET, then ECONNREFUSED.

Cause: the memory of incomplete heads was counted in bytes of the wire, 7 kB each and 25 MB together, under the limit of 40 MB. The parser keeps two strings for each field, so that 7 bytes take about 60 in the heap.

The memory of a head is now estimated from above, ten times its bytes and at most 100 kB beside them, because the runtime keeps no more than 1,000 fields.

--- a/packages/gateway/src/http/headMemory.ts
+++ b/packages/gateway/src/http/headMemory.ts
@@ -5,6 +5,16 @@
 /** Interval at which the heads are summed up while there are many connections. */
 const CHECK_INTERVAL_MS = 50;
 
+/** Memory that a byte of a head takes if the head is nothing but fields of a few bytes. */
+const MEMORY_PER_HEAD_BYTE = 10;
+
+/** Memory of all fields of a head beside their text; the runtime keeps no more than 1,000 fields. */
+const MAX_FIELDS_MEMORY_BYTES = 100_000;
+
+/** Estimates the memory of a head from above: the parser keeps two strings for each field. */
+const estimateHeadMemory = (headBytes: number): number =>
+  Math.min(headBytes * MEMORY_PER_HEAD_BYTE, headBytes + MAX_FIELDS_MEMORY_BYTES);
+
 const REFUSAL = [
   'HTTP/1.1 503 Service Unavailable',
   'connection: close',
@@ -24,7 +34,7 @@
 }
 
 /**
- * Bounds the bytes of heads that are not complete, over all connections of a server. The parser of
+ * Bounds the memory of heads that are not complete, over all connections of a server. The parser of
  * the runtime keeps them in the heap and bounds each head by itself only.
  */
 export class HeadMemory {
@@ -57,7 +67,12 @@
   private begin(socket: Socket): void {
     this.startBytes.set(socket, socket.bytesRead);
     const { budget, maxHeadBytes } = this.options;
-    if (this.timer || this.startBytes.size * maxHeadBytes <= budget.limitBytes) return;
+    if (
+      this.timer ||
+      this.startBytes.size * estimateHeadMemory(maxHeadBytes) <= budget.limitBytes
+    ) {
+      return;
+    }
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
     this.timer.unref();
   }
@@ -65,23 +80,23 @@
   /** Closes the connections with the longest heads until the others fit. */
   private check(): void {
     const { budget, maxHeadBytes, onDrop } = this.options;
-    if (this.startBytes.size * maxHeadBytes <= budget.limitBytes) {
+    if (this.startBytes.size * estimateHeadMemory(maxHeadBytes) <= budget.limitBytes) {
       clearInterval(this.timer);
       this.timer = undefined;
       return;
     }
-    const heads = [...this.startBytes].map(([socket, startBytes]) => ({
-      socket,
-      headBytes: socket.bytesRead - startBytes,
-    }));
+    const heads = [...this.startBytes].map(([socket, startBytes]) => {
+      const headBytes = socket.bytesRead - startBytes;
+      return { socket, headBytes, memoryBytes: estimateHeadMemory(headBytes) };
+    });
     let excessBytes =
-      heads.reduce((sum, { headBytes }) => sum + headBytes, 0) -
+      heads.reduce((sum, { memoryBytes }) => sum + memoryBytes, 0) -
       Math.max(0, budget.limitBytes - budget.heldBytes);
     if (excessBytes <= 0) return;
     heads.sort((left, right) => right.headBytes - left.headBytes);
-    for (const { socket, headBytes } of heads) {
+    for (const { socket, headBytes, memoryBytes } of heads) {
       if (excessBytes <= 0 || headBytes === 0) return;
-      excessBytes -= headBytes;
+      excessBytes -= memoryBytes;
       onDrop(headBytes);
       this.startBytes.delete(socket);
       // The refusal is handed to the kernel at once; a caller that reads nothing would hold the head otherwise.
