feat(gateway): count connections by listener

Callers were reset, and readiness got no answer, while 600 connections that sent nothing held the descriptors of a VM (trial with 400 descriptors). No line and no metric told how many connections were open, or at which listener.

The gauge goldcrest_gateway_open_connections tells it by listener; the counter goldcrest_gateway_closed_connections_total counts what this VM closed by itself: heads for which there was no memory and responses that nobody read. No logic is changed.

--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -145,7 +145,7 @@
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts: { requestsRead: 0, callersLeft: 0 },
     budget,
-    ...createCallerReports(requestLog),
+    ...createCallerReports(requestLog, metrics),
     faults,
     filters: createGatewayFilters({
       errorResponse: { requestLog, metrics, protocol },
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -14,6 +14,7 @@
 import type { GatewayOptions } from '../gatewayOptions.js';
 import { createCallerServer } from '../http/callerServer.js';
 import type { CallerCounts, CallerServer, CallerServerOptions } from '../http/callerServer.js';
+import type { GatewayMetrics } from '../metrics.js';
 import type { Controllers } from './createControllers.js';
 import type { FleetState } from './createFleetState.js';
 
@@ -70,12 +71,19 @@
     requestLog,
   });
 
-/** Logs what the server for callers does to connections on its own. */
+/** Logs and counts what the server for callers does to connections on its own. */
 export const createCallerReports = (
   requestLog: RequestLog,
+  metrics: Pick<GatewayMetrics, 'countClosedConnection'>,
 ): Pick<CallerServerOptions, 'onUnreadResponse' | 'onHeadDropped'> => ({
-  onUnreadResponse: (unreadBytes) => requestLog.log('response not read', { unreadBytes }),
-  onHeadDropped: (headBytes) => requestLog.log('no memory for a head', { headBytes }),
+  onUnreadResponse(unreadBytes) {
+    metrics.countClosedConnection('callers', 'unread-response');
+    requestLog.log('response not read', { unreadBytes });
+  },
+  onHeadDropped(headBytes) {
+    metrics.countClosedConnection('callers', 'head-memory');
+    requestLog.log('no memory for a head', { headBytes });
+  },
 });
 
 /** Creates the request path: the server for callers, the filter chain and the upstream chooser. */
@@ -136,6 +144,6 @@
     counts,
     budget,
     faults,
-    ...createCallerReports(requestLog),
+    ...createCallerReports(requestLog, metrics),
   });
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
 import type { PermitRequest, QuarantineChange, RateChange, VmId } from '@goldcrestscale/core';
-import { ByteBudget, PauseMonitor, listen } from '@goldcrestscale/runtime';
+import { ByteBudget, ListenerConnections, PauseMonitor, listen } from '@goldcrestscale/runtime';
 import type { EventCounts, Logger } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
@@ -70,18 +70,30 @@
   readonly metrics: Server;
 }
 
+type ServerConnections = Readonly<Record<keyof GatewayServers, ListenerConnections>>;
+
+const createServerConnections = (): ServerConnections => ({
+  callers: new ListenerConnections(),
+  directory: new ListenerConnections(),
+  readiness: new ListenerConnections(),
+  metrics: new ListenerConnections(),
+});
+
 /** Starts the servers; the signal that stops the gateway ends the wait for their addresses. */
 const startServers = async (
   servers: GatewayServers,
+  connections: ServerConnections,
   { settings, logger, signal }: GatewayOptions,
   faults: FaultRecorder,
 ): Promise<void> => {
-  const startServer = (name: keyof GatewayServers, address: string): Promise<void> =>
-    listen(servers[name], splitAddress(address), {
+  const startServer = (name: keyof GatewayServers, address: string): Promise<void> => {
+    connections[name].watch(servers[name]);
+    return listen(servers[name], splitAddress(address), {
       logger,
       signal,
       onError: (error) => faults.record('listener', error, { listener: name }),
     });
+  };
   const { callers, directory, readiness, metrics } = settings.listen;
   await Promise.all([
     startServer('callers', callers),
@@ -107,10 +119,12 @@
     operated,
     faults,
     budget,
+    serverConnections,
   }: {
     readonly operated: OperatedState;
     readonly faults: FaultRecorder;
     readonly budget: ByteBudget;
+    readonly serverConnections: ServerConnections;
   },
 ): { readonly directory: Server; readonly readiness: Server; readonly metrics: Server } => {
   const commonOptions = {
@@ -119,6 +133,9 @@
     ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
     renderMetrics: () => {
       counters.setBufferedBytes(budget.heldBytes);
+      Object.entries(serverConnections).forEach(([name, { openCount }]) =>
+        counters.setOpenConnections(name as keyof GatewayServers, openCount),
+      );
       return counters.render();
     },
     operated: undefined,
@@ -210,11 +227,13 @@
     counts,
   });
   options.onServing?.(() => callers.countOpenRequests());
+  const serverConnections = createServerConnections();
   const servers = createAuxiliaryServers(options, controllers, shutdown, {
     operated: fleetState,
+    serverConnections,
     ...processState,
   });
-  await startServers({ callers: callers.server, ...servers }, options, faults);
+  await startServers({ callers: callers.server, ...servers }, serverConnections, options, faults);
   pauseMonitor.start(workController.signal);
   await startControllers(controllers, faults, workController.signal, signal);
   if (signal.aborted) logger.info('stopped before the start was complete');
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,7 +1,9 @@
 import type { MetricsRegistry } from '@goldcrestscale/runtime';
+import { createConnectionMetrics } from './connectionMetrics.js';
+import type { ConnectionMetrics } from './connectionMetrics.js';
 
 /** Counters and latency histograms of the gateway. */
-export interface GatewayMetrics {
+export interface GatewayMetrics extends ConnectionMetrics {
   /** Counts a response to a caller by route and outcome. */
   countResponse(route: string | undefined, outcome: string): void;
   /** Counts an attempt at an upstream by its outcome. */
@@ -179,6 +181,7 @@
     observeResponse: (elapsedMs) => responseLatency.observe(elapsedMs),
     observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
     countConnection: () => connections.inc(),
+    ...createConnectionMetrics(metrics),
     ...createFaultMetrics(metrics),
     ...createFeedMetrics(metrics),
     ...createMemoryMetrics(metrics),
--- /dev/null
+++ b/packages/runtime/src/connections/index.ts
@@ -0,0 +1,1 @@
+export { ListenerConnections } from './listenerConnections.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 /** Shared by all binaries: settings, command line, logging, metrics, servers and JSON parsing. */
 export * from './cli/index.js';
+export * from './connections/index.js';
 export * from './eventLoop/index.js';
 export * from './http/index.js';
 export * from './json/index.js';
