--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,9 +1,11 @@
 import type { MetricsRegistry } from '@goldcrestscale/runtime';
 import { createCallMetrics } from './callMetrics.js';
 import type { CallMetrics } from './callMetrics.js';
+import { createConnectionMetrics } from './connectionMetrics.js';
+import type { ConnectionMetrics } from './connectionMetrics.js';
 
 /** Counters and latency histograms of the gateway. */
-export interface GatewayMetrics extends CallMetrics {
+export interface GatewayMetrics extends CallMetrics, ConnectionMetrics {
   /** Counts a response to a caller by route and outcome. */
   countResponse(route: string | undefined, outcome: string): void;
   /** Counts an attempt at an upstream by its outcome. */
@@ -208,6 +210,7 @@
     observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
     countConnection: () => connections.inc(),
     ...createCallMetrics(metrics),
+    ...createConnectionMetrics(metrics),
     ...createFaultMetrics(metrics),
     ...createFeedMetrics(metrics),
     ...createMemoryMetrics(metrics),
