--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -3,7 +3,13 @@
 import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createRefusal, isGoldcrestError, runChain, toId } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance, RequestId } from '@goldcrestscale/core';
-import { ByteReservation, readRequestBody, trackCaller } from '@goldcrestscale/runtime';
+import {
+  ByteReservation,
+  EventLoopBarrier,
+  closeIdleConnections,
+  readRequestBody,
+  trackCaller,
+} from '@goldcrestscale/runtime';
 import type { ByteBudget, RequestArrival } from '@goldcrestscale/runtime';
 import { MAX_REQUEST_BODY_BYTES, REQUEST_TIMEOUT_MS } from '../constants.js';
 import type { Exchange } from '../filters/exchange.js';
@@ -155,5 +161,6 @@
       .finally(() => reservation.release());
   });
   server.requestTimeout = REQUEST_TIMEOUT_MS;
+  closeIdleConnections(server, new EventLoopBarrier());
   return server;
 };
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { runChain } from '@goldcrestscale/core';
 import type { CallerLimits } from '@goldcrestscale/core';
-import { ByteReservation, trackCaller } from '@goldcrestscale/runtime';
+import { ByteReservation, EventLoopBarrier, closeIdleConnections, trackCaller } from '@goldcrestscale/runtime';
 import type { ByteBudget } from '@goldcrestscale/runtime';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import type { GatewayFilter } from '../filters/gatewayFilter.js';
@@ -123,6 +123,7 @@
   });
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + TIMEOUT_MARGIN_MS;
   server.requestTimeout = 0;
+  closeIdleConnections(server, new EventLoopBarrier());
   const { budget, onHeadDropped: onDrop } = options;
   new HeadMemory({ budget, maxHeadBytes: MAX_HEADER_BYTES, onDrop }).watch(server);
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
--- a/packages/runtime/src/http/index.ts
+++ b/packages/runtime/src/http/index.ts
@@ -1,5 +1,6 @@
 export { computeCallerDeadlineMs } from './callerDeadline.js';
 export type { RequestArrival } from './callerDeadline.js';
+export { closeIdleConnections } from './closeIdleConnections.js';
 export { trackCaller } from './callerConnection.js';
 export { BodyBuffer } from './bodyBuffer.js';
 export { ByteBudget, computeBufferBytes } from './byteBudget.js';
