fix(gateway): do not use a block store that lists more than it holds

A VM whose block store told of 60,000 new blocks with each read had 188 MB after 15 s, and rising, of the 200 MB of its machine: with them goes the process, and the requests of all callers.

The directory kept whatever a store listed. Nothing compared it with the room that the configuration gives the store, keys were as long as the store liked, blocks without tokens took no room at all, and a store that answered at once instead of waiting for events was asked again at once. A store that was enlarged kept its first size, so that a bound by it would have been wrong.

Beyond that the store is logged as unavailable with the reason, its blocks are dropped here and at followers, and it is read again from the beginning after 10 s. A relayed list has the same bound.

--- a/packages/core/src/blockStores/__tests__/blockStores.spec.ts
+++ b/packages/core/src/blockStores/__tests__/blockStores.spec.ts
@@ -218,3 +218,19 @@
   expect(nearCount).toBeGreaterThan(150);
   expect(nearCount).toBeLessThan(300);
 });
+
+// Guards against a store that is taken for faulty because its new size is not known.
+test('a store that was enlarged may list more', () => {
+  const directory = createDirectory([makeStore('a', 1_000)]);
+  directory.applyChange('a', { isPresent: true, salt: 's', partId: '1', tokens: 2_000 });
+  expect(directory.explainExcess('a')).toContain('room for 1000');
+  directory.updateStores([makeStore('a', 4_000)]);
+  expect(directory.explainExcess('a')).toBeUndefined();
+});
+
+// Guards against blocks that take no room and are listed without end.
+test('a block without tokens is not listed', () => {
+  const directory = createDirectory([makeStore('a')]);
+  directory.applyChange('a', { isPresent: true, salt: 's', partId: '1', tokens: 0 });
+  expect(directory.listBlocks('a')).toEqual([]);
+});
--- a/packages/core/src/blockStores/blockDirectory.ts
+++ b/packages/core/src/blockStores/blockDirectory.ts
@@ -14,6 +14,12 @@
 /** Fill ratio up to which a store is used; the rest absorbs concurrent saves from other VMs. */
 const MAX_FILL_RATIO = 0.95;
 
+/** Multiple of its capacity that a store's blocks may take; events that are lost leave some listed. */
+const MAX_LISTED_RATIO = 1.5;
+
+/** Maximum number of blocks of all stores together, of which each may list an equal share. */
+const MAX_LISTED_BLOCKS = 150_000;
+
 /** Weight of stores in the engine's own zone, where a transfer takes half as long. */
 const SAME_ZONE_WEIGHT = 4;
 
@@ -35,7 +41,7 @@
 };
 
 interface StoreState {
-  readonly settings: BlockStoreSettings;
+  settings: BlockStoreSettings;
   epoch: number | undefined;
   readonly blocks: Map<string, number>;
   usedTokens: number;
@@ -57,7 +63,9 @@
   updateStores(settings: readonly BlockStoreSettings[]): void {
     const listed = new Set(settings.map(({ address }) => address));
     settings.forEach((store) => {
-      if (!this.stores.has(store.address)) {
+      const known = this.stores.get(store.address);
+      if (known) known.settings = store;
+      else {
         this.stores.set(store.address, {
           settings: store,
           epoch: undefined,
@@ -114,11 +122,23 @@
     const key = buildBlockKey(change.salt, change.partId);
     store.usedTokens -= store.blocks.get(key) ?? 0;
     store.blocks.delete(key);
-    if (!change.isPresent) return;
+    if (!change.isPresent || change.tokens < 1) return;
     store.blocks.set(key, change.tokens);
     store.usedTokens += change.tokens;
   }
 
+  /** Tells why a store's blocks can't be those that it holds; undefined if they can. */
+  explainExcess(address: string): string | undefined {
+    const store = this.stores.get(address);
+    if (!store) return undefined;
+    const { blocks, usedTokens, settings } = store;
+    const maxBlocks = Math.floor(MAX_LISTED_BLOCKS / this.stores.size);
+    if (blocks.size > maxBlocks) return `it lists over ${maxBlocks} blocks`;
+    const { capacityTokens } = settings;
+    if (usedTokens <= capacityTokens * MAX_LISTED_RATIO) return undefined;
+    return `it lists blocks of ${usedTokens} tokens and has room for ${capacityTokens}`;
+  }
+
   /** Returns whether any store holds the part. */
   isStored(key: string): boolean {
     for (const { blocks } of this.stores.values()) if (blocks.has(key)) return true;
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -206,6 +206,12 @@
 /** Pause after events of a block store, so that the next read returns a larger batch. */
 export const BLOCK_EVENTS_BATCH_DELAY_MS = 300;
 
+/** Longest delay after failed reads of a block store that follow each other. */
+export const MAX_STORE_RETRY_DELAY_MS = 2_000;
+
+/** Time for which a block store that lists more than it holds is neither read nor used. */
+export const FAULTY_STORE_PAUSE_MS = 10_000;
+
 /** Long-poll timeout for the events of a block store. */
 export const BLOCK_EVENTS_LONG_POLL_MS = 900;
 
--- a/packages/gateway/src/controllers/__tests__/blockStoresController.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/blockStoresController.spec.ts
@@ -20,6 +20,8 @@
 
   epoch = 1;
 
+  tokens = 1;
+
   override async readBlockEvents({ since }: BlockEventsQuery): Promise<BlockEvents> {
     this.queries.push(since);
     await new Promise((resolve) => {
@@ -35,7 +37,7 @@
         isPresent: true,
         salt: 'salt',
         partId: String(since + index),
-        tokens: 1,
+        tokens: this.tokens,
       })),
     };
   }
@@ -77,7 +79,7 @@
     state.isRelay = true;
     await vi.advanceTimersByTimeAsync(1_500);
   };
-  return { controller, protocol, relayed, becomeRelay };
+  return { blocks, controller, protocol, relayed, becomeRelay };
 };
 
 const countChanges = (relayed: readonly RelayedBlocks[]): number =>
@@ -107,3 +109,50 @@
   expect(protocol.queries.slice(0, 2)).toEqual([END_OFFSET - 5, 0]);
   expect(countChanges(relayed)).toBe(END_OFFSET);
 });
+
+// Guards against a store whose list grows with each read until it fills the memory of the VM.
+test('a store that lists more tokens than it holds is not used, and read again after a pause', async () => {
+  const { blocks, protocol, relayed, becomeRelay } = startFollower();
+  protocol.tokens = 1e6;
+  await becomeRelay();
+  expect(blocks.listBlocks(ADDRESS)).toHaveLength(0);
+  expect(blocks.findEpoch(ADDRESS)).toBeUndefined();
+  expect(relayed.map(({ epoch }) => epoch)).toEqual([undefined]);
+  await vi.advanceTimersByTimeAsync(8_000);
+  expect(protocol.queries).toHaveLength(1);
+  protocol.tokens = 1;
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(protocol.queries[1]).toBe(0);
+  expect(blocks.listBlocks(ADDRESS)).toHaveLength(END_OFFSET);
+});
+
+/** More than a VM keeps of all stores together. */
+const MANY_BLOCKS = 160_000;
+
+// Guards against a relay that passes on such a list.
+test('a relayed list of more blocks than a VM keeps is not used', () => {
+  const { blocks, controller } = startFollower();
+  const changes = Array.from({ length: MANY_BLOCKS }, (_value, index) => ({
+    isPresent: true,
+    salt: 'salt',
+    partId: String(index),
+    tokens: 1,
+  }));
+  controller.applyRelayed({
+    address: ADDRESS,
+    epoch: 1,
+    isWhole: true,
+    clockMs: undefined,
+    changes,
+  });
+  expect(blocks.listBlocks(ADDRESS)).toHaveLength(0);
+});
+
+// Guards against a store that answers at once without events, which would be asked without a pause.
+test('a store that does not wait for events is asked at a bounded rate', async () => {
+  const { protocol, becomeRelay } = startFollower();
+  await becomeRelay();
+  const { length } = protocol.queries;
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(protocol.queries.length - length).toBeLessThanOrEqual(10);
+});
--- a/packages/gateway/src/controllers/blockStoresController.ts
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -4,11 +4,14 @@
 import {
   BLOCK_EVENTS_BATCH_DELAY_MS,
   BLOCK_EVENTS_LONG_POLL_MS,
+  FAULTY_STORE_PAUSE_MS,
   LOG_RETRY_DELAY_MS,
+  MAX_STORE_RETRY_DELAY_MS,
   STORE_READER_CHECK_INTERVAL_MS,
 } from '../constants.js';
 import type { RelayedBlocks } from '../mesh/feedMessage.js';
 import type { UpstreamProtocol } from '../ports/index.js';
+import { FaultyStoreError } from './faultyStoreError.js';
 
 const START_OFFSET = 0;
 
@@ -64,6 +67,11 @@
     if (next !== undefined) this.nextOffsets.set(address, next);
     blocks.updateEpoch(address, epoch);
     changes.forEach((change) => blocks.applyChange(address, change));
+    const excess = blocks.explainExcess(address);
+    if (excess === undefined) return;
+    this.options.logger.warn('block store unavailable', { address, error: excess });
+    blocks.clearStore(address);
+    this.nextOffsets.delete(address);
   }
 
   /** Lists the addresses of all stores; empty if this VM does not read the stores directly. */
@@ -87,27 +95,37 @@
   }
 
   private async followStore(address: string, signal: AbortSignal): Promise<void> {
-    let isUnavailable = false;
+    let failures = 0;
     while (!signal.aborted) {
       try {
+        const startedAtMs = performance.now();
         await this.readNext(address, signal);
-        if (isUnavailable) this.options.logger.info('block store available again', { address });
-        isUnavailable = false;
+        if (failures > 0) this.options.logger.info('block store available again', { address });
+        failures = 0;
+        // A store that answers without waiting for events would be asked without a pause.
+        const elapsedMs = performance.now() - startedAtMs;
+        if (elapsedMs < BLOCK_EVENTS_BATCH_DELAY_MS)
+          await sleep(BLOCK_EVENTS_BATCH_DELAY_MS - elapsedMs, signal);
       } catch (cause) {
         if (signal.aborted) return;
-        if (!isUnavailable) {
+        if (failures === 0) {
           this.options.logger.warn('block store unavailable', { address, error: String(cause) });
-          // Its contents are rebuilt from the events that it has retained.
-          this.options.blocks.clearStore(address);
-          this.publish({ address, epoch: undefined });
-          this.nextOffsets.delete(address);
+          this.clearStore(address);
         }
-        isUnavailable = true;
-        await sleep(LOG_RETRY_DELAY_MS, signal);
+        const delayMs = Math.min(LOG_RETRY_DELAY_MS * 2 ** failures, MAX_STORE_RETRY_DELAY_MS);
+        failures += 1;
+        await sleep(cause instanceof FaultyStoreError ? FAULTY_STORE_PAUSE_MS : delayMs, signal);
       }
     }
   }
 
+  /** The contents of a store are rebuilt from the events that it has retained. */
+  private clearStore(address: string): void {
+    this.options.blocks.clearStore(address);
+    this.publish({ address, epoch: undefined });
+    this.nextOffsets.delete(address);
+  }
+
   private publish({
     clockMs,
     changes = [],
@@ -151,6 +169,8 @@
       if (since !== START_OFFSET) return;
     }
     events.changes.forEach((change) => blocks.applyChange(address, change));
+    const excess = blocks.explainExcess(address);
+    if (excess !== undefined) throw new FaultyStoreError(excess);
     const { epoch, clockMs, changes, nextOffset: next } = events;
     this.nextOffsets.set(address, next);
     if (changes.length > 0) this.publish({ address, epoch, clockMs, changes, next });
