fix(core): bound the lists that others write into the log

Whoever writes into the log could make all VMs grow until each ends for want of memory: with them end the requests of all callers.

The registry, the roster, the versions in use, the wanted weights and the zones out of service kept an entry for each key that ever came, and decoders kept the last record of each key, of any size. Entry VMs were never dropped from the roster, and services without versions never from the versions in use. Each record was bounded by the size of a read only.

Each list has a limit now: 6,000 upstreams, 4,000 entry VMs, 1,000 versions, models and zones. Known entries go on when a list is full; further ones are ignored and counted in a line. A full roster first drops VMs that may not be sending any more. `upstream changed`, `upstream removed` and `ignoring invalid operator record` are logged at a bounded rate, with the number of lines left out: there was one for each record.

--- a/packages/core/src/deployment/__tests__/deployment.spec.ts
+++ b/packages/core/src/deployment/__tests__/deployment.spec.ts
@@ -9,6 +9,7 @@
   computeMaxWeightsAgeMs,
   pickDestination,
 } from '../index.js';
+import type { OperatorChange } from '../index.js';
 import { makeDeployment, makeRoute } from './fixtures.js';
 
 const toServiceName = (name: string) => toId<ServiceName>(name);
@@ -134,3 +135,23 @@
   state.apply({ kind: 'weights', model, wanted: toWeightNumber(3) });
   expect(computeMaxWeightsAgeMs(state.findWeights(model)!)).toBeGreaterThanOrEqual(9_500);
 });
+
+// Guards against records of models and zones without end, each of which is kept.
+test('a bounded number of models and zones is recorded, and known ones change', () => {
+  const state = new OperatorState();
+  const applyAll = (changes: readonly OperatorChange[]): number =>
+    changes.filter((change) => state.hasRoomFor(change) && state.apply(change)).length;
+  const names = Array.from({ length: 3_000 }, (_value, index) => `name-${index}`);
+  const buildWeights = (name: string, wanted: number): OperatorChange => ({
+    kind: 'weights',
+    model: toId<ModelId>(name),
+    wanted: toWeightNumber(wanted),
+  });
+  const buildZone = (name: string): OperatorChange => ({
+    kind: 'zone-out',
+    zone: toId<AvailabilityZoneId>(name),
+  });
+  expect(applyAll(names.map((name) => buildWeights(name, 1)))).toBe(1_000);
+  expect(applyAll(names.map(buildZone))).toBe(1_000);
+  expect(applyAll([buildWeights('name-0', 2)])).toBe(1);
+});
--- a/packages/core/src/deployment/operatorState.ts
+++ b/packages/core/src/deployment/operatorState.ts
@@ -14,6 +14,9 @@
 /** Superseding versions kept per model; older ones are past every time limit. */
 const MAX_WEIGHT_CHANGES = 8;
 
+/** Maximum number of models with wanted weights, and of zones out of service; further ones are not recorded. */
+const MAX_OPERATOR_KEYS = 1_000;
+
 /** Weight version that a model's engines should run. */
 export interface WantedWeights {
   readonly model: ModelId;
@@ -65,6 +68,15 @@
     this.confirmedAt = confirmedAt;
   }
 
+  /** Whether a change can be recorded. */
+  hasRoomFor(change: OperatorChange): boolean {
+    if (change.kind === 'weights')
+      return this.weights.has(change.model) || this.weights.size < MAX_OPERATOR_KEYS;
+    if (change.kind === 'zone-out')
+      return this.zonesOut.has(change.zone) || this.zonesOut.size < MAX_OPERATOR_KEYS;
+    return true;
+  }
+
   /** @returns whether the change had an effect */
   apply(change: OperatorChange): boolean {
     if (change.kind === 'deployment') return this.applyDeployment(change.deployment);
@@ -79,7 +91,7 @@
   replaceZonesOut(zones: readonly AvailabilityZoneId[]): boolean {
     const isSame = zones.length === this.zonesOut.size && zones.every((z) => this.zonesOut.has(z));
     this.zonesOut.clear();
-    zones.forEach((zone) => this.zonesOut.add(zone));
+    zones.slice(0, MAX_OPERATOR_KEYS).forEach((zone) => this.zonesOut.add(zone));
     return !isSame;
   }
 
--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -7,6 +7,15 @@
 /** Time for which an upstream counts as cold after a lost connection, in milliseconds. */
 export const SUSPECTED_COLD_MS = 2_500;
 
+/** Maximum number of upstreams in the registry; further ones are not used. */
+export const MAX_UPSTREAMS = 6_000;
+
+/** Maximum number of entry VMs in the roster; further ones are not listed. */
+export const MAX_ENTRIES = 4_000;
+
+/** Minimum interval at which a full roster drops the VMs that may not be sending any more. */
+export const ROSTER_PRUNE_INTERVAL_MS = 1_000;
+
 /** Maximum number of leaving upstreams that are remembered beyond their registry entries. */
 export const MAX_LEAVING_BOOTS = 4_000;
 
--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -4,6 +4,8 @@
   ENTRY_SENDER_TIMEOUT_MS,
   ENTRY_HEARTBEAT_TIMEOUT_MS,
   LOADING_REPORT_TTL_MS,
+  MAX_ENTRIES,
+  ROSTER_PRUNE_INTERVAL_MS,
   ROSTER_SETTLE_MS,
   SNAPSHOT_HEARTBEAT_AGE_MS,
 } from './constants.js';
@@ -48,6 +50,10 @@
 
   private readonly loadingReports = new Map<VmId, LoadingReport>();
 
+  private prunedAtMs = -Infinity;
+
+  private ignored = 0;
+
   private outageMs = 0;
 
   private logDownAtMs: number | undefined;
@@ -65,7 +71,7 @@
     const assumedAgeMs = isFirst ? SNAPSHOT_HEARTBEAT_AGE_MS : ENTRY_HEARTBEAT_TIMEOUT_MS;
     const lastSeenAtMs = this.readOutageAdjustedMs() - assumedAgeMs;
     heartbeats.forEach((heartbeat) => {
-      if (this.entries.has(heartbeat.vmId)) return;
+      if (this.entries.has(heartbeat.vmId) || !this.hasRoom()) return;
       this.entries.set(heartbeat.vmId, { heartbeat, lastSeenAtMs });
     });
   }
@@ -81,9 +87,17 @@
   }
 
   recordHeartbeat(heartbeat: EntryHeartbeat): void {
+    if (!this.entries.has(heartbeat.vmId) && !this.hasRoom()) return;
     this.entries.set(heartbeat.vmId, { heartbeat, lastSeenAtMs: this.readOutageAdjustedMs() });
   }
 
+  /** Gives the number of heartbeats that were ignored since the last call, because the roster is full. */
+  takeIgnored(): number {
+    const { ignored } = this;
+    this.ignored = 0;
+    return ignored;
+  }
+
   /** Records the engines that a VM has ordered to load weights. */
   recordLoading(vmId: VmId, upstreamIds: readonly string[]): void {
     if (upstreamIds.length > 0)
@@ -132,6 +146,21 @@
     return this.isSettled && senders.length > 0 ? senders : undefined;
   }
 
+  /** Makes room for a VM that is not known, at the cost of those that may not be sending any more. */
+  private hasRoom(): boolean {
+    if (this.entries.size < MAX_ENTRIES) return true;
+    if (performance.now() - this.prunedAtMs >= ROSTER_PRUNE_INTERVAL_MS) {
+      this.prunedAtMs = performance.now();
+      const oldestMs = this.readOutageAdjustedMs() - ENTRY_SENDER_TIMEOUT_MS;
+      this.entries.forEach(({ lastSeenAtMs }, vmId) => {
+        if (lastSeenAtMs < oldestMs) this.entries.delete(vmId);
+      });
+    }
+    const hasRoom = this.entries.size < MAX_ENTRIES;
+    if (!hasRoom) this.ignored += 1;
+    return hasRoom;
+  }
+
   private get isSettled(): boolean {
     const snapshotAtMs = this.firstSnapshotAtMs ?? Infinity;
     return performance.now() - snapshotAtMs >= ROSTER_SETTLE_MS;
--- a/packages/core/src/fleet/upstreamRegistry.ts
+++ b/packages/core/src/fleet/upstreamRegistry.ts
@@ -1,5 +1,5 @@
 import type { ServiceName, UpstreamId } from '../ids.js';
-import { LOG_OUTAGE_GRACE_MS, MAX_LEAVING_BOOTS } from './constants.js';
+import { LOG_OUTAGE_GRACE_MS, MAX_LEAVING_BOOTS, MAX_UPSTREAMS } from './constants.js';
 import type { PeerLoads } from './peerLoads.js';
 import type { RegisteredUpstream } from './registeredUpstream.js';
 import { TrackedUpstream } from './trackedUpstream.js';
@@ -26,6 +26,8 @@
   /** Boot times of upstreams that announced that they leave, which outlast their registry entries. */
   private readonly leavingBoots = new Map<UpstreamId, number>();
 
+  private ignored = 0;
+
   private outageEndedAtMs = -Infinity;
 
   /** @param peerLoads load reported by the other VMs */
@@ -44,6 +46,10 @@
     if (known && isStale(upstream, known.registered)) return false;
     this.pendingRemovals.delete(upstream.upstreamId);
     if (known) return known.update(upstream);
+    if (this.upstreams.size >= MAX_UPSTREAMS) {
+      this.ignored += 1;
+      return false;
+    }
     const created = new TrackedUpstream(upstream, this.peerLoads);
     if (this.leavingBoots.get(upstream.upstreamId) === upstream.startedAtMs) created.markLeaving();
     this.upstreams.set(upstream.upstreamId, created);
@@ -67,13 +73,21 @@
     return upstream?.registered.startedAtMs === startedAtMs && upstream.markLeaving();
   }
 
+  /** Gives the number of entries that were ignored since the last call, because the registry is full. */
+  takeIgnored(): number {
+    const { ignored } = this;
+    this.ignored = 0;
+    return ignored;
+  }
+
   /** Applies a complete list of registry entries; upstreams not in it count as absent. */
   replaceAll(upstreams: readonly RegisteredUpstream[]): void {
     const listed = new Set(upstreams.map(({ upstreamId }) => upstreamId));
-    upstreams.forEach((upstream) => this.apply({ kind: 'present', upstream }));
+    // Before the others, which may need their room.
     [...this.upstreams.keys()]
       .filter((upstreamId) => !listed.has(upstreamId))
       .forEach((upstreamId) => this.applyRemoval(upstreamId));
+    upstreams.forEach((upstream) => this.apply({ kind: 'present', upstream }));
   }
 
   /** Removes upstreams whose grace period has ended. */
--- a/packages/core/src/streams/__tests__/versionsInUse.spec.ts
+++ b/packages/core/src/streams/__tests__/versionsInUse.spec.ts
@@ -114,3 +114,18 @@
   record('fourth');
   expect([isKnown('first'), isKnown('second')]).toEqual([false, false]);
 });
+
+// Guards against reports that name a new version each time until they fill the memory of the VM.
+test('a bounded number of versions is known, and expired ones make room', () => {
+  const versions = createVersions();
+  const report = (name: string): void =>
+    versions.recordFirstReports([
+      { service: toId<ServiceName>(name), version: toId<SoftwareVersion>(name), ageMs: 0 },
+    ]);
+  for (let index = 0; index < 5_000; index += 1) report(`v-${index}`);
+  expect(versions.listOwn().length).toBeLessThanOrEqual(1_000);
+  vi.advanceTimersByTime(STREAM_LIFE_MS + 1);
+  expect(versions.listOwn()).toHaveLength(0);
+  report('new');
+  expect(versions.listOwn()).toHaveLength(1);
+});
--- a/packages/core/src/streams/versionsInUse.ts
+++ b/packages/core/src/streams/versionsInUse.ts
@@ -1,5 +1,5 @@
 import type { ServiceName, SoftwareVersion } from '../ids.js';
-import { STREAM_LIFE_MS, VERSION_AGE_STEP_MS } from './constants.js';
+import { MAX_VERSIONS, STREAM_LIFE_MS, VERSION_AGE_STEP_MS } from './constants.js';
 
 /** A software version of a service. */
 export interface RegisteredVersion {
@@ -14,8 +14,17 @@
 
 type SeenAt = Map<ServiceName, Map<SoftwareVersion, number>>;
 
+const countVersions = (seen: SeenAt): number => {
+  let count = 0;
+  seen.forEach(({ size }) => {
+    count += size;
+  });
+  return count;
+};
+
 const recordSeen = (seen: SeenAt, { service, version, ageMs }: VersionSighting): void => {
   const versions = seen.get(service) ?? new Map<SoftwareVersion, number>();
+  if (!versions.has(version) && countVersions(seen) >= MAX_VERSIONS) return;
   const seenAtMs = performance.now() - ageMs;
   versions.set(version, Math.max(seenAtMs, versions.get(version) ?? -Infinity));
   seen.set(service, versions);
@@ -31,11 +40,12 @@
 /** Drops versions whose streams can't be taken up any more. */
 const dropExpired = (seen: SeenAt): void => {
   const oldestMs = performance.now() - STREAM_LIFE_MS;
-  seen.forEach((versions) =>
+  seen.forEach((versions, service) => {
     versions.forEach((seenAtMs, version) => {
       if (seenAtMs <= oldestMs) versions.delete(version);
-    }),
-  );
+    });
+    if (versions.size === 0) seen.delete(service);
+  });
 };
 
 /**
--- a/packages/gateway/src/controllers/__tests__/heartbeatRecord.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/heartbeatRecord.spec.ts
@@ -5,11 +5,15 @@
   BootId,
   EntryHeartbeat,
   QuarantineRow,
+  RequestId,
+  ServiceName,
+  SoftwareVersion,
   UpstreamId,
   VmId,
 } from '@goldcrestscale/core';
 import type { KeyedRecord } from '../../ports/index.js';
 import { HeartbeatDecoder, encodeHeartbeat, readRefusedPatterns } from '../heartbeatRecord.js';
+import { decodeStreams, encodeStreams } from '../streamRecord.js';
 
 const makeRecord = (key: string): KeyedRecord => ({ key, value: Buffer.from('1') });
 
@@ -73,3 +77,21 @@
   expect(readRefusedPatterns(decoded)).toEqual([row]);
   expect(readRefusedPatterns(decoder.decode(encodeHeartbeat(heartbeat, []))!)).toEqual([]);
 });
+
+// Guards against heartbeats of any size, all of which are kept.
+test('a heartbeat that is too large is ignored', () => {
+  const value = Buffer.from(JSON.stringify({ ...heartbeat, note: 'x'.repeat(300_000) }));
+  expect(new HeartbeatDecoder().decode({ key: 'vm-1', value })).toBeUndefined();
+});
+
+// Guards against ids of any length, which are kept for each stream.
+test('a stream whose id is too long is left out of a record', () => {
+  const [sound, long] = ['id', 'x'.repeat(300)].map((requestId) => ({
+    requestId: toId<RequestId>(requestId),
+    service: toId<ServiceName>('service'),
+    version: toId<SoftwareVersion>('v1'),
+    account: undefined,
+  }));
+  const record = encodeStreams(toId<VmId>('vm-1'), [sound!, long!]);
+  expect(decodeStreams(record)).toEqual([sound]);
+});
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -80,6 +80,7 @@
           if (heartbeat.vmId !== options.settings.vmId)
             options.versions.recordReport(heartbeat.versions ?? []);
         });
+        this.logIgnored();
       },
       onRecovery: () => roster.recordLogRecovery(),
       onOutage: () => roster.recordLogOutage(),
@@ -120,12 +121,18 @@
     const heartbeats = this.decode(records);
     const sightings = heartbeats.flatMap((heartbeat) => heartbeat.versions ?? []);
     roster.recordSnapshot(heartbeats);
+    this.logIgnored();
     if (this.hasSnapshot) versions.recordReport(sightings);
     else versions.recordFirstReports(sightings);
     this.hasSnapshot = true;
     this.firstSnapshotController.abort();
   }
 
+  private logIgnored(): void {
+    const ignored = this.options.roster.takeIgnored();
+    if (ignored > 0) this.recordLog.log('roster is full; ignoring heartbeats', { ignored });
+  }
+
   /** The first heartbeat replaces the one from before the start, so that has to be read first. */
   private async waitForSnapshot(signal: AbortSignal): Promise<void> {
     const { signal: snapshotSignal } = this.firstSnapshotController;
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -3,6 +3,15 @@
 import { decodeQuarantineRow, encodeQuarantineRow } from '../mesh/quarantineRow.js';
 import type { KeyedRecord } from '../ports/index.js';
 
+/** Maximum size of a heartbeat, in bytes. */
+const MAX_HEARTBEAT_BYTES = 256 * 1024;
+
+/** Maximum size of a heartbeat that is compared with the next one of its VM, in bytes. */
+const MAX_KEPT_BYTES = 8 * 1024;
+
+/** Maximum number of heartbeats that are kept for that. */
+const MAX_KEPT_HEARTBEATS = 4_000;
+
 /** A heartbeat, and what a VM reports with it to those that it can't reach in the mesh. */
 interface HeartbeatContent extends EntryHeartbeat {
   /** Refused patterns; absent if there are none. */
@@ -57,7 +66,7 @@
 };
 
 const decodeHeartbeat = ({ value }: KeyedRecord): EntryHeartbeat | undefined => {
-  if (!value) return undefined;
+  if (!value || value.length > MAX_HEARTBEAT_BYTES) return undefined;
   try {
     const parsed: unknown = JSON.parse(value.toString('utf8'));
     return isHeartbeat(parsed) ? parsed : undefined;
@@ -82,8 +91,12 @@
     const last = this.lastByKey.get(key);
     if (value && last?.value.equals(value)) return last.heartbeat;
     const heartbeat = decodeHeartbeat(record);
-    if (value && heartbeat) this.lastByKey.set(key, { value, heartbeat });
-    else this.lastByKey.delete(key);
+    this.lastByKey.delete(key);
+    if (value && heartbeat && value.length <= MAX_KEPT_BYTES) {
+      this.lastByKey.set(key, { value, heartbeat });
+      if (this.lastByKey.size > MAX_KEPT_HEARTBEATS)
+        this.lastByKey.delete(this.lastByKey.keys().next().value!);
+    }
     return heartbeat;
   }
 }
--- a/packages/gateway/src/controllers/operatorsController.ts
+++ b/packages/gateway/src/controllers/operatorsController.ts
@@ -5,6 +5,7 @@
 import type { FaultRecorder } from '../faultRecorder.js';
 import type { RelayedBatch } from '../mesh/feedMessage.js';
 import type { KeyedRecord, RecordCodec, SharedLog } from '../ports/index.js';
+import { RequestLog } from '../requestLog.js';
 import { applyRecords } from './applyRecords.js';
 import { OPERATOR_FACT_TIMING } from './factTiming.js';
 import { TopicReader } from './topicReader.js';
@@ -33,7 +34,11 @@
 
   readonly reader: TopicReader;
 
+  /** Bounds the number of lines about records that are not applied. */
+  private readonly recordLog: RequestLog;
+
   constructor(private readonly options: OperatorsOptions) {
+    this.recordLog = new RequestLog(options.logger);
     this.state = new OperatorState(options.isFleetStart);
     this.fetchWindow = new FetchWindow(this.state);
     this.reader = new TopicReader({
@@ -76,7 +81,11 @@
     const { codec, logger } = this.options;
     const change = codec.decodeOperatorChange(record);
     if (!change) {
-      logger.warn('ignoring invalid operator record', { key: record.key });
+      this.recordLog.log('ignoring invalid operator record', { key: record.key });
+      return undefined;
+    }
+    if (!this.state.hasRoomFor(change)) {
+      this.recordLog.log('ignoring operator record beyond the limit', { key: record.key });
       return undefined;
     }
     if (!this.state.apply(change)) return change;
--- a/packages/gateway/src/controllers/streamRecord.ts
+++ b/packages/gateway/src/controllers/streamRecord.ts
@@ -13,6 +13,12 @@
 /** Requests by service, version and account. */
 type StreamRows = readonly (readonly [string, string, string, readonly string[]])[];
 
+/** Maximum length of an id or a name in a record. */
+const MAX_NAME_LENGTH = 256;
+
+const isName = (value: unknown): value is string =>
+  typeof value === 'string' && value.length <= MAX_NAME_LENGTH;
+
 const packr = new Packr({ useRecords: false });
 
 /** Encodes streams that a VM has begun as one record of the log. */
@@ -31,16 +37,14 @@
 const decodeRow = (row: unknown): readonly BegunStream[] => {
   if (!Array.isArray(row)) return [];
   const [service, version, account, requestIds] = row as unknown[];
-  if (typeof service !== 'string' || typeof version !== 'string') return [];
-  if (typeof account !== 'string' || !Array.isArray(requestIds)) return [];
-  return requestIds
-    .filter((requestId) => typeof requestId === 'string')
-    .map((requestId) => ({
-      requestId: toId<RequestId>(requestId),
-      service: toId<ServiceName>(service),
-      version: toId<SoftwareVersion>(version),
-      account: account === '' ? undefined : toId<ClientAccountId>(account),
-    }));
+  if (!isName(service) || !isName(version)) return [];
+  if (!isName(account) || !Array.isArray(requestIds)) return [];
+  return requestIds.filter(isName).map((requestId) => ({
+    requestId: toId<RequestId>(requestId),
+    service: toId<ServiceName>(service),
+    version: toId<SoftwareVersion>(version),
+    account: account === '' ? undefined : toId<ClientAccountId>(account),
+  }));
 };
 
 /** Decodes a record of begun streams. @throws if it isn't one */
--- a/packages/gateway/src/controllers/upstreamsController.ts
+++ b/packages/gateway/src/controllers/upstreamsController.ts
@@ -76,20 +76,21 @@
       change.kind === 'present' ? [change.upstream] : [],
     );
     this.options.registry.replaceAll(present);
+    this.logIgnored();
     this.recordVersions(changes);
     this.options.logger.info('upstream registry loaded', { upstreams: present.length });
   }
 
   private applyRecords(records: readonly KeyedRecord[]): void {
-    const { registry, logger, faults } = this.options;
+    const { registry, faults } = this.options;
     const changes = applyRecords('upstreams', records, faults, (record) => {
       const change = this.decode(record);
       if (!registry.apply(change)) return change;
-      if (change.kind === 'absent') logger.info('upstream removed', { ...change });
+      if (change.kind === 'absent') this.entryLog.log('upstream removed', { ...change });
       else {
         const { upstreamId, draining, coldRemainingMs, address, softwareVersion } = change.upstream;
         const version = softwareVersion;
-        logger.info('upstream changed', {
+        this.entryLog.log('upstream changed', {
           upstreamId,
           draining,
           coldRemainingMs,
@@ -100,9 +101,15 @@
       return change;
     });
     registry.expireRemovals();
+    this.logIgnored();
     this.recordVersions(changes);
   }
 
+  private logIgnored(): void {
+    const ignored = this.options.registry.takeIgnored();
+    if (ignored > 0) this.entryLog.log('registry is full; ignoring upstreams', { ignored });
+  }
+
   /** An upstream may have come and gone within the changes, and begun streams meanwhile. */
   private recordVersions(changes: readonly RegistryChange[]): void {
     const { registry, versions, onVersions } = this.options;
