fix(gateway): read a topic at a bounded rate, and take no proof from an early answer

A log that answered reads at once, with more records each time or with none instead of waiting for some, was read again at once: the configuration topic has no pause of its own and relies on the wait at the log. The VM was busy with it, and requests waited.

An empty answer also counted as proof that nothing had been appended for the whole long poll, even if it came at once: a moment that lies up to 1.6 s ahead counted as confirmed, so that a VM took its configuration for current when it did not know.

Reads of a topic now begin 100 ms apart or more. A wait counts if the answer took nine tenths of the long poll at least, and up to the answer only.

Evidence: a reader of a scripted log that answers at once begins 10 reads a second at most, and proves nothing beyond its answers.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -171,6 +171,9 @@
 /** Time after the log came back from a copy until what the copy lacks has been written again. */
 export const ERA_SETTLE_MS = 3_000;
 
+/** Minimum interval between the beginnings of two reads of a topic of the log. */
+export const MIN_READ_INTERVAL_MS = 100;
+
 /** Delay after a failed call to the log or a block store. */
 export const LOG_RETRY_DELAY_MS = 250;
 
--- a/packages/gateway/src/controllers/topicReader.ts
+++ b/packages/gateway/src/controllers/topicReader.ts
@@ -1,10 +1,10 @@
 import { advanceClockReading, computeMaxElapsedMs, readClocks, sleep } from '@goldcrestscale/core';
 import type { ClockReading } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import { ERA_SETTLE_MS, LOG_RETRY_DELAY_MS } from '../constants.js';
+import { ERA_SETTLE_MS, LOG_RETRY_DELAY_MS, MIN_READ_INTERVAL_MS } from '../constants.js';
 import type { RelayedBatch, RelayedPosition } from '../mesh/feedMessage.js';
 import { LogTrimmedError } from '../ports/index.js';
-import type { KeyedRecord, LogEra, LogTopic, SharedLog } from '../ports/index.js';
+import type { KeyedRecord, LogBatch, LogEra, LogTopic, SharedLog } from '../ports/index.js';
 import type { FactTiming } from './factTiming.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
 import { SharedRead } from './sharedRead.js';
@@ -43,6 +43,23 @@
   readonly onBatch?: ((batch: RelayedBatch) => void) | undefined;
 }
 
+/** Part of its long-poll timeout that an empty read takes at least if the log waited for records. */
+const MIN_WAITED_FRACTION = 0.9;
+
+/**
+ * Computes how long after the beginning of a read the log still had no records. An empty batch was
+ * returned after the full timeout, however late it arrived; one that came early tells nothing.
+ */
+const computeWaitedMs = (
+  { records }: LogBatch,
+  { monotonicMs }: ClockReading,
+  longPollMs: number,
+): number => {
+  const elapsedMs = performance.now() - monotonicMs;
+  const hasWaited = records.length === 0 && elapsedMs >= longPollMs * MIN_WAITED_FRACTION;
+  return hasWaited ? Math.min(longPollMs, elapsedMs) : 0;
+};
+
 /**
  * Follows one topic of the log: reads a snapshot of the newest record of each key, then the records
  * appended after it. It does not read the log while a relay keeps it up to date.
@@ -158,8 +175,11 @@
         if (this.isRelayed) {
           await sleep(Math.ceil(this.relayValidForMs), signal);
         } else {
+          const startedAtMs = performance.now();
           await this.readOnce(signal);
-          const pauseMs = this.options.getPauseMs();
+          // A log that always has more, or does not wait for it, would be read without a pause.
+          const restMs = startedAtMs + MIN_READ_INTERVAL_MS - performance.now();
+          const pauseMs = Math.max(this.options.getPauseMs(), restMs);
           if (pauseMs > 0) await sleep(pauseMs, signal);
         }
       } catch (cause) {
@@ -191,9 +211,9 @@
     if (batch.records.length > 0) {
       onBatch?.({ topic, era: batch.era, from, next: batch.nextOffset, records: batch.records });
     }
-    // An empty batch was returned after the full long-poll timeout, however late it arrived.
-    const waitedMs = batch.records.length === 0 ? longPollMs : 0;
-    this.recordCaughtUp(advanceClockReading(startedAt, waitedMs));
+    this.recordCaughtUp(
+      advanceClockReading(startedAt, computeWaitedMs(batch, startedAt, longPollMs)),
+    );
   }
 
   private async readToEnd(): Promise<void> {
