fix(gateway): bound what all followers of a relay have not read together

What callers saw: nothing that was measured on a site; found when the mesh was looked through. A relay with 30 followers that read nothing held 286 MB.

Cause: the limit of 8 MB for what a follower has not read holds for each one by itself, and each had a copy of what is sent to all. A follower that reads nothing and asks nothing kept its part for ever.

Change: a message is encoded once and its buffer shared by the connections; only its head and MAC are of one connection. A follower that has unread bytes and reads none for 5 s is closed.

--- a/packages/gateway/src/__tests__/meshStrangers.spec.ts
+++ b/packages/gateway/src/__tests__/meshStrangers.spec.ts
@@ -1,66 +1,16 @@
 import { once } from 'node:events';
-import { connect } from 'node:net';
 import type { Socket } from 'node:net';
-import { expect, onTestFinished, test, vi } from 'vitest';
-import { EntryRoster, sleep } from '@goldcrestscale/core';
-import { ByteBudget, createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
+import { expect, test, vi } from 'vitest';
+import { sleep } from '@goldcrestscale/core';
+import { ByteBudget } from '@goldcrestscale/runtime';
 import { encodeFeedContent } from '../mesh/feedMessage.js';
-import type { FeedMessage } from '../mesh/feedMessage.js';
 import { FeedReader } from '../mesh/feedReader.js';
-import { FeedServer } from '../mesh/feedServer.js';
 import { FeedWriter } from '../mesh/feedWriter.js';
-import { createGatewayMetrics } from '../metrics.js';
-import { findPort, makeEntry } from './feedFixtures.js';
-import { createTestFaults } from './testFaults.js';
-
-const NONCE = 'nonce';
+import { NONCE, startMeshServer } from './meshServer.js';
 
 const MEMORY_BYTES = 1_000_000;
 
-/** Starts a relay that knows 40 VMs, and counts the connections that it keeps. */
-const startServer = async () => {
-  const port = await findPort();
-  const roster = new EntryRoster();
-  for (let index = 0; index < 40; index += 1)
-    roster.recordHeartbeat(makeEntry(`vm-${index}`, 1, 1));
-  const abortController = new AbortController();
-  onTestFinished(() => abortController.abort());
-  const metrics = createGatewayMetrics(createMetricsRegistry());
-  const server = new FeedServer({
-    address: `127.0.0.1:${port}`,
-    key: 'key of relay',
-    roster,
-    logger: createLogger({ part: 'test', level: 'error', format: 'json' }),
-    faults: createTestFaults().faults,
-    metrics,
-    memoryBytes: MEMORY_BYTES,
-    linkMbps: 1_000,
-    listPositions: () => [],
-    listStores: () => [],
-    findBlocks: () => undefined,
-    onStreamRecord: () => undefined,
-    isAlive: () => true,
-  });
-  await server.start(abortController.signal);
-  const open = (bytes?: Uint8Array): Socket => {
-    const socket = connect(port, '127.0.0.1');
-    onTestFinished(() => {
-      socket.destroy();
-    });
-    socket.on('error', () => undefined);
-    if (bytes) socket.write(bytes);
-    return socket;
-  };
-  /** Connects as a VM that the relay knows. */
-  const follow = (name: string) => {
-    const writer = new FeedWriter({ key: `key of ${name}`, nonce: NONCE });
-    const encode = (message: unknown): Buffer =>
-      writer.encode(encodeFeedContent(message as FeedMessage));
-    const socket = open(encode({ kind: 'hello', vmId: name, nonce: NONCE }));
-    return { socket, encode };
-  };
-  return { server, open, follow, metrics };
-};
+const startServer = () => startMeshServer(MEMORY_BYTES);
 
 const isClosed = async (socket: Socket, timeoutMs: number): Promise<boolean> => {
   const closed = new Promise((resolve) => {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -159,6 +159,12 @@
 /** Maximum send backlog of a slow follower before it is disconnected. */
 export const MAX_FOLLOWER_BACKLOG_BYTES = 8 * 1024 * 1024;
 
+/** Interval at which a snapshot waits until others have read what they were sent. */
+export const UNSENT_WAIT_MS = 50;
+
+/** Time for which a relay takes no more followers than have stayed when its link was full. */
+export const FOLLOWER_LIMIT_TTL_MS = 10_000;
+
 /** Time for which messages to followers are batched. */
 export const FEED_BATCH_DELAY_MS = 80;
 
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -5,8 +5,10 @@
 import type { Logger } from '@goldcrestscale/runtime';
 import {
   FEED_BATCH_DELAY_MS,
+  FOLLOWER_LIMIT_TTL_MS,
   FOLLOWER_TIMEOUT_MS,
   MAX_FOLLOWER_BACKLOG_BYTES,
+  UNSENT_WAIT_MS,
 } from '../constants.js';
 import type { FaultRecorder } from '../faultRecorder.js';
 import type { GatewayMetrics } from '../metrics.js';
@@ -20,6 +22,7 @@
 import { LinkShare } from './linkShare.js';
 import { MeshConnections } from './meshConnections.js';
 import type { MeshConnectionMetrics } from './meshConnections.js';
+import { UnsentContents } from './unsentContents.js';
 
 /** Dependencies of the server. */
 export interface FeedServerOptions {
@@ -31,7 +34,7 @@
   readonly logger: Logger;
   readonly faults: FaultRecorder;
   readonly metrics: Pick<GatewayMetrics, 'setFollowers' | 'countFeedBytes'> & MeshConnectionMetrics;
-  /** Memory for messages in part of all followers. */
+  /** Memory for messages in part of all followers, and the same for what they have not been sent. */
   readonly memoryBytes: number;
   /** Bandwidth of this VM's link, in Mbit/s. */
   readonly linkMbps: number;
@@ -64,9 +67,6 @@
 /** Fraction of the followers that stays if there are too many. */
 const KEPT_FRACTION = 0.5;
 
-/** Time for which no more followers are taken after that than have stayed, in milliseconds. */
-const FOLLOWER_LIMIT_TTL_MS = 10_000;
-
 /** Relays what this VM reads from the log and the block stores to the followers in its group. */
 export class FeedServer {
   private readonly followers = new Map<Socket, Follower>();
@@ -86,6 +86,8 @@
 
   private followerLimit: { readonly count: number; readonly expiresAtMs: number } | undefined;
 
+  private readonly unsent = new UnsentContents();
+
   private readonly connections: MeshConnections;
 
   constructor(private readonly options: FeedServerOptions) {
@@ -94,6 +96,7 @@
       logger: options.logger,
       metrics: options.metrics,
       memoryBytes: options.memoryBytes,
+      getUnsentBytes: () => this.unsent.heldBytes,
       findSenderAuth: (first) => this.findSenderAuth(first),
       onMessage: (socket, message) => this.handleMessage(socket, message),
       onClose: (socket) => {
@@ -250,7 +253,7 @@
     );
     for (const follower of waiting) {
       while (follower.pendingStores.length > 0) {
-        const waitMs = this.linkShare.computeWaitMs();
+        const waitMs = this.computeSnapshotWaitMs();
         if (waitMs > 0) {
           this.snapshotTimer = setTimeout(() => this.sendSnapshots(), Math.ceil(waitMs));
           return;
@@ -261,15 +264,37 @@
     }
   }
 
+  /** Time until the next store may be sent, because of the link or of what others have not read. */
+  private computeSnapshotWaitMs(): number {
+    const isFull = this.unsent.heldBytes > this.options.memoryBytes / 2;
+    return Math.max(this.linkShare.computeWaitMs(), isFull ? UNSENT_WAIT_MS : 0);
+  }
+
   private send({ socket, writer, vmId }: Follower, content: Buffer): void {
     if (socket.writableLength > MAX_FOLLOWER_BACKLOG_BYTES) {
       this.connections.close(socket, 'slow follower', { vmId, unsent: socket.writableLength });
       return;
     }
-    const frame = writer.encode(content);
-    this.sentBytes += frame.length;
-    this.linkShare.charge(frame.length);
-    this.options.metrics.countFeedBytes(frame.length);
-    socket.write(frame);
+    const head = writer.encodeHead(content);
+    const bytes = head.length + content.length;
+    this.sentBytes += bytes;
+    this.linkShare.charge(bytes);
+    this.options.metrics.countFeedBytes(bytes);
+    this.unsent.add(content);
+    socket.cork();
+    socket.write(head);
+    socket.write(content, () => this.unsent.release(content));
+    socket.uncork();
+    if (this.unsent.heldBytes > this.options.memoryBytes) this.dropSlowest(bytes);
+  }
+
+  /** Closes the connection of the follower that has the most to read, if it is more than the last message. */
+  private dropSlowest(lastBytes: number): void {
+    const [slowest] = [...this.followers.values()]
+      .filter(({ socket }) => !socket.destroyed)
+      .sort((left, right) => right.socket.writableLength - left.socket.writableLength);
+    if (!slowest || slowest.socket.writableLength <= lastBytes) return;
+    const { socket, vmId } = slowest;
+    this.connections.close(socket, 'slow follower', { vmId, unsent: socket.writableLength });
   }
 }
--- a/packages/gateway/src/mesh/feedWriter.ts
+++ b/packages/gateway/src/mesh/feedWriter.ts
@@ -9,10 +9,15 @@
 
   /** @param content message content from `encodeFeedContent` */
   encode(content: Buffer): Buffer {
-    const head = Buffer.alloc(LENGTH_FIELD_BYTES);
-    head.writeUInt32BE(content.length);
+    return Buffer.concat([this.encodeHead(content), content]);
+  }
+
+  /** Encodes what comes before a content, which other connections may send as well. */
+  encodeHead(content: Buffer): Buffer {
+    const length = Buffer.alloc(LENGTH_FIELD_BYTES);
+    length.writeUInt32BE(content.length);
     const mac = computeFrameMac(this.auth, this.frameIndex, content);
     this.frameIndex += 1;
-    return Buffer.concat([head, mac, content]);
+    return Buffer.concat([length, mac]);
   }
 }
--- a/packages/gateway/src/mesh/meshConnections.ts
+++ b/packages/gateway/src/mesh/meshConnections.ts
@@ -33,6 +33,9 @@
 /** Time without data from a follower after which its connection is closed; it asks more often. */
 export const FOLLOWER_IDLE_TIMEOUT_MS = 10_000;
 
+/** Time within which a follower must read some of what it was sent, in milliseconds. */
+export const READ_TIMEOUT_MS = 5_000;
+
 /** Interval at which the connections are looked at, in milliseconds. */
 const SWEEP_INTERVAL_MS = 500;
 
@@ -48,6 +51,7 @@
   readonly metrics: MeshConnectionMetrics;
   /** Memory for messages in part of all connections. */
   readonly memoryBytes: number;
+  readonly getUnsentBytes: () => number;
   /** Finds the key and nonce of a sender from its first message. */
   readonly findSenderAuth: (first: FeedMessage) => FrameAuth | undefined;
   /** Called with each authenticated message. */
@@ -55,6 +59,12 @@
   readonly onClose: (socket: Socket) => void;
 }
 
+/** What a connection had sent at a time. */
+interface SendProgress {
+  readonly bytes: number;
+  readonly atMs: number;
+}
+
 interface MeshConnection {
   readonly socket: Socket;
   readonly reader: FeedReader;
@@ -68,6 +78,9 @@
   /** Connections without a first message, the oldest first. */
   private readonly strangers = new Set<MeshConnection>();
 
+  /** When each connection with unsent bytes last sent some. */
+  private readonly progress = new WeakMap<Socket, SendProgress>();
+
   private readonly budget: ByteBudget;
 
   private readonly log: RequestLog;
@@ -156,11 +169,7 @@
     this.sweptAtMs = nowMs;
     const { metrics } = this.options;
     metrics.setMeshHeldBytes('received', this.budget.heldBytes);
-    const lengths = [...this.connections.keys()].map(({ writableLength }) => writableLength);
-    metrics.setMeshHeldBytes(
-      'unsent',
-      lengths.reduce((total, length) => total + length, 0),
-    );
+    metrics.setMeshHeldBytes('unsent', this.options.getUnsentBytes());
     // After a pause, what was sent in time may still wait to be read.
     if (isAfterPause) return;
     this.connections.forEach((connection) => {
@@ -169,11 +178,24 @@
     });
   }
 
+  private isStalled(socket: Socket, nowMs: number): boolean {
+    if (socket.writableLength === 0) {
+      this.progress.delete(socket);
+      return false;
+    }
+    const bytes = socket.bytesWritten - socket.writableLength;
+    const last = this.progress.get(socket);
+    if (last?.bytes === bytes) return nowMs - last.atMs > READ_TIMEOUT_MS;
+    this.progress.set(socket, { bytes, atMs: nowMs });
+    return false;
+  }
+
   private findExpiry(connection: MeshConnection, nowMs: number): MeshClosingReason | undefined {
-    const { openedAtMs, reader } = connection;
+    const { socket, openedAtMs, reader } = connection;
     if (this.strangers.has(connection)) {
       return nowMs - openedAtMs > FIRST_MESSAGE_TIMEOUT_MS ? 'no first message' : undefined;
     }
+    if (this.isStalled(socket, nowMs)) return 'slow follower';
     if (nowMs - (reader.partStartedAtMs ?? nowMs) > MESSAGE_TIMEOUT_MS) return 'incomplete message';
     return nowMs - reader.receivedAtMs > FOLLOWER_IDLE_TIMEOUT_MS ? 'silent follower' : undefined;
   }
