feat(entry): report the bytes that are held for callers and upstreams

Nothing told how much the daemon buffers, nor that a body of an upstream was not kept. No logic changes.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -94,6 +94,7 @@
 const createDaemonOperationsServer = (
   options: EntryOptions,
   daemon: DaemonComponents,
+  budget: ByteBudget,
   isReady: () => boolean,
 ): Server =>
   createOperationsServer({
@@ -106,7 +107,10 @@
       mesh: { connected: daemon.mesh.listConnectedPeers(), stats: daemon.mesh.stats },
       ...dumpControllers(listControllers(daemon.controllers)),
     }),
-    renderMetrics: () => daemon.metrics.render(),
+    renderMetrics() {
+      daemon.entryMetrics.setBufferedBytes(budget.heldBytes);
+      return daemon.metrics.render();
+    },
     onInvalidKey: () => daemon.entryMetrics.recordInvalidKey('operations'),
   });
 
@@ -175,6 +179,7 @@
   // Every connection and controller adds a listener for the lifetime of the daemon.
   setMaxListeners(0, lifetime.signal, signal);
   const inputBarrier = new EventLoopBarrier();
+  const budget = new ByteBudget(computeBufferBytes(settings.memoryMb));
   const client = createUpstreamClient(inputBarrier);
   const pauseMonitor = createPauseMonitor(logger);
   const daemon = await createDaemonComponents(options, lifetime.signal);
@@ -195,7 +200,7 @@
       settings,
       signal: lifetime.signal,
     }),
-    budget: new ByteBudget(computeBufferBytes(settings.memoryMb)),
+    budget,
     checkHeaders(headers) {
       // An outdated table must not reject an API key; the freshness filter refuses it instead.
       if (!controllers.membership.decideFreshness().accept) return;
@@ -212,6 +217,7 @@
   const operationsServer = createDaemonOperationsServer(
     options,
     daemon,
+    budget,
     () => isReady && !signal.aborted,
   );
   pauseMonitor.start(lifetime.signal);
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -9,12 +9,34 @@
   recordUsage(accountId: ClientAccountId | undefined, usage: TokenUsage): void;
   recordFailure(upstreamId: string, error: GoldcrestErrorInstance): void;
   recordInvalidKey(listener: 'operations' | 'mesh'): void;
+  /** Sets the bytes of bodies that are held for callers and of upstreams. */
+  setBufferedBytes(bytes: number): void;
+  /** Counts a body of an upstream that was not kept, by the reason. */
+  recordRefusedBody(reason: string): void;
   /** Counts an unexpected error that ended one request. */
   recordFault(): void;
 }
 
 const UNKNOWN_ACCOUNT = 'unknown';
 
+const createMemoryMetrics = (
+  metrics: MetricsRegistry,
+): Pick<EntryMetrics, 'setBufferedBytes' | 'recordRefusedBody'> => {
+  const bufferedBytes = metrics.createGauge({
+    name: 'goldcrest_buffered_bytes',
+    help: 'Bytes of the bodies of callers and upstreams that are held.',
+  });
+  const refusedBodies = metrics.createCounter({
+    name: 'goldcrest_refused_bodies_total',
+    help: 'Bodies of upstreams that were not kept, by reason: too large, or no memory.',
+    labelNames: ['reason'],
+  });
+  return {
+    setBufferedBytes: (bytes) => bufferedBytes.set(bytes),
+    recordRefusedBody: (reason) => refusedBodies.inc({ reason }),
+  };
+};
+
 /** Creates the metrics of the entry daemon in a registry. */
 export const createEntryMetrics = (metrics: MetricsRegistry): EntryMetrics => {
   const responses = metrics.createCounter({
@@ -47,6 +69,7 @@
     help: 'Unexpected errors, each of which ended one request; see the log.',
   });
   return {
+    ...createMemoryMetrics(metrics),
     recordFault: () => faults.inc(),
     recordResponse: (account, code, verdict) =>
       responses.inc({ account: account ?? UNKNOWN_ACCOUNT, code, verdict }),
