fix(entry): bound the bodies that upstreams send together, also in small parts

Each body may have 16 MB, and nothing bounded their sum; a body in chunks of one byte took an object for each byte.

Change: bodies of upstreams share the budget of the bodies of callers. Without memory the attempt ends with 503 and a Retry-After, verdict may-have-run; a body that is too large ends as before. Both are counted by goldcrest_refused_bodies_total. What was reserved is given back once the answer has been relayed, or the attempt has failed.

--- a/packages/entry/src/__tests__/entryHarness.ts
+++ b/packages/entry/src/__tests__/entryHarness.ts
@@ -105,6 +105,8 @@
   readonly ineligibleIndices: Set<number>;
   readonly slots: CountingSlotPolicy;
   readonly budget: ByteBudget;
+  /** Why bodies of upstreams were not kept, in order. */
+  readonly refusedBodies: readonly string[];
   close(): Promise<void>;
 }
 
@@ -187,12 +189,16 @@
 
 /** Starts an entry in front of fake upstreams. */
 export const startHarness = async (options: HarnessOptions): Promise<Harness> => {
-  const client = createUpstreamClient(new EventLoopBarrier());
+  const budget = new ByteBudget(options.bufferBytes ?? Infinity);
+  const refusedBodies: string[] = [];
+  const client = createUpstreamClient(new EventLoopBarrier(), {
+    budget,
+    onRefused: (reason) => refusedBodies.push(reason),
+  });
   const outcomes: string[] = [];
   const ineligibleIndices = new Set<number>();
   const directory = createDirectory(options, outcomes, ineligibleIndices);
   const slots = new CountingSlotPolicy();
-  const budget = new ByteBudget(options.bufferBytes ?? Infinity);
   const server = createCallerServer({
     filters: createFilters(options, client, directory, slots),
     budget,
@@ -213,6 +219,7 @@
     ineligibleIndices,
     slots,
     budget,
+    refusedBodies,
     async close() {
       server.closeAllConnections();
       await new Promise((resolve) => {
--- a/packages/entry/src/dispatch/completionRunner.ts
+++ b/packages/entry/src/dispatch/completionRunner.ts
@@ -4,9 +4,10 @@
 import { collectText, isJson, parseUsage } from '../upstream/completionPayload.js';
 import { END_MARKER, readEventStream } from '../upstream/eventStream.js';
 import type { StreamEnd } from '../upstream/eventStream.js';
-import { readBoundedBody } from '../upstream/readBoundedBody.js';
+import { ResponseBodyError } from '../upstream/responseBodyError.js';
+import { ResponseBodyReader } from '../upstream/responseBodyReader.js';
 import type { UpstreamResponse, UpstreamClient } from '../upstream/upstreamClient.js';
-import { createAttemptError } from '../upstream/upstreamErrors.js';
+import { createAttemptError, createUnavailableError } from '../upstream/upstreamErrors.js';
 import { AttemptRunner } from './attempt.js';
 import type { Attempt } from './attempt.js';
 import { createBrokenStreamError } from './brokenStreamError.js';
@@ -14,9 +15,27 @@
 
 const EVENT_STREAM_TYPE = 'text/event-stream';
 
-const relayBody = async (attempt: Attempt, response: UpstreamResponse): Promise<void> => {
+const readText = async (
+  reader: ResponseBodyReader,
+  response: UpstreamResponse,
+): Promise<string | undefined> => {
+  try {
+    return String(await reader.read(response.body));
+  } catch (cause) {
+    if (cause instanceof ResponseBodyError && cause.reason === 'no memory') {
+      throw createUnavailableError('There is no memory for the answer.', 'may-have-run');
+    }
+    return undefined;
+  }
+};
+
+const relayBody = async (
+  attempt: Attempt,
+  response: UpstreamResponse,
+  reader: ResponseBodyReader,
+): Promise<void> => {
   const { exchange } = attempt;
-  const text = await readBoundedBody(response.body).then(String, () => undefined);
+  const text = await readText(reader, response);
   if (text === undefined || (response.status < 300 && !isJson(text))) {
     throw createAttemptError('The engine cut its answer.', 'may-have-run');
   }
@@ -59,6 +78,7 @@
 
   override async run(attempt: Attempt): Promise<void> {
     let bootId: BootId | undefined;
+    const reader = new ResponseBodyReader(this.client.memory);
     const cancel = (): void => {
       if (bootId !== undefined) void this.cancel(attempt);
     };
@@ -74,7 +94,7 @@
       if (String(response.headers['content-type']).startsWith(EVENT_STREAM_TYPE)) {
         await this.relayStream(attempt, response, bootId);
       } else {
-        await relayBody(attempt, response);
+        await relayBody(attempt, response, reader);
       }
     } catch (cause) {
       // Otherwise the engine may continue to generate a response that nobody reads.
@@ -82,6 +102,7 @@
         cancel();
       throw cause;
     } finally {
+      reader.release();
       attempt.signal.removeEventListener('abort', cancel);
     }
   }
--- a/packages/entry/src/dispatch/serviceRunner.ts
+++ b/packages/entry/src/dispatch/serviceRunner.ts
@@ -1,6 +1,7 @@
 import type { UpstreamResponse, UpstreamClient } from '../upstream/upstreamClient.js';
-import { readBoundedBody } from '../upstream/readBoundedBody.js';
-import { createAttemptError } from '../upstream/upstreamErrors.js';
+import { ResponseBodyError } from '../upstream/responseBodyError.js';
+import { ResponseBodyReader } from '../upstream/responseBodyReader.js';
+import { createAttemptError, createUnavailableError } from '../upstream/upstreamErrors.js';
 import { AttemptRunner } from './attempt.js';
 import type { Attempt } from './attempt.js';
 
@@ -15,10 +16,16 @@
   return headers;
 };
 
-const readCompleteBody = async (response: UpstreamResponse): Promise<Buffer> => {
+const readCompleteBody = async (
+  reader: ResponseBodyReader,
+  response: UpstreamResponse,
+): Promise<Buffer> => {
   try {
-    return await readBoundedBody(response.body);
-  } catch {
+    return await reader.read(response.body);
+  } catch (cause) {
+    if (cause instanceof ResponseBodyError && cause.reason === 'no memory') {
+      throw createUnavailableError('There is no memory for the answer.', 'may-have-run');
+    }
     throw createAttemptError('The service cut its answer short.', 'may-have-run');
   }
 };
@@ -30,6 +37,15 @@
   }
 
   override async run(attempt: Attempt): Promise<void> {
+    const reader = new ResponseBodyReader(this.client.memory);
+    try {
+      await this.relay(attempt, reader);
+    } finally {
+      reader.release();
+    }
+  }
+
+  private async relay(attempt: Attempt, reader: ResponseBodyReader): Promise<void> {
     const { exchange, upstream } = attempt;
     if (exchange.target.kind !== 'service') throw new TypeError('the target is not a service');
     const response = await this.client.send(upstream, {
@@ -42,7 +58,7 @@
       requiresAttemptIdEcho: false,
       onBeforeSend: attempt.onBeforeSend,
     });
-    const body = await readCompleteBody(response);
+    const body = await readCompleteBody(reader, response);
     // A hedged attempt may have responded while this body was being read.
     if (attempt.signal.aborted) throw createAttemptError('The call was cancelled.', 'may-have-run');
     attempt.onFirstByte();
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -180,14 +180,14 @@
   setMaxListeners(0, lifetime.signal, signal);
   const inputBarrier = new EventLoopBarrier();
   const budget = new ByteBudget(computeBufferBytes(settings.memoryMb));
-  const client = createUpstreamClient(inputBarrier);
   const pauseMonitor = createPauseMonitor(logger);
   const daemon = await createDaemonComponents(options, lifetime.signal);
-  if (!daemon) {
-    await client.close();
-    return;
-  }
+  if (!daemon) return;
   const { controllers, entryMetrics, bootId } = daemon;
+  const client = createUpstreamClient(inputBarrier, {
+    budget,
+    onRefused: (reason) => entryMetrics.recordRefusedBody(reason),
+  });
   let isReady = false;
   const callerServer = createCallerServer({
     filters: createDataPath({
--- a/packages/entry/src/upstream/upstreamClient.ts
+++ b/packages/entry/src/upstream/upstreamClient.ts
@@ -9,6 +9,7 @@
 import { createConnectionPool } from './connectionPool.js';
 import type { ConnectionPool } from './connectionPool.js';
 import { createUpstreamConnector } from './createUpstreamConnector.js';
+import type { ResponseMemory } from './responseBodyReader.js';
 import {
   CONNECTION_CLOSED_CODE,
   createAttemptError,
@@ -51,6 +52,8 @@
 
 /** Sends requests to upstreams. */
 export interface UpstreamClient {
+  /** Memory for the bodies that are read. */
+  readonly memory: ResponseMemory;
   /**
    * Sends one attempt and validates the head of its response.
    *
@@ -236,7 +239,10 @@
  *
  * @param inputBarrier what has arrived before is read before a caller's request is written
  */
-export const createUpstreamClient = (inputBarrier: InputBarrier): UpstreamClient => {
+export const createUpstreamClient = (
+  inputBarrier: InputBarrier,
+  memory: ResponseMemory,
+): UpstreamClient => {
   const agent = createAgent();
   const pool = createConnectionPool();
   const receive = async (
@@ -259,6 +265,7 @@
     }
   };
   return {
+    memory,
     send: (target, call) =>
       receive(target, call, () => sendBound({ pool, inputBarrier }, target, call)),
     sendControlCall: (target, call) =>
