fix(entry): bound the answers to control calls in bytes and time

What callers saw: nothing that was measured on real processes. A load report, a page of cache events or a list of blocks without end was read until the memory was full, for each upstream and each new connection.

Cause: these bodies were read whole, with a limit only for the time between two parts.

Change: a load report has at most 64 kB, a page of events 4 MB, a response of the block transfer API 32 MB; reports and pages must be complete within 10 s. What exceeds a limit fails the call and closes its connection; small parts cost their bytes.

--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -22,6 +22,15 @@
 /** Maximum size of the body of a response that is not a stream, in bytes. */
 export const MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024;
 
+/** Limits of a load report of an upstream. */
+export const LOAD_REPORT_LIMITS = { maxBytes: 64 * 1024, maxMs: 10_000 };
+
+/** Limits of a page of the cache events of an engine. */
+export const EVENT_PAGE_LIMITS = { maxBytes: 4 * 1024 * 1024, maxMs: 10_000 };
+
+/** Limits of a response of the block transfer API. The largest responses list all blocks of a store. */
+export const TRANSFER_RESPONSE_LIMITS = { maxBytes: 32 * 1024 * 1024 };
+
 /** Maximum size of one event of a stream, in bytes. */
 export const MAX_EVENT_BYTES = 1024 * 1024;
 
--- a/packages/entry/src/controllers/prefixIndex/prefixIndexController.ts
+++ b/packages/entry/src/controllers/prefixIndex/prefixIndexController.ts
@@ -9,9 +9,10 @@
 } from '@goldcrestscale/core';
 import { request } from 'undici';
 import { z } from 'zod';
-import { CONTROL_CALL_TIMEOUT_MS } from '../../constants.js';
+import { CONTROL_CALL_TIMEOUT_MS, EVENT_PAGE_LIMITS } from '../../constants.js';
 import { KeyedPoller } from '../../keyedPoller.js';
 import { repeatAtInterval } from '../../repeat.js';
+import { readControlJson } from '../../upstream/readControlJson.js';
 import { Controller } from '../controller.js';
 import { CACHE_EVENT_POLL_INTERVAL_MS } from './constants.js';
 
@@ -95,7 +96,7 @@
       bodyTimeout: CONTROL_CALL_TIMEOUT_MS,
       signal,
     });
-    const page = eventPageSchema.parse(await response.body.json());
+    const page = eventPageSchema.parse(await readControlJson(response.body, EVENT_PAGE_LIMITS));
     const previousBootId = this.knownBootIds.get(upstreamId);
     if (previousBootId !== undefined && previousBootId !== page.bootId)
       this.options.onCacheLost(upstreamId);
--- a/packages/entry/src/controllers/tiering/blockTransferClient.ts
+++ b/packages/entry/src/controllers/tiering/blockTransferClient.ts
@@ -2,7 +2,8 @@
 import type { BlockKey, BlockFingerprint, ManifestBlock, StoredBlock } from '@goldcrestscale/core';
 import { request } from 'undici';
 import { z } from 'zod';
-import { CONTROL_CALL_TIMEOUT_MS } from '../../constants.js';
+import { CONTROL_CALL_TIMEOUT_MS, TRANSFER_RESPONSE_LIMITS } from '../../constants.js';
+import { readControlJson } from '../../upstream/readControlJson.js';
 
 /** A block and its name at a store VM. */
 export interface NamedBlock {
@@ -100,9 +101,11 @@
     headers: { 'content-type': 'application/json' },
     body: body ? JSON.stringify(body) : null,
   });
-  const responseText = await response.body.text();
-  if (response.statusCode >= 300) throw new BlockTransferError(url, response.statusCode);
-  return responseText === '' ? {} : JSON.parse(responseText);
+  if (response.statusCode >= 300) {
+    await response.body.dump();
+    throw new BlockTransferError(url, response.statusCode);
+  }
+  return readControlJson(response.body, TRANSFER_RESPONSE_LIMITS);
 };
 
 const buildBlockUrl = (store: string, name: string): string =>
--- a/packages/entry/src/controllers/upstreams/upstreamsController.ts
+++ b/packages/entry/src/controllers/upstreams/upstreamsController.ts
@@ -8,7 +8,12 @@
   EngineReport,
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
-import { CONTROL_CALL_TIMEOUT_MS, LOAD_POLL_INTERVAL_MS } from '../../constants.js';
+import {
+  CONTROL_CALL_TIMEOUT_MS,
+  LOAD_POLL_INTERVAL_MS,
+  LOAD_REPORT_LIMITS,
+} from '../../constants.js';
+import { readControlJson } from '../../upstream/readControlJson.js';
 import { KeyedPoller } from '../../keyedPoller.js';
 import { repeatAtInterval } from '../../repeat.js';
 import { Controller } from '../controller.js';
@@ -187,7 +192,9 @@
         bodyTimeout: CONTROL_CALL_TIMEOUT_MS,
         signal,
       });
-      state.updateLoadReport(loadReportSchema.parse(await response.body.json()));
+      state.updateLoadReport(
+        loadReportSchema.parse(await readControlJson(response.body, LOAD_REPORT_LIMITS)),
+      );
     } catch (cause) {
       this.options.logger.debug('load report request failed', {
         upstreamId: state.upstreamId,
--- a/packages/entry/src/upstream/boundConnection.ts
+++ b/packages/entry/src/upstream/boundConnection.ts
@@ -3,8 +3,9 @@
 import { toId } from '@goldcrestscale/core';
 import type { BootId } from '@goldcrestscale/core';
 import { z } from 'zod';
-import { CONTROL_CALL_TIMEOUT_MS, BODY_IDLE_TIMEOUT_MS } from '../constants.js';
+import { BODY_IDLE_TIMEOUT_MS, CONTROL_CALL_TIMEOUT_MS, LOAD_REPORT_LIMITS } from '../constants.js';
 import { createUpstreamConnector } from './createUpstreamConnector.js';
+import { readControlJson } from './readControlJson.js';
 import { CONNECTION_CLOSED_CODE, createCodedError } from './upstreamErrors.js';
 
 const KEEP_ALIVE_TIMEOUT_MS = 4_000;
@@ -41,7 +42,8 @@
     headersTimeout: CONTROL_CALL_TIMEOUT_MS,
     bodyTimeout: CONTROL_CALL_TIMEOUT_MS,
   });
-  return toId<BootId>(loadReportSchema.parse(await response.body.json()).bootId);
+  const report = await readControlJson(response.body, LOAD_REPORT_LIMITS);
+  return toId<BootId>(loadReportSchema.parse(report).bootId);
 };
 
 /**
--- a/packages/entry/src/upstream/responseBodyError.ts
+++ b/packages/entry/src/upstream/responseBodyError.ts
@@ -1,5 +1,5 @@
 /** Why a body of an upstream was not kept. */
-export type BodyRefusal = 'too large' | 'no memory';
+export type BodyRefusal = 'too large' | 'too slow' | 'no memory';
 
 /** Thrown if a body of an upstream is not kept. */
 export class ResponseBodyError extends Error {
