fix(gateway): divide the descriptors among listeners and upstreams

LOST: with 400 descriptors, 600 connections that send nothing, or half a head, at the port of callers, directory or readiness kept 372 descriptors; 40 of 40 callers were reset or closed, and readiness got no answer. No line told.

Cause: whoever came first had all descriptors. When they are used up, libuv accepts and closes what waits, without an error, so that neither the listener's error nor a count could show it.

The limit is machine.fileDescriptors (limits.file_descriptors of the platform), else that of the kernel; 200 are for files. Beyond it a new connection takes the place of the one that has had no request for the longest time, 0.5 s at least; where all have requests, the new one is refused, unread. A connection to an upstream takes the place of an idle one; where none is idle the request is not run there. Each loss has a bounded line and a count.

The port of the mesh has its reserve, but is not watched yet.

--- a/packages/gateway/src/__tests__/connectionPool.spec.ts
+++ b/packages/gateway/src/__tests__/connectionPool.spec.ts
@@ -1,4 +1,5 @@
 import { expect, onTestFinished, test } from 'vitest';
+import { SocketBudget } from '@goldcrestscale/runtime';
 import { ConnectionPool } from '../dispatch/connectionPool.js';
 import { FakeUpstream, buildResponse } from './fakeUpstream.js';
 import { startGateway } from './gatewayHarness.js';
@@ -66,3 +67,22 @@
   const reply = await call({ headers: { 'x-id': 'stays' } });
   expect(reply.status).toBe(200);
 });
+
+// Guards against requests that are lost because connections to other upstreams hold all descriptors.
+test('a connection beyond the sockets takes that of an idle one, or none is opened', () => {
+  const missing: string[] = [];
+  const share = new SocketBudget(10).createShare({ reserved: 0, max: 1 });
+  const pool = new ConnectionPool(() => undefined, {
+    share,
+    onMissing: (address) => missing.push(address),
+  });
+  const first = pool.acquire('127.0.0.1:1', MAX_OPEN)!;
+  expect(pool.acquire('127.0.0.1:2', MAX_OPEN)).toBeUndefined();
+  expect(missing).toEqual(['127.0.0.1:2']);
+  pool.release('127.0.0.1:1', first);
+  const second = pool.acquire('127.0.0.1:2', MAX_OPEN);
+  expect(second).toBeDefined();
+  expect(first.isOpen).toBe(false);
+  second!.close();
+  expect(share.openCount).toBe(0);
+});
--- a/packages/gateway/src/config.ts
+++ b/packages/gateway/src/config.ts
@@ -16,7 +16,13 @@
 
 const nonnegative = z.number().check(z.nonnegative());
 
-const DEFAULT_MACHINE = { cores: 1, coreShare: 1, linkMbps: 1_000, memoryMb: undefined };
+const DEFAULT_MACHINE = {
+  cores: 1,
+  coreShare: 1,
+  linkMbps: 1_000,
+  memoryMb: undefined,
+  fileDescriptors: undefined,
+};
 
 const DEFAULT_MEMORY_MB = 256;
 
@@ -37,6 +43,8 @@
       linkMbps: positive,
       /** Memory of the process; above it, the process is killed. */
       memoryMb: z.optional(positive),
+      /** Descriptors that the process may have open. */
+      fileDescriptors: z.optional(positive),
     }),
   ),
   /** Listeners, as HOST:PORT. */
@@ -104,6 +112,8 @@
   readonly capacityScore: number;
   /** Bandwidth of this VM's link, in Mbit/s. */
   readonly linkMbps: number;
+  /** Descriptors that the process may have open; undefined if the kernel tells. */
+  readonly fileDescriptors: number | undefined;
   /** Limit of the bytes that are buffered for all callers together. */
   readonly bufferBytes: number;
   readonly logAddress: string;
@@ -151,6 +161,7 @@
     capacityScore: machine.cores * machine.coreShare * machine.linkMbps,
     linkMbps: machine.linkMbps,
     bufferBytes: computeBufferBytes(machine.memoryMb ?? DEFAULT_MEMORY_MB),
+    fileDescriptors: machine.fileDescriptors,
     listen: { ...listen, metrics: listen.metrics },
     logAddress: log.address,
     leaseMs: log.leaseMs,
--- a/packages/gateway/src/dispatch/connectionPool.ts
+++ b/packages/gateway/src/dispatch/connectionPool.ts
@@ -1,3 +1,4 @@
+import type { SocketShare } from '@goldcrestscale/runtime';
 import { UpstreamConnection } from './upstreamConnection.js';
 
 const NO_CONNECTIONS: ReadonlySet<UpstreamConnection> = new Set();
@@ -7,6 +8,13 @@
   open: number;
 }
 
+/** Sockets of all connections to upstreams. */
+export interface UpstreamSockets {
+  readonly share: SocketShare;
+  /** Called when a connection could not be opened for want of sockets. */
+  readonly onMissing: (address: string) => void;
+}
+
 /** Takes the connection that was used last, and closes those that can't be used any more. */
 const takeIdle = (
   { idle }: AddressPool,
@@ -26,13 +34,17 @@
 export class ConnectionPool {
   private readonly pools = new Map<string, AddressPool>();
 
-  constructor(private readonly onOpen: () => void) {}
+  /** @param sockets undefined if the process has no limit of sockets */
+  constructor(
+    private readonly onOpen: () => void,
+    private readonly sockets?: UpstreamSockets,
+  ) {}
 
   /**
    * Reuses an idle connection or opens a new one.
    *
    * @param excluded connections that are not reused, but stay idle
-   * @returns undefined if the upstream's connection limit is reached
+   * @returns undefined if the upstream's connection limit is reached, or there is no socket for it
    */
   acquire(
     address: string,
@@ -42,11 +54,12 @@
     const pool = this.getPool(address);
     const idle = takeIdle(pool, excluded);
     if (idle) return idle;
-    if (pool.open >= maxOpen) return undefined;
+    if (pool.open >= maxOpen || !this.tryTakeSocket(address)) return undefined;
     pool.open += 1;
     this.onOpen();
     return new UpstreamConnection(address, () => {
       pool.open -= 1;
+      this.sockets?.share.release();
     });
   }
 
@@ -67,6 +80,17 @@
     [...this.pools.keys()].forEach((address) => this.closeIdle(address));
   }
 
+  /** Takes a socket for a new connection, if need be that of an idle one to another address. */
+  private tryTakeSocket(address: string): boolean {
+    if (!this.sockets || this.sockets.share.tryOpen()) return true;
+    for (const { idle } of this.pools.values()) {
+      idle.shift()?.close();
+      if (this.sockets.share.tryOpen()) return true;
+    }
+    this.sockets.onMissing(address);
+    return false;
+  }
+
   private getPool(address: string): AddressPool {
     const existing = this.pools.get(address);
     if (existing) return existing;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,8 +2,10 @@
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
 import type { PermitRequest, QuarantineChange, RateChange, VmId } from '@goldcrestscale/core';
-import { ByteBudget, ListenerConnections, PauseMonitor, listen } from '@goldcrestscale/runtime';
+import { ByteBudget, PauseMonitor, listen } from '@goldcrestscale/runtime';
 import type { EventCounts, Logger } from '@goldcrestscale/runtime';
+import { createConnections } from './compose/createConnections.js';
+import type { ServerConnections } from './compose/createConnections.js';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
 import { createDataPath } from './compose/createDataPath.js';
@@ -11,7 +13,6 @@
 import type { FleetState } from './compose/createFleetState.js';
 import { DIRECTORY_TTL_MS } from './constants.js';
 import { Shutdown } from './controllers/shutdown.js';
-import { ConnectionPool } from './dispatch/connectionPool.js';
 import { FaultRecorder } from './faultRecorder.js';
 import type { GatewayOptions } from './gatewayOptions.js';
 import type { CallerServer } from './http/callerServer.js';
@@ -70,15 +71,6 @@
   readonly metrics: Server;
 }
 
-type ServerConnections = Readonly<Record<keyof GatewayServers, ListenerConnections>>;
-
-const createServerConnections = (): ServerConnections => ({
-  callers: new ListenerConnections(),
-  directory: new ListenerConnections(),
-  readiness: new ListenerConnections(),
-  metrics: new ListenerConnections(),
-});
-
 /** Starts the servers; the signal that stops the gateway ends the wait for their addresses. */
 const startServers = async (
   servers: GatewayServers,
@@ -87,7 +79,7 @@
   faults: FaultRecorder,
 ): Promise<void> => {
   const startServer = (name: keyof GatewayServers, address: string): Promise<void> => {
-    connections[name].watch(servers[name]);
+    connections[name].watchHttp(servers[name]);
     return listen(servers[name], splitAddress(address), {
       logger,
       signal,
@@ -197,7 +189,7 @@
   // All requests and controllers add abort listeners, which would trigger the leak warning.
   setMaxListeners(0, workController.signal, signal);
   const shutdown = new Shutdown(settings.bounds.shutdownMs);
-  const connections = new ConnectionPool(() => metrics.countConnection());
+  const { connections, serverConnections } = await createConnections(options);
   const fleetState = createReportedFleetState(options, (granter, request) =>
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
     controllers.gossip.sendPermitRequest(granter, request),
@@ -227,7 +219,6 @@
     counts,
   });
   options.onServing?.(() => callers.countOpenRequests());
-  const serverConnections = createServerConnections();
   const servers = createAuxiliaryServers(options, controllers, shutdown, {
     operated: fleetState,
     serverConnections,
--- a/packages/gateway/src/http/headMemory.ts
+++ b/packages/gateway/src/http/headMemory.ts
@@ -1,5 +1,6 @@
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
+import { watchRequests } from '@goldcrestscale/runtime';
 import type { ByteBudget } from '@goldcrestscale/runtime';
 
 /** Interval at which the heads are summed up while there are many connections. */
@@ -41,8 +42,6 @@
   /** Bytes that had been read before the head, by connection. */
   private readonly startBytes = new Map<Socket, number>();
 
-  private readonly openRequests = new WeakMap<Socket, number>();
-
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: HeadMemoryOptions) {}
@@ -53,14 +52,9 @@
       this.begin(socket);
       socket.once('close', () => this.startBytes.delete(socket));
     });
-    server.on('request', ({ socket }, response) => {
-      this.startBytes.delete(socket);
-      this.openRequests.set(socket, (this.openRequests.get(socket) ?? 0) + 1);
-      response.once('close', () => {
-        const openRequests = (this.openRequests.get(socket) ?? 1) - 1;
-        this.openRequests.set(socket, openRequests);
-        if (openRequests === 0 && !socket.destroyed) this.begin(socket);
-      });
+    watchRequests(server, {
+      onBusy: (socket) => this.startBytes.delete(socket),
+      onIdle: (socket) => this.begin(socket),
     });
   }
 
--- a/packages/runtime/src/connections/__tests__/listenerConnections.spec.ts
+++ b/packages/runtime/src/connections/__tests__/listenerConnections.spec.ts
@@ -1,15 +1,69 @@
 import { EventEmitter } from 'node:events';
-import type { Server } from 'node:net';
-import { expect, test } from 'vitest';
+import type { Server, Socket } from 'node:net';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { ListenerConnections } from '../listenerConnections.js';
+import { SocketBudget } from '../socketBudget.js';
 
-// Guards against listeners whose connections nobody sees.
-test('counts the connections that are open', () => {
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+class FakeSocket extends EventEmitter {
+  destroyed = false;
+
+  destroy(): void {
+    this.destroyed = true;
+    this.emit('close');
+  }
+}
+
+const MAX_OPEN = 2;
+
+const startListener = () => {
   const server = new EventEmitter();
-  const connections = new ListenerConnections();
+  const losses: string[] = [];
+  const connections = new ListenerConnections({
+    share: new SocketBudget(100).createShare({ reserved: 0, max: MAX_OPEN }),
+    onLoss: (loss) => losses.push(loss),
+  });
   connections.watch(server as Server);
-  const sockets = [new EventEmitter(), new EventEmitter()];
-  sockets.forEach((socket) => server.emit('connection', socket));
-  sockets[0]!.emit('close');
+  const connect = (): FakeSocket => {
+    const socket = new FakeSocket();
+    server.emit('connection', socket);
+    vi.advanceTimersByTime(1_000);
+    return socket;
+  };
+  return { connections, losses, connect };
+};
+
+// Guards against listeners whose connections nobody sees.
+test('counts the connections that are open', () => {
+  const { connections, connect } = startListener();
+  connect();
+  connect().destroy();
   expect(connections.openCount).toBe(1);
 });
+
+// Guards against callers that are reset because connections that send nothing hold all descriptors.
+test('a new connection takes the place of the longest idle one', () => {
+  const { connections, losses, connect } = startListener();
+  const sockets = [connect(), connect(), connect()];
+  expect(sockets.map(({ destroyed }) => destroyed)).toEqual([true, false, false]);
+  expect(losses).toEqual(['idle-closed']);
+  expect(connections.openCount).toBe(MAX_OPEN);
+});
+
+// Guards against requests that are cut for new connections.
+test('a new connection is refused while all others have requests', () => {
+  const { connections, losses, connect } = startListener();
+  const sockets = [connect(), connect()];
+  sockets.forEach((socket) => connections.markBusy(socket as unknown as Socket));
+  const refused = connect();
+  expect([...sockets, refused].map(({ destroyed }) => destroyed)).toEqual([false, false, true]);
+  expect(losses).toEqual(['refused']);
+  sockets[0]!.destroy();
+  expect(connect().destroyed).toBe(false);
+});
--- a/packages/runtime/src/connections/index.ts
+++ b/packages/runtime/src/connections/index.ts
@@ -1,1 +1,6 @@
 export { ListenerConnections } from './listenerConnections.js';
+export type { ConnectionLoss, ListenerConnectionsOptions } from './listenerConnections.js';
+export { SocketBudget } from './socketBudget.js';
+export type { ShareLimits, SocketShare } from './socketShare.js';
+export { watchRequests } from './watchRequests.js';
+export type { RequestWatcher } from './watchRequests.js';
