fix(gateway): close a connection with more than 100 open requests

Cause: nothing bounded how many requests of one connection wait for their responses. The runtime stops reading once responses pile up, but a part of its input of 64 kB holds 2,300 requests, and each connection has its turn again as soon as the kernel has taken some responses.

A connection whose 101st request comes before the response to its first is closed at once, logged and counted; the rest of the part that is being parsed is ignored. 100 pipelined requests are answered as before.

--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -75,7 +75,11 @@
 export const createCallerReports = (
   requestLog: RequestLog,
   metrics: Pick<GatewayMetrics, 'countClosedConnection'>,
-): Pick<CallerServerOptions, 'onUnreadResponse' | 'onHeadDropped'> => ({
+): Pick<CallerServerOptions, 'onUnreadResponse' | 'onHeadDropped' | 'onTooManyPipelined'> => ({
+  onTooManyPipelined() {
+    metrics.countClosedConnection('callers', 'pipelined');
+    requestLog.log('too many requests on one connection', {});
+  },
   onUnreadResponse(unreadBytes) {
     metrics.countClosedConnection('callers', 'unread-response');
     requestLog.log('response not read', { unreadBytes });
--- a/packages/gateway/src/connectionMetrics.ts
+++ b/packages/gateway/src/connectionMetrics.ts
@@ -4,7 +4,7 @@
 export type ListenerName = 'callers' | 'directory' | 'mesh' | 'metrics' | 'readiness';
 
 /** Why the gateway closed a connection that it had accepted. */
-export type ClosingReason = 'head-memory' | 'unread-response' | ConnectionLoss;
+export type ClosingReason = 'head-memory' | 'pipelined' | 'unread-response' | ConnectionLoss;
 
 /** Metrics of the connections that the gateway accepts. */
 export interface ConnectionMetrics {
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -33,6 +33,8 @@
   readonly faults: FaultRecorder;
   /** Called when a caller has read nothing of its response for the idle timeout. */
   readonly onUnreadResponse: (unreadBytes: number) => void;
+  /** Called when a connection is closed because its caller sends more and more requests before it has responses. */
+  readonly onTooManyPipelined: () => void;
   /** Called with the bytes of a head that was not complete, and for which there is no memory. */
   readonly onHeadDropped: (headBytes: number) => void;
 }
@@ -132,7 +134,14 @@
       request.resume();
       return;
     }
-    order.add(request);
+    if (!order.tryAdd(request)) {
+      // The parser reads the rest of its input before it notices the close.
+      order.abandon();
+      request.resume();
+      request.socket.destroy();
+      options.onTooManyPipelined();
+      return;
+    }
     openCount += 1;
     counts.requestsRead += 1;
     const reservation = new ByteReservation(options.budget);
@@ -143,6 +152,7 @@
     };
     const signal = trackCaller(request, response, (hasLeft) => {
       openCount -= 1;
+      order.remove();
       if (hasLeft) counts.callersLeft += 1;
       releasePart();
     });
--- a/packages/gateway/src/http/connectionOrder.ts
+++ b/packages/gateway/src/http/connectionOrder.ts
@@ -1,10 +1,15 @@
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
+/** Maximum number of requests of one connection that wait for their responses. */
+const MAX_OPEN_REQUESTS = 100;
+
 /** Requests of one connection, whose responses are sent in the order in which they came. */
 export class ConnectionOrder {
   private newest: IncomingMessage | undefined;
 
+  private openCount = 0;
+
   private ending = false;
 
   /** Whether a response has said that the connection closes behind it. */
@@ -12,8 +17,22 @@
     return this.ending;
   }
 
-  add(request: IncomingMessage): void {
+  /** @returns whether it was added; false if the connection has too many open requests */
+  tryAdd(request: IncomingMessage): boolean {
+    if (this.openCount >= MAX_OPEN_REQUESTS) return false;
+    this.openCount += 1;
     this.newest = request;
+    return true;
+  }
+
+  /** Takes out a request whose response has been sent, or whose caller has left. */
+  remove(): void {
+    this.openCount -= 1;
+  }
+
+  /** Ends the connection with none of its requests, because it is closed at once. */
+  abandon(): void {
+    this.ending = true;
   }
 
   /**
