feat(soak): bytes without end, crowds, idle connections; a verdict beside other load

A quarter of the steps now presses on a VM: answers of upstreams and of the log without end, strangers at the ports of callers, directory and mesh, crowds of up to 1,000 callers, also at a VM that stands still, a SIGTERM beside a SIGSTOP, VMs that are stopped in turn without a log, and more idle connections than a process has descriptors (4,096, as deployed). The plans of all seeds change.

Under load the soak blamed daemons for time that they did not have. The time for which a process waited for a processor, or for which the soak stood still, no longer counts where a process has to be ready or to end; cuts count as before.

--- a/soak/__tests__/soakStandIns.spec.ts
+++ b/soak/__tests__/soakStandIns.spec.ts
@@ -1,4 +1,7 @@
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import {
+  buildEndlessRequest,
   hashBody,
   StandInConnection,
   StandInService,
@@ -6,6 +9,7 @@
 import type { AnswerFault, RequestEnd } from '@goldcrestscale/adapter/standin/index.js';
 import { expect, onTestFinished, test } from 'vitest';
 import { FaultyProxy } from '../faultyProxy.js';
+import { sendFromStrangers } from '../stranger.js';
 
 const PROMPT = { model: 'model-s', outputTokens: 3, parts: [{ id: 'a', tokens: 10 }] };
 
@@ -22,6 +26,21 @@
   return connection;
 };
 
+/** Sends a request and reads an answer up to a number of bytes. */
+const fetchBytes = (host: string, port: number, enough: number): Promise<number> =>
+  new Promise((resolve) => {
+    let bytes = 0;
+    const socket = connect(port, host);
+    onTestFinished(() => {
+      socket.destroy();
+    });
+    socket.on('data', (chunk) => {
+      bytes += chunk.length;
+      if (bytes >= enough) resolve(bytes);
+    });
+    socket.write(`${buildEndlessRequest('soak.example', '').opening}0\r\n\r\n`);
+  });
+
 const sendPlain = (connection: StandInConnection, requestId: string): Promise<RequestEnd> =>
   connection.begin({
     requestId,
@@ -83,6 +102,45 @@
   expect(service.runs).toMatchObject([{ isUnsound: true }]);
 });
 
+test.each<AnswerFault>(['endlessHead', 'endlessBody', 'endlessBodyInBytes'])(
+  'an answer with %s goes on until its caller leaves',
+  async (fault) => {
+    const [service, address] = await startService(fault);
+    const [host, port] = address.split(':');
+    const response = await fetchBytes(host!, Number(port), 20_000);
+    expect(response).toBeGreaterThanOrEqual(20_000);
+    expect(service.runs).toMatchObject([{ isUnsound: true }]);
+  },
+);
+
+test('strangers keep their connections and send without end until they are to leave', async () => {
+  let bytes = 0;
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => socket.destroy());
+    socket.on('data', (chunk) => {
+      bytes += chunk.length;
+    });
+    socket.on('close', () => sockets.delete(socket));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  onTestFinished(() => {
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  const controller = new AbortController();
+  const bytesSent = { opening: 'a', piece: 'bb' };
+  const done = sendFromStrangers(port, 120, bytesSent, controller.signal);
+  await expect.poll(() => sockets.size).toBe(120);
+  await expect.poll(() => bytes).toBeGreaterThan(120 * 3);
+  controller.abort();
+  await done;
+  await expect.poll(() => sockets.size).toBe(0);
+});
+
 test('an answer to no request is a stray one', async () => {
   const [, address] = await startService('extraAnswer');
   const connection = await connectTo(address);
--- a/soak/checks/__tests__/checkProcesses.spec.ts
+++ b/soak/checks/__tests__/checkProcesses.spec.ts
@@ -56,6 +56,28 @@
   expect(listRules({ readyAtMs: [] })).toEqual(['FAULT']);
 });
 
+test('a process that waits for a processor has that much longer to become ready', () => {
+  const waits = [
+    { atMs: 0, waitedMs: 10 },
+    { atMs: 8_500, waitedMs: 1_010 },
+  ];
+  const late = { readyAtMs: [] };
+  const end = endWith(null, 'SIGKILL', 8_500);
+  const signals = [createSignal('SIGKILL', 8_500)];
+  expect(listRules({ ...late, signals, ...end })).toEqual(['FAULT']);
+  expect(listRules({ ...late, signals, waits, ...end })).toEqual([]);
+});
+
+test('FAULT: a process that is not ready although it waited for a processor', () => {
+  const waits = [
+    { atMs: 0, waitedMs: 10 },
+    { atMs: 9_500, waitedMs: 1_010 },
+  ];
+  const signals = [createSignal('SIGKILL', 9_500)];
+  const life = { readyAtMs: [], signals, waits, ...endWith(null, 'SIGKILL', 9_500) };
+  expect(listRules(life)).toEqual(['FAULT']);
+});
+
 test('FAULT: a process that is not ready again after the log is back', () => {
   const impairments = [{ vmId: undefined, kind: 'log' as const, fromMs: 2_000, toMs: 5_000 }];
   expect(listRules({ readyAtMs: [1_000] }, { impairments })).toEqual(['FAULT']);
--- a/soak/checks/__tests__/historyFixtures.ts
+++ b/soak/checks/__tests__/historyFixtures.ts
@@ -44,6 +44,7 @@
   startedAtMs: 0,
   signals: [],
   readyAtMs: [1_000],
+  waits: [],
   peakMemoryMb: 70,
   exit: undefined,
   ...parts,
--- a/soak/checks/index.ts
+++ b/soak/checks/index.ts
@@ -3,6 +3,9 @@
 import { checkProcesses } from './checkProcesses.js';
 import { checkRequests } from './checkRequests.js';
 
+export { computeStallShare, decideVerdict } from './decideVerdict.js';
+export type { Verdict } from './decideVerdict.js';
+
 /** Checks all rules, and gives the findings in the order of time. */
 export const checkHistory = (history: SoakHistory, bounds: SoakBounds): readonly Finding[] =>
   [
--- a/soak/cli.ts
+++ b/soak/cli.ts
@@ -4,13 +4,15 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
-import { checkHistory } from './checks/index.js';
+import { checkHistory, computeStallShare, decideVerdict } from './checks/index.js';
+import type { Verdict } from './checks/index.js';
 import type { DaemonCommand } from './daemonProcess.js';
-import { drawFaultPlan } from './faultPlan.js';
+import { drawFaultPlan, FULL_SHAPE, SHORT_SHAPE } from './faultPlan.js';
+import type { PlanShape } from './faultPlan.js';
 import type { Finding, SoakBounds, SoakHistory } from './history.js';
 import { SoakRun } from './soakRun.js';
 
-/** Runs seeds of the soak; exits with 1 if one of them broke a rule. */
+/** Runs seeds of the soak; exits with 1 if one of them broke a rule, or could not be judged. */
 
 const MS_PER_MINUTE = 60_000;
 
@@ -20,6 +22,9 @@
 
 const PERCENT = 100;
 
+/** A seed that can't be judged is repeated twice. */
+const MAX_PLAYS = 3;
+
 const root = fileURLToPath(new URL('..', import.meta.url));
 
 /** Reads the daemon's command from the deploy file. */
@@ -63,13 +68,6 @@
   return [...counts].map(([rule, count]) => `${rule} ${count}`).join(', ') || 'no finding';
 };
 
-/** Share of the time in which the soak itself stood still, in percent. */
-const computeStallShare = ({ stalls, lives, endedAtMs }: SoakHistory): number => {
-  const startedAtMs = Math.min(...lives.map((life) => life.startedAtMs));
-  const stalledMs = stalls.reduce((sum, { fromMs, toMs }) => sum + toMs - fromMs, 0);
-  return Math.round((stalledMs * PERCENT) / (endedAtMs - startedAtMs));
-};
-
 const describeHistory = (history: SoakHistory): string => {
   const { requests, runs, lives } = history;
   const answered = requests.filter(({ end }) => end?.type === 'answered');
@@ -78,21 +76,34 @@
   return (
     `${requests.length} requests, ${served.length} served, ${answered.length} answered, ` +
     `${runs.length} runs, ${lives.length} processes, peak ${Math.round(peakMb)} MB, ` +
-    `stood still ${computeStallShare(history)} %`
+    `stood still ${Math.round(computeStallShare(history) * PERCENT)} %`
   );
 };
 
+const VERDICTS: Readonly<Record<Verdict, string>> = {
+  clean: 'clean',
+  failed: 'failed',
+  notJudged: 'not judged',
+};
+
 const running = new Set<SoakRun>();
 
-const runSeed = async (
+/** What all seeds of a run share. */
+interface SeedOptions {
+  readonly command: DaemonCommand;
+  readonly bounds: SoakBounds;
+  readonly shape: PlanShape;
+  readonly folder: string;
+}
+
+const runPlay = async (
   seed: number,
-  command: DaemonCommand,
-  bounds: SoakBounds,
-  parent: string,
-): Promise<boolean> => {
+  { command, bounds, shape, folder: parent }: SeedOptions,
+): Promise<Verdict> => {
   const folder = join(parent, `seed-${seed}`);
+  rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
-  const plan = drawFaultPlan(seed);
+  const plan = drawFaultPlan(seed, shape);
   const run = new SoakRun(plan, { command, bounds, folder });
   running.add(run);
   const history = await run.run().finally(() => {
@@ -100,8 +111,11 @@
     running.delete(run);
   });
   const findings = checkHistory(history, bounds);
+  const verdict = decideVerdict(history, findings);
+  console.log(
+    `seed ${seed}: ${VERDICTS[verdict]}, ${countByRule(findings)}; ${describeHistory(history)}`,
+  );
   const faults = findings.filter(({ rule }) => rule !== 'EARLY');
-  console.log(`seed ${seed}: ${countByRule(findings)}; ${describeHistory(history)}`);
   faults.slice(0, 20).forEach(({ rule, vmId, atMs, text }) => {
     console.log(`  ${rule} ${vmId} at ${Math.round(atMs)} ms: ${text}`);
   });
@@ -110,7 +124,16 @@
     writeFileSync(join(folder, 'history.json'), JSON.stringify({ plan, findings, history }));
     console.log(`  plan, history and output of the processes: ${folder}`);
   }
-  return faults.length === 0;
+  return verdict;
+};
+
+/** Plays a seed again while the machine is too busy to judge it. */
+const runSeed = async (seed: number, options: SeedOptions): Promise<Verdict> => {
+  for (let plays = 1; plays < MAX_PLAYS; plays += 1) {
+    const verdict = await runPlay(seed, options);
+    if (verdict !== 'notJudged') return verdict;
+  }
+  return runPlay(seed, options);
 };
 
 const main = async (): Promise<void> => {
@@ -119,6 +142,7 @@
       seeds: { type: 'string', default: '1' },
       first: { type: 'string', default: '1' },
       seed: { type: 'string' },
+      short: { type: 'boolean', default: false },
       known: { type: 'boolean', default: false },
       minutes: { type: 'string', default: '600' },
       concurrent: { type: 'string', default: '1' },
@@ -129,25 +153,29 @@
   const count = values.seed === undefined ? Number(values.seeds) : 1;
   const drawn = Array.from({ length: count }, (_value, index) => first + index);
   const deadlineAtMs = performance.now() + Number(values.minutes) * MS_PER_MINUTE;
-  const parent = values.folder ?? mkdtempSync(join(tmpdir(), 'goldcrest-soak-'));
   const command = readCommand();
-  const bounds = createBounds(command);
+  const options = {
+    command,
+    bounds: createBounds(command),
+    shape: values.short ? SHORT_SHAPE : FULL_SHAPE,
+    folder: values.folder ?? mkdtempSync(join(tmpdir(), 'goldcrest-soak-')),
+  };
   const seeds = values.known ? [...readKnownSeeds()] : drawn;
-  const failed: number[] = [];
+  const unclean: string[] = [];
   let played = 0;
   const runWorker = async (): Promise<void> => {
     while (performance.now() < deadlineAtMs) {
       const seed = seeds.shift();
       if (seed === undefined) return;
-      const isClean = await runSeed(seed, command, bounds, parent);
+      const verdict = await runSeed(seed, options);
       played += 1;
-      if (!isClean) failed.push(seed);
+      if (verdict !== 'clean') unclean.push(`${seed} ${VERDICTS[verdict]}`);
     }
   };
   const workers = Math.min(MAX_CONCURRENT, Number(values.concurrent));
   await Promise.all(Array.from({ length: workers }, runWorker));
-  console.log(`${played} seeds, ${failed.length} failed: ${failed.join(', ') || 'none'}`);
-  process.exit(failed.length === 0 && played > 0 ? 0 : 1);
+  console.log(`${played} seeds, ${unclean.length} not clean: ${unclean.join(', ') || 'none'}`);
+  process.exit(unclean.length === 0 && played > 0 ? 0 : 1);
 };
 
 const killAll = (): void => running.forEach((run) => run.kill());
--- a/soak/daemonProcess.ts
+++ b/soak/daemonProcess.ts
@@ -10,6 +10,11 @@
 
 const SAMPLE_INTERVAL_MS = 250;
 
+/** Descriptors that a process may have. */
+const DESCRIPTORS = 4_096;
+
+const WAIT_SAMPLE_INTERVAL_MS = 50;
+
 const readProc = (pid: number, name: string): string => {
   try {
     return readFileSync(`/proc/${pid}/${name}`, 'utf8');
@@ -19,6 +24,12 @@
   }
 };
 
+/** Time that a process has run, and time that it has waited for a processor. */
+const readScheduling = (pid: number): { readonly cpuMs: number; readonly waitedMs: number } => {
+  const [cpuNs = '0', waitedNs = '0'] = readProc(pid, 'schedstat').split(' ');
+  return { cpuMs: Number(cpuNs) / NS_PER_MS, waitedMs: Number(waitedNs) / NS_PER_MS };
+};
+
 /** How the daemon is started. */
 export interface DaemonCommand {
   readonly flags: readonly string[];
@@ -34,7 +45,7 @@
 
   private readonly child: ChildProcess;
 
-  private readonly sampler: NodeJS.Timeout;
+  private readonly samplers: readonly NodeJS.Timeout[];
 
   constructor(
     vmId: string,
@@ -43,7 +54,8 @@
     private readonly readinessAddress: string,
   ) {
     const output = openSync(paths.output, 'a');
-    this.child = spawn(process.execPath, [...flags, program], {
+    const limit = `ulimit -n ${DESCRIPTORS} && exec "$0" "$@"`;
+    this.child = spawn('/bin/sh', ['-c', limit, process.execPath, ...flags, program], {
       stdio: ['ignore', output, output],
       env: { PATH: process.env.PATH, [SETTINGS_VARIABLE]: paths.settings },
     });
@@ -54,15 +66,19 @@
       startedAtMs: performance.now(),
       signals: [],
       readyAtMs: [],
+      waits: [],
       peakMemoryMb: 0,
       exit: undefined,
     };
-    this.sampler = setInterval(() => {
-      void this.sample();
-    }, SAMPLE_INTERVAL_MS);
+    this.samplers = [
+      setInterval(() => {
+        void this.sample();
+      }, SAMPLE_INTERVAL_MS),
+      setInterval(() => this.sampleWait(), WAIT_SAMPLE_INTERVAL_MS),
+    ];
     this.ended = new Promise((resolve) => {
       this.child.once('exit', (code, signal) => {
-        clearInterval(this.sampler);
+        this.samplers.forEach((sampler) => clearInterval(sampler));
         this.life.exit = { code, signal, atMs: performance.now() };
         resolve();
       });
@@ -75,11 +91,18 @@
 
   sendSignal(signal: SoakSignal, isOverdue = false): void {
     if (!this.isRunning) return;
-    const cpuMs = Number(readProc(this.life.pid, 'schedstat').split(' ')[0]) / NS_PER_MS;
+    this.sampleWait();
+    const { cpuMs } = readScheduling(this.life.pid);
     this.life.signals.push({ signal, atMs: performance.now(), cpuMs, isOverdue });
     this.child.kill(signal);
   }
 
+  private sampleWait(): void {
+    const { waitedMs } = readScheduling(this.life.pid);
+    // An ended process has no figures any more.
+    if (waitedMs > 0) this.life.waits.push({ atMs: performance.now(), waitedMs });
+  }
+
   private async sample(): Promise<void> {
     const match = /VmHWM:\s+(\d+)/.exec(readProc(this.life.pid, 'status'));
     this.life.peakMemoryMb = Math.max(this.life.peakMemoryMb, Number(match?.[1] ?? 0) / KB_PER_MB);
--- a/soak/faultPlan.ts
+++ b/soak/faultPlan.ts
@@ -1,79 +1,44 @@
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { createRandomGenerator } from '@goldcrestscale/core';
 import type { AnswerFault, StandInAnswer } from '@goldcrestscale/adapter/standin/index.js';
-import type { SoakSignal } from './history.js';
 import type { LinkFault } from './faultyProxy.js';
-import type { VmPort, NextStart } from './supervisedVm.js';
-
-/** One step of a seed's plan; `vm` and `upstream` are indexes. */
-export type PlanStep = { readonly atMs: number } & (
-  | { readonly type: 'signal'; readonly vm: number; readonly signal: SoakSignal }
-  | { readonly type: 'freeze'; readonly vm: number; readonly forMs: number }
-  /** Ends a process and signals the next one of this VM after its start. */
-  | ({
-      readonly type: 'restart';
-      readonly vm: number;
-      readonly signal: 'SIGTERM' | 'SIGKILL';
-    } & NextStart)
-  | {
-      readonly type: 'settings';
-      readonly vm: number;
-      /** How long the file is there in part. */
-      readonly partMs: number;
-      readonly hasSignal: boolean;
-    }
-  | {
-      readonly type: 'logLink';
-      /** Undefined for all VMs. */
-      readonly vm: number | undefined;
-      readonly fault: LinkFault;
-      readonly forMs: number;
-    }
-  | {
-      readonly type: 'upstreamLink';
-      readonly upstream: number;
-      readonly fault: LinkFault;
-      readonly forMs: number;
-    }
-  | { readonly type: 'crash'; readonly upstream: number; readonly forMs: number }
-  | { readonly type: 'leave'; readonly upstream: number; readonly forMs: number }
-  | {
-      readonly type: 'answers';
-      readonly upstream: number;
-      readonly fault: AnswerFault;
-      readonly forMs: number;
-    }
-  | { readonly type: 'logAnswers'; readonly answer: StandInAnswer; readonly forMs: number }
-  /** Bytes of a stranger at a port of a VM. */
-  | {
-      readonly type: 'noise';
-      readonly vm: number;
-      readonly port: VmPort;
-      readonly bytes: string;
-    }
-  | { readonly type: 'configuration' }
-);
-
-/** What a seed of the soak does. */
-export interface FaultPlan {
-  readonly seed: number;
-  readonly vms: number;
-  readonly upstreams: number;
-  readonly durationMs: number;
-  readonly steps: readonly PlanStep[];
+import type { SoakSignal } from './history.js';
+import { PlanDraw } from './planDraw.js';
+import type { FaultPlan, PlanStep } from './planStep.js';
+import { drawPressure } from './pressurePlan.js';
+import type { NextStart, VmPort } from './supervisedVm.js';
+
+/** Size of the plans that seeds draw. */
+export interface PlanShape {
+  readonly minVms: number;
+  readonly maxVms: number;
+  readonly minDurationMs: number;
+  readonly maxDurationMs: number;
 }
 
-const MIN_VMS = 7;
-const MAX_VMS = 9;
+/** Plans of a run by hand. */
+export const FULL_SHAPE: PlanShape = {
+  minVms: 7,
+  maxVms: 9,
+  minDurationMs: 20_000,
+  maxDurationMs: 40_000,
+};
+
+/** Plans of a run beside other load. */
+export const SHORT_SHAPE: PlanShape = {
+  minVms: 3,
+  maxVms: 3,
+  minDurationMs: 14_000,
+  maxDurationMs: 16_000,
+};
+
 const UPSTREAMS = 8;
-const MIN_DURATION_MS = 20_000;
-const MAX_DURATION_MS = 40_000;
 
 /** No step comes so late that its effect could not be seen. */
 const QUIET_END_MS = 4_000;
 
 const STEP_INTERVAL_MS = 1_100;
 
+const PRESSURE_PERCENT = 25;
+
 const VM_PORTS: readonly VmPort[] = [
   'callers',
   'readiness',
@@ -123,27 +88,6 @@
 
 const SHUTDOWN_SIGNALS: readonly SoakSignal[] = ['SIGTERM', 'SIGTERM', 'SIGINT', 'SIGHUP'];
 
-/** Random choices of a plan. */
-class PlanDraw {
-  private readonly generator;
-
-  constructor(seed: number) {
-    this.generator = createRandomGenerator(seed);
-  }
-
-  next(min: number, max: number): number {
-    return uniformInt(this.generator, min, max);
-  }
-
-  pick<Item>(items: readonly Item[]): Item {
-    return items[this.next(0, items.length - 1)]!;
-  }
-
-  isChosen(percent: number): boolean {
-    return this.next(1, 100) <= percent;
-  }
-}
-
 const drawNextStart = (draw: PlanDraw): NextStart => ({
   early: Array.from({ length: draw.next(0, 2) }, () => ({
     afterMs: draw.next(5, 300),
@@ -223,7 +167,8 @@
   }
 };
 
-const drawSteps = (draw: PlanDraw, atMs: number, vms: number): PlanStep[] => {
+const drawSteps = (draw: PlanDraw, atMs: number, vms: number): readonly PlanStep[] => {
+  if (draw.isChosen(PRESSURE_PERCENT)) return drawPressure(draw, atMs, vms, UPSTREAMS);
   if (draw.isChosen(30)) return drawSeries(draw, atMs, vms);
   if (draw.isChosen(45)) return drawSignals(draw, atMs, vms);
   if (draw.isChosen(25)) {
@@ -235,10 +180,10 @@
 };
 
 /** Draws the plan of a seed. */
-export const drawFaultPlan = (seed: number): FaultPlan => {
+export const drawFaultPlan = (seed: number, shape = FULL_SHAPE): FaultPlan => {
   const draw = new PlanDraw(seed);
-  const vms = draw.next(MIN_VMS, MAX_VMS);
-  const durationMs = draw.next(MIN_DURATION_MS, MAX_DURATION_MS);
+  const vms = draw.next(shape.minVms, shape.maxVms);
+  const durationMs = draw.next(shape.minDurationMs, shape.maxDurationMs);
   const lastMs = durationMs - QUIET_END_MS;
   const steps: PlanStep[] = [];
   for (let atMs = 0; atMs < lastMs; atMs += draw.next(100, 2 * STEP_INTERVAL_MS)) {
@@ -249,6 +194,8 @@
     vms,
     upstreams: UPSTREAMS,
     durationMs,
-    steps: steps.toSorted((first, second) => first.atMs - second.atMs),
+    steps: steps
+      .filter(({ atMs }) => atMs < durationMs)
+      .toSorted((first, second) => first.atMs - second.atMs),
   };
 };
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -35,6 +35,12 @@
   readonly isOverdue: boolean;
 }
 
+/** Time for which a process had been ready to run and had no processor. */
+export interface WaitSample {
+  readonly atMs: number;
+  readonly waitedMs: number;
+}
+
 /** One process of a VM, from its start to its end. */
 export interface LifeRecord {
   readonly vmId: string;
@@ -43,6 +49,8 @@
   readonly signals: SignalRecord[];
   /** Times at which it was found ready. */
   readonly readyAtMs: number[];
+  /** How long it had waited for a processor in all, at some moments. */
+  readonly waits: WaitSample[];
   peakMemoryMb: number;
   exit:
     | { readonly code: number | null; readonly signal: string | null; readonly atMs: number }
@@ -81,6 +89,8 @@
   readonly vmId: string;
   readonly atMs: number;
   readonly text: string;
+  /** Whether it is a matter of time, which a machine that is too busy takes from the processes. */
+  readonly isTimed?: boolean;
 }
 
 /** Bounds of the users' rules. */
--- a/soak/soakCaller.ts
+++ b/soak/soakCaller.ts
@@ -30,6 +30,9 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/** One of a crowd waits longer: the VM may stand still. */
+const CROWD_CONNECT_TIMEOUT_MS = 5_000;
+
 const RECONNECT_DELAY_MS = 100;
 
 const BIG_BODY_BYTES = 72_000;
@@ -70,6 +73,22 @@
     }
   }
 
+  /** Sends one request on a connection of its own. */
+  async callOnce(): Promise<void> {
+    const [vm] = this.options.vms;
+    if (!vm || this.isStopped) return;
+    try {
+      const connection = await StandInConnection.open(vm.address, CROWD_CONNECT_TIMEOUT_MS);
+      this.connection = connection;
+      const { ended } = await this.sendRequest(connection, vm.vmId, false);
+      await ended;
+      connection.leave();
+      this.strays.push(...connection.strays.map((text) => `${vm.vmId}: ${text}`));
+    } catch {
+      // The VM is away, or had no room for the connection.
+    }
+  }
+
   stop(): void {
     this.isStopped = true;
     this.connection?.leave();
--- a/soak/soakPlatform.ts
+++ b/soak/soakPlatform.ts
@@ -7,6 +7,7 @@
 } from '@goldcrestscale/adapter/standin/index.js';
 import type {
   AnswerFault,
+  EndlessBytes,
   ServiceWork,
   StandInAnswer,
   UpstreamRun,
@@ -125,7 +126,7 @@
   }
 
   /** The log answers all calls wrongly. */
-  async harmLogAnswers(answer: StandInAnswer, durationMs: number): Promise<void> {
+  async harmLogAnswers(answer: StandInAnswer | EndlessBytes, durationMs: number): Promise<void> {
     const fromMs = performance.now();
     const toMs = fromMs + durationMs;
     this.impairments.push({ vmId: undefined, kind: 'log', fromMs, toMs });
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -3,7 +3,7 @@
 import { createRandomGenerator, sleep } from '@goldcrestscale/core';
 import { findFreePorts } from '../scripts/site/freePorts.js';
 import type { DaemonCommand } from './daemonProcess.js';
-import type { FaultPlan, PlanStep } from './faultPlan.js';
+import type { FaultPlan, PlanStep } from './planStep.js';
 import type { SoakBounds, SoakHistory } from './history.js';
 import { SoakCaller } from './soakCaller.js';
 import { SoakPlatform } from './soakPlatform.js';
@@ -13,7 +13,12 @@
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 
-const CALLERS = 36;
+const CALLERS_PER_VM = 5;
+
+/** Callers of a crowd that come in one turn. */
+const CROWD_BATCH = 50;
+
+const CROWD_INTERVAL_MS = 10;
 
 const WARM_UP_MS = 1_500;
 
@@ -36,13 +41,13 @@
   zone: string,
   ports: VmPorts,
   logAddress: string,
-  shutdownMs: number,
+  { shutdownMs, memoryMb }: SoakBounds,
 ): object => ({
   vmId,
   availabilityZone: zone,
   zones: Object.fromEntries(ZONES.map((name) => [name, 'region'])),
   firstStart: true,
-  machine: { cores: 1, coreShare: 0.7, linkMbps: 1_000 },
+  machine: { cores: 1, coreShare: 0.7, linkMbps: 1_000, memoryMb },
   listen: Object.fromEntries(
     Object.entries(ports).map(([name, port]) => [name, `127.0.0.1:${port}`]),
   ),
@@ -69,7 +74,7 @@
 
   private vms: readonly SupervisedVm[] = [];
 
-  private callers: readonly SoakCaller[] = [];
+  private callers: SoakCaller[] = [];
 
   constructor(
     private readonly plan: FaultPlan,
@@ -111,7 +116,7 @@
       this.createVm(index, logAddress, ports.slice(index * PORTS_PER_VM)),
     );
     this.callers = Array.from(
-      { length: CALLERS },
+      { length: CALLERS_PER_VM * plan.vms },
       (_value, index) =>
         new SoakCaller({ name: `c${index}`, vms: this.vms, pickInt: this.pickInt }),
     );
@@ -131,10 +136,11 @@
     return new SupervisedVm({
       vmId,
       ports: vmPorts,
-      settings: buildSettings(vmId, zone, vmPorts, logAddress, bounds.shutdownMs),
+      settings: buildSettings(vmId, zone, vmPorts, logAddress, bounds),
       folder: join(folder),
       command,
       shutdownMs: bounds.shutdownMs,
+      stalls: this.stallMeter.stalls,
     });
   }
 
@@ -176,6 +182,17 @@
       case 'noise':
         await this.vms[step.vm]?.receiveNoise(step.port, step.bytes);
         break;
+      case 'strangers':
+        await this.vms[step.vm]?.receiveStrangers(
+          step.port,
+          step.connections,
+          step.bytes,
+          step.forMs,
+        );
+        break;
+      case 'crowd':
+        await this.runCrowd(step.vm, step.callers);
+        break;
       case 'answers':
         await platform.harmAnswers(step.upstream, step.fault, step.forMs);
         break;
@@ -190,6 +207,21 @@
     }
   }
 
+  private async runCrowd(vm: number, count: number): Promise<void> {
+    const vms = this.vms.slice(vm, vm + 1);
+    const { pickInt } = this;
+    const calls: Promise<void>[] = [];
+    while (calls.length < count) {
+      const name = `x${this.callers.length}`;
+      const caller = new SoakCaller({ name, vms, pickInt });
+      this.callers.push(caller);
+      calls.push(caller.callOnce());
+      // The soak itself must not stand still.
+      if (calls.length % CROWD_BATCH === 0) await sleep(CROWD_INTERVAL_MS);
+    }
+    await Promise.all(calls);
+  }
+
   private collectHistory(endedAtMs: number): SoakHistory {
     const { platform, vms, callers } = this;
     return {
--- a/soak/supervisedVm.ts
+++ b/soak/supervisedVm.ts
@@ -1,11 +1,14 @@
 import { writeFileSync } from 'node:fs';
 import { createSocket } from 'node:dgram';
-import { connect, createServer, Server } from 'node:net';
+import { createServer, Server } from 'node:net';
 import { join } from 'node:path';
 import { sleep } from '@goldcrestscale/core';
+import type { EndlessBytes } from '@goldcrestscale/adapter/standin/index.js';
 import { DaemonProcess } from './daemonProcess.js';
 import type { DaemonCommand } from './daemonProcess.js';
-import type { ImpairmentRecord, LifeRecord, SoakSignal } from './history.js';
+import type { ImpairmentRecord, LifeRecord, SoakHistory, SoakSignal } from './history.js';
+import { measureLostTime } from './lostTime.js';
+import { sendFromStrangers, sendNoise } from './stranger.js';
 
 /** Listeners of a VM, each on a port of the loopback interface. */
 export interface VmPorts {
@@ -36,15 +39,14 @@
   readonly folder: string;
   readonly command: DaemonCommand;
   readonly shutdownMs: number;
+  /** Spans in which the soak stood still, up to now. */
+  readonly stalls: SoakHistory['stalls'];
 }
 
 const LOOPBACK = '127.0.0.1';
 
 const RESTART_DELAY_MS = 60;
 
-/** How long a stranger stays. */
-const NOISE_MS = 300;
-
 const PLAIN_START: NextStart = {
   early: [],
   heldPort: undefined,
@@ -66,21 +68,6 @@
   if (holder instanceof Server ? holder.listening : true) holder.close();
 };
 
-/** Sends the bytes of a stranger to a port and drops the connection. */
-const sendNoise = async (port: number, isDatagram: boolean, bytes: string): Promise<void> => {
-  if (isDatagram) {
-    const socket = createSocket('udp4');
-    socket.send(Buffer.from(bytes, 'latin1'), port, LOOPBACK, () => socket.close());
-    return;
-  }
-  const socket = connect(port, LOOPBACK);
-  // The VM may be away.
-  socket.on('error', () => socket.destroy());
-  socket.write(bytes, 'latin1');
-  await sleep(NOISE_MS);
-  socket.resetAndDestroy();
-};
-
 /** A VM whose supervisor starts its process again each time it has ended. */
 export class SupervisedVm {
   readonly lives: LifeRecord[] = [];
@@ -138,7 +125,7 @@
     if (signal === 'SIGKILL') this.recordImpairment('kill', atMs, atMs);
     daemon.sendSignal(signal);
     if (signal !== 'SIGTERM' && signal !== 'SIGINT') return;
-    this.schedule(this.options.shutdownMs, () => daemon.sendSignal('SIGKILL', true));
+    this.schedule(this.options.shutdownMs, () => this.killOverdue(daemon, atMs));
   }
 
   /** Freezes the process. */
@@ -169,6 +156,17 @@
     await sendNoise(this.findPort(port), port === 'meshDatagrams', bytes);
   }
 
+  /** Strangers connect to a port; they send without end, or nothing more. */
+  async receiveStrangers(
+    port: VmPort,
+    connections: number,
+    bytes: EndlessBytes,
+    durationMs: number,
+  ): Promise<void> {
+    const signal = AbortSignal.timeout(durationMs);
+    await sendFromStrangers(this.findPort(port), connections, bytes, signal);
+  }
+
   /** Ends the process for good: SIGTERM, and SIGKILL when its time is over. */
   async stop(): Promise<void> {
     this.isStopping = true;
@@ -183,6 +181,16 @@
     this.process?.sendSignal('SIGKILL');
   }
 
+  /** Ends a process that has had the whole time of a shutdown. */
+  private killOverdue(daemon: DaemonProcess, signalledAtMs: number): void {
+    const { shutdownMs, stalls } = this.options;
+    const nowMs = performance.now();
+    const lostMs = measureLostTime(daemon.life, { stalls }, signalledAtMs, nowMs);
+    const leftMs = signalledAtMs + shutdownMs + Math.min(lostMs, shutdownMs) - nowMs;
+    if (leftMs <= 0) daemon.sendSignal('SIGKILL', true);
+    else this.schedule(leftMs, () => this.killOverdue(daemon, signalledAtMs));
+  }
+
   private get settingsPath(): string {
     return join(this.options.folder, `${this.vmId}.json`);
   }
