--- a/soak/checks/index.ts
+++ b/soak/checks/index.ts
@@ -1,4 +1,6 @@
 import type { Finding, SoakBounds, SoakHistory } from '../history.js';
+import { checkAttempts } from './checkAttempts.js';
+import { checkDrain } from './checkDrain.js';
 import { checkLost } from './checkLost.js';
 import { checkProcesses } from './checkProcesses.js';
 import { checkRequests } from './checkRequests.js';
@@ -12,4 +14,6 @@
     ...checkProcesses(history, bounds),
     ...checkLost(history, bounds),
     ...checkRequests(history),
+    ...checkDrain(history),
+    ...checkAttempts(history),
   ].toSorted((first, second) => first.atMs - second.atMs);
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -81,7 +81,16 @@
 
 /** Rules of the users that the checks know. */
 export type SoakRule =
-  'FAULT' | 'LOST' | 'TWICE' | 'REFUSED' | 'MIXED' | 'ORDER' | 'UNASKED' | 'EARLY';
+  | 'FAULT'
+  | 'LOST'
+  | 'TWICE'
+  | 'REFUSED'
+  | 'MIXED'
+  | 'ORDER'
+  | 'UNASKED'
+  | 'DRAIN'
+  | 'BUDGET'
+  | 'EARLY';
 
 /** One breach of a rule. */
 export interface Finding {
