--- a/soak/cli.ts
+++ b/soak/cli.ts
@@ -55,12 +55,14 @@
   runtimeStartCpuMs: measureRuntimeStart(command),
 });
 
-/** Seeds that failed once, from a file with a line `SEED CAUSE` for each. */
-const readKnownSeeds = (): readonly number[] =>
-  readFileSync(join(root, 'soak/seeds.txt'), 'utf8')
+/** Seeds that failed once, from a file with a line `SEED CAUSE` or `short SEED CAUSE` for each. */
+const readKnownSeeds = (isShort: boolean): readonly number[] => {
+  const pattern = isShort ? /^short (\d+)/ : /^(\d+)/;
+  return readFileSync(join(root, 'soak/seeds.txt'), 'utf8')
     .split('\n')
-    .flatMap((line) => /^\d+/.exec(line)?.[0] ?? [])
+    .flatMap((line) => pattern.exec(line)?.[1] ?? [])
     .map(Number);
+};
 
 const countByRule = (findings: readonly Finding[]): string => {
   const counts = new Map<string, number>();
@@ -149,9 +151,9 @@
       folder: { type: 'string' },
     },
   });
-  const first = Number(values.seed ?? values.first);
-  const count = values.seed === undefined ? Number(values.seeds) : 1;
-  const drawn = Array.from({ length: count }, (_value, index) => first + index);
+  const drawn =
+    values.seed?.split(',').map(Number) ??
+    Array.from({ length: Number(values.seeds) }, (_value, index) => Number(values.first) + index);
   const deadlineAtMs = performance.now() + Number(values.minutes) * MS_PER_MINUTE;
   const command = readCommand();
   const options = {
@@ -160,7 +162,7 @@
     shape: values.short ? SHORT_SHAPE : FULL_SHAPE,
     folder: values.folder ?? mkdtempSync(join(tmpdir(), 'goldcrest-soak-')),
   };
-  const seeds = values.known ? [...readKnownSeeds()] : drawn;
+  const seeds = values.known ? [...readKnownSeeds(values.short)] : drawn;
   const unclean: string[] = [];
   let played = 0;
   const runWorker = async (): Promise<void> => {
