feat(soak): check that nothing runs at an upstream long after it left

Upstreams that leave serve on for 3.5 s, and the soak did not look at what still came. A run that begins over 2 s after the report, sent by a VM in touch over links without harm, breaks DRAIN.

--- a/soak/checks/__tests__/historyFixtures.ts
+++ b/soak/checks/__tests__/historyFixtures.ts
@@ -13,6 +13,7 @@
   shutdownMs: 8_000,
   lossSlackMs: 200,
   applyMs: 2_000,
+  drainMs: 2_000,
   stableMs: 3_000,
   readyMs: 8_000,
   memoryMb: 200,
@@ -28,6 +29,7 @@
   strays: [],
   stalls: [],
   configurationsAtMs: [],
+  leaves: [],
   endedAtMs: 40_000,
   ...parts,
 });
--- a/soak/checks/index.ts
+++ b/soak/checks/index.ts
@@ -1,6 +1,7 @@
 import type { Finding, SoakBounds, SoakHistory } from '../history.js';
 import { checkAttempts } from './checkAttempts.js';
 import { checkDrain } from './checkDrain.js';
+import { checkLeaves } from './checkLeaves.js';
 import { checkLost } from './checkLost.js';
 import { checkProcesses } from './checkProcesses.js';
 import { checkRequests } from './checkRequests.js';
@@ -15,5 +16,6 @@
     ...checkLost(history, bounds),
     ...checkRequests(history),
     ...checkDrain(history),
+    ...checkLeaves(history, bounds),
     ...checkAttempts(history),
   ].toSorted((first, second) => first.atMs - second.atMs);
--- a/soak/cli.ts
+++ b/soak/cli.ts
@@ -48,6 +48,7 @@
   shutdownMs: 8_000,
   lossSlackMs: 200,
   applyMs: 2_000,
+  drainMs: 2_000,
   stableMs: 3_000,
   readyMs: 8_000,
   memoryMb: 200,
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -76,6 +76,8 @@
   /** Spans in which the soak itself stood still, and saw what happened later than it did. */
   readonly stalls: readonly { readonly fromMs: number; readonly toMs: number }[];
   readonly configurationsAtMs: readonly number[];
+  /** Upstreams that reported that they leave. */
+  readonly leaves: readonly { readonly upstreamId: string; readonly atMs: number }[];
   readonly endedAtMs: number;
 }
 
@@ -109,6 +111,8 @@
   readonly lossSlackMs: number;
   /** Time in which a changed configuration is in force. */
   readonly applyMs: number;
+  /** Time after which no request reaches an upstream that leaves. */
+  readonly drainMs: number;
   /** Calm before a moment that lets rules hold again. */
   readonly stableMs: number;
   readonly readyMs: number;
--- a/soak/soakPlatform.ts
+++ b/soak/soakPlatform.ts
@@ -49,6 +49,8 @@
 
   readonly configurationsAtMs: number[] = [];
 
+  readonly leaves: { readonly upstreamId: string; readonly atMs: number }[] = [];
+
   private readonly log = new StandInLog();
 
   private readonly services: StandInService[] = [];
@@ -164,6 +166,8 @@
     if (!upstream?.isRunning || upstream.isLeaving) return;
     upstream.isLeaving = true;
     this.appendUpstream(upstream);
+    const { upstreamId } = upstream.service;
+    this.leaves.push({ upstreamId, atMs: performance.now() });
     await sleep(LEAVE_MS);
     if (upstream.isRunning) await this.replaceUpstream(upstream, durationMs);
   }
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -232,6 +232,7 @@
       strays: callers.flatMap(({ strays }) => strays),
       stalls: this.stallMeter.stalls,
       configurationsAtMs: platform.configurationsAtMs,
+      leaves: platform.leaves,
       endedAtMs,
     };
   }
