feat(soak): count the time that processes had, and whether the fleet recovers

Beside load the soak blamed daemons for time that they did not have.

Spans of waiting and of stalls are now joined, each counted once. What they cover of the 200 ms in which a request that was not passed on may be cut doesn't count; such a cut is printed as STARVED. A request that was passed on is judged as before.

RECOVER is new: 12 s after the last trouble at least a quarter is served.

--- a/soak/__tests__/faultPlan.spec.ts
+++ b/soak/__tests__/faultPlan.spec.ts
@@ -42,6 +42,7 @@
     maxVms: 9,
     minDurationMs: 20_000,
     maxDurationMs: 40_000,
+    quietMs: 15_000,
   });
 });
 
--- a/soak/checks/__tests__/checkLost.spec.ts
+++ b/soak/checks/__tests__/checkLost.spec.ts
@@ -40,6 +40,22 @@
   expect(countLost({ ...rest, runs: [createRun({})] })).toBe(1);
 });
 
+test('a cut that only a wait for a processor made late is STARVED, not LOST', () => {
+  const listRules = (waitedMs: number, parts: Partial<SoakHistory> = {}): string[] => {
+    const waits = [
+      { atMs: 9_000, waitedMs: 0 },
+      { atMs: 10_300, waitedMs },
+    ];
+    const signals = [createSignal('SIGTERM', 9_500)];
+    const lives = [createLife({ signals, waits })];
+    const history = createHistory({ requests: [createCut(10_300)], lives, ...parts });
+    return checkLost(history, BOUNDS).map(({ rule }) => rule);
+  };
+  expect(listRules(89)).toEqual(['LOST']);
+  expect(listRules(91)).toEqual(['STARVED']);
+  expect(listRules(91, { runs: [createRun({})] })).toEqual(['LOST']);
+});
+
 test('LOST: a request is cut soon after a SIGHUP', () => {
   const lives = [createLife({ signals: [createSignal('SIGHUP', 9_500)] })];
   expect(countLost({ requests: [createCut(10_100)], runs: [createRun({})], lives })).toBe(1);
--- a/soak/checks/__tests__/historyFixtures.ts
+++ b/soak/checks/__tests__/historyFixtures.ts
@@ -16,6 +16,7 @@
   drainMs: 2_000,
   stableMs: 3_000,
   readyMs: 8_000,
+  recoverMs: 12_000,
   memoryMb: 200,
   routeTimeoutMs: 10_000,
   runtimeStartCpuMs: 40,
@@ -30,6 +31,7 @@
   stalls: [],
   configurationsAtMs: [],
   leaves: [],
+  calmFromMs: 20_000,
   endedAtMs: 40_000,
   ...parts,
 });
--- a/soak/checks/checkLost.ts
+++ b/soak/checks/checkLost.ts
@@ -9,7 +9,7 @@
   SoakBounds,
   SoakHistory,
 } from '../history.js';
-import { sumStalls } from '../lostTime.js';
+import { measureLostTime, sumStalls } from '../lostTime.js';
 
 const SECOND_MS = 1_000;
 
@@ -105,12 +105,18 @@
   });
 };
 
+/** The process that cut a request. */
+const findLife = ({ request, endedAtMs }: Cut, { lives }: SoakHistory): LifeRecord | undefined =>
+  lives.findLast(({ vmId, startedAtMs }) => vmId === request.vmId && startedAtMs <= endedAtMs);
+
 const checkPlanned = (cut: Cut, history: SoakHistory, bounds: SoakBounds): Finding[] => {
   const { request, runs, endedAtMs } = cut;
   const seenFromMs = Math.max(request.wholeAtMs ?? endedAtMs, request.readAgainAtMs);
   const afterMs = Math.round(endedAtMs - seenFromMs);
   const stalledMs = sumStalls(history, seenFromMs, endedAtMs);
   if (runs.length === 0 && afterMs - stalledMs <= bounds.lossSlackMs) return [];
+  const lostMs = measureLostTime(findLife(cut, history), history, seenFromMs, endedAtMs);
+  const isStarved = runs.length === 0 && afterMs - lostMs <= bounds.lossSlackMs;
   const isExcusedAtTheEnd = cut.planned.some(
     ({ signal, atMs }) =>
       ENDING_SIGNALS.has(signal) && isAtWorkAtTheEnd(cut, atMs, bounds.shutdownMs),
@@ -122,7 +128,7 @@
   const text =
     `${request.kind} ${request.id} cut ${afterMs} ms after it was whole and read, with ${runs.length} runs, ` +
     `sent ${sentMs} ms and cut ${Math.round(endedAtMs - work.atMs)} ms after ${work.signal}`;
-  return [{ rule: 'LOST', vmId: request.vmId, atMs: endedAtMs, text }];
+  return [{ rule: isStarved ? 'STARVED' : 'LOST', vmId: request.vmId, atMs: endedAtMs, text }];
 };
 
 const isInTouch = (
--- a/soak/checks/index.ts
+++ b/soak/checks/index.ts
@@ -4,9 +4,10 @@
 import { checkLeaves } from './checkLeaves.js';
 import { checkLost } from './checkLost.js';
 import { checkProcesses } from './checkProcesses.js';
+import { checkRecovery } from './checkRecovery.js';
 import { checkRequests } from './checkRequests.js';
 
-export { computeStallShare, decideVerdict } from './decideVerdict.js';
+export { computeStallShare, decideVerdict, listBreaches } from './decideVerdict.js';
 export type { Verdict } from './decideVerdict.js';
 
 /** Checks all rules, and gives the findings in the order of time. */
@@ -18,4 +19,5 @@
     ...checkDrain(history),
     ...checkLeaves(history, bounds),
     ...checkAttempts(history),
+    ...checkRecovery(history, bounds),
   ].toSorted((first, second) => first.atMs - second.atMs);
--- a/soak/cli.ts
+++ b/soak/cli.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
-import { checkHistory, computeStallShare, decideVerdict } from './checks/index.js';
+import { checkHistory, computeStallShare, decideVerdict, listBreaches } from './checks/index.js';
 import type { Verdict } from './checks/index.js';
 import type { DaemonCommand } from './daemonProcess.js';
 import { drawFaultPlan, FULL_SHAPE, SHORT_SHAPE } from './faultPlan.js';
@@ -51,6 +51,7 @@
   drainMs: 2_000,
   stableMs: 3_000,
   readyMs: 8_000,
+  recoverMs: 12_000,
   memoryMb: 200,
   routeTimeoutMs: 10_000,
   runtimeStartCpuMs: measureRuntimeStart(command),
@@ -118,7 +119,7 @@
   console.log(
     `seed ${seed}: ${VERDICTS[verdict]}, ${countByRule(findings)}; ${describeHistory(history)}`,
   );
-  const faults = findings.filter(({ rule }) => rule !== 'EARLY');
+  const faults = listBreaches(findings);
   faults.slice(0, 20).forEach(({ rule, vmId, atMs, text }) => {
     console.log(`  ${rule} ${vmId} at ${Math.round(atMs)} ms: ${text}`);
   });
--- a/soak/faultPlan.ts
+++ b/soak/faultPlan.ts
@@ -12,6 +12,7 @@
   readonly maxVms: number;
   readonly minDurationMs: number;
   readonly maxDurationMs: number;
+  readonly quietMs: number;
 }
 
 /** Plans of a run by hand. */
@@ -20,6 +21,7 @@
   maxVms: 9,
   minDurationMs: 20_000,
   maxDurationMs: 40_000,
+  quietMs: 15_000,
 };
 
 /** Plans of a run beside other load. */
@@ -28,6 +30,7 @@
   maxVms: 3,
   minDurationMs: 14_000,
   maxDurationMs: 16_000,
+  quietMs: 2_000,
 };
 
 const UPSTREAMS = 8;
@@ -194,6 +197,7 @@
     vms,
     upstreams: UPSTREAMS,
     durationMs,
+    quietMs: shape.quietMs,
     steps: steps
       .filter(({ atMs }) => atMs < durationMs)
       .toSorted((first, second) => first.atMs - second.atMs),
--- a/soak/lostTime.ts
+++ b/soak/lostTime.ts
@@ -1,14 +1,29 @@
 import type { LifeRecord, SoakHistory } from './history.js';
 
-/** Time in which a process waited for a processor, between two moments; never more than it was. */
-export const measureWait = (
-  { waits }: Pick<LifeRecord, 'waits'>,
-  startMs: number,
-  endMs: number,
-): number => {
-  const first = waits.find(({ atMs }) => atMs >= startMs);
-  const last = waits.findLast(({ atMs }) => atMs <= endMs);
-  return first && last ? Math.max(0, last.waitedMs - first.waitedMs) : 0;
+interface Span {
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** Spans in which a process waited for a processor; the system tells of a wait when it is over. */
+const listWaits = ({ waits }: Pick<LifeRecord, 'waits'>): Span[] =>
+  waits.slice(1).flatMap(({ atMs, waitedMs }, index) => {
+    const growthMs = waitedMs - waits[index]!.waitedMs;
+    return growthMs > 0 ? [{ fromMs: atMs - growthMs, toMs: atMs }] : [];
+  });
+
+/** Time between two moments that spans cover, which may overlap. */
+const sumSpans = (spans: readonly Span[], startMs: number, endMs: number): number => {
+  let sumMs = 0;
+  let coveredMs = startMs;
+  spans
+    .toSorted((first, second) => first.fromMs - second.fromMs)
+    .forEach(({ fromMs, toMs }) => {
+      const lastMs = Math.min(toMs, endMs);
+      sumMs += Math.max(0, lastMs - Math.max(fromMs, coveredMs));
+      coveredMs = Math.max(coveredMs, lastMs);
+    });
+  return sumMs;
 };
 
 /** Time in which the soak stood still between two moments. */
@@ -16,17 +31,12 @@
   { stalls }: Pick<SoakHistory, 'stalls'>,
   startMs: number,
   endMs: number,
-): number =>
-  stalls.reduce(
-    (sum, { fromMs, toMs }) => sum + Math.max(0, Math.min(toMs, endMs) - Math.max(fromMs, startMs)),
-    0,
-  );
+): number => sumSpans(stalls, startMs, endMs);
 
-/** Time between two moments that a process or the soak didn't have. */
+/** Time between two moments in which a process waited for a processor, or the soak stood still. */
 export const measureLostTime = (
   life: Pick<LifeRecord, 'waits'> | undefined,
-  history: Pick<SoakHistory, 'stalls'>,
+  { stalls }: Pick<SoakHistory, 'stalls'>,
   startMs: number,
   endMs: number,
-): number =>
-  Math.max(life ? measureWait(life, startMs, endMs) : 0, sumStalls(history, startMs, endMs));
+): number => sumSpans([...(life ? listWaits(life) : []), ...stalls], startMs, endMs);
--- a/soak/planStep.ts
+++ b/soak/planStep.ts
@@ -77,5 +77,7 @@
   readonly vms: number;
   readonly upstreams: number;
   readonly durationMs: number;
+  /** Time after the last step in which the fleet is only watched. */
+  readonly quietMs: number;
   readonly steps: readonly PlanStep[];
 }
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -22,8 +22,6 @@
 
 const WARM_UP_MS = 1_500;
 
-const QUIET_MS = 2_000;
-
 const PORTS_PER_VM = 5;
 
 const MS_PER_S = 1_000;
@@ -90,14 +88,15 @@
     const calls = this.callers.map((caller) => caller.run());
     await sleep(WARM_UP_MS);
     await this.runSteps();
-    await sleep(QUIET_MS);
+    const calmFromMs = performance.now();
+    await sleep(this.plan.quietMs);
     const endedAtMs = performance.now();
     await Promise.all(this.vms.map((vm) => vm.stop()));
     this.callers.forEach((caller) => caller.stop());
     await Promise.all(calls);
     this.platform.stop();
     this.stallMeter.stop();
-    return this.collectHistory(endedAtMs);
+    return this.collectHistory(calmFromMs, endedAtMs);
   }
 
   /** Ends all processes at once. */
@@ -222,7 +221,7 @@
     await Promise.all(calls);
   }
 
-  private collectHistory(endedAtMs: number): SoakHistory {
+  private collectHistory(calmFromMs: number, endedAtMs: number): SoakHistory {
     const { platform, vms, callers } = this;
     return {
       requests: callers.flatMap(({ requests }) => requests),
@@ -233,6 +232,7 @@
       stalls: this.stallMeter.stalls,
       configurationsAtMs: platform.configurationsAtMs,
       leaves: platform.leaves,
+      calmFromMs,
       endedAtMs,
     };
   }
