--- a/soak/history.ts
+++ b/soak/history.ts
@@ -35,6 +35,12 @@
   readonly isOverdue: boolean;
 }
 
+/** Time for which a process had been ready to run and had no processor. */
+export interface WaitSample {
+  readonly atMs: number;
+  readonly waitedMs: number;
+}
+
 /** One process of a VM, from its start to its end. */
 export interface LifeRecord {
   readonly vmId: string;
@@ -43,6 +49,8 @@
   readonly signals: SignalRecord[];
   /** Times at which it was found ready. */
   readonly readyAtMs: number[];
+  /** How long it had waited for a processor in all, at some moments. */
+  readonly waits: WaitSample[];
   peakMemoryMb: number;
   exit:
     | { readonly code: number | null; readonly signal: string | null; readonly atMs: number }
@@ -68,12 +76,27 @@
   /** Spans in which the soak itself stood still, and saw what happened later than it did. */
   readonly stalls: readonly { readonly fromMs: number; readonly toMs: number }[];
   readonly configurationsAtMs: readonly number[];
+  /** Upstreams that reported that they leave. */
+  readonly leaves: readonly { readonly upstreamId: string; readonly atMs: number }[];
+  /** When the last step of the plan was over. */
+  readonly calmFromMs: number;
   readonly endedAtMs: number;
 }
 
-/** Rules of the users that the checks know. */
+/** Rules of the users that the checks know, and findings that break none. */
 export type SoakRule =
-  'FAULT' | 'LOST' | 'TWICE' | 'REFUSED' | 'MIXED' | 'ORDER' | 'UNASKED' | 'EARLY';
+  | 'FAULT'
+  | 'LOST'
+  | 'TWICE'
+  | 'REFUSED'
+  | 'MIXED'
+  | 'ORDER'
+  | 'UNASKED'
+  | 'DRAIN'
+  | 'BUDGET'
+  | 'RECOVER'
+  | 'EARLY'
+  | 'STARVED';
 
 /** One breach of a rule. */
 export interface Finding {
@@ -81,6 +104,8 @@
   readonly vmId: string;
   readonly atMs: number;
   readonly text: string;
+  /** Whether it is a matter of time, which a machine that is too busy takes from the processes. */
+  readonly isTimed?: boolean;
 }
 
 /** Bounds of the users' rules. */
@@ -90,9 +115,13 @@
   readonly lossSlackMs: number;
   /** Time in which a changed configuration is in force. */
   readonly applyMs: number;
+  /** Time after which no request reaches an upstream that leaves. */
+  readonly drainMs: number;
   /** Calm before a moment that lets rules hold again. */
   readonly stableMs: number;
   readonly readyMs: number;
+  /** Time after the last trouble in which the fleet serves again. */
+  readonly recoverMs: number;
   readonly memoryMb: number;
   /** Time limit of all routes. */
   readonly routeTimeoutMs: number;
--- a/soak/soakPlatform.ts
+++ b/soak/soakPlatform.ts
@@ -7,6 +7,7 @@
 } from '@goldcrestscale/adapter/standin/index.js';
 import type {
   AnswerFault,
+  EndlessBytes,
   ServiceWork,
   StandInAnswer,
   UpstreamRun,
@@ -48,6 +49,8 @@
 
   readonly configurationsAtMs: number[] = [];
 
+  readonly leaves: { readonly upstreamId: string; readonly atMs: number }[] = [];
+
   private readonly log = new StandInLog();
 
   private readonly services: StandInService[] = [];
@@ -125,7 +128,7 @@
   }
 
   /** The log answers all calls wrongly. */
-  async harmLogAnswers(answer: StandInAnswer, durationMs: number): Promise<void> {
+  async harmLogAnswers(answer: StandInAnswer | EndlessBytes, durationMs: number): Promise<void> {
     const fromMs = performance.now();
     const toMs = fromMs + durationMs;
     this.impairments.push({ vmId: undefined, kind: 'log', fromMs, toMs });
@@ -163,6 +166,8 @@
     if (!upstream?.isRunning || upstream.isLeaving) return;
     upstream.isLeaving = true;
     this.appendUpstream(upstream);
+    const { upstreamId } = upstream.service;
+    this.leaves.push({ upstreamId, atMs: performance.now() });
     await sleep(LEAVE_MS);
     if (upstream.isRunning) await this.replaceUpstream(upstream, durationMs);
   }
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -3,7 +3,7 @@
 import { createRandomGenerator, sleep } from '@goldcrestscale/core';
 import { findFreePorts } from '../scripts/site/freePorts.js';
 import type { DaemonCommand } from './daemonProcess.js';
-import type { FaultPlan, PlanStep } from './faultPlan.js';
+import type { FaultPlan, PlanStep } from './planStep.js';
 import type { SoakBounds, SoakHistory } from './history.js';
 import { SoakCaller } from './soakCaller.js';
 import { SoakPlatform } from './soakPlatform.js';
@@ -13,11 +13,14 @@
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 
-const CALLERS = 36;
+const CALLERS_PER_VM = 5;
 
-const WARM_UP_MS = 1_500;
+/** Callers of a crowd that come in one turn. */
+const CROWD_BATCH = 50;
+
+const CROWD_INTERVAL_MS = 10;
 
-const QUIET_MS = 2_000;
+const WARM_UP_MS = 1_500;
 
 const PORTS_PER_VM = 5;
 
@@ -36,13 +39,13 @@
   zone: string,
   ports: VmPorts,
   logAddress: string,
-  shutdownMs: number,
+  { shutdownMs, memoryMb }: SoakBounds,
 ): object => ({
   vmId,
   availabilityZone: zone,
   zones: Object.fromEntries(ZONES.map((name) => [name, 'region'])),
   firstStart: true,
-  machine: { cores: 1, coreShare: 0.7, linkMbps: 1_000 },
+  machine: { cores: 1, coreShare: 0.7, linkMbps: 1_000, memoryMb },
   listen: Object.fromEntries(
     Object.entries(ports).map(([name, port]) => [name, `127.0.0.1:${port}`]),
   ),
@@ -69,7 +72,7 @@
 
   private vms: readonly SupervisedVm[] = [];
 
-  private callers: readonly SoakCaller[] = [];
+  private callers: SoakCaller[] = [];
 
   constructor(
     private readonly plan: FaultPlan,
@@ -85,14 +88,15 @@
     const calls = this.callers.map((caller) => caller.run());
     await sleep(WARM_UP_MS);
     await this.runSteps();
-    await sleep(QUIET_MS);
+    const calmFromMs = performance.now();
+    await sleep(this.plan.quietMs);
     const endedAtMs = performance.now();
     await Promise.all(this.vms.map((vm) => vm.stop()));
     this.callers.forEach((caller) => caller.stop());
     await Promise.all(calls);
     this.platform.stop();
     this.stallMeter.stop();
-    return this.collectHistory(endedAtMs);
+    return this.collectHistory(calmFromMs, endedAtMs);
   }
 
   /** Ends all processes at once. */
@@ -111,7 +115,7 @@
       this.createVm(index, logAddress, ports.slice(index * PORTS_PER_VM)),
     );
     this.callers = Array.from(
-      { length: CALLERS },
+      { length: CALLERS_PER_VM * plan.vms },
       (_value, index) =>
         new SoakCaller({ name: `c${index}`, vms: this.vms, pickInt: this.pickInt }),
     );
@@ -131,10 +135,11 @@
     return new SupervisedVm({
       vmId,
       ports: vmPorts,
-      settings: buildSettings(vmId, zone, vmPorts, logAddress, bounds.shutdownMs),
+      settings: buildSettings(vmId, zone, vmPorts, logAddress, bounds),
       folder: join(folder),
       command,
       shutdownMs: bounds.shutdownMs,
+      stalls: this.stallMeter.stalls,
     });
   }
 
@@ -176,6 +181,17 @@
       case 'noise':
         await this.vms[step.vm]?.receiveNoise(step.port, step.bytes);
         break;
+      case 'strangers':
+        await this.vms[step.vm]?.receiveStrangers(
+          step.port,
+          step.connections,
+          step.bytes,
+          step.forMs,
+        );
+        break;
+      case 'crowd':
+        await this.runCrowd(step.vm, step.callers);
+        break;
       case 'answers':
         await platform.harmAnswers(step.upstream, step.fault, step.forMs);
         break;
@@ -190,7 +206,22 @@
     }
   }
 
-  private collectHistory(endedAtMs: number): SoakHistory {
+  private async runCrowd(vm: number, count: number): Promise<void> {
+    const vms = this.vms.slice(vm, vm + 1);
+    const { pickInt } = this;
+    const calls: Promise<void>[] = [];
+    while (calls.length < count) {
+      const name = `x${this.callers.length}`;
+      const caller = new SoakCaller({ name, vms, pickInt });
+      this.callers.push(caller);
+      calls.push(caller.callOnce());
+      // The soak itself must not stand still.
+      if (calls.length % CROWD_BATCH === 0) await sleep(CROWD_INTERVAL_MS);
+    }
+    await Promise.all(calls);
+  }
+
+  private collectHistory(calmFromMs: number, endedAtMs: number): SoakHistory {
     const { platform, vms, callers } = this;
     return {
       requests: callers.flatMap(({ requests }) => requests),
@@ -200,6 +231,8 @@
       strays: callers.flatMap(({ strays }) => strays),
       stalls: this.stallMeter.stalls,
       configurationsAtMs: platform.configurationsAtMs,
+      leaves: platform.leaves,
+      calmFromMs,
       endedAtMs,
     };
   }
