--- a/packages/core/src/breaker/__tests__/cappedEjectionPolicy.spec.ts
+++ b/packages/core/src/breaker/__tests__/cappedEjectionPolicy.spec.ts
@@ -4,7 +4,11 @@
 import type { UpstreamId } from '../../ids.js';
 import { createRandomGenerator } from '../../random.js';
 import { CappedEjectionPolicy } from '../cappedEjectionPolicy.js';
-import { CONSECUTIVE_FAILURES_TO_OPEN, MAX_BREAKER_OPEN_MS } from '../constants.js';
+import {
+  CONSECUTIVE_FAILURES_TO_OPEN,
+  MAX_BREAKER_OPEN_MS,
+  PROBE_TIMEOUT_MS,
+} from '../constants.js';
 import type { EjectionPolicy } from '../ejectionPolicy.js';
 import { UncappedEjectionPolicy } from './uncappedEjectionPolicy.js';
 
@@ -93,3 +97,36 @@
   policy.recordOutcome(makeUpstreamId(0), 'success');
   expect(policy.getState(makeUpstreamId(0))).toBe('closed');
 });
+
+test('an upstream is not taken back by an answer to a request from before its ejection', () => {
+  const changes: string[] = [];
+  const policy = addUpstreams(
+    4,
+    new CappedEjectionPolicy(createRandomGenerator(1), ({ reason }) => changes.push(reason)),
+  );
+  failUntilOpen(policy, 0);
+  policy.recordOutcome(makeUpstreamId(0), 'success');
+  expect(policy.getState(makeUpstreamId(0))).toBe('open');
+  vi.advanceTimersByTime(MAX_BREAKER_OPEN_MS);
+  policy.recordStart(makeUpstreamId(0));
+  policy.recordOutcome(makeUpstreamId(0), 'success');
+  expect(changes).toEqual(['consecutive failures', 'recovered']);
+});
+
+test('a probe without an outcome does not keep an upstream out for good', () => {
+  const policy = addUpstreams(4);
+  failUntilOpen(policy, 0);
+  vi.advanceTimersByTime(MAX_BREAKER_OPEN_MS);
+  policy.recordStart(makeUpstreamId(0));
+  vi.advanceTimersByTime(PROBE_TIMEOUT_MS - 1);
+  expect(policy.getState(makeUpstreamId(0))).toBe('open');
+  vi.advanceTimersByTime(1);
+  expect(policy.getState(makeUpstreamId(0))).toBe('half-open');
+});
+
+test('a jump of the time of day does not end an ejection', () => {
+  const policy = addUpstreams(4);
+  failUntilOpen(policy, 0);
+  vi.setSystemTime(Date.now() + 10 * MAX_BREAKER_OPEN_MS);
+  expect(policy.getState(makeUpstreamId(0))).toBe('open');
+});
--- a/packages/core/src/breaker/cappedEjectionPolicy.ts
+++ b/packages/core/src/breaker/cappedEjectionPolicy.ts
@@ -3,20 +3,24 @@
 import { CircuitBreaker } from './circuitBreaker.js';
 import { MAX_EJECTED_FRACTION } from './constants.js';
 import { EjectionPolicy } from './ejectionPolicy.js';
-import type { BreakerState } from './ejectionPolicy.js';
+import type { BreakerState, EjectionChange, EjectionReason } from './ejectionPolicy.js';
 
 /** Ejects upstreams after consecutive failures, up to a maximum fraction of each group. */
 export class CappedEjectionPolicy extends EjectionPolicy {
   private readonly breakers = new Map<UpstreamId, CircuitBreaker>();
 
-  constructor(private readonly generator: RandomGenerator) {
+  /** @param onChange called when an upstream is ejected, fails a probe, or is taken back */
+  constructor(
+    private readonly generator: RandomGenerator,
+    private readonly onChange: (change: EjectionChange) => void = () => undefined,
+  ) {
     super();
   }
 
   override setGroup(upstreamId: UpstreamId, group: string): void {
     if (this.breakers.get(upstreamId)?.group === group) return;
     this.remove(upstreamId);
-    this.breakers.set(upstreamId, new CircuitBreaker(group, this.generator));
+    this.breakers.set(upstreamId, new CircuitBreaker(upstreamId, group, this.generator));
   }
 
   override remove(upstreamId: UpstreamId): void {
@@ -37,9 +41,18 @@
   override recordOutcome(upstreamId: UpstreamId, outcome: 'success' | 'failure' | 'neutral'): void {
     const breaker = this.breakers.get(upstreamId);
     if (!breaker) return;
-    if (outcome === 'success') breaker.close();
-    else if (outcome === 'neutral') breaker.recordNeutral();
-    else if (breaker.recordFailure() && this.canEject(breaker.group)) breaker.open();
+    if (outcome === 'neutral') breaker.recordNeutral();
+    else if (outcome === 'failure') this.recordFailure(breaker);
+    else if (breaker.recordSuccess()) this.close(breaker, 'recovered');
+  }
+
+  private recordFailure(breaker: CircuitBreaker): void {
+    const hasFailedProbe = breaker.recordFailure();
+    if (hasFailedProbe) this.open(breaker, 'failed probe');
+    if (breaker.isEjected) return;
+    if (breaker.isFailing && this.canEject(breaker.group)) {
+      this.open(breaker, 'consecutive failures');
+    }
   }
 
   private canEject(group: string): boolean {
@@ -53,7 +66,22 @@
     const members = this.listMembers(group);
     const ejected = members.filter((breaker) => breaker.isEjected);
     const maxEjected = Math.floor(members.length * MAX_EJECTED_FRACTION);
-    ejected.slice(maxEjected).forEach((breaker) => breaker.close());
+    ejected.slice(maxEjected).forEach((breaker) => this.close(breaker, 'group too small'));
+  }
+
+  private open(breaker: CircuitBreaker, reason: EjectionReason): void {
+    breaker.open();
+    this.reportChange(breaker, reason);
+  }
+
+  private close(breaker: CircuitBreaker, reason: EjectionReason): void {
+    breaker.close();
+    this.reportChange(breaker, reason);
+  }
+
+  private reportChange(breaker: CircuitBreaker, reason: EjectionReason): void {
+    const { upstreamId, group, isEjected, consecutiveFailures, openMs } = breaker;
+    this.onChange({ upstreamId, group, isEjected, reason, consecutiveFailures, openMs });
   }
 
   private listMembers(group: string): readonly CircuitBreaker[] {
--- a/packages/core/src/breaker/circuitBreaker.ts
+++ b/packages/core/src/breaker/circuitBreaker.ts
@@ -1,9 +1,11 @@
+import type { UpstreamId } from '../ids.js';
 import { createBackoff } from '../log/backoff.js';
 import type { Backoff, RandomGenerator } from '../log/backoff.js';
 import {
   CONSECUTIVE_FAILURES_TO_OPEN,
   INITIAL_BREAKER_OPEN_MS,
   MAX_BREAKER_OPEN_MS,
+  PROBE_TIMEOUT_MS,
 } from './constants.js';
 import type { BreakerState } from './ejectionPolicy.js';
 
@@ -11,16 +13,18 @@
 export class CircuitBreaker {
   private readonly backoff: Backoff;
 
-  private consecutiveFailures = 0;
+  private failuresInRow = 0;
 
   private ejected = false;
 
-  /** Time from which a probe is allowed, in Unix milliseconds. */
+  /** Monotonic time from which a probe is allowed. */
   private openUntilMs = 0;
 
-  private isProbing = false;
+  /** Monotonic time at which the probe was sent; undefined without a probe. */
+  private probedAtMs: number | undefined;
 
   constructor(
+    readonly upstreamId: UpstreamId,
     readonly group: string,
     generator: RandomGenerator,
   ) {
@@ -35,38 +39,61 @@
     return this.ejected;
   }
 
+  get consecutiveFailures(): number {
+    return this.failuresInRow;
+  }
+
+  /** Whether the failure threshold for ejection has been reached. */
+  get isFailing(): boolean {
+    return this.failuresInRow >= CONSECUTIVE_FAILURES_TO_OPEN;
+  }
+
+  /** Time until the next probe is allowed, in milliseconds. */
+  get openMs(): number {
+    return this.ejected ? Math.max(0, this.openUntilMs - performance.now()) : 0;
+  }
+
   get state(): BreakerState {
     if (!this.ejected) return 'closed';
-    return this.isProbing || Date.now() < this.openUntilMs ? 'open' : 'half-open';
+    return this.isProbing || performance.now() < this.openUntilMs ? 'open' : 'half-open';
   }
 
   recordStart(): void {
-    if (this.state === 'half-open') this.isProbing = true;
+    if (this.state === 'half-open') this.probedAtMs = performance.now();
+  }
+
+  /** @returns whether a probe succeeded; attempts started before the ejection may still succeed */
+  recordSuccess(): boolean {
+    if (this.ejected) return this.isProbing;
+    this.failuresInRow = 0;
+    return false;
   }
 
   /** Records an outcome that is neither success nor failure of the upstream. */
   recordNeutral(): void {
-    this.isProbing = false;
+    this.probedAtMs = undefined;
   }
 
-  /** @returns whether the failure threshold for ejection has been reached */
+  /** @returns whether a probe failed; attempts started before the ejection may still fail */
   recordFailure(): boolean {
-    this.consecutiveFailures += 1;
-    // Attempts started before the ejection may still fail; only a failed probe extends it.
-    if (this.ejected && this.isProbing) this.open();
-    return !this.ejected && this.consecutiveFailures >= CONSECUTIVE_FAILURES_TO_OPEN;
+    this.failuresInRow += 1;
+    return this.ejected && this.isProbing;
   }
 
   open(): void {
     this.ejected = true;
-    this.isProbing = false;
-    this.openUntilMs = Date.now() + this.backoff.nextDelayMs();
+    this.probedAtMs = undefined;
+    this.openUntilMs = performance.now() + this.backoff.nextDelayMs();
   }
 
   close(): void {
     this.ejected = false;
-    this.isProbing = false;
-    this.consecutiveFailures = 0;
+    this.probedAtMs = undefined;
+    this.failuresInRow = 0;
     this.backoff.reset();
   }
+
+  private get isProbing(): boolean {
+    return this.probedAtMs !== undefined && performance.now() - this.probedAtMs < PROBE_TIMEOUT_MS;
+  }
 }
--- a/packages/core/src/breaker/constants.ts
+++ b/packages/core/src/breaker/constants.ts
@@ -6,3 +6,6 @@
 
 /** Maximum fraction of a group of upstreams that may be ejected at the same time. */
 export const MAX_EJECTED_FRACTION = 0.5;
+
+/** Time after which a probe without an outcome counts as lost, and the next one is admitted. */
+export const PROBE_TIMEOUT_MS = 30_000;
--- a/packages/core/src/breaker/ejectionPolicy.ts
+++ b/packages/core/src/breaker/ejectionPolicy.ts
@@ -3,6 +3,25 @@
 /** Circuit breaker state; `half-open` admits a single request as a probe. */
 export type BreakerState = 'closed' | 'open' | 'half-open';
 
+/** Why an upstream is ejected, or that it is taken back. */
+export type EjectionReason =
+  | 'consecutive failures'
+  | 'failed probe'
+  | 'recovered'
+  /** The group has shrunk, and may have fewer ejected members. */
+  | 'group too small';
+
+/** An upstream was ejected, stays ejected after a failed probe, or was taken back. */
+export interface EjectionChange {
+  readonly upstreamId: UpstreamId;
+  readonly group: string;
+  readonly isEjected: boolean;
+  readonly reason: EjectionReason;
+  readonly consecutiveFailures: number;
+  /** Time until the next probe, in milliseconds; 0 if it was taken back. */
+  readonly openMs: number;
+}
+
 /** Decides which upstreams are ejected because of failures. */
 export abstract class EjectionPolicy {
   /** Assigns an upstream to a group of interchangeable upstreams, for example those of a model. */
--- a/packages/core/src/fleet/__tests__/fleet.spec.ts
+++ b/packages/core/src/fleet/__tests__/fleet.spec.ts
@@ -213,3 +213,23 @@
   registry.apply({ kind: 'present', upstream: makeUpstream('a', { startedAtMs: 9_000 }) });
   expect(upstream.restMs).toBe(0);
 });
+
+test('an upstream joins its group when it is listed or restarts, and leaves it when it says so or is gone', () => {
+  const events: string[] = [];
+  const registry = new UpstreamRegistry(new PeerLoads(1_000), {
+    onJoin: ({ upstreamId, startedAtMs }) => events.push(`join ${upstreamId} ${startedAtMs}`),
+    onLeave: (upstreamId) => events.push(`leave ${upstreamId}`),
+  });
+  const apply = (startedAtMs: number, heartbeat: number, draining = false): void => {
+    const upstream = makeUpstream('a', { startedAtMs, heartbeat, draining });
+    registry.apply({ kind: 'present', upstream });
+  };
+  apply(1_000, 1);
+  apply(1_000, 2);
+  registry.recordLeaving(id('a'), 1_000);
+  apply(1_000, 3);
+  apply(2_000, 1);
+  apply(2_000, 2, true);
+  registry.apply({ kind: 'absent', upstreamId: id('a') });
+  expect(events).toEqual(['join a 1000', 'leave a', 'join a 2000', 'leave a', 'leave a']);
+});
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -15,5 +15,5 @@
 export { TrackedUpstream } from './trackedUpstream.js';
 export type { ReportedLoad } from './trackedUpstream.js';
 export { UpstreamRegistry } from './upstreamRegistry.js';
-export type { RegistryChange } from './upstreamRegistry.js';
+export type { RegistryChange, UpstreamMembership } from './upstreamRegistry.js';
 export { ZoneRelays } from './zoneRelays.js';
--- a/packages/core/src/fleet/upstreamRegistry.ts
+++ b/packages/core/src/fleet/upstreamRegistry.ts
@@ -10,6 +10,14 @@
   /** The entry was removed, or does not describe a usable upstream and tells why. */
   | { readonly kind: 'absent'; readonly upstreamId: UpstreamId; readonly invalid?: string };
 
+/** Learns which upstreams take requests. */
+export interface UpstreamMembership {
+  /** An upstream is listed, or has restarted and is another process now. */
+  readonly onJoin: (upstream: RegisteredUpstream) => void;
+  /** An upstream leaves, or is not listed any more. */
+  readonly onLeave: (upstreamId: UpstreamId) => void;
+}
+
 const isStale = (next: RegisteredUpstream, current: RegisteredUpstream): boolean =>
   next.startedAtMs < current.startedAtMs ||
   (next.startedAtMs === current.startedAtMs && next.heartbeat < current.heartbeat);
@@ -31,7 +39,10 @@
   private outageEndedAtMs = -Infinity;
 
   /** @param peerLoads load reported by the other VMs */
-  constructor(private readonly peerLoads: PeerLoads) {}
+  constructor(
+    private readonly peerLoads: PeerLoads,
+    private readonly membership?: UpstreamMembership,
+  ) {}
 
   /** Records that the log is available again after an outage. */
   recordLogRecovery(): void {
@@ -45,7 +56,14 @@
     const known = this.upstreams.get(upstream.upstreamId);
     if (known && isStale(upstream, known.registered)) return false;
     this.pendingRemovals.delete(upstream.upstreamId);
-    if (known) return known.update(upstream);
+    if (known) {
+      const wasLeaving = known.isLeaving;
+      const { startedAtMs } = known.registered;
+      const hasChanged = known.update(upstream);
+      const hasJoined = wasLeaving !== known.isLeaving || startedAtMs !== upstream.startedAtMs;
+      if (hasJoined) this.reportMembership(known);
+      return hasChanged;
+    }
     if (this.upstreams.size >= MAX_UPSTREAMS) {
       this.ignored += 1;
       return false;
@@ -53,6 +71,7 @@
     const created = new TrackedUpstream(upstream, this.peerLoads);
     if (this.leavingBoots.get(upstream.upstreamId) === upstream.startedAtMs) created.markLeaving();
     this.upstreams.set(upstream.upstreamId, created);
+    this.reportMembership(created);
     return true;
   }
 
@@ -70,7 +89,9 @@
       this.leavingBoots.delete(this.leavingBoots.keys().next().value!);
     }
     const upstream = this.upstreams.get(upstreamId);
-    return upstream?.registered.startedAtMs === startedAtMs && upstream.markLeaving();
+    if (upstream?.registered.startedAtMs !== startedAtMs || !upstream.markLeaving()) return false;
+    this.reportMembership(upstream);
+    return true;
   }
 
   /** Gives the number of entries that were ignored since the last call, because the registry is full. */
@@ -95,8 +116,7 @@
     const nowMs = performance.now();
     this.pendingRemovals.forEach((dueAtMs, upstreamId) => {
       if (dueAtMs > nowMs) return;
-      this.pendingRemovals.delete(upstreamId);
-      this.upstreams.delete(upstreamId);
+      this.remove(upstreamId);
     });
   }
 
@@ -120,7 +140,17 @@
         this.pendingRemovals.set(upstreamId, graceEndsAtMs);
       return false;
     }
+    return this.remove(upstreamId);
+  }
+
+  private remove(upstreamId: UpstreamId): boolean {
     this.pendingRemovals.delete(upstreamId);
+    this.membership?.onLeave(upstreamId);
     return this.upstreams.delete(upstreamId);
   }
+
+  private reportMembership({ isLeaving, registered }: TrackedUpstream): void {
+    if (isLeaving) this.membership?.onLeave(registered.upstreamId);
+    else this.membership?.onJoin(registered);
+  }
 }
--- /dev/null
+++ b/packages/gateway/src/__tests__/ejectedUpstreams.spec.ts
@@ -0,0 +1,80 @@
+import { expect, test } from 'vitest';
+import { toId } from '@goldcrestscale/core';
+import type { UpstreamId } from '@goldcrestscale/core';
+import { buildResponse } from './fakeUpstream.js';
+import type { TestRequest } from './fakeUpstream.js';
+import { startGateway } from './gatewayHarness.js';
+
+type Respond = (request: TestRequest) => void;
+
+const CALLER_COUNT = 20;
+
+const RUN_MS = 2_000;
+
+/** Time in which a VM may find out about a faulty upstream. */
+const LEARN_MS = 1_000;
+
+const SOUND_DELAY_MS = 20;
+
+const respond: Respond = ({ id, socket }) => {
+  const response = buildResponse(200, { 'x-id': id, 'x-sig': 's' }, 'fine');
+  setTimeout(() => socket.destroyed || socket.write(response), SOUND_DELAY_MS);
+};
+
+const faults: Readonly<Record<string, Respond>> = {
+  garbage: ({ socket }) => socket.write('no answer\r\n\r\n'),
+  'a reset': ({ socket }) => socket.resetAndDestroy(),
+  'an unsigned success': ({ id, socket }) =>
+    socket.write(buildResponse(200, { 'x-id': id }, 'fine')),
+};
+
+/** Sends to an ejected upstream that never answers. */
+const MAX_PROBES = 5;
+
+const cases = Object.entries(faults).flatMap(
+  ([name, fault]): (readonly [string, Respond, number])[] => [
+    [`${name} to each request`, fault, MAX_PROBES],
+  ],
+);
+
+const idempotent = { idempotent: true, maxUpstreams: 3 };
+
+/** Sends requests in a closed loop; gives their statuses and whether they began after the learning time. */
+const sendRequests = async (call: () => Promise<{ readonly status: number }>) => {
+  const startedAtMs = performance.now();
+  const replies: { readonly status: number; readonly isLater: boolean }[] = [];
+  const runCaller = async (): Promise<void> => {
+    while (performance.now() - startedAtMs < RUN_MS) {
+      const isLater = performance.now() - startedAtMs > LEARN_MS;
+      const { status } = await call().catch(() => ({ status: 0 }));
+      replies.push({ status, isLater });
+    }
+  };
+  await Promise.all(Array.from({ length: CALLER_COUNT }, runCaller));
+  return replies;
+};
+
+// Guards against an ejection policy that no upstream is ever registered with.
+test.each(cases)('an upstream that answers with %s is ejected', async (_, fault, maxLaterSends) => {
+  const sentAtMs: number[] = [];
+  const startedAtMs = performance.now();
+  const countAndFail: Respond = (request) => {
+    sentAtMs.push(performance.now() - startedAtMs);
+    fault(request);
+  };
+  const { call, fleetState } = await startGateway({
+    route: idempotent,
+    upstreams: [countAndFail, respond, respond],
+  });
+  let wasEjected = false;
+  const callAndLook = async () => {
+    const reply = await call();
+    wasEjected ||= fleetState.ejection.getState(toId<UpstreamId>('up-0')) !== 'closed';
+    return reply;
+  };
+  const replies = (await sendRequests(callAndLook)).filter(({ isLater }) => isLater);
+  const failed = replies.filter(({ status }) => status !== 200);
+  expect(failed.length).toBeLessThanOrEqual(replies.length / 100);
+  expect(wasEjected).toBe(true);
+  expect(sentAtMs.filter((atMs) => atMs > LEARN_MS).length).toBeLessThanOrEqual(maxLaterSends);
+});
--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -15,6 +15,7 @@
 } from '@goldcrestscale/core';
 import type {
   AvailabilityZoneId,
+  EjectionChange,
   QuarantineChange,
   PermitRequest,
   RateChange,
@@ -26,6 +27,7 @@
 export interface FleetStateCallbacks {
   readonly onQuarantineChange?: (change: QuarantineChange) => void;
   readonly onRateChange?: (change: RateChange) => void;
+  readonly onEjectionChange?: (change: EjectionChange) => void;
   /** Requests a permit under a rate limit from another VM. */
   readonly sendPermitRequest?: (granter: VmId, request: PermitRequest) => void;
 }
@@ -34,18 +36,32 @@
 export const createFleetState = (
   self: VmId,
   zone: AvailabilityZoneId,
-  { onQuarantineChange, onRateChange, sendPermitRequest }: FleetStateCallbacks = {},
+  {
+    onQuarantineChange,
+    onRateChange,
+    onEjectionChange,
+    sendPermitRequest,
+  }: FleetStateCallbacks = {},
 ) => {
   const random = createRandomGenerator();
   const roster = new EntryRoster();
   const announcedRates = new AnnouncedRates(onRateChange);
   const peerLoads = new PeerLoads(PEER_LOAD_TTL_MS);
+  const ejection = new CappedEjectionPolicy(random, onEjectionChange);
+  const registry = new UpstreamRegistry(peerLoads, {
+    onJoin({ upstreamId, service }) {
+      // A process that has just started answers for none of the failures of the one before it.
+      ejection.remove(upstreamId);
+      ejection.setGroup(upstreamId, service);
+    },
+    onLeave: (upstreamId) => ejection.remove(upstreamId),
+  });
   return {
     random,
     peerLoads,
     roster,
     relays: new ZoneRelays(roster, self, zone),
-    registry: new UpstreamRegistry(peerLoads),
+    registry,
     blocks: new BlockDirectory(),
     sentParts: new SentParts(),
     begunStreams: new BegunStreams(),
@@ -58,7 +74,7 @@
       sendPermitRequest: (granter, request) => sendPermitRequest?.(granter, request),
     }),
     quarantine: new CrashQuarantine(onQuarantineChange),
-    ejection: new CappedEjectionPolicy(random),
+    ejection,
   };
 };
 
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -145,7 +145,7 @@
     upstream: TrackedUpstream,
     excluded: ReadonlySet<UpstreamId>,
   ): boolean {
-    const { operators, ejection, regions } = this.options;
+    const { operators, regions } = this.options;
     const { registered } = upstream;
     const region = regions.get(registered.availabilityZone);
     const isAllowed = (allowed: readonly RegionId[] | undefined): boolean =>
@@ -156,7 +156,7 @@
       !operators.isZoneOut(registered.availabilityZone) &&
       isAllowed(exchange.route?.regions) &&
       isAllowed(exchange.account?.regions) &&
-      ejection.getState(upstream.upstreamId) !== 'open' &&
+      !this.isEjected(upstream) &&
       this.coldStartLimits.canTake(upstream) &&
       !this.hasOutdatedWeights(exchange, upstream) &&
       (exchange.streamVersion === undefined ||
@@ -164,6 +164,20 @@
     );
   }
 
+  /** Whether an upstream is ejected; the last one of a service that may serve never is. */
+  private isEjected({ upstreamId, registered }: TrackedUpstream): boolean {
+    const { ejection, operators, registry } = this.options;
+    if (ejection.getState(upstreamId) !== 'open') return false;
+    return registry
+      .listService(registered.service)
+      .some(
+        (other) =>
+          !other.isLeaving &&
+          !operators.isZoneOut(other.registered.availabilityZone) &&
+          ejection.getState(other.upstreamId) === 'closed',
+      );
+  }
+
   /** Records that an upstream is processing the parts of a prompt, and will have them cached. */
   recordSentParts(exchange: GatewayExchange, upstream: TrackedUpstream): void {
     const { prompt } = exchange.head;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,13 @@
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
-import type { PermitRequest, QuarantineChange, RateChange, VmId } from '@goldcrestscale/core';
+import type {
+  EjectionChange,
+  PermitRequest,
+  QuarantineChange,
+  RateChange,
+  VmId,
+} from '@goldcrestscale/core';
 import { ByteBudget, EventLoopBarrier, PauseMonitor, listen } from '@goldcrestscale/runtime';
 import type { EventCounts, Logger } from '@goldcrestscale/runtime';
 import { createConnections } from './compose/createConnections.js';
@@ -33,6 +39,14 @@
   });
 };
 
+const logEjectionChange = (
+  requestLog: RequestLog,
+  { isEjected, openMs, ...fields }: EjectionChange,
+): void => {
+  if (isEjected) requestLog.log('upstream ejected', { ...fields, openMs: Math.round(openMs) });
+  else requestLog.log('ejected upstream taken back', fields);
+};
+
 /** The number of lines is bounded, because an upstream may change its limit with every response. */
 const logRateChange = (requestLog: RequestLog, change: RateChange): void => {
   const { upstreamId, startedAtMs, previous, requestsPerSecond } = change;
@@ -50,12 +64,17 @@
   sendPermitRequest: (granter: VmId, request: PermitRequest) => void,
 ): FleetState => {
   const rateLog = new RequestLog(logger.createPartLogger('rates'));
+  const ejectionLog = new RequestLog(logger.createPartLogger('ejection'));
   return createFleetState(settings.vmId, settings.availabilityZone, {
     onQuarantineChange: (change) => logQuarantineChange(logger, change),
     onRateChange(change) {
       logRateChange(rateLog, change);
       metrics.setAnnouncedRate(change.upstreamId, change.requestsPerSecond);
     },
+    onEjectionChange(change) {
+      logEjectionChange(ejectionLog, change);
+      metrics.recordEjection(change);
+    },
     sendPermitRequest,
   });
 };
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,3 +1,4 @@
+import type { EjectionChange } from '@goldcrestscale/core';
 import type { MetricsRegistry } from '@goldcrestscale/runtime';
 import { createCallMetrics } from './callMetrics.js';
 import type { CallMetrics } from './callMetrics.js';
@@ -31,6 +32,8 @@
   setAnnouncedRate(upstreamId: string, requestsPerSecond: number | undefined): void;
   /** Counts a request that this VM sends to an upstream with a rate limit. */
   countLimitedSend(upstreamId: string): void;
+  /** Records that an upstream was ejected, failed a probe, or was taken back. */
+  recordEjection(change: Pick<EjectionChange, 'upstreamId' | 'isEjected' | 'reason'>): void;
   /** Sets the number of VMs that follow this one as their relay. */
   setFollowers(count: number): void;
   /** Counts bytes that this VM passed to the connections of its followers. */
@@ -71,6 +74,28 @@
   };
 };
 
+const createEjectionMetrics = (
+  metrics: MetricsRegistry,
+): Pick<GatewayMetrics, 'recordEjection'> => {
+  const ejected = metrics.createGauge({
+    name: 'goldcrest_gateway_ejected_upstream',
+    help: '1 while this VM sends an upstream nothing but probes, because it failed.',
+    labelNames: ['upstream'],
+  });
+  const ejections = metrics.createCounter({
+    name: 'goldcrest_gateway_ejections_total',
+    help: 'Ejections of upstreams, failed probes and returns, by their reason.',
+    labelNames: ['reason'],
+  });
+  return {
+    recordEjection({ upstreamId: upstream, isEjected, reason }) {
+      ejections.inc({ reason });
+      if (isEjected) ejected.set({ upstream }, 1);
+      else ejected.remove({ upstream });
+    },
+  };
+};
+
 const createPresenceMetrics = (
   metrics: MetricsRegistry,
 ): Pick<GatewayMetrics, 'countDeparture' | 'recordPause'> => {
@@ -211,6 +236,7 @@
     countConnection: () => connections.inc(),
     ...createCallMetrics(metrics),
     ...createConnectionMetrics(metrics),
+    ...createEjectionMetrics(metrics),
     ...createFaultMetrics(metrics),
     ...createFeedMetrics(metrics),
     ...createMemoryMetrics(metrics),
