--- a/packages/core/src/breaker/__tests__/cappedEjectionPolicy.spec.ts
+++ b/packages/core/src/breaker/__tests__/cappedEjectionPolicy.spec.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { toId } from '../../ids.js';
 import type { UpstreamId } from '../../ids.js';
@@ -130,3 +131,53 @@
   vi.setSystemTime(Date.now() + 10 * MAX_BREAKER_OPEN_MS);
   expect(policy.getState(makeUpstreamId(0))).toBe('open');
 });
+
+/** Records outcomes of all upstreams of a group in turn, each failing at its own rate. */
+const recordOutcomes = (policy: EjectionPolicy, rates: readonly number[], count: number): void => {
+  const random = createRandomGenerator(7);
+  for (let round = 0; round < count; round += 1) {
+    rates.forEach((rate, index) =>
+      policy.recordOutcome(
+        makeUpstreamId(index),
+        uniformFloat64(random) < rate ? 'failure' : 'success',
+      ),
+    );
+    vi.advanceTimersByTime(200);
+  }
+};
+
+test('an upstream that fails every second request is ejected, the others are not', () => {
+  const policy = addUpstreams(8);
+  recordOutcomes(policy, [0.5, 0.01, 0.05, 0, 0, 0, 0, 0], 60);
+  const states = [0, 1, 2, 3, 4, 5, 6, 7].map((index) => policy.getState(makeUpstreamId(index)));
+  expect(states[0]).not.toBe('closed');
+  expect(states.slice(1)).toEqual(Array.from({ length: 7 }, () => 'closed'));
+});
+
+test.each([0.01, 0.05])('an hour of ordinary errors at a rate of %d ejects no upstream', (rate) => {
+  let changes = 0;
+  const policy = addUpstreams(
+    8,
+    new CappedEjectionPolicy(createRandomGenerator(1), () => {
+      changes += 1;
+    }),
+  );
+  const hourMs = 3_600_000;
+  recordOutcomes(
+    policy,
+    Array.from({ length: 8 }, () => rate),
+    hourMs / 200,
+  );
+  expect(changes).toBe(0);
+});
+
+test('upstreams that all fail at the same rate are not ejected for it', () => {
+  const policy = addUpstreams(8);
+  for (let count = 0; count < 200; count += 1) {
+    for (let index = 0; index < 8; index += 1)
+      policy.recordOutcome(makeUpstreamId(index), count % 2 === 0 ? 'failure' : 'success');
+    vi.advanceTimersByTime(100);
+  }
+  for (let index = 0; index < 8; index += 1)
+    expect(policy.getState(makeUpstreamId(index))).toBe('closed');
+});
--- a/packages/core/src/breaker/cappedEjectionPolicy.ts
+++ b/packages/core/src/breaker/cappedEjectionPolicy.ts
@@ -1,11 +1,22 @@
 import type { UpstreamId } from '../ids.js';
 import type { RandomGenerator } from '../log/backoff.js';
 import { CircuitBreaker } from './circuitBreaker.js';
-import { MAX_EJECTED_FRACTION } from './constants.js';
+import {
+  MAX_EJECTED_FRACTION,
+  MAX_FAILURE_RATE_EXCESS,
+  MIN_FAILURE_RATE_OUTCOMES,
+} from './constants.js';
 import { EjectionPolicy } from './ejectionPolicy.js';
 import type { BreakerState, EjectionChange, EjectionReason } from './ejectionPolicy.js';
+import type { OutcomeCounts } from './outcomeWindow.js';
 
-/** Ejects upstreams after consecutive failures, up to a maximum fraction of each group. */
+const computeRate = ({ outcomes, failures }: OutcomeCounts): number =>
+  outcomes === 0 ? 0 : failures / outcomes;
+
+/**
+ * Ejects upstreams after consecutive failures, or for a failure rate that is far above that of the
+ * rest of their group, up to a maximum fraction of each group.
+ */
 export class CappedEjectionPolicy extends EjectionPolicy {
   private readonly breakers = new Map<UpstreamId, CircuitBreaker>();
 
@@ -50,9 +61,35 @@
     const hasFailedProbe = breaker.recordFailure();
     if (hasFailedProbe) this.open(breaker, 'failed probe');
     if (breaker.isEjected) return;
-    if (breaker.isFailing && this.canEject(breaker.group)) {
-      this.open(breaker, 'consecutive failures');
-    }
+    const reason = this.findReason(breaker);
+    if (reason !== undefined && this.canEject(breaker.group)) this.open(breaker, reason);
+  }
+
+  /** Finds out why an upstream should be ejected; undefined if it should not. */
+  private findReason(breaker: CircuitBreaker): EjectionReason | undefined {
+    if (breaker.isFailing) return 'consecutive failures';
+    const counts = breaker.countOutcomes();
+    const canExceed =
+      counts.outcomes >= MIN_FAILURE_RATE_OUTCOMES && computeRate(counts) > MAX_FAILURE_RATE_EXCESS;
+    if (!canExceed) return undefined;
+    const rest = this.countOthers(breaker);
+    const excess = computeRate(counts) - computeRate(rest);
+    return rest.outcomes >= MIN_FAILURE_RATE_OUTCOMES && excess > MAX_FAILURE_RATE_EXCESS
+      ? 'failure rate'
+      : undefined;
+  }
+
+  private countOthers(breaker: CircuitBreaker): OutcomeCounts {
+    const others = this.listMembers(breaker.group).filter((member) => member !== breaker);
+    return others
+      .map((member) => member.countOutcomes())
+      .reduce(
+        (sum, { outcomes, failures }) => ({
+          outcomes: sum.outcomes + outcomes,
+          failures: sum.failures + failures,
+        }),
+        { outcomes: 0, failures: 0 },
+      );
   }
 
   private canEject(group: string): boolean {
--- a/packages/core/src/breaker/circuitBreaker.ts
+++ b/packages/core/src/breaker/circuitBreaker.ts
@@ -3,16 +3,21 @@
 import type { Backoff, RandomGenerator } from '../log/backoff.js';
 import {
   CONSECUTIVE_FAILURES_TO_OPEN,
+  FAILURE_RATE_WINDOW_MS,
   INITIAL_BREAKER_OPEN_MS,
   MAX_BREAKER_OPEN_MS,
   PROBE_TIMEOUT_MS,
 } from './constants.js';
 import type { BreakerState } from './ejectionPolicy.js';
+import { OutcomeWindow } from './outcomeWindow.js';
+import type { OutcomeCounts } from './outcomeWindow.js';
 
 /** Circuit breaker of one upstream. */
 export class CircuitBreaker {
   private readonly backoff: Backoff;
 
+  private readonly window = new OutcomeWindow();
+
   private failuresInRow = 0;
 
   private ejected = false;
@@ -20,6 +25,9 @@
   /** Monotonic time from which a probe is allowed. */
   private openUntilMs = 0;
 
+  /** Monotonic time of the last return; the next ejection is longer unless it is long ago. */
+  private closedAtMs = -Infinity;
+
   /** Monotonic time at which the probe was sent; undefined without a probe. */
   private probedAtMs: number | undefined;
 
@@ -58,14 +66,20 @@
     return this.isProbing || performance.now() < this.openUntilMs ? 'open' : 'half-open';
   }
 
+  countOutcomes(): OutcomeCounts {
+    return this.window.count();
+  }
+
   recordStart(): void {
     if (this.state === 'half-open') this.probedAtMs = performance.now();
   }
 
   /** @returns whether a probe succeeded; attempts started before the ejection may still succeed */
   recordSuccess(): boolean {
+    this.window.record(false);
     if (this.ejected) return this.isProbing;
     this.failuresInRow = 0;
+    if (performance.now() - this.closedAtMs > FAILURE_RATE_WINDOW_MS) this.backoff.reset();
     return false;
   }
 
@@ -76,6 +90,7 @@
 
   /** @returns whether a probe failed; attempts started before the ejection may still fail */
   recordFailure(): boolean {
+    this.window.record(true);
     this.failuresInRow += 1;
     return this.ejected && this.isProbing;
   }
@@ -90,7 +105,8 @@
     this.ejected = false;
     this.probedAtMs = undefined;
     this.failuresInRow = 0;
-    this.backoff.reset();
+    this.window.clear();
+    this.closedAtMs = performance.now();
   }
 
   private get isProbing(): boolean {
--- a/packages/core/src/breaker/ejectionPolicy.ts
+++ b/packages/core/src/breaker/ejectionPolicy.ts
@@ -6,6 +6,7 @@
 /** Why an upstream is ejected, or that it is taken back. */
 export type EjectionReason =
   | 'consecutive failures'
+  | 'failure rate'
   | 'failed probe'
   | 'recovered'
   /** The group has shrunk, and may have fewer ejected members. */
--- a/packages/gateway/src/__tests__/ejectedUpstreams.spec.ts
+++ b/packages/gateway/src/__tests__/ejectedUpstreams.spec.ts
@@ -26,14 +26,26 @@
   'a reset': ({ socket }) => socket.resetAndDestroy(),
   'an unsigned success': ({ id, socket }) =>
     socket.write(buildResponse(200, { 'x-id': id }, 'fine')),
+  'an error': ({ id, socket }) =>
+    socket.write(buildResponse(500, { 'x-id': id, 'x-sig': 's' }, 'no')),
 };
 
-/** Sends to an ejected upstream that never answers. */
+const alternate = (fault: Respond): Respond => {
+  let count = 0;
+  return (request) => {
+    count += 1;
+    (count % 2 === 0 ? respond : fault)(request);
+  };
+};
+
+/** Probes of one that never answers; one that answers a probe is taken back until it fails again. */
 const MAX_PROBES = 5;
+const MAX_SENDS_AFTER_RETURN = 40;
 
 const cases = Object.entries(faults).flatMap(
   ([name, fault]): (readonly [string, Respond, number])[] => [
     [`${name} to each request`, fault, MAX_PROBES],
+    [`${name} to every second request`, alternate(fault), MAX_SENDS_AFTER_RETURN],
   ],
 );
 
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -70,7 +70,7 @@
     if (result.kind === 'failed') {
       progress.recordFailure(result);
       exchange.verdict = combineVerdicts(exchange.verdict, 'ran');
-      ejection.recordOutcome(upstreamId, 'neutral');
+      ejection.recordOutcome(upstreamId, 'failure');
       return;
     }
     exchange.verdict = combineVerdicts(exchange.verdict, 'may-have-run');
