feat(gateway): tell what the memory for callers is held for, and which answers were given up

A process that runs out of memory left no trace of what had taken it: one gauge summed request bodies and buffered responses, and a response that was given up for its size or for want of memory was a failure like any other.

The gauge goldcrest_gateway_held_bytes tells the held bytes by purpose, the counter goldcrest_gateway_abandoned_answers_total the responses that were given up by reason, and the line "response given up" names the request and the upstream when the reason is want of memory. No decision changes.

--- a/packages/gateway/src/__tests__/responseMemory.spec.ts
+++ b/packages/gateway/src/__tests__/responseMemory.spec.ts
@@ -97,3 +97,18 @@
   expect(performance.now() - startedAtMs).toBeGreaterThan(EFFECTIVE_TIMEOUT_MS);
   expect(caller.read().match(/a/g)!.length).toBeGreaterThanOrEqual(totalBytes);
 }, 25_000);
+
+// Guards against memory that runs out and nobody can tell what took it, or what was given up for it.
+test('metrics tell what memory is held for, and which responses were given up', async () => {
+  const { call, budget, metrics } = await startGateway({
+    route: { idempotent: false, maxUpstreams: 1 },
+    upstreams: [(request) => startResponse(500, request)],
+    bufferBytes: BUFFER_BYTES,
+  });
+  await call({ body: 'x'.repeat(10) });
+  metrics.setHeldBytes({ ...budget.purposes, response: 7 });
+  const text = await metrics.render();
+  expect(text).toContain('goldcrest_gateway_abandoned_answers_total{reason="memory"} 1');
+  expect(text).toContain('goldcrest_gateway_held_bytes{purpose="response"} 7');
+  await vi.waitUntil(() => Object.values(budget.purposes).every((bytes) => bytes === 0));
+});
--- a/packages/gateway/src/dispatch/connectionExchange.ts
+++ b/packages/gateway/src/dispatch/connectionExchange.ts
@@ -102,7 +102,7 @@
     response.on('error', (error) => this.fail(error));
     response.on('close', () => this.failIfOpen('response cut short'));
     if (statusCode < MIN_STATUS || statusCode > MAX_STATUS) {
-      this.abort(new InvalidResponseError(`response with status ${statusCode}`));
+      this.abort(new InvalidResponseError(`response with status ${statusCode}`, 'head'));
       return;
     }
     const framing = findFraming(headers);
--- a/packages/gateway/src/dispatch/responseBuffer.ts
+++ b/packages/gateway/src/dispatch/responseBuffer.ts
@@ -25,7 +25,10 @@
   /** @returns whether the chunk was buffered; otherwise the body is too large, or there is no memory */
   tryAdd(chunk: Buffer): boolean {
     if (this.receivedBytes + chunk.length > MAX_BUFFERED_RESPONSE_BYTES) return false;
-    if (!this.isReserved && !this.reservation.tryGrow(this.declaredBytes ?? chunk.length)) {
+    if (
+      !this.isReserved &&
+      !this.reservation.tryGrow(this.declaredBytes ?? chunk.length, 'response')
+    ) {
       return false;
     }
     this.isReserved = this.declaredBytes !== undefined;
--- a/packages/gateway/src/dispatch/responseReporter.ts
+++ b/packages/gateway/src/dispatch/responseReporter.ts
@@ -27,12 +27,17 @@
     { attempt, result }: EndedAttempt,
   ): void {
     const { requestLog, metrics, faults } = this.options;
-    const { fault, invalidResponse: reason, framing, partialEventBytes } = attempt;
+    const { fault, abandonment, framing, partialEventBytes } = attempt;
     const fields = { id: head.requestId, route: route?.name, upstreamId };
     if (fault) faults.record('upstream response', fault.cause, fields);
-    if (reason !== undefined) {
-      metrics.countInvalidResponse();
-      requestLog.log('invalid response of upstream', { ...fields, reason });
+    if (abandonment) {
+      const { reason, message } = abandonment;
+      metrics.countAbandonedResponse(reason);
+      if (reason === 'memory') requestLog.log('response given up', { ...fields, reason: message });
+      else {
+        metrics.countInvalidResponse();
+        requestLog.log('invalid response of upstream', { ...fields, reason: message });
+      }
     }
     if (framing !== 'connection') return;
     metrics.countUnframedResponse(result.kind);
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -13,7 +13,9 @@
 import { ConnectionError } from './connectionError.js';
 import { FaultError } from './faultError.js';
 import { InvalidResponseError } from './invalidResponseError.js';
+import type { AbandonReason } from './invalidResponseError.js';
 import { ResponseBuffer } from './responseBuffer.js';
+import { ResponseMemoryError } from './responseMemoryError.js';
 import type {
   BodyFraming,
   ExchangeHandler,
@@ -58,9 +60,12 @@
 /** Prefix of the codes of errors of the HTTP parser. */
 const PARSER_ERROR_PREFIX = 'HPE_';
 
-const isInvalidResponse = (error: Error): boolean =>
-  error instanceof InvalidResponseError ||
-  ('code' in error && String(error.code).startsWith(PARSER_ERROR_PREFIX));
+const findAbandonReason = (error: Error): AbandonReason | undefined => {
+  if (error instanceof InvalidResponseError) return error.reason;
+  if (error instanceof ResponseMemoryError) return 'memory';
+  const isUnreadable = 'code' in error && String(error.code).startsWith(PARSER_ERROR_PREFIX);
+  return isUnreadable ? 'syntax' : undefined;
+};
 
 const NO_BYTES = Buffer.alloc(0);
 
@@ -101,8 +106,8 @@
   /** Unexpected error of this program that ended the exchange. */
   fault: FaultError | undefined;
 
-  /** Why the response was refused; undefined for one that was taken. */
-  invalidResponse: string | undefined;
+  /** Why the response was given up; undefined for one that was taken. */
+  abandonment: { readonly reason: AbandonReason; readonly message: string } | undefined;
 
   /** How the end of the response is marked; undefined before its head. */
   framing: BodyFraming | undefined;
@@ -211,7 +216,7 @@
     this.head = head;
     const rejectionReason = this.findRejectionReason(head, 'content-encoding' in headers);
     if (rejectionReason !== undefined) {
-      this.abandon(flow, new InvalidResponseError(rejectionReason));
+      this.abandon(flow, new InvalidResponseError(rejectionReason, 'mismatch'));
       return;
     }
     onResponseHead(head);
@@ -230,7 +235,7 @@
     if (this.phase === 'stream') this.relayChunk(flow, chunk);
     else if (this.phase === 'whole') this.collectChunk(flow, chunk);
     const excess = this.findExcess();
-    if (excess !== undefined) this.abandon(flow, new InvalidResponseError(excess));
+    if (excess !== undefined) this.abandon(flow, excess);
   }
 
   onEnd(): void {
@@ -247,7 +252,8 @@
 
   onError(error: Error): void {
     if (error instanceof FaultError) this.fault = error;
-    if (isInvalidResponse(error)) this.invalidResponse = error.message;
+    const reason = findAbandonReason(error);
+    if (reason !== undefined) this.abandonment = { reason, message: error.message };
     const isEndedHere =
       this.isAbandoned || error instanceof FaultError || error instanceof InvalidResponseError;
     this.isConnectionLost = this.phase !== 'offered' && !isEndedHere;
@@ -287,11 +293,13 @@
   }
 
   /** Finds out which limit a response exceeds that may have no end. */
-  private findExcess(): string | undefined {
-    if (this.receivedBytes > MAX_RESPONSE_BYTES) return 'response too large';
-    if (this.eventScanner.partialEventBytes > MAX_EVENT_BYTES) return 'event too large';
+  private findExcess(): InvalidResponseError | undefined {
+    if (this.receivedBytes > MAX_RESPONSE_BYTES)
+      return new InvalidResponseError('response too large', 'response_size');
+    if (this.eventScanner.partialEventBytes > MAX_EVENT_BYTES)
+      return new InvalidResponseError('event too large', 'event_size');
     return this.phase === 'whole' && this.receivedBytes > MAX_BUFFERED_RESPONSE_BYTES
-      ? 'response too large to buffer'
+      ? new InvalidResponseError('response too large to buffer', 'response_size')
       : undefined;
   }
 
@@ -333,7 +341,7 @@
     if (!canStream) {
       // A failure that is too large is refused as invalid.
       if (this.receivedBytes > MAX_BUFFERED_RESPONSE_BYTES) return;
-      this.abandon(flow, new ConnectionError('no memory for the response'));
+      this.abandon(flow, new ResponseMemoryError('no memory for the response'));
       return;
     }
     // Too large to buffer, or no memory for it: stream it. If it is then cut short, the caller's
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -119,6 +119,7 @@
     ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
     renderMetrics: () => {
       counters.setBufferedBytes(budget.heldBytes);
+      counters.setHeldBytes(budget.purposes);
       return counters.render();
     },
     operated: undefined,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,4 +1,5 @@
-import type { MetricsRegistry } from '@goldcrestscale/runtime';
+import type { BytePurpose, MetricsRegistry } from '@goldcrestscale/runtime';
+import type { AbandonReason } from './dispatch/invalidResponseError.js';
 
 /** Counters and latency histograms of the gateway. */
 export interface GatewayMetrics {
@@ -12,6 +13,8 @@
   countUnframedResponse(outcome: string): void;
   /** Counts a response that was refused because it is invalid. */
   countInvalidResponse(): void;
+  /** Counts a response that this VM gave up, by the reason. */
+  countAbandonedResponse(reason: AbandonReason): void;
   /** Counts an unexpected error by the part of the gateway that caught it. */
   countFault(part: string): void;
   /** Counts a signal to stop while the process was stopping already. */
@@ -33,6 +36,8 @@
   countFeedBytes(bytes: number): void;
   /** Sets the bytes of bodies and responses that are held for callers. */
   setBufferedBytes(bytes: number): void;
+  /** Sets the bytes that are held for each purpose. */
+  setHeldBytes(purposes: Readonly<Record<BytePurpose, number>>): void;
   render(): Promise<string>;
 }
 
@@ -106,21 +111,39 @@
 
 const createMemoryMetrics = (
   metrics: MetricsRegistry,
-): Pick<GatewayMetrics, 'setBufferedBytes'> => {
+): Pick<GatewayMetrics, 'setBufferedBytes' | 'setHeldBytes'> => {
   const bufferedBytes = metrics.createGauge({
     name: 'goldcrest_gateway_buffered_bytes',
     help: 'Bytes of request bodies and responses that are held for callers.',
   });
-  return { setBufferedBytes: (bytes) => bufferedBytes.set(bytes) };
+  const heldBytes = metrics.createGauge({
+    name: 'goldcrest_gateway_held_bytes',
+    help: 'Bytes of the memory for callers that are held, by purpose.',
+    labelNames: ['purpose'],
+  });
+  return {
+    setBufferedBytes: (bytes) => bufferedBytes.set(bytes),
+    setHeldBytes(purposes) {
+      Object.entries(purposes).forEach(([purpose, bytes]) => heldBytes.set({ purpose }, bytes));
+    },
+  };
 };
 
 const createFaultMetrics = (
   metrics: MetricsRegistry,
-): Pick<GatewayMetrics, 'countInvalidResponse' | 'countFault' | 'countRepeatedStop'> => {
+): Pick<
+  GatewayMetrics,
+  'countInvalidResponse' | 'countAbandonedResponse' | 'countFault' | 'countRepeatedStop'
+> => {
   const invalidResponses = metrics.createCounter({
     name: 'goldcrest_gateway_invalid_answers_total',
     help: 'Answers of upstreams that were refused: no HTTP, another request, unsigned or too large.',
   });
+  const abandonedResponses = metrics.createCounter({
+    name: 'goldcrest_gateway_abandoned_answers_total',
+    help: 'Answers of upstreams that this VM gave up, by reason.',
+    labelNames: ['reason'],
+  });
   const faults = metrics.createCounter({
     name: 'goldcrest_gateway_faults_total',
     help: 'Unexpected errors, each of which ended one exchange, record or task; see the log.',
@@ -133,6 +156,7 @@
   return {
     countRepeatedStop: () => repeatedStops.inc(),
     countInvalidResponse: () => invalidResponses.inc(),
+    countAbandonedResponse: (reason) => abandonedResponses.inc({ reason }),
     countFault: (part) => faults.inc({ part }),
   };
 };
--- a/packages/runtime/src/http/readRequestBody.ts
+++ b/packages/runtime/src/http/readRequestBody.ts
@@ -69,7 +69,7 @@
           ? missingBytes
           : Math.min(declaredBytes - reservedBytes, Math.max(missingBytes, RESERVATION_STEP_BYTES));
       reservedBytes += stepBytes;
-      if (!reservation.tryGrow(stepBytes)) refuse(createNoMemoryError());
+      if (!reservation.tryGrow(stepBytes, 'request_body')) refuse(createNoMemoryError());
     };
     const timer = setTimeout(
       () => refuse(createTimeoutError()),
