fix(runtime): bound the memory and the number of the parts of a request body

What callers saw: one caller that sent a body in chunks of one byte ended the process, and all others lost their requests.

Cause: the budget counted one byte for a chunk that takes some hundred, and nothing bounded how many of them the process handles. After a refusal the rest was read and discarded without end, at the same cost.

A body beyond it gets 400 with the code body_parts_too_small, and its connection is not read any more, also after another refusal.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -8,6 +8,7 @@
   | 'unauthorized'
   | 'unknown_model'
   | 'unknown_service'
+  | 'body_parts_too_small'
   | 'body_too_large'
   | 'memory_full'
   | 'key_reused'
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -70,6 +70,8 @@
   readonly isRefusing?: () => boolean;
   /** Limit of the bytes that are buffered for callers. */
   readonly bufferBytes?: number;
+  /** Limit of a request body. */
+  readonly bodyBytes?: number;
   /** Time after the start for which it has no part of the fleet's retry allowance. */
   readonly retryAllowanceDelayMs?: number;
   readonly retryWindowMs?: number;
@@ -102,7 +104,11 @@
         ],
         blockStores: [],
         accounts: options.accounts ?? [],
-        callerLimits: { bodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+        callerLimits: {
+          bodyBytes: options.bodyBytes ?? 1_000,
+          headerTimeoutMs: 3_000,
+          idleTimeoutMs: 15_000,
+        },
       },
     });
   }
--- a/packages/runtime/src/http/byteReservation.ts
+++ b/packages/runtime/src/http/byteReservation.ts
@@ -13,6 +13,15 @@
     return true;
   }
 
+  /** Gives back a part of what is held for a purpose. */
+  shrink(bytes: number, purpose: BytePurpose): void {
+    const heldBytes = this.bytes.get(purpose) ?? 0;
+    // All of it may have been released already, at the end of the exchange.
+    const releasedBytes = Math.min(bytes, heldBytes);
+    this.bytes.set(purpose, heldBytes - releasedBytes);
+    this.budget.release(releasedBytes, purpose);
+  }
+
   release(): void {
     this.bytes.forEach((bytes, purpose) => this.budget.release(bytes, purpose));
     this.bytes.clear();
--- a/packages/runtime/src/http/index.ts
+++ b/packages/runtime/src/http/index.ts
@@ -5,5 +5,7 @@
 export { ByteBudget, computeBufferBytes } from './byteBudget.js';
 export type { BytePurpose } from './byteBudget.js';
 export { ByteReservation } from './byteReservation.js';
+export { PartAllowance } from './partAllowance.js';
+export { pauseSocket } from './pauseSocket.js';
 export { readRequestBody } from './readRequestBody.js';
 export type { ReadBodyOptions } from './readRequestBody.js';
--- a/packages/runtime/src/http/readRequestBody.ts
+++ b/packages/runtime/src/http/readRequestBody.ts
@@ -3,6 +3,8 @@
 import type { GoldcrestErrorInstance } from '@goldcrestscale/core';
 import { BodyBuffer } from './bodyBuffer.js';
 import type { ByteReservation } from './byteReservation.js';
+import { PartAllowance } from './partAllowance.js';
+import { pauseSocket } from './pauseSocket.js';
 
 /** Options for reading a request body. */
 export interface ReadBodyOptions {
@@ -28,6 +30,12 @@
     status: 413,
   });
 
+const createTooManyPartsError = (): GoldcrestErrorInstance =>
+  createRefusal('The body comes in too many small chunks; send larger ones.', {
+    code: 'body_parts_too_small',
+    status: 400,
+  });
+
 const createNoMemoryError = (): GoldcrestErrorInstance =>
   createRefusal('This VM has no memory for the body now; try again.', {
     code: 'memory_full',
@@ -41,9 +49,11 @@
 /**
  * Reads a complete request body. Its bytes are reserved as they come, because a length that is only
  * declared takes no memory. A body that is refused is read on and discarded, so that its caller can
- * read the response: a connection that is closed with unread bytes is reset.
+ * read the response: a connection that is closed with unread bytes is reset. Only one that comes in too
+ * many parts is not read on, which would take as much processor time as before.
  *
- * @throws GoldcrestError `body_too_large`, the timeout error, or `memory_full` if the budget has no room for it
+ * @throws GoldcrestError `body_too_large`, `body_parts_too_small`, the timeout error, or `memory_full` if
+ *   the budget has no room for it
  */
 export const readRequestBody = (
   request: IncomingMessage,
@@ -52,6 +62,9 @@
   new Promise((resolve, reject) => {
     const declaredBytes = readDeclaredBytes(request);
     let body: BodyBuffer | undefined = new BodyBuffer(declaredBytes);
+    const allowance = new PartAllowance();
+    /** Whether the rest is not even read and discarded. */
+    let isStopped = false;
     let receivedBytes = 0;
     let reservedBytes = 0;
     const refuse = (error: Error): void => {
@@ -60,16 +73,21 @@
       reservation.release();
       reject(error);
     };
-    /** Reserves what has been received; of a declared length, the next step at least. */
-    const reserve = (): void => {
+    /** Computes the memory that a chunk takes; of a declared length, the next step at least. */
+    const computeStep = (chunkBytes: number, buffer: BodyBuffer): number => {
+      if (declaredBytes === undefined) return buffer.computeGrowth(chunkBytes);
       const missingBytes = receivedBytes - reservedBytes;
-      if (missingBytes <= 0) return;
-      const stepBytes =
-        declaredBytes === undefined
-          ? missingBytes
-          : Math.min(declaredBytes - reservedBytes, Math.max(missingBytes, RESERVATION_STEP_BYTES));
+      if (missingBytes <= 0) return 0;
+      return Math.min(
+        declaredBytes - reservedBytes,
+        Math.max(missingBytes, RESERVATION_STEP_BYTES),
+      );
+    };
+    const addChunk = (chunk: Buffer, buffer: BodyBuffer): void => {
+      const stepBytes = computeStep(chunk.length, buffer);
       reservedBytes += stepBytes;
-      if (!reservation.tryGrow(stepBytes, 'request_body')) refuse(createNoMemoryError());
+      if (reservation.tryGrow(stepBytes, 'request_body')) buffer.add(chunk);
+      else refuse(createNoMemoryError());
     };
     const timer = setTimeout(
       () => refuse(createTimeoutError()),
@@ -83,11 +101,16 @@
     if ((declaredBytes ?? 0) > maxBytes) refuse(createTooLargeError(maxBytes));
     // Events, because leaving an async iteration early would destroy the caller's connection.
     request.on('data', (chunk: Buffer) => {
+      if (isStopped) return;
+      if (!allowance.tryTake(chunk.length)) {
+        isStopped = true;
+        refuse(createTooManyPartsError());
+        pauseSocket(request.socket);
+      }
       if (!body) return;
       receivedBytes += chunk.length;
       if (receivedBytes > maxBytes) refuse(createTooLargeError(maxBytes));
-      else reserve();
-      body?.add(chunk);
+      else addChunk(chunk, body);
     });
     request.once('end', () => {
       clearTimeout(timer);
