fix(gateway): count what small parts of responses take, and bound their number

What callers saw: an upstream that sent a body, an error body or an event in chunks of one byte ended the process (SIGABRT) and with it the requests of all callers; small events in such chunks kept sound answers for 17 s; 300 events of 1 MB that did not end took 202 MB of 200.

Cause: a chunk was reserved by its byte while it took an object and a write of its own, an event that was not complete was not reserved at all, and a response that was paused went on taking parsed chunks as objects.

ResponseBuffer reserves what its blocks take; EventSplitter keeps the event in the same blocks and draws on the exchange's reservation, and a stream for whose event there is no memory is given up (reason memory). StreamRelay writes all parts of one read at once. Back-pressure pauses the socket, so that nothing more is parsed. The parts of a response are bounded like those of a request body; one beyond it is a failure of its upstream (part_size).

--- a/packages/gateway/src/dispatch/connectionExchange.ts
+++ b/packages/gateway/src/dispatch/connectionExchange.ts
@@ -1,5 +1,6 @@
 import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { pauseSocket } from '@goldcrestscale/runtime';
 import { MAX_INFORMATIONAL_RESPONSES } from '../constants.js';
 import { ConnectionError } from './connectionError.js';
 import { FaultError } from './faultError.js';
@@ -24,6 +25,7 @@
 
 /** Controls a response that is being received. */
 export interface ResponseFlow {
+  /** Reads no more; what has been read still comes. */
   pause(): void;
   resume(): void;
   /** Ends the exchange with an error and closes the connection. */
@@ -52,10 +54,12 @@
 export class ConnectionExchange implements ResponseFlow {
   private isDone = false;
 
-  private response: IncomingMessage | undefined;
-
   private informationalCount = 0;
 
+  private socket: Socket | undefined;
+
+  private resumeSocket: (() => void) | undefined;
+
   constructor(
     private readonly request: ClientRequest,
     private readonly handler: ExchangeHandler,
@@ -68,11 +72,13 @@
   }
 
   pause(): void {
-    this.response?.pause();
+    if (this.isDone || !this.socket) return;
+    this.resumeSocket ??= pauseSocket(this.socket);
   }
 
   resume(): void {
-    this.response?.resume();
+    this.resumeSocket?.();
+    this.resumeSocket = undefined;
   }
 
   abort(error: Error): void {
@@ -81,6 +87,7 @@
   }
 
   private handleSocket(socket: Socket): void {
+    this.socket = socket;
     if (socket.connecting) socket.once('connect', () => this.guard(() => this.handler.onSend()));
     else this.guard(() => this.handler.onSend());
   }
@@ -93,7 +100,6 @@
   }
 
   private handleResponse(response: IncomingMessage): void {
-    this.response = response;
     const { statusCode = 0, headers, rawHeaders } = response;
     response.on('data', (chunk: Buffer) => {
       if (!this.isDone) this.guard(() => this.handler.onData(chunk, this));
@@ -127,6 +133,7 @@
     }
     this.guard(() => this.handler.onEnd());
     this.isDone = true;
+    this.leaveSocket();
   }
 
   /** Every exchange closes; the error is created only for one that has not ended. */
@@ -137,6 +144,12 @@
   private fail(error: Error): void {
     if (this.isDone) return;
     this.isDone = true;
+    this.leaveSocket();
     this.handler.onError(error);
   }
+
+  /** Leaves the connection as it was for the next exchange on it. */
+  private leaveSocket(): void {
+    this.resume();
+  }
 }
--- a/packages/gateway/src/dispatch/requestProgress.ts
+++ b/packages/gateway/src/dispatch/requestProgress.ts
@@ -1,5 +1,6 @@
 import { SendCounts } from '@goldcrestscale/core';
 import type { RouteRule, ServiceName, UpstreamId } from '@goldcrestscale/core';
+import type { ByteReservation } from '@goldcrestscale/runtime';
 import type { AttemptResult } from './attemptResult.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
@@ -34,8 +35,9 @@
   constructor(
     readonly service: ServiceName,
     route: RouteRule,
+    reservation: ByteReservation,
   ) {
-    this.eventSplitter = route.resumable ? new EventSplitter() : undefined;
+    this.eventSplitter = route.resumable ? new EventSplitter(reservation) : undefined;
   }
 
   recordLoss(): void {
--- a/packages/gateway/src/dispatch/responseBuffer.ts
+++ b/packages/gateway/src/dispatch/responseBuffer.ts
@@ -4,34 +4,23 @@
 
 /** Buffers the body of a response within its size limit and the memory for all callers. */
 export class ResponseBuffer {
-  private readonly declaredBytes: number | undefined;
-
   private readonly body: BodyBuffer;
 
   private receivedBytes = 0;
 
-  private isReserved = false;
-
   /** @param declaredBytes length of the body; undefined if it is not known */
   constructor(
     private readonly reservation: ByteReservation,
     declaredBytes?: number,
   ) {
     const isKnown = declaredBytes !== undefined && declaredBytes <= MAX_BUFFERED_RESPONSE_BYTES;
-    this.declaredBytes = isKnown ? declaredBytes : undefined;
-    this.body = new BodyBuffer(this.declaredBytes);
+    this.body = new BodyBuffer(isKnown ? declaredBytes : undefined);
   }
 
   /** @returns whether the chunk was buffered; otherwise the body is too large, or there is no memory */
   tryAdd(chunk: Buffer): boolean {
     if (this.receivedBytes + chunk.length > MAX_BUFFERED_RESPONSE_BYTES) return false;
-    if (
-      !this.isReserved &&
-      !this.reservation.tryGrow(this.declaredBytes ?? chunk.length, 'response')
-    ) {
-      return false;
-    }
-    this.isReserved = this.declaredBytes !== undefined;
+    if (!this.reservation.tryGrow(this.body.computeGrowth(chunk.length), 'response')) return false;
     this.receivedBytes += chunk.length;
     this.body.add(chunk);
     return true;
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -1,10 +1,12 @@
 import { MIN_SURVIVAL_EVENTS } from '@goldcrestscale/core';
 import type { TrackedUpstream } from '@goldcrestscale/core';
+import { PartAllowance } from '@goldcrestscale/runtime';
 import type { InputBarrier } from '@goldcrestscale/runtime';
 import { MAX_BUFFERED_RESPONSE_BYTES, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES } from '../constants.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { requireRoute } from '../filters/gatewayExchange.js';
 import type { ResponseHead, AttemptMetadata, UpstreamProtocol } from '../ports/index.js';
+import { findAbandonReason } from './abandonReason.js';
 import type { AttemptResult } from './attemptResult.js';
 import type { WithheldSend } from './sendGate.js';
 import { EventScanner } from './eventScanner.js';
@@ -16,6 +18,7 @@
 import type { AbandonReason } from './invalidResponseError.js';
 import { ResponseBuffer } from './responseBuffer.js';
 import { ResponseMemoryError } from './responseMemoryError.js';
+import { StreamRelay } from './streamRelay.js';
 import type {
   BodyFraming,
   ExchangeHandler,
@@ -57,16 +60,6 @@
 
 const MIN_SERVER_ERROR_STATUS = 500;
 
-/** Prefix of the codes of errors of the HTTP parser. */
-const PARSER_ERROR_PREFIX = 'HPE_';
-
-const findAbandonReason = (error: Error): AbandonReason | undefined => {
-  if (error instanceof InvalidResponseError) return error.reason;
-  if (error instanceof ResponseMemoryError) return 'memory';
-  const isUnreadable = 'code' in error && String(error.code).startsWith(PARSER_ERROR_PREFIX);
-  return isUnreadable ? 'syntax' : undefined;
-};
-
 const NO_BYTES = Buffer.alloc(0);
 
 const EVENT_STREAM_TYPE = 'text/event-stream';
@@ -82,6 +75,10 @@
 
   private buffer: ResponseBuffer | undefined;
 
+  private relay: StreamRelay | undefined;
+
+  private allowance: PartAllowance | undefined;
+
   private receivedBytes = 0;
 
   private resolveResult: ((result: AttemptResult) => void) | undefined;
@@ -226,6 +223,8 @@
     this.phase = isStream ? 'stream' : 'whole';
     const declaredBytes = framing === 'length' ? Number(headers['content-length']) : undefined;
     this.buffer = new ResponseBuffer(exchange.reservation, declaredBytes);
+    this.relay = new StreamRelay(exchange.response, flow);
+    this.allowance = new PartAllowance();
     if (isStream) this.startStream(head);
   }
 
@@ -234,11 +233,12 @@
     this.receivedBytes += chunk.length;
     if (this.phase === 'stream') this.relayChunk(flow, chunk);
     else if (this.phase === 'whole') this.collectChunk(flow, chunk);
-    const excess = this.findExcess();
+    const excess = this.findExcess(chunk);
     if (excess !== undefined) this.abandon(flow, excess);
   }
 
   onEnd(): void {
+    this.relay?.flush();
     const failure = this.findTruncation();
     if (failure !== undefined) {
       this.isConnectionLost = true;
@@ -251,6 +251,7 @@
   }
 
   onError(error: Error): void {
+    this.relay?.flush();
     if (error instanceof FaultError) this.fault = error;
     const reason = findAbandonReason(error);
     if (reason !== undefined) this.abandonment = { reason, message: error.message };
@@ -293,7 +294,9 @@
   }
 
   /** Finds out which limit a response exceeds that may have no end. */
-  private findExcess(): InvalidResponseError | undefined {
+  private findExcess(chunk: Buffer): InvalidResponseError | undefined {
+    if (this.allowance?.tryTake(chunk.length) === false)
+      return new InvalidResponseError('parts too small', 'part_size');
     if (this.receivedBytes > MAX_RESPONSE_BYTES)
       return new InvalidResponseError('response too large', 'response_size');
     if (this.eventScanner.partialEventBytes > MAX_EVENT_BYTES)
@@ -319,18 +322,13 @@
     // A response that is streamed only for its size has no events.
     const eventSplitter = this.isStreamOpen ? this.options.eventSplitter : undefined;
     const eventEnds = this.isStreamOpen ? this.eventScanner.scan(chunk) : [];
-    const data = eventSplitter ? eventSplitter.push(chunk, eventEnds) : chunk;
+    const data = eventSplitter ? eventSplitter.tryPush(chunk, eventEnds) : chunk;
+    if (!data) {
+      this.abandon(flow, new ResponseMemoryError('no memory for an event'));
+      return;
+    }
     if (eventSplitter && data.length > 0) this.options.onFirstEvent();
-    if (data.length > 0) this.relayData(flow, [data]);
-  }
-
-  /** Passes data on; reads no more of the response while the caller's connection is congested. */
-  private relayData(flow: ResponseFlow, data: readonly Buffer[]): void {
-    const { response } = this.options.exchange;
-    const canContinue = data.map((part) => response.write(part)).every(Boolean);
-    if (canContinue) return;
-    flow.pause();
-    response.onDrain(() => flow.resume());
+    this.relay?.add(data);
   }
 
   private collectChunk(flow: ResponseFlow, chunk: Buffer): void {
@@ -349,7 +347,7 @@
     const { status, forwardedHeaders } = head;
     this.phase = 'stream';
     response.start({ status, headers: forwardedHeaders, contentLength: undefined });
-    this.relayData(flow, [...(this.buffer?.take() ?? []), chunk]);
+    [...(this.buffer?.take() ?? []), chunk].forEach((part) => this.relay?.add(part));
   }
 
   private finish(): AttemptResult {
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -135,7 +135,7 @@
     exchange.streamVersion = origin?.version;
     const service = origin?.service ?? picked;
     this.options.retryBudget.recordRequest(service);
-    const progress = new RequestProgress(service, route);
+    const progress = new RequestProgress(service, route, exchange.reservation);
     // One controller for both causes is cheaper than AbortSignal.any.
     const controller = new AbortController();
     const abort = (): void => controller.abort();
--- a/packages/runtime/src/http/byteReservation.ts
+++ b/packages/runtime/src/http/byteReservation.ts
@@ -14,7 +14,7 @@
   }
 
   /** Gives back a part of what is held for a purpose. */
-  shrink(bytes: number, purpose: BytePurpose): void {
+  releasePart(bytes: number, purpose: BytePurpose): void {
     const heldBytes = this.bytes.get(purpose) ?? 0;
     // All of it may have been released already, at the end of the exchange.
     const releasedBytes = Math.min(bytes, heldBytes);
