--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -150,6 +150,7 @@
       Object.entries(serverConnections).forEach(([name, { openCount }]) =>
         counters.setOpenConnections(name as keyof GatewayServers, openCount),
       );
+      counters.setHeldBytes(budget.purposes);
       return counters.render();
     },
     operated: undefined,
