fix(core): go through listed versions once per step, not with each record

Each record of an upstream recorded all listed versions as seen again, and searched a new list of all of them: the work grew with the square of what the registry listed, in one turn of the event loop.

Listed versions are recorded every 100 ms at most, and always before and after the list changes, so that a listed one counts as before and one that is gone counts from the moment it was last listed. At most 1,000 of them count, as of all other sources, and a version is looked up instead of searched.

--- a/packages/core/src/streams/__tests__/versionsInUse.spec.ts
+++ b/packages/core/src/streams/__tests__/versionsInUse.spec.ts
@@ -11,6 +11,9 @@
   SoftwareVersion,
 ];
 
+/** Bound of a pass over all records of a read, in milliseconds. */
+const MAX_PASS_MS = 500;
+
 const createVersions = (): VersionsInUse => {
   const versions = new VersionsInUse();
   versions.recordFirstReports([]);
@@ -129,3 +132,17 @@
   report('new');
   expect(versions.listOwn()).toHaveLength(1);
 });
+
+// Guards against a registry of many versions, all of which are gone through with each record.
+test('records of very many listed versions take little time', () => {
+  vi.useRealTimers();
+  const versions = createVersions();
+  const listed = Array.from({ length: 6_000 }, (_value, index) => ({
+    service,
+    version: toId<SoftwareVersion>(`v-${index}`),
+  }));
+  versions.updateListed(listed);
+  const startedAtMs = performance.now();
+  listed.forEach(({ version }) => versions.recordRegistered(service, version));
+  expect(performance.now() - startedAtMs).toBeLessThan(MAX_PASS_MS);
+});
--- a/packages/core/src/streams/constants.ts
+++ b/packages/core/src/streams/constants.ts
@@ -7,5 +7,8 @@
 /** Maximum number of software versions that are known from one source; further ones are not recorded. */
 export const MAX_VERSIONS = 1_000;
 
+/** Interval at which listed versions are recorded as seen, in milliseconds. */
+export const LISTED_STEP_MS = 100;
+
 /** Granularity of the reported ages of versions, so that reports seldom change. */
 export const VERSION_AGE_STEP_MS = 5_000;
--- a/packages/core/src/streams/versionsInUse.ts
+++ b/packages/core/src/streams/versionsInUse.ts
@@ -1,5 +1,5 @@
 import type { ServiceName, SoftwareVersion } from '../ids.js';
-import { MAX_VERSIONS, STREAM_LIFE_MS, VERSION_AGE_STEP_MS } from './constants.js';
+import { LISTED_STEP_MS, MAX_VERSIONS, STREAM_LIFE_MS, VERSION_AGE_STEP_MS } from './constants.js';
 
 /** A software version of a service. */
 export interface RegisteredVersion {
@@ -37,6 +37,9 @@
   );
 };
 
+const isRecent = (seen: SeenAt, service: ServiceName, version: SoftwareVersion): boolean =>
+  (seen.get(service)?.get(version) ?? -Infinity) > performance.now() - STREAM_LIFE_MS;
+
 /** Drops versions whose streams can't be taken up any more. */
 const dropExpired = (seen: SeenAt): void => {
   const oldestMs = performance.now() - STREAM_LIFE_MS;
@@ -58,6 +61,8 @@
   /** What the registry lists, as far as this VM has read. */
   private listed: readonly RegisteredVersion[] = [];
 
+  private listedRecordedAtMs = -Infinity;
+
   private readonly reported: SeenAt = new Map();
 
   private hasReports = false;
@@ -69,16 +74,18 @@
    */
   recordRegistered(service: ServiceName, version: SoftwareVersion): boolean {
     this.recordListed();
-    const isNew = !listRecent(this.own, service).includes(version);
+    const isNew = !isRecent(this.own, service, version);
     recordSeen(this.own, { service, version, ageMs: 0 });
     return isNew;
   }
 
   /** Updates what the registry lists; that counts until a later list lacks it, however old it is. */
   updateListed(listed: readonly RegisteredVersion[]): void {
+    this.listedRecordedAtMs = -Infinity;
     this.recordListed();
     const distinct = new Map(listed.map((one) => [`${one.service} ${one.version}`, one]));
-    this.listed = [...distinct.values()];
+    this.listed = [...distinct.values()].slice(0, MAX_VERSIONS);
+    this.listedRecordedAtMs = -Infinity;
   }
 
   /**
@@ -127,6 +134,9 @@
 
   /** A version counts as seen for as long as it is listed. */
   private recordListed(): void {
+    const nowMs = performance.now();
+    if (nowMs - this.listedRecordedAtMs < LISTED_STEP_MS) return;
+    this.listedRecordedAtMs = nowMs;
     this.listed.forEach((one) => recordSeen(this.own, { ...one, ageMs: 0 }));
   }
 }
