fix(platform): bound the answers that the clients of services and goldcrestctl read

A service that answered without end was read for as long as the timeout lasted (1 s for the VM list, 2 s for the log, 30 s for the weight store, 5 s for a state that goldcrestctl asks for), at whatever rate it sent: the process kept all of it. A page of the log with more records than were asked for was taken, and its records become the arguments of one call.

The response is ended there, and the caller has the error that tells so. A page has at most the records that were asked for.

--- a/packages/ctl/src/constants.ts
+++ b/packages/ctl/src/constants.ts
@@ -15,3 +15,6 @@
 
 /** Maximum number of API keys of an account. */
 export const MAX_ACCOUNT_KEYS = 8;
+
+/** Maximum size of a response of an entry VM, in bytes. */
+export const MAX_ENTRY_RESPONSE_BYTES = 32 * 1024 * 1024;
--- a/packages/ctl/src/http/entryClient.ts
+++ b/packages/ctl/src/http/entryClient.ts
@@ -1,7 +1,7 @@
-import { CliError, exitCodes } from '@goldcrestscale/runtime';
+import { CliError, exitCodes, readResponseBody } from '@goldcrestscale/runtime';
 import { request } from 'undici';
 import { z } from 'zod';
-import { ENTRY_REQUEST_TIMEOUT_MS } from '../constants.js';
+import { ENTRY_REQUEST_TIMEOUT_MS, MAX_ENTRY_RESPONSE_BYTES } from '../constants.js';
 
 const HTTP_OK = 200;
 const HTTP_UNAUTHORIZED = 401;
@@ -33,7 +33,15 @@
     await response.body.dump();
     throw new CliError(`${url} returned HTTP ${response.statusCode}`, exitCodes.unavailable);
   }
-  return response.body.json();
+  try {
+    const body = await readResponseBody(response.body, MAX_ENTRY_RESPONSE_BYTES);
+    return JSON.parse(body.toString('utf8')) as unknown;
+  } catch (error) {
+    throw new CliError(
+      `no usable response from ${url}: ${(error as Error).message}`,
+      exitCodes.failure,
+    );
+  }
 };
 
 /** Fetches the state dump of an entry VM from its operations listener. */
--- a/packages/platform/src/httpLogStream.ts
+++ b/packages/platform/src/httpLogStream.ts
@@ -1,7 +1,13 @@
 import { LogError, LogStream, toLogOffset } from '@goldcrestscale/core';
 import type { LogOffset, LogPage, LogReadOptions, StreamName } from '@goldcrestscale/core';
 import { z } from 'zod';
-import { APPEND_TIMEOUT_MS, DEFAULT_READ_LIMIT, READ_TIMEOUT_MS } from './constants.js';
+import {
+  APPEND_TIMEOUT_MS,
+  DEFAULT_READ_LIMIT,
+  MAX_PAGE_BYTES,
+  MAX_RECEIPT_BYTES,
+  READ_TIMEOUT_MS,
+} from './constants.js';
 import { sendJsonRequest } from './sendJsonRequest.js';
 import type { JsonResponse, JsonRequest } from './sendJsonRequest.js';
 
@@ -63,6 +69,7 @@
       url: this.recordsUrl,
       method: 'POST',
       timeoutMs: APPEND_TIMEOUT_MS,
+      maxBytes: MAX_RECEIPT_BYTES,
       body: { records: values },
       signal,
     });
@@ -80,6 +87,7 @@
       url: `${this.recordsUrl}?from=${from}&limit=${limit}&waitMs=${waitMs}`,
       method: 'GET',
       timeoutMs: waitMs + READ_TIMEOUT_MS,
+      maxBytes: MAX_PAGE_BYTES,
       signal: options.signal,
     });
     const parsed = pageSchema.safeParse(response.body);
@@ -89,6 +97,9 @@
         'unknown',
       );
     }
+    const { length } = parsed.data.records;
+    if (length > limit)
+      throw new LogError(`log service gave ${length} records, over ${limit}`, 'unknown');
     return parsed.data;
   }
 }
--- a/packages/platform/src/sendJsonRequest.ts
+++ b/packages/platform/src/sendJsonRequest.ts
@@ -1,3 +1,4 @@
+import { readResponseBody } from '@goldcrestscale/runtime';
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
 
@@ -6,6 +7,8 @@
   readonly url: string;
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly timeoutMs: number;
+  /** Maximum of what the body of the response takes, in bytes. */
+  readonly maxBytes: number;
   /** JSON body. */
   readonly body?: unknown;
   readonly signal?: AbortSignal | undefined;
@@ -35,7 +38,7 @@
 /**
  * Sends a request and reads the complete response.
  *
- * @throws the transport error if no complete response is received within the timeout
+ * @throws ResponseTooLargeError, or the transport error if no complete response is received in time
  */
 export const sendJsonRequest = async (options: JsonRequest): Promise<JsonResponse> => {
   const timeout = AbortSignal.timeout(options.timeoutMs);
@@ -46,10 +49,11 @@
       ? {}
       : { body: JSON.stringify(options.body), headers: { 'content-type': 'application/json' } }),
   });
+  const body = await readResponseBody(response.body, options.maxBytes);
   const retryAfterMs = parseRetryAfterMs(response);
   return {
     status: response.statusCode,
-    body: parseJsonOrUndefined(await response.body.text()),
+    body: parseJsonOrUndefined(body.toString('utf8')),
     ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
   };
 };
--- a/packages/platform/src/vmListClient.ts
+++ b/packages/platform/src/vmListClient.ts
@@ -1,7 +1,7 @@
 import { isSocketAddress, toId } from '@goldcrestscale/core';
 import type { AvailabilityZoneId, BootId, VmId, VmRecord } from '@goldcrestscale/core';
 import { z } from 'zod';
-import { VM_LIST_TIMEOUT_MS } from './constants.js';
+import { MAX_VM_LIST_BYTES, VM_LIST_TIMEOUT_MS } from './constants.js';
 import { sendJsonRequest } from './sendJsonRequest.js';
 
 const addressSchema = z.string().refine(isSocketAddress, 'use HOST:PORT');
@@ -43,6 +43,7 @@
       url: `${baseUrl}/vms`,
       method: 'GET',
       timeoutMs: VM_LIST_TIMEOUT_MS,
+      maxBytes: MAX_VM_LIST_BYTES,
       signal,
     });
     if (response.status !== 200)
--- a/packages/platform/src/weightStoreClient.ts
+++ b/packages/platform/src/weightStoreClient.ts
@@ -1,5 +1,5 @@
 import type { ModelId, WeightVersion } from '@goldcrestscale/core';
-import { DEFAULT_RETRY_AFTER_MS, WEIGHT_STORE_TIMEOUT_MS } from './constants.js';
+import { DEFAULT_RETRY_AFTER_MS, MAX_UNUSED_BYTES, WEIGHT_STORE_TIMEOUT_MS } from './constants.js';
 import { sendJsonRequest } from './sendJsonRequest.js';
 
 /** Result of a request for a weight version. */
@@ -23,6 +23,7 @@
       url: `${baseUrl}/weights/${encodeURIComponent(model)}/${encodeURIComponent(version)}`,
       method: 'GET',
       timeoutMs: WEIGHT_STORE_TIMEOUT_MS,
+      maxBytes: MAX_UNUSED_BYTES,
       signal,
     });
     if (response.status === 200) return { type: 'ready' };
