--- a/packages/runtime/src/http/index.ts
+++ b/packages/runtime/src/http/index.ts
@@ -8,5 +8,6 @@
 export { ByteReservation } from './byteReservation.js';
 export { PartAllowance } from './partAllowance.js';
 export { pauseSocket } from './pauseSocket.js';
+export { ResponseTooLargeError, readResponseBody } from './readResponseBody.js';
 export { readRequestBody } from './readRequestBody.js';
 export type { ReadBodyOptions } from './readRequestBody.js';
