fix(entry): bound the events of streams together, complete or in part

What callers saw: nothing that was measured on real processes. An event in part may have 1 MB, and each of any number of callers can hold one; all events of a stream are kept for the case that it breaks off, also of one without end.

Change: what has come of an event, and the events kept for resuming, are part of the budget of all bodies. Parts of a line are collected in one buffer. An event without memory breaks its attempt off, as one that is too large does, and both are counted by goldcrest_refused_bodies_total. Events are kept up to half of the budget; a stream whose events were dropped goes on, and if it breaks off, it ends with stream_broken instead of being begun anew behind what its caller has.

responseMemory.spec.ts, before: ten events in part were all kept until the deadline (4.1 s; now the first is given up within 2 s), and a stream whose events had no room was resumed from all of them. The third new test, that such a stream goes on, passed before as well.

--- a/packages/entry/src/__tests__/responseMemory.spec.ts
+++ b/packages/entry/src/__tests__/responseMemory.spec.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import { expect, onTestFinished, test, vi } from 'vitest';
-import { callService, startHarness } from './entryHarness.js';
+import { callService, requestCompletion, startHarness } from './entryHarness.js';
 import { startRawService } from './rawService.js';
 
 const MEGABYTE = 1_000_000;
@@ -59,3 +59,67 @@
   expect(await response).toMatchObject({ status: 200 });
   expect(harness.budget.heldBytes).toBe(0);
 }, 30_000);
+
+const EVENT_PART = `fffff\r\ndata: ${'x'.repeat(1_048_569)}\r\n`;
+
+const buildStreamHead = (id: string): string =>
+  buildHead(id).replace('\r\n\r\n', '\r\ncontent-type: text/event-stream\r\n\r\n');
+
+// Guards against a process that ends by events that are not complete, one for each of many callers.
+test('events in part are bounded together', async () => {
+  const address = await startRawService(({ id, socket }) => {
+    socket.write(buildStreamHead(id));
+    socket.write(EVENT_PART);
+  });
+  const harness = await startHarness({ upstreams: [address], bufferBytes: 4 * MEGABYTE });
+  onTestFinished(() => harness.close());
+  const responses = Array.from({ length: CALLERS }, () =>
+    requestCompletion(harness, { headers: { 'x-deadline-ms': '4000' } }),
+  );
+  const startedAtMs = performance.now();
+  await Promise.race(responses);
+  expect(performance.now() - startedAtMs).toBeLessThan(2_000);
+  expect(harness.budget.heldBytes).toBeLessThanOrEqual(4 * MEGABYTE);
+  const statuses = (await Promise.all(responses)).map(({ status }) => status);
+  expect(statuses.every((status) => status >= 500)).toBe(true);
+  expect(harness.budget.heldBytes).toBe(0);
+});
+
+// Guards against a stream without end whose events are all kept for the case that it breaks off.
+test('a stream whose events have no memory goes on, and can not be resumed', async () => {
+  const event = `data: ${JSON.stringify({ choices: [{ text: 'x'.repeat(1_000) }] })}\n\n`;
+  const sockets: Socket[] = [];
+  const address = await startRawService(({ id, socket }) => {
+    sockets.push(socket);
+    socket.write(buildStreamHead(id));
+    for (let count = 0; count < 200; count += 1)
+      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+    const end = 'data: [DONE]\n\n';
+    setTimeout(() => socket.write(`${end.length.toString(16)}\r\n${end}\r\n0\r\n\r\n`), 300);
+  });
+  const harness = await startHarness({ upstreams: [address], bufferBytes: 300_000 });
+  onTestFinished(() => harness.close());
+  const response = await requestCompletion(harness);
+  expect(response).toMatchObject({ status: 200, isComplete: true });
+  expect(response.text).toHaveLength(200_000);
+  expect(harness.budget.heldBytes).toBe(0);
+});
+
+// Guards against a stream that is begun anew, behind what its caller has already, since its events were dropped.
+test('a stream whose events were dropped is not resumed when it breaks off', async () => {
+  const event = `data: ${JSON.stringify({ choices: [{ text: 'x'.repeat(1_000) }] })}\n\n`;
+  let calls = 0;
+  const address = await startRawService(({ id, socket }) => {
+    calls += 1;
+    socket.write(buildStreamHead(id));
+    for (let count = 0; count < 200; count += 1)
+      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+    setTimeout(() => socket.destroy(), 300);
+  });
+  const harness = await startHarness({ upstreams: [address, address], bufferBytes: 300_000 });
+  onTestFinished(() => harness.close());
+  const response = await requestCompletion(harness);
+  expect(response).toMatchObject({ isComplete: false, errorCode: 'stream_broken' });
+  expect(response.text).toHaveLength(200_000);
+  expect(calls).toBe(1);
+});
--- a/packages/entry/src/dispatch/attempt.ts
+++ b/packages/entry/src/dispatch/attempt.ts
@@ -1,5 +1,6 @@
 import type { AttemptId, BootId, Route, UpstreamView } from '@goldcrestscale/core';
 import type { Exchange } from '../filters/exchange.js';
+import type { RelayedEvents } from './relayedEvents.js';
 import type { TokenUsage } from '../upstream/completionPayload.js';
 
 /** One attempt to serve a request from one upstream. */
@@ -10,8 +11,8 @@
   readonly route: Route;
   /** Aborts when the caller disconnects or the response has not started by the deadline. */
   readonly signal: AbortSignal;
-  /** Payloads of the stream events relayed to the caller so far, across all attempts. */
-  readonly relayedEvents: string[];
+  /** Stream events relayed to the caller so far, across all attempts. */
+  readonly relayedEvents: RelayedEvents;
   /** Asserts that the caller still waits, and that the upstream may get requests. */
   readonly assertSendable: () => void;
   /**
--- a/packages/entry/src/dispatch/completionRunner.ts
+++ b/packages/entry/src/dispatch/completionRunner.ts
@@ -6,6 +6,7 @@
 import type { StreamEnd } from '../upstream/eventStream.js';
 import { ResponseBodyError } from '../upstream/responseBodyError.js';
 import { ResponseBodyReader } from '../upstream/responseBodyReader.js';
+import type { ResponseMemory } from '../upstream/responseBodyReader.js';
 import type { UpstreamResponse, UpstreamClient } from '../upstream/upstreamClient.js';
 import { createAttemptError, createUnavailableError } from '../upstream/upstreamErrors.js';
 import { AttemptRunner } from './attempt.js';
@@ -52,9 +53,13 @@
   exchange.response.finish();
 };
 
-const relayEvents = async (attempt: Attempt, response: UpstreamResponse): Promise<StreamEnd> => {
+const relayEvents = async (
+  attempt: Attempt,
+  response: UpstreamResponse,
+  memory: ResponseMemory,
+): Promise<StreamEnd> => {
   const { exchange } = attempt;
-  return readEventStream(response.body, async (data) => {
+  return readEventStream(response.body, memory, async (data) => {
     if (!exchange.response.isHeadSent) {
       attempt.onFirstByte();
       exchange.response.writeHead(200, {
@@ -63,7 +68,7 @@
         'x-request-id': exchange.requestId,
       });
     }
-    attempt.relayedEvents.push(data);
+    attempt.relayedEvents.add(data, memory.budget);
     const usage = parseUsage(data);
     if (usage) attempt.onUsage(usage);
     await exchange.response.write(`data: ${data}\n\n`);
@@ -113,11 +118,11 @@
     initialResponse: UpstreamResponse,
     bootId: BootId | undefined,
   ): Promise<void> {
-    let end = await relayEvents(attempt, initialResponse);
+    let end = await relayEvents(attempt, initialResponse, this.client.memory);
     for (let resumes = 0; end === 'broken'; resumes += 1) {
-      const mustStop = resumes === MAX_STREAM_RESUMES || attempt.signal.aborted;
-      if (mustStop || !bootId || attempt.relayedEvents.length === 0)
-        throw createBrokenStreamError();
+      const { relayedEvents, signal } = attempt;
+      const mustStop = resumes === MAX_STREAM_RESUMES || signal.aborted;
+      if (mustStop || !bootId || relayedEvents.list().length === 0) throw createBrokenStreamError();
       end = await this.resume(attempt, bootId);
     }
     attempt.exchange.verdict = 'ran';
@@ -126,11 +131,11 @@
   }
 
   private async resume(attempt: Attempt, bootId: BootId): Promise<StreamEnd> {
-    const received = collectText(attempt.relayedEvents);
+    const received = collectText(attempt.relayedEvents.list());
     const response = await this.client
       .send(attempt.upstream, buildResumeCall(attempt, received, bootId))
       .catch(() => undefined);
-    if (response?.status === 200) return relayEvents(attempt, response);
+    if (response?.status === 200) return relayEvents(attempt, response, this.client.memory);
     await response?.body.dump();
     throw createBrokenStreamError();
   }
--- a/packages/entry/src/dispatch/dispatchProgress.ts
+++ b/packages/entry/src/dispatch/dispatchProgress.ts
@@ -1,6 +1,8 @@
 import { SendCounts } from '@goldcrestscale/core';
 import type { AvailabilityZoneId, Route, UpstreamId, UpstreamView } from '@goldcrestscale/core';
 
+import { RelayedEvents } from './relayedEvents.js';
+
 /** Upstream selected for an attempt, with the router's result. */
 export interface UpstreamSelection {
   readonly upstream: UpstreamView;
@@ -11,8 +13,8 @@
 export interface DispatchProgress {
   readonly excludedUpstreams: Set<UpstreamId>;
   readonly avoidedZones: Set<AvailabilityZoneId>;
-  /** Payloads of the stream events relayed to the caller so far. */
-  readonly relayedEvents: string[];
+  /** Stream events relayed to the caller so far. */
+  readonly relayedEvents: RelayedEvents;
   readonly sends: SendCounts;
 }
 
@@ -20,7 +22,7 @@
 export const createDispatchProgress = (): DispatchProgress => ({
   excludedUpstreams: new Set(),
   avoidedZones: new Set(),
-  relayedEvents: [],
+  relayedEvents: new RelayedEvents(),
   sends: new SendCounts(),
 });
 
--- a/packages/entry/src/dispatch/engineCalls.ts
+++ b/packages/entry/src/dispatch/engineCalls.ts
@@ -26,7 +26,7 @@
 const buildBody = (attempt: Attempt): string => {
   const target = getCompletionTarget(attempt);
   const blocks = attempt.exchange.blocks ?? [];
-  const resume = collectText(attempt.relayedEvents);
+  const resume = collectText(attempt.relayedEvents.list());
   return JSON.stringify({
     ...target.fields,
     ...(blocks.length > 0 ? { kv: { blocks } } : {}),
--- a/packages/entry/src/filters/dispatchFilter.ts
+++ b/packages/entry/src/filters/dispatchFilter.ts
@@ -40,6 +40,14 @@
 
   override async handle(exchange: Exchange): Promise<void> {
     const progress = createDispatchProgress();
+    try {
+      await this.dispatch(exchange, progress);
+    } finally {
+      progress.relayedEvents.release();
+    }
+  }
+
+  private async dispatch(exchange: Exchange, progress: DispatchProgress): Promise<void> {
     this.options.retryPolicy.recordRequest();
     let isCharged = false;
     for (;;) {
@@ -63,9 +71,11 @@
   private async waitForRetry(
     exchange: Exchange,
     error: GoldcrestErrorInstance,
-    { sends }: DispatchProgress,
+    { sends, relayedEvents }: DispatchProgress,
   ): Promise<boolean> {
     if (exchange.signal.aborted || error.code === 'deadline') throw error;
+    // What the caller has of the stream is not known any more.
+    if (relayedEvents.isIncomplete) throw error;
     const decision = this.options.retryPolicy.decide({
       sends,
       verdict: error.verdict,
--- a/packages/entry/src/upstream/byteCollector.ts
+++ b/packages/entry/src/upstream/byteCollector.ts
@@ -14,6 +14,10 @@
     private readonly reservation: ByteReservation,
   ) {}
 
+  get isEmpty(): boolean {
+    return this.bytes === 0;
+  }
+
   /** @throws ResponseBodyError */
   add(chunk: Uint8Array): void {
     const collectedBytes = this.bytes + chunk.length;
