fix(gateway): close connections that send no head to directory, readiness or metrics

Cause: these servers had the runtime's default time-outs, which are checked every 30 s; only the server for callers has its own. They now wait 3 s for a head, check twice a second, and take heads of 8 kB at most.

The tests failed before: both connections were still open after 60 s, when the tests were given up; now they are closed after 3.0 s.

--- a/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
@@ -1,4 +1,6 @@
+import { once } from 'node:events';
 import { request as sendRequest } from 'node:http';
+import { connect } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { expect, onTestFinished, test } from 'vitest';
 import { AnnouncedRates, FleetRateLimits, CrashQuarantine, toId } from '@goldcrestscale/core';
@@ -90,3 +92,17 @@
   expect((await call(port, 'GET', '/quarantine')).status).toBe(404);
   expect((await call(port, 'DELETE', '/quarantine/any')).status).toBe(404);
 });
+
+// Guards against connections that hold descriptors for as long as they like, because they never send a head.
+test.each(['', 'GET / HT'])('a connection that sends %j is closed in time', async (text) => {
+  const port = await startServer(undefined);
+  const socket = connect(port, '127.0.0.1');
+  onTestFinished(() => {
+    socket.destroy();
+  });
+  socket.resume();
+  socket.write(text);
+  const startedAtMs = performance.now();
+  await once(socket, 'close');
+  expect(performance.now() - startedAtMs).toBeLessThan(5_000);
+});
--- a/packages/gateway/src/http/auxiliaryServer.ts
+++ b/packages/gateway/src/http/auxiliaryServer.ts
@@ -23,6 +23,18 @@
   readonly faults: FaultRecorder;
 }
 
+/** Time for a complete head. */
+const HEADERS_TIMEOUT_MS = 3_000;
+
+/** Time after which a connection without requests is closed. */
+const KEEP_ALIVE_TIMEOUT_MS = 5_000;
+
+/** Interval at which connections are checked for heads that are late. */
+const TIMEOUT_CHECK_INTERVAL_MS = 500;
+
+/** Maximum size of a request head. */
+const MAX_HEADER_BYTES = 8_192;
+
 const METRICS_PATH = '/metrics';
 
 const QUARANTINE_PATH = '/quarantine';
@@ -73,11 +85,19 @@
 };
 
 /** Creates an HTTP server for readiness checks, metrics and, optionally, directory queries. */
-export const createAuxiliaryServer = (options: AuxiliaryServerOptions): Server =>
-  createServer((request, response) => {
+export const createAuxiliaryServer = (options: AuxiliaryServerOptions): Server => {
+  const limits = {
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: HEADERS_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    maxHeaderSize: MAX_HEADER_BYTES,
+  };
+  return createServer(limits, (request, response) => {
     handleRequest(options, request, response).catch((cause: unknown) => {
       options.faults.record('auxiliary request', cause);
       if (response.headersSent) response.destroy();
       else response.writeHead(500).end();
     });
   });
+};
