--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,13 @@
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
 import type { PermitRequest, QuarantineChange, RateChange, VmId } from '@goldcrestscale/core';
-import { ByteBudget, PauseMonitor, listen } from '@goldcrestscale/runtime';
+import {
+  ByteBudget,
+  EventLoopBarrier,
+  ListenerConnections,
+  PauseMonitor,
+  listen,
+} from '@goldcrestscale/runtime';
 import type { EventCounts, Logger } from '@goldcrestscale/runtime';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
@@ -59,6 +65,9 @@
   });
 };
 
+/** Longest time for which connections and requests are still read once a shutdown is over. */
+const MAX_LAST_READ_MS = 200;
+
 /** Polling interval while a shutdown drains. */
 const DRAIN_POLL_MS = 50;
 
@@ -70,18 +79,30 @@
   readonly metrics: Server;
 }
 
+type ServerConnections = Readonly<Record<keyof GatewayServers, ListenerConnections>>;
+
+const createServerConnections = (): ServerConnections => ({
+  callers: new ListenerConnections(),
+  directory: new ListenerConnections(),
+  readiness: new ListenerConnections(),
+  metrics: new ListenerConnections(),
+});
+
 /** Starts the servers; the signal that stops the gateway ends the wait for their addresses. */
 const startServers = async (
   servers: GatewayServers,
+  connections: ServerConnections,
   { settings, logger, signal }: GatewayOptions,
   faults: FaultRecorder,
 ): Promise<void> => {
-  const startServer = (name: keyof GatewayServers, address: string): Promise<void> =>
-    listen(servers[name], splitAddress(address), {
+  const startServer = (name: keyof GatewayServers, address: string): Promise<void> => {
+    connections[name].watch(servers[name]);
+    return listen(servers[name], splitAddress(address), {
       logger,
       signal,
       onError: (error) => faults.record('listener', error, { listener: name }),
     });
+  };
   const { callers, directory, readiness, metrics } = settings.listen;
   await Promise.all([
     startServer('callers', callers),
@@ -107,10 +128,12 @@
     operated,
     faults,
     budget,
+    serverConnections,
   }: {
     readonly operated: OperatedState;
     readonly faults: FaultRecorder;
     readonly budget: ByteBudget;
+    readonly serverConnections: ServerConnections;
   },
 ): { readonly directory: Server; readonly readiness: Server; readonly metrics: Server } => {
   const commonOptions = {
@@ -119,6 +142,9 @@
     ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
     renderMetrics: () => {
       counters.setBufferedBytes(budget.heldBytes);
+      Object.entries(serverConnections).forEach(([name, { openCount }]) =>
+        counters.setOpenConnections(name as keyof GatewayServers, openCount),
+      );
       return counters.render();
     },
     operated: undefined,
@@ -168,8 +194,24 @@
 
 /** Waits until no request is open and callers had time to switch to other VMs, or until the time limit. */
 const drain = async (callers: CallerServer, shutdown: Shutdown): Promise<void> => {
-  while (!shutdown.isOver && !(shutdown.isRefusing && callers.countOpenRequests() === 0)) {
-    await sleep(DRAIN_POLL_MS);
+  const inputBarrier = new EventLoopBarrier();
+  let arrivalCount = 0;
+  const recordArrival = (): void => {
+    arrivalCount += 1;
+  };
+  callers.server.on('connection', recordArrival).on('request', recordArrival);
+  const isDone = (): boolean =>
+    shutdown.isOver || (shutdown.isRefusing && callers.countOpenRequests() === 0);
+  let readUntilMs: number | undefined;
+  // After a pause, timers run before the connections and requests that came in it are read.
+  const hasReadAll = async (): Promise<boolean> => {
+    const countBefore = arrivalCount;
+    await inputBarrier.run(() => undefined);
+    if (shutdown.isOver) readUntilMs ??= performance.now() + MAX_LAST_READ_MS;
+    return arrivalCount === countBefore || performance.now() > (readUntilMs ?? Infinity);
+  };
+  while (!(isDone() && (await hasReadAll()) && isDone())) {
+    if (!isDone()) await sleep(DRAIN_POLL_MS);
   }
 };
 
@@ -210,11 +252,13 @@
     counts,
   });
   options.onServing?.(() => callers.countOpenRequests());
+  const serverConnections = createServerConnections();
   const servers = createAuxiliaryServers(options, controllers, shutdown, {
     operated: fleetState,
+    serverConnections,
     ...processState,
   });
-  await startServers({ callers: callers.server, ...servers }, options, faults);
+  await startServers({ callers: callers.server, ...servers }, serverConnections, options, faults);
   pauseMonitor.start(workController.signal);
   await startControllers(controllers, faults, workController.signal, signal);
   if (signal.aborted) logger.info('stopped before the start was complete');
--- a/soak/soakPlatform.ts
+++ b/soak/soakPlatform.ts
@@ -2,8 +2,10 @@
 import {
   buildDeploymentRecord,
   buildUpstreamRecord,
+  sendAnswer,
   StandInLog,
   StandInService,
+  streamEndlessly,
 } from '@goldcrestscale/adapter/standin/index.js';
 import type {
   AnswerFault,
@@ -127,14 +129,17 @@
     harmed.forEach((proxy) => proxy?.setFault(undefined));
   }
 
-  /** The log answers all calls wrongly. */
+  /** The log answers all calls wrongly, or without end. */
   async harmLogAnswers(answer: StandInAnswer | EndlessBytes, durationMs: number): Promise<void> {
     const fromMs = performance.now();
     const toMs = fromMs + durationMs;
     this.impairments.push({ vmId: undefined, kind: 'log', fromMs, toMs });
-    this.log.wrongAnswer = answer;
+    this.log.answerInstead = (response) => {
+      if (!('piece' in answer)) sendAnswer(response, answer);
+      else if (response.socket) streamEndlessly(response.socket, answer);
+    };
     await sleep(durationMs);
-    this.log.wrongAnswer = undefined;
+    this.log.answerInstead = undefined;
   }
 
   async harmUpstreamLink(index: number, fault: LinkFault, durationMs: number): Promise<void> {
