--- a/packages/gateway/src/dispatch/eventSplitter.ts
+++ b/packages/gateway/src/dispatch/eventSplitter.ts
@@ -3,6 +3,14 @@
 
 const ID_LINE = /^id: ?(\d+)\s*$/m;
 
+/** What a chunk of a stream brought. */
+export interface SplitEvents {
+  /** The complete events that have not been emitted before, concatenated. */
+  readonly events: Buffer;
+  /** Whether there was memory for the event that is not complete. */
+  readonly hasRoom: boolean;
+}
+
 /** Selects the complete events of a server-sent event stream that have not been emitted before. */
 export class EventSplitter {
   /** The event that is not complete yet. */
@@ -25,12 +33,8 @@
     this.takePending();
   }
 
-  /**
-   * @param eventEnds offsets in the chunk right after each event that ends in it
-   * @returns the complete events that have not been emitted before, concatenated; undefined if there is
-   *   no memory for the one that is not complete
-   */
-  tryPush(chunk: Buffer, eventEnds: readonly number[]): Buffer | undefined {
+  /** @param eventEnds offsets in the chunk right after each event that ends in it */
+  push(chunk: Buffer, eventEnds: readonly number[]): SplitEvents {
     const events: Buffer[] = [];
     let start = 0;
     eventEnds.forEach((end) => {
@@ -40,8 +44,8 @@
       this.isEventMissing = false;
       events.push(event);
     });
-    if (start < chunk.length && !this.tryAddPending(chunk.subarray(start))) return undefined;
-    return events.length === 1 ? events[0]! : Buffer.concat(events);
+    const hasRoom = start === chunk.length || this.tryAddPending(chunk.subarray(start));
+    return { events: events.length === 1 ? events[0]! : Buffer.concat(events), hasRoom };
   }
 
   private completeEvent(end: Buffer): Buffer {
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -322,13 +322,15 @@
     // A response that is streamed only for its size has no events.
     const eventSplitter = this.isStreamOpen ? this.options.eventSplitter : undefined;
     const eventEnds = this.isStreamOpen ? this.eventScanner.scan(chunk) : [];
-    const data = eventSplitter ? eventSplitter.tryPush(chunk, eventEnds) : chunk;
-    if (!data) {
-      this.abandon(flow, new ResponseMemoryError('no memory for an event'));
+    if (!eventSplitter) {
+      this.relay?.add(chunk);
       return;
     }
-    if (eventSplitter && data.length > 0) this.options.onFirstEvent();
-    this.relay?.add(data);
+    const { events, hasRoom } = eventSplitter.push(chunk, eventEnds);
+    if (events.length > 0) this.options.onFirstEvent();
+    // A resumption begins behind these events, so they are passed on also if the stream is given up.
+    this.relay?.add(events);
+    if (!hasRoom) this.abandon(flow, new ResponseMemoryError('no memory for an event'));
   }
 
   private collectChunk(flow: ResponseFlow, chunk: Buffer): void {
