--- a/packages/gateway/src/dispatch/attemptResult.ts
+++ b/packages/gateway/src/dispatch/attemptResult.ts
@@ -8,7 +8,7 @@
 export type NotRunReason =
   'unreachable' | 'no-connection' | 'cancelled' | 'refused' | 'misdirected' | 'moved';
 
-/** Result of one attempt at an upstream. */
+/** Result of one attempt at an upstream; an own failure is one of this VM, such as a lack of memory. */
 export type AttemptResult =
   /** The upstream's response was passed to the caller in full. */
   | { readonly kind: 'answered' }
@@ -22,9 +22,9 @@
   /** The upstream executed the request and returned a server error. */
   | { readonly kind: 'failed'; readonly head: ResponseHead; readonly body: Buffer }
   /** No valid response arrived; the request may have been executed. */
-  | { readonly kind: 'unknown'; readonly reason: string }
+  | { readonly kind: 'unknown'; readonly reason: string; readonly isOwnFailure?: boolean }
   /** The stream broke after a part of it was sent to the caller. */
-  | { readonly kind: 'broken'; readonly reason: string };
+  | { readonly kind: 'broken'; readonly reason: string; readonly isOwnFailure?: boolean };
 
 const SEND_ENDS: Readonly<Record<NotRunReason, SendEnd>> = {
   unreachable: 'unreachable',
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -74,9 +74,9 @@
       return;
     }
     exchange.verdict = combineVerdicts(exchange.verdict, 'may-have-run');
-    const isCancelled = exchange.signal.aborted;
-    if (!isCancelled) upstream.markSuspectedCold();
-    ejection.recordOutcome(upstreamId, isCancelled ? 'neutral' : 'failure');
+    const isNeutral = exchange.signal.aborted || result.isOwnFailure === true;
+    if (!isNeutral) upstream.markSuspectedCold();
+    ejection.recordOutcome(upstreamId, isNeutral ? 'neutral' : 'failure');
   }
 
   /** Records that the upstream wants fewer requests or none, for good or for a while. */
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -385,7 +385,8 @@
   private buildErrorResult(error: Error): AttemptResult {
     if (this.phase === 'dropped') return { kind: 'not-run', reason: 'cancelled' };
     if (this.phase === 'offered') return { kind: 'not-run', reason: 'unreachable' };
-    if (this.phase === 'stream') return { kind: 'broken', reason: error.message };
-    return { kind: 'unknown', reason: error.message };
+    const isOwnFailure = error instanceof FaultError || error instanceof ResponseMemoryError;
+    const kind = this.phase === 'stream' ? 'broken' : 'unknown';
+    return { kind, reason: error.message, isOwnFailure };
   }
 }
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -140,7 +140,8 @@
     const controller = new AbortController();
     const abort = (): void => controller.abort();
     const remainingMs = Math.max(0, exchange.deadlineAtMs - performance.now());
-    const timer = setTimeout(abort, remainingMs);
+    // After a pause, this timer runs before an answer that came in time is read.
+    const timer = setTimeout(() => void this.options.inputBarrier.run(abort), remainingMs);
     if (exchange.signal.aborted) abort();
     else exchange.signal.addEventListener('abort', abort, { once: true });
     try {
