--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -209,7 +209,7 @@
   const isDone = (): boolean =>
     shutdown.isOver || (shutdown.isRefusing && callers.countOpenRequests() === 0);
   let readUntilMs: number | undefined;
-  // After a pause, timers run before the connections and requests that came in it are read.
+  // After a pause, timers run before what came in it is read, and each turn accepts one connection.
   const hasReadAll = async (): Promise<boolean> => {
     const countBefore = arrivalCount;
     await inputBarrier.run(() => undefined);
