fix(gateway): bound what an upstream sends before the head of its response

What callers saw: an upstream that sent line ends without end instead of a head held their requests until the deadline (504) and kept the processor busy all the while. Endless informational heads were ended early, but counted as a lost connection.

Cause: the HTTP parser skips line ends before a head and bounds only the head itself; nothing counted what came on the wire.

ConnectionExchange counts the bytes of each read until the head has come, and ends an exchange beyond 256 KB as invalid (reason head). Too many informational heads are invalid as well and show in the metrics.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -45,6 +45,9 @@
 /** Maximum size of one event of a stream. */
 export const MAX_EVENT_BYTES = 1024 * 1024;
 
+/** Maximum number of bytes that an upstream may send before the head of a response, informational heads included. */
+export const MAX_BYTES_BEFORE_HEAD = 256 * 1024;
+
 /** Maximum number of informational responses (1xx) before a response. */
 export const MAX_INFORMATIONAL_RESPONSES = 8;
 
--- a/packages/gateway/src/dispatch/connectionExchange.ts
+++ b/packages/gateway/src/dispatch/connectionExchange.ts
@@ -1,7 +1,7 @@
 import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { pauseSocket } from '@goldcrestscale/runtime';
-import { MAX_INFORMATIONAL_RESPONSES } from '../constants.js';
+import { MAX_BYTES_BEFORE_HEAD, MAX_INFORMATIONAL_RESPONSES } from '../constants.js';
 import { ConnectionError } from './connectionError.js';
 import { FaultError } from './faultError.js';
 import { InvalidResponseError } from './invalidResponseError.js';
@@ -56,6 +56,10 @@
 
   private informationalCount = 0;
 
+  private hasHead = false;
+
+  private bytesBeforeHead = 0;
+
   private socket: Socket | undefined;
 
   private resumeSocket: (() => void) | undefined;
@@ -86,6 +90,16 @@
     this.request.destroy();
   }
 
+  /** Handles a read of the connection before the parser does. */
+  handleRead(bytes: number): void {
+    if (this.isDone || this.hasHead) return;
+    // The parser skips line ends without end.
+    if (this.bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) {
+      this.abort(new InvalidResponseError('too much before the head', 'head'));
+    }
+    this.bytesBeforeHead += bytes;
+  }
+
   private handleSocket(socket: Socket): void {
     this.socket = socket;
     if (socket.connecting) socket.once('connect', () => this.guard(() => this.handler.onSend()));
@@ -95,11 +109,12 @@
   private handleInformation(): void {
     this.informationalCount += 1;
     if (this.informationalCount > MAX_INFORMATIONAL_RESPONSES) {
-      this.abort(new ConnectionError('too many informational responses'));
+      this.abort(new InvalidResponseError('too many informational responses', 'head'));
     }
   }
 
   private handleResponse(response: IncomingMessage): void {
+    this.hasHead = true;
     const { statusCode = 0, headers, rawHeaders } = response;
     response.on('data', (chunk: Buffer) => {
       if (!this.isDone) this.guard(() => this.handler.onData(chunk, this));
@@ -133,7 +148,7 @@
     }
     this.guard(() => this.handler.onEnd());
     this.isDone = true;
-    this.leaveSocket();
+    this.resume();
   }
 
   /** Every exchange closes; the error is created only for one that has not ended. */
@@ -144,12 +159,7 @@
   private fail(error: Error): void {
     if (this.isDone) return;
     this.isDone = true;
-    this.leaveSocket();
-    this.handler.onError(error);
-  }
-
-  /** Leaves the connection as it was for the next exchange on it. */
-  private leaveSocket(): void {
     this.resume();
+    this.handler.onError(error);
   }
 }
--- a/packages/gateway/src/dispatch/singleConnectionAgent.ts
+++ b/packages/gateway/src/dispatch/singleConnectionAgent.ts
@@ -40,6 +40,9 @@
   /** Whether a request is being sent or answered. */
   isInUse = false;
 
+  /** Called with the length of each read, before the HTTP parser handles it. */
+  onRead: ((bytes: number) => void) | undefined;
+
   constructor(private readonly events: SingleConnectionEvents) {
     super({ keepAlive: true, maxSockets: 1, maxFreeSockets: 1 });
   }
@@ -90,8 +93,9 @@
     }, UPSTREAM_CONNECT_TIMEOUT_MS);
     socket.once('connect', () => clearTimeout(timer));
     // Data outside of an exchange belongs to no request, so what follows it can't be trusted either.
-    socket.on('data', () => {
-      if (!this.isInUse) socket.destroy();
+    socket.on('data', ({ length }: Buffer) => {
+      if (this.isInUse) this.onRead?.(length);
+      else socket.destroy();
     });
     socket.on('end', () => {
       // If data and a reset arrive together, Node emits a clean end, but the socket has no peer.
--- a/packages/gateway/src/dispatch/upstreamConnection.ts
+++ b/packages/gateway/src/dispatch/upstreamConnection.ts
@@ -98,8 +98,8 @@
     });
     this.agent.isInUse = true;
     request.once('response', ({ headers }) => this.applyKeepAlive(headers['keep-alive']));
-    // eslint-disable-next-line no-new -- it lives as long as the request whose events it handles
-    new ConnectionExchange(request, handler);
+    const exchange = new ConnectionExchange(request, handler);
+    this.agent.onRead = (bytes) => exchange.handleRead(bytes);
     request.end(options.body);
   }
 
