fix(entry): keep next to nothing for strangers at the port of the mesh

Cause: the size of a handshake message was looked at once it was complete, so that each of 256 strangers could have 1 MB collected, in up to 262,144 parts; a connection that asked for no upgrade was kept for a minute and more, and nothing bounded their number; and 256 incomplete handshakes kept all others out for up to 2 s at a time.

Change: more than 2 kB before the end of the handshake ends the connection, and counts as a malformed handshake. A connection must have asked for its upgrade within 2 s; there are at most 2,048. Of more than 256 incomplete handshakes the oldest makes room. A message comes in at most 4,096 parts.

strangers.spec.ts, 2 of 2 failed before: two silent connections open after 5 s (now closed after 2.0 s), and 100 kB without end kept until the handshake's time limit, 2.0 s. mesh.spec.ts and protocol.spec.ts pass unchanged.

--- a/packages/entry/src/mesh/constants.ts
+++ b/packages/entry/src/mesh/constants.ts
@@ -1,9 +1,29 @@
 /** Maximum size of a message between two VMs, in bytes. */
 export const MAX_MESSAGE_BYTES = 1_048_576;
 
+/** Maximum number of parts in which a message between two VMs may come, as chunks or fragments. */
+export const MAX_MESSAGE_PARTS = 4_096;
+
+/** Limits of a message on a connection. */
+export const MESSAGE_LIMITS = {
+  perMessageDeflate: false,
+  maxPayload: MAX_MESSAGE_BYTES,
+  maxBufferedChunks: MAX_MESSAGE_PARTS,
+  maxFragments: MAX_MESSAGE_PARTS,
+} as const;
+
 /** Maximum size of a handshake message, which comes from an unauthenticated peer, in bytes. */
 export const MAX_HANDSHAKE_MESSAGE_BYTES = 1_024;
 
+/** Maximum number of bytes that a listener reads of an unauthenticated peer after the upgrade. */
+export const MAX_HANDSHAKE_BYTES = 2_048;
+
+/** Interval at which connections are looked for whose upgrade is late, in milliseconds. */
+export const UPGRADE_CHECK_INTERVAL_MS = 500;
+
+/** Maximum number of connections at the port of the mesh. */
+export const MAX_CONNECTIONS = 2_048;
+
 /** Timeout of the WebSocket upgrade, and of the handshake that follows it, in milliseconds. */
 export const HANDSHAKE_TIMEOUT_MS = 2_000;
 
--- a/packages/entry/src/mesh/mesh.ts
+++ b/packages/entry/src/mesh/mesh.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
 import type { BootId, VmId } from '@goldcrestscale/core';
@@ -7,7 +7,8 @@
 import type { PeerIdentity } from './authentication.js';
 import {
   CONNECTION_IDLE_TIMEOUT_MS,
-  MAX_MESSAGE_BYTES,
+  MAX_HANDSHAKE_BYTES,
+  MESSAGE_LIMITS,
   MAX_PENDING_HANDSHAKES,
   MIN_MESH_SECRET_BYTES,
   DEFAULT_REQUEST_TIMEOUT_MS,
@@ -22,6 +23,8 @@
 import type { PeerAddress } from './peerTransport.js';
 import { Session } from './session.js';
 import { SessionTable } from './sessionTable.js';
+import { trackBytes } from './trackBytes.js';
+import { createUpgradeServer } from './createUpgradeServer.js';
 
 /** Logger of the mesh. */
 export interface MeshLogger {
@@ -60,7 +63,8 @@
 
   private readonly connectors = new Map<VmId, PeerConnector>();
 
-  private pendingHandshakes = 0;
+  /** Inbound connections with an incomplete handshake, the oldest first. */
+  private readonly pendingHandshakes = new Set<WebSocket>();
 
   constructor(
     private readonly options: MeshOptions,
@@ -69,7 +73,7 @@
     super();
     this.self = { vmId: options.vmId, bootId: options.bootId };
     this.logger = options.logger ?? silentLogger;
-    server.on('connection', (socket) => this.acceptConnection(socket));
+    server.on('connection', (socket, request) => this.acceptConnection(socket, request.socket));
     const idleTimer = setInterval(() => this.closeIdleSessions(), CONNECTION_IDLE_TIMEOUT_MS);
     idleTimer.unref();
     const close = (): void => {
@@ -175,22 +179,29 @@
     });
   }
 
-  private acceptConnection(socket: WebSocket): void {
+  private acceptConnection(socket: WebSocket, transport: Socket): void {
     socket.on('error', () => undefined);
-    if (this.pendingHandshakes >= MAX_PENDING_HANDSHAKES) {
-      socket.terminate();
-      return;
+    this.pendingHandshakes.add(socket);
+    if (this.pendingHandshakes.size > MAX_PENDING_HANDSHAKES) {
+      const [oldest] = this.pendingHandshakes;
+      this.pendingHandshakes.delete(oldest!);
+      oldest!.terminate();
     }
-    this.pendingHandshakes += 1;
+    const tracking = trackBytes(transport, MAX_HANDSHAKE_BYTES, () => {
+      this.recordHandshakeFailure('malformed', 'an inbound peer');
+      socket.terminate();
+    });
     acceptHandshake(socket, {
       self: this.self,
       secret: this.options.secret,
       onAuthenticated: (peer) => {
-        this.pendingHandshakes -= 1;
+        this.pendingHandshakes.delete(socket);
+        tracking.stop();
         this.addSession(socket, peer);
       },
       onFailed: (failure) => {
-        this.pendingHandshakes -= 1;
+        this.pendingHandshakes.delete(socket);
+        tracking.stop();
         this.recordHandshakeFailure(failure, 'an inbound peer');
       },
     });
@@ -248,13 +259,15 @@
   const { logger = silentLogger, stopSignal = options.signal } = options;
   let server: WebSocketServer | undefined;
   await bindAddress(options.listen, { logger, signal: stopSignal }, async () => {
-    const candidate = new WebSocketServer({
-      ...options.listen,
-      perMessageDeflate: false,
-      maxPayload: MAX_MESSAGE_BYTES,
-    });
+    const httpServer = createUpgradeServer();
+    const candidate = new WebSocketServer({ ...MESSAGE_LIMITS, server: httpServer });
+    httpServer.listen(options.listen.port, options.listen.host);
     await once(candidate, 'listening');
     server = candidate;
+    candidate.once('close', () => {
+      httpServer.close();
+      httpServer.closeAllConnections();
+    });
   });
   if (!server) throw new MeshError('stopped before the mesh listened', 'aborted');
   server.on('error', (error) => {
--- a/packages/entry/src/mesh/peerConnector.ts
+++ b/packages/entry/src/mesh/peerConnector.ts
@@ -2,7 +2,7 @@
 import { isSocketAddress } from '@goldcrestscale/core';
 import type { VmId } from '@goldcrestscale/core';
 import { computeReconnectDelayMs } from './backoff.js';
-import { HANDSHAKE_TIMEOUT_MS, MAX_MESSAGE_BYTES } from './constants.js';
+import { HANDSHAKE_TIMEOUT_MS, MESSAGE_LIMITS } from './constants.js';
 import type { PeerAddress } from './peerTransport.js';
 
 /** Options of a peer connector. */
@@ -88,8 +88,7 @@
         return;
       }
       const socket = new WebSocket(`ws://${address}/`, {
-        perMessageDeflate: false,
-        maxPayload: MAX_MESSAGE_BYTES,
+        ...MESSAGE_LIMITS,
         handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
       });
       this.socket = socket;
