--- a/packages/entry/src/mesh/trackBytes.ts
+++ b/packages/entry/src/mesh/trackBytes.ts
@@ -12,16 +12,19 @@
   onExceeded: () => void,
 ): ByteTracking => {
   let bytes = 0;
+  let isStopped = false;
+  const stop = (): void => {
+    isStopped = true;
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the listener removes itself
+    socket.off('data', count);
+  };
   const count = (chunk: Buffer): void => {
     bytes += chunk.length;
-    if (bytes <= maxBytes) return;
-    socket.off('data', count);
+    // A listener before this one may have stopped the count in the same event.
+    if (isStopped || bytes <= maxBytes) return;
+    stop();
     onExceeded();
   };
   socket.on('data', count);
-  return {
-    stop() {
-      socket.off('data', count);
-    },
-  };
+  return { stop };
 };
