--- a/packages/core/src/breaker/cappedEjectionPolicy.ts
+++ b/packages/core/src/breaker/cappedEjectionPolicy.ts
@@ -1,22 +1,37 @@
 import type { UpstreamId } from '../ids.js';
 import type { RandomGenerator } from '../log/backoff.js';
 import { CircuitBreaker } from './circuitBreaker.js';
-import { MAX_EJECTED_FRACTION } from './constants.js';
+import {
+  MAX_EJECTED_FRACTION,
+  MAX_FAILURE_RATE_EXCESS,
+  MIN_FAILURE_RATE_OUTCOMES,
+} from './constants.js';
 import { EjectionPolicy } from './ejectionPolicy.js';
-import type { BreakerState } from './ejectionPolicy.js';
+import type { BreakerState, EjectionChange, EjectionReason } from './ejectionPolicy.js';
+import type { OutcomeCounts } from './outcomeWindow.js';
 
-/** Ejects upstreams after consecutive failures, up to a maximum fraction of each group. */
+const computeRate = ({ outcomes, failures }: OutcomeCounts): number =>
+  outcomes === 0 ? 0 : failures / outcomes;
+
+/**
+ * Ejects upstreams after consecutive failures, or for a failure rate that is far above that of the
+ * rest of their group, up to a maximum fraction of each group.
+ */
 export class CappedEjectionPolicy extends EjectionPolicy {
   private readonly breakers = new Map<UpstreamId, CircuitBreaker>();
 
-  constructor(private readonly generator: RandomGenerator) {
+  /** @param onChange called when an upstream is ejected, fails a probe, or is taken back */
+  constructor(
+    private readonly generator: RandomGenerator,
+    private readonly onChange: (change: EjectionChange) => void = () => undefined,
+  ) {
     super();
   }
 
   override setGroup(upstreamId: UpstreamId, group: string): void {
     if (this.breakers.get(upstreamId)?.group === group) return;
     this.remove(upstreamId);
-    this.breakers.set(upstreamId, new CircuitBreaker(group, this.generator));
+    this.breakers.set(upstreamId, new CircuitBreaker(upstreamId, group, this.generator));
   }
 
   override remove(upstreamId: UpstreamId): void {
@@ -37,9 +52,44 @@
   override recordOutcome(upstreamId: UpstreamId, outcome: 'success' | 'failure' | 'neutral'): void {
     const breaker = this.breakers.get(upstreamId);
     if (!breaker) return;
-    if (outcome === 'success') breaker.close();
-    else if (outcome === 'neutral') breaker.recordNeutral();
-    else if (breaker.recordFailure() && this.canEject(breaker.group)) breaker.open();
+    if (outcome === 'neutral') breaker.recordNeutral();
+    else if (outcome === 'failure') this.recordFailure(breaker);
+    else if (breaker.recordSuccess()) this.close(breaker, 'recovered');
+  }
+
+  private recordFailure(breaker: CircuitBreaker): void {
+    const hasFailedProbe = breaker.recordFailure();
+    if (hasFailedProbe) this.open(breaker, 'failed probe');
+    if (breaker.isEjected) return;
+    const reason = this.findReason(breaker);
+    if (reason !== undefined && this.canEject(breaker.group)) this.open(breaker, reason);
+  }
+
+  /** Finds out why an upstream should be ejected; undefined if it should not. */
+  private findReason(breaker: CircuitBreaker): EjectionReason | undefined {
+    if (breaker.isFailing) return 'consecutive failures';
+    const counts = breaker.countOutcomes();
+    const canExceed =
+      counts.outcomes >= MIN_FAILURE_RATE_OUTCOMES && computeRate(counts) > MAX_FAILURE_RATE_EXCESS;
+    if (!canExceed) return undefined;
+    const rest = this.countOthers(breaker);
+    const excess = computeRate(counts) - computeRate(rest);
+    return rest.outcomes >= MIN_FAILURE_RATE_OUTCOMES && excess > MAX_FAILURE_RATE_EXCESS
+      ? 'failure rate'
+      : undefined;
+  }
+
+  private countOthers(breaker: CircuitBreaker): OutcomeCounts {
+    const others = this.listMembers(breaker.group).filter((member) => member !== breaker);
+    return others
+      .map((member) => member.countOutcomes())
+      .reduce(
+        (sum, { outcomes, failures }) => ({
+          outcomes: sum.outcomes + outcomes,
+          failures: sum.failures + failures,
+        }),
+        { outcomes: 0, failures: 0 },
+      );
   }
 
   private canEject(group: string): boolean {
@@ -53,7 +103,22 @@
     const members = this.listMembers(group);
     const ejected = members.filter((breaker) => breaker.isEjected);
     const maxEjected = Math.floor(members.length * MAX_EJECTED_FRACTION);
-    ejected.slice(maxEjected).forEach((breaker) => breaker.close());
+    ejected.slice(maxEjected).forEach((breaker) => this.close(breaker, 'group too small'));
+  }
+
+  private open(breaker: CircuitBreaker, reason: EjectionReason): void {
+    breaker.open();
+    this.reportChange(breaker, reason);
+  }
+
+  private close(breaker: CircuitBreaker, reason: EjectionReason): void {
+    breaker.close();
+    this.reportChange(breaker, reason);
+  }
+
+  private reportChange(breaker: CircuitBreaker, reason: EjectionReason): void {
+    const { upstreamId, group, isEjected, consecutiveFailures, openMs } = breaker;
+    this.onChange({ upstreamId, group, isEjected, reason, consecutiveFailures, openMs });
   }
 
   private listMembers(group: string): readonly CircuitBreaker[] {
--- a/packages/core/src/breaker/circuitBreaker.ts
+++ b/packages/core/src/breaker/circuitBreaker.ts
@@ -1,26 +1,38 @@
+import type { UpstreamId } from '../ids.js';
 import { createBackoff } from '../log/backoff.js';
 import type { Backoff, RandomGenerator } from '../log/backoff.js';
 import {
   CONSECUTIVE_FAILURES_TO_OPEN,
+  FAILURE_RATE_WINDOW_MS,
   INITIAL_BREAKER_OPEN_MS,
   MAX_BREAKER_OPEN_MS,
+  PROBE_TIMEOUT_MS,
 } from './constants.js';
 import type { BreakerState } from './ejectionPolicy.js';
+import { OutcomeWindow } from './outcomeWindow.js';
+import type { OutcomeCounts } from './outcomeWindow.js';
 
 /** Circuit breaker of one upstream. */
 export class CircuitBreaker {
   private readonly backoff: Backoff;
 
-  private consecutiveFailures = 0;
+  private readonly window = new OutcomeWindow();
+
+  private failuresInRow = 0;
 
   private ejected = false;
 
-  /** Time from which a probe is allowed, in Unix milliseconds. */
+  /** Monotonic time from which a probe is allowed. */
   private openUntilMs = 0;
 
-  private isProbing = false;
+  /** Monotonic time of the last return; the next ejection is longer unless it is long ago. */
+  private closedAtMs = -Infinity;
+
+  /** Monotonic time at which the probe was sent; undefined without a probe. */
+  private probedAtMs: number | undefined;
 
   constructor(
+    readonly upstreamId: UpstreamId,
     readonly group: string,
     generator: RandomGenerator,
   ) {
@@ -35,38 +47,69 @@
     return this.ejected;
   }
 
+  get consecutiveFailures(): number {
+    return this.failuresInRow;
+  }
+
+  /** Whether the failure threshold for ejection has been reached. */
+  get isFailing(): boolean {
+    return this.failuresInRow >= CONSECUTIVE_FAILURES_TO_OPEN;
+  }
+
+  /** Time until the next probe is allowed, in milliseconds. */
+  get openMs(): number {
+    return this.ejected ? Math.max(0, this.openUntilMs - performance.now()) : 0;
+  }
+
   get state(): BreakerState {
     if (!this.ejected) return 'closed';
-    return this.isProbing || Date.now() < this.openUntilMs ? 'open' : 'half-open';
+    return this.isProbing || performance.now() < this.openUntilMs ? 'open' : 'half-open';
+  }
+
+  countOutcomes(): OutcomeCounts {
+    return this.window.count();
   }
 
   recordStart(): void {
-    if (this.state === 'half-open') this.isProbing = true;
+    if (this.state === 'half-open') this.probedAtMs = performance.now();
+  }
+
+  /** @returns whether a probe succeeded; attempts started before the ejection may still succeed */
+  recordSuccess(): boolean {
+    this.window.record(false);
+    if (this.ejected) return this.isProbing;
+    this.failuresInRow = 0;
+    if (performance.now() - this.closedAtMs > FAILURE_RATE_WINDOW_MS) this.backoff.reset();
+    return false;
   }
 
   /** Records an outcome that is neither success nor failure of the upstream. */
   recordNeutral(): void {
-    this.isProbing = false;
+    this.probedAtMs = undefined;
   }
 
-  /** @returns whether the failure threshold for ejection has been reached */
+  /** @returns whether a probe failed; attempts started before the ejection may still fail */
   recordFailure(): boolean {
-    this.consecutiveFailures += 1;
-    // Attempts started before the ejection may still fail; only a failed probe extends it.
-    if (this.ejected && this.isProbing) this.open();
-    return !this.ejected && this.consecutiveFailures >= CONSECUTIVE_FAILURES_TO_OPEN;
+    this.window.record(true);
+    this.failuresInRow += 1;
+    return this.ejected && this.isProbing;
   }
 
   open(): void {
     this.ejected = true;
-    this.isProbing = false;
-    this.openUntilMs = Date.now() + this.backoff.nextDelayMs();
+    this.probedAtMs = undefined;
+    this.openUntilMs = performance.now() + this.backoff.nextDelayMs();
   }
 
   close(): void {
     this.ejected = false;
-    this.isProbing = false;
-    this.consecutiveFailures = 0;
-    this.backoff.reset();
+    this.probedAtMs = undefined;
+    this.failuresInRow = 0;
+    this.window.clear();
+    this.closedAtMs = performance.now();
+  }
+
+  private get isProbing(): boolean {
+    return this.probedAtMs !== undefined && performance.now() - this.probedAtMs < PROBE_TIMEOUT_MS;
   }
 }
--- a/packages/core/src/fleet/upstreamRegistry.ts
+++ b/packages/core/src/fleet/upstreamRegistry.ts
@@ -1,5 +1,5 @@
 import type { ServiceName, UpstreamId } from '../ids.js';
-import { LOG_OUTAGE_GRACE_MS, MAX_LEAVING_BOOTS } from './constants.js';
+import { LOG_OUTAGE_GRACE_MS, MAX_LEAVING_BOOTS, MAX_UPSTREAMS } from './constants.js';
 import type { PeerLoads } from './peerLoads.js';
 import type { RegisteredUpstream } from './registeredUpstream.js';
 import { TrackedUpstream } from './trackedUpstream.js';
@@ -10,6 +10,14 @@
   /** The entry was removed, or does not describe a usable upstream and tells why. */
   | { readonly kind: 'absent'; readonly upstreamId: UpstreamId; readonly invalid?: string };
 
+/** Learns which upstreams take requests. */
+export interface UpstreamMembership {
+  /** An upstream is listed, or has restarted and is another process now. */
+  readonly onJoin: (upstream: RegisteredUpstream) => void;
+  /** An upstream leaves, or is not listed any more. */
+  readonly onLeave: (upstreamId: UpstreamId) => void;
+}
+
 const isStale = (next: RegisteredUpstream, current: RegisteredUpstream): boolean =>
   next.startedAtMs < current.startedAtMs ||
   (next.startedAtMs === current.startedAtMs && next.heartbeat < current.heartbeat);
@@ -26,10 +34,15 @@
   /** Boot times of upstreams that announced that they leave, which outlast their registry entries. */
   private readonly leavingBoots = new Map<UpstreamId, number>();
 
+  private ignored = 0;
+
   private outageEndedAtMs = -Infinity;
 
   /** @param peerLoads load reported by the other VMs */
-  constructor(private readonly peerLoads: PeerLoads) {}
+  constructor(
+    private readonly peerLoads: PeerLoads,
+    private readonly membership?: UpstreamMembership,
+  ) {}
 
   /** Records that the log is available again after an outage. */
   recordLogRecovery(): void {
@@ -43,10 +56,22 @@
     const known = this.upstreams.get(upstream.upstreamId);
     if (known && isStale(upstream, known.registered)) return false;
     this.pendingRemovals.delete(upstream.upstreamId);
-    if (known) return known.update(upstream);
+    if (known) {
+      const wasLeaving = known.isLeaving;
+      const { startedAtMs } = known.registered;
+      const hasChanged = known.update(upstream);
+      const hasJoined = wasLeaving !== known.isLeaving || startedAtMs !== upstream.startedAtMs;
+      if (hasJoined) this.reportMembership(known);
+      return hasChanged;
+    }
+    if (this.upstreams.size >= MAX_UPSTREAMS) {
+      this.ignored += 1;
+      return false;
+    }
     const created = new TrackedUpstream(upstream, this.peerLoads);
     if (this.leavingBoots.get(upstream.upstreamId) === upstream.startedAtMs) created.markLeaving();
     this.upstreams.set(upstream.upstreamId, created);
+    this.reportMembership(created);
     return true;
   }
 
@@ -64,16 +89,26 @@
       this.leavingBoots.delete(this.leavingBoots.keys().next().value!);
     }
     const upstream = this.upstreams.get(upstreamId);
-    return upstream?.registered.startedAtMs === startedAtMs && upstream.markLeaving();
+    if (upstream?.registered.startedAtMs !== startedAtMs || !upstream.markLeaving()) return false;
+    this.reportMembership(upstream);
+    return true;
+  }
+
+  /** Gives the number of entries that were ignored since the last call, because the registry is full. */
+  takeIgnored(): number {
+    const { ignored } = this;
+    this.ignored = 0;
+    return ignored;
   }
 
   /** Applies a complete list of registry entries; upstreams not in it count as absent. */
   replaceAll(upstreams: readonly RegisteredUpstream[]): void {
     const listed = new Set(upstreams.map(({ upstreamId }) => upstreamId));
-    upstreams.forEach((upstream) => this.apply({ kind: 'present', upstream }));
+    // Before the others, which may need their room.
     [...this.upstreams.keys()]
       .filter((upstreamId) => !listed.has(upstreamId))
       .forEach((upstreamId) => this.applyRemoval(upstreamId));
+    upstreams.forEach((upstream) => this.apply({ kind: 'present', upstream }));
   }
 
   /** Removes upstreams whose grace period has ended. */
@@ -81,8 +116,7 @@
     const nowMs = performance.now();
     this.pendingRemovals.forEach((dueAtMs, upstreamId) => {
       if (dueAtMs > nowMs) return;
-      this.pendingRemovals.delete(upstreamId);
-      this.upstreams.delete(upstreamId);
+      this.remove(upstreamId);
     });
   }
 
@@ -106,7 +140,17 @@
         this.pendingRemovals.set(upstreamId, graceEndsAtMs);
       return false;
     }
+    return this.remove(upstreamId);
+  }
+
+  private remove(upstreamId: UpstreamId): boolean {
     this.pendingRemovals.delete(upstreamId);
+    this.membership?.onLeave(upstreamId);
     return this.upstreams.delete(upstreamId);
   }
+
+  private reportMembership({ isLeaving, registered }: TrackedUpstream): void {
+    if (isLeaving) this.membership?.onLeave(registered.upstreamId);
+    else this.membership?.onJoin(registered);
+  }
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -159,6 +159,12 @@
 /** Maximum send backlog of a slow follower before it is disconnected. */
 export const MAX_FOLLOWER_BACKLOG_BYTES = 8 * 1024 * 1024;
 
+/** Interval at which a snapshot waits until others have read what they were sent. */
+export const UNSENT_WAIT_MS = 50;
+
+/** Time for which a relay takes no more followers than have stayed when its link was full. */
+export const FOLLOWER_LIMIT_TTL_MS = 10_000;
+
 /** Time for which messages to followers are batched. */
 export const FEED_BATCH_DELAY_MS = 80;
 
@@ -174,6 +180,9 @@
 /** Time after the log came back from a copy until what the copy lacks has been written again. */
 export const ERA_SETTLE_MS = 3_000;
 
+/** Minimum interval between the beginnings of two reads of a topic of the log. */
+export const MIN_READ_INTERVAL_MS = 100;
+
 /** Delay after a failed call to the log or a block store. */
 export const LOG_RETRY_DELAY_MS = 250;
 
@@ -209,6 +218,12 @@
 /** Pause after events of a block store, so that the next read returns a larger batch. */
 export const BLOCK_EVENTS_BATCH_DELAY_MS = 300;
 
+/** Longest delay after failed reads of a block store that follow each other. */
+export const MAX_STORE_RETRY_DELAY_MS = 2_000;
+
+/** Time for which a block store that lists more than it holds is neither read nor used. */
+export const FAULTY_STORE_PAUSE_MS = 10_000;
+
 /** Long-poll timeout for the events of a block store. */
 export const BLOCK_EVENTS_LONG_POLL_MS = 900;
 
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -1,10 +1,12 @@
 import { MIN_SURVIVAL_EVENTS } from '@goldcrestscale/core';
 import type { TrackedUpstream } from '@goldcrestscale/core';
+import { PartAllowance } from '@goldcrestscale/runtime';
 import type { InputBarrier } from '@goldcrestscale/runtime';
 import { MAX_BUFFERED_RESPONSE_BYTES, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES } from '../constants.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { requireRoute } from '../filters/gatewayExchange.js';
 import type { ResponseHead, AttemptMetadata, UpstreamProtocol } from '../ports/index.js';
+import { findAbandonReason } from './abandonReason.js';
 import type { AttemptResult } from './attemptResult.js';
 import type { WithheldSend } from './sendGate.js';
 import { EventScanner } from './eventScanner.js';
@@ -13,7 +15,10 @@
 import { ConnectionError } from './connectionError.js';
 import { FaultError } from './faultError.js';
 import { InvalidResponseError } from './invalidResponseError.js';
+import type { AbandonReason } from './invalidResponseError.js';
 import { ResponseBuffer } from './responseBuffer.js';
+import { ResponseMemoryError } from './responseMemoryError.js';
+import { StreamRelay } from './streamRelay.js';
 import type {
   BodyFraming,
   ExchangeHandler,
@@ -55,13 +60,6 @@
 
 const MIN_SERVER_ERROR_STATUS = 500;
 
-/** Prefix of the codes of errors of the HTTP parser. */
-const PARSER_ERROR_PREFIX = 'HPE_';
-
-const isInvalidResponse = (error: Error): boolean =>
-  error instanceof InvalidResponseError ||
-  ('code' in error && String(error.code).startsWith(PARSER_ERROR_PREFIX));
-
 const NO_BYTES = Buffer.alloc(0);
 
 const EVENT_STREAM_TYPE = 'text/event-stream';
@@ -77,6 +75,10 @@
 
   private buffer: ResponseBuffer | undefined;
 
+  private relay: StreamRelay | undefined;
+
+  private allowance: PartAllowance | undefined;
+
   private receivedBytes = 0;
 
   private resolveResult: ((result: AttemptResult) => void) | undefined;
@@ -101,8 +103,8 @@
   /** Unexpected error of this program that ended the exchange. */
   fault: FaultError | undefined;
 
-  /** Why the response was refused; undefined for one that was taken. */
-  invalidResponse: string | undefined;
+  /** Why the response was given up; undefined for one that was taken. */
+  abandonment: { readonly reason: AbandonReason; readonly message: string } | undefined;
 
   /** How the end of the response is marked; undefined before its head. */
   framing: BodyFraming | undefined;
@@ -211,7 +213,7 @@
     this.head = head;
     const rejectionReason = this.findRejectionReason(head, 'content-encoding' in headers);
     if (rejectionReason !== undefined) {
-      this.abandon(flow, new InvalidResponseError(rejectionReason));
+      this.abandon(flow, new InvalidResponseError(rejectionReason, 'mismatch'));
       return;
     }
     onResponseHead(head);
@@ -221,6 +223,8 @@
     this.phase = isStream ? 'stream' : 'whole';
     const declaredBytes = framing === 'length' ? Number(headers['content-length']) : undefined;
     this.buffer = new ResponseBuffer(exchange.reservation, declaredBytes);
+    this.relay = new StreamRelay(exchange.response, flow);
+    this.allowance = new PartAllowance();
     if (isStream) this.startStream(head);
   }
 
@@ -229,11 +233,12 @@
     this.receivedBytes += chunk.length;
     if (this.phase === 'stream') this.relayChunk(flow, chunk);
     else if (this.phase === 'whole') this.collectChunk(flow, chunk);
-    const excess = this.findExcess();
-    if (excess !== undefined) this.abandon(flow, new InvalidResponseError(excess));
+    const excess = this.findExcess(chunk);
+    if (excess !== undefined) this.abandon(flow, excess);
   }
 
   onEnd(): void {
+    this.relay?.flush();
     const failure = this.findTruncation();
     if (failure !== undefined) {
       this.isConnectionLost = true;
@@ -246,8 +251,10 @@
   }
 
   onError(error: Error): void {
+    this.relay?.flush();
     if (error instanceof FaultError) this.fault = error;
-    if (isInvalidResponse(error)) this.invalidResponse = error.message;
+    const reason = findAbandonReason(error);
+    if (reason !== undefined) this.abandonment = { reason, message: error.message };
     const isEndedHere =
       this.isAbandoned || error instanceof FaultError || error instanceof InvalidResponseError;
     this.isConnectionLost = this.phase !== 'offered' && !isEndedHere;
@@ -287,11 +294,15 @@
   }
 
   /** Finds out which limit a response exceeds that may have no end. */
-  private findExcess(): string | undefined {
-    if (this.receivedBytes > MAX_RESPONSE_BYTES) return 'response too large';
-    if (this.eventScanner.partialEventBytes > MAX_EVENT_BYTES) return 'event too large';
+  private findExcess(chunk: Buffer): InvalidResponseError | undefined {
+    if (this.allowance?.tryTake(chunk.length) === false)
+      return new InvalidResponseError('parts too small', 'part_size');
+    if (this.receivedBytes > MAX_RESPONSE_BYTES)
+      return new InvalidResponseError('response too large', 'response_size');
+    if (this.eventScanner.partialEventBytes > MAX_EVENT_BYTES)
+      return new InvalidResponseError('event too large', 'event_size');
     return this.phase === 'whole' && this.receivedBytes > MAX_BUFFERED_RESPONSE_BYTES
-      ? 'response too large to buffer'
+      ? new InvalidResponseError('response too large to buffer', 'response_size')
       : undefined;
   }
 
@@ -311,18 +322,13 @@
     // A response that is streamed only for its size has no events.
     const eventSplitter = this.isStreamOpen ? this.options.eventSplitter : undefined;
     const eventEnds = this.isStreamOpen ? this.eventScanner.scan(chunk) : [];
-    const data = eventSplitter ? eventSplitter.push(chunk, eventEnds) : chunk;
+    const data = eventSplitter ? eventSplitter.tryPush(chunk, eventEnds) : chunk;
+    if (!data) {
+      this.abandon(flow, new ResponseMemoryError('no memory for an event'));
+      return;
+    }
     if (eventSplitter && data.length > 0) this.options.onFirstEvent();
-    if (data.length > 0) this.relayData(flow, [data]);
-  }
-
-  /** Passes data on; reads no more of the response while the caller's connection is congested. */
-  private relayData(flow: ResponseFlow, data: readonly Buffer[]): void {
-    const { response } = this.options.exchange;
-    const canContinue = data.map((part) => response.write(part)).every(Boolean);
-    if (canContinue) return;
-    flow.pause();
-    response.onDrain(() => flow.resume());
+    this.relay?.add(data);
   }
 
   private collectChunk(flow: ResponseFlow, chunk: Buffer): void {
@@ -333,7 +339,7 @@
     if (!canStream) {
       // A failure that is too large is refused as invalid.
       if (this.receivedBytes > MAX_BUFFERED_RESPONSE_BYTES) return;
-      this.abandon(flow, new ConnectionError('no memory for the response'));
+      this.abandon(flow, new ResponseMemoryError('no memory for the response'));
       return;
     }
     // Too large to buffer, or no memory for it: stream it. If it is then cut short, the caller's
@@ -341,7 +347,7 @@
     const { status, forwardedHeaders } = head;
     this.phase = 'stream';
     response.start({ status, headers: forwardedHeaders, contentLength: undefined });
-    this.relayData(flow, [...(this.buffer?.take() ?? []), chunk]);
+    [...(this.buffer?.take() ?? []), chunk].forEach((part) => this.relay?.add(part));
   }
 
   private finish(): AttemptResult {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,15 +1,17 @@
 import { setMaxListeners } from 'node:events';
 import type { Server } from 'node:http';
 import { sleep, waitForAbort } from '@goldcrestscale/core';
-import type { PermitRequest, QuarantineChange, RateChange, VmId } from '@goldcrestscale/core';
-import {
-  ByteBudget,
-  EventLoopBarrier,
-  ListenerConnections,
-  PauseMonitor,
-  listen,
-} from '@goldcrestscale/runtime';
+import type {
+  EjectionChange,
+  PermitRequest,
+  QuarantineChange,
+  RateChange,
+  VmId,
+} from '@goldcrestscale/core';
+import { ByteBudget, EventLoopBarrier, PauseMonitor, listen } from '@goldcrestscale/runtime';
 import type { EventCounts, Logger } from '@goldcrestscale/runtime';
+import { createConnections } from './compose/createConnections.js';
+import type { ServerConnections } from './compose/createConnections.js';
 import { createControllers } from './compose/createControllers.js';
 import type { Controllers } from './compose/createControllers.js';
 import { createDataPath } from './compose/createDataPath.js';
@@ -17,7 +19,6 @@
 import type { FleetState } from './compose/createFleetState.js';
 import { DIRECTORY_TTL_MS } from './constants.js';
 import { Shutdown } from './controllers/shutdown.js';
-import { ConnectionPool } from './dispatch/connectionPool.js';
 import { FaultRecorder } from './faultRecorder.js';
 import type { GatewayOptions } from './gatewayOptions.js';
 import type { CallerServer } from './http/callerServer.js';
@@ -38,6 +39,14 @@
   });
 };
 
+const logEjectionChange = (
+  requestLog: RequestLog,
+  { isEjected, openMs, ...fields }: EjectionChange,
+): void => {
+  if (isEjected) requestLog.log('upstream ejected', { ...fields, openMs: Math.round(openMs) });
+  else requestLog.log('ejected upstream taken back', fields);
+};
+
 /** The number of lines is bounded, because an upstream may change its limit with every response. */
 const logRateChange = (requestLog: RequestLog, change: RateChange): void => {
   const { upstreamId, startedAtMs, previous, requestsPerSecond } = change;
@@ -55,12 +64,17 @@
   sendPermitRequest: (granter: VmId, request: PermitRequest) => void,
 ): FleetState => {
   const rateLog = new RequestLog(logger.createPartLogger('rates'));
+  const ejectionLog = new RequestLog(logger.createPartLogger('ejection'));
   return createFleetState(settings.vmId, settings.availabilityZone, {
     onQuarantineChange: (change) => logQuarantineChange(logger, change),
     onRateChange(change) {
       logRateChange(rateLog, change);
       metrics.setAnnouncedRate(change.upstreamId, change.requestsPerSecond);
     },
+    onEjectionChange(change) {
+      logEjectionChange(ejectionLog, change);
+      metrics.recordEjection(change);
+    },
     sendPermitRequest,
   });
 };
@@ -79,15 +93,6 @@
   readonly metrics: Server;
 }
 
-type ServerConnections = Readonly<Record<keyof GatewayServers, ListenerConnections>>;
-
-const createServerConnections = (): ServerConnections => ({
-  callers: new ListenerConnections(),
-  directory: new ListenerConnections(),
-  readiness: new ListenerConnections(),
-  metrics: new ListenerConnections(),
-});
-
 /** Starts the servers; the signal that stops the gateway ends the wait for their addresses. */
 const startServers = async (
   servers: GatewayServers,
@@ -96,7 +101,7 @@
   faults: FaultRecorder,
 ): Promise<void> => {
   const startServer = (name: keyof GatewayServers, address: string): Promise<void> => {
-    connections[name].watch(servers[name]);
+    connections[name].watchHttp(servers[name]);
     return listen(servers[name], splitAddress(address), {
       logger,
       signal,
@@ -145,6 +150,7 @@
       Object.entries(serverConnections).forEach(([name, { openCount }]) =>
         counters.setOpenConnections(name as keyof GatewayServers, openCount),
       );
+      counters.setHeldBytes(budget.purposes);
       return counters.render();
     },
     operated: undefined,
@@ -222,7 +228,7 @@
   // All requests and controllers add abort listeners, which would trigger the leak warning.
   setMaxListeners(0, workController.signal, signal);
   const shutdown = new Shutdown(settings.bounds.shutdownMs);
-  const connections = new ConnectionPool(() => metrics.countConnection());
+  const { connections, serverConnections } = await createConnections(options);
   const fleetState = createReportedFleetState(options, (granter, request) =>
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called later
     controllers.gossip.sendPermitRequest(granter, request),
@@ -252,7 +258,6 @@
     counts,
   });
   options.onServing?.(() => callers.countOpenRequests());
-  const serverConnections = createServerConnections();
   const servers = createAuxiliaryServers(options, controllers, shutdown, {
     operated: fleetState,
     serverConnections,
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { runChain } from '@goldcrestscale/core';
 import type { CallerLimits } from '@goldcrestscale/core';
-import { ByteReservation, trackCaller } from '@goldcrestscale/runtime';
+import { ByteReservation, EventLoopBarrier, closeIdleConnections, trackCaller } from '@goldcrestscale/runtime';
 import type { ByteBudget } from '@goldcrestscale/runtime';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import type { GatewayFilter } from '../filters/gatewayFilter.js';
@@ -33,6 +33,8 @@
   readonly faults: FaultRecorder;
   /** Called when a caller has read nothing of its response for the idle timeout. */
   readonly onUnreadResponse: (unreadBytes: number) => void;
+  /** Called when a connection is closed because its caller sends more and more requests before it has responses. */
+  readonly onTooManyPipelined: () => void;
   /** Called with the bytes of a head that was not complete, and for which there is no memory. */
   readonly onHeadDropped: (headBytes: number) => void;
 }
@@ -123,6 +125,7 @@
   });
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + TIMEOUT_MARGIN_MS;
   server.requestTimeout = 0;
+  closeIdleConnections(server, new EventLoopBarrier());
   const { budget, onHeadDropped: onDrop } = options;
   new HeadMemory({ budget, maxHeadBytes: MAX_HEADER_BYTES, onDrop }).watch(server);
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
@@ -132,7 +135,14 @@
       request.resume();
       return;
     }
-    order.add(request);
+    if (!order.tryAdd(request)) {
+      // The parser reads the rest of its input before it notices the close.
+      order.abandon();
+      request.resume();
+      request.socket.destroy();
+      options.onTooManyPipelined();
+      return;
+    }
     openCount += 1;
     counts.requestsRead += 1;
     const reservation = new ByteReservation(options.budget);
@@ -143,6 +153,7 @@
     };
     const signal = trackCaller(request, response, (hasLeft) => {
       openCount -= 1;
+      order.remove();
       if (hasLeft) counts.callersLeft += 1;
       releasePart();
     });
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,8 +1,10 @@
-import type { MetricsRegistry } from '@goldcrestscale/runtime';
+import type { EjectionChange } from '@goldcrestscale/core';
+import type { BytePurpose, MetricsRegistry } from '@goldcrestscale/runtime';
 import { createCallMetrics } from './callMetrics.js';
 import type { CallMetrics } from './callMetrics.js';
 import { createConnectionMetrics } from './connectionMetrics.js';
 import type { ConnectionMetrics } from './connectionMetrics.js';
+import type { AbandonReason } from './dispatch/invalidResponseError.js';
 
 /** Counters and latency histograms of the gateway. */
 export interface GatewayMetrics extends CallMetrics, ConnectionMetrics {
@@ -16,6 +18,8 @@
   countUnframedResponse(outcome: string): void;
   /** Counts a response that was refused because it is invalid. */
   countInvalidResponse(): void;
+  /** Counts a response that this VM gave up, by the reason. */
+  countAbandonedResponse(reason: AbandonReason): void;
   /** Counts an unexpected error by the part of the gateway that caught it. */
   countFault(part: string): void;
   /** Counts a signal to stop while the process was stopping already. */
@@ -31,6 +35,8 @@
   setAnnouncedRate(upstreamId: string, requestsPerSecond: number | undefined): void;
   /** Counts a request that this VM sends to an upstream with a rate limit. */
   countLimitedSend(upstreamId: string): void;
+  /** Records that an upstream was ejected, failed a probe, or was taken back. */
+  recordEjection(change: Pick<EjectionChange, 'upstreamId' | 'isEjected' | 'reason'>): void;
   /** Sets the number of VMs that follow this one as their relay. */
   setFollowers(count: number): void;
   /** Counts bytes that this VM passed to the connections of its followers. */
@@ -43,6 +49,8 @@
   countMeshClosing(reason: string): void;
   /** Sets the bytes of bodies and responses that are held for callers. */
   setBufferedBytes(bytes: number): void;
+  /** Sets the bytes that are held for each purpose. */
+  setHeldBytes(purposes: Readonly<Record<BytePurpose, number>>): void;
   render(): Promise<string>;
 }
 
@@ -71,6 +79,28 @@
   };
 };
 
+const createEjectionMetrics = (
+  metrics: MetricsRegistry,
+): Pick<GatewayMetrics, 'recordEjection'> => {
+  const ejected = metrics.createGauge({
+    name: 'goldcrest_gateway_ejected_upstream',
+    help: '1 while this VM sends an upstream nothing but probes, because it failed.',
+    labelNames: ['upstream'],
+  });
+  const ejections = metrics.createCounter({
+    name: 'goldcrest_gateway_ejections_total',
+    help: 'Ejections of upstreams, failed probes and returns, by their reason.',
+    labelNames: ['reason'],
+  });
+  return {
+    recordEjection({ upstreamId: upstream, isEjected, reason }) {
+      ejections.inc({ reason });
+      if (isEjected) ejected.set({ upstream }, 1);
+      else ejected.remove({ upstream });
+    },
+  };
+};
+
 const createPresenceMetrics = (
   metrics: MetricsRegistry,
 ): Pick<GatewayMetrics, 'countDeparture' | 'recordPause'> => {
@@ -136,21 +166,39 @@
 
 const createMemoryMetrics = (
   metrics: MetricsRegistry,
-): Pick<GatewayMetrics, 'setBufferedBytes'> => {
+): Pick<GatewayMetrics, 'setBufferedBytes' | 'setHeldBytes'> => {
   const bufferedBytes = metrics.createGauge({
     name: 'goldcrest_gateway_buffered_bytes',
     help: 'Bytes of request bodies and responses that are held for callers.',
   });
-  return { setBufferedBytes: (bytes) => bufferedBytes.set(bytes) };
+  const heldBytes = metrics.createGauge({
+    name: 'goldcrest_gateway_held_bytes',
+    help: 'Bytes of the memory for callers that are held, by purpose.',
+    labelNames: ['purpose'],
+  });
+  return {
+    setBufferedBytes: (bytes) => bufferedBytes.set(bytes),
+    setHeldBytes(purposes) {
+      Object.entries(purposes).forEach(([purpose, bytes]) => heldBytes.set({ purpose }, bytes));
+    },
+  };
 };
 
 const createFaultMetrics = (
   metrics: MetricsRegistry,
-): Pick<GatewayMetrics, 'countInvalidResponse' | 'countFault' | 'countRepeatedStop'> => {
+): Pick<
+  GatewayMetrics,
+  'countInvalidResponse' | 'countAbandonedResponse' | 'countFault' | 'countRepeatedStop'
+> => {
   const invalidResponses = metrics.createCounter({
     name: 'goldcrest_gateway_invalid_answers_total',
     help: 'Answers of upstreams that were refused: no HTTP, another request, unsigned or too large.',
   });
+  const abandonedResponses = metrics.createCounter({
+    name: 'goldcrest_gateway_abandoned_answers_total',
+    help: 'Answers of upstreams that this VM gave up, by reason.',
+    labelNames: ['reason'],
+  });
   const faults = metrics.createCounter({
     name: 'goldcrest_gateway_faults_total',
     help: 'Unexpected errors, each of which ended one exchange, record or task; see the log.',
@@ -163,6 +211,7 @@
   return {
     countRepeatedStop: () => repeatedStops.inc(),
     countInvalidResponse: () => invalidResponses.inc(),
+    countAbandonedResponse: (reason) => abandonedResponses.inc({ reason }),
     countFault: (part) => faults.inc({ part }),
   };
 };
@@ -211,6 +260,7 @@
     countConnection: () => connections.inc(),
     ...createCallMetrics(metrics),
     ...createConnectionMetrics(metrics),
+    ...createEjectionMetrics(metrics),
     ...createFaultMetrics(metrics),
     ...createFeedMetrics(metrics),
     ...createMemoryMetrics(metrics),
--- a/packages/runtime/src/http/byteReservation.ts
+++ b/packages/runtime/src/http/byteReservation.ts
@@ -1,20 +1,29 @@
-import type { ByteBudget } from './byteBudget.js';
+import type { BytePurpose, ByteBudget } from './byteBudget.js';
 
 /** What one exchange holds of a budget. */
 export class ByteReservation {
-  private bytes = 0;
+  private readonly bytes = new Map<BytePurpose, number>();
 
   constructor(private readonly budget: ByteBudget) {}
 
   /** @returns whether the bytes were added */
-  tryGrow(bytes: number): boolean {
-    if (!this.budget.tryReserve(bytes)) return false;
-    this.bytes += bytes;
+  tryGrow(bytes: number, purpose: BytePurpose = 'other'): boolean {
+    if (!this.budget.tryReserve(bytes, purpose)) return false;
+    this.bytes.set(purpose, (this.bytes.get(purpose) ?? 0) + bytes);
     return true;
   }
 
+  /** Gives back a part of what is held for a purpose. */
+  releasePart(bytes: number, purpose: BytePurpose): void {
+    const heldBytes = this.bytes.get(purpose) ?? 0;
+    // All of it may have been released already, at the end of the exchange.
+    const releasedBytes = Math.min(bytes, heldBytes);
+    this.bytes.set(purpose, heldBytes - releasedBytes);
+    this.budget.release(releasedBytes, purpose);
+  }
+
   release(): void {
-    this.budget.release(this.bytes);
-    this.bytes = 0;
+    this.bytes.forEach((bytes, purpose) => this.budget.release(bytes, purpose));
+    this.bytes.clear();
   }
 }
--- a/packages/runtime/src/http/index.ts
+++ b/packages/runtime/src/http/index.ts
@@ -1,8 +1,12 @@
 export { computeCallerDeadlineMs } from './callerDeadline.js';
 export type { RequestArrival } from './callerDeadline.js';
+export { closeIdleConnections } from './closeIdleConnections.js';
 export { trackCaller } from './callerConnection.js';
 export { BodyBuffer } from './bodyBuffer.js';
 export { ByteBudget, computeBufferBytes } from './byteBudget.js';
+export type { BytePurpose } from './byteBudget.js';
 export { ByteReservation } from './byteReservation.js';
+export { PartAllowance } from './partAllowance.js';
+export { pauseSocket } from './pauseSocket.js';
 export { readRequestBody } from './readRequestBody.js';
 export type { ReadBodyOptions } from './readRequestBody.js';
