--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -141,7 +141,9 @@
     const abort = (): void => controller.abort();
     const remainingMs = Math.max(0, exchange.deadlineAtMs - performance.now());
     // After a pause, this timer runs before an answer that came in time is read.
-    const timer = setTimeout(() => void this.options.inputBarrier.run(abort), remainingMs);
+    const timer = setTimeout(() => {
+      void this.options.inputBarrier.run(abort);
+    }, remainingMs);
     if (exchange.signal.aborted) abort();
     else exchange.signal.addEventListener('abort', abort, { once: true });
     try {
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -2,7 +2,12 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { runChain } from '@goldcrestscale/core';
 import type { CallerLimits } from '@goldcrestscale/core';
-import { ByteReservation, EventLoopBarrier, closeIdleConnections, trackCaller } from '@goldcrestscale/runtime';
+import {
+  ByteReservation,
+  EventLoopBarrier,
+  closeIdleConnections,
+  trackCaller,
+} from '@goldcrestscale/runtime';
 import type { ByteBudget } from '@goldcrestscale/runtime';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import type { GatewayFilter } from '../filters/gatewayFilter.js';
