--- a/packages/core/src/breaker/__tests__/cappedEjectionPolicy.spec.ts
+++ b/packages/core/src/breaker/__tests__/cappedEjectionPolicy.spec.ts
@@ -171,6 +171,16 @@
   expect(changes).toBe(0);
 });
 
+// Guards against requests that fail everywhere and leave only upstreams that nobody can reach.
+test('upstreams that all fail in a row are not ejected', () => {
+  const policy = addUpstreams(6);
+  for (let count = 0; count < 20; count += 1) {
+    [0, 1, 2].forEach((index) => policy.recordOutcome(makeUpstreamId(index), 'failure'));
+    [3, 4, 5].forEach((index) => policy.recordOutcome(makeUpstreamId(index), 'neutral'));
+  }
+  [0, 1, 2].forEach((index) => expect(policy.getState(makeUpstreamId(index))).toBe('closed'));
+});
+
 test('upstreams that all fail at the same rate are not ejected for it', () => {
   const policy = addUpstreams(8);
   for (let count = 0; count < 200; count += 1) {
--- a/packages/core/src/breaker/cappedEjectionPolicy.ts
+++ b/packages/core/src/breaker/cappedEjectionPolicy.ts
@@ -2,6 +2,7 @@
 import type { RandomGenerator } from '../log/backoff.js';
 import { CircuitBreaker } from './circuitBreaker.js';
 import {
+  CONSECUTIVE_FAILURES_TO_OPEN,
   MAX_EJECTED_FRACTION,
   MAX_FAILURE_RATE_EXCESS,
   MIN_FAILURE_RATE_OUTCOMES,
@@ -67,21 +68,22 @@
 
   /** Finds out why an upstream should be ejected; undefined if it should not. */
   private findReason(breaker: CircuitBreaker): EjectionReason | undefined {
-    if (breaker.isFailing) return 'consecutive failures';
-    const counts = breaker.countOutcomes();
-    const canExceed =
-      counts.outcomes >= MIN_FAILURE_RATE_OUTCOMES && computeRate(counts) > MAX_FAILURE_RATE_EXCESS;
-    if (!canExceed) return undefined;
     const rest = this.countOthers(breaker);
+    // If all fail alike, it is the request, the key or the network, and nothing is better elsewhere.
+    const failsAlike =
+      rest.outcomes >= CONSECUTIVE_FAILURES_TO_OPEN &&
+      computeRate(rest) >= 1 - MAX_FAILURE_RATE_EXCESS;
+    if (breaker.isFailing) return failsAlike ? undefined : 'consecutive failures';
+    const counts = breaker.countOutcomes();
+    const hasEnough = Math.min(counts.outcomes, rest.outcomes) >= MIN_FAILURE_RATE_OUTCOMES;
     const excess = computeRate(counts) - computeRate(rest);
-    return rest.outcomes >= MIN_FAILURE_RATE_OUTCOMES && excess > MAX_FAILURE_RATE_EXCESS
-      ? 'failure rate'
-      : undefined;
+    return hasEnough && excess > MAX_FAILURE_RATE_EXCESS ? 'failure rate' : undefined;
   }
 
+  /** Counts the outcomes of the members of its group that are not ejected. */
   private countOthers(breaker: CircuitBreaker): OutcomeCounts {
-    const others = this.listMembers(breaker.group).filter((member) => member !== breaker);
-    return others
+    return this.listMembers(breaker.group)
+      .filter((member) => member !== breaker && !member.isEjected)
       .map((member) => member.countOutcomes())
       .reduce(
         (sum, { outcomes, failures }) => ({
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -173,6 +173,7 @@
       .some(
         (other) =>
           !other.isLeaving &&
+          !other.isBusy &&
           !operators.isZoneOut(other.registered.availabilityZone) &&
           ejection.getState(other.upstreamId) === 'closed',
       );
