--- a/packages/entry/src/__tests__/unreachedRetries.spec.ts
+++ b/packages/entry/src/__tests__/unreachedRetries.spec.ts
@@ -15,14 +15,9 @@
 /** Extra sends that the budget grants before any request. */
 const INITIAL_GRANTS = 3;
 
-/** Finds addresses that refuse connections: each was free a moment ago. */
-const findDeadAddresses = async (count: number): Promise<readonly string[]> => {
-  const upstreams = Array.from({ length: count }, () => new FakeUpstream());
-  await Promise.all(upstreams.map((upstream) => upstream.listen()));
-  const addresses = upstreams.map(({ address }) => address);
-  await Promise.all(upstreams.map((upstream) => upstream.close()));
-  return addresses;
-};
+/** Lists addresses that refuse connections: only root may listen on their port, and nothing does. */
+const listDeadAddresses = (count: number): readonly string[] =>
+  Array.from({ length: count }, (_item, index) => `127.0.0.${index + 1}:1`);
 
 const countGrants = (policy: BudgetedRetryPolicy): number => {
   let grants = 0;
@@ -32,7 +27,7 @@
 
 /** The router prefers the dead upstreams, which come first. */
 const startEntry = async (deadCount: number, scripts: readonly Behaviour[][]) => {
-  const dead = await findDeadAddresses(deadCount);
+  const dead = listDeadAddresses(deadCount);
   const sound = scripts.map((script) => Object.assign(new FakeUpstream(), { script }));
   await Promise.all(sound.map((upstream) => upstream.listen()));
   const retryPolicy = new BudgetedRetryPolicy(createRandomGenerator(1));
--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -31,6 +31,9 @@
   readonly deadUpstreams?: number;
 }
 
+/** Only root may listen on it, and nothing does. */
+const RESERVED_PORT = 1;
+
 let lastId = 0;
 
 /** Sends a request to a gateway's port. */
@@ -63,19 +66,15 @@
     request.end(call.body ?? '');
   });
 
-/** Finds addresses that refuse connections: each was free a moment ago. */
-export const findDeadAddresses = async (count: number): Promise<readonly string[]> => {
-  const servers = Array.from({ length: count }, () => new FakeUpstream(() => undefined));
-  const addresses = await Promise.all(servers.map((server) => server.listen()));
-  servers.forEach((server) => server.close());
-  return addresses;
-};
+/** Lists addresses that refuse connections; no test can listen on their port, as on one that was free. */
+export const listDeadAddresses = (count: number): readonly string[] =>
+  Array.from({ length: count }, (_item, index) => `127.0.0.${index + 1}:${RESERVED_PORT}`);
 
 /** Starts a gateway with scripted upstreams; closes everything when the test ends. */
 export const startGateway = async (options: HarnessOptions) => {
   const upstreams = options.upstreams.map((handleRequest) => new FakeUpstream(handleRequest));
   const soundAddresses = await Promise.all(upstreams.map((upstream) => upstream.listen()));
-  const deadAddresses = await findDeadAddresses(options.deadUpstreams ?? 0);
+  const deadAddresses = listDeadAddresses(options.deadUpstreams ?? 0);
   const addresses = [...deadAddresses, ...soundAddresses];
   const gateway = await createTestGateway({ ...options, addresses });
   onTestFinished(() => {
--- a/packages/gateway/src/__tests__/restartingFleet.spec.ts
+++ b/packages/gateway/src/__tests__/restartingFleet.spec.ts
@@ -1,7 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { expect, onTestFinished, test } from 'vitest';
 import { FakeUpstream, buildResponse } from './fakeUpstream.js';
-import { findDeadAddresses, sendCall } from './gatewayHarness.js';
+import { listDeadAddresses, sendCall } from './gatewayHarness.js';
 import { bounds, createTestGateway } from './testGateway.js';
 
 const FLEET_SIZE = 7;
@@ -30,7 +30,7 @@
       }),
   );
   const addresses = [
-    ...(await findDeadAddresses(3)),
+    ...listDeadAddresses(3),
     ...(await Promise.all(sound.map((upstream) => upstream.listen()))),
   ];
   let isDark = false;
