--- a/packages/entry/src/mesh/__tests__/strangers.spec.ts
+++ b/packages/entry/src/mesh/__tests__/unauthenticatedConnections.spec.ts
@@ -39,7 +39,7 @@
     sleep(timeoutMs).then(() => false),
   ]);
 
-// Guards against connections of strangers that are kept for a minute and more.
+// Guards against unauthenticated connections that are kept for a minute and more.
 test('a connection that asks for no upgrade is closed', async () => {
   const port = await startMesh();
   const [silent, slow] = [openSocket(port), openSocket(port)];
@@ -48,8 +48,8 @@
   expect(closed).toEqual([true, true]);
 });
 
-// Guards against 1 MB for each stranger, collected before the handshake looks at its size.
-test('a stranger that sends a large message is cut off before its end', async () => {
+// Guards against 1 MB for each unauthenticated client, collected before the handshake looks at its size.
+test('an unauthenticated client that sends a large message is cut off before its end', async () => {
   const port = await startMesh();
   const webSocket = new WebSocket(`ws://127.0.0.1:${port}`);
   webSocket.on('error', () => undefined);
--- a/packages/gateway/src/__tests__/meshStrangers.spec.ts
+++ b/packages/gateway/src/__tests__/unauthenticatedConnections.spec.ts
@@ -23,15 +23,15 @@
 const countOpen = (sockets: readonly Socket[]): number =>
   sockets.filter(({ destroyed }) => !destroyed).length;
 
-// Guards against 16 MB of memory for each stranger that declares a message of that size.
-test('a stranger that declares a large message is refused at once', async () => {
+// Guards against 16 MB of memory for each unauthenticated client that declares a message of that size.
+test('an unauthenticated client that declares a large message is refused at once', async () => {
   const { open } = await startServer();
   const socket = open(Buffer.from([0x00, 0xff, 0xff, 0xff]));
   expect(await isClosed(socket, 500)).toBe(true);
 });
 
 // Guards against connections that say nothing and are kept for ever.
-test('a stranger that says nothing is closed', async () => {
+test('an unauthenticated client that says nothing is closed', async () => {
   const { open } = await startServer();
   const sockets = [open(), open(Buffer.from([0, 0, 0, 40, 1]))];
   const closed = await Promise.all(sockets.map((socket) => isClosed(socket, 3_000)));
@@ -39,7 +39,7 @@
 });
 
 // Guards against descriptors that run out by connections to the mesh.
-test('600 strangers keep fewer connections, and a follower gets in', async () => {
+test('600 unauthenticated clients keep fewer connections, and a follower gets in', async () => {
   const { server, open, follow } = await startServer();
   const sockets = Array.from({ length: 600 }, () => open());
   await Promise.all(sockets.map((socket) => once(socket, 'connect')));
--- a/packages/gateway/src/mesh/meshConnections.ts
+++ b/packages/gateway/src/mesh/meshConnections.ts
@@ -11,7 +11,7 @@
 export type MeshClosingReason =
   | 'invalid data'
   | 'no first message'
-  | 'too many strangers'
+  | 'too many unauthenticated'
   | 'incomplete message'
   | 'silent follower'
   | 'second connection'
@@ -22,7 +22,7 @@
 export const MAX_FOLLOWER_MESSAGE_BYTES = 1024 * 1024;
 
 /** Maximum number of connections without a first message; more than followers that connect at once. */
-export const MAX_STRANGERS = 256;
+export const MAX_UNAUTHENTICATED = 256;
 
 /** Time within which the first message of a connection must have come, in milliseconds. */
 export const FIRST_MESSAGE_TIMEOUT_MS = 1_000;
@@ -71,12 +71,12 @@
   readonly openedAtMs: number;
 }
 
-/** The connections at this VM's port of the mesh, of followers and of strangers. */
+/** The connections at this VM's port of the mesh, of followers and unauthenticated. */
 export class MeshConnections {
   private readonly connections = new Map<Socket, MeshConnection>();
 
   /** Connections without a first message, the oldest first. */
-  private readonly strangers = new Set<MeshConnection>();
+  private readonly unauthenticated = new Set<MeshConnection>();
 
   /** When each connection with unsent bytes last sent some. */
   private readonly progress = new WeakMap<Socket, SendProgress>();
@@ -108,7 +108,7 @@
     socket.on('close', () => {
       connection.reader.release();
       this.connections.delete(socket);
-      this.strangers.delete(connection);
+      this.unauthenticated.delete(connection);
       this.recordCount();
       this.options.onClose(socket);
     });
@@ -144,12 +144,12 @@
     });
     const connection = { socket, reader, openedAtMs: performance.now() };
     this.connections.set(socket, connection);
-    this.strangers.add(connection);
+    this.unauthenticated.add(connection);
     this.recordCount();
-    if (this.strangers.size > MAX_STRANGERS) {
-      const [oldest] = this.strangers;
-      this.strangers.delete(oldest!);
-      this.close(oldest!.socket, 'too many strangers');
+    if (this.unauthenticated.size > MAX_UNAUTHENTICATED) {
+      const [oldest] = this.unauthenticated;
+      this.unauthenticated.delete(oldest!);
+      this.close(oldest!.socket, 'too many unauthenticated');
     }
     return connection;
   }
@@ -158,7 +158,7 @@
     const { socket, reader } = connection;
     if (socket.destroyed) return;
     reader.push(chunk).forEach((message) => {
-      this.strangers.delete(connection);
+      this.unauthenticated.delete(connection);
       this.options.onMessage(socket, message);
     });
   }
@@ -192,7 +192,7 @@
 
   private findExpiry(connection: MeshConnection, nowMs: number): MeshClosingReason | undefined {
     const { socket, openedAtMs, reader } = connection;
-    if (this.strangers.has(connection)) {
+    if (this.unauthenticated.has(connection)) {
       return nowMs - openedAtMs > FIRST_MESSAGE_TIMEOUT_MS ? 'no first message' : undefined;
     }
     if (this.isStalled(socket, nowMs)) return 'slow follower';
--- a/soak/__tests__/faultPlan.spec.ts
+++ b/soak/__tests__/faultPlan.spec.ts
@@ -52,12 +52,12 @@
   expect(new Set(faults)).toContain('endlessHead');
   expect(new Set(faults)).toContain('endlessBodyInBytes');
   expect(steps.some((step) => step.type === 'logAnswers' && 'piece' in step.answer)).toBe(true);
-  const strangers = steps.flatMap((step) => (step.type === 'strangers' ? [step] : []));
-  const sending = strangers.filter(({ bytes }) => bytes.piece !== '');
+  const clients = steps.flatMap((step) => (step.type === 'unauthenticated' ? [step] : []));
+  const sending = clients.filter(({ bytes }) => bytes.piece !== '');
   expect(new Set(sending.map(({ port }) => port))).toEqual(
     new Set(['callers', 'directory', 'mesh']),
   );
-  expect(strangers.some(({ bytes }) => bytes.piece === '')).toBe(true);
+  expect(clients.some(({ bytes }) => bytes.piece === '')).toBe(true);
   const isFrozenCrowd = ({ steps: drawn }: (typeof plans)[0]): boolean =>
     drawn.some(
       (crowd) =>
@@ -84,7 +84,7 @@
     'restart',
     'settings',
     'signal',
-    'strangers',
+    'unauthenticated',
     'upstreamLink',
   ]);
   const early = steps.flatMap((step) => (step.type === 'restart' ? step.early : []));
--- a/soak/__tests__/soakStandIns.spec.ts
+++ b/soak/__tests__/soakStandIns.spec.ts
@@ -9,7 +9,7 @@
 import type { AnswerFault, RequestEnd } from '@goldcrestscale/adapter/standin/index.js';
 import { expect, onTestFinished, test } from 'vitest';
 import { FaultyProxy } from '../faultyProxy.js';
-import { sendFromStrangers } from '../stranger.js';
+import { sendUnauthenticated } from '../unauthenticatedClient.js';
 
 const PROMPT = { model: 'model-s', outputTokens: 3, parts: [{ id: 'a', tokens: 10 }] };
 
@@ -116,7 +116,7 @@
   },
 );
 
-test('strangers keep their connections and send without end until they are to leave', async () => {
+test('unauthenticated clients keep their connections and send without end until they are to leave', async () => {
   let bytes = 0;
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
@@ -136,7 +136,7 @@
   const { port } = server.address() as AddressInfo;
   const controller = new AbortController();
   const bytesSent = { opening: 'a', piece: 'bb' };
-  const done = sendFromStrangers(port, 120, bytesSent, controller.signal);
+  const done = sendUnauthenticated(port, 120, bytesSent, controller.signal);
   await expect.poll(() => sockets.size, BUSY).toBe(120);
   await expect.poll(() => bytes, BUSY).toBeGreaterThan(120 * 3);
   controller.abort();
--- a/soak/planStep.ts
+++ b/soak/planStep.ts
@@ -50,16 +50,16 @@
       readonly answer: StandInAnswer | EndlessBytes;
       readonly forMs: number;
     }
-  /** Bytes of a stranger at a port of a VM. */
+  /** Bytes of an unauthenticated client at a port of a VM. */
   | {
       readonly type: 'noise';
       readonly vm: number;
       readonly port: VmPort;
       readonly bytes: string;
     }
-  /** Connections of strangers to a port of a VM; they send without end, or nothing more. */
+  /** Connections of unauthenticated clients to a port of a VM; they send without end, or nothing more. */
   | {
-      readonly type: 'strangers';
+      readonly type: 'unauthenticated';
       readonly vm: number;
       readonly port: VmPort;
       readonly connections: number;
--- a/soak/pressurePlan.ts
+++ b/soak/pressurePlan.ts
@@ -29,7 +29,7 @@
 
 const FRAME_BYTES = 16_000;
 
-const STRANGERS: readonly { readonly port: VmPort; readonly bytes: EndlessBytes }[] = [
+const UNAUTHENTICATED: readonly { readonly port: VmPort; readonly bytes: EndlessBytes }[] = [
   { port: 'callers', bytes: buildEndlessRequest(HOST, ONE_BYTE_CHUNKS) },
   { port: 'callers', bytes: buildEndlessRequest(HOST, BLOCK_CHUNK) },
   { port: 'callers', bytes: { opening: 'GET / HTTP/1.1\r\n', piece: EMPTY_FIELDS } },
@@ -46,7 +46,7 @@
 /** More than the descriptors that a process of the soak may have. */
 const IDLE_CONNECTIONS = 4_200;
 
-const MAX_STRANGERS = 20;
+const MAX_UNAUTHENTICATED = 20;
 
 const drawEndlessAnswers = (draw: PlanDraw, atMs: number, upstreams: number): PlanStep[] => {
   const first = draw.next(0, upstreams - 1);
@@ -90,7 +90,7 @@
 
 const drawIdle = (draw: PlanDraw, atMs: number, vm: number): PlanStep => ({
   atMs,
-  type: 'strangers',
+  type: 'unauthenticated',
   vm,
   port: draw.pick(IDLE_PORTS),
   connections: IDLE_CONNECTIONS,
@@ -113,8 +113,10 @@
     case 1:
       return [{ atMs, type: 'logAnswers', answer: draw.pick(ENDLESS_LOG_ANSWERS), forMs }];
     case 2: {
-      const connections = draw.next(1, MAX_STRANGERS);
-      return [{ atMs, type: 'strangers', vm, ...draw.pick(STRANGERS), connections, forMs }];
+      const connections = draw.next(1, MAX_UNAUTHENTICATED);
+      return [
+        { atMs, type: 'unauthenticated', vm, ...draw.pick(UNAUTHENTICATED), connections, forMs },
+      ];
     }
     case 3:
       return drawCrowd(draw, atMs, vm);
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -181,8 +181,8 @@
       case 'noise':
         await this.vms[step.vm]?.receiveNoise(step.port, step.bytes);
         break;
-      case 'strangers':
-        await this.vms[step.vm]?.receiveStrangers(
+      case 'unauthenticated':
+        await this.vms[step.vm]?.receiveUnauthenticated(
           step.port,
           step.connections,
           step.bytes,
--- a/soak/supervisedVm.ts
+++ b/soak/supervisedVm.ts
@@ -8,7 +8,7 @@
 import type { DaemonCommand } from './daemonProcess.js';
 import type { ImpairmentRecord, LifeRecord, SoakHistory, SoakSignal } from './history.js';
 import { measureLostTime } from './lostTime.js';
-import { sendFromStrangers, sendNoise } from './stranger.js';
+import { sendUnauthenticated, sendNoise } from './unauthenticatedClient.js';
 
 /** Listeners of a VM, each on a port of the loopback interface. */
 export interface VmPorts {
@@ -156,15 +156,15 @@
     await sendNoise(this.findPort(port), port === 'meshDatagrams', bytes);
   }
 
-  /** Strangers connect to a port; they send without end, or nothing more. */
-  async receiveStrangers(
+  /** Unauthenticated clients connect to a port; they send without end, or nothing more. */
+  async receiveUnauthenticated(
     port: VmPort,
     connections: number,
     bytes: EndlessBytes,
     durationMs: number,
   ): Promise<void> {
     const signal = AbortSignal.timeout(durationMs);
-    await sendFromStrangers(this.findPort(port), connections, bytes, signal);
+    await sendUnauthenticated(this.findPort(port), connections, bytes, signal);
   }
 
   /** Ends the process for good: SIGTERM, and SIGKILL when its time is over. */
--- a/soak/stranger.ts
+++ b/soak/unauthenticatedClient.ts
@@ -7,7 +7,7 @@
 
 const LOOPBACK = '127.0.0.1';
 
-/** How long a stranger with a single message stays. */
+/** How long a client with a single message stays. */
 const NOISE_MS = 300;
 
 /** Connections that are opened in one turn, so that the soak itself doesn't stand still. */
@@ -19,12 +19,12 @@
   const socket = connect(port, LOOPBACK);
   // The VM may be away, or refuse.
   socket.on('error', () => socket.destroy());
-  // An answer to a stranger is of no interest, but must not wait in the VM.
+  // An answer to such a client is of no interest, but must not wait in the VM.
   socket.resume();
   return socket;
 };
 
-/** Sends the bytes of a stranger to a port and drops the connection. */
+/** Sends the bytes of an unauthenticated client to a port and drops the connection. */
 export const sendNoise = async (
   port: number,
   isDatagram: boolean,
@@ -42,7 +42,7 @@
 };
 
 /** Opens connections that send without end, or stay idle, and drops them when the signal aborts. */
-export const sendFromStrangers = async (
+export const sendUnauthenticated = async (
   port: number,
   connections: number,
   bytes: EndlessBytes,
