--- a/packages/gateway/src/__tests__/attemptResult.spec.ts
+++ b/packages/gateway/src/__tests__/attemptResult.spec.ts
@@ -6,6 +6,7 @@
 const CHARGED_BY_REASON: Readonly<Record<NotRunReason, boolean>> = {
   unreachable: false,
   'no-connection': false,
+  'no-socket': false,
   cancelled: false,
   refused: true,
   misdirected: true,
--- a/packages/gateway/src/__tests__/unreachedRetries.spec.ts
+++ b/packages/gateway/src/__tests__/unreachedRetries.spec.ts
@@ -5,6 +5,7 @@
 } from '@goldcrestscale/core';
 import { afterEach, expect, test, vi } from 'vitest';
 import { ConnectionPool } from '../dispatch/connectionPool.js';
+import { UpstreamConnection } from '../dispatch/upstreamConnection.js';
 import { buildResponse } from './fakeUpstream.js';
 import type { TestRequest } from './fakeUpstream.js';
 import { startGateway } from './gatewayHarness.js';
@@ -114,6 +115,20 @@
   expect(connections.length).toBeLessThanOrEqual(maxConnections);
 });
 
+// Guards against VMs without free descriptors or ports that take sound upstreams for dead.
+test.each(['EMFILE', 'EADDRNOTAVAIL'])(
+  'a connect that ends with %s marks no upstream down',
+  async (code) => {
+    const markDown = vi.spyOn(TrackedUpstream.prototype, 'markDown');
+    const shortage = Object.assign(new Error(`connect ${code}`), { code });
+    vi.spyOn(UpstreamConnection.prototype, 'waitForOpen').mockRejectedValueOnce(shortage);
+    const { call } = await startGateway({ upstreams: [respond] });
+    expect((await call()).status).toBe(503);
+    expect((await call()).status).toBe(200);
+    expect(markDown).not.toHaveBeenCalled();
+  },
+);
+
 // Guards against charges that differ from what upstreams count as repeats.
 test('exactly the arrivals beyond the first of each request are charged', async () => {
   const charge = vi.spyOn(FleetRetryBudget.prototype, 'recordRetry');
--- a/packages/gateway/src/dispatch/attemptResult.ts
+++ b/packages/gateway/src/dispatch/attemptResult.ts
@@ -2,11 +2,12 @@
 import type { ResponseHead } from '../ports/index.js';
 
 /**
- * Why a request was not run: `unreachable`, `no-connection` (the limit of connections is reached) and
- * `cancelled` never left this VM; the upstream itself gave the others.
+ * Why a request was not run: `unreachable`, `no-connection` (the limit of connections is reached),
+ * `no-socket` (this VM has no descriptor or port for one) and `cancelled` never left this VM; the
+ * upstream itself gave the others.
  */
 export type NotRunReason =
-  'unreachable' | 'no-connection' | 'cancelled' | 'refused' | 'misdirected' | 'moved';
+  'unreachable' | 'no-connection' | 'no-socket' | 'cancelled' | 'refused' | 'misdirected' | 'moved';
 
 /** Result of one attempt at an upstream; an own failure is one of this VM, such as a lack of memory. */
 export type AttemptResult =
@@ -29,6 +30,7 @@
 const SEND_ENDS: Readonly<Record<NotRunReason, SendEnd>> = {
   unreachable: 'unreachable',
   'no-connection': 'unreachable',
+  'no-socket': 'unreachable',
   cancelled: 'dropped',
   refused: 'rejected',
   misdirected: 'rejected',
--- a/packages/gateway/src/dispatch/connectionPool.ts
+++ b/packages/gateway/src/dispatch/connectionPool.ts
@@ -76,6 +76,11 @@
     pool?.idle.splice(0).forEach((connection) => connection.close());
   }
 
+  /** Reports that a connection could not be opened for want of sockets on this VM. */
+  reportMissingSocket(address: string): void {
+    this.sockets?.onMissing(address);
+  }
+
   close(): void {
     [...this.pools.keys()].forEach((address) => this.closeIdle(address));
   }
@@ -87,7 +92,7 @@
       idle.shift()?.close();
       if (this.sockets.share.tryOpen()) return true;
     }
-    this.sockets.onMissing(address);
+    this.reportMissingSocket(address);
     return false;
   }
 
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -117,6 +117,7 @@
     ejection.recordOutcome(upstream.upstreamId, 'neutral');
     if (reason === 'refused' || reason === 'no-connection')
       upstream.markBusy(UPSTREAM_REFUSAL_BACKOFF_MS);
+    if (reason === 'no-socket') connections.reportMissingSocket(upstream.registered.address);
     if (reason === 'unreachable' || reason === 'moved') {
       upstream.markDown();
       upstream.markSuspectedCold();
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -12,7 +12,7 @@
 import { EventScanner } from './eventScanner.js';
 import type { EventSplitter } from './eventSplitter.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
-import { ConnectionError } from './connectionError.js';
+import { ConnectionError, findConnectFailure } from './connectionError.js';
 import { FaultError } from './faultError.js';
 import { InvalidResponseError } from './invalidResponseError.js';
 import type { AbandonReason } from './invalidResponseError.js';
@@ -384,7 +384,7 @@
 
   private buildErrorResult(error: Error): AttemptResult {
     if (this.phase === 'dropped') return { kind: 'not-run', reason: 'cancelled' };
-    if (this.phase === 'offered') return { kind: 'not-run', reason: 'unreachable' };
+    if (this.phase === 'offered') return { kind: 'not-run', reason: findConnectFailure(error) };
     const isOwnFailure = error instanceof FaultError || error instanceof ResponseMemoryError;
     const kind = this.phase === 'stream' ? 'broken' : 'unknown';
     return { kind, reason: error.message, isOwnFailure };
