--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -161,6 +161,8 @@
       .finally(() => reservation.release());
   });
   server.requestTimeout = REQUEST_TIMEOUT_MS;
+  // The size of a head is its limit; Node drops the fields beyond a count without an error.
+  server.maxHeadersCount = 0;
   closeIdleConnections(server, new EventLoopBarrier());
   return server;
 };
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -130,6 +130,8 @@
   });
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + TIMEOUT_MARGIN_MS;
   server.requestTimeout = 0;
+  // The size of a head is its limit; Node drops the fields beyond a count without an error.
+  server.maxHeadersCount = 0;
   closeIdleConnections(server, new EventLoopBarrier());
   const { budget, onHeadDropped: onDrop } = options;
   new HeadMemory({ budget, maxHeadBytes: MAX_HEADER_BYTES, onDrop }).watch(server);
