--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -5,8 +5,8 @@
 import type { GoldcrestErrorInstance, RequestId } from '@goldcrestscale/core';
 import {
   ByteReservation,
+  CallerTimes,
   EventLoopBarrier,
-  closeIdleConnections,
   readRequestBody,
   trackCaller,
 } from '@goldcrestscale/runtime';
@@ -34,6 +34,9 @@
   onFault(cause: unknown): void;
 }
 
+/** Time for a whole body, also for one that is refused at the timeout and then read on and discarded. */
+const MAX_DISCARDED_BODY_MS = 2 * REQUEST_TIMEOUT_MS;
+
 const REQUEST_ID_PATTERN = /^[\w.:-]{1,128}$/;
 
 const chooseRequestId = (request: IncomingMessage): RequestId => {
@@ -160,9 +163,11 @@
       .then(() => callerOver)
       .finally(() => reservation.release());
   });
-  server.requestTimeout = REQUEST_TIMEOUT_MS;
   // The size of a head is its limit; Node drops the fields beyond a count without an error.
   server.maxHeadersCount = 0;
-  closeIdleConnections(server, new EventLoopBarrier());
+  new CallerTimes(new EventLoopBarrier(), {
+    headMs: REQUEST_TIMEOUT_MS,
+    bodyMs: MAX_DISCARDED_BODY_MS,
+  }).watch(server);
   return server;
 };
--- a/packages/entry/src/mesh/__tests__/unauthenticatedConnections.spec.ts
+++ b/packages/entry/src/mesh/__tests__/unauthenticatedConnections.spec.ts
@@ -48,6 +48,20 @@
   expect(closed).toEqual([true, true]);
 });
 
+// Guards against peers that are refused because the VM stood still when they asked for the upgrade.
+test('a request that came during a pause is answered', async () => {
+  const socket = openSocket(await startMesh());
+  await once(socket, 'connect');
+  await sleep(100);
+  // Timers are the first that runs after the phase of immediates.
+  await new Promise(setImmediate);
+  socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+  const endMs = performance.now() + 3_000;
+  while (performance.now() < endMs);
+  const [answer] = (await once(socket, 'data')) as [Buffer];
+  expect(answer.toString()).toMatch(/^HTTP\/1\.1 426 /);
+});
+
 // Guards against 1 MB for each unauthenticated client, collected before the handshake looks at its size.
 test('an unauthenticated client that sends a large message is cut off before its end', async () => {
   const port = await startMesh();
--- a/packages/entry/src/mesh/constants.ts
+++ b/packages/entry/src/mesh/constants.ts
@@ -18,9 +18,6 @@
 /** Maximum number of bytes that a listener reads of an unauthenticated peer after the upgrade. */
 export const MAX_HANDSHAKE_BYTES = 2_048;
 
-/** Interval at which connections are looked for whose upgrade is late, in milliseconds. */
-export const UPGRADE_CHECK_INTERVAL_MS = 500;
-
 /** Maximum number of connections at the port of the mesh. */
 export const MAX_CONNECTIONS = 2_048;
 
--- a/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
@@ -2,6 +2,7 @@
 import { request as sendRequest } from 'node:http';
 import { connect } from 'node:net';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, onTestFinished, test } from 'vitest';
 import { AnnouncedRates, FleetRateLimits, CrashQuarantine, toId } from '@goldcrestscale/core';
 import type { ModelId, PromptPartId, QuarantineRow, UpstreamId, VmId } from '@goldcrestscale/core';
@@ -106,3 +107,21 @@
   await once(socket, 'close');
   expect(performance.now() - startedAtMs).toBeLessThan(5_000);
 });
+
+// Guards against readiness checks that fail because the VM stood still when they came.
+test('a check that came during a pause is answered', async () => {
+  const port = await startServer(undefined);
+  const socket = connect(port, '127.0.0.1');
+  onTestFinished(() => {
+    socket.destroy();
+  });
+  await once(socket, 'connect');
+  await sleep(100);
+  // Timers are the first that runs after the phase of immediates.
+  await new Promise(setImmediate);
+  socket.write('GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n');
+  const endMs = performance.now() + 4_000;
+  while (performance.now() < endMs);
+  const [answer] = (await once(socket, 'data')) as [Buffer];
+  expect(answer.toString()).toMatch(/^HTTP\/1\.1 200 /);
+});
--- a/packages/gateway/src/http/auxiliaryServer.ts
+++ b/packages/gateway/src/http/auxiliaryServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { FleetRateLimits, CrashQuarantine } from '@goldcrestscale/core';
+import { CallerTimes, EventLoopBarrier } from '@goldcrestscale/runtime';
 import type { FaultRecorder } from '../faultRecorder.js';
 import type { CallerProtocol } from '../ports/index.js';
 
@@ -23,15 +24,12 @@
   readonly faults: FaultRecorder;
 }
 
-/** Time for a complete head. */
+/** Time for a complete head, and for the body after it. */
 const HEADERS_TIMEOUT_MS = 3_000;
 
 /** Time after which a connection without requests is closed. */
 const KEEP_ALIVE_TIMEOUT_MS = 5_000;
 
-/** Interval at which connections are checked for heads that are late. */
-const TIMEOUT_CHECK_INTERVAL_MS = 500;
-
 /** Maximum size of a request head. */
 const MAX_HEADER_BYTES = 8_192;
 
@@ -86,18 +84,15 @@
 
 /** Creates an HTTP server for readiness checks, metrics and, optionally, directory queries. */
 export const createAuxiliaryServer = (options: AuxiliaryServerOptions): Server => {
-  const limits = {
-    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    requestTimeout: HEADERS_TIMEOUT_MS,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    maxHeaderSize: MAX_HEADER_BYTES,
-  };
-  return createServer(limits, (request, response) => {
+  const limits = { keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, maxHeaderSize: MAX_HEADER_BYTES };
+  const server = createServer(limits, (request, response) => {
     handleRequest(options, request, response).catch((cause: unknown) => {
       options.faults.record('auxiliary request', cause);
       if (response.headersSent) response.destroy();
       else response.writeHead(500).end();
     });
   });
+  const times = { headMs: HEADERS_TIMEOUT_MS, bodyMs: HEADERS_TIMEOUT_MS };
+  new CallerTimes(new EventLoopBarrier(), times).watch(server);
+  return server;
 };
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -4,8 +4,8 @@
 import type { CallerLimits } from '@goldcrestscale/core';
 import {
   ByteReservation,
+  CallerTimes,
   EventLoopBarrier,
-  closeIdleConnections,
   trackCaller,
 } from '@goldcrestscale/runtime';
 import type { ByteBudget } from '@goldcrestscale/runtime';
@@ -55,9 +55,6 @@
 /** Maximum size of a request head. */
 const MAX_HEADER_BYTES = 65_536;
 
-/** Interval at which connections are checked for heads that are late. */
-const TIMEOUT_CHECK_INTERVAL_MS = 500;
-
 /** Margin added to the configured timeouts of callers' connections. */
 const TIMEOUT_MARGIN_MS = 1_000;
 
@@ -66,6 +63,8 @@
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
+const DEFAULT_HEAD_TIMEOUT_MS = 60_000;
+
 /** What the server knows of the caller of a request. */
 interface CallerState {
   /** Aborts when the caller leaves. */
@@ -123,16 +122,12 @@
 export const createCallerServer = (options: CallerServerOptions): CallerServer => {
   const { counts } = options;
   let openCount = 0;
-  const server = createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
-    noDelay: true,
-    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
-  });
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + TIMEOUT_MARGIN_MS;
-  server.requestTimeout = 0;
   // The size of a head is its limit; Node drops the fields beyond a count without an error.
   server.maxHeadersCount = 0;
-  closeIdleConnections(server, new EventLoopBarrier());
+  const callerTimes = new CallerTimes(new EventLoopBarrier(), { headMs: DEFAULT_HEAD_TIMEOUT_MS });
+  callerTimes.watch(server);
   const { budget, onHeadDropped: onDrop } = options;
   new HeadMemory({ budget, maxHeadBytes: MAX_HEADER_BYTES, onDrop }).watch(server);
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
@@ -179,7 +174,7 @@
     countOpenRequests: () => openCount,
     applyLimits({ headerTimeoutMs, idleTimeoutMs }) {
       server.keepAliveTimeout = idleTimeoutMs + TIMEOUT_MARGIN_MS;
-      server.headersTimeout = headerTimeoutMs + TIMEOUT_MARGIN_MS;
+      callerTimes.setLimits({ headMs: headerTimeoutMs + TIMEOUT_MARGIN_MS });
     },
   };
 };
--- /dev/null
+++ b/packages/runtime/src/http/__tests__/callerTimes.spec.ts
@@ -0,0 +1,161 @@
+import { createServer } from 'node:http';
+import type { RequestListener } from 'node:http';
+import { connect } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect, onTestFinished, test, vi } from 'vitest';
+import { EventLoopBarrier } from '../../eventLoop/index.js';
+import { CallerTimes } from '../callerTimes.js';
+import type { CallerTimeLimits } from '../callerTimes.js';
+
+const HEAD_MS = 300;
+
+/** Time after which a late head has been seen: the limit and the interval of the check. */
+const LATE_MS = 1_200;
+
+const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
+
+const answer: RequestListener = (request, response) => {
+  request.resume();
+  response.end('fine');
+};
+
+const startServer = async (
+  limits: Partial<CallerTimeLimits> = {},
+  listener: RequestListener = answer,
+) => {
+  const server = createServer(listener);
+  new CallerTimes(new EventLoopBarrier(), { headMs: HEAD_MS, ...limits }).watch(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  onTestFinished(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return server;
+};
+
+const openCaller = async (server: Awaited<ReturnType<typeof startServer>>) => {
+  const accepted = new Promise<Socket>((resolve) => {
+    server.once('connection', resolve);
+  });
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString('latin1');
+  });
+  socket.on('error', (error) => {
+    received += String(error);
+  });
+  onTestFinished(() => {
+    socket.destroy();
+  });
+  await accepted;
+  return { socket, read: () => received };
+};
+
+const block = (durationMs: number): void => {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+};
+
+// Guards against a head that came in a pause and is answered with 408 and a reset, because timers run first.
+test.each(['', 'GET / HTTP/1.1\r\nho'])(
+  'a head that is complete after a pause is answered, of which %j came before',
+  async (before) => {
+    const { socket, read } = await openCaller(await startServer());
+    socket.write(before);
+    await sleep(HEAD_MS / 3);
+    // The rest reaches the kernel before the pause; timers are the first that runs after it.
+    await new Promise(setImmediate);
+    socket.write(REQUEST.slice(before.length));
+    block(LATE_MS);
+    await vi.waitUntil(() => read() !== '');
+    expect(read()).toMatch(/^HTTP\/1\.1 200 [^]*fine$/);
+  },
+);
+
+test.each(['', 'GET / HTTP/1.1\r\nho'])(
+  'a head that never ends gets 408 and a close, after %j',
+  async (head) => {
+    const { socket, read } = await openCaller(await startServer());
+    socket.write(head);
+    await vi.waitUntil(() => socket.closed, { timeout: 3_000 });
+    expect(read()).toMatch(/^HTTP\/1\.1 408 /);
+  },
+);
+
+test('a head that comes byte by byte ends, also on a kept connection', async () => {
+  const { socket, read } = await openCaller(await startServer());
+  socket.write(REQUEST);
+  await vi.waitUntil(() => read().endsWith('fine'));
+  socket.write('GET / HTTP/1.1\r\nx: ');
+  const timer = setInterval(() => socket.write('x'), 50);
+  onTestFinished(() => clearInterval(timer));
+  await vi.waitUntil(() => socket.closed, { timeout: 4_000 });
+  expect(read()).toContain('HTTP/1.1 408 ');
+});
+
+test('a kept connection may be idle for longer than a head takes', async () => {
+  const { socket, read } = await openCaller(await startServer());
+  socket.write(REQUEST);
+  await vi.waitUntil(() => read().endsWith('fine'));
+  await sleep(LATE_MS);
+  socket.write(REQUEST);
+  await vi.waitUntil(() => read().split('fine').length === 3);
+});
+
+// Guards against a caller that is reset while it still sends the rest of a body that was refused.
+test('the rest of a body is no late head', async () => {
+  const { socket, read } = await openCaller(await startServer());
+  socket.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 6\r\n\r\nab');
+  await vi.waitUntil(() => read().endsWith('fine'));
+  for (const part of ['c', 'd', 'e']) {
+    await sleep(LATE_MS / 3);
+    socket.write(part);
+  }
+  await sleep(LATE_MS);
+  socket.write('f');
+  await sleep(100);
+  socket.write(REQUEST);
+  await vi.waitUntil(() => read().split('fine').length === 3);
+});
+
+test('a head that came in part behind a refused body ends', async () => {
+  const server = await startServer();
+  server.keepAliveTimeout = HEAD_MS;
+  const { socket, read } = await openCaller(server);
+  socket.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\na');
+  await vi.waitUntil(() => read().endsWith('fine'));
+  socket.write('bGET / HT');
+  await vi.waitUntil(() => socket.closed, { timeout: 4_000 });
+});
+
+test('a body that never ends is cut off, if there is a limit', async () => {
+  const { socket, read } = await openCaller(await startServer({ bodyMs: HEAD_MS }));
+  socket.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 99\r\n\r\n');
+  const timer = setInterval(() => socket.write('x'), 50);
+  onTestFinished(() => clearInterval(timer));
+  await vi.waitUntil(() => socket.closed, { timeout: 4_000 });
+  expect(read()).toMatch(/^HTTP\/1\.1 200 /);
+});
+
+test('a long response is no late request', async () => {
+  const server = await startServer({ bodyMs: HEAD_MS }, (_request, response) => {
+    setTimeout(() => response.end('fine'), HEAD_MS + LATE_MS);
+  });
+  const { socket, read } = await openCaller(server);
+  socket.write(REQUEST);
+  await vi.waitUntil(() => read() !== '', { timeout: 4_000 });
+  expect(read()).toMatch(/^HTTP\/1\.1 200 /);
+});
+
+test('an upgraded connection has no limit', async () => {
+  const server = await startServer();
+  server.on('upgrade', (_request, socket: Socket) => socket.write('upgraded'));
+  const { socket, read } = await openCaller(server);
+  socket.write('GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n');
+  await sleep(HEAD_MS + LATE_MS);
+  expect([read(), socket.closed]).toEqual(['upgraded', false]);
+});
--- a/packages/runtime/src/http/index.ts
+++ b/packages/runtime/src/http/index.ts
@@ -1,6 +1,7 @@
 export { computeCallerDeadlineMs } from './callerDeadline.js';
 export type { RequestArrival } from './callerDeadline.js';
-export { closeIdleConnections } from './closeIdleConnections.js';
+export { CallerTimes } from './callerTimes.js';
+export type { CallerTimeLimits } from './callerTimes.js';
 export { trackCaller } from './callerConnection.js';
 export { BodyBuffer } from './bodyBuffer.js';
 export { ByteBudget, computeBufferBytes } from './byteBudget.js';
