--- a/packages/core/src/breaker/__tests__/cappedEjectionPolicy.spec.ts
+++ b/packages/core/src/breaker/__tests__/cappedEjectionPolicy.spec.ts
@@ -69,6 +69,41 @@
   expect(measureMinClosed(new UncappedEjectionPolicy(createRandomGenerator(1)))).toBe(0);
 });
 
+// Guards against a gauge that keeps showing upstreams that have left or restarted while ejected.
+test('each ejection that was reported is reported to end, however it ends', () => {
+  const step = fc.record({
+    index: fc.nat(7),
+    action: fc.constantFrom('fail', 'fail', 'fail', 'wait', 'probe', 'leave', 'join', 'move'),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { minLength: 20, maxLength: 80 }), (steps) => {
+      const reported = new Set<UpstreamId>();
+      const policy = addUpstreams(
+        8,
+        new CappedEjectionPolicy(createRandomGenerator(1), ({ upstreamId, isEjected }) => {
+          if (isEjected) reported.add(upstreamId);
+          else expect(reported.delete(upstreamId)).toBe(true);
+        }),
+      );
+      steps.forEach(({ index, action }) => {
+        const upstreamId = makeUpstreamId(index);
+        if (action === 'fail') failUntilOpen(policy, index);
+        else if (action === 'wait') vi.advanceTimersByTime(MAX_BREAKER_OPEN_MS);
+        else if (action === 'probe') {
+          policy.recordStart(upstreamId);
+          policy.recordOutcome(upstreamId, 'success');
+        } else if (action === 'leave') policy.remove(upstreamId);
+        else policy.setGroup(upstreamId, action === 'join' ? 'engine/small' : 'engine/large');
+        const ejected = [0, 1, 2, 3, 4, 5, 6, 7]
+          .map(makeUpstreamId)
+          .filter((one) => policy.getState(one) !== 'closed');
+        expect([...reported].sort()).toEqual(ejected);
+      });
+    }),
+    { seed: 1, numRuns: 200 },
+  );
+});
+
 test('at most half of a group is ejected at the same time', () => {
   const policy = addUpstreams(5);
   [0, 1, 2, 3, 4].forEach((index) => failUntilOpen(policy, index));
--- a/packages/core/src/breaker/cappedEjectionPolicy.ts
+++ b/packages/core/src/breaker/cappedEjectionPolicy.ts
@@ -21,7 +21,7 @@
 export class CappedEjectionPolicy extends EjectionPolicy {
   private readonly breakers = new Map<UpstreamId, CircuitBreaker>();
 
-  /** @param onChange called when an upstream is ejected, fails a probe, or is taken back */
+  /** @param onChange called when an upstream is ejected, fails a probe, is taken back, or leaves */
   constructor(
     private readonly generator: RandomGenerator,
     private readonly onChange: (change: EjectionChange) => void = () => undefined,
@@ -39,6 +39,7 @@
     const breaker = this.breakers.get(upstreamId);
     if (!breaker) return;
     this.breakers.delete(upstreamId);
+    if (breaker.isEjected) this.close(breaker, 'left');
     this.closeExcessBreakers(breaker.group);
   }
 
--- a/packages/core/src/breaker/ejectionPolicy.ts
+++ b/packages/core/src/breaker/ejectionPolicy.ts
@@ -3,23 +3,25 @@
 /** Circuit breaker state; `half-open` admits a single request as a probe. */
 export type BreakerState = 'closed' | 'open' | 'half-open';
 
-/** Why an upstream is ejected, or that it is taken back. */
+/** Why an upstream is ejected, or why its ejection ends. */
 export type EjectionReason =
   | 'consecutive failures'
   | 'failure rate'
   | 'failed probe'
   | 'recovered'
   /** The group has shrunk, and may have fewer ejected members. */
-  | 'group too small';
+  | 'group too small'
+  /** It has left its group: it leaves, is not listed any more, or another process has its id. */
+  | 'left';
 
-/** An upstream was ejected, stays ejected after a failed probe, or was taken back. */
+/** An upstream was ejected, stays ejected after a failed probe, was taken back, or has left. */
 export interface EjectionChange {
   readonly upstreamId: UpstreamId;
   readonly group: string;
   readonly isEjected: boolean;
   readonly reason: EjectionReason;
   readonly consecutiveFailures: number;
-  /** Time until the next probe, in milliseconds; 0 if it was taken back. */
+  /** Time until the next probe, in milliseconds; 0 if it is not ejected any more. */
   readonly openMs: number;
 }
 
@@ -28,7 +30,7 @@
   /** Assigns an upstream to a group of interchangeable upstreams, for example those of a model. */
   abstract setGroup(upstreamId: UpstreamId, group: string): void;
 
-  /** Removes an upstream that no longer exists. */
+  /** Removes an upstream that no longer exists; ends its ejection. */
   abstract remove(upstreamId: UpstreamId): void;
 
   /** Returns the breaker state of an upstream, which determines its eligibility. */
--- a/packages/gateway/src/__tests__/ejectedUpstreams.spec.ts
+++ b/packages/gateway/src/__tests__/ejectedUpstreams.spec.ts
@@ -1,6 +1,15 @@
 import { expect, test } from 'vitest';
-import { toId } from '@goldcrestscale/core';
-import type { UpstreamId } from '@goldcrestscale/core';
+import { CONSECUTIVE_FAILURES_TO_OPEN, toId } from '@goldcrestscale/core';
+import type {
+  AvailabilityZoneId,
+  RegisteredUpstream,
+  ServiceName,
+  UpstreamId,
+  VmId,
+} from '@goldcrestscale/core';
+import { createMetricsRegistry } from '@goldcrestscale/runtime';
+import { createFleetState } from '../compose/createFleetState.js';
+import { createGatewayMetrics } from '../metrics.js';
 import { buildResponse } from './fakeUpstream.js';
 import type { TestRequest } from './fakeUpstream.js';
 import { startGateway } from './gatewayHarness.js';
@@ -90,3 +99,61 @@
   expect(wasEjected).toBe(true);
   expect(sentAtMs.filter((atMs) => atMs > LEARN_MS).length).toBeLessThanOrEqual(maxLaterSends);
 });
+
+/** A fleet whose ejections are counted, and the number of series of the gauge. */
+const createCountedFleet = () => {
+  const metrics = createGatewayMetrics(createMetricsRegistry());
+  const vmId = toId<VmId>('vm-1');
+  const fleetState = createFleetState(vmId, toId<AvailabilityZoneId>('z1'), {
+    onEjectionChange: (change) => metrics.recordEjection(change),
+  });
+  const countSeries = async (): Promise<number> =>
+    (await metrics.render())
+      .split('\n')
+      .filter((line) => line.startsWith('goldcrest_gateway_ejected_upstream{')).length;
+  return { ...fleetState, countSeries };
+};
+
+const buildEntry = (name: string, startedAtMs = 1): RegisteredUpstream => ({
+  upstreamId: toId<UpstreamId>(name),
+  service: toId<ServiceName>('service'),
+  address: '127.0.0.1:1',
+  availabilityZone: toId<AvailabilityZoneId>('z1'),
+  slots: 8,
+  draining: false,
+  coldRemainingMs: 0,
+  weights: [],
+  heartbeat: 1,
+  startedAtMs,
+  softwareVersion: undefined,
+});
+
+const endings: Readonly<
+  Record<string, (fleet: ReturnType<typeof createCountedFleet>, upstreamId: UpstreamId) => void>
+> = {
+  'is not listed any more': ({ registry }, upstreamId) =>
+    registry.apply({ kind: 'absent', upstreamId }),
+  'says that it leaves': ({ registry }, upstreamId) => registry.recordLeaving(upstreamId, 1),
+  restarts: ({ registry }, upstreamId) =>
+    registry.apply({ kind: 'present', upstream: buildEntry(upstreamId, 2) }),
+};
+
+// Guards against a gauge of ejected upstreams that grows with each one that comes and goes.
+test.each(Object.entries(endings))(
+  'the gauge drops an ejected upstream that %s',
+  async (_, endBoot) => {
+    const fleet = createCountedFleet();
+    ['up-a', 'up-b', 'up-c', 'up-d'].forEach((name) =>
+      fleet.registry.apply({ kind: 'present', upstream: buildEntry(name) }),
+    );
+    for (let index = 0; index < 50; index += 1) {
+      const upstreamId = toId<UpstreamId>(`up-${index}`);
+      fleet.registry.apply({ kind: 'present', upstream: buildEntry(upstreamId) });
+      for (let count = 0; count < CONSECUTIVE_FAILURES_TO_OPEN; count += 1)
+        fleet.ejection.recordOutcome(upstreamId, 'failure');
+      expect(fleet.ejection.getState(upstreamId)).toBe('open');
+      endBoot(fleet, upstreamId);
+    }
+    expect(await fleet.countSeries()).toBe(0);
+  },
+);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,6 +44,7 @@
   { isEjected, openMs, ...fields }: EjectionChange,
 ): void => {
   if (isEjected) requestLog.log('upstream ejected', { ...fields, openMs: Math.round(openMs) });
+  else if (fields.reason === 'left') requestLog.log('ejected upstream left', fields);
   else requestLog.log('ejected upstream taken back', fields);
 };
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -89,7 +89,7 @@
   });
   const ejections = metrics.createCounter({
     name: 'goldcrest_gateway_ejections_total',
-    help: 'Ejections of upstreams, failed probes and returns, by their reason.',
+    help: 'Ejections of upstreams, failed probes and ends of ejections, by their reason.',
     labelNames: ['reason'],
   });
   return {
