--- a/packages/core/src/breaker/__tests__/cappedEjectionPolicy.spec.ts
+++ b/packages/core/src/breaker/__tests__/cappedEjectionPolicy.spec.ts
@@ -1,37 +1,17 @@
 import fc from 'fast-check';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
-import { toId } from '../../ids.js';
 import type { UpstreamId } from '../../ids.js';
 import { createRandomGenerator } from '../../random.js';
 import { CappedEjectionPolicy } from '../cappedEjectionPolicy.js';
-import {
-  CONSECUTIVE_FAILURES_TO_OPEN,
-  MAX_BREAKER_OPEN_MS,
-  PROBE_TIMEOUT_MS,
-} from '../constants.js';
+import { MAX_BREAKER_OPEN_MS, PROBE_TIMEOUT_MS } from '../constants.js';
 import type { EjectionPolicy } from '../ejectionPolicy.js';
+import { addUpstreams, failUntilOpen, makeUpstreamId } from './ejectionFixtures.js';
 import { UncappedEjectionPolicy } from './uncappedEjectionPolicy.js';
 
 beforeEach(() => vi.useFakeTimers());
 afterEach(() => vi.useRealTimers());
 
-const makeUpstreamId = (index: number): UpstreamId => toId<UpstreamId>(`engine-${index}`);
-
-const addUpstreams = (
-  size: number,
-  policy: EjectionPolicy = new CappedEjectionPolicy(createRandomGenerator(1)),
-) => {
-  for (let index = 0; index < size; index += 1)
-    policy.setGroup(makeUpstreamId(index), 'engine/small');
-  return policy;
-};
-
-const failUntilOpen = (policy: EjectionPolicy, index: number): void => {
-  for (let count = 0; count < CONSECUTIVE_FAILURES_TO_OPEN; count += 1)
-    policy.recordOutcome(makeUpstreamId(index), 'failure');
-};
-
 const measureMinClosed = (policy: EjectionPolicy): number => {
   let minClosed = Infinity;
   const step = fc.record({
--- a/packages/core/src/breaker/cappedEjectionPolicy.ts
+++ b/packages/core/src/breaker/cappedEjectionPolicy.ts
@@ -3,10 +3,10 @@
 import { CircuitBreaker } from './circuitBreaker.js';
 import {
   CONSECUTIVE_FAILURES_TO_OPEN,
-  MAX_EJECTED_FRACTION,
   MAX_FAILURE_RATE_EXCESS,
   MIN_FAILURE_RATE_OUTCOMES,
 } from './constants.js';
+import { EjectionGroup } from './ejectionGroup.js';
 import { EjectionPolicy } from './ejectionPolicy.js';
 import type { BreakerState, EjectionChange, EjectionReason } from './ejectionPolicy.js';
 import type { OutcomeCounts } from './outcomeWindow.js';
@@ -14,12 +14,32 @@
 const computeRate = ({ outcomes, failures }: OutcomeCounts): number =>
   outcomes === 0 ? 0 : failures / outcomes;
 
+interface Member {
+  readonly breaker: CircuitBreaker;
+  readonly group: EjectionGroup;
+}
+
+/** Finds out why an upstream should be ejected; undefined if it should not. */
+const findReason = ({ breaker, group }: Member): EjectionReason | undefined => {
+  const { own, rest } = group.countOutcomes(breaker);
+  // If all fail alike, it is the request, the key or the network, and nothing is better elsewhere.
+  const failsAlike =
+    rest.outcomes >= CONSECUTIVE_FAILURES_TO_OPEN &&
+    computeRate(rest) >= 1 - MAX_FAILURE_RATE_EXCESS;
+  if (breaker.isFailing) return failsAlike ? undefined : 'consecutive failures';
+  const hasEnough = Math.min(own.outcomes, rest.outcomes) >= MIN_FAILURE_RATE_OUTCOMES;
+  const excess = computeRate(own) - computeRate(rest);
+  return hasEnough && excess > MAX_FAILURE_RATE_EXCESS ? 'failure rate' : undefined;
+};
+
 /**
  * Ejects upstreams after consecutive failures, or for a failure rate that is far above that of the
  * rest of their group, up to a maximum fraction of each group.
  */
 export class CappedEjectionPolicy extends EjectionPolicy {
-  private readonly breakers = new Map<UpstreamId, CircuitBreaker>();
+  private readonly members = new Map<UpstreamId, Member>();
+
+  private readonly groups = new Map<string, EjectionGroup>();
 
   /** @param onChange called when an upstream is ejected, fails a probe, is taken back, or leaves */
   constructor(
@@ -29,93 +49,66 @@
     super();
   }
 
-  override setGroup(upstreamId: UpstreamId, group: string): void {
-    if (this.breakers.get(upstreamId)?.group === group) return;
+  override setGroup(upstreamId: UpstreamId, groupName: string): void {
+    if (this.members.get(upstreamId)?.group.name === groupName) return;
     this.remove(upstreamId);
-    this.breakers.set(upstreamId, new CircuitBreaker(upstreamId, group, this.generator));
+    const group = this.groups.get(groupName) ?? new EjectionGroup(groupName);
+    const breaker = new CircuitBreaker(upstreamId, groupName, this.generator);
+    this.groups.set(groupName, group);
+    this.members.set(upstreamId, { breaker, group });
+    group.add(breaker);
   }
 
   override remove(upstreamId: UpstreamId): void {
-    const breaker = this.breakers.get(upstreamId);
-    if (!breaker) return;
-    this.breakers.delete(upstreamId);
-    if (breaker.isEjected) this.close(breaker, 'left');
-    this.closeExcessBreakers(breaker.group);
+    const member = this.members.get(upstreamId);
+    if (!member) return;
+    const { breaker, group } = member;
+    if (breaker.isEjected) this.close(member, 'left');
+    this.members.delete(upstreamId);
+    group.remove(breaker);
+    if (group.isEmpty) this.groups.delete(group.name);
+    group
+      .listExcess()
+      .forEach((excess) => this.close({ breaker: excess, group }, 'group too small'));
   }
 
   override getState(upstreamId: UpstreamId): BreakerState {
-    return this.breakers.get(upstreamId)?.state ?? 'closed';
+    return this.members.get(upstreamId)?.breaker.state ?? 'closed';
   }
 
   override recordStart(upstreamId: UpstreamId): void {
-    this.breakers.get(upstreamId)?.recordStart();
+    this.members.get(upstreamId)?.breaker.recordStart();
   }
 
   override recordOutcome(upstreamId: UpstreamId, outcome: 'success' | 'failure' | 'neutral'): void {
-    const breaker = this.breakers.get(upstreamId);
-    if (!breaker) return;
-    if (outcome === 'neutral') breaker.recordNeutral();
-    else if (outcome === 'failure') this.recordFailure(breaker);
-    else if (breaker.recordSuccess()) this.close(breaker, 'recovered');
+    const member = this.members.get(upstreamId);
+    if (!member) return;
+    const { breaker, group } = member;
+    if (outcome === 'neutral') {
+      breaker.recordNeutral();
+      return;
+    }
+    group.recordOutcome(breaker, outcome === 'failure');
+    if (outcome === 'failure') this.recordFailure(member);
+    else if (breaker.recordSuccess()) this.close(member, 'recovered');
   }
 
-  private recordFailure(breaker: CircuitBreaker): void {
+  private recordFailure(member: Member): void {
+    const { breaker, group } = member;
     const hasFailedProbe = breaker.recordFailure();
-    if (hasFailedProbe) this.open(breaker, 'failed probe');
-    if (breaker.isEjected) return;
-    const reason = this.findReason(breaker);
-    if (reason !== undefined && this.canEject(breaker.group)) this.open(breaker, reason);
-  }
-
-  /** Finds out why an upstream should be ejected; undefined if it should not. */
-  private findReason(breaker: CircuitBreaker): EjectionReason | undefined {
-    const rest = this.countOthers(breaker);
-    // If all fail alike, it is the request, the key or the network, and nothing is better elsewhere.
-    const failsAlike =
-      rest.outcomes >= CONSECUTIVE_FAILURES_TO_OPEN &&
-      computeRate(rest) >= 1 - MAX_FAILURE_RATE_EXCESS;
-    if (breaker.isFailing) return failsAlike ? undefined : 'consecutive failures';
-    const counts = breaker.countOutcomes();
-    const hasEnough = Math.min(counts.outcomes, rest.outcomes) >= MIN_FAILURE_RATE_OUTCOMES;
-    const excess = computeRate(counts) - computeRate(rest);
-    return hasEnough && excess > MAX_FAILURE_RATE_EXCESS ? 'failure rate' : undefined;
-  }
-
-  /** Counts the outcomes of the members of its group that are not ejected. */
-  private countOthers(breaker: CircuitBreaker): OutcomeCounts {
-    return this.listMembers(breaker.group)
-      .filter((member) => member !== breaker && !member.isEjected)
-      .map((member) => member.countOutcomes())
-      .reduce(
-        (sum, { outcomes, failures }) => ({
-          outcomes: sum.outcomes + outcomes,
-          failures: sum.failures + failures,
-        }),
-        { outcomes: 0, failures: 0 },
-      );
-  }
-
-  private canEject(group: string): boolean {
-    const members = this.listMembers(group);
-    const ejected = members.filter((breaker) => breaker.isEjected).length;
-    return ejected < Math.floor(members.length * MAX_EJECTED_FRACTION);
+    if (hasFailedProbe) this.open(member, 'failed probe');
+    if (breaker.isEjected || !group.canEject) return;
+    const reason = findReason(member);
+    if (reason !== undefined) this.open(member, reason);
   }
 
-  /** Closes breakers that exceed the ejection cap after the group has shrunk. */
-  private closeExcessBreakers(group: string): void {
-    const members = this.listMembers(group);
-    const ejected = members.filter((breaker) => breaker.isEjected);
-    const maxEjected = Math.floor(members.length * MAX_EJECTED_FRACTION);
-    ejected.slice(maxEjected).forEach((breaker) => this.close(breaker, 'group too small'));
-  }
-
-  private open(breaker: CircuitBreaker, reason: EjectionReason): void {
-    breaker.open();
+  private open({ breaker, group }: Member, reason: EjectionReason): void {
+    group.open(breaker);
     this.reportChange(breaker, reason);
   }
 
-  private close(breaker: CircuitBreaker, reason: EjectionReason): void {
-    breaker.close();
+  private close({ breaker, group }: Member, reason: EjectionReason): void {
+    group.close(breaker);
     this.reportChange(breaker, reason);
   }
 
@@ -123,8 +116,4 @@
     const { upstreamId, group, isEjected, consecutiveFailures, openMs } = breaker;
     this.onChange({ upstreamId, group, isEjected, reason, consecutiveFailures, openMs });
   }
-
-  private listMembers(group: string): readonly CircuitBreaker[] {
-    return [...this.breakers.values()].filter((breaker) => breaker.group === group);
-  }
 }
--- a/packages/core/src/breaker/circuitBreaker.ts
+++ b/packages/core/src/breaker/circuitBreaker.ts
@@ -10,13 +10,13 @@
 } from './constants.js';
 import type { BreakerState } from './ejectionPolicy.js';
 import { OutcomeWindow } from './outcomeWindow.js';
-import type { OutcomeCounts } from './outcomeWindow.js';
 
-/** Circuit breaker of one upstream. */
+/** Circuit breaker of one upstream; its group opens and closes it. */
 export class CircuitBreaker {
   private readonly backoff: Backoff;
 
-  private readonly window = new OutcomeWindow();
+  /** Outcomes since the last return, recorded by the group. */
+  readonly window = new OutcomeWindow();
 
   private failuresInRow = 0;
 
@@ -66,17 +66,12 @@
     return this.isProbing || performance.now() < this.openUntilMs ? 'open' : 'half-open';
   }
 
-  countOutcomes(): OutcomeCounts {
-    return this.window.count();
-  }
-
   recordStart(): void {
     if (this.state === 'half-open') this.probedAtMs = performance.now();
   }
 
   /** @returns whether a probe succeeded; attempts started before the ejection may still succeed */
   recordSuccess(): boolean {
-    this.window.record(false);
     if (this.ejected) return this.isProbing;
     this.failuresInRow = 0;
     if (performance.now() - this.closedAtMs > FAILURE_RATE_WINDOW_MS) this.backoff.reset();
@@ -90,7 +85,6 @@
 
   /** @returns whether a probe failed; attempts started before the ejection may still fail */
   recordFailure(): boolean {
-    this.window.record(true);
     this.failuresInRow += 1;
     return this.ejected && this.isProbing;
   }
