--- a/packages/gateway/src/__tests__/responseMemory.spec.ts
+++ b/packages/gateway/src/__tests__/responseMemory.spec.ts
@@ -1,6 +1,11 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { expect, test, vi } from 'vitest';
-import { buildHead, buildResponse } from './fakeUpstream.js';
+import type { FleetRetryBudget } from '@goldcrestscale/core';
+import { ByteBudget, ByteReservation } from '@goldcrestscale/runtime';
+import type { RequestProgress } from '../dispatch/requestProgress.js';
+import { ResendPolicy } from '../dispatch/resendPolicy.js';
+import type { GatewayExchange } from '../filters/gatewayExchange.js';
+import { buildChunk, buildHead, buildResponse } from './fakeUpstream.js';
 import type { TestRequest } from './fakeUpstream.js';
 import { startGateway } from './gatewayHarness.js';
 import { buildRequestHead, connectRawCaller } from './rawCaller.js';
@@ -51,6 +56,67 @@
   expect(await call()).toMatchObject({ status: 502, isWhole: true });
 });
 
+// Guards against a request that runs at one upstream after the other, beside memory that stays full.
+test('a failure for which there is no memory is not sent elsewhere', async () => {
+  const ids: string[] = [];
+  const respond = (request: TestRequest): void => {
+    ids.push(request.id);
+    startResponse(500, request);
+  };
+  const { call, budget } = await startGateway({
+    route: { idempotent: true, maxUpstreams: 2 },
+    upstreams: [respond, respond],
+    bufferBytes: BUFFER_BYTES,
+  });
+  const reply = await call();
+  expect(reply).toMatchObject({ status: 502, isWhole: true });
+  expect(JSON.parse(reply.body)).toMatchObject({ error: { code: 'upstream_failed' } });
+  expect(ids).toHaveLength(1);
+  await vi.waitUntil(() => budget.heldBytes === 0);
+});
+
+// Guards against a stream that takes the memory it was given up for once more, from others.
+test('a stream whose event has no memory is cut, and not sent elsewhere', async () => {
+  const ids: string[] = [];
+  const respond = ({ id, socket }: TestRequest): void => {
+    ids.push(id);
+    socket.write(buildHead(200, { 'x-id': id, 'x-sig': 's', 'transfer-encoding': 'chunked' }));
+    socket.write(buildChunk(`id: 1\ndata: a\n\nid: 2\ndata: ${'b'.repeat(BODY_BYTES)}`));
+  };
+  const { call, budget } = await startGateway({
+    route: { streaming: true, resumable: true, idempotent: true, maxUpstreams: 2 },
+    upstreams: [respond, respond],
+    bufferBytes: BUFFER_BYTES,
+  });
+  expect(await call()).toMatchObject({
+    status: 200,
+    body: 'id: 1\ndata: a\n\n',
+    isWhole: false,
+  });
+  expect(ids).toHaveLength(1);
+  await vi.waitUntil(() => budget.heldBytes === 0);
+});
+
+// Guards against a request that is lost though the memory that its response lacked is free again.
+test('a request is sent elsewhere once there is memory for its response', () => {
+  const budget = new ByteBudget(BUFFER_BYTES);
+  const exchange = {
+    reservation: new ByteReservation(budget),
+    route: { idempotent: true, maxUpstreams: 2 },
+    signal: new AbortController().signal,
+  } as unknown as GatewayExchange;
+  const sends = { isNextFree: false, arrivals: 1 };
+  const progress = { sends, executions: 1 } as unknown as RequestProgress;
+  const retryBudget = { canRetry: () => true } as unknown as FleetRetryBudget;
+  const policy = new ResendPolicy(retryBudget);
+  const result = { kind: 'unknown', reason: 'no memory', neededBytes: 600 } as const;
+  const others = new ByteReservation(budget);
+  others.tryGrow(500);
+  expect(policy.canSendAgain(exchange, progress, result)).toBe(false);
+  others.release();
+  expect(policy.canSendAgain(exchange, progress, result)).toBe(true);
+});
+
 /** Requests whose responses together are larger than what the sockets of a connection take. */
 const sendLargeRequests = (caller: RawCaller): void => {
   for (let index = 0; index < LARGE_RESPONSES; index += 1) {
--- a/packages/gateway/src/dispatch/attemptResult.ts
+++ b/packages/gateway/src/dispatch/attemptResult.ts
@@ -9,6 +9,14 @@
 export type NotRunReason =
   'unreachable' | 'no-connection' | 'no-socket' | 'cancelled' | 'refused' | 'misdirected' | 'moved';
 
+/** Result of an attempt without a whole response, because of the upstream or of this VM. */
+interface BrokenOff {
+  readonly reason: string;
+  readonly isOwnFailure?: boolean;
+  /** Memory that the response needs; defined if it was given up for want of it. */
+  readonly neededBytes?: number | undefined;
+}
+
 /** Result of one attempt at an upstream; an own failure is one of this VM, such as a lack of memory. */
 export type AttemptResult =
   /** The upstream's response was passed to the caller in full. */
@@ -23,9 +31,9 @@
   /** The upstream executed the request and returned a server error. */
   | { readonly kind: 'failed'; readonly head: ResponseHead; readonly body: Buffer }
   /** No valid response arrived; the request may have been executed. */
-  | { readonly kind: 'unknown'; readonly reason: string; readonly isOwnFailure?: boolean }
+  | ({ readonly kind: 'unknown' } & BrokenOff)
   /** The stream broke after a part of it was sent to the caller. */
-  | { readonly kind: 'broken'; readonly reason: string; readonly isOwnFailure?: boolean };
+  | ({ readonly kind: 'broken' } & BrokenOff);
 
 const SEND_ENDS: Readonly<Record<NotRunReason, SendEnd>> = {
   unreachable: 'unreachable',
--- a/packages/gateway/src/dispatch/eventSplitter.ts
+++ b/packages/gateway/src/dispatch/eventSplitter.ts
@@ -9,6 +9,8 @@
   readonly events: Buffer;
   /** Whether there was memory for the event that is not complete. */
   readonly hasRoom: boolean;
+  /** Memory for all that has come of that event. */
+  readonly neededBytes: number;
 }
 
 /** Selects the complete events of a server-sent event stream that have not been emitted before. */
@@ -27,7 +29,7 @@
   /** @param reservation holds the memory of the event that is not complete */
   constructor(private readonly reservation: ByteReservation) {}
 
-  /** Discards the incomplete event of a broken stream before the resumed stream begins. */
+  /** Discards the incomplete event of a broken stream, and gives back its memory. */
   reset(): void {
     this.isEventMissing ||= this.pending.length > 0;
     this.takePending();
@@ -44,16 +46,19 @@
       this.isEventMissing = false;
       events.push(event);
     });
-    const hasRoom = start === chunk.length || this.tryAddPending(chunk.subarray(start));
-    return { events: events.length === 1 ? events[0]! : Buffer.concat(events), hasRoom };
+    const part = chunk.subarray(start);
+    const growthBytes = part.length === 0 ? 0 : this.pending.computeGrowth(part.length);
+    const neededBytes = this.reservedBytes + growthBytes;
+    const hasRoom = part.length === 0 || this.tryAddPending(part, growthBytes);
+    const joined = events.length === 1 ? events[0]! : Buffer.concat(events);
+    return { events: joined, hasRoom, neededBytes };
   }
 
   private completeEvent(end: Buffer): Buffer {
     return this.pending.length === 0 ? end : Buffer.concat([...this.takePending(), end]);
   }
 
-  private tryAddPending(part: Buffer): boolean {
-    const growthBytes = this.pending.computeGrowth(part.length);
+  private tryAddPending(part: Buffer, growthBytes: number): boolean {
     if (!this.reservation.tryGrow(growthBytes, 'event')) return false;
     this.reservedBytes += growthBytes;
     this.pending.add(part);
--- a/packages/gateway/src/dispatch/resendPolicy.ts
+++ b/packages/gateway/src/dispatch/resendPolicy.ts
@@ -21,6 +21,12 @@
   return idempotent && executions < maxUpstreams && (kind !== 'broken' || resumable);
 };
 
+/** Whether there is memory now for a response that was given up for want of it. */
+const hasMemory = ({ reservation }: GatewayExchange, result: EndedResult): boolean =>
+  !('neededBytes' in result) ||
+  result.neededBytes === undefined ||
+  reservation.canGrow(result.neededBytes);
+
 /** Decides whether a request may be sent again after a send that did not answer it. */
 export class ResendPolicy {
   private readonly unreachedTries = new UnreachedTries();
@@ -28,6 +34,7 @@
   constructor(private readonly retryBudget: FleetRetryBudget) {}
 
   canSendAgain(exchange: GatewayExchange, progress: RequestProgress, result: EndedResult): boolean {
+    if (!hasMemory(exchange, result)) return false;
     if (!progress.sends.isNextFree && !this.retryBudget.canRetry(progress.service)) return false;
     if (result.kind === 'withheld') return progress.sends.withheld < MAX_WITHHELD_SENDS;
     if (exchange.signal.aborted || progress.isSuspect) return false;
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -1,8 +1,6 @@
 import { MIN_SURVIVAL_EVENTS } from '@goldcrestscale/core';
 import type { TrackedUpstream } from '@goldcrestscale/core';
-import { PartAllowance } from '@goldcrestscale/runtime';
 import type { InputBarrier } from '@goldcrestscale/runtime';
-import { MAX_BUFFERED_RESPONSE_BYTES, MAX_EVENT_BYTES, MAX_RESPONSE_BYTES } from '../constants.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { requireRoute } from '../filters/gatewayExchange.js';
 import type { ResponseHead, AttemptMetadata, UpstreamProtocol } from '../ports/index.js';
@@ -18,6 +16,7 @@
 import type { AbandonReason } from './invalidResponseError.js';
 import { ResponseBuffer } from './responseBuffer.js';
 import { ResponseMemoryError } from './responseMemoryError.js';
+import { ResponseSize } from './responseSize.js';
 import { StreamRelay } from './streamRelay.js';
 import type {
   BodyFraming,
@@ -77,9 +76,7 @@
 
   private relay: StreamRelay | undefined;
 
-  private allowance: PartAllowance | undefined;
-
-  private receivedBytes = 0;
+  private size: ResponseSize | undefined;
 
   private resolveResult: ((result: AttemptResult) => void) | undefined;
 
@@ -224,16 +221,19 @@
     const declaredBytes = framing === 'length' ? Number(headers['content-length']) : undefined;
     this.buffer = new ResponseBuffer(exchange.reservation, declaredBytes);
     this.relay = new StreamRelay(exchange.response, flow);
-    this.allowance = new PartAllowance();
+    this.size = new ResponseSize();
     if (isStream) this.startStream(head);
   }
 
   onData(chunk: Buffer, flow: ResponseFlow): void {
     this.options.upstream.recordActivity();
-    this.receivedBytes += chunk.length;
+    this.size?.add(chunk);
     if (this.phase === 'stream') this.relayChunk(flow, chunk);
     else if (this.phase === 'whole') this.collectChunk(flow, chunk);
-    const excess = this.findExcess(chunk);
+    const excess = this.size?.findExcess(chunk, {
+      isBuffered: this.phase === 'whole',
+      partialEventBytes: this.partialEventBytes,
+    });
     if (excess !== undefined) this.abandon(flow, excess);
   }
 
@@ -242,7 +242,7 @@
     const failure = this.findTruncation();
     if (failure !== undefined) {
       this.isConnectionLost = true;
-      this.resolveResult?.(this.buildErrorResult(new ConnectionError(failure)));
+      this.fail(new ConnectionError(failure));
       return;
     }
     const result = this.finish();
@@ -258,6 +258,13 @@
     const isEndedHere =
       this.isAbandoned || error instanceof FaultError || error instanceof InvalidResponseError;
     this.isConnectionLost = this.phase !== 'offered' && !isEndedHere;
+    this.fail(error);
+  }
+
+  /** Ends the attempt without a response; nothing that it held has to wait for the end of the request. */
+  private fail(error: Error): void {
+    this.buffer?.discard();
+    this.options.eventSplitter?.reset();
     this.resolveResult?.(this.buildErrorResult(error));
   }
 
@@ -293,19 +300,6 @@
     flow.abort(error);
   }
 
-  /** Finds out which limit a response exceeds that may have no end. */
-  private findExcess(chunk: Buffer): InvalidResponseError | undefined {
-    if (this.allowance?.tryTake(chunk.length) === false)
-      return new InvalidResponseError('parts too small', 'part_size');
-    if (this.receivedBytes > MAX_RESPONSE_BYTES)
-      return new InvalidResponseError('response too large', 'response_size');
-    if (this.eventScanner.partialEventBytes > MAX_EVENT_BYTES)
-      return new InvalidResponseError('event too large', 'event_size');
-    return this.phase === 'whole' && this.receivedBytes > MAX_BUFFERED_RESPONSE_BYTES
-      ? new InvalidResponseError('response too large to buffer', 'response_size')
-      : undefined;
-  }
-
   private startStream(head: ResponseHead): void {
     const { response } = this.options.exchange;
     this.options.eventSplitter?.reset();
@@ -326,11 +320,13 @@
       this.relay?.add(chunk);
       return;
     }
-    const { events, hasRoom } = eventSplitter.push(chunk, eventEnds);
+    const { events, hasRoom, neededBytes } = eventSplitter.push(chunk, eventEnds);
     if (events.length > 0) this.options.onFirstEvent();
     // A resumption begins behind these events, so they are passed on also if the stream is given up.
     this.relay?.add(events);
-    if (!hasRoom) this.abandon(flow, new ResponseMemoryError('no memory for an event'));
+    if (!hasRoom) {
+      this.abandon(flow, new ResponseMemoryError('no memory for an event', neededBytes));
+    }
   }
 
   private collectChunk(flow: ResponseFlow, chunk: Buffer): void {
@@ -340,8 +336,9 @@
     if (this.buffer?.tryAdd(chunk)) return;
     if (!canStream) {
       // A failure that is too large is refused as invalid.
-      if (this.receivedBytes > MAX_BUFFERED_RESPONSE_BYTES) return;
-      this.abandon(flow, new ResponseMemoryError('no memory for the response'));
+      if (this.size?.isTooLargeToBuffer) return;
+      const neededBytes = this.buffer?.computeNeed(chunk) ?? chunk.length;
+      this.abandon(flow, new ResponseMemoryError('no memory for the response', neededBytes));
       return;
     }
     // Too large to buffer, or no memory for it: stream it. If it is then cut short, the caller's
@@ -385,8 +382,9 @@
   private buildErrorResult(error: Error): AttemptResult {
     if (this.phase === 'dropped') return { kind: 'not-run', reason: 'cancelled' };
     if (this.phase === 'offered') return { kind: 'not-run', reason: findConnectFailure(error) };
-    const isOwnFailure = error instanceof FaultError || error instanceof ResponseMemoryError;
+    const neededBytes = error instanceof ResponseMemoryError ? error.neededBytes : undefined;
+    const isOwnFailure = error instanceof FaultError || neededBytes !== undefined;
     const kind = this.phase === 'stream' ? 'broken' : 'unknown';
-    return { kind, reason: error.message, isOwnFailure };
+    return { kind, reason: error.message, isOwnFailure, neededBytes };
   }
 }
--- a/packages/runtime/src/http/byteBudget.ts
+++ b/packages/runtime/src/http/byteBudget.ts
@@ -32,9 +32,13 @@
     return this.heldByPurpose;
   }
 
+  canReserve(bytes: number): boolean {
+    return this.held + bytes <= this.limitBytes;
+  }
+
   /** @returns whether the bytes were reserved */
   tryReserve(bytes: number, purpose: BytePurpose = 'other'): boolean {
-    if (this.held + bytes > this.limitBytes) return false;
+    if (!this.canReserve(bytes)) return false;
     this.held += bytes;
     this.heldByPurpose[purpose] += bytes;
     return true;
--- a/packages/runtime/src/http/byteReservation.ts
+++ b/packages/runtime/src/http/byteReservation.ts
@@ -6,6 +6,10 @@
 
   constructor(private readonly budget: ByteBudget) {}
 
+  canGrow(bytes: number): boolean {
+    return this.budget.canReserve(bytes);
+  }
+
   /** @returns whether the bytes were added */
   tryGrow(bytes: number, purpose: BytePurpose = 'other'): boolean {
     if (!this.budget.tryReserve(bytes, purpose)) return false;
