--- a/packages/core/src/breaker/__tests__/plainEjectionPolicy.ts
+++ b/packages/core/src/breaker/__tests__/plainEjectionPolicy.ts
@@ -67,8 +67,8 @@
       if (breaker.recordSuccess()) this.close(breaker);
       return;
     }
-    if (breaker.recordFailure()) breaker.open();
-    if (!breaker.isEjected && this.shouldEject(breaker)) breaker.open();
+    if (breaker.recordFailure()) breaker.open('failed probe');
+    if (!breaker.isEjected && this.shouldEject(breaker)) breaker.open('consecutive failures');
   }
 
   private shouldEject(breaker: CircuitBreaker): boolean {
--- a/packages/core/src/breaker/cappedEjectionPolicy.ts
+++ b/packages/core/src/breaker/cappedEjectionPolicy.ts
@@ -8,7 +8,12 @@
 } from './constants.js';
 import { EjectionGroup } from './ejectionGroup.js';
 import { EjectionPolicy } from './ejectionPolicy.js';
-import type { BreakerState, EjectionChange, EjectionReason } from './ejectionPolicy.js';
+import type {
+  BreakerState,
+  EjectedUpstream,
+  EjectionChange,
+  EjectionReason,
+} from './ejectionPolicy.js';
 import type { OutcomeCounts } from './outcomeWindow.js';
 
 const computeRate = ({ outcomes, failures }: OutcomeCounts): number =>
@@ -93,6 +98,19 @@
     else if (breaker.recordSuccess()) this.close(member, 'recovered');
   }
 
+  /** Lists the ejected upstreams, for operators. */
+  listEjected(): readonly EjectedUpstream[] {
+    const nowMs = performance.now();
+    return [...this.members.values()].flatMap(({ breaker }) => {
+      const { upstreamId, group, state, ejection, openMs, consecutiveFailures } = breaker;
+      if (!ejection) return [];
+      const { reason, sinceMs, failedProbes } = ejection;
+      const ejectedMs = nowMs - sinceMs;
+      const times = { ejectedMs, openMs, consecutiveFailures, failedProbes };
+      return [{ upstreamId, group, state, reason, ...times }];
+    });
+  }
+
   private recordFailure(member: Member): void {
     const { breaker, group } = member;
     const hasFailedProbe = breaker.recordFailure();
@@ -103,7 +121,7 @@
   }
 
   private open({ breaker, group }: Member, reason: EjectionReason): void {
-    group.open(breaker);
+    group.open(breaker, reason);
     this.reportChange(breaker, reason);
   }
 
--- a/packages/core/src/breaker/circuitBreaker.ts
+++ b/packages/core/src/breaker/circuitBreaker.ts
@@ -8,9 +8,17 @@
   MAX_BREAKER_OPEN_MS,
   PROBE_TIMEOUT_MS,
 } from './constants.js';
-import type { BreakerState } from './ejectionPolicy.js';
+import type { BreakerState, EjectionReason } from './ejectionPolicy.js';
 import { OutcomeWindow } from './outcomeWindow.js';
 
+/** What is known of an ejection. */
+export interface Ejection {
+  readonly reason: EjectionReason;
+  /** Monotonic time at which it began. */
+  readonly sinceMs: number;
+  readonly failedProbes: number;
+}
+
 /** Circuit breaker of one upstream; its group opens and closes it. */
 export class CircuitBreaker {
   private readonly backoff: Backoff;
@@ -20,7 +28,7 @@
 
   private failuresInRow = 0;
 
-  private ejected = false;
+  private current: Ejection | undefined;
 
   /** Monotonic time from which a probe is allowed. */
   private openUntilMs = 0;
@@ -43,8 +51,13 @@
     });
   }
 
+  /** The ejection in force. */
+  get ejection(): Ejection | undefined {
+    return this.current;
+  }
+
   get isEjected(): boolean {
-    return this.ejected;
+    return this.current !== undefined;
   }
 
   get consecutiveFailures(): number {
@@ -58,11 +71,11 @@
 
   /** Time until the next probe is allowed, in milliseconds. */
   get openMs(): number {
-    return this.ejected ? Math.max(0, this.openUntilMs - performance.now()) : 0;
+    return this.isEjected ? Math.max(0, this.openUntilMs - performance.now()) : 0;
   }
 
   get state(): BreakerState {
-    if (!this.ejected) return 'closed';
+    if (!this.isEjected) return 'closed';
     return this.isProbing || performance.now() < this.openUntilMs ? 'open' : 'half-open';
   }
 
@@ -72,7 +85,7 @@
 
   /** @returns whether a probe succeeded; attempts started before the ejection may still succeed */
   recordSuccess(): boolean {
-    if (this.ejected) return this.isProbing;
+    if (this.isEjected) return this.isProbing;
     this.failuresInRow = 0;
     if (performance.now() - this.closedAtMs > FAILURE_RATE_WINDOW_MS) this.backoff.reset();
     return false;
@@ -86,17 +99,20 @@
   /** @returns whether a probe failed; attempts started before the ejection may still fail */
   recordFailure(): boolean {
     this.failuresInRow += 1;
-    return this.ejected && this.isProbing;
+    return this.isEjected && this.isProbing;
   }
 
-  open(): void {
-    this.ejected = true;
+  /** Ejects the upstream, or keeps it ejected for longer after a failed probe. */
+  open(reason: EjectionReason): void {
+    this.current = this.current
+      ? { ...this.current, failedProbes: this.current.failedProbes + 1 }
+      : { reason, sinceMs: performance.now(), failedProbes: 0 };
     this.probedAtMs = undefined;
     this.openUntilMs = performance.now() + this.backoff.nextDelayMs();
   }
 
   close(): void {
-    this.ejected = false;
+    this.current = undefined;
     this.probedAtMs = undefined;
     this.failuresInRow = 0;
     this.window.clear();
--- a/packages/core/src/breaker/ejectionGroup.ts
+++ b/packages/core/src/breaker/ejectionGroup.ts
@@ -1,6 +1,7 @@
 import type { CircuitBreaker } from './circuitBreaker.js';
 import { MAX_EJECTED_FRACTION } from './constants.js';
 import { OutcomeWindow, addCounts } from './outcomeWindow.js';
+import type { EjectionReason } from './ejectionPolicy.js';
 import type { OutcomeCounts } from './outcomeWindow.js';
 
 /**
@@ -53,12 +54,12 @@
   }
 
   /** Ejects a member, or keeps it ejected for longer. */
-  open(breaker: CircuitBreaker): void {
+  open(breaker: CircuitBreaker, reason: EjectionReason): void {
     if (!breaker.isEjected) {
       this.ejected += 1;
       this.outcomes.subtract(breaker.window, performance.now());
     }
-    breaker.open();
+    breaker.open(reason);
   }
 
   /** Takes an ejected member back, without the outcomes so far. */
--- a/packages/core/src/breaker/ejectionPolicy.ts
+++ b/packages/core/src/breaker/ejectionPolicy.ts
@@ -25,6 +25,22 @@
   readonly openMs: number;
 }
 
+/** An ejected upstream, as operators see it. */
+export interface EjectedUpstream {
+  readonly upstreamId: UpstreamId;
+  readonly group: string;
+  readonly state: BreakerState;
+  /** Why it was ejected; probes that failed since then don't change it. */
+  readonly reason: EjectionReason;
+  /** Time since it was ejected, in milliseconds. */
+  readonly ejectedMs: number;
+  /** Time until the next probe, in milliseconds. */
+  readonly openMs: number;
+  readonly consecutiveFailures: number;
+  /** Probes that failed since it was ejected. */
+  readonly failedProbes: number;
+}
+
 /** Decides which upstreams are ejected because of failures. */
 export abstract class EjectionPolicy {
   /** Assigns an upstream to a group of interchangeable upstreams, for example those of a model. */
--- a/packages/core/src/breaker/index.ts
+++ b/packages/core/src/breaker/index.ts
@@ -6,4 +6,4 @@
   MAX_BREAKER_OPEN_MS,
 } from './constants.js';
 export { EjectionPolicy } from './ejectionPolicy.js';
-export type { BreakerState, EjectionChange } from './ejectionPolicy.js';
+export type { BreakerState, EjectedUpstream, EjectionChange } from './ejectionPolicy.js';
--- a/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
@@ -4,7 +4,15 @@
 import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect, onTestFinished, test } from 'vitest';
-import { AnnouncedRates, FleetRateLimits, CrashQuarantine, toId } from '@goldcrestscale/core';
+import {
+  AnnouncedRates,
+  CONSECUTIVE_FAILURES_TO_OPEN,
+  CappedEjectionPolicy,
+  CrashQuarantine,
+  FleetRateLimits,
+  createRandomGenerator,
+  toId,
+} from '@goldcrestscale/core';
 import type { ModelId, PromptPartId, QuarantineRow, UpstreamId, VmId } from '@goldcrestscale/core';
 import { createTestFaults } from '../../__tests__/testFaults.js';
 import { TestCallerProtocol } from '../../__tests__/testProtocols.js';
@@ -65,7 +73,12 @@
     listServing: () => [],
     sendPermitRequest: () => undefined,
   });
-  return { quarantine, rateLimits };
+  const ejection = new CappedEjectionPolicy(createRandomGenerator(1));
+  const ids = ['faulty', 'sound'].map((id) => toId<UpstreamId>(id));
+  ids.forEach((id) => ejection.setGroup(id, 'service'));
+  for (let count = 0; count < CONSECUTIVE_FAILURES_TO_OPEN; count += 1)
+    ejection.recordOutcome(ids[0]!, 'failure');
+  return { quarantine, rateLimits, ejection };
 };
 
 test('operators list the suspected prompt parts and lift a refusal', async () => {
@@ -87,6 +100,21 @@
   ]);
 });
 
+test('operators list the ejected upstreams', async () => {
+  const port = await startServer(createOperatedState());
+  const ejected: unknown = JSON.parse((await call(port, 'GET', '/ejections')).body);
+  expect(ejected).toMatchObject([
+    {
+      upstreamId: 'faulty',
+      group: 'service',
+      state: 'open',
+      reason: 'consecutive failures',
+      consecutiveFailures: CONSECUTIVE_FAILURES_TO_OPEN,
+      failedProbes: 0,
+    },
+  ]);
+});
+
 // Guards against callers that lift a refusal through the addresses that they can reach.
 test('the servers of the directory and the readiness checks lift nothing', async () => {
   const port = await startServer(undefined);
--- a/packages/gateway/src/http/auxiliaryServer.ts
+++ b/packages/gateway/src/http/auxiliaryServer.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { FleetRateLimits, CrashQuarantine } from '@goldcrestscale/core';
+import type { CappedEjectionPolicy, FleetRateLimits, CrashQuarantine } from '@goldcrestscale/core';
 import { CallerTimes, EventLoopBarrier } from '@goldcrestscale/runtime';
 import type { FaultRecorder } from '../faultRecorder.js';
 import type { CallerProtocol } from '../ports/index.js';
@@ -9,6 +9,7 @@
 export interface OperatedState {
   readonly quarantine: CrashQuarantine;
   readonly rateLimits: FleetRateLimits;
+  readonly ejection: CappedEjectionPolicy;
 }
 
 /** Dependencies of an auxiliary server. */
@@ -39,6 +40,8 @@
 
 const RATE_LIMITS_PATH = '/rate-limits';
 
+const EJECTIONS_PATH = '/ejections';
+
 const sendJson = (response: ServerResponse, content: unknown): void => {
   response.writeHead(200, { 'content-type': 'application/json' });
   response.end(JSON.stringify(content));
@@ -77,6 +80,8 @@
     answerQuarantineRequest(request, response, options.operated.quarantine);
   } else if (options.operated && request.url === RATE_LIMITS_PATH) {
     sendJson(response, options.operated.rateLimits.dump());
+  } else if (options.operated && request.url === EJECTIONS_PATH) {
+    sendJson(response, options.operated.ejection.listEjected());
   } else {
     response.writeHead(404).end();
   }
