--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import fc from 'fast-check';
 import { expect, onTestFinished, test, vi } from 'vitest';
 import { EntryRoster, ZoneRelays, toId } from '@goldcrestscale/core';
@@ -173,6 +174,44 @@
   await vi.waitFor(() => expect(server.countFollowers()).toBe(0), { timeout: 3_000 });
 });
 
+const block = (durationMs: number): void => {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+};
+
+/** Longer than the timeout of the feed, and than the age of a proof from which a relay is left. */
+const LONG_PAUSE_MS = 2_500;
+
+/** Time in which a follower that gave its relay up would have left it. */
+const LEAVE_MS = 300;
+
+// Guards against followers that leave a sound relay, because they themselves stood still.
+test('a follower keeps its relay after a pause of its own', async () => {
+  const { server, positions } = await startFeed();
+  await vi.waitFor(() => expect(positions).toContain(6));
+  block(LONG_PAUSE_MS);
+  await sleep(LEAVE_MS);
+  expect(server.countFollowers()).toBe(1);
+});
+
+// Guards against proofs that count as old while newer ones lie in the socket.
+test('a proof that came during a pause counts', async () => {
+  let isPausing = false;
+  const { positions } = await startFeed({
+    getProvedAgeMs() {
+      // Runs once the answer has been written, and before it is read; timers are the first that run then.
+      if (isPausing) setImmediate(() => block(950));
+      isPausing = false;
+      return 20;
+    },
+  });
+  await vi.waitFor(() => expect(positions).toContain(6));
+  isPausing = true;
+  await vi.waitFor(() => expect(isPausing).toBe(false));
+  await sleep(LEAVE_MS);
+  expect(positions).not.toContain(-1);
+});
+
 test('a follower sends its begun streams to the relay', async () => {
   const { client, positions, streamRecords } = await startFeed();
   await vi.waitFor(() => expect(positions).toContain(6));
--- a/packages/gateway/src/mesh/feedClient.ts
+++ b/packages/gateway/src/mesh/feedClient.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net';
 import { advanceClockReading, computeMaxElapsedMs, readClocks, sleep } from '@goldcrestscale/core';
 import type { EntryHeartbeat, ClockReading, VmId, ZoneRelays } from '@goldcrestscale/core';
-import { ByteBudget } from '@goldcrestscale/runtime';
+import { ByteBudget, EventLoopBarrier } from '@goldcrestscale/runtime';
 import type { Logger } from '@goldcrestscale/runtime';
 import {
   FEED_TIMEOUT_MS,
@@ -25,6 +25,9 @@
 /** Time within which a message of a relay that has begun must have come, in milliseconds. */
 const MAX_RELAY_MESSAGE_MS = 15_000;
 
+/** Time between two checks from which this process counts as having stood still, in milliseconds. */
+const MIN_PAUSE_MS = 2 * POSITION_POLL_INTERVAL_MS;
+
 /** Dependencies and callbacks of the client. */
 export interface FeedClientOptions {
   readonly self: VmId;
@@ -67,6 +70,14 @@
 
   private requestedAt = readClocks();
 
+  private readonly inputBarrier = new EventLoopBarrier();
+
+  /** Monotonic time of the last check of the connection, or of its begin. */
+  private checkedAtMs = performance.now();
+
+  /** Monotonic time of the first check after the last pause of this process. */
+  private resumedAtMs = -Infinity;
+
   private readonly lastFailureAtMs = new Map<VmId, number>();
 
   constructor(private readonly options: FeedClientOptions) {}
@@ -127,6 +138,7 @@
         budget: new ByteBudget(MAX_RELAY_MESSAGE_BYTES),
       },
     );
+    this.checkedAtMs = performance.now();
     const connection = {
       socket,
       writer: new FeedWriter({ key: this.options.key, nonce }),
@@ -141,10 +153,9 @@
         socket.destroy();
       };
       const abort = (): void => finish('shutting down');
-      const timer = setInterval(
-        () => this.checkConnection(connection, relay, finish),
-        POSITION_POLL_INTERVAL_MS,
-      );
+      const timer = setInterval(() => {
+        void this.inputBarrier.run(() => this.checkConnection(connection, relay, finish));
+      }, POSITION_POLL_INTERVAL_MS);
       signal.addEventListener('abort', abort);
       socket.on('connect', () => {
         this.connection = connection;
@@ -173,15 +184,22 @@
     relay: EntryHeartbeat,
     finish: (reason: string) => void,
   ): void {
+    if (connection.socket.destroyed) return;
     const { relays } = this.options;
     const isRelay = relays.listOwnFeed().some(({ vmId }) => vmId === relay.vmId);
     const nowMs = performance.now();
+    if (nowMs - this.checkedAtMs > MIN_PAUSE_MS) this.resumedAtMs = nowMs;
+    this.checkedAtMs = nowMs;
+    // A relay only answers, and in a pause of this process it was asked nothing.
+    const awakeMs = nowMs - this.resumedAtMs;
     const { receivedAtMs, partStartedAtMs = nowMs } = connection.reader;
-    if (nowMs - receivedAtMs > FEED_TIMEOUT_MS) finish('timed out');
-    else if (nowMs - partStartedAtMs > MAX_RELAY_MESSAGE_MS) finish('incomplete message');
-    else if (!isRelay || relays.isFeedRelay) finish('no longer a relay');
-    else if (this.isCutOff(connection)) finish('cut off from the log');
-    else if (this.connection === connection) {
+    if (Math.min(awakeMs, nowMs - receivedAtMs) > FEED_TIMEOUT_MS) finish('timed out');
+    else if (Math.min(awakeMs, nowMs - partStartedAtMs) > MAX_RELAY_MESSAGE_MS) {
+      finish('incomplete message');
+    } else if (!isRelay || relays.isFeedRelay) finish('no longer a relay');
+    else if (awakeMs > RELAY_CUT_OFF_MS && this.isCutOff(connection)) {
+      finish('cut off from the log');
+    } else if (this.connection === connection) {
       this.checkProof();
       this.requestPositions(connection);
     }
