--- a/packages/entry/src/mesh/__tests__/mesh.spec.ts
+++ b/packages/entry/src/mesh/__tests__/mesh.spec.ts
@@ -89,6 +89,22 @@
   expect(b.stats.malformedMessages).toBe(1);
 });
 
+// Guards against peers that count as silent because this VM stood still while their replies came.
+test('a reply that came during a pause counts', async () => {
+  const { a, b } = await startPair();
+  b.register('ping', () => 'pong');
+  b.register('echo', (payload) => {
+    // Runs once the reply has been written; timers are the first that runs after it.
+    setImmediate(() => {
+      const endMs = performance.now() + 1_000;
+      while (performance.now() < endMs);
+    });
+    return payload;
+  });
+  await a.request(b.self.vmId, 'ping', null, neverAborted);
+  expect(await a.request(b.self.vmId, 'echo', 1, neverAborted, 500)).toBe(1);
+});
+
 test('request failures are distinguished', async () => {
   const { a, b } = await startPair();
   b.register('hang', () => once(new EventTarget(), 'never'));
--- a/packages/entry/src/mesh/mesh.ts
+++ b/packages/entry/src/mesh/mesh.ts
@@ -3,7 +3,7 @@
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
 import type { BootId, VmId } from '@goldcrestscale/core';
-import { bindAddress } from '@goldcrestscale/runtime';
+import { EventLoopBarrier, bindAddress } from '@goldcrestscale/runtime';
 import type { PeerIdentity } from './authentication.js';
 import {
   CONNECTION_IDLE_TIMEOUT_MS,
@@ -74,7 +74,11 @@
     this.self = { vmId: options.vmId, bootId: options.bootId };
     this.logger = options.logger ?? silentLogger;
     server.on('connection', (socket, request) => this.acceptConnection(socket, request.socket));
-    const idleTimer = setInterval(() => this.closeIdleSessions(), CONNECTION_IDLE_TIMEOUT_MS);
+    const inputBarrier = new EventLoopBarrier();
+    const idleTimer = setInterval(() => {
+      // After a pause of the process, messages may be there and not have been read yet.
+      void inputBarrier.run(() => this.closeIdleSessions());
+    }, CONNECTION_IDLE_TIMEOUT_MS);
     idleTimer.unref();
     const close = (): void => {
       clearInterval(idleTimer);
--- a/packages/entry/src/mesh/pendingRequests.ts
+++ b/packages/entry/src/mesh/pendingRequests.ts
@@ -1,3 +1,4 @@
+import { EventLoopBarrier } from '@goldcrestscale/runtime';
 import { MAX_PENDING_REQUESTS_PER_PEER } from './constants.js';
 import { MeshError } from './meshError.js';
 
@@ -10,6 +11,8 @@
 export class PendingRequests {
   private readonly requests = new Map<number, PendingRequest>();
 
+  private readonly inputBarrier = new EventLoopBarrier();
+
   private lastId = 0;
 
   /**
@@ -38,10 +41,13 @@
       cancel(id);
       this.fail(id, error);
     };
-    const timer = setTimeout(
-      () => abortWith(new MeshError('no reply within the timeout', 'timeout')),
-      timeoutMs,
-    );
+    const timer = setTimeout(() => {
+      // After a pause of the process, the reply may be there and not have been read yet.
+      void this.inputBarrier.run(() => {
+        if (!this.requests.has(id)) return;
+        abortWith(new MeshError('no reply within the timeout', 'timeout'));
+      });
+    }, timeoutMs);
     signal.addEventListener('abort', () => abortWith(new MeshError('aborted', 'aborted')), {
       signal: settled.signal,
     });
--- a/packages/entry/src/mesh/session.ts
+++ b/packages/entry/src/mesh/session.ts
@@ -1,4 +1,5 @@
 import type { RawData, WebSocket } from 'ws';
+import { EventLoopBarrier } from '@goldcrestscale/runtime';
 import type { PeerIdentity } from './authentication.js';
 import {
   KEEP_ALIVE_INTERVAL_MS,
@@ -44,10 +45,12 @@
 
   private isAlive = true;
 
-  private readonly keepAliveTimer = setInterval(
-    () => this.checkKeepAlive(),
-    KEEP_ALIVE_INTERVAL_MS,
-  );
+  private readonly inputBarrier = new EventLoopBarrier();
+
+  private readonly keepAliveTimer = setInterval(() => {
+    // After a pause of the process, a pong may be there and not have been read yet.
+    void this.inputBarrier.run(() => this.checkKeepAlive());
+  }, KEEP_ALIVE_INTERVAL_MS);
 
   constructor(
     private readonly socket: WebSocket,
@@ -87,6 +90,7 @@
   }
 
   private checkKeepAlive(): void {
+    if (this.closeController.signal.aborted) return;
     if (!this.isAlive) {
       this.close();
       return;
