--- a/packages/entry/src/__tests__/responseMemory.spec.ts
+++ b/packages/entry/src/__tests__/responseMemory.spec.ts
@@ -35,7 +35,7 @@
   const responses = await Promise.all(
     Array.from({ length: CALLERS }, () => callService(harness, 'POST')),
   );
-  expect(responses.map(({ status }) => status)).toEqual(Array.from({ length: CALLERS }, () => 503));
+  expect(responses.map(({ status }) => status)).toEqual(Array.from({ length: CALLERS }, () => 502));
   expect(responses[0]).toMatchObject({ verdict: 'may-have-run', errorCode: 'upstream_failed' });
   expect(peakBytes).toBeGreaterThan(0);
   expect(harness.refusedBodies).toHaveLength(CALLERS);
--- a/packages/entry/src/filters/errorResponseFilter.ts
+++ b/packages/entry/src/filters/errorResponseFilter.ts
@@ -1,5 +1,5 @@
 import { combineVerdicts, createError, isGoldcrestError } from '@goldcrestscale/core';
-import type { GoldcrestErrorInstance } from '@goldcrestscale/core';
+import type { GoldcrestErrorInstance, Verdict } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { EntryMetrics } from '../metrics.js';
 import { sendError } from '../http/errorResponse.js';
@@ -16,6 +16,22 @@
   });
 };
 
+/** Statuses that imply that the request was not executed. */
+const UNEXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+const UNKNOWN_OUTCOME_STATUS = 502;
+
+/** Replaces a status that implies "not executed" unless the verdict proves it. */
+const replaceStatus = (error: GoldcrestErrorInstance, verdict: Verdict): GoldcrestErrorInstance => {
+  if (verdict === 'not-run' || !UNEXECUTED_STATUSES.has(error.status)) return error;
+  return createError(error.message, {
+    code: error.code,
+    status: UNKNOWN_OUTCOME_STATUS,
+    verdict,
+    ...(error.retryAfterMs === undefined ? {} : { retryAfterMs: error.retryAfterMs }),
+  });
+};
+
 /** Converts every failure in the chain to one typed error response with the combined verdict. */
 export class ErrorResponseFilter extends Filter {
   override readonly name = 'verdictGuard';
@@ -41,7 +57,7 @@
       const error = toTypedError(cause, exchange);
       const verdict = combineVerdicts(error.verdict, exchange.verdict);
       this.metrics.recordResponse(exchange.account?.id, error.code, verdict);
-      await sendError(exchange, error, verdict);
+      await sendError(exchange, replaceStatus(error, verdict), verdict);
     }
   }
 }
