--- a/packages/core/src/membership/__tests__/membership.spec.ts
+++ b/packages/core/src/membership/__tests__/membership.spec.ts
@@ -2,7 +2,13 @@
 import { expect, test } from 'vitest';
 import { toId, toLogOffset } from '../../ids.js';
 import type { AvailabilityZoneId, VmId } from '../../ids.js';
-import { decideFreshness, pickByRendezvous, rankEntryVms, selectGridNeighbours } from '../index.js';
+import {
+  computeRendezvousRank,
+  decideFreshness,
+  pickByRendezvous,
+  rankEntryVms,
+  selectGridNeighbours,
+} from '../index.js';
 import type { FreshnessInput, LogReport, VmRecord } from '../index.js';
 
 const makeVms = (count: number): VmId[] =>
@@ -23,6 +29,14 @@
 const repeat = (report: LogReport, count: number): LogReport[] =>
   Array.from({ length: count }, () => report);
 
+test('each member has a rank of its own for a key, the picked one the first', () => {
+  const vms = makeVms(9);
+  const ranks = vms.map((vm) => computeRendezvousRank('key', vms, vm));
+  expect([...ranks].sort()).toEqual([...vms.keys()]);
+  expect(ranks.indexOf(0)).toBe(vms.indexOf(pickByRendezvous('key', vms)!));
+  expect(computeRendezvousRank('key', vms, toId<VmId>('stranger'))).toBe(vms.length);
+});
+
 const freshnessCases: [string, Partial<FreshnessInput>, string][] = [
   ['own read', { own: { isLogReachable: true, ageMs: 0, head: createLogHead(10, 100) } }, 'fresh'],
   [
--- a/packages/core/src/membership/rendezvous.ts
+++ b/packages/core/src/membership/rendezvous.ts
@@ -47,6 +47,16 @@
     .map((scored) => scored.member);
 };
 
+/** Computes the rank of a member for a key, from 0 on; one that is not among the members is last. */
+export const computeRendezvousRank = <Member extends string>(
+  key: string,
+  members: readonly Member[],
+  member: Member,
+): number => {
+  const rank = rankByRendezvous(key, members).indexOf(member);
+  return rank < 0 ? members.length : rank;
+};
+
 /** Picks the highest-ranked member for a key; undefined if there are no members. */
 export const pickByRendezvous = <Member extends string>(
   key: string,
--- a/packages/core/src/quarantine/__tests__/requestFleet.spec.ts
+++ b/packages/core/src/quarantine/__tests__/requestFleet.spec.ts
@@ -110,6 +110,7 @@
   clearings: 0,
   crashes: [],
   requestedAgeMs: 0,
+  trials: 0,
 };
 
 test('the checks find a fleet that blames nothing, and one that blames by presence', () => {
--- a/packages/core/src/quarantine/__tests__/requestFleet.ts
+++ b/packages/core/src/quarantine/__tests__/requestFleet.ts
@@ -2,10 +2,12 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { listGossipTargets } from '../../fleet/__tests__/gossipTargets.js';
 import { toId } from '../../ids.js';
+import { computeRendezvousRank } from '../../membership/rendezvous.js';
 import type { ClientAccountId, UpstreamId } from '../../ids.js';
 import { createRandomGenerator } from '../../random.js';
 import type { WholeRequest } from '../crashPattern.js';
 import { CrashQuarantine } from '../crashQuarantine.js';
+import type { RequestTrial } from '../requestTrials.js';
 import { EventQueue } from './eventQueue.js';
 
 /** Shape of a simulated fleet and of its load. */
@@ -41,6 +43,8 @@
   /** Times that the client may still send it after a failure. */
   readonly repeats: number;
   tries: number;
+  /** Defined while it is sent as a trial. */
+  trial?: RequestTrial | undefined;
 }
 
 interface SimulatedUpstream {
@@ -103,8 +107,12 @@
 
   constructor(private readonly options: RequestFleetOptions) {
     this.random = createRandomGenerator(options.seed);
-    const create = options.createQuarantine ?? (() => new CrashQuarantine());
-    this.quarantines = Array.from({ length: options.vms }, create);
+    const vmIds = Array.from({ length: options.vms }, (_, vm) => `vm-${vm}`);
+    this.quarantines = vmIds.map(
+      (vmId) =>
+        options.createQuarantine?.() ??
+        new CrashQuarantine(undefined, (digest) => computeRendezvousRank(digest, vmIds, vmId)),
+    );
     this.upstreams = Array.from({ length: options.upstreams }, (_, index) => ({
       upstreamId: toId<UpstreamId>(`upstream-${index}`),
       boot: 0,
@@ -161,6 +169,7 @@
       open.forEach((call) => {
         if (uniformFloat64(this.random) >= fraction) return;
         open.delete(call);
+        call.trial?.finish();
         this.retry(call);
       }),
     );
@@ -205,6 +214,9 @@
       return;
     }
     if (call.isPoison && !this.cutOff.has(call.vm)) this.poisonSendTimesMs.push(this.events.nowMs);
+    const trial = quarantine.beginTrial(call.request);
+    if (trial) this.reportCrashes(call.vm);
+    Object.assign(call, { trial });
     upstream.open.add(call);
     const runMs = call.isPoison
       ? 40 + this.pickNumber(70)
@@ -220,6 +232,7 @@
       return;
     }
     upstream.open.delete(call);
+    call.trial?.finish();
     this.quarantines[call.vm]!.recordSurvival(call.request);
   }
 
@@ -231,6 +244,7 @@
     lost.forEach((call) => {
       const delayMs = 5 + this.pickNumber(15);
       this.events.schedule(delayMs, () => {
+        call.trial?.finish();
         this.quarantines[call.vm]!.recordCrash(call.request, boot, delayMs);
         this.reportCrashes(call.vm);
       });
--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -4,9 +4,18 @@
 /** The same for a whole request, which others share far less often than a part. */
 export const MIN_REQUEST_CRASHES = 3;
 
-/** The same for a whole request that was lost at all recent ends, and no other at as many. */
+/**
+ * The same for a whole request that was lost at all recent ends, and no other at as many: it is held,
+ * and one VM tries it.
+ */
 export const MIN_UNRIVALLED_REQUEST_CRASHES = 2;
 
+/** Time in which the VMs that may try a held request do so; then more VMs may. */
+export const TRIAL_TURN_MS = 3_000;
+
+/** Factor by which the number of VMs that may try a held request grows with each turn. */
+export const TRIAL_GROUP_GROWTH = 8;
+
 /** The same for a whole request while most upstreams end without it. */
 export const MIN_MINORITY_REQUEST_CRASHES = 5;
 
--- a/packages/core/src/quarantine/crashQuarantine.ts
+++ b/packages/core/src/quarantine/crashQuarantine.ts
@@ -13,6 +13,7 @@
 import { RecentAnswers } from './recentAnswers.js';
 import { RecentEnds } from './recentEnds.js';
 import { decideBlamedRequests } from './requestBlame.js';
+import type { RequestTrial } from './requestTrials.js';
 
 /** An upstream that ended, and its service if known. */
 export interface EndedUpstream extends UpstreamBoot {
@@ -54,8 +55,14 @@
 
   private sentAtMs = -Infinity;
 
-  /** @param onChange called when a pattern begins or ceases to be refused */
-  constructor(private readonly onChange: (change: QuarantineChange) => void = () => undefined) {}
+  /**
+   * @param onChange called when a pattern begins or ceases to be refused
+   * @param rankSelf returns the rank of this VM among all that may try a request, from 0 on
+   */
+  constructor(
+    private readonly onChange: (change: QuarantineChange) => void = () => undefined,
+    private readonly rankSelf: (digest: string) => number = () => 0,
+  ) {}
 
   /** Whether nothing is suspected. */
   get isEmpty(): boolean {
@@ -113,12 +120,22 @@
   }
 
   /**
-   * Returns the time for which a whole request is held back, because enough upstreams crashed under
-   * it but a survival can still clear it; 0 if it is not.
+   * Returns the time for which this VM holds a whole request back, because upstreams crashed under it
+   * but a survival can still clear it; 0 if it does not.
    */
   computeHoldMs(request: WholeRequest): number {
-    const held = this.listTracked(request).filter(({ hasEnoughCrashes }) => hasEnoughCrashes);
-    return Math.max(0, ...held.map(({ refutationLeftMs }) => refutationLeftMs));
+    const holds = this.listTracked(request).map((evidence) =>
+      evidence.computeHoldMs(evidence.isOnTrial ? this.rankSelf(evidence.pattern.digest) : 0),
+    );
+    return Math.max(0, ...holds);
+  }
+
+  /** Notes that a request is being sent. @returns a trial if other VMs hold the request meanwhile */
+  beginTrial(request: WholeRequest): RequestTrial | undefined {
+    const evidence = this.listTracked(request).find(({ isOnTrial }) => isOnTrial);
+    const trial = evidence?.beginTrial();
+    if (evidence) this.handleChange(evidence);
+    return trial;
   }
 
   /** Lifts a refusal by hand. @returns whether the pattern was tracked */
@@ -133,6 +150,9 @@
   /** Returns the rows to send to other VMs now; none if they have not changed for a while. */
   takeRows(): readonly QuarantineRow[] {
     this.refresh();
+    this.evidence.forEach((evidence) => {
+      if (evidence.renewTrial()) this.handleChange(evidence);
+    });
     const nowMs = performance.now();
     const isRecent = nowMs - this.changedAtMs < ROW_REPEAT_MS;
     if (!isRecent && nowMs - this.sentAtMs < ROW_REPEAT_MS) return [];
@@ -261,7 +281,7 @@
     requests.forEach(({ crashesByBoot }) => this.recentEnds.record(crashesByBoot));
     const blamed = decideBlamedRequests(requests, this.recentEnds);
     requests.forEach((request) => {
-      request.setBlamed(blamed.has(request));
+      request.setBlame(blamed.get(request) ?? 'none');
       this.updateRefusal(request);
     });
   }
--- a/packages/core/src/quarantine/index.ts
+++ b/packages/core/src/quarantine/index.ts
@@ -4,3 +4,4 @@
 export { CrashQuarantine } from './crashQuarantine.js';
 export type { QuarantineChange } from './crashQuarantine.js';
 export type { CrashRow, QuarantineRow } from './patternEvidence.js';
+export type { RequestTrial } from './requestTrials.js';
--- a/packages/core/src/quarantine/patternEvidence.ts
+++ b/packages/core/src/quarantine/patternEvidence.ts
@@ -9,6 +9,9 @@
   REQUEST_TIME_STEP_MS,
 } from './constants.js';
 import type { CrashPattern } from './crashPattern.js';
+import type { RequestBlame } from './requestBlame.js';
+import { RequestTrials } from './requestTrials.js';
+import type { RequestTrial } from './requestTrials.js';
 
 /** The end of an upstream that was running a request with a pattern, or beginning to answer it. */
 export interface PatternCrash extends UpstreamBoot {
@@ -34,6 +37,8 @@
   readonly crashes: readonly CrashRow[];
   /** Time since a request with the pattern last came. */
   readonly requestedAgeMs: number;
+  /** Number of trials of a held request, and of their renewals. */
+  readonly trials: number;
 }
 
 const buildBootKey = ({ upstreamId, startedAtMs }: UpstreamBoot): string =>
@@ -57,7 +62,9 @@
   /** Monotonic time of the first crash that counts; infinite if there is none. */
   firstCrashAtMs = Infinity;
 
-  private isBlamed = false;
+  private blame: RequestBlame = 'none';
+
+  private readonly trials = new RequestTrials();
 
   /** @param requestedAtMs monotonic time at which a request with the pattern last came */
   constructor(
@@ -83,10 +90,15 @@
   /** Whether there are enough separate crashes for a refusal. */
   get hasEnoughCrashes(): boolean {
     return this.pattern.kind === 'request'
-      ? this.isBlamed
+      ? this.blame === 'refused'
       : this.separateCrashes >= MIN_PART_CRASHES;
   }
 
+  /** Whether a whole request is held until a trial shows whether it crashes its upstream. */
+  get isOnTrial(): boolean {
+    return this.blame === 'on-trial';
+  }
+
   /**
    * Whether requests of an account are refused. Crashes by prompts of a single account say nothing
    * about others, which that account could otherwise shut out.
@@ -109,15 +121,40 @@
     return !known;
   }
 
-  /** Sets whether a whole request is blamed, which a comparison with others decides. */
-  setBlamed(isBlamed: boolean): void {
-    this.isBlamed = isBlamed;
+  /** Sets the blame of a whole request, which a comparison with others decides. */
+  setBlame(blame: RequestBlame): void {
+    this.blame = blame;
+  }
+
+  /**
+   * Returns the time for which a whole request is not sent by a VM; 0 if it may be sent now, or is refused.
+   *
+   * @param rank of the VM among those that may try it
+   */
+  computeHoldMs(rank: number): number {
+    if (this.hasEnoughCrashes) return this.refutationLeftMs;
+    if (!this.isOnTrial) return 0;
+    const lastCrashAtMs = Math.max(...[...this.crashes.values()].map(({ atMs }) => atMs));
+    return this.trials.computeWaitMs(rank, lastCrashAtMs + REFUTATION_MS);
+  }
+
+  beginTrial(): RequestTrial {
+    this.recordRequest();
+    return this.trials.begin();
+  }
+
+  /** @returns whether a trial is under way of which other VMs should be told again */
+  renewTrial(): boolean {
+    return this.trials.renew();
   }
 
   /** Forgets all crashes, because an upstream survived the pattern. */
   clear(): void {
     this.clearings += 1;
     this.crashes.clear();
+    this.trials.clear();
+    // Otherwise it may expire before other VMs have received the clearing.
+    this.recordRequest();
     this.countCrashes();
   }
 
@@ -129,10 +166,10 @@
     this.requestedAtMs = performance.now();
   }
 
-  /** Forgets old crashes, unless the pattern is refused. */
+  /** Forgets old crashes, unless the pattern is refused or on trial. */
   prune(): void {
     const oldestMs = performance.now() - CRASH_MEMORY_MS;
-    if (this.firstCrashAtMs >= oldestMs || this.isRefused) return;
+    if (this.firstCrashAtMs >= oldestMs || this.isRefused || this.isOnTrial) return;
     this.crashes.forEach(({ atMs }, key) => {
       if (atMs < oldestMs) this.crashes.delete(key);
     });
@@ -142,7 +179,7 @@
   /** Whether nothing needs to be remembered of the pattern any more. */
   isExpired(): boolean {
     const idleMs = performance.now() - this.requestedAtMs;
-    return idleMs > (this.isRefused ? REFUSAL_IDLE_MS : CRASH_MEMORY_MS);
+    return idleMs > (this.isRefused || this.isOnTrial ? REFUSAL_IDLE_MS : CRASH_MEMORY_MS);
   }
 
   /** @returns whether this is a change */
@@ -155,6 +192,7 @@
     if (row.clearings < this.clearings) return false;
     const isNewer = row.clearings > this.clearings;
     if (isNewer) {
+      this.trials.clear();
       this.crashes.clear();
       this.countCrashes();
     }
@@ -163,7 +201,7 @@
       this.recordCrash({ ...crash, atMs: nowMs - ageMs }),
     );
     this.prune();
-    return isNewer || changes.includes(true);
+    return this.trials.merge(row.trials) || isNewer || changes.includes(true);
   }
 
   buildRow(): QuarantineRow {
@@ -176,6 +214,7 @@
         ageMs: nowMs - atMs,
       })),
       requestedAgeMs: nowMs - this.requestedAtMs,
+      trials: this.trials.latest,
     };
   }
 
--- a/packages/core/src/quarantine/requestBlame.ts
+++ b/packages/core/src/quarantine/requestBlame.ts
@@ -9,6 +9,9 @@
 import type { PatternEvidence } from './patternEvidence.js';
 import type { RecentEnds } from './recentEnds.js';
 
+/** What is done with a request: on trial, it is held until one VM has tried it. */
+export type RequestBlame = 'none' | 'on-trial' | 'refused';
+
 /** The requests that were lost when one boot of an upstream ended, by the boots that each was lost at. */
 interface BootSuspects {
   /** Largest number of boots of one of them. */
@@ -51,14 +54,15 @@
  *
  * Other requests are lost together with one that crashes its upstream. So an end does not count
  * against a request if one that is blamed was lost there too and at more upstreams in all; and two
- * ends blame a request only if no other was lost at as many upstreams, and the service had no other
- * ends recently. Otherwise it takes three, and more while most upstreams end without the request.
+ * ends put a request on trial only if no other was lost at as many upstreams, and the service had no
+ * other ends recently, since a sound one may have been the only one that ran. A refusal takes three,
+ * and more while most upstreams end without the request.
  */
 export const decideBlamedRequests = (
   requests: readonly PatternEvidence[],
   recentEnds: RecentEnds,
-): ReadonlySet<PatternEvidence> => {
-  const blamed = new Set<PatternEvidence>();
+): ReadonlyMap<PatternEvidence, RequestBlame> => {
+  const blamed = new Map<PatternEvidence, RequestBlame>();
   const suspectsByBoot = groupByBoot(requests);
   /** Number of boots of the blamed request, by the boots that it ended. */
   const blamedSizes = new Map<string, number>();
@@ -77,7 +81,7 @@
       });
       const fraction = recentEnds.computeFraction(request.crashesByBoot);
       if (crashes < decideMinCrashes(fraction, hasRival)) return;
-      blamed.add(request);
+      blamed.set(request, crashes < MIN_REQUEST_CRASHES ? 'on-trial' : 'refused');
       request.bootKeys.forEach((bootKey) =>
         blamedSizes.set(bootKey, Math.max(size, blamedSizes.get(bootKey) ?? 0)),
       );
--- a/packages/gateway/src/__tests__/gossipMessage.spec.ts
+++ b/packages/gateway/src/__tests__/gossipMessage.spec.ts
@@ -22,6 +22,7 @@
       label: 'part',
       clearings: 1,
       requestedAgeMs: 30,
+      trials: 2,
       crashes: [{ upstreamId, startedAtMs: 77, account: 'account', service: 'app', ageMs: 40 }],
     },
   ],
--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -11,6 +11,7 @@
   UpstreamRegistry,
   VersionsInUse,
   ZoneRelays,
+  computeRendezvousRank,
   createRandomGenerator,
 } from '@goldcrestscale/core';
 import type {
@@ -73,7 +74,10 @@
       listServing: () => roster.listServing().map(({ vmId }) => vmId),
       sendPermitRequest: (granter, request) => sendPermitRequest?.(granter, request),
     }),
-    quarantine: new CrashQuarantine(onQuarantineChange),
+    quarantine: new CrashQuarantine(onQuarantineChange, (digest) => {
+      const serving = roster.listServing().map(({ vmId }) => vmId);
+      return computeRendezvousRank(digest, serving, self);
+    }),
     ejection,
   };
 };
--- a/packages/gateway/src/controllers/__tests__/heartbeatRecord.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/heartbeatRecord.spec.ts
@@ -68,6 +68,7 @@
     label: 'part',
     clearings: 0,
     requestedAgeMs: 10,
+    trials: 2,
     crashes: [
       { upstreamId: toId<UpstreamId>('up'), startedAtMs: 1, account: '', service: '', ageMs: 20 },
     ],
--- a/packages/gateway/src/dispatch/crashObserver.ts
+++ b/packages/gateway/src/dispatch/crashObserver.ts
@@ -1,4 +1,9 @@
-import type { CrashQuarantine, RegisteredUpstream, TrackedUpstream } from '@goldcrestscale/core';
+import type {
+  CrashQuarantine,
+  RegisteredUpstream,
+  RequestTrial,
+  TrackedUpstream,
+} from '@goldcrestscale/core';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { buildWholeRequest, findPromptOfAccount } from '../filters/quarantineFilter.js';
 import type { RequestLog } from '../requestLog.js';
@@ -11,7 +16,7 @@
   readonly quarantine: CrashQuarantine;
   readonly upstreamEnds: UpstreamEnds;
   readonly requestLog: RequestLog;
-  /** Called when an upstream has ended under a request. */
+  /** Called when an upstream has ended under a request, or one such request is tried. */
   readonly onRequestCrash: () => void;
 }
 
@@ -19,6 +24,27 @@
 export class CrashObserver {
   constructor(private readonly options: CrashObserverOptions) {}
 
+  /** Records that a request is sent, which is a trial if other VMs hold the same one back. */
+  recordSend(
+    exchange: GatewayExchange,
+    { registered }: TrackedUpstream,
+    progress: RequestProgress,
+  ): void {
+    const { quarantine, requestLog, onRequestCrash } = this.options;
+    const trial = quarantine.isEmpty
+      ? undefined
+      : quarantine.beginTrial(buildWholeRequest(exchange));
+    if (!trial) return;
+    progress.setTrial(trial);
+    onRequestCrash();
+    requestLog.log('held request is tried', {
+      id: exchange.head.requestId,
+      route: exchange.route?.name,
+      upstreamId: registered.upstreamId,
+      startedAtMs: registered.startedAtMs,
+    });
+  }
+
   /** Records the outcome of an attempt; must be called before the next one is chosen. */
   recordOutcome(
     exchange: GatewayExchange,
@@ -62,17 +88,19 @@
     // A request in a queue doesn't run, and an upstream that leaves ends for another reason.
     const isQueued = !attempt.hasHead && upstream.estimateLoad() > upstream.registered.slots;
     if (isQueued || upstream.isLeaving) return;
-    void this.recordConfirmedCrash(exchange, upstream, upstream.registered);
+    void this.recordConfirmedCrash(exchange, upstream, progress.takeTrial());
   }
 
   private async recordConfirmedCrash(
     exchange: GatewayExchange,
     upstream: TrackedUpstream,
-    boot: RegisteredUpstream,
+    trial: RequestTrial | undefined,
   ): Promise<void> {
     const { quarantine, upstreamEnds, requestLog, onRequestCrash } = this.options;
+    const boot: RegisteredUpstream = upstream.registered;
     const lostAtMs = performance.now();
-    if (!(await upstreamEnds.checkEnd(upstream))) return;
+    const hasEnded = await upstreamEnds.checkEnd(upstream).finally(() => trial?.finish());
+    if (!hasEnded) return;
     quarantine.recordCrash(buildWholeRequest(exchange), boot, performance.now() - lostAtMs);
     onRequestCrash();
     requestLog.log('upstream ended under a request', {
--- a/packages/gateway/src/dispatch/requestProgress.ts
+++ b/packages/gateway/src/dispatch/requestProgress.ts
@@ -1,5 +1,5 @@
 import { SendCounts } from '@goldcrestscale/core';
-import type { RouteRule, ServiceName, UpstreamId } from '@goldcrestscale/core';
+import type { RequestTrial, RouteRule, ServiceName, UpstreamId } from '@goldcrestscale/core';
 import type { ByteReservation } from '@goldcrestscale/runtime';
 import type { AttemptResult } from './attemptResult.js';
 import { EventSplitter } from './eventSplitter.js';
@@ -29,6 +29,8 @@
   /** Whether a connection was lost while an upstream was running it. */
   hasLoss = false;
 
+  private trial: RequestTrial | undefined;
+
   /** The most recent server error that an upstream returned. */
   lastFailure: Extract<AttemptResult, { kind: 'failed' }> | undefined;
 
@@ -48,6 +50,17 @@
     this.isSuspect = true;
   }
 
+  setTrial(trial: RequestTrial): void {
+    this.trial = trial;
+  }
+
+  /** Takes the trial that the last send was; who takes it finishes it. */
+  takeTrial(): RequestTrial | undefined {
+    const { trial } = this;
+    this.trial = undefined;
+    return trial;
+  }
+
   recordPermitRequest(): void {
     this.permitRequests += 1;
   }
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -73,7 +73,7 @@
   readonly isRefusing: () => boolean;
   /** Returns this VM's share of the connections that an upstream accepts. */
   readonly getConnectionShare: (service: ServiceName) => number;
-  /** Called when an upstream has ended under a request. */
+  /** Called when an upstream has ended under a request, or one such request is tried. */
   readonly onRequestCrash: () => void;
   /** Called with the tokens that an engine has to prefill for a prompt that is being sent. */
   readonly onPromptSent: (tokens: number) => void;
@@ -264,7 +264,9 @@
       inputBarrier,
       claimSend: () => {
         sentAtMs = performance.now();
-        return this.sendGate.claim(exchange, choice, progress, signal);
+        const claimed = this.sendGate.claim(exchange, choice, progress, signal);
+        if (!('withheld' in claimed)) this.crashObserver.recordSend(exchange, upstream, progress);
+        return claimed;
       },
       signal,
       eventSplitter: progress.eventSplitter,
@@ -285,6 +287,7 @@
       this.crashObserver.recordOutcome(exchange, upstream, attempt, progress);
       return result;
     } finally {
+      progress.takeTrial()?.finish();
       if (!attempt.hasSent && logEntry.outcome === 'open') logEntry.outcome = 'withheld';
       reservation.release(attempt.hasSent);
       if (attempt.hasSent) progress.usedConnections.add(connection);
--- a/packages/gateway/src/mesh/quarantineRow.ts
+++ b/packages/gateway/src/mesh/quarantineRow.ts
@@ -16,6 +16,7 @@
     service,
   ]),
   row.kind,
+  row.trials,
 ];
 
 const isAge = (value: unknown): value is number =>
@@ -43,13 +44,16 @@
 /** Decodes a row; an invalid one gives none. */
 export const decodeQuarantineRow = (row: unknown): QuarantineRow[] => {
   if (!Array.isArray(row)) return [];
-  const [digest, label, clearings, requestedAgeMs, crashes, sentKind] = row as unknown[];
+  const [digest, label, clearings, requestedAgeMs, crashes, sentKind, sentTrials] =
+    row as unknown[];
   if (typeof digest !== 'string' || typeof label !== 'string') return [];
   if (!isAge(clearings) || !isAge(requestedAgeMs) || !Array.isArray(crashes)) return [];
   // VMs of an earlier version send only rows of prompt parts, without a kind.
   const kind = sentKind === 'request' ? 'request' : 'part';
+  // They send no trials either.
+  const trials = Number.isSafeInteger(sentTrials) ? Number(sentTrials) : 0;
   const decodedCrashes = crashes.flatMap(decodeCrash);
-  return [{ kind, digest, label, clearings, requestedAgeMs, crashes: decodedCrashes }];
+  return [{ kind, digest, label, clearings, requestedAgeMs, trials, crashes: decodedCrashes }];
 };
 
 /** @returns undefined if the datagram is another message */
