--- a/packages/runtime/src/connections/listenerConnections.ts
+++ b/packages/runtime/src/connections/listenerConnections.ts
@@ -1,5 +1,6 @@
 import type { Server as HttpServer } from 'node:http';
 import type { Server, Socket } from 'node:net';
+import { EventLoopBarrier } from '../eventLoop/index.js';
 import type { SocketShare } from './socketShare.js';
 import { watchRequests } from './watchRequests.js';
 
@@ -16,13 +17,23 @@
 /** Time without a request after which a connection may be closed to make room, in milliseconds. */
 const MIN_IDLE_MS = 500;
 
+/** Maximum number of connections beyond the bound, most of which wait for the input to be read. */
+const MAX_EXCESS = 16;
+
 /**
  * Counts and bounds the open connections of a listener. Beyond the bound, a new connection takes the
  * place of the one that has been idle for the longest time; if none is idle, the new one is refused.
+ * That is decided once all input has been read, because the request of an idle connection may lie
+ * unread. A new connection whose own request was read meanwhile stays beyond the bound.
  */
 export class ListenerConnections {
   private readonly open = new Set<Socket>();
 
+  /** Open connections that the share does not count. */
+  private readonly excess = new Set<Socket>();
+
+  private readonly inputBarrier = new EventLoopBarrier();
+
   /** Since when connections have been idle, the longest idle first. */
   private readonly idleSinceMs = new Map<Socket, number>();
 
@@ -55,15 +66,44 @@
   }
 
   private add(socket: Socket): void {
-    const { share, onLoss } = this.options;
-    if (!share.tryOpen() && !(this.closeLongestIdle() && share.tryOpen())) {
-      onLoss('refused');
-      socket.destroy();
-      return;
+    const { share } = this.options;
+    if (!share.tryOpen()) {
+      if (this.excess.size >= MAX_EXCESS && !this.closeLongestIdle()) {
+        this.refuse(socket);
+        return;
+      }
+      if (!share.tryOpen()) {
+        this.excess.add(socket);
+        void this.inputBarrier.run(() => this.settleExcess(socket));
+      }
     }
     this.open.add(socket);
     this.markIdle(socket);
-    socket.once('close', () => this.remove(socket));
+    socket.once('close', () => {
+      this.remove(socket);
+      this.countExcess();
+    });
+  }
+
+  private settleExcess(socket: Socket): void {
+    this.countExcess();
+    if (!this.excess.has(socket)) return;
+    if (this.closeLongestIdle()) this.countExcess();
+    else if (this.idleSinceMs.has(socket)) this.refuse(socket);
+  }
+
+  /** Has the share count connections beyond the bound, as far as there is room. */
+  private countExcess(): void {
+    for (const socket of this.excess) {
+      if (!this.options.share.tryOpen()) return;
+      this.excess.delete(socket);
+    }
+  }
+
+  private refuse(socket: Socket): void {
+    this.options.onLoss('refused');
+    socket.destroy();
+    this.remove(socket);
   }
 
   private closeLongestIdle(): boolean {
@@ -81,6 +121,6 @@
   private remove(socket: Socket): void {
     if (!this.open.delete(socket)) return;
     this.idleSinceMs.delete(socket);
-    this.options.share.release();
+    if (!this.excess.delete(socket)) this.options.share.release();
   }
 }
