--- a/packages/runtime/src/http/readRequestBody.ts
+++ b/packages/runtime/src/http/readRequestBody.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { createRefusal } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance } from '@goldcrestscale/core';
+import { EventLoopBarrier } from '../eventLoop/index.js';
 import { BodyBuffer } from './bodyBuffer.js';
 import type { ByteReservation } from './byteReservation.js';
 import { PartAllowance } from './partAllowance.js';
@@ -43,6 +44,30 @@
     retryAfterMs: MEMORY_RETRY_AFTER_MS,
   });
 
+const inputBarrier = new EventLoopBarrier();
+
+/**
+ * Calls back at a monotonic time, once all input has been read: after a pause of the process, the rest
+ * of a body may be there and not have been read yet.
+ *
+ * @returns a function that cancels the call
+ */
+const scheduleAfterInput = (work: () => void, atMs: number): (() => void) => {
+  let isCancelled = false;
+  const timer = setTimeout(
+    () => {
+      void inputBarrier.run(() => {
+        if (!isCancelled) work();
+      });
+    },
+    Math.max(0, atMs - performance.now()),
+  );
+  return () => {
+    isCancelled = true;
+    clearTimeout(timer);
+  };
+};
+
 const readDeclaredBytes = ({ headers }: IncomingMessage): number | undefined =>
   headers['content-length'] === undefined ? undefined : Number(headers['content-length']);
 
@@ -89,12 +114,9 @@
       if (reservation.tryGrow(stepBytes, 'request_body')) buffer.add(chunk);
       else refuse(createNoMemoryError());
     };
-    const timer = setTimeout(
-      () => refuse(createTimeoutError()),
-      Math.max(0, deadlineAtMs - performance.now()),
-    );
+    const cancelTimeout = scheduleAfterInput(() => refuse(createTimeoutError()), deadlineAtMs);
     const fail = (): void => {
-      clearTimeout(timer);
+      cancelTimeout();
       // Every request closes; the error is created only for one that is incomplete.
       if (!request.readableEnded) reject(createLeftError());
     };
@@ -113,7 +135,7 @@
       else addChunk(chunk, body);
     });
     request.once('end', () => {
-      clearTimeout(timer);
+      cancelTimeout();
       if (body) resolve(body.build());
     });
     request.once('error', fail);
