--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -96,3 +96,10 @@
 
 /** Time for which the selection of relays is cached, in milliseconds. */
 export const RELAY_SELECTION_TTL_MS = 300;
+
+/** A failed request counts as one in flight for this many times what a sound one takes. */
+export const FAILURE_LOAD_FACTOR = 2;
+
+/** Bounds of the time for which a failed request counts as one in flight, in milliseconds. */
+export const MIN_FAILURE_LOAD_MS = 50;
+export const MAX_FAILURE_LOAD_MS = 10_000;
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -8,6 +8,7 @@
   STREAM_STALL_TIMEOUT_MS,
   SUSPECTED_COLD_MS,
 } from './constants.js';
+import { FailureLoad } from './failureLoad.js';
 import type { PeerLoads } from './peerLoads.js';
 import type { LoadedWeights, RegisteredUpstream } from './registeredUpstream.js';
 
@@ -29,6 +30,9 @@
   /** Prompt tokens of this VM's requests in flight at the upstream. */
   inFlightTokens = 0;
 
+  /** Load for which its failed requests count; cleared when it is ejected or restarts. */
+  readonly failureLoad = new FailureLoad();
+
   private reportedLoad: ReportedLoad | undefined;
 
   private reportedAtMs = -Infinity;
@@ -142,6 +146,7 @@
       this.reportedWeights.clear();
       this.hasAnnouncedLeaving = false;
       this.restUntilMs = -Infinity;
+      this.failureLoad.clear();
     }
     if (next.coldRemainingMs > 0 || isRestarted) {
       this.coldUntilMs = performance.now() + next.coldRemainingMs;
--- a/packages/core/src/promptRouting/__tests__/promptRouter.spec.ts
+++ b/packages/core/src/promptRouting/__tests__/promptRouter.spec.ts
@@ -93,6 +93,23 @@
   expect(choice.prefillTokens).toBe(8_500);
 });
 
+test('an engine that fails prompts at once costs more than one that prefills them', () => {
+  const engines = makeEngines(2);
+  const [failing, sound] = engines as [TrackedUpstream, TrackedUpstream];
+  sound.recordDispatch(8_500);
+  failing.failureLoad.record({ runMs: 200, prefillMs: 8_500 / new PrefillRate().tokensPerMs });
+  const choice = chooseEngine(createRouter(), makeRequest(makePrompt('s1', 8_000, 500)), engines);
+  expect(choice.upstream).toBe(sound);
+});
+
+// Guards against refusals for overload of engines that are idle.
+test('failures of all engines refuse no prompt', () => {
+  const engines = makeEngines(4);
+  engines.forEach(({ failureLoad }) => failureLoad.record({ runMs: 10_000, prefillMs: 10_000 }));
+  const request = makeRequest(makePrompt('s1', 20_000, 500), { callerTimeoutMs: 100 });
+  expect(chooseEngine(createRouter(), request, engines).firstTokenMs).toBeLessThan(300);
+});
+
 test('outdated weights cost more after the grace period', () => {
   const old = makeTracked('old');
   const fresh = makeTracked('new');
--- a/packages/core/src/promptRouting/promptRouter.ts
+++ b/packages/core/src/promptRouting/promptRouter.ts
@@ -105,6 +105,10 @@
   return totalQueueMs / estimates.length > request.shortestObjectiveMs * OVERLOAD_QUEUE_FRACTION;
 };
 
+/** A cost and no queue: failures must not have prompts refused for overload. */
+const computeFailureCostMs = ({ failureLoad }: TrackedUpstream): number =>
+  failureLoad.requests * COST_PER_REQUEST_MS + failureLoad.queueMs;
+
 /**
  * Outdated weights stay usable while few engines have the new ones, but responses from them are
  * worth less.
@@ -147,11 +151,9 @@
       });
       const choice = this.estimateChoice(request, candidate, missing);
       const nonHomeCostMs = candidate.upstreamId === homeId ? 0 : NON_HOME_COST_MS;
-      return {
-        ...choice,
-        costMs:
-          choice.firstTokenMs + nonHomeCostMs + (choice.isOutdated ? OUTDATED_WEIGHTS_COST_MS : 0),
-      };
+      const outdatedCostMs = choice.isOutdated ? OUTDATED_WEIGHTS_COST_MS : 0;
+      const penaltiesMs = nonHomeCostMs + outdatedCostMs + computeFailureCostMs(candidate);
+      return { ...choice, costMs: choice.firstTokenMs + penaltiesMs };
     });
     return this.chooseWithOverloadControl(request, estimates);
   }
--- a/packages/gateway/src/__tests__/ejectedUpstreams.spec.ts
+++ b/packages/gateway/src/__tests__/ejectedUpstreams.spec.ts
@@ -13,6 +13,7 @@
 import { buildResponse } from './fakeUpstream.js';
 import type { TestRequest } from './fakeUpstream.js';
 import { startGateway } from './gatewayHarness.js';
+import type { TestCall } from './gatewayHarness.js';
 
 type Respond = (request: TestRequest) => void;
 
@@ -100,6 +101,52 @@
   expect(sentAtMs.filter((atMs) => atMs > LEARN_MS).length).toBeLessThanOrEqual(maxLaterSends);
 });
 
+/** Counts the requests that each upstream is the first to get; up-0 fails and is not ejected. */
+const countFirstSends = async (
+  fault: Respond,
+  buildHeaders: () => TestCall['headers'] = () => ({}),
+): Promise<readonly number[]> => {
+  const counts = [0, 0, 0];
+  const seen = new Set<string>();
+  const countAnd =
+    (index: number, answer: Respond): Respond =>
+    (request) => {
+      if (!seen.has(request.id)) counts[index]! += 1;
+      seen.add(request.id);
+      answer(request);
+    };
+  const { call, fleetState } = await startGateway({
+    route: { ...idempotent, carriesPrompt: true },
+    upstreams: [fault, respond, respond].map((answer, index) => countAnd(index, answer)),
+  });
+  // As if half of a larger group were ejected already.
+  fleetState.ejection.remove(toId<UpstreamId>('up-0'));
+  await sendRequests(() => call({ headers: buildHeaders() ?? {} }));
+  return counts;
+};
+
+// Guards against an upstream that gets more requests than sound ones because it fails them at once.
+test.each(Object.entries(faults))(
+  'an upstream that answers every second request with %s gets no more than its share',
+  async (_, fault) => {
+    const [failing = 0, ...sound] = await countFirstSends(alternate(fault));
+    expect(failing).toBeGreaterThan(0);
+    sound.forEach((count) => expect(failing).toBeLessThan(count));
+  },
+);
+
+// Guards against the same for prompts, which are routed by queues and sessions.
+test('an engine that fails every second prompt gets no more than its share', async () => {
+  let sessions = 0;
+  const [failing = 0, ...sound] = await countFirstSends(alternate(faults['an error']!), () => {
+    sessions += 1;
+    return { 'x-model': 'm', 'x-parts': `session-${sessions}` };
+  });
+  expect(failing).toBeGreaterThan(0);
+  // Home engines of sessions are kept through small differences.
+  sound.forEach((count) => expect(failing).toBeLessThan(1.25 * count));
+});
+
 /** A fleet whose ejections are counted, and the number of series of the gauge. */
 const createCountedFleet = () => {
   const metrics = createGatewayMetrics(createMetricsRegistry());
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -2,6 +2,7 @@
 import type {
   AnnouncedRates,
   EjectionPolicy,
+  ServiceName,
   TrackedUpstream,
   UpstreamRegistry,
 } from '@goldcrestscale/core';
@@ -13,10 +14,12 @@
 import type { AttemptResult, NotRunReason } from './attemptResult.js';
 import type { ConnectionPool } from './connectionPool.js';
 import type { RequestProgress } from './requestProgress.js';
+import type { UpstreamChoice, UpstreamChooser } from './upstreamChooser.js';
 
 /** Dependencies of the recorder. */
 export interface OutcomeRecorderOptions {
   readonly ejection: EjectionPolicy;
+  readonly chooser: Pick<UpstreamChooser, 'prefillRate'>;
   readonly connections: ConnectionPool;
   readonly metrics: GatewayMetrics;
   readonly registry: UpstreamRegistry;
@@ -28,8 +31,14 @@
 
 const MIN_SERVER_ERROR_STATUS = 500;
 
+/** Weight of a new sample in the moving average of the time that requests of a service take. */
+const RUN_TIME_SAMPLE_WEIGHT = 0.1;
+
 /** Applies the outcome of an attempt to the upstream's state, the request and the connection pool. */
 export class OutcomeRecorder {
+  /** Mean time of the sound requests of each service, in milliseconds. */
+  private readonly meanRunMs = new Map<ServiceName, number>();
+
   constructor(private readonly options: OutcomeRecorderOptions) {}
 
   recordResponseHead(
@@ -49,18 +58,25 @@
     if (head.status < MIN_SERVER_ERROR_STATUS) upstream.clearBusy();
   }
 
-  /** Records a response that was passed on in full; a head alone is no success. */
-  recordSuccess({ upstreamId }: TrackedUpstream): void {
+  /**
+   * Records a response that was passed on in full; a head alone is no success.
+   *
+   * @param runMs time from the choice of the upstream to the end of the response, in milliseconds
+   */
+  recordSuccess({ upstreamId, registered }: TrackedUpstream, runMs: number): void {
     this.options.ejection.recordOutcome(upstreamId, 'success');
+    const meanMs = this.meanRunMs.get(registered.service) ?? runMs;
+    const nextMeanMs = meanMs + (runMs - meanMs) * RUN_TIME_SAMPLE_WEIGHT;
+    this.meanRunMs.set(registered.service, nextMeanMs);
   }
 
   recordFailure(
     exchange: GatewayExchange,
-    upstream: TrackedUpstream,
+    choice: UpstreamChoice,
     progress: RequestProgress,
     result: FailedResult,
   ): void {
-    const { ejection } = this.options;
+    const { upstream } = choice;
     const { upstreamId } = upstream;
     if (result.kind === 'not-run') {
       this.recordNotExecuted(upstream, progress, result.reason);
@@ -70,13 +86,31 @@
     if (result.kind === 'failed') {
       progress.recordFailure(result);
       exchange.verdict = combineVerdicts(exchange.verdict, 'ran');
-      ejection.recordOutcome(upstreamId, 'failure');
+      this.recordUpstreamFailure(choice);
       return;
     }
     exchange.verdict = combineVerdicts(exchange.verdict, 'may-have-run');
     const isNeutral = exchange.signal.aborted || result.isOwnFailure === true;
-    if (!isNeutral) upstream.markSuspectedCold();
-    ejection.recordOutcome(upstreamId, isNeutral ? 'neutral' : 'failure');
+    if (isNeutral) {
+      this.options.ejection.recordOutcome(upstreamId, 'neutral');
+      return;
+    }
+    upstream.markSuspectedCold();
+    this.recordUpstreamFailure(choice);
+  }
+
+  private recordUpstreamFailure({ upstream, prefillTokens }: UpstreamChoice): void {
+    const { ejection, chooser } = this.options;
+    ejection.recordOutcome(upstream.upstreamId, 'failure');
+    // An ejected upstream gets only probes, which must not wait until its failures are forgotten.
+    if (ejection.getState(upstream.upstreamId) !== 'closed') {
+      upstream.failureLoad.clear();
+      return;
+    }
+    upstream.failureLoad.record({
+      runMs: this.meanRunMs.get(upstream.registered.service),
+      prefillMs: prefillTokens / chooser.prefillRate.tokensPerMs,
+    });
   }
 
   /** Records that the upstream wants fewer requests or none, for good or for a while. */
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -309,9 +309,9 @@
     let best: TrackedUpstream | undefined;
     let leastLoad = Infinity;
     candidates.forEach((candidate) => {
+      const requests = candidate.estimateLoad() + candidate.failureLoad.requests;
       const load =
-        (candidate.estimateLoad() + uniformFloat64(this.options.random)) /
-        Math.max(1, candidate.registered.slots);
+        (requests + uniformFloat64(this.options.random)) / Math.max(1, candidate.registered.slots);
       if (load >= leastLoad) return;
       best = candidate;
       leastLoad = load;
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -186,17 +186,17 @@
     progress: RequestProgress,
     signal: AbortSignal,
   ): Promise<boolean> {
-    const { upstream } = choice;
+    const chosenAtMs = performance.now();
     const result = await this.runAttempt(exchange, choice, progress, signal);
     this.options.metrics.countAttempt(progress.service, result.kind);
     progress.sends.recordEnd(findSendEnd(result));
     if (result.kind === 'answered') {
       exchange.verdict = 'ran';
-      this.outcomeRecorder.recordSuccess(upstream);
+      this.outcomeRecorder.recordSuccess(choice.upstream, performance.now() - chosenAtMs);
       return true;
     }
     if (result.kind !== 'withheld') {
-      this.outcomeRecorder.recordFailure(exchange, upstream, progress, result);
+      this.outcomeRecorder.recordFailure(exchange, choice, progress, result);
       assertWaiting(exchange, signal);
     }
     if (this.resendPolicy.canSendAgain(exchange, progress, result)) return false;
