--- a/packages/core/src/quarantine/__tests__/crashQuarantine.spec.ts
+++ b/packages/core/src/quarantine/__tests__/crashQuarantine.spec.ts
@@ -208,3 +208,30 @@
     }),
   );
 });
+
+// Guards against a herd that fills the memory of a part, so that later crashes don't count.
+test('a part that crashes engines after a herd of crashes is refused', () => {
+  const quarantine = new CrashQuarantine();
+  for (let index = 0; index < 40; index += 1) quarantine.recordCrash(poison, makeBoot(100 + index));
+  vi.advanceTimersByTime(SPACING_MS);
+  recordCrashes(quarantine, MIN_PART_CRASHES - 1);
+  expect(quarantine.findRefused(poison)?.label).toBe('system');
+});
+
+// Guards against VMs that keep other crashes of one pattern, because they received them in another order.
+test('which crashes are kept does not depend on their order', () => {
+  const [first, second] = [new CrashQuarantine(), new CrashQuarantine()];
+  for (let index = 0; index < 15; index += 1) {
+    first.recordCrash(poison, makeBoot(index), 0);
+    vi.advanceTimersByTime(200);
+  }
+  for (let index = 14; index >= 0; index -= 1) {
+    second.recordCrash(poison, makeBoot(index), (15 - index) * 200);
+  }
+  const listBoots = (quarantine: CrashQuarantine) =>
+    quarantine
+      .dump()[0]!
+      .crashes.map(({ startedAtMs }) => startedAtMs)
+      .sort();
+  expect(listBoots(second)).toEqual(listBoots(first));
+});
--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -61,7 +61,7 @@
 /** Maximum number of patterns that are tracked. */
 export const MAX_TRACKED_PATTERNS = 256;
 
-/** Maximum number of crashes that are kept for a pattern. */
+/** Maximum number of crashes that are kept for a pattern, half of them the first, half the last ones. */
 export const MAX_CRASHES_PER_PATTERN = 12;
 
 /** Maximum number of parts of one prompt that are suspected. */
--- a/packages/core/src/quarantine/patternEvidence.ts
+++ b/packages/core/src/quarantine/patternEvidence.ts
@@ -114,8 +114,8 @@
     const key = buildBootKey(crash);
     const known = this.crashes.get(key);
     if (known && known.atMs <= crash.atMs) return false;
-    if (!known && this.crashes.size >= MAX_CRASHES_PER_PATTERN) return false;
     this.crashes.set(key, crash);
+    if (this.crashes.size > MAX_CRASHES_PER_PATTERN && this.dropMiddleCrash() === key) return false;
     this.countCrashes();
     this.requestedAtMs = Math.max(this.requestedAtMs, crash.atMs);
     return !known;
@@ -243,6 +243,22 @@
     return clusters;
   }
 
+  /**
+   * Keeps the first and the last crashes if there are too many. That choice doesn't depend on the order
+   * in which they were received, and a herd of crashes leaves room for later ones.
+   *
+   * @returns the key of the crash that is not kept
+   */
+  private dropMiddleCrash(): string {
+    const inOrder = [...this.crashes].sort(
+      ([leftKey, left], [rightKey, right]) =>
+        left.atMs - right.atMs || (leftKey < rightKey ? -1 : 1),
+    );
+    const [dropped] = inOrder[MAX_CRASHES_PER_PATTERN / 2]!;
+    this.crashes.delete(dropped);
+    return dropped;
+  }
+
   private countCrashes(): void {
     this.separateCrashes = this.listClusters(new Set(this.crashes.keys())).length;
     this.firstCrashAtMs = Math.min(...[...this.crashes.values()].map(({ atMs }) => atMs));
