--- a/packages/entry/src/http/callerServer.ts
+++ b/packages/entry/src/http/callerServer.ts
@@ -163,8 +163,6 @@
       .then(() => callerOver)
       .finally(() => reservation.release());
   });
-  // The size of a head is its limit; Node drops the fields beyond a count without an error.
-  server.maxHeadersCount = 0;
   new CallerTimes(new EventLoopBarrier(), {
     headMs: REQUEST_TIMEOUT_MS,
     bodyMs: MAX_DISCARDED_BODY_MS,
--- a/packages/gateway/src/dispatch/upstreamConnection.ts
+++ b/packages/gateway/src/dispatch/upstreamConnection.ts
@@ -96,8 +96,6 @@
       headers: buildHeaders(options),
       maxHeaderSize: MAX_HEADER_BYTES,
     });
-    // The size of a head is its limit; Node drops the fields beyond a count without an error.
-    request.maxHeadersCount = 0;
     this.agent.isInUse = true;
     request.once('response', ({ headers }) => this.applyKeepAlive(headers['keep-alive']));
     const exchange = new ConnectionExchange(request, handler);
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -124,8 +124,6 @@
   let openCount = 0;
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
   server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + TIMEOUT_MARGIN_MS;
-  // The size of a head is its limit; Node drops the fields beyond a count without an error.
-  server.maxHeadersCount = 0;
   const callerTimes = new CallerTimes(new EventLoopBarrier(), { headMs: DEFAULT_HEAD_TIMEOUT_MS });
   callerTimes.watch(server);
   const { budget, onHeadDropped: onDrop } = options;
