--- a/packages/entry/src/mesh/createUpgradeServer.ts
+++ b/packages/entry/src/mesh/createUpgradeServer.ts
@@ -11,10 +11,12 @@
     response.writeHead(UPGRADE_REQUIRED_STATUS, { connection: 'close' });
     response.end();
   });
-  new CallerTimes(new EventLoopBarrier(), {
+  const times = new CallerTimes(new EventLoopBarrier(), {
     headMs: HANDSHAKE_TIMEOUT_MS,
     bodyMs: HANDSHAKE_TIMEOUT_MS,
-  }).watch(server);
+  });
+  times.watch(server);
+  server.on('upgrade', ({ socket }) => times.release(socket));
   server.maxConnections = MAX_CONNECTIONS;
   return server;
 };
--- a/packages/runtime/src/http/__tests__/callerTimes.spec.ts
+++ b/packages/runtime/src/http/__tests__/callerTimes.spec.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import type { RequestListener } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
 import { connect } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -20,12 +20,7 @@
   response.end('fine');
 };
 
-const startServer = async (
-  limits: Partial<CallerTimeLimits> = {},
-  listener: RequestListener = answer,
-) => {
-  const server = createServer(listener);
-  new CallerTimes(new EventLoopBarrier(), { headMs: HEAD_MS, ...limits }).watch(server);
+const listen = async (server: Server): Promise<Server> => {
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -36,7 +31,16 @@
   return server;
 };
 
-const openCaller = async (server: Awaited<ReturnType<typeof startServer>>) => {
+const startServer = async (
+  limits: Partial<CallerTimeLimits> = {},
+  listener: RequestListener = answer,
+): Promise<Server> => {
+  const server = createServer(listener);
+  new CallerTimes(new EventLoopBarrier(), { headMs: HEAD_MS, ...limits }).watch(server);
+  return listen(server);
+};
+
+const openCaller = async (server: Server) => {
   const accepted = new Promise<Socket>((resolve) => {
     server.once('connection', resolve);
   });
@@ -151,11 +155,27 @@
   expect(read()).toMatch(/^HTTP\/1\.1 200 /);
 });
 
+const UPGRADE_REQUEST =
+  'GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade, close\r\nupgrade: h2c\r\n\r\n';
+
+// Guards against callers that offer an upgrade and get no answer, because somebody listens for upgrades.
+test('a request that offers an upgrade is answered', async () => {
+  const { socket, read } = await openCaller(await startServer());
+  socket.write(UPGRADE_REQUEST);
+  await vi.waitUntil(() => read() !== '', { timeout: 3_000 });
+  expect(read()).toMatch(/^HTTP\/1\.1 200 /);
+});
+
 test('an upgraded connection has no limit', async () => {
-  const server = await startServer();
-  server.on('upgrade', (_request, socket: Socket) => socket.write('upgraded'));
-  const { socket, read } = await openCaller(server);
-  socket.write('GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n');
+  const server = createServer(answer);
+  const times = new CallerTimes(new EventLoopBarrier(), { headMs: HEAD_MS });
+  times.watch(server);
+  server.on('upgrade', (_request, socket: Socket) => {
+    times.release(socket);
+    socket.write('upgraded');
+  });
+  const { socket, read } = await openCaller(await listen(server));
+  socket.write(UPGRADE_REQUEST);
   await sleep(HEAD_MS + LATE_MS);
   expect([read(), socket.closed]).toEqual(['upgraded', false]);
 });
--- a/packages/runtime/src/http/callerTimes.ts
+++ b/packages/runtime/src/http/callerTimes.ts
@@ -60,7 +60,6 @@
       this.parts.set(socket, { sinceMs: performance.now() });
       socket.once('close', () => this.parts.delete(socket));
     });
-    server.on('upgrade', (request: IncomingMessage) => this.parts.delete(request.socket));
     server.on('request', (request: IncomingMessage) => {
       this.parts.set(request.socket, { sinceMs: performance.now(), request });
     });
@@ -77,6 +76,11 @@
     });
   }
 
+  /** Ends the limits of a connection that is no longer one of HTTP. */
+  release(socket: Socket): void {
+    this.parts.delete(socket);
+  }
+
   private handleResponseEnd(socket: Socket): void {
     const part = this.parts.get(socket);
     if (part?.request && !part.request.complete) {
