--- a/packages/gateway/src/__tests__/unreachedRetries.spec.ts
+++ b/packages/gateway/src/__tests__/unreachedRetries.spec.ts
@@ -129,6 +129,35 @@
   },
 );
 
+// Guards against callers that get 503 beside a sound upstream, because another one can't be connected to.
+test('a lasting shortage of ports towards one upstream refuses no request', async () => {
+  const { call } = await startGateway({ upstreams: [respond, respond] });
+  const { acquire } = ConnectionPool.prototype;
+  const shortage = Object.assign(new Error('connect EADDRNOTAVAIL'), { code: 'EADDRNOTAVAIL' });
+  let failures = 0;
+  let shortAddress: string | undefined;
+  vi.spyOn(ConnectionPool.prototype, 'acquire').mockImplementation(function acquireOrFail(
+    this: ConnectionPool,
+    address,
+    ...rest
+  ) {
+    const connection = acquire.call(this, address, ...rest);
+    shortAddress ??= address;
+    if (connection && address === shortAddress) {
+      failures += 1;
+      vi.spyOn(connection, 'waitForOpen').mockRejectedValue(shortage);
+    }
+    return connection;
+  });
+  const statuses: number[] = [];
+  for (let round = 0; round < 100; round += 1) {
+    const replies = await Promise.all(Array.from({ length: 10 }, () => call()));
+    statuses.push(...replies.map(({ status }) => status));
+  }
+  expect(failures).toBeGreaterThan(MAX_UNREACHED_TRIES_PER_SECOND);
+  expect(statuses.filter((status) => status !== 200)).toEqual([]);
+});
+
 // Guards against charges that differ from what upstreams count as repeats.
 test('exactly the arrivals beyond the first of each request are charged', async () => {
   const charge = vi.spyOn(FleetRetryBudget.prototype, 'recordRetry');
--- a/packages/gateway/src/dispatch/resendPolicy.ts
+++ b/packages/gateway/src/dispatch/resendPolicy.ts
@@ -45,8 +45,9 @@
 
   private canTryOther({ sends }: RequestProgress, result: EndedResult): boolean {
     if (sends.unreached > MAX_UNREACHED_TRIES) return false;
-    // Where no connection may be opened, none was.
-    const isConnectFailure = result.kind !== 'not-run' || result.reason !== 'no-connection';
-    return !isConnectFailure || this.unreachedTries.tryTake();
+    // Where no connection may be opened, none was; the limit is for upstreams that can't be reached.
+    const isOwnLimit =
+      result.kind === 'not-run' && ['no-connection', 'no-socket'].includes(result.reason);
+    return isOwnLimit || this.unreachedTries.tryTake();
   }
 }
