--- a/packages/core/src/quarantine/crashQuarantine.ts
+++ b/packages/core/src/quarantine/crashQuarantine.ts
@@ -124,9 +124,12 @@
    * but a survival can still clear it; 0 if it does not.
    */
   computeHoldMs(request: WholeRequest): number {
-    const holds = this.listTracked(request).map((evidence) =>
-      evidence.computeHoldMs(evidence.isOnTrial ? this.rankSelf(evidence.pattern.digest) : 0),
-    );
+    const holds = this.listTracked(request).map((evidence) => {
+      // The first VM by rank waits for the shortest time, so most holds need no ranking of the fleet.
+      const shortestMs = evidence.computeHoldMs(0);
+      if (shortestMs > 0 || !evidence.isOnTrial) return shortestMs;
+      return evidence.computeHoldMs(this.rankSelf(evidence.pattern.digest));
+    });
     return Math.max(0, ...holds);
   }
 
