--- a/packages/core/src/blockStores/blockDirectory.ts
+++ b/packages/core/src/blockStores/blockDirectory.ts
@@ -183,8 +183,20 @@
 
   /** Lists all blocks of a store. */
   listBlocks(address: string): readonly StoredBlockChange[] {
-    const blocks = this.stores.get(address)?.blocks ?? new Map<string, number>();
-    return [...blocks].map(([key, tokens]) => ({ ...splitBlockKey(key), isPresent: true, tokens }));
+    return [...this.scanBlocks(address)];
+  }
+
+  countBlocks(address: string): number {
+    return this.stores.get(address)?.blocks.size ?? 0;
+  }
+
+  /** Lists a store's blocks while they change: what is added or replaced meanwhile comes last. */
+  *scanBlocks(address: string): Generator<StoredBlockChange, void> {
+    const store = this.stores.get(address);
+    for (const [key, tokens] of store?.blocks ?? []) {
+      if (this.stores.get(address) !== store) return;
+      yield { ...splitBlockKey(key), isPresent: true, tokens };
+    }
   }
 
   /** Lists the keys of a store's blocks whose salts may be freed. */
--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -123,12 +123,8 @@
       { topic: 'upstreams', era: 1, position: 6, provedAgeMs: getProvedAgeMs() },
     ],
     listStores: () => ['store'],
-    findBlocks: (address) => ({
-      address,
-      epoch: 1,
-      isWhole: true,
-      clockMs: undefined,
-      changes: [],
+    scanBlocks: (address) => ({
+      nextPart: () => ({ address, epoch: 1, isWhole: true, clockMs: undefined, changes: [] }),
     }),
     onStreamRecord: (record) => streamRecords.push(record),
     isAlive: () => true,
--- a/packages/gateway/src/__tests__/meshServer.ts
+++ b/packages/gateway/src/__tests__/meshServer.ts
@@ -33,7 +33,7 @@
     linkMbps: 100_000,
     listPositions: () => [],
     listStores: () => [],
-    findBlocks: () => undefined,
+    scanBlocks: () => ({ nextPart: () => undefined }),
     onStreamRecord: () => undefined,
     isAlive: () => true,
   });
--- a/packages/gateway/src/__tests__/relayLink.spec.ts
+++ b/packages/gateway/src/__tests__/relayLink.spec.ts
@@ -62,7 +62,7 @@
     linkMbps: LINK_MBPS,
     listPositions: () => [{ topic: 'upstreams', era: 1, position: 6, provedAgeMs: 20 }],
     listStores: () => STORES,
-    findBlocks: buildBlocks,
+    scanBlocks: (address) => ({ nextPart: () => buildBlocks(address) }),
     onStreamRecord: () => undefined,
     isAlive: () => true,
   });
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -143,7 +143,7 @@
     listPositions: () =>
       Object.values(topicReaders).flatMap((reader) => reader.getOwnPosition() ?? []),
     listStores: () => readers.stores.listRead(),
-    findBlocks: (address) => readers.stores.findSnapshot(address),
+    scanBlocks: (address) => readers.stores.scanStore(address),
     onStreamRecord: (record) => streamRecords.relayRecord(record),
     isAlive: (vmId) => gossip.hasReportFrom(vmId, FOLLOWER_TIMEOUT_MS),
   });
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -162,6 +162,9 @@
 /** Maximum send backlog of a slow follower before it is disconnected. */
 export const MAX_FOLLOWER_BACKLOG_BYTES = 8 * 1024 * 1024;
 
+/** Send backlog of a follower up to which it gets more of the block stores' contents. */
+export const MAX_SNAPSHOT_BACKLOG_BYTES = 1024 * 1024;
+
 /** Interval at which a snapshot waits until others have read what they were sent. */
 export const UNSENT_WAIT_MS = 50;
 
--- a/packages/gateway/src/controllers/__tests__/blockStoresController.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/blockStoresController.spec.ts
@@ -98,7 +98,7 @@
   await becomeRelay();
   expect(protocol.queries[0]).toBe(END_OFFSET - 5);
   expect(countChanges(relayed)).toBe(5);
-  expect(controller.findSnapshot(ADDRESS)?.next).toBe(END_OFFSET);
+  expect(controller.scanStore(ADDRESS).nextPart()?.next).toBe(END_OFFSET);
 });
 
 // Guards against offsets of a store that has restarted since and numbers its events anew.
--- a/packages/gateway/src/controllers/blockStoresController.ts
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -12,6 +12,7 @@
 import type { RelayedBlocks } from '../mesh/feedMessage.js';
 import type { UpstreamProtocol } from '../ports/index.js';
 import { FaultyStoreError } from './faultyStoreError.js';
+import { StoreScan } from './storeScan.js';
 
 const START_OFFSET = 0;
 
@@ -36,6 +37,9 @@
   /** Offset of the next event of each store, whether read directly or relayed. */
   private readonly nextOffsets = new Map<string, number>();
 
+  /** Stores of whose contents a relay has sent a part only; an offset would skip the rest. */
+  private readonly incomplete = new Set<string>();
+
   constructor(private readonly options: BlockStoresOptions) {}
 
   /** Starts and stops event readers so that they match the stores in the directory. */
@@ -57,15 +61,17 @@
   }
 
   /** Applies changes of a store that were received from a relay. */
-  applyRelayed({ address, epoch, isWhole, clockMs, changes, next }: RelayedBlocks): void {
+  applyRelayed(relayed: RelayedBlocks): void {
+    const { address, epoch, isWhole, clockMs, changes, next } = relayed;
     const { blocks, isDirectReader } = this.options;
     if (isDirectReader()) return;
     if (clockMs !== undefined) blocks.updateServerClock(clockMs);
     if (isWhole || epoch === undefined) blocks.clearStore(address);
     this.nextOffsets.delete(address);
+    const isNewEpoch = epoch !== undefined && blocks.updateEpoch(address, epoch);
+    this.recordCompleteness(relayed, isNewEpoch);
     if (epoch === undefined) return;
-    if (next !== undefined) this.nextOffsets.set(address, next);
-    blocks.updateEpoch(address, epoch);
+    if (next !== undefined && !this.incomplete.has(address)) this.nextOffsets.set(address, next);
     changes.forEach((change) => blocks.applyChange(address, change));
     const excess = blocks.explainExcess(address);
     if (excess === undefined) return;
@@ -80,18 +86,23 @@
     return isDirectReader() ? blocks.listStores().map(({ address }) => address) : [];
   }
 
-  /** Returns the contents of a store; undefined if this VM does not read it directly. */
-  findSnapshot(address: string): RelayedBlocks | undefined {
-    if (!this.listRead().includes(address)) return undefined;
-    const { blocks } = this.options;
-    return {
+  /** Begins to list the contents of a store. */
+  scanStore(address: string): StoreScan {
+    return new StoreScan({
+      blocks: this.options.blocks,
       address,
-      epoch: blocks.findEpoch(address),
-      isWhole: true,
-      clockMs: undefined,
-      changes: blocks.listBlocks(address),
-      next: this.nextOffsets.get(address),
-    };
+      isRead: () => this.listRead().includes(address),
+      getNextOffset: () => this.nextOffsets.get(address),
+    });
+  }
+
+  private recordCompleteness(
+    { address, epoch, isWhole, hasMore }: RelayedBlocks,
+    isNewEpoch: boolean,
+  ): void {
+    if (hasMore) this.incomplete.add(address);
+    else if (hasMore === false || isWhole || isNewEpoch || epoch === undefined)
+      this.incomplete.delete(address);
   }
 
   private async followStore(address: string, signal: AbortSignal): Promise<void> {
--- a/packages/gateway/src/mesh/assertFeedMessage.ts
+++ b/packages/gateway/src/mesh/assertFeedMessage.ts
@@ -11,6 +11,8 @@
 const isAmount = (value: unknown): value is number =>
   typeof value === 'number' && Number.isFinite(value);
 
+const isFlag = (value: unknown): value is boolean => typeof value === 'boolean';
+
 const isOffset = (value: unknown): value is number => Number.isSafeInteger(value);
 
 const isUndefinedOr = (isValid: (value: unknown) => boolean, value: unknown): boolean =>
@@ -41,7 +43,7 @@
 
 const isChange = (value: unknown): boolean =>
   isFields(value) &&
-  typeof value.isPresent === 'boolean' &&
+  isFlag(value.isPresent) &&
   isText(value.salt) &&
   isText(value.partId) &&
   isAmount(value.tokens);
@@ -50,9 +52,10 @@
   isFields(value) &&
   isText(value.address) &&
   isUndefinedOr(isAmount, value.epoch) &&
-  typeof value.isWhole === 'boolean' &&
+  isFlag(value.isWhole) &&
   isUndefinedOr(isAmount, value.clockMs) &&
   isUndefinedOr(isAmount, value.next) &&
+  isUndefinedOr(isFlag, value.hasMore) &&
   isListOf(isChange, value.changes);
 
 /** Tells by kind whether the fields of a message are valid. */
--- a/packages/gateway/src/mesh/feedMessage.ts
+++ b/packages/gateway/src/mesh/feedMessage.ts
@@ -36,6 +36,8 @@
   readonly changes: readonly StoredBlockChange[];
   /** Offset of the store's next event; undefined if it is unavailable, or from an earlier version. */
   readonly next?: number | undefined;
+  /** Whether more of the store's contents follow; undefined for changes, or from an earlier version. */
+  readonly hasMore?: boolean | undefined;
 }
 
 /** Message between a relay and a follower of its group. Sent over the network. */
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -8,6 +8,7 @@
   FOLLOWER_LIMIT_TTL_MS,
   FOLLOWER_TIMEOUT_MS,
   MAX_FOLLOWER_BACKLOG_BYTES,
+  MAX_SNAPSHOT_BACKLOG_BYTES,
   UNSENT_WAIT_MS,
 } from '../constants.js';
 import type { FaultRecorder } from '../faultRecorder.js';
@@ -18,6 +19,7 @@
 import type { FrameAuth } from './feedFrame.js';
 import { encodeFeedContent } from './feedMessage.js';
 import type { FeedMessage, RelayedBlocks, RelayedPosition } from './feedMessage.js';
+import { groupMessages } from './feedParts.js';
 import { FeedWriter } from './feedWriter.js';
 import { LinkShare } from './linkShare.js';
 import { MeshConnections } from './meshConnections.js';
@@ -42,14 +44,20 @@
   readonly listPositions: () => readonly RelayedPosition[];
   /** Lists the addresses of the block stores that this VM reads itself. */
   readonly listStores: () => readonly string[];
-  /** Returns the contents of a block store; undefined if this VM doesn't read it any more. */
-  readonly findBlocks: (address: string) => RelayedBlocks | undefined;
+  /** Begins to list the contents of a block store. */
+  readonly scanBlocks: (address: string) => BlockScan;
   /** Called with a follower's record of begun streams. */
   readonly onStreamRecord: (record: KeyedRecord) => void;
   /** Whether a VM has sent gossip recently, which a small fleet does only while it has load. */
   readonly isAlive: (vmId: VmId) => boolean;
 }
 
+/** The contents of a block store, part by part. */
+export interface BlockScan {
+  /** Returns the next part, the last one without more; undefined if this VM doesn't read the store any more. */
+  nextPart(): RelayedBlocks | undefined;
+}
+
 interface Follower {
   readonly socket: Socket;
   readonly vmId: VmId;
@@ -59,8 +67,13 @@
   receivedAtMs: number;
   /** Block stores whose contents it still has to get. */
   readonly pendingStores: string[];
+  /** The store of which it has got a part. */
+  scan: BlockScan | undefined;
 }
 
+const isWaiting = ({ socket, pendingStores, scan }: Follower): boolean =>
+  !socket.destroyed && (scan !== undefined || pendingStores.length > 0);
+
 /** Wait for the link from which a relay has too many followers, in milliseconds. */
 const MAX_LINK_WAIT_MS = 500;
 
@@ -145,9 +158,11 @@
     clearTimeout(this.flushTimer);
     this.flushTimer = undefined;
     if (this.pendingMessages.length === 0) return;
-    const content = encodeFeedContent({ kind: 'several', messages: this.pendingMessages });
+    const contents = groupMessages(this.pendingMessages).map((messages) =>
+      encodeFeedContent({ kind: 'several', messages }),
+    );
     this.pendingMessages = [];
-    this.followers.forEach((follower) => this.send(follower, content));
+    this.followers.forEach((follower) => this.send(follower, contents));
     if (this.linkShare.computeWaitMs() > MAX_LINK_WAIT_MS) this.dropFollowers();
   }
 
@@ -207,7 +222,7 @@
       this.flush();
       const positions = this.options.listPositions();
       const response = { kind: 'positions', question: message.question, positions } as const;
-      this.send(follower, encodeFeedContent(response));
+      this.send(follower, [encodeFeedContent(response)]);
     } else if (message.kind === 'heartbeat' && follower) {
       follower.heartbeat = message.record;
     } else if (message.kind === 'streams' && follower) {
@@ -237,6 +252,7 @@
       heartbeat: undefined,
       receivedAtMs: performance.now(),
       pendingStores: [...this.options.listStores()],
+      scan: undefined,
     });
     this.recordFollowers();
     this.sendSnapshots();
@@ -244,47 +260,61 @@
 
   /**
    * Sends the contents of block stores as fast as the share of the link allows: all stores to one
-   * follower, then to the next.
+   * follower, then to the next. One that has much to read is left out for a while.
    */
   private sendSnapshots(): void {
-    clearTimeout(this.snapshotTimer);
-    const waiting = [...this.followers.values()].filter(
-      ({ pendingStores }) => pendingStores.length > 0,
-    );
+    const waiting = [...this.followers.values()].filter(isWaiting);
     for (const follower of waiting) {
-      while (follower.pendingStores.length > 0) {
+      while (isWaiting(follower) && follower.socket.writableLength < MAX_SNAPSHOT_BACKLOG_BYTES) {
         const waitMs = this.computeSnapshotWaitMs();
         if (waitMs > 0) {
-          this.snapshotTimer = setTimeout(() => this.sendSnapshots(), Math.ceil(waitMs));
+          this.scheduleSnapshots(waitMs);
           return;
         }
-        const blocks = this.options.findBlocks(follower.pendingStores.shift()!);
-        if (blocks) this.send(follower, encodeFeedContent({ kind: 'blocks', blocks }));
+        this.sendPart(follower);
       }
     }
+    if (waiting.some(isWaiting)) this.scheduleSnapshots(UNSENT_WAIT_MS);
+  }
+
+  private scheduleSnapshots(delayMs: number): void {
+    clearTimeout(this.snapshotTimer);
+    this.snapshotTimer = setTimeout(() => this.sendSnapshots(), Math.ceil(delayMs));
   }
 
-  /** Time until the next store may be sent, because of the link or of what others have not read. */
+  private sendPart(follower: Follower): void {
+    // A part tells the present, so no earlier changes may come behind its offset.
+    this.flush();
+    const scan = follower.scan ?? this.options.scanBlocks(follower.pendingStores.shift()!);
+    const blocks = scan.nextPart();
+    Object.assign(follower, { scan: blocks?.hasMore ? scan : undefined });
+    if (blocks) this.send(follower, [encodeFeedContent({ kind: 'blocks', blocks })]);
+  }
+
+  /** Time until the next part may be sent, because of the link or of what others have not read. */
   private computeSnapshotWaitMs(): number {
     const isFull = this.unsent.heldBytes > this.options.memoryBytes / 2;
     return Math.max(this.linkShare.computeWaitMs(), isFull ? UNSENT_WAIT_MS : 0);
   }
 
-  private send({ socket, writer, vmId }: Follower, content: Buffer): void {
+  private send({ socket, writer, vmId }: Follower, contents: readonly Buffer[]): void {
     if (socket.writableLength > MAX_FOLLOWER_BACKLOG_BYTES) {
       this.connections.close(socket, 'slow follower', { vmId, unsent: socket.writableLength });
       return;
     }
-    const head = writer.encodeHead(content);
-    const bytes = head.length + content.length;
+    socket.cork();
+    let bytes = 0;
+    contents.forEach((content) => {
+      const head = writer.encodeHead(content);
+      bytes += head.length + content.length;
+      this.unsent.add(content);
+      socket.write(head);
+      socket.write(content, () => this.unsent.release(content));
+    });
+    socket.uncork();
     this.sentBytes += bytes;
     this.linkShare.charge(bytes);
     this.options.metrics.countFeedBytes(bytes);
-    this.unsent.add(content);
-    socket.cork();
-    socket.write(head);
-    socket.write(content, () => this.unsent.release(content));
-    socket.uncork();
     if (this.unsent.heldBytes > this.options.memoryBytes) this.dropSlowest(bytes);
   }
 
