--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -22,6 +22,15 @@
 /** Maximum number of records that a relay keeps while the log does not take them. */
 export const MAX_PENDING_STREAM_RECORDS = 1_000;
 
+/** Maximum size of these records together; a follower may send one of a megabyte. */
+export const MAX_PENDING_STREAM_BYTES = 8 * 1024 * 1024;
+
+/** Time after which a read of the begun streams ends, however much the log has left. */
+export const MAX_STREAM_READ_MS = 10_000;
+
+/** Maximum number of times that one read of the begun streams starts anew, at another offset or era. */
+export const MAX_STREAM_READ_RESTARTS = 4;
+
 /** Minimum retry-after when no upstream has capacity. */
 export const NO_CAPACITY_RETRY_AFTER_MS = 400;
 
--- a/packages/gateway/src/controllers/__tests__/streamRecordsController.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/streamRecordsController.spec.ts
@@ -221,3 +221,67 @@
   expect(await Promise.all(finds)).toEqual(finds.map(() => undefined));
   expect(log.reads).toBeLessThan(12);
 });
+
+// Guards against a relay whose memory is filled by its followers' records while the log is away.
+test('records that wait for the log are bounded by their size, and the newest are kept', async () => {
+  const log = new StreamLog();
+  const { controller } = startVm(log, [v1, v2]);
+  log.isDown = true;
+  for (let index = 0; index < 40; index += 1) {
+    controller.relayRecord({ key: `vm-${index}`, value: Buffer.alloc(1_000_000, index) });
+  }
+  await settle();
+  log.isDown = false;
+  await settle();
+  await settle();
+  const bytes = log.records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+  expect(bytes).toBeLessThanOrEqual(8 * 1024 * 1024);
+  expect(log.records.map(({ key }) => key)).toEqual(
+    Array.from({ length: 8 }, (_, index) => `vm-${32 + index}`),
+  );
+});
+
+/** A topic that has more records behind any that are read. */
+class EndlessLog extends StreamLog {
+  /** @param endOffset what it tells as its end; undefined for one that moves on */
+  constructor(private readonly endOffset?: number) {
+    super();
+  }
+
+  override async read(topic: string, from: number): Promise<LogBatch> {
+    this.records.push({ key: 'vm', value: undefined });
+    this.records.length = from + 2;
+    this.records.fill({ key: 'vm', value: undefined }, from);
+    const batch = await super.read(topic, from);
+    return { ...batch, endOffset: this.endOffset ?? from + 100 };
+  }
+}
+
+const LOOKUP_MS = 60_000;
+
+// Guards against reads that never end once a stream was looked up, and look-ups that wait behind them.
+test.each([undefined, Number.MAX_SAFE_INTEGER])(
+  'a log without end is not read for ever (its end: %s)',
+  async (endOffset) => {
+    const log = new EndlessLog(endOffset);
+    const { find } = startVm(log, [v1, v2]);
+    expect(await find('other')).toBeUndefined();
+    await vi.advanceTimersByTimeAsync(LOOKUP_MS);
+    const readsBefore = log.reads;
+    await vi.advanceTimersByTimeAsync(LOOKUP_MS);
+    expect(log.reads).toBe(readsBefore);
+  },
+);
+
+// Guards against a log that names one offset after the other and is asked without end.
+test('a log that has trimmed every offset it names is asked a few times', async () => {
+  const log = new StreamLog();
+  log.read = async (_topic, from) => {
+    log.reads += 1;
+    if (log.reads > 1_000) throw new Error('asked too often');
+    throw new LogTrimmedError('trimmed', from + 1);
+  };
+  const { find } = startVm(log, [v1, v2]);
+  expect(await find('other')).toBeUndefined();
+  expect(log.reads).toBeLessThan(20);
+});
--- a/packages/gateway/src/controllers/streamRecordsController.ts
+++ b/packages/gateway/src/controllers/streamRecordsController.ts
@@ -8,7 +8,8 @@
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import {
-  MAX_PENDING_STREAM_RECORDS,
+  MAX_STREAM_READ_MS,
+  MAX_STREAM_READ_RESTARTS,
   MAX_STREAMS_PER_RECORD,
   STREAM_LOOKUP_DELAY_MS,
   STREAM_LOOKUP_TIMEOUT_MS,
@@ -17,10 +18,11 @@
 } from '../constants.js';
 import type { FaultRecorder } from '../faultRecorder.js';
 import { LogTrimmedError } from '../ports/index.js';
-import type { KeyedRecord, LogEra, SharedLog } from '../ports/index.js';
+import type { KeyedRecord, LogBatch, LogEra, SharedLog } from '../ports/index.js';
 import { LogHealthMonitor } from './logHealthMonitor.js';
 import { SharedRead } from './sharedRead.js';
 import { applyRecords } from './applyRecords.js';
+import { selectNewestRecords } from './selectNewestRecords.js';
 import { decodeStreams, encodeStreams } from './streamRecord.js';
 
 /** Dependencies of the controller. */
@@ -54,6 +56,9 @@
   /** Records to append: those of followers, and those that could not be appended. */
   private pendingRecords: KeyedRecord[] = [];
 
+  /** Whether records have been dropped since the log took some. */
+  private hasDropped = false;
+
   private writeTimer: NodeJS.Timeout | undefined;
 
   private readonly logHealth: LogHealthMonitor;
@@ -134,7 +139,13 @@
 
   /** Keeps the newest records, if the log is away for so long that they become too many. */
   private addPending(records: readonly KeyedRecord[]): void {
-    this.pendingRecords = [...this.pendingRecords, ...records].slice(-MAX_PENDING_STREAM_RECORDS);
+    const all = [...this.pendingRecords, ...records];
+    this.pendingRecords = selectNewestRecords(all);
+    const dropped = all.length - this.pendingRecords.length;
+    if (dropped > 0 && !this.hasDropped) {
+      this.options.logger.warn('dropping the oldest records of begun streams', { dropped });
+    }
+    this.hasDropped ||= dropped > 0;
   }
 
   private expire(): void {
@@ -170,6 +181,7 @@
     if (records.length > 0) {
       try {
         await log.append('streams', records, signal);
+        this.hasDropped = false;
         this.logHealth.recordSuccess();
       } catch (cause) {
         if (signal.aborted) return;
@@ -183,35 +195,67 @@
 
   /** A log that can't be read leaves the streams unknown, so that they don't go on. */
   private async readToEnd(): Promise<void> {
-    const { log, streams, faults } = this.options;
     const { signal } = this;
     if (!signal) return;
     try {
-      for (;;) {
-        const batch = await log.read('streams', this.nextOffset, { longPollMs: 0, signal });
-        const isOtherEra = this.era !== undefined && batch.era !== this.era;
-        this.era = batch.era;
-        if (isOtherEra) this.nextOffset = START_OFFSET;
-        else {
-          applyRecords('streams', batch.records, faults, (record) =>
-            decodeStreams(record).forEach((stream) => streams.record(stream)),
-          );
-          this.nextOffset = batch.nextOffset;
-          if (batch.records.length === 0) break;
-        }
-      }
+      await this.readRecords(signal);
       this.logHealth.recordSuccess();
     } catch (cause) {
-      if (signal.aborted) return;
-      if (cause instanceof LogTrimmedError) {
-        // Offsets beyond the end are trimmed as well, after the log came back from a copy.
-        const first = cause.firstOffset ?? START_OFFSET;
-        const canGoOn = first !== this.nextOffset;
-        this.nextOffset = first;
-        if (canGoOn) await this.readToEnd();
-        return;
+      if (!signal.aborted) this.logHealth.recordFailure(cause);
+    }
+  }
+
+  /**
+   * Reads up to the end that the first answer tells; the next read goes on from there.
+   *
+   * @throws if the log does not get there
+   */
+  private async readRecords(signal: AbortSignal): Promise<void> {
+    const startedAtMs = performance.now();
+    let restarts = 0;
+    let endOffset: number | undefined;
+    do {
+      if (performance.now() - startedAtMs > MAX_STREAM_READ_MS) {
+        throw new Error(`streams: not at the end ${endOffset} in time, but at ${this.nextOffset}`);
+      }
+      const from = this.nextOffset;
+      const batch = await this.readBatch(signal);
+      if (batch === 'nothing') return;
+      if (batch !== 'restart') {
+        endOffset ??= batch.endOffset;
+        if (batch.records.length === 0) return;
+        if (batch.nextOffset <= from) throw new Error(`streams: no next offset after ${from}`);
+      } else {
+        restarts += 1;
+        endOffset = undefined;
+        if (restarts > MAX_STREAM_READ_RESTARTS) throw new Error('streams: no stable offset');
+      }
+    } while (endOffset === undefined || this.nextOffset < endOffset);
+  }
+
+  /** @returns whether the read has to start at another offset, or there is nothing to read */
+  private async readBatch(signal: AbortSignal): Promise<LogBatch | 'restart' | 'nothing'> {
+    const { log, streams, faults } = this.options;
+    try {
+      const batch = await log.read('streams', this.nextOffset, { longPollMs: 0, signal });
+      const isOtherEra = this.era !== undefined && batch.era !== this.era;
+      this.era = batch.era;
+      if (isOtherEra) {
+        this.nextOffset = START_OFFSET;
+        return 'restart';
       }
-      this.logHealth.recordFailure(cause);
+      applyRecords('streams', batch.records, faults, (record) =>
+        decodeStreams(record).forEach((stream) => streams.record(stream)),
+      );
+      this.nextOffset = batch.nextOffset;
+      return batch;
+    } catch (cause) {
+      if (!(cause instanceof LogTrimmedError)) throw cause;
+      // Offsets beyond the end are trimmed as well, after the log came back from a copy.
+      const first = cause.firstOffset ?? START_OFFSET;
+      if (first === this.nextOffset) return 'nothing';
+      this.nextOffset = first;
+      return 'restart';
     }
   }
 }
