--- a/packages/core/src/promptRouting/__tests__/sentParts.spec.ts
+++ b/packages/core/src/promptRouting/__tests__/sentParts.spec.ts
@@ -21,3 +21,13 @@
   sentParts.recordSent('third', toUpstream(0));
   expect(sentParts.has('third', toUpstream(0))).toBe(true);
 });
+
+test('a part of a failed prompt is neither cached there nor announced', () => {
+  const sentParts = new SentParts();
+  [0, 1].forEach((index) => sentParts.recordSent('part', toUpstream(index)));
+  sentParts.dropSent('part', toUpstream(0));
+  sentParts.dropSent('part', toUpstream(0));
+  sentParts.dropSent('other', toUpstream(0));
+  expect([0, 1].map((index) => sentParts.has('part', toUpstream(index)))).toEqual([false, true]);
+  expect(sentParts.takeUnannounced().map(({ upstreamId }) => upstreamId)).toEqual([toUpstream(1)]);
+});
--- a/packages/core/src/promptRouting/sentParts.ts
+++ b/packages/core/src/promptRouting/sentParts.ts
@@ -33,6 +33,18 @@
     if (this.unannounced.length < MAX_ANNOUNCED_PARTS) this.unannounced.push(part);
   }
 
+  /** Forgets that a part was sent to an upstream, which has failed the prompt. */
+  dropSent(key: string, upstreamId: UpstreamId): void {
+    const hash = hashString(key);
+    const sentAtMsByUpstream = this.sentAtMsByPart.get(hash);
+    if (!sentAtMsByUpstream?.delete(upstreamId)) return;
+    this.trackedSends -= 1;
+    if (sentAtMsByUpstream.size === 0) this.sentAtMsByPart.delete(hash);
+    this.unannounced = this.unannounced.filter(
+      (part) => part.hash !== hash || part.upstreamId !== upstreamId,
+    );
+  }
+
   /** Records a part announced by another VM. */
   recordPart({ hash, upstreamId }: SentPart): void {
     const sentAtMsByUpstream = this.sentAtMsByPart.get(hash) ?? new Map<UpstreamId, number>();
--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -81,11 +81,12 @@
     gateway.close();
     upstreams.forEach((upstream) => upstream.close());
   });
-  const { port, fleetState, operators, metrics, budget, applyLimits } = gateway;
+  const { port, chooser, fleetState, operators, metrics, budget, applyLimits } = gateway;
   return {
     port,
     call: (call: TestCall = {}) => sendCall(port, call),
     upstreams,
+    chooser,
     deadAddresses,
     fleetState,
     operators,
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -145,6 +145,14 @@
   const stopController = new AbortController();
   const pauseMonitor = new PauseMonitor({ readCounts: () => ({}), onPause: () => undefined });
   pauseMonitor.start(stopController.signal);
+  const chooser = new UpstreamChooser({
+    ...fleetState,
+    self: toId<VmId>('vm-1'),
+    zone: toId<AvailabilityZoneId>('zone-1'),
+    bounds,
+    regions: new Map(),
+    operators,
+  });
   const gateway = createCallerServer({
     protocol,
     isLeaving: options.isLeaving ?? (() => false),
@@ -158,14 +166,7 @@
       getView: () => operators.view,
       dispatch: {
         isRefusing: options.isRefusing ?? (() => false),
-        chooser: new UpstreamChooser({
-          ...fleetState,
-          self: toId<VmId>('vm-1'),
-          zone: toId<AvailabilityZoneId>('zone-1'),
-          bounds,
-          regions: new Map(),
-          operators,
-        }),
+        chooser,
         connections,
         inputBarrier: new EventLoopBarrier(),
         protocol: new TestUpstreamProtocol(),
@@ -208,6 +209,7 @@
   const { port } = gateway.server.address() as AddressInfo;
   return {
     port,
+    chooser,
     fleetState,
     operators,
     metrics,
--- a/packages/gateway/src/__tests__/testProtocols.ts
+++ b/packages/gateway/src/__tests__/testProtocols.ts
@@ -30,7 +30,7 @@
       prompt: getHeader(request, 'x-model')
         ? {
             model: toId<ModelId>(getHeader(request, 'x-model')!),
-            inputTokens: 100,
+            inputTokens: Number(getHeader(request, 'x-tokens') ?? 100),
             maxOutputTokens: 10,
             parts: (getHeader(request, 'x-parts') ?? '')
               .split(',')
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -19,7 +19,7 @@
 /** Dependencies of the recorder. */
 export interface OutcomeRecorderOptions {
   readonly ejection: EjectionPolicy;
-  readonly chooser: Pick<UpstreamChooser, 'prefillRate'>;
+  readonly chooser: Pick<UpstreamChooser, 'prefillRate' | 'dropSentParts'>;
   readonly connections: ConnectionPool;
   readonly metrics: GatewayMetrics;
   readonly registry: UpstreamRegistry;
@@ -86,7 +86,7 @@
     if (result.kind === 'failed') {
       progress.recordFailure(result);
       exchange.verdict = combineVerdicts(exchange.verdict, 'ran');
-      this.recordUpstreamFailure(choice);
+      this.recordUpstreamFailure(exchange, choice);
       return;
     }
     exchange.verdict = combineVerdicts(exchange.verdict, 'may-have-run');
@@ -96,11 +96,15 @@
       return;
     }
     upstream.markSuspectedCold();
-    this.recordUpstreamFailure(choice);
+    this.recordUpstreamFailure(exchange, choice);
   }
 
-  private recordUpstreamFailure({ upstream, prefillTokens }: UpstreamChoice): void {
+  private recordUpstreamFailure(
+    exchange: GatewayExchange,
+    { upstream, prefillTokens }: UpstreamChoice,
+  ): void {
     const { ejection, chooser } = this.options;
+    chooser.dropSentParts(exchange, upstream);
     ejection.recordOutcome(upstream.upstreamId, 'failure');
     // An ejected upstream gets only probes, which must not wait until its failures are forgotten.
     if (ejection.getState(upstream.upstreamId) !== 'closed') {
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -55,7 +55,8 @@
 /** Status of a stream; another success has no events, or only some of them. */
 const OK_STATUS = 200;
 
-const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+/** Whether a status tells that the upstream ran the request as asked. */
+export const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 const MIN_SERVER_ERROR_STATUS = 500;
 
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -63,6 +63,13 @@
 /** An upstream, or the time for which none will be able to serve the request in time. */
 export type UpstreamDecision = PromptDecision;
 
+const listSentKeys = (exchange: GatewayExchange, upstream: TrackedUpstream): readonly string[] => {
+  const { prompt } = exchange.head;
+  if (!prompt) return [];
+  const salt = buildSalt(exchange, upstream.findWeights(prompt.model));
+  return listSharedParts(prompt).map(({ id }) => buildBlockKey(salt, id));
+};
+
 /** Chooses the upstream of an attempt from the eligible ones. */
 export class UpstreamChooser {
   readonly prefillRate = new PrefillRate();
@@ -181,11 +188,15 @@
 
   /** Records that an upstream is processing the parts of a prompt, and will have them cached. */
   recordSentParts(exchange: GatewayExchange, upstream: TrackedUpstream): void {
-    const { prompt } = exchange.head;
-    if (!prompt) return;
-    const salt = buildSalt(exchange, upstream.findWeights(prompt.model));
-    listSharedParts(prompt).forEach(({ id }) =>
-      this.options.sentParts.recordSent(buildBlockKey(salt, id), upstream.upstreamId),
+    listSentKeys(exchange, upstream).forEach((key) =>
+      this.options.sentParts.recordSent(key, upstream.upstreamId),
+    );
+  }
+
+  /** Takes that back for a prompt that the upstream failed. */
+  dropSentParts(exchange: GatewayExchange, upstream: TrackedUpstream): void {
+    listSentKeys(exchange, upstream).forEach((key) =>
+      this.options.sentParts.dropSent(key, upstream.upstreamId),
     );
   }
 
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -35,7 +35,7 @@
 import { ResponseReporter } from '../dispatch/responseReporter.js';
 import { SendGate } from '../dispatch/sendGate.js';
 import type { StreamContinuity } from '../dispatch/streamContinuity.js';
-import { UpstreamAttempt } from '../dispatch/upstreamAttempt.js';
+import { UpstreamAttempt, isSuccess } from '../dispatch/upstreamAttempt.js';
 import type {
   UpstreamChoice,
   UpstreamChooser,
@@ -276,7 +276,9 @@
         const elapsedMs = performance.now() - sentAtMs;
         logEntry.headMs = Math.round(elapsedMs);
         this.outcomeRecorder.recordResponseHead(exchange, upstream, head);
-        if (exchange.head.prompt) prefillRate.recordSample(tokens + queuedTokens, elapsedMs);
+        if (exchange.head.prompt && isSuccess(head.status)) {
+          prefillRate.recordSample(tokens + queuedTokens, elapsedMs);
+        }
       },
     });
     exchange.attempts.push(logEntry);
