--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -38,6 +38,7 @@
 import { computeMaxFirstEventWaitMs, computeOutdatedWeightsLimitMs } from './firstEventWait.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { requireRoute } from '../filters/gatewayExchange.js';
+import { SoundUpstreams } from './soundUpstreams.js';
 import type { FleetBounds } from '../config.js';
 
 /** Dependencies of the chooser. */
@@ -80,9 +81,12 @@
 
   private readonly coldStartLimits: ColdStartLimits;
 
+  private readonly soundUpstreams: SoundUpstreams;
+
   constructor(private readonly options: UpstreamChooserOptions) {
     this.promptRouter = new PromptRouter(options.sentParts, this.prefillRate);
     this.coldStartLimits = new ColdStartLimits(options);
+    this.soundUpstreams = new SoundUpstreams(options);
   }
 
   /** Picks a service from the destinations of the route, by their traffic weights. */
@@ -173,17 +177,8 @@
 
   /** Whether an upstream is ejected; the last one of a service that may serve never is. */
   private isEjected({ upstreamId, registered }: TrackedUpstream): boolean {
-    const { ejection, operators, registry } = this.options;
-    if (ejection.getState(upstreamId) !== 'open') return false;
-    return registry
-      .listService(registered.service)
-      .some(
-        (other) =>
-          !other.isLeaving &&
-          !other.isBusy &&
-          !operators.isZoneOut(other.registered.availabilityZone) &&
-          ejection.getState(other.upstreamId) === 'closed',
-      );
+    const isOpen = this.options.ejection.getState(upstreamId) === 'open';
+    return isOpen && this.soundUpstreams.has(registered.service);
   }
 
   /** Records that an upstream is processing the parts of a prompt, and will have them cached. */
