--- a/packages/core/src/quarantine/__tests__/crashQuarantine.spec.ts
+++ b/packages/core/src/quarantine/__tests__/crashQuarantine.spec.ts
@@ -183,16 +183,24 @@
 });
 
 // Guards against VMs that disagree because they received the same observations in another order.
-test('VMs agree in whatever order they receive reports', () => {
+test.each([
+  { boots: 9, crashWeight: 1, size: undefined, maxLength: 40, numRuns: 1_500, seed: 248521930 },
+  { boots: 9, crashWeight: 1, size: undefined, maxLength: 40, numRuns: 100, seed: undefined },
+  // More boots than a pattern keeps crashes of.
+  { boots: 60, crashWeight: 8, size: 'max', maxLength: 120, numRuns: 100, seed: 1 },
+  { boots: 60, crashWeight: 8, size: 'max', maxLength: 120, numRuns: 100, seed: undefined },
+] as const)('VMs agree in whatever order they receive reports: %o', (options) => {
+  const { boots, crashWeight, size, maxLength, numRuns, seed } = options;
+  const kinds = [...Array.from({ length: crashWeight }, () => 'crash'), 'survival', 'report'];
   const step = fc.record({
     vm: fc.nat(2),
     to: fc.nat(2),
-    kind: fc.constantFrom('crash', 'survival', 'report'),
-    boot: fc.nat(8),
+    kind: fc.constantFrom(...kinds),
+    boot: fc.nat(boots - 1),
     waitMs: fc.nat(400),
   });
   fc.assert(
-    fc.property(fc.array(step, { maxLength: 40 }), (steps) => {
+    fc.property(fc.array(step, { maxLength, ...(size && { size }) }), (steps) => {
       const vms = [new CrashQuarantine(), new CrashQuarantine(), new CrashQuarantine()];
       steps.forEach(({ vm, to, kind, boot, waitMs }) => {
         if (kind === 'crash') vms[vm]!.recordCrash(poison, makeBoot(boot));
@@ -205,7 +213,18 @@
       }
       const beliefs = vms.map((vm) => vm.findRefused(poison)?.crashes.length);
       expect(new Set(beliefs).size).toBe(1);
+      const known = vms.map((vm) =>
+        vm
+          .dump()
+          .map(({ digest, crashes }) => [
+            digest,
+            crashes.map(({ upstreamId }) => upstreamId).sort(),
+          ]),
+      );
+      expect(known[1]).toEqual(known[0]);
+      expect(known[2]).toEqual(known[0]);
     }),
+    { numRuns, ...(seed !== undefined && { seed }) },
   );
 });
 
--- a/packages/core/src/quarantine/__tests__/crashingRequests.spec.ts
+++ b/packages/core/src/quarantine/__tests__/crashingRequests.spec.ts
@@ -68,6 +68,17 @@
   expect(quarantine.findRefused(request)).toMatchObject({ kind: 'request' });
 });
 
+// Guards against sends between the end of the hold and the next gossip, which alone began a refusal.
+test('a request is refused from the moment on at which it is not held any more', () => {
+  const quarantine = new CrashQuarantine();
+  endUpstreams(quarantine, [1, 2, 3], [request]);
+  vi.advanceTimersByTime(quarantine.computeHoldMs(request) - 1);
+  expect(quarantine.findRefused(request)).toBeUndefined();
+  vi.advanceTimersByTime(1);
+  expect(quarantine.computeHoldMs(request)).toBe(0);
+  expect(quarantine.findRefused(request)).toBeDefined();
+});
+
 const VMS = 9;
 
 /** Creates VMs by rank, which have all received two ends under the request. */
--- a/packages/core/src/quarantine/crashQuarantine.ts
+++ b/packages/core/src/quarantine/crashQuarantine.ts
@@ -111,12 +111,14 @@
 
   /** Finds the pattern for which a request is refused. */
   findRefused(subject: CrashSubject): QuarantineRow | undefined {
-    if (this.refused.size === 0) return undefined;
-    const evidence = this.listTracked(subject).find((one) =>
-      one.isRefusedFor(subject.account ?? ''),
-    );
-    evidence?.recordRequest();
-    return evidence?.buildRow();
+    // Not by the set of refused patterns, which only changes and gossip update.
+    if (![...this.evidence.values()].some(({ isRefused }) => isRefused)) return undefined;
+    const account = subject.account ?? '';
+    const evidence = this.listTracked(subject).find((one) => one.isRefusedFor(account));
+    if (!evidence) return undefined;
+    this.updateRefusal(evidence);
+    evidence.recordRequest();
+    return evidence.buildRow();
   }
 
   /**
