--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -234,6 +234,19 @@
     });
   }
 
+  private claimSend(
+    exchange: GatewayExchange,
+    choice: UpstreamChoice,
+    progress: RequestProgress,
+    signal: AbortSignal,
+  ): ReturnType<SendGate['claim']> {
+    const claim = this.sendGate.claim(exchange, choice, progress, signal);
+    if (!('withheld' in claim)) {
+      this.crashObserver.recordSend(exchange, choice.upstream, progress);
+    }
+    return claim;
+  }
+
   private async runAttempt(
     exchange: GatewayExchange,
     choice: UpstreamChoice,
@@ -264,9 +277,7 @@
       inputBarrier,
       claimSend: () => {
         sentAtMs = performance.now();
-        const claimed = this.sendGate.claim(exchange, choice, progress, signal);
-        if (!('withheld' in claimed)) this.crashObserver.recordSend(exchange, upstream, progress);
-        return claimed;
+        return this.claimSend(exchange, choice, progress, signal);
       },
       signal,
       eventSplitter: progress.eventSplitter,
