--- a/bench/simulatedEntryVm.ts
+++ b/bench/simulatedEntryVm.ts
@@ -18,7 +18,7 @@
   VmId,
   VmRecord,
 } from '@goldcrestscale/core';
-import { EventLoopBarrier } from '@goldcrestscale/runtime';
+import { ByteBudget, EventLoopBarrier } from '@goldcrestscale/runtime';
 import { AdmissionFilter, DispatchFilter, SlotRunner, UpstreamState } from '@goldcrestscale/entry';
 import type { Filter, SlotsController, UpstreamDirectory } from '@goldcrestscale/entry';
 import type { SimulatedEngine } from './simulatedEngine.js';
@@ -102,6 +102,7 @@
         }),
         retryPolicy: policies.createRetries(index + 1),
         inputBarrier: new EventLoopBarrier(),
+        budget: new ByteBudget(Infinity),
         directory,
         completionRunner: completions,
         serviceRunner: runner,
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -46,6 +46,8 @@
   readonly retryAfterMs?: number;
   /** How the send of the request ended, if it was an attempt at an upstream that failed. */
   readonly sendEnd?: SendEnd;
+  /** Memory that the answer of an upstream needs, in bytes, if it was given up for want of it. */
+  readonly neededBytes?: number;
 }
 
 const defaultProperties: ErrorProperties = {
--- a/packages/entry/src/__tests__/entryHarness.ts
+++ b/packages/entry/src/__tests__/entryHarness.ts
@@ -175,6 +175,7 @@
     new AdmissionFilter({ queue, countCapacity }),
     new DispatchFilter({
       router: new LeastLoadRouter(),
+      budget: client.memory.budget,
       inputBarrier: new EventLoopBarrier(),
       retryPolicy: options.retryPolicy ?? new BudgetedRetryPolicy(createRandomGenerator(1)),
       directory,
--- a/packages/entry/src/__tests__/responseMemory.spec.ts
+++ b/packages/entry/src/__tests__/responseMemory.spec.ts
@@ -123,3 +123,50 @@
   expect(response.text).toHaveLength(200_000);
   expect(calls).toBe(1);
 });
+
+/** Counts the calls of two upstreams under one request, which has no memory for its answer. */
+const startCountedHarness = async (respond: (socket: Socket, id: string) => void) => {
+  const calls: string[] = [];
+  const addresses = await Promise.all(
+    [0, 1].map(() =>
+      startRawService(({ id, socket }) => {
+        calls.push(id);
+        respond(socket, id);
+      }),
+    ),
+  );
+  const harness = await startHarness({ upstreams: addresses, bufferBytes: MEGABYTE });
+  onTestFinished(() => harness.close());
+  return { harness, calls };
+};
+
+// Guards against a request that runs at one upstream after the other, beside memory that stays full.
+test('an answer for which there is no memory is not asked for elsewhere', async () => {
+  const { harness, calls } = await startCountedHarness((socket, id) => {
+    socket.write(buildHead(id));
+    repeatText(socket, `10000\r\n${'x'.repeat(65_536)}\r\n`);
+  });
+  expect(await callService(harness, 'GET')).toMatchObject({
+    status: 502,
+    verdict: 'may-have-run',
+    errorCode: 'upstream_failed',
+    retryAfter: null,
+  });
+  expect(calls).toHaveLength(1);
+  expect(harness.outcomes).not.toContain('failure');
+});
+
+// Guards against a stream that takes the memory it was given up for once more, from others.
+test('a stream whose event has no memory is not begun elsewhere', async () => {
+  const { harness, calls } = await startCountedHarness((socket, id) => {
+    socket.write(buildStreamHead(id));
+    socket.write(EVENT_PART);
+  });
+  expect(await requestCompletion(harness)).toMatchObject({
+    status: 502,
+    verdict: 'may-have-run',
+    errorCode: 'stream_broken',
+  });
+  expect(calls.filter((id, index) => calls.indexOf(id) === index)).toHaveLength(1);
+  expect(harness.outcomes).not.toContain('failure');
+});
--- a/packages/entry/src/compose/createDataPath.ts
+++ b/packages/entry/src/compose/createDataPath.ts
@@ -74,6 +74,7 @@
         random: createRandomGenerator(),
         importSource: tiering.planner,
       }),
+      budget: client.memory.budget,
       retryPolicy: new BudgetedRetryPolicy(createRandomGenerator()),
       inputBarrier: options.inputBarrier,
       directory: upstreams,
--- a/packages/entry/src/dispatch/attemptOutcome.ts
+++ b/packages/entry/src/dispatch/attemptOutcome.ts
@@ -6,9 +6,15 @@
 
 const BAD_GATEWAY_STATUS = 502;
 
-/** Classifies a failed attempt; an upstream that is busy or loading weights is not faulty. */
-export const decideFailureOutcome = ({ code, status }: GoldcrestErrorInstance): AttemptOutcome =>
-  status === BAD_GATEWAY_STATUS || code === 'deadline' ? 'failure' : 'neutral';
+/** Classifies a failed attempt; an upstream is not faulty if it is busy or this VM has no memory. */
+export const decideFailureOutcome = ({
+  code,
+  status,
+  neededBytes,
+}: GoldcrestErrorInstance): AttemptOutcome => {
+  if (neededBytes !== undefined) return 'neutral';
+  return status === BAD_GATEWAY_STATUS || code === 'deadline' ? 'failure' : 'neutral';
+};
 
 interface SendState {
   /** Whether the checks before the write let the request pass. */
--- a/packages/entry/src/dispatch/completionRunner.ts
+++ b/packages/entry/src/dispatch/completionRunner.ts
@@ -8,7 +8,7 @@
 import { ResponseBodyReader } from '../upstream/responseBodyReader.js';
 import type { ResponseMemory } from '../upstream/responseBodyReader.js';
 import type { UpstreamResponse, UpstreamClient } from '../upstream/upstreamClient.js';
-import { createAttemptError, createUnavailableError } from '../upstream/upstreamErrors.js';
+import { createAttemptError, createMemoryError } from '../upstream/upstreamErrors.js';
 import { AttemptRunner } from './attempt.js';
 import type { Attempt } from './attempt.js';
 import { createBrokenStreamError } from './brokenStreamError.js';
@@ -24,7 +24,7 @@
     return String(await reader.read(response.body));
   } catch (cause) {
     if (cause instanceof ResponseBodyError && cause.reason === 'no memory') {
-      throw createUnavailableError('There is no memory for the answer.', 'may-have-run');
+      throw createMemoryError(cause, 'upstream_failed');
     }
     return undefined;
   }
@@ -59,7 +59,7 @@
   memory: ResponseMemory,
 ): Promise<StreamEnd> => {
   const { exchange } = attempt;
-  return readEventStream(response.body, memory, async (data) => {
+  const end = readEventStream(response.body, memory, async (data) => {
     if (!exchange.response.isHeadSent) {
       attempt.onFirstByte();
       exchange.response.writeHead(200, {
@@ -73,6 +73,9 @@
     if (usage) attempt.onUsage(usage);
     await exchange.response.write(`data: ${data}\n\n`);
   });
+  return end.catch((cause: unknown) => {
+    throw cause instanceof ResponseBodyError ? createMemoryError(cause, 'stream_broken') : cause;
+  });
 };
 
 /** Sends a completion request to an engine and relays the response; resumes interrupted streams. */
--- a/packages/entry/src/dispatch/serviceRunner.ts
+++ b/packages/entry/src/dispatch/serviceRunner.ts
@@ -1,7 +1,7 @@
 import type { UpstreamResponse, UpstreamClient } from '../upstream/upstreamClient.js';
 import { ResponseBodyError } from '../upstream/responseBodyError.js';
 import { ResponseBodyReader } from '../upstream/responseBodyReader.js';
-import { createAttemptError, createUnavailableError } from '../upstream/upstreamErrors.js';
+import { createAttemptError, createMemoryError } from '../upstream/upstreamErrors.js';
 import { AttemptRunner } from './attempt.js';
 import type { Attempt } from './attempt.js';
 
@@ -24,7 +24,7 @@
     return await reader.read(response.body);
   } catch (cause) {
     if (cause instanceof ResponseBodyError && cause.reason === 'no memory') {
-      throw createUnavailableError('There is no memory for the answer.', 'may-have-run');
+      throw createMemoryError(cause, 'upstream_failed');
     }
     throw createAttemptError('The service cut its answer short.', 'may-have-run');
   }
--- a/packages/entry/src/filters/dispatchFilter.ts
+++ b/packages/entry/src/filters/dispatchFilter.ts
@@ -1,6 +1,6 @@
 import { HedgeDelay, isGoldcrestError, sleep } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance, RetryPolicy, Router } from '@goldcrestscale/core';
-import type { InputBarrier } from '@goldcrestscale/runtime';
+import type { ByteBudget, InputBarrier } from '@goldcrestscale/runtime';
 import { AttemptExecutor, estimatePromptTokens } from '../dispatch/attemptExecutor.js';
 import type { AttemptDependencies, AttemptPlan } from '../dispatch/attemptExecutor.js';
 import { runHedgedRequest } from '../dispatch/hedgedRequest.js';
@@ -18,6 +18,8 @@
   readonly router: Router;
   readonly retryPolicy: RetryPolicy;
   readonly inputBarrier: InputBarrier;
+  /** Memory for what upstreams send. */
+  readonly budget: ByteBudget;
 }
 
 const computeRemainingMs = (exchange: Exchange): number =>
@@ -74,6 +76,9 @@
     { sends, relayedEvents }: DispatchProgress,
   ): Promise<boolean> {
     if (exchange.signal.aborted || error.code === 'deadline') throw error;
+    // Elsewhere the answer would lack the same memory.
+    const { neededBytes } = error;
+    if (neededBytes !== undefined && !this.options.budget.canReserve(neededBytes)) throw error;
     // What the caller has of the stream is not known any more.
     if (relayedEvents.isIncomplete) throw error;
     const decision = this.options.retryPolicy.decide({
--- a/packages/entry/src/upstream/byteCollector.ts
+++ b/packages/entry/src/upstream/byteCollector.ts
@@ -38,7 +38,7 @@
   private reserve(neededBytes: number): void {
     const size = Math.min(this.maxBytes, Math.max(neededBytes, 2 * this.buffer.length));
     if (!this.reservation.tryGrow(size - this.buffer.length)) {
-      throw new ResponseBodyError('no memory');
+      throw new ResponseBodyError('no memory', size);
     }
     const grown = Buffer.allocUnsafeSlow(size);
     this.buffer.copy(grown, 0, 0, this.bytes);
--- a/packages/entry/src/upstream/eventStream.ts
+++ b/packages/entry/src/upstream/eventStream.ts
@@ -32,7 +32,7 @@
  * Reads server-sent events and passes the payload of each to a handler.
  *
  * @param onData called with each payload except the end marker, one at a time
- * @throws what `onData` throws
+ * @throws what `onData` throws, and ResponseBodyError if there is no memory for an event
  */
 export const readEventStream = async (
   body: AsyncIterable<Uint8Array>,
@@ -64,7 +64,7 @@
         bytesSinceEvent = 0;
         reservation.release();
       } else if (isWhole && !reservation.tryGrow(chunk.value.length)) {
-        throw new ResponseBodyError('no memory');
+        throw new ResponseBodyError('no memory', bytesSinceEvent);
       }
       for (const data of pending.splice(0)) {
         if (data === END_MARKER) {
@@ -77,6 +77,8 @@
   } catch (cause) {
     if (!(cause instanceof ResponseBodyError)) throw cause;
     memory.onRefused(cause.reason);
+    // Resumed, it would take the same memory once more.
+    if (cause.reason === 'no memory') throw cause;
     return 'broken';
   } finally {
     reservation.release();
--- a/packages/entry/src/upstream/responseBodyError.ts
+++ b/packages/entry/src/upstream/responseBodyError.ts
@@ -5,7 +5,11 @@
 export class ResponseBodyError extends Error {
   override readonly name = 'ResponseBodyError';
 
-  constructor(readonly reason: BodyRefusal) {
+  /** @param neededBytes memory for all of the body that has to be kept at once, if there is none */
+  constructor(
+    readonly reason: BodyRefusal,
+    readonly neededBytes = 0,
+  ) {
     super(`body of a response refused: ${reason}`);
   }
 }
--- a/packages/entry/src/upstream/upstreamErrors.ts
+++ b/packages/entry/src/upstream/upstreamErrors.ts
@@ -1,6 +1,7 @@
 import { createError } from '@goldcrestscale/core';
 import type { GoldcrestErrorInstance, SendEnd, Verdict } from '@goldcrestscale/core';
 import { DEFAULT_RETRY_AFTER_MS } from '../constants.js';
+import type { ResponseBodyError } from './responseBodyError.js';
 
 /** Error code for a connection that was closed before the request was written. */
 export const CONNECTION_CLOSED_CODE = 'GOLDCREST_CONNECTION_CLOSED';
@@ -49,6 +50,19 @@
     retryAfterMs: DEFAULT_RETRY_AFTER_MS,
   });
 
+/** Creates the error for an answer that this VM gave up for want of memory. */
+export const createMemoryError = (
+  { neededBytes }: ResponseBodyError,
+  code: 'upstream_failed' | 'stream_broken',
+): GoldcrestErrorInstance =>
+  createError('There is no memory for the answer.', {
+    code,
+    status: 502,
+    verdict: 'may-have-run',
+    sendEnd: 'lost',
+    neededBytes,
+  });
+
 /** Creates the error for a failed attempt. */
 export const createAttemptError = (
   message: string,
