--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -100,10 +100,13 @@
   canReadLog = () => true,
 }: FeedOptions = {}) => {
   const roster = new EntryRoster();
-  for (let index = 0; index < 30; index += 1)
-    roster.recordHeartbeat(makeEntry(`vm-${index}`, 1, 1));
   const relay = makeEntry('relay', await findPort(), 9);
-  roster.recordHeartbeat(relay);
+  const recordHeartbeats = (): void => {
+    for (let index = 0; index < 30; index += 1)
+      roster.recordHeartbeat(makeEntry(`vm-${index}`, 1, 1));
+    roster.recordHeartbeat(relay);
+  };
+  recordHeartbeats();
   const abortController = new AbortController();
   onTestFinished(() => abortController.abort());
   const blocks: RelayedBlocks[] = [];
@@ -143,7 +146,16 @@
     canReadLog,
   });
   void client.run(abortController.signal);
-  return { server, client, batches, blocks, positions, streamRecords, abortController };
+  return {
+    server,
+    client,
+    batches,
+    blocks,
+    positions,
+    streamRecords,
+    abortController,
+    recordHeartbeats,
+  };
 };
 
 // Guards against heartbeats that a relay takes but can't write, so that VMs drop out of each other's rosters.
@@ -190,6 +202,22 @@
   expect(server.countFollowers()).toBe(1);
 });
 
+// Guards against followers that pause again and again and so never leave a relay that is cut off.
+test('a follower that often stands still leaves a relay that proves no reads', async () => {
+  let provedAgeMs = 20;
+  const { server, positions, recordHeartbeats } = await startFeed({
+    getProvedAgeMs: () => provedAgeMs,
+  });
+  await vi.waitFor(() => expect(positions).toContain(6));
+  const timer = setInterval(() => {
+    recordHeartbeats();
+    block(950);
+    provedAgeMs = 3_000;
+  }, 1_300);
+  onTestFinished(() => clearInterval(timer));
+  await vi.waitFor(() => expect(server.countFollowers()).toBe(0), { timeout: 10_000 });
+}, 15_000);
+
 // Guards against proofs that count as old while newer ones lie in the socket.
 test('a proof that came during a pause counts', async () => {
   let isPausing = false;
--- a/packages/gateway/src/mesh/feedClient.ts
+++ b/packages/gateway/src/mesh/feedClient.ts
@@ -53,6 +53,10 @@
   provedAt: ClockReading;
   /** Whether that moment is so old that the relay may be cut off from the log. */
   isStale: boolean;
+  /** What `pausedMs` was when data came last. */
+  pausedMsAtData: number;
+  /** What `pausedMs` was when a proof came last. */
+  pausedMsAtProof: number;
 }
 
 const sendMessage = ({ socket, writer }: RelayConnection, message: FeedMessage): void => {
@@ -75,8 +79,8 @@
   /** Monotonic time of the last check of the connection, or of its begin. */
   private checkedAtMs = performance.now();
 
-  /** Monotonic time of the first check after the last pause of this process. */
-  private resumedAtMs = -Infinity;
+  /** Time for which this process has stood still between checks, in milliseconds. */
+  private pausedMs = 0;
 
   private readonly lastFailureAtMs = new Map<VmId, number>();
 
@@ -145,6 +149,8 @@
       reader,
       provedAt: readClocks(),
       isStale: false,
+      pausedMsAtData: this.pausedMs,
+      pausedMsAtProof: this.pausedMs,
     };
     return new Promise((resolve) => {
       let reason = 'closed';
@@ -163,6 +169,7 @@
         this.requestPositions(connection);
       });
       socket.on('data', (chunk) => {
+        connection.pausedMsAtData = this.pausedMs;
         try {
           reader.push(chunk).forEach((message) => this.handleMessage(message));
         } catch (cause) {
@@ -188,26 +195,30 @@
     const { relays } = this.options;
     const isRelay = relays.listOwnFeed().some(({ vmId }) => vmId === relay.vmId);
     const nowMs = performance.now();
-    if (nowMs - this.checkedAtMs > MIN_PAUSE_MS) this.resumedAtMs = nowMs;
-    this.checkedAtMs = nowMs;
-    // A relay only answers, and in a pause of this process it was asked nothing.
-    const awakeMs = nowMs - this.resumedAtMs;
+    this.recordPause(nowMs);
     const { receivedAtMs, partStartedAtMs = nowMs } = connection.reader;
-    if (Math.min(awakeMs, nowMs - receivedAtMs) > FEED_TIMEOUT_MS) finish('timed out');
-    else if (Math.min(awakeMs, nowMs - partStartedAtMs) > MAX_RELAY_MESSAGE_MS) {
-      finish('incomplete message');
-    } else if (!isRelay || relays.isFeedRelay) finish('no longer a relay');
-    else if (awakeMs > RELAY_CUT_OFF_MS && this.isCutOff(connection)) {
-      finish('cut off from the log');
-    } else if (this.connection === connection) {
+    const silentMs = nowMs - receivedAtMs - (this.pausedMs - connection.pausedMsAtData);
+    if (silentMs > FEED_TIMEOUT_MS) finish('timed out');
+    else if (nowMs - partStartedAtMs > MAX_RELAY_MESSAGE_MS) finish('incomplete message');
+    else if (!isRelay || relays.isFeedRelay) finish('no longer a relay');
+    else if (this.isCutOff(connection)) finish('cut off from the log');
+    else if (this.connection === connection) {
       this.checkProof();
       this.requestPositions(connection);
     }
   }
 
+  /** A relay only answers, and in a pause of this process it is asked nothing. */
+  private recordPause(nowMs: number): void {
+    const elapsedMs = nowMs - this.checkedAtMs;
+    if (elapsedMs > MIN_PAUSE_MS) this.pausedMs += elapsedMs - POSITION_POLL_INTERVAL_MS;
+    this.checkedAtMs = nowMs;
+  }
+
   /** Whether the relay proves no reads, although the log answers this VM. */
-  private isCutOff({ provedAt }: RelayConnection): boolean {
-    return computeMaxElapsedMs(provedAt) > RELAY_CUT_OFF_MS && this.options.canReadLog();
+  private isCutOff({ provedAt, pausedMsAtProof }: RelayConnection): boolean {
+    const ageMs = computeMaxElapsedMs(provedAt) - (this.pausedMs - pausedMsAtProof);
+    return ageMs > RELAY_CUT_OFF_MS && this.options.canReadLog();
   }
 
   private checkProof(): void {
@@ -222,6 +233,7 @@
     if (!this.connection || positions.length === 0) return;
     const youngestMs = Math.min(...positions.map(({ provedAgeMs }) => provedAgeMs));
     this.connection.provedAt = advanceClockReading(this.requestedAt, -youngestMs);
+    this.connection.pausedMsAtProof = this.pausedMs;
     this.checkProof();
   }
 
