--- a/packages/entry/src/__tests__/departedCallers.spec.ts
+++ b/packages/entry/src/__tests__/departedCallers.spec.ts
@@ -199,12 +199,13 @@
   const caller = await openCaller(baseUrl);
   await warmConnections([caller]);
   const request = buildRequest('departed-0', ['x-deadline-ms: 150']);
+  const received = receiveData(caller);
   caller.write(request.slice(0, -5));
   await sleep(50);
   const finishPause = await pause(kind, durationMs);
   caller.write(request.slice(-5));
   await finishPause();
-  const reply = await receiveData(caller);
+  const reply = await received;
   expect(reply).toMatch(/^HTTP\/1\.1 504 /);
   expect(reply).toContain('"code":"deadline"');
   expect(reply).toContain('x-goldcrest-verdict: not-run');
@@ -218,9 +219,10 @@
   const caller = await openCaller(baseUrl);
   await warmConnections([caller]);
   const finishPause = await pause(kind, ms);
+  const received = receiveData(caller);
   caller.write(buildRequest('staying', ['x-deadline-ms: 200']));
   await finishPause();
-  expect(await receiveData(caller)).toMatch(/^HTTP\/1\.1 200 /);
+  expect(await received).toMatch(/^HTTP\/1\.1 200 /);
 });
 
 // Guards against deadlines that move with a step of the wall clock.
