--- a/packages/gateway/src/__tests__/feed.spec.ts
+++ b/packages/gateway/src/__tests__/feed.spec.ts
@@ -10,7 +10,7 @@
 import type { FeedMessage, RelayedBatch, RelayedBlocks } from '../mesh/feedMessage.js';
 import { FeedReader } from '../mesh/feedReader.js';
 import { FeedServer } from '../mesh/feedServer.js';
-import { FEED_ZONE, findPort, makeEntry } from './feedFixtures.js';
+import { FEED_ZONE, findPort, keepHeartbeats, makeEntries, makeEntry } from './feedFixtures.js';
 import { FeedWriter } from '../mesh/feedWriter.js';
 import type { KeyedRecord } from '../ports/index.js';
 import { createGatewayMetrics } from '../metrics.js';
@@ -101,12 +101,7 @@
 }: FeedOptions = {}) => {
   const roster = new EntryRoster();
   const relay = makeEntry('relay', await findPort(), 9);
-  const recordHeartbeats = (): void => {
-    for (let index = 0; index < 30; index += 1)
-      roster.recordHeartbeat(makeEntry(`vm-${index}`, 1, 1));
-    roster.recordHeartbeat(relay);
-  };
-  recordHeartbeats();
+  keepHeartbeats(roster, [...makeEntries(30), relay]);
   const abortController = new AbortController();
   onTestFinished(() => abortController.abort());
   const blocks: RelayedBlocks[] = [];
@@ -146,16 +141,7 @@
     canReadLog,
   });
   void client.run(abortController.signal);
-  return {
-    server,
-    client,
-    batches,
-    blocks,
-    positions,
-    streamRecords,
-    abortController,
-    recordHeartbeats,
-  };
+  return { server, client, batches, blocks, positions, streamRecords, abortController };
 };
 
 // Guards against heartbeats that a relay takes but can't write, so that VMs drop out of each other's rosters.
@@ -205,12 +191,9 @@
 // Guards against followers that pause again and again and so never leave a relay that is cut off.
 test('a follower that often stands still leaves a relay that proves no reads', async () => {
   let provedAgeMs = 20;
-  const { server, positions, recordHeartbeats } = await startFeed({
-    getProvedAgeMs: () => provedAgeMs,
-  });
+  const { server, positions } = await startFeed({ getProvedAgeMs: () => provedAgeMs });
   await vi.waitFor(() => expect(positions).toContain(6));
   const timer = setInterval(() => {
-    recordHeartbeats();
     block(950);
     provedAgeMs = 3_000;
   }, 1_300);
--- a/packages/gateway/src/__tests__/feedFixtures.ts
+++ b/packages/gateway/src/__tests__/feedFixtures.ts
@@ -1,7 +1,15 @@
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
+import { onTestFinished } from 'vitest';
 import { toId } from '@goldcrestscale/core';
-import type { AvailabilityZoneId, BootId, EntryHeartbeat, VmId } from '@goldcrestscale/core';
+import type {
+  AvailabilityZoneId,
+  BootId,
+  EntryHeartbeat,
+  EntryRoster,
+  VmId,
+} from '@goldcrestscale/core';
+import { HEARTBEAT_INTERVAL_MS } from '../constants.js';
 
 /** Zone of the relay and its followers. */
 export const FEED_ZONE = toId<AvailabilityZoneId>('z1');
@@ -26,3 +34,15 @@
   leaving: false,
   size,
 });
+
+/** Records the heartbeats of VMs until the test ends; without new ones, they are gone after seconds. */
+export const keepHeartbeats = (roster: EntryRoster, entries: readonly EntryHeartbeat[]): void => {
+  const record = (): void => entries.forEach((entry) => roster.recordHeartbeat(entry));
+  record();
+  const timer = setInterval(record, HEARTBEAT_INTERVAL_MS);
+  onTestFinished(() => clearInterval(timer));
+};
+
+/** Makes small VMs, named by their index. */
+export const makeEntries = (count: number): readonly EntryHeartbeat[] =>
+  Array.from({ length: count }, (_, index) => makeEntry(`vm-${index}`, 1, 1));
--- a/packages/gateway/src/__tests__/largeStores.spec.ts
+++ b/packages/gateway/src/__tests__/largeStores.spec.ts
@@ -16,7 +16,7 @@
 import { MAX_PART_BYTES } from '../mesh/feedParts.js';
 import { FeedServer } from '../mesh/feedServer.js';
 import { createGatewayMetrics } from '../metrics.js';
-import { FEED_ZONE, findPort, makeEntry } from './feedFixtures.js';
+import { FEED_ZONE, findPort, keepHeartbeats, makeEntries, makeEntry } from './feedFixtures.js';
 import { createTestFaults } from './testFaults.js';
 import { TestUpstreamProtocol } from './testProtocols.js';
 
@@ -77,10 +77,8 @@
 /** Starts a relay of one store and a follower, in a zone with enough VMs to need relays. */
 const startFeed = async () => {
   const roster = new EntryRoster();
-  for (let index = 0; index < 30; index += 1)
-    roster.recordHeartbeat(makeEntry(`vm-${index}`, 1, 1));
   const entry = makeEntry('relay', await findPort(), 9);
-  roster.recordHeartbeat(entry);
+  keepHeartbeats(roster, [...makeEntries(30), entry]);
   const abortController = new AbortController();
   onTestFinished(() => abortController.abort());
   const relay = createStores(true);
--- a/packages/gateway/src/__tests__/meshServer.ts
+++ b/packages/gateway/src/__tests__/meshServer.ts
@@ -8,7 +8,7 @@
 import { FeedServer } from '../mesh/feedServer.js';
 import { FeedWriter } from '../mesh/feedWriter.js';
 import { createGatewayMetrics } from '../metrics.js';
-import { findPort, makeEntry } from './feedFixtures.js';
+import { findPort, keepHeartbeats, makeEntries } from './feedFixtures.js';
 import { createTestFaults } from './testFaults.js';
 
 export const NONCE = 'nonce';
@@ -17,8 +17,7 @@
 export const startMeshServer = async (memoryBytes: number) => {
   const port = await findPort();
   const roster = new EntryRoster();
-  for (let index = 0; index < 40; index += 1)
-    roster.recordHeartbeat(makeEntry(`vm-${index}`, 1, 1));
+  keepHeartbeats(roster, makeEntries(40));
   const abortController = new AbortController();
   onTestFinished(() => abortController.abort());
   const metrics = createGatewayMetrics(createMetricsRegistry());
--- a/packages/gateway/src/__tests__/relayLink.spec.ts
+++ b/packages/gateway/src/__tests__/relayLink.spec.ts
@@ -6,7 +6,7 @@
 import { FeedClient } from '../mesh/feedClient.js';
 import type { RelayedBlocks } from '../mesh/feedMessage.js';
 import { FeedServer } from '../mesh/feedServer.js';
-import { FEED_ZONE, findPort, makeEntry } from './feedFixtures.js';
+import { FEED_ZONE, findPort, keepHeartbeats, makeEntries, makeEntry } from './feedFixtures.js';
 import { createGatewayMetrics } from '../metrics.js';
 import { createTestFaults } from './testFaults.js';
 
@@ -40,9 +40,8 @@
 const startRelay = async () => {
   const roster = new EntryRoster();
   const names = Array.from({ length: FOLLOWERS }, (_, index) => `vm-${index}`);
-  names.forEach((name) => roster.recordHeartbeat(makeEntry(name, 1, 1)));
   const relay = makeEntry('relay', await findPort(), 9);
-  roster.recordHeartbeat(relay);
+  keepHeartbeats(roster, [...makeEntries(FOLLOWERS), relay]);
   const abortController = new AbortController();
   onTestFinished(() => abortController.abort());
   let sentBytes = 0;
