--- a/packages/gateway/src/__tests__/ejectedUpstreams.spec.ts
+++ b/packages/gateway/src/__tests__/ejectedUpstreams.spec.ts
@@ -1,12 +1,6 @@
 import { expect, test } from 'vitest';
 import { CONSECUTIVE_FAILURES_TO_OPEN, toId } from '@goldcrestscale/core';
-import type {
-  AvailabilityZoneId,
-  RegisteredUpstream,
-  ServiceName,
-  UpstreamId,
-  VmId,
-} from '@goldcrestscale/core';
+import type { AvailabilityZoneId, UpstreamId, VmId } from '@goldcrestscale/core';
 import { createMetricsRegistry } from '@goldcrestscale/runtime';
 import { createFleetState } from '../compose/createFleetState.js';
 import { createGatewayMetrics } from '../metrics.js';
@@ -14,6 +8,7 @@
 import type { TestRequest } from './fakeUpstream.js';
 import { startGateway } from './gatewayHarness.js';
 import type { TestCall } from './gatewayHarness.js';
+import { buildTestUpstream } from './testUpstream.js';
 
 type Respond = (request: TestRequest) => void;
 
@@ -161,20 +156,6 @@
   return { ...fleetState, countSeries };
 };
 
-const buildEntry = (name: string, startedAtMs = 1): RegisteredUpstream => ({
-  upstreamId: toId<UpstreamId>(name),
-  service: toId<ServiceName>('service'),
-  address: '127.0.0.1:1',
-  availabilityZone: toId<AvailabilityZoneId>('z1'),
-  slots: 8,
-  draining: false,
-  coldRemainingMs: 0,
-  weights: [],
-  heartbeat: 1,
-  startedAtMs,
-  softwareVersion: undefined,
-});
-
 const endings: Readonly<
   Record<string, (fleet: ReturnType<typeof createCountedFleet>, upstreamId: UpstreamId) => void>
 > = {
@@ -182,7 +163,10 @@
     registry.apply({ kind: 'absent', upstreamId }),
   'says that it leaves': ({ registry }, upstreamId) => registry.recordLeaving(upstreamId, 1),
   restarts: ({ registry }, upstreamId) =>
-    registry.apply({ kind: 'present', upstream: buildEntry(upstreamId, 2) }),
+    registry.apply({
+      kind: 'present',
+      upstream: buildTestUpstream(upstreamId, { startedAtMs: 2 }),
+    }),
 };
 
 // Guards against a gauge of ejected upstreams that grows with each one that comes and goes.
@@ -191,11 +175,11 @@
   async (_, endBoot) => {
     const fleet = createCountedFleet();
     ['up-a', 'up-b', 'up-c', 'up-d'].forEach((name) =>
-      fleet.registry.apply({ kind: 'present', upstream: buildEntry(name) }),
+      fleet.registry.apply({ kind: 'present', upstream: buildTestUpstream(name) }),
     );
     for (let index = 0; index < 50; index += 1) {
       const upstreamId = toId<UpstreamId>(`up-${index}`);
-      fleet.registry.apply({ kind: 'present', upstream: buildEntry(upstreamId) });
+      fleet.registry.apply({ kind: 'present', upstream: buildTestUpstream(upstreamId) });
       for (let count = 0; count < CONSECUTIVE_FAILURES_TO_OPEN; count += 1)
         fleet.ejection.recordOutcome(upstreamId, 'failure');
       expect(fleet.ejection.getState(upstreamId)).toBe('open');
