--- a/packages/core/src/deployment/deployment.ts
+++ b/packages/core/src/deployment/deployment.ts
@@ -21,6 +21,16 @@
   /** Cache capacity of one engine's memory, in tokens. */
   readonly capacityTokens: number;
   readonly models: readonly string[];
+  /** Requests that one engine processes at the same time; undefined if not configured. */
+  readonly slots?: number | undefined;
+  /** Bandwidth of one engine's link, in Mbit/s; undefined if not configured. */
+  readonly linkMbps?: number | undefined;
+  /** Whether an engine copies the memory of a request to another engine while it runs. */
+  readonly canBackUp?: boolean | undefined;
+  /** Whether the memory of a running request can be moved to another engine. */
+  readonly canMove?: boolean | undefined;
+  /** Time for which an engine keeps a copy that nobody uses, in milliseconds. */
+  readonly copyTtlMs?: number | undefined;
 }
 
 /** An external store of cache blocks. */
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -17,6 +17,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** Time that work takes now, relative to the usual time; undefined if not reported. */
+  readonly slowdown?: number | undefined;
 }
 
 /** State of one upstream as known to this VM, from its registry entry and from later responses. */
--- a/packages/core/src/promptRouting/prompt.ts
+++ b/packages/core/src/promptRouting/prompt.ts
@@ -11,6 +11,8 @@
   readonly model: ModelId;
   readonly inputTokens: number;
   readonly maxOutputTokens: number;
+  /** The caller's estimate of its output; right at the median, but often far off. */
+  readonly expectedOutputTokens?: number | undefined;
   /** With several parts, the last one is specific to the request and not shared. */
   readonly parts: readonly PromptPart[];
 }
