--- a/packages/core/src/promptRouting/__tests__/engineGroups.spec.ts
+++ b/packages/core/src/promptRouting/__tests__/engineGroups.spec.ts
@@ -1,8 +1,10 @@
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { expect, test } from 'vitest';
 import { makeTracked } from '../../fleet/__tests__/fixtures.js';
 import type { TrackedUpstream } from '../../fleet/index.js';
 import { toId } from '../../ids.js';
 import type { AvailabilityZoneId, ModelId, PromptPartId } from '../../ids.js';
+import { createRandomGenerator } from '../../random.js';
 import { listEngineGroups } from '../index.js';
 import type { Prompt } from '../index.js';
 
@@ -69,3 +71,36 @@
   const groups = listEngineGroups(makePrompt('session'), few, toZone('z1'));
   expect(groups.map((group) => group.engines.length)).toEqual([3, 8]);
 });
+
+/** Sends prompts of much-used sessions to the shortest queue of the first group; returns the longest. */
+const computeLongestQueue = (random?: RandomGenerator): number => {
+  const idle = makeEngines('z1', 30);
+  Array.from({ length: 60 }, (_, index) => makePrompt(`hot-${index % 4}`)).forEach((prompt) => {
+    const { engines: candidates } = listEngineGroups(prompt, idle, toZone('z1'), { random })[0]!;
+    candidates
+      .reduce((left, right) =>
+        right.estimatePendingTokens() < left.estimatePendingTokens() ? right : left,
+      )
+      .recordDispatch(prompt.inputTokens);
+  });
+  return Math.max(...idle.map((engine) => engine.estimatePendingTokens()));
+};
+
+test('engines drawn at random relieve the engines of much-used sessions', () => {
+  expect(computeLongestQueue(createRandomGenerator(1))).toBeLessThanOrEqual(3 * 9_000);
+});
+
+test('without drawn engines, those of much-used sessions prefill while others idle', () => {
+  expect(computeLongestQueue()).toBeGreaterThanOrEqual(5 * 9_000);
+});
+
+test('each prompt is compared with other drawn engines', () => {
+  const random = createRandomGenerator(2);
+  const prompt = makePrompt('session');
+  const drawn = new Set(
+    Array.from({ length: 20 }, () => listEngineGroups(prompt, engines, toZone('z1'), { random }))
+      .flatMap(([first]) => first!.engines)
+      .map(({ upstreamId }) => upstreamId),
+  );
+  expect(drawn.size).toBeGreaterThan(15);
+});
--- a/packages/core/src/promptRouting/constants.ts
+++ b/packages/core/src/promptRouting/constants.ts
@@ -79,6 +79,9 @@
  */
 export const SESSION_CANDIDATES = 3;
 
+/** Number of engines drawn at random that are compared with those of the session. */
+export const SAMPLED_CANDIDATES = 3;
+
 /**
  * Fraction of the objective within which one of these engines must be expected to return the first
  * token.
--- a/packages/core/src/promptRouting/engineGroups.ts
+++ b/packages/core/src/promptRouting/engineGroups.ts
@@ -1,7 +1,14 @@
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import type { TrackedUpstream } from '../fleet/index.js';
 import type { AvailabilityZoneId } from '../ids.js';
 import { rankByRendezvous } from '../membership/rendezvous.js';
-import { SESSION_CANDIDATES, SESSION_OBJECTIVE_FRACTION, MIN_ZONE_ENGINES } from './constants.js';
+import {
+  MIN_ZONE_ENGINES,
+  SAMPLED_CANDIDATES,
+  SESSION_CANDIDATES,
+  SESSION_OBJECTIVE_FRACTION,
+} from './constants.js';
 import type { Prompt } from './prompt.js';
 import { findSessionPart } from './prompt.js';
 
@@ -14,6 +21,26 @@
   readonly objectiveFraction: number;
 }
 
+/** Options of the candidate engines. */
+export interface EngineGroupOptions {
+  /** Lists the engines of the prompt's lane; all by default. */
+  readonly listLane?: (all: readonly TrackedUpstream[]) => readonly TrackedUpstream[];
+  /** Draws the engines that are compared with those of the session; none are drawn by default. */
+  readonly random?: RandomGenerator;
+}
+
+/** Draws some engines at random, other ones for each prompt; the same one may be drawn twice. */
+const sampleEngines = (
+  engines: readonly TrackedUpstream[],
+  random: RandomGenerator | undefined,
+): readonly TrackedUpstream[] =>
+  random && engines.length > 0
+    ? Array.from(
+        { length: SAMPLED_CANDIDATES },
+        () => engines[uniformInt(random, 0, engines.length - 1)]!,
+      )
+    : [];
+
 const pickSessionEngines = (
   prompt: Prompt,
   engines: readonly TrackedUpstream[],
@@ -27,23 +54,23 @@
 };
 
 /**
- * Lists the candidate engines for a prompt in order of preference: a few engines of its lane selected
- * by session, from the given zone if it has enough, then all engines of the lane in the zone, then
- * all of the lane, then all engines. A group is used only if the previous one cannot meet the
- * objective.
+ * Lists the candidate engines for a prompt in order of preference: a few engines of its lane, from the
+ * given zone if it has enough, then all engines of the lane in the zone, then all of the lane, then all
+ * engines. A group is used only if the previous one cannot meet the objective.
  *
- * The small first group prevents a thundering herd: for prompts that arrive at several VMs at the
- * same time, each VM's view of the others' load is stale, and all would choose the same
- * least-loaded engine.
+ * The first group has the engines of the session, and some drawn at random. It is small to prevent a
+ * thundering herd: for prompts that arrive at several VMs at the same time, each VM's view of the
+ * others' load is stale, and all would choose the same least-loaded engine. Without the drawn ones, the
+ * engines of much-used sessions would never catch up with their prefills while others idle, and an
+ * engine that prefills all the time hardly generates.
  *
  * @param zone zone in which the session is stored, otherwise the zone of this VM
- * @param listLane lists the engines of the prompt's lane
  */
 export const listEngineGroups = (
   prompt: Prompt,
   engines: readonly TrackedUpstream[],
   zone: AvailabilityZoneId,
-  listLane: (all: readonly TrackedUpstream[]) => readonly TrackedUpstream[] = (all) => all,
+  { listLane = (all) => all, random }: EngineGroupOptions = {},
 ): readonly EngineGroup[] => {
   const isInZone = ({ registered }: TrackedUpstream): boolean =>
     registered.availabilityZone === zone;
@@ -52,7 +79,12 @@
   const nearEngines = isSingleZone ? laneEngines.filter(isInZone) : laneEngines;
   const groups: EngineGroup[] = [
     {
-      engines: pickSessionEngines(prompt, nearEngines),
+      engines: [
+        ...new Set([
+          ...pickSessionEngines(prompt, nearEngines),
+          ...sampleEngines(nearEngines, random),
+        ]),
+      ],
       isSingleZone,
       objectiveFraction: SESSION_OBJECTIVE_FRACTION,
     },
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -219,9 +219,11 @@
       this.findShortestObjective(service),
     );
     // With direct reports, figures are fresh enough to route short prompts around long ones.
-    const groups = listEngineGroups(prompt, candidates, preferredZone, (all) =>
-      this.options.relays.isAggregating ? this.promptLanes.listEngines(lane, all) : all,
-    );
+    const groups = listEngineGroups(prompt, candidates, preferredZone, {
+      listLane: (all) =>
+        this.options.relays.isAggregating ? this.promptLanes.listEngines(lane, all) : all,
+      random: this.options.random,
+    });
     for (const { engines, isSingleZone, objectiveFraction } of groups) {
       decision = this.chooseEngine(exchange, prompt, service, {
         engines: listEligible(engines),
