--- a/packages/core/src/deployment/__tests__/deployment.spec.ts
+++ b/packages/core/src/deployment/__tests__/deployment.spec.ts
@@ -64,6 +64,14 @@
   expect(view.findShortestObjectiveMs(toServiceName('none'))).toBeUndefined();
 });
 
+test('the shortest objective for a gap between events is found', () => {
+  const routes = [undefined, 600, 250].map((gapObjectiveMs) => makeRoute({ gapObjectiveMs }));
+  const view = new DeploymentView(makeDeployment({ routes }));
+  expect(view.findShortestGapMs(toServiceName('engines'))).toBe(250);
+  const withoutGaps = new DeploymentView(makeDeployment({ routes: [makeRoute({})] }));
+  expect(withoutGaps.findShortestGapMs(toServiceName('engines'))).toBeUndefined();
+});
+
 test('records in any order never roll the state back', () => {
   fc.assert(
     fc.property(fc.array(fc.nat(50), { minLength: 1 }), (versions) => {
--- a/packages/core/src/deployment/deploymentView.ts
+++ b/packages/core/src/deployment/deploymentView.ts
@@ -12,6 +12,8 @@
 
   private readonly shortestObjectivesMs = new Map<ServiceName, number>();
 
+  private readonly shortestGapsMs = new Map<ServiceName, number>();
+
   private readonly services = new Map<ServiceName, ServiceSettings>();
 
   constructor(readonly deployment: Deployment) {
@@ -50,6 +52,11 @@
     return this.shortestObjectivesMs.get(name);
   }
 
+  /** Returns the shortest objective for the gap between two events of the streams of a service. */
+  findShortestGapMs(name: ServiceName): number | undefined {
+    return this.shortestGapsMs.get(name);
+  }
+
   private addRoute(route: RouteRule): void {
     const routes = this.routesByHost.get(route.host) ?? [];
     routes.push(route);
@@ -58,6 +65,9 @@
     route.destinations.forEach(({ service }) => {
       const shortestMs = this.shortestObjectivesMs.get(service) ?? Infinity;
       this.shortestObjectivesMs.set(service, Math.min(shortestMs, route.objectiveMs));
+      if (route.gapObjectiveMs === undefined) return;
+      const shortestGapMs = this.shortestGapsMs.get(service) ?? Infinity;
+      this.shortestGapsMs.set(service, Math.min(shortestGapMs, route.gapObjectiveMs));
     });
   }
 }
--- a/packages/core/src/promptRouting/__tests__/promptLanes.spec.ts
+++ b/packages/core/src/promptRouting/__tests__/promptLanes.spec.ts
@@ -3,9 +3,9 @@
 import { makeTracked } from '../../fleet/__tests__/fixtures.js';
 import type { TrackedUpstream } from '../../fleet/index.js';
 import { toId } from '../../ids.js';
-import type { AvailabilityZoneId } from '../../ids.js';
+import type { AvailabilityZoneId, ModelId } from '../../ids.js';
 import { createRandomGenerator } from '../../random.js';
-import { PromptLanes } from '../index.js';
+import { PromptLanes, pickLane } from '../index.js';
 import type { PromptLane } from '../index.js';
 
 beforeEach(() => {
@@ -25,6 +25,18 @@
 const listIds = (engines: readonly TrackedUpstream[]) =>
   engines.map(({ upstreamId }) => upstreamId);
 
+test('a prompt that delays the events of other streams is long, though first tokens may take long', () => {
+  const prompt = {
+    model: toId<ModelId>('m'),
+    inputTokens: 6_000,
+    maxOutputTokens: 1,
+    parts: [],
+  };
+  expect(pickLane(prompt, 50, { firstTokenMs: 1_000, gapMs: Infinity })).toBe('short');
+  expect(pickLane(prompt, 50, { firstTokenMs: 1_000, gapMs: 600 })).toBe('long');
+  expect(pickLane(prompt, 50, { firstTokenMs: 300, gapMs: 1_000 })).toBe('long');
+});
+
 test('every engine belongs to exactly one lane', () => {
   const lanes = new PromptLanes();
   const engines = makeEngines(['z1', 'z2', 'z3'], 10);
--- a/packages/core/src/promptRouting/promptLanes.ts
+++ b/packages/core/src/promptRouting/promptLanes.ts
@@ -24,24 +24,36 @@
 /** Minimum number of engines for which lanes are separated. */
 const MIN_LANE_ENGINES = 4;
 
-/** A prompt is long if prefilling all of it exceeds this fraction of the shortest objective. */
+/**
+ * A prompt is long if prefilling all of it exceeds this fraction of the shortest objective for a first
+ * token, or for the gap between two events: engines prefill between the tokens that they generate.
+ */
 const LONG_PROMPT_LANE_FRACTION = 0.15;
 
 /** Time for which the separation of a service's engines is cached, in milliseconds. */
 const SEPARATION_TTL_MS = 300;
 
+/** Shortest objectives of all requests at some engines, in milliseconds. */
+export interface LaneObjectives {
+  readonly firstTokenMs: number;
+  /** For the gap between two events of a stream. */
+  readonly gapMs: number;
+}
+
 /**
  * Picks the lane of a prompt by the time to prefill all of it, so that a session keeps its lane.
  *
  * @param tokensPerMs prefill rate of an engine
- * @param shortestObjectiveMs shortest objective of all requests at these engines
+ * @param objectives shortest objectives of all requests at these engines, in milliseconds
  */
 export const pickLane = (
   { inputTokens }: Prompt,
   tokensPerMs: number,
-  shortestObjectiveMs: number,
+  { firstTokenMs, gapMs }: LaneObjectives,
 ): PromptLane =>
-  inputTokens / tokensPerMs > shortestObjectiveMs * LONG_PROMPT_LANE_FRACTION ? 'long' : 'short';
+  inputTokens / tokensPerMs > Math.min(firstTokenMs, gapMs) * LONG_PROMPT_LANE_FRACTION
+    ? 'long'
+    : 'short';
 
 interface LaneSeparation {
   /** Engines of the short lane. */
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -213,11 +213,10 @@
     const { objectiveMs } = requireRoute(exchange);
     const preferredZone = this.findSessionStoreZone(exchange, prompt) ?? zone;
     let decision: UpstreamDecision | undefined;
-    const lane = pickLane(
-      prompt,
-      this.prefillRate.tokensPerMs,
-      this.findShortestObjective(service),
-    );
+    const lane = pickLane(prompt, this.prefillRate.tokensPerMs, {
+      firstTokenMs: this.findShortestObjective(service),
+      gapMs: this.options.operators.view?.findShortestGapMs(service) ?? Infinity,
+    });
     // With direct reports, figures are fresh enough to route short prompts around long ones.
     const groups = listEngineGroups(prompt, candidates, preferredZone, {
       listLane: (all) =>
