--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -11,6 +11,8 @@
 import { FailureLoad } from './failureLoad.js';
 import type { PeerLoads } from './peerLoads.js';
 import type { LoadedWeights, RegisteredUpstream } from './registeredUpstream.js';
+import { ServiceSpeed } from './serviceSpeed.js';
+import { UpstreamSpeed } from './upstreamSpeed.js';
 
 /** Load that an upstream reported with a response. */
 export interface ReportedLoad {
@@ -35,6 +37,9 @@
   /** Load for which its failed requests count; cleared when it is ejected or restarts. */
   readonly failureLoad = new FailureLoad();
 
+  /** How much longer work takes there than usually at its service; forgotten when it restarts. */
+  readonly speed: UpstreamSpeed;
+
   private reportedLoad: ReportedLoad | undefined;
 
   private reportedAtMs = -Infinity;
@@ -69,7 +74,9 @@
   constructor(
     private entry: RegisteredUpstream,
     private readonly peerLoads: PeerLoads,
+    serviceSpeed = new ServiceSpeed(),
   ) {
+    this.speed = new UpstreamSpeed(serviceSpeed);
     this.coldUntilMs = performance.now() + entry.coldRemainingMs;
   }
 
@@ -81,6 +88,11 @@
     return this.entry.upstreamId;
   }
 
+  /** Time that work takes there now, relative to what is usual at its service. */
+  get slowdown(): number {
+    return this.speed.slowdown;
+  }
+
   /** Whether it has, or may have, started recently and can handle only few requests. */
   get isCold(): boolean {
     const nowMs = performance.now();
@@ -159,6 +171,7 @@
       this.hasAnnouncedLeaving = false;
       this.restUntilMs = -Infinity;
       this.failureLoad.clear();
+      this.speed.reset();
     }
     if (next.coldRemainingMs > 0 || isRestarted) {
       this.coldUntilMs = performance.now() + next.coldRemainingMs;
--- a/packages/core/src/fleet/upstreamRegistry.ts
+++ b/packages/core/src/fleet/upstreamRegistry.ts
@@ -2,6 +2,7 @@
 import { LOG_OUTAGE_GRACE_MS, MAX_LEAVING_BOOTS, MAX_UPSTREAMS } from './constants.js';
 import type { PeerLoads } from './peerLoads.js';
 import type { RegisteredUpstream } from './registeredUpstream.js';
+import { ServiceSpeed } from './serviceSpeed.js';
 import { TrackedUpstream } from './trackedUpstream.js';
 
 /** A change of a registry entry. */
@@ -29,6 +30,8 @@
 export class UpstreamRegistry {
   private readonly upstreams = new Map<UpstreamId, TrackedUpstream>();
 
+  private readonly serviceSpeeds = new Map<ServiceName, ServiceSpeed>();
+
   private readonly pendingRemovals = new Map<UpstreamId, number>();
 
   /** Boot times of upstreams that announced that they leave, which outlast their registry entries. */
@@ -68,7 +71,11 @@
       this.ignored += 1;
       return false;
     }
-    const created = new TrackedUpstream(upstream, this.peerLoads);
+    const created = new TrackedUpstream(
+      upstream,
+      this.peerLoads,
+      this.requireServiceSpeed(upstream.service),
+    );
     if (this.leavingBoots.get(upstream.upstreamId) === upstream.startedAtMs) created.markLeaving();
     this.upstreams.set(upstream.upstreamId, created);
     this.reportMembership(created);
@@ -132,6 +139,12 @@
     return this.list().filter(({ registered }) => registered.service === service);
   }
 
+  private requireServiceSpeed(service: ServiceName): ServiceSpeed {
+    const speed = this.serviceSpeeds.get(service) ?? new ServiceSpeed();
+    this.serviceSpeeds.set(service, speed);
+    return speed;
+  }
+
   private applyRemoval(upstreamId: UpstreamId): boolean {
     if (!this.upstreams.has(upstreamId)) return false;
     const graceEndsAtMs = this.outageEndedAtMs + LOG_OUTAGE_GRACE_MS;
--- /dev/null
+++ b/packages/core/src/fleet/upstreamSpeed.ts
@@ -0,0 +1,184 @@
+import type { ServiceSpeed } from './serviceSpeed.js';
+
+/** Bounds of the estimated slowdown. */
+const MIN_SLOWDOWN = 0.7;
+const MAX_SLOWDOWN = 6;
+
+/** Bounds within which a reported slowdown counts; no upstream gets more for saying that it is fast. */
+const MIN_REPORTED_SLOWDOWN = 1;
+const MAX_REPORTED_SLOWDOWN = 4;
+
+/** Differences up to this factor are taken for chance, and those beyond its square count in full. */
+const CHANCE_LOG = Math.log(1.25);
+
+/** Time constant with which the last sample loses its weight to the lasting average, in milliseconds. */
+const RECENT_MS = 400;
+
+/** Time constant with which the lasting average is forgotten, in milliseconds. */
+const LASTING_MS = 10_000;
+
+/** Time that a sample must stand for to change the lasting average to the full, in milliseconds. */
+const FULL_SAMPLE_MS = 2_500;
+
+/** Maximum weight of a new sample in the lasting average, and its weight in the error of the reports. */
+const MAX_SAMPLE_WEIGHT = 0.25;
+
+/** Weight of a sample without a report, which depends on what else the upstream did. */
+const UNREPORTED_WEIGHT = 0.5;
+
+/** Shortest time without an answer that tells anything of an upstream's speed, in milliseconds. */
+const MIN_OVERDUE_MS = 100;
+
+/** An upstream without answers counts as slow from this multiple of the usual time on. */
+const OVERDUE_RATIO = 2;
+
+/** Maximum slowdown that is concluded from an answer that has not come yet. */
+const MAX_OVERDUE_SLOWDOWN = 4;
+
+/** Leaves out what may be chance. */
+const computeExcessLog = (log: number): number =>
+  Math.sign(log) * Math.min(Math.abs(log), 2 * Math.max(0, Math.abs(log) - CHANCE_LOG));
+
+/** Time for which an estimate is kept, in milliseconds; all groups of one choice read it. */
+const ESTIMATE_TTL_MS = 20;
+
+/** What the head of a response tells of its upstream's speed. */
+export interface SpeedSample {
+  /** Slowdown that the upstream reports; undefined if it does not. */
+  readonly reported: number | undefined;
+  /** Work whose times can be compared, as a key. */
+  readonly kind: string;
+  /** Units of that work; 0 if it was too little to tell. */
+  readonly units: number;
+  /** Time from the send to the head, in milliseconds. */
+  readonly elapsedMs: number;
+}
+
+/**
+ * Estimates how much longer work takes at one upstream than usually at its service, from the answers
+ * that this VM gets, from those that are overdue and from what the upstream reports.
+ *
+ * Designed for upstreams that share their machines: some are slow for a part of a second, others for
+ * long, and a VM gets answers from each of many only now and then.
+ */
+export class UpstreamSpeed {
+  private lastingLog = 0;
+
+  private recentLog = 0;
+
+  private recentAtMs = -Infinity;
+
+  /** Mean logarithm of the ratio between what answers show and what the upstream reports. */
+  private reportErrorLog = 0;
+
+  /** Requests of this VM whose heads have not come. */
+  private waiting = 0;
+
+  private waitingSinceMs = 0;
+
+  private expectedMs = 0;
+
+  /** The last estimate, which is kept for a moment. */
+  private estimate = 1;
+
+  private estimatedAtMs = -Infinity;
+
+  constructor(private readonly service: ServiceSpeed) {}
+
+  /** Whether the upstreams of its service are compared. */
+  get isCompared(): boolean {
+    return this.service.isReporting;
+  }
+
+  /** Time that work takes now, relative to what is usual at the service. */
+  get slowdown(): number {
+    if (!this.isCompared) return 1;
+    if (this.waiting === 0 && this.recentAtMs === -Infinity) return 1;
+    const nowMs = performance.now();
+    if (nowMs - this.estimatedAtMs < ESTIMATE_TTL_MS) return this.estimate;
+    const log = Math.max(this.estimateLog(nowMs), this.computeOverdueLog(nowMs));
+    this.estimate = Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, Math.exp(computeExcessLog(log))));
+    this.estimatedAtMs = nowMs;
+    return this.estimate;
+  }
+
+  /** @param expectedMs expected time until the head of the response, in milliseconds */
+  recordSend(expectedMs: number): void {
+    if (this.waiting === 0) {
+      this.waitingSinceMs = performance.now();
+      this.expectedMs = 0;
+    }
+    this.waiting += 1;
+    this.expectedMs = Math.max(this.expectedMs, expectedMs);
+  }
+
+  /** Records that a request is not waited for any more, with or without a head. */
+  recordWaitEnd(): void {
+    this.waiting = Math.max(0, this.waiting - 1);
+    this.estimatedAtMs = -Infinity;
+  }
+
+  /** Records the head of a sound response. */
+  recordAnswer({ reported, kind, units, elapsedMs }: SpeedSample): void {
+    const { service } = this;
+    this.waitingSinceMs = performance.now();
+    service.recordHead(elapsedMs);
+    const reportedLog = reported === undefined ? undefined : this.compareReport(reported);
+    const measuredLog = units > 0 ? service.recordTime(kind, elapsedMs / units) : undefined;
+    if (reportedLog === undefined) {
+      if (measuredLog !== undefined) this.addSample(measuredLog, UNREPORTED_WEIGHT);
+      return;
+    }
+    if (measuredLog !== undefined) {
+      const errorLog = measuredLog - reportedLog;
+      this.reportErrorLog += (errorLog - this.reportErrorLog) * MAX_SAMPLE_WEIGHT;
+    }
+    this.addSample(reportedLog + this.reportErrorLog, 1);
+  }
+
+  /** Forgets all, because another process answers now. */
+  reset(): void {
+    this.lastingLog = 0;
+    this.recentAtMs = -Infinity;
+    this.reportErrorLog = 0;
+    this.waitingSinceMs = performance.now();
+    this.estimatedAtMs = -Infinity;
+  }
+
+  private compareReport(reported: number): number {
+    return this.service.recordReport(
+      Math.min(MAX_REPORTED_SLOWDOWN, Math.max(MIN_REPORTED_SLOWDOWN, reported)),
+    );
+  }
+
+  private addSample(log: number, weight: number): void {
+    const nowMs = performance.now();
+    const beforeLog = this.computeLastingLog(nowMs);
+    // Samples close together tell of the same moment.
+    const sinceLastMs = nowMs - this.recentAtMs;
+    const lastingWeight = Math.min(MAX_SAMPLE_WEIGHT, sinceLastMs / FULL_SAMPLE_MS);
+    this.lastingLog = beforeLog + (log - beforeLog) * lastingWeight;
+    this.recentLog = beforeLog + (log - beforeLog) * weight;
+    this.recentAtMs = nowMs;
+    this.estimatedAtMs = -Infinity;
+  }
+
+  private computeLastingLog(nowMs: number): number {
+    return this.lastingLog * Math.exp((this.recentAtMs - nowMs) / LASTING_MS);
+  }
+
+  private estimateLog(nowMs: number): number {
+    const lastingLog = this.computeLastingLog(nowMs);
+    const recentWeight = Math.exp((this.recentAtMs - nowMs) / RECENT_MS);
+    return lastingLog + (this.recentLog - lastingLog) * recentWeight;
+  }
+
+  /** An upstream that has answered nothing since the first of the open requests may be slow. */
+  private computeOverdueLog(nowMs: number): number {
+    if (this.waiting === 0) return -Infinity;
+    const usualMs = Math.max(MIN_OVERDUE_MS, this.expectedMs, this.service.headMs);
+    const ratio = (nowMs - this.waitingSinceMs) / usualMs;
+    if (ratio < OVERDUE_RATIO) return -Infinity;
+    return Math.log(Math.min(MAX_OVERDUE_SLOWDOWN, ratio));
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,6 +15,7 @@
 export * from './idempotency/index.js';
 export * from './loadOrders/index.js';
 export * from './random.js';
+export * from './pace/index.js';
 export * from './prefix/index.js';
 export * from './quarantine/index.js';
 export * from './promptRouting/index.js';
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -187,6 +187,7 @@
         rateLimits: fleetState.rateLimits,
         rejectionLimits: fleetState.rejectionLimits,
         runTimes: fleetState.runTimes,
+        paces: fleetState.paces,
         quarantine: fleetState.quarantine,
         requestLog,
         streamContinuity: new StreamContinuity({
--- a/packages/gateway/src/__tests__/testProtocols.ts
+++ b/packages/gateway/src/__tests__/testProtocols.ts
@@ -95,7 +95,10 @@
       isSigned: headers['x-sig'] !== undefined,
       isNotExecuted: headers['x-not-run'] !== undefined,
       isMisdirected: status === 421,
-      load: undefined,
+      load:
+        headers['x-slowdown'] === undefined
+          ? undefined
+          : { running: 0, waiting: 0, slots: 8, slowdown: Number(headers['x-slowdown']) },
       weights: undefined,
       coldRemainingMs: undefined,
       isLeaving: headers['x-leaving'] !== undefined,
--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -10,6 +10,7 @@
   RejectionLimits,
   RunTimes,
   SentParts,
+  UpstreamPaces,
   UpstreamReach,
   UpstreamRegistry,
   VersionsInUse,
@@ -20,6 +21,7 @@
 import type {
   AvailabilityZoneId,
   EjectionChange,
+  PaceChange,
   QuarantineChange,
   PermitRequest,
   RateChange,
@@ -36,6 +38,7 @@
   readonly onRateChange?: (change: RateChange) => void;
   readonly onRejectionLimitChange?: (change: RejectionLimitChange) => void;
   readonly onEjectionChange?: (change: EjectionChange) => void;
+  readonly onPaceChange?: (change: PaceChange) => void;
   readonly onReachChange?: (change: ReachChange) => void;
   /** Whether this VM has read its input without a pause for a duration. */
   readonly hasReadFor?: (durationMs: number) => boolean;
@@ -74,7 +77,8 @@
   zone: AvailabilityZoneId,
   callbacks: FleetStateCallbacks = {},
 ) => {
-  const { onQuarantineChange, onEjectionChange, onReachChange, hasReadFor } = callbacks;
+  const { onQuarantineChange, onEjectionChange, onPaceChange, onReachChange, hasReadFor } =
+    callbacks;
   const random = createRandomGenerator();
   const roster = new EntryRoster();
   const limits = createAnnouncedLimits(self, roster, callbacks);
@@ -107,6 +111,14 @@
         onReachChange?.(change);
       },
     }),
+    paces: new UpstreamPaces({
+      findSenders(upstreamId) {
+        const serving = roster.listServing().map(({ vmId }) => vmId);
+        const rank = computeRendezvousRank(upstreamId, serving, self);
+        return { rank, count: Math.max(1, serving.length) };
+      },
+      onChange: onPaceChange,
+    }),
     blocks: new BlockDirectory(),
     sentParts: new SentParts(),
     begunStreams: new BegunStreams(),
--- a/packages/gateway/src/dispatch/outcomeRecorder.ts
+++ b/packages/gateway/src/dispatch/outcomeRecorder.ts
@@ -5,6 +5,7 @@
   RejectionLimits,
   RunTimes,
   TrackedUpstream,
+  UpstreamPaces,
   UpstreamReach,
   UpstreamRegistry,
 } from '@goldcrestscale/core';
@@ -29,6 +30,7 @@
   readonly announcedRates: AnnouncedRates;
   readonly rejectionLimits: RejectionLimits;
   readonly runTimes: RunTimes;
+  readonly paces: UpstreamPaces;
   readonly requestLog: RequestLog;
 }
 
@@ -103,6 +105,7 @@
   ): void {
     const { ejection, chooser } = this.options;
     chooser.dropSentParts(exchange, upstream);
+    this.options.paces.find(upstream)?.recordFailure();
     ejection.recordOutcome(upstream.upstreamId, 'failure');
     // An ejected upstream gets only probes, which must not wait until its failures are forgotten.
     if (ejection.getState(upstream.upstreamId) !== 'closed') {
@@ -156,11 +159,12 @@
     progress: RequestProgress,
     reason: NotRunReason,
   ): void {
-    const { ejection, connections, reach, rejectionLimits } = this.options;
+    const { ejection, connections, reach, rejectionLimits, paces } = this.options;
     ejection.recordOutcome(upstream.upstreamId, 'neutral');
     if (reason === 'refused') {
       upstream.markBusy(UPSTREAM_REFUSAL_BACKOFF_MS);
       rejectionLimits.recordRejection(upstream);
+      paces.find(upstream)?.recordFailure();
     }
     if (reason === 'no-connection') upstream.markLackingConnection(UPSTREAM_REFUSAL_BACKOFF_MS);
     if (reason === 'no-socket') connections.reportMissingSocket(upstream.registered.address);
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -29,6 +29,7 @@
   ServiceName,
   TrackedUpstream,
   UpstreamId,
+  UpstreamPaces,
   UpstreamRegistry,
   VmId,
   ZoneRelays,
@@ -38,6 +39,8 @@
 import { computeMaxFirstEventWaitMs, computeOutdatedWeightsLimitMs } from './firstEventWait.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
 import { requireRoute } from '../filters/gatewayExchange.js';
+import { LeastLoadedUpstreams } from './leastLoadedUpstreams.js';
+import { PacedUpstreams } from './pacedUpstreams.js';
 import { SoundUpstreams } from './soundUpstreams.js';
 import type { FleetBounds } from '../config.js';
 
@@ -56,6 +59,7 @@
   readonly rateLimits: FleetRateLimits;
   readonly rejectionLimits: RejectionLimits;
   readonly sentParts: SentParts;
+  readonly paces: UpstreamPaces;
   readonly random: RandomGenerator;
 }
 
@@ -65,6 +69,9 @@
 /** An upstream, or the time for which none will be able to serve the request in time. */
 export type UpstreamDecision = PromptDecision;
 
+const isCurrentChoice = (decision: UpstreamDecision | undefined): boolean =>
+  decision !== undefined && !('retryAfterMs' in decision) && !decision.isOutdated;
+
 /** Chooses the upstream of an attempt from the eligible ones. */
 export class UpstreamChooser {
   readonly prefillRate = new PrefillRate();
@@ -77,10 +84,16 @@
 
   private readonly soundUpstreams: SoundUpstreams;
 
+  private readonly pacedUpstreams: PacedUpstreams;
+
+  private readonly leastLoaded: LeastLoadedUpstreams;
+
   constructor(private readonly options: UpstreamChooserOptions) {
     this.promptRouter = new PromptRouter(options.sentParts, this.prefillRate);
     this.coldStartLimits = new ColdStartLimits(options);
     this.soundUpstreams = new SoundUpstreams(options);
+    this.pacedUpstreams = new PacedUpstreams(options);
+    this.leastLoaded = new LeastLoadedUpstreams(options, this.pacedUpstreams);
   }
 
   /** Picks a service from the destinations of the route, by their traffic weights. */
@@ -199,6 +212,7 @@
     const { prompt } = exchange.head;
     const candidates = registry.listService(service);
     const loadingWeights = roster.listLoading();
+    this.pacedUpstreams.observe(candidates, loadingWeights);
     const listEligible = (upstreams: readonly TrackedUpstream[]): readonly TrackedUpstream[] =>
       upstreams.filter(
         (upstream) =>
@@ -207,7 +221,7 @@
           this.isEligible(exchange, upstream, excluded, loadingWeights),
       );
     if (!prompt) {
-      const upstream = this.chooseLeastLoaded(listEligible(candidates));
+      const upstream = this.leastLoaded.choose(listEligible(candidates));
       return upstream && { upstream, prefillTokens: 0, firstTokenMs: 0, isOutdated: false };
     }
     const { objectiveMs } = requireRoute(exchange);
@@ -222,11 +236,17 @@
     const groups = listEngineGroups(prompt, candidates, preferredZone, (all) =>
       this.options.relays.isAggregating ? this.promptLanes.listEngines(lane, all) : all,
     );
-    for (const { engines, isSingleZone, objectiveFraction } of groups) {
-      decision = this.chooseEngine(exchange, prompt, service, {
-        engines: listEligible(engines),
-        sendingVms: this.countSendingVms(isSingleZone),
-      });
+    for (const group of groups) {
+      const { engines, isSingleZone, objectiveFraction } = group;
+      const eligible = listEligible(engines);
+      const open = this.pacedUpstreams.listOpen(eligible);
+      const sendingVms = this.countSendingVms(isSingleZone);
+      decision = this.chooseEngine(exchange, prompt, service, { engines: open, sendingVms });
+      // No prompt is refused, or run on old weights, for the sake of a pace.
+      const isLast = group === groups.at(-1);
+      if (isLast && open.length < eligible.length && !isCurrentChoice(decision)) {
+        decision = this.chooseEngine(exchange, prompt, service, { engines: eligible, sendingVms });
+      }
       const isInTime =
         decision &&
         !('retryAfterMs' in decision) &&
@@ -311,21 +331,6 @@
     );
   }
 
-  private chooseLeastLoaded(candidates: readonly TrackedUpstream[]): TrackedUpstream | undefined {
-    let best: TrackedUpstream | undefined;
-    let leastLoad = Infinity;
-    candidates.forEach((candidate) => {
-      const isCrowded = this.options.rejectionLimits.isCrowded(candidate);
-      const requests = (isCrowded ? 0 : candidate.estimateLoad()) + candidate.failureLoad.requests;
-      const load =
-        (requests + uniformFloat64(this.options.random)) / Math.max(1, candidate.registered.slots);
-      if (load >= leastLoad) return;
-      best = candidate;
-      leastLoad = load;
-    });
-    return best;
-  }
-
   private findShortestObjective(service: ServiceName): number {
     return this.options.operators.view?.findShortestObjectiveMs(service) ?? Infinity;
   }
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -10,6 +10,7 @@
   RunTimes,
   ServiceName,
   TrackedUpstream,
+  UpstreamPaces,
   UpstreamReach,
   UpstreamRegistry,
 } from '@goldcrestscale/core';
@@ -19,10 +20,10 @@
   MAX_RATE_WAIT_MS,
   RATE_WAIT_OBJECTIVE_FRACTION,
 } from '../constants.js';
+import { createAttemptLogEntry } from '../dispatch/attemptLogEntry.js';
 import { AttemptMetadataBuilder } from '../dispatch/attemptMetadataBuilder.js';
 import { findSendEnd } from '../dispatch/attemptResult.js';
 import type { AttemptResult } from '../dispatch/attemptResult.js';
-import { findExpectedWeights } from '../dispatch/cacheIdentity.js';
 import type { ConnectionPool } from '../dispatch/connectionPool.js';
 import { CrashObserver } from '../dispatch/crashObserver.js';
 import {
@@ -37,9 +38,10 @@
 import { ResendPolicy } from '../dispatch/resendPolicy.js';
 import { ResponseReporter } from '../dispatch/responseReporter.js';
 import { SendGate } from '../dispatch/sendGate.js';
+import { SpeedObservation } from '../dispatch/speedObservation.js';
 import { RoomWait } from '../dispatch/roomWait.js';
 import type { StreamContinuity } from '../dispatch/streamContinuity.js';
-import { UpstreamAttempt, isSuccess } from '../dispatch/upstreamAttempt.js';
+import { UpstreamAttempt } from '../dispatch/upstreamAttempt.js';
 import type {
   UpstreamChoice,
   UpstreamChooser,
@@ -51,7 +53,7 @@
 import type { UpstreamProtocol } from '../ports/index.js';
 import type { FaultRecorder } from '../faultRecorder.js';
 import type { RequestLog } from '../requestLog.js';
-import type { AttemptLogEntry, GatewayExchange } from './gatewayExchange.js';
+import type { GatewayExchange } from './gatewayExchange.js';
 import { requireRoute } from './gatewayExchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
 import { assertPromptAllowed, assertRequestAllowed } from './quarantineFilter.js';
@@ -73,6 +75,7 @@
   readonly rateLimits: FleetRateLimits;
   readonly rejectionLimits: RejectionLimits;
   readonly runTimes: RunTimes;
+  readonly paces: UpstreamPaces;
   readonly quarantine: CrashQuarantine;
   readonly requestLog: RequestLog;
   readonly streamContinuity: StreamContinuity;
@@ -92,21 +95,6 @@
   return 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind;
 };
 
-const createAttemptLogEntry = (
-  exchange: GatewayExchange,
-  { upstream, prefillTokens, firstTokenMs }: UpstreamChoice,
-): AttemptLogEntry => ({
-  upstreamId: upstream.upstreamId,
-  version: upstream.registered.softwareVersion,
-  weights: findExpectedWeights(exchange, upstream),
-  load: upstream.estimateLoad(),
-  pendingTokens: Math.round(upstream.estimatePendingTokens()),
-  readTokens: prefillTokens,
-  expectedMs: Math.round(firstTokenMs),
-  startedAtMs: Math.round(performance.now() - exchange.receivedAtMs),
-  outcome: 'open',
-});
-
 /** Chooses an upstream, sends the request and retries it if the result allows. */
 export class GatewayDispatchFilter extends GatewayFilter {
   override readonly name = 'dispatch';
@@ -278,13 +266,11 @@
     signal: AbortSignal,
   ): Promise<AttemptResult> {
     const { connections, protocol, inputBarrier } = this.options;
-    const { prefillRate } = this.options.chooser;
     const { upstream, prefillTokens: tokens } = choice;
     const { address } = upstream.registered;
     const connection = this.acquireConnection(upstream, progress);
     if (!connection) return { kind: 'not-run', reason: 'no-connection' };
-    const queuedTokens = upstream.estimatePendingTokens();
-    let sentAtMs = performance.now();
+    const speed = new SpeedObservation(exchange, choice, this.options);
     const logEntry = createAttemptLogEntry(exchange, choice);
     const promptTokens = exchange.head.prompt?.inputTokens ?? 0;
     // Already now, so that other choices during the wait for the connection take it into account.
@@ -296,20 +282,17 @@
       protocol,
       inputBarrier,
       claimSend: () => {
-        sentAtMs = performance.now();
-        return this.claimSend(exchange, choice, progress, signal);
+        const claim = this.claimSend(exchange, choice, progress, signal);
+        if (!('withheld' in claim)) speed.recordSend();
+        return claim;
       },
       signal,
       eventSplitter: progress.eventSplitter,
       onFirstEvent: () => this.options.streamContinuity.recordFirstEvent(exchange, upstream),
       onResponseHead: (head) => {
         reservation.recordResponseStart();
-        const elapsedMs = performance.now() - sentAtMs;
-        logEntry.headMs = Math.round(elapsedMs);
+        logEntry.headMs = Math.round(speed.recordHead(head));
         this.outcomeRecorder.recordResponseHead(exchange, upstream, head);
-        if (exchange.head.prompt && isSuccess(head.status)) {
-          prefillRate.recordSample(tokens + queuedTokens, elapsedMs);
-        }
       },
     });
     exchange.attempts.push(logEntry);
@@ -323,6 +306,7 @@
       progress.takeTrial()?.finish();
       if (!attempt.hasSent && logEntry.outcome === 'open') logEntry.outcome = 'withheld';
       reservation.release(attempt.hasSent);
+      speed.finish();
       if (attempt.hasSent) progress.usedConnections.add(connection);
       if (attempt.isReusable) connections.release(address, connection);
       else connection.close();
--- a/packages/gateway/src/filters/gatewayExchange.ts
+++ b/packages/gateway/src/filters/gatewayExchange.ts
@@ -58,6 +58,8 @@
   /** Prompt tokens that the upstream was expected to prefill, and the expected time to first token. */
   readonly readTokens: number;
   readonly expectedMs: number;
+  /** Estimated slowdown of the upstream when the attempt was sent. */
+  readonly slowdown: number;
   readonly startedAtMs: number;
   /** Time from sending the request to the response head. */
   headMs?: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,9 +5,7 @@
   EjectionChange,
   PermitRequest,
   QuarantineChange,
-  RateChange,
   ReachChange,
-  RejectionLimitChange,
   VmId,
 } from '@goldcrestscale/core';
 import { ByteBudget, EventLoopBarrier, PauseMonitor, listen } from '@goldcrestscale/runtime';
@@ -27,7 +25,9 @@
 import { createAuxiliaryServer } from './http/auxiliaryServer.js';
 import type { OperatedState } from './http/auxiliaryServer.js';
 import type { TunnelServer } from './mesh/tunnelServer.js';
+import { logRateChange, logRejectionLimitChange } from './rateLogs.js';
 import { RequestLog } from './requestLog.js';
+import { collectSpeeds, createPaceReport } from './speedMetrics.js';
 import { runTask } from './runTask.js';
 import { splitAddress } from './socketAddress.js';
 
@@ -51,28 +51,6 @@
   else requestLog.log('ejected upstream taken back', fields);
 };
 
-/** The number of lines is bounded, because an upstream may change its limit with every response. */
-const logRateChange = (requestLog: RequestLog, change: RateChange): void => {
-  const { upstreamId, startedAtMs, previous, requestsPerSecond } = change;
-  requestLog.log('rate limit of upstream changed', {
-    upstreamId,
-    startedAtMs,
-    previous: previous ?? 'none',
-    requestsPerSecond: requestsPerSecond ?? 'none',
-  });
-};
-
-const logRejectionLimitChange = (
-  requestLog: RequestLog,
-  { service, previous, rejectionsPerSecond }: RejectionLimitChange,
-): void => {
-  requestLog.log('rejection limit of service changed', {
-    service,
-    previous: previous ?? 'none',
-    rejectionsPerSecond: rejectionsPerSecond ?? 'none',
-  });
-};
-
 const logReachChange = (logger: Logger, { isCutOff, silentMs, failing }: ReachChange): void => {
   const fields = { silentMs: Math.round(silentMs) };
   if (isCutOff) logger.warn('no upstream can be reached', { ...fields, failing });
@@ -101,6 +79,7 @@
       logEjectionChange(ejectionLog, change);
       metrics.recordEjection(change);
     },
+    onPaceChange: createPaceReport(logger, metrics),
     onReachChange(change) {
       logReachChange(logger.createPartLogger('reach'), change);
       metrics.setCutOff(change.isCutOff);
@@ -166,7 +145,7 @@
     budget,
     serverConnections,
   }: {
-    readonly operated: OperatedState & Pick<FleetState, 'roster'>;
+    readonly operated: OperatedState & FleetState;
     readonly faults: FaultRecorder;
     readonly budget: ByteBudget;
     readonly serverConnections: ServerConnections;
@@ -182,6 +161,7 @@
         counters.setOpenConnections(name as keyof GatewayServers, openCount),
       );
       counters.setHeldBytes(budget.purposes);
+      counters.setSpeeds(collectSpeeds(operated.registry, operated.paces));
       counters.setAllowanceVms(operated.roster.countAllSenders());
       return counters.render();
     },
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -7,9 +7,11 @@
 import type { AbandonReason } from './dispatch/invalidResponseError.js';
 import { createRateMetrics } from './rateMetrics.js';
 import type { RateMetrics } from './rateMetrics.js';
+import { createSpeedMetrics } from './speedMetrics.js';
+import type { SpeedMetrics } from './speedMetrics.js';
 
 /** Counters and latency histograms of the gateway. */
-export interface GatewayMetrics extends CallMetrics, ConnectionMetrics, RateMetrics {
+export interface GatewayMetrics extends CallMetrics, ConnectionMetrics, RateMetrics, SpeedMetrics {
   /** Counts a response to a caller by route and outcome. */
   countResponse(route: string | undefined, outcome: string): void;
   /** Counts an attempt at an upstream by its outcome. */
@@ -299,6 +301,7 @@
     ...createRateMetrics(metrics),
     ...createReachMetrics(metrics),
     ...createRetryMetrics(metrics),
+    ...createSpeedMetrics(metrics),
     render: () => metrics.render(),
   };
 };
