--- a/packages/core/src/promptRouting/engineGroups.ts
+++ b/packages/core/src/promptRouting/engineGroups.ts
@@ -26,7 +26,7 @@
   /** Lists the engines of the prompt's lane; all by default. */
   readonly listLane?: (all: readonly TrackedUpstream[]) => readonly TrackedUpstream[];
   /** Draws the engines that are compared with those of the session; none are drawn by default. */
-  readonly random?: RandomGenerator;
+  readonly random?: RandomGenerator | undefined;
 }
 
 /** Draws some engines at random, other ones for each prompt; the same one may be drawn twice. */
