--- a/packages/core/src/fleet/upstreamSpeed.ts
+++ b/packages/core/src/fleet/upstreamSpeed.ts
@@ -1,7 +1,7 @@
 import type { ServiceSpeed } from './serviceSpeed.js';
 
-/** Bounds of the estimated slowdown. */
-const MIN_SLOWDOWN = 0.7;
+/** Bounds of the estimated slowdown. One that seems fast is most often idle, and would draw all VMs. */
+const MIN_SLOWDOWN = 1;
 const MAX_SLOWDOWN = 6;
 
 /** Bounds within which a reported slowdown counts; no upstream gets more for saying that it is fast. */
@@ -11,6 +11,12 @@
 /** Differences up to this factor are taken for chance, and those beyond its square count in full. */
 const CHANCE_LOG = Math.log(1.25);
 
+/**
+ * The same for what answers show against reports: they also depend on what else the upstream does, and
+ * on what this VM does not know of.
+ */
+const REPORT_ERROR_CHANCE_LOG = Math.log(1.6);
+
 /** Time constant with which the last sample loses its weight to the lasting average, in milliseconds. */
 const RECENT_MS = 400;
 
@@ -30,14 +36,17 @@
 const MIN_OVERDUE_MS = 100;
 
 /** An upstream without answers counts as slow from this multiple of the usual time on. */
-const OVERDUE_RATIO = 2;
+const OVERDUE_RATIO = 4;
+
+/** What others may have sent it may explain this part of the multiple. */
+const OVERDUE_QUEUE_RATIO = 2;
 
 /** Maximum slowdown that is concluded from an answer that has not come yet. */
 const MAX_OVERDUE_SLOWDOWN = 4;
 
 /** Leaves out what may be chance. */
-const computeExcessLog = (log: number): number =>
-  Math.sign(log) * Math.min(Math.abs(log), 2 * Math.max(0, Math.abs(log) - CHANCE_LOG));
+const computeExcessLog = (log: number, chanceLog: number): number =>
+  Math.sign(log) * Math.min(Math.abs(log), 2 * Math.max(0, Math.abs(log) - chanceLog));
 
 /** Time for which an estimate is kept, in milliseconds; all groups of one choice read it. */
 const ESTIMATE_TTL_MS = 20;
@@ -97,7 +106,10 @@
     const nowMs = performance.now();
     if (nowMs - this.estimatedAtMs < ESTIMATE_TTL_MS) return this.estimate;
     const log = Math.max(this.estimateLog(nowMs), this.computeOverdueLog(nowMs));
-    this.estimate = Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, Math.exp(computeExcessLog(log))));
+    this.estimate = Math.min(
+      MAX_SLOWDOWN,
+      Math.max(MIN_SLOWDOWN, Math.exp(computeExcessLog(log, CHANCE_LOG))),
+    );
     this.estimatedAtMs = nowMs;
     return this.estimate;
   }
@@ -113,15 +125,15 @@
   }
 
   /** Records that a request is not waited for any more, with or without a head. */
-  recordWaitEnd(): void {
+  recordWaitEnd(hasHead: boolean): void {
     this.waiting = Math.max(0, this.waiting - 1);
+    if (hasHead) this.waitingSinceMs = performance.now();
     this.estimatedAtMs = -Infinity;
   }
 
   /** Records the head of a sound response. */
   recordAnswer({ reported, kind, units, elapsedMs }: SpeedSample): void {
     const { service } = this;
-    this.waitingSinceMs = performance.now();
     service.recordHead(elapsedMs);
     const reportedLog = reported === undefined ? undefined : this.compareReport(reported);
     const measuredLog = units > 0 ? service.recordTime(kind, elapsedMs / units) : undefined;
@@ -130,10 +142,10 @@
       return;
     }
     if (measuredLog !== undefined) {
-      const errorLog = measuredLog - reportedLog;
-      this.reportErrorLog += (errorLog - this.reportErrorLog) * MAX_SAMPLE_WEIGHT;
+      this.reportErrorLog += (measuredLog - reportedLog - this.reportErrorLog) * MAX_SAMPLE_WEIGHT;
     }
-    this.addSample(reportedLog + this.reportErrorLog, 1);
+    const errorLog = computeExcessLog(this.reportErrorLog, REPORT_ERROR_CHANCE_LOG);
+    this.addSample(reportedLog + errorLog, 1);
   }
 
   /** Forgets all, because another process answers now. */
@@ -179,6 +191,6 @@
     const usualMs = Math.max(MIN_OVERDUE_MS, this.expectedMs, this.service.headMs);
     const ratio = (nowMs - this.waitingSinceMs) / usualMs;
     if (ratio < OVERDUE_RATIO) return -Infinity;
-    return Math.log(Math.min(MAX_OVERDUE_SLOWDOWN, ratio));
+    return Math.log(Math.min(MAX_OVERDUE_SLOWDOWN, ratio / OVERDUE_QUEUE_RATIO));
   }
 }
--- a/packages/core/src/pace/__tests__/pacedFleet.ts
+++ b/packages/core/src/pace/__tests__/pacedFleet.ts
@@ -54,7 +54,7 @@
 const finishRun = ({ vm, index }: Run, reported: number): void => {
   const upstream = vm.upstreams[index]!;
   upstream.recordCompletion();
-  upstream.speed.recordWaitEnd();
+  upstream.speed.recordWaitEnd(true);
   upstream.speed.recordAnswer({ reported, kind: 'run', units: 0, elapsedMs: RUN_MS });
   vm.rule.recordAnswer?.(upstream);
 };
@@ -106,7 +106,7 @@
     this.runs = this.runs.filter((run) => {
       if (run.index < count) {
         run.vm.upstreams[run.index]!.recordCompletion();
-        run.vm.upstreams[run.index]!.speed.recordWaitEnd();
+        run.vm.upstreams[run.index]!.speed.recordWaitEnd(false);
       }
       return run.index >= count;
     });
--- a/packages/gateway/src/dispatch/speedObservation.ts
+++ b/packages/gateway/src/dispatch/speedObservation.ts
@@ -42,14 +42,14 @@
   /** Records the head of a response. @returns the time from the send to the head, in milliseconds */
   recordHead(head: ResponseHead): number {
     const elapsedMs = performance.now() - this.sentAtMs;
-    this.finish();
+    this.finish(true);
     if (isSuccess(head.status)) this.recordAnswer(head, elapsedMs);
     return elapsedMs;
   }
 
   /** Ends the wait for the head, if it still lasts. */
-  finish(): void {
-    if (this.isWaiting) this.choice.upstream.speed.recordWaitEnd();
+  finish(hasHead = false): void {
+    if (this.isWaiting) this.choice.upstream.speed.recordWaitEnd(hasHead);
     this.isWaiting = false;
   }
 
