--- a/packages/core/src/promptRouting/__tests__/promptLanes.spec.ts
+++ b/packages/core/src/promptRouting/__tests__/promptLanes.spec.ts
@@ -26,15 +26,18 @@
   engines.map(({ upstreamId }) => upstreamId);
 
 test('a prompt that delays the events of other streams is long, though first tokens may take long', () => {
-  const prompt = {
+  const makeLanePrompt = (inputTokens: number) => ({
     model: toId<ModelId>('m'),
-    inputTokens: 6_000,
+    inputTokens,
     maxOutputTokens: 1,
     parts: [],
-  };
+  });
+  const prompt = makeLanePrompt(3_000);
   expect(pickLane(prompt, 50, { firstTokenMs: 1_000, gapMs: Infinity })).toBe('short');
   expect(pickLane(prompt, 50, { firstTokenMs: 1_000, gapMs: 600 })).toBe('long');
   expect(pickLane(prompt, 50, { firstTokenMs: 300, gapMs: 1_000 })).toBe('long');
+  // What an engine prefills in a moment delays no events for long.
+  expect(pickLane(makeLanePrompt(2_000), 50, { firstTokenMs: 1_000, gapMs: 100 })).toBe('short');
 });
 
 test('every engine belongs to exactly one lane', () => {
--- a/packages/core/src/promptRouting/promptLanes.ts
+++ b/packages/core/src/promptRouting/promptLanes.ts
@@ -24,11 +24,17 @@
 /** Minimum number of engines for which lanes are separated. */
 const MIN_LANE_ENGINES = 4;
 
+/** A prompt is long if prefilling all of it exceeds this fraction of the shortest objective. */
+const LONG_PROMPT_LANE_FRACTION = 0.15;
+
 /**
- * A prompt is long if prefilling all of it exceeds this fraction of the shortest objective for a first
- * token, or for the gap between two events: engines prefill between the tokens that they generate.
+ * The same for the shortest objective for a gap between two events, which spans several tokens. An
+ * engine prefills a piece of a prompt between two tokens.
  */
-const LONG_PROMPT_LANE_FRACTION = 0.15;
+const LONG_PROMPT_GAP_FRACTION = 0.08;
+
+/** A prompt that takes less to prefill is not long for the sake of gaps, in milliseconds. */
+const MIN_GAP_PREFILL_MS = 45;
 
 /** Time for which the separation of a service's engines is cached, in milliseconds. */
 const SEPARATION_TTL_MS = 300;
@@ -50,10 +56,13 @@
   { inputTokens }: Prompt,
   tokensPerMs: number,
   { firstTokenMs, gapMs }: LaneObjectives,
-): PromptLane =>
-  inputTokens / tokensPerMs > Math.min(firstTokenMs, gapMs) * LONG_PROMPT_LANE_FRACTION
-    ? 'long'
-    : 'short';
+): PromptLane => {
+  const maxShortMs = Math.min(
+    firstTokenMs * LONG_PROMPT_LANE_FRACTION,
+    Math.max(MIN_GAP_PREFILL_MS, gapMs * LONG_PROMPT_GAP_FRACTION),
+  );
+  return inputTokens / tokensPerMs > maxShortMs ? 'long' : 'short';
+};
 
 interface LaneSeparation {
   /** Engines of the short lane. */
