--- a/packages/core/src/fleet/__tests__/upstreamSpeed.spec.ts
+++ b/packages/core/src/fleet/__tests__/upstreamSpeed.spec.ts
@@ -126,6 +126,7 @@
   };
   play(product, scenario);
   expect(product.get(0)).toBeGreaterThan(1.7);
+  expect(product.engines[0]!.lastingSlowdown).toBeGreaterThan(1.7);
   vi.advanceTimersByTime(30_000);
   expect(product.get(0)).toBe(1);
   const naive = new LastReports();
@@ -152,6 +153,7 @@
   };
   const product = new ProductEstimates(21);
   expect(countWrong(product)).toBe(0);
+  product.engines.forEach(({ lastingSlowdown }) => expect(lastingSlowdown).toBeLessThan(1.25));
   vi.advanceTimersByTime(2_000);
   product.engines.forEach(({ slowdown }) => expect(slowdown).toBeLessThan(1.2));
   expect(countWrong(new OneMean())).toBeGreaterThan(50);
--- a/packages/core/src/fleet/trackedUpstream.ts
+++ b/packages/core/src/fleet/trackedUpstream.ts
@@ -93,6 +93,11 @@
     return this.speed.slowdown;
   }
 
+  /** The same without what may be over in a moment; prompts that move are read again elsewhere. */
+  get lastingSlowdown(): number {
+    return this.speed.lastingSlowdown;
+  }
+
   /** Whether it has, or may have, started recently and can handle only few requests. */
   get isCold(): boolean {
     const nowMs = performance.now();
--- a/packages/core/src/fleet/upstreamSpeed.ts
+++ b/packages/core/src/fleet/upstreamSpeed.ts
@@ -27,7 +27,7 @@
 const FULL_SAMPLE_MS = 2_500;
 
 /** Maximum weight of a new sample in the lasting average, and its weight in the error of the reports. */
-const MAX_SAMPLE_WEIGHT = 0.25;
+const MAX_SAMPLE_WEIGHT = 0.35;
 
 /** Weight of a sample without a report, which depends on what else the upstream did. */
 const UNREPORTED_WEIGHT = 0.5;
@@ -48,9 +48,20 @@
 const computeExcessLog = (log: number, chanceLog: number): number =>
   Math.sign(log) * Math.min(Math.abs(log), 2 * Math.max(0, Math.abs(log) - chanceLog));
 
-/** Time for which an estimate is kept, in milliseconds; all groups of one choice read it. */
+/** Time for which estimates are kept, in milliseconds; all groups of one choice read them. */
 const ESTIMATE_TTL_MS = 20;
 
+/** Estimates of one moment. */
+interface Slowdowns {
+  readonly now: number;
+  readonly lasting: number;
+}
+
+const USUAL: Slowdowns = { now: 1, lasting: 1 };
+
+const computeSlowdown = (log: number): number =>
+  Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, Math.exp(computeExcessLog(log, CHANCE_LOG))));
+
 /** What the head of a response tells of its upstream's speed. */
 export interface SpeedSample {
   /** Slowdown that the upstream reports; undefined if it does not. */
@@ -87,8 +98,8 @@
 
   private expectedMs = 0;
 
-  /** The last estimate, which is kept for a moment. */
-  private estimate = 1;
+  /** The last estimates, which are kept for a moment. */
+  private estimates = USUAL;
 
   private estimatedAtMs = -Infinity;
 
@@ -99,19 +110,19 @@
     return this.service.isReporting;
   }
 
+  /** Mean time until the head of a response at the service, in milliseconds. */
+  get usualHeadMs(): number {
+    return this.service.headMs;
+  }
+
   /** Time that work takes now, relative to what is usual at the service. */
   get slowdown(): number {
-    if (!this.isCompared) return 1;
-    if (this.waiting === 0 && this.recentAtMs === -Infinity) return 1;
-    const nowMs = performance.now();
-    if (nowMs - this.estimatedAtMs < ESTIMATE_TTL_MS) return this.estimate;
-    const log = Math.max(this.estimateLog(nowMs), this.computeOverdueLog(nowMs));
-    this.estimate = Math.min(
-      MAX_SLOWDOWN,
-      Math.max(MIN_SLOWDOWN, Math.exp(computeExcessLog(log, CHANCE_LOG))),
-    );
-    this.estimatedAtMs = nowMs;
-    return this.estimate;
+    return this.estimate().now;
+  }
+
+  /** The same without what may be over in a moment, for work that should not move for its sake. */
+  get lastingSlowdown(): number {
+    return this.estimate().lasting;
   }
 
   /** @param expectedMs expected time until the head of the response, in milliseconds */
@@ -179,10 +190,20 @@
     return this.lastingLog * Math.exp((this.recentAtMs - nowMs) / LASTING_MS);
   }
 
-  private estimateLog(nowMs: number): number {
+  private estimate(): Slowdowns {
+    if (!this.isCompared || (this.waiting === 0 && this.recentAtMs === -Infinity)) return USUAL;
+    const nowMs = performance.now();
+    if (nowMs - this.estimatedAtMs < ESTIMATE_TTL_MS) return this.estimates;
     const lastingLog = this.computeLastingLog(nowMs);
     const recentWeight = Math.exp((this.recentAtMs - nowMs) / RECENT_MS);
-    return lastingLog + (this.recentLog - lastingLog) * recentWeight;
+    const nowLog = lastingLog + (this.recentLog - lastingLog) * recentWeight;
+    const overdueLog = this.computeOverdueLog(nowMs);
+    this.estimates = {
+      now: computeSlowdown(Math.max(nowLog, overdueLog)),
+      lasting: computeSlowdown(Math.max(lastingLog, overdueLog)),
+    };
+    this.estimatedAtMs = nowMs;
+    return this.estimates;
   }
 
   /** An upstream that has answered nothing since the first of the open requests may be slow. */
--- a/packages/core/src/pace/upstreamPace.ts
+++ b/packages/core/src/pace/upstreamPace.ts
@@ -1,8 +1,11 @@
 import type { TrackedUpstream } from '../fleet/index.js';
 import {
   INITIAL_PACE,
+  INITIAL_SLOT_FRACTION,
   MAX_PACE_MS,
-  PACE_ROUND_MS,
+  MAX_PACE_ROUND_MS,
+  MAX_ROUNDS_AT_ONCE,
+  MIN_PACE_ROUND_MS,
   PACE_SLOWDOWN,
   UNANSWERED_ROUNDS,
 } from './constants.js';
@@ -19,9 +22,11 @@
  * begin at nearly the same time and double at the same rate, so that each knows its part.
  */
 export class UpstreamPace {
-  private level = INITIAL_PACE;
+  private readonly initialLevel: number;
 
-  private beganAtMs = performance.now();
+  private level: number;
+
+  private readonly beganAtMs = performance.now();
 
   private steppedAtMs = this.beganAtMs;
 
@@ -32,7 +37,11 @@
   constructor(
     private readonly upstream: TrackedUpstream,
     private readonly findSenders: () => PaceSenders,
-  ) {}
+  ) {
+    const { slots } = upstream.registered;
+    this.initialLevel = Math.max(INITIAL_PACE, slots * INITIAL_SLOT_FRACTION);
+    this.level = this.initialLevel;
+  }
 
   /** Requests in flight that all VMs together may have at the upstream. */
   get requests(): number {
@@ -41,7 +50,7 @@
 
   /** Whether this VM may send one more request. */
   get canTake(): boolean {
-    // The limit on requests to cold upstreams holds alone.
+    // The limit on requests to cold upstreams holds alone, and is a slow start as well.
     return this.upstream.isCold || this.upstream.inFlight < this.computePart();
   }
 
@@ -53,18 +62,14 @@
    */
   advance(getMeanLoad: () => number): boolean {
     const nowMs = performance.now();
-    if (this.upstream.isCold) {
-      this.beganAtMs = nowMs;
-      this.steppedAtMs = nowMs;
-      return false;
-    }
-    const roundMs = PACE_ROUND_MS * (this.hasAnswered ? 1 : UNANSWERED_ROUNDS);
+    const { usualHeadMs } = this.upstream.speed;
+    const usualRoundMs = Math.min(MAX_PACE_ROUND_MS, Math.max(MIN_PACE_ROUND_MS, usualHeadMs));
+    const roundMs = usualRoundMs * (this.hasAnswered ? 1 : UNANSWERED_ROUNDS);
     const rounds = Math.floor((nowMs - this.steppedAtMs) / roundMs);
     if (rounds < 1) return false;
     this.steppedAtMs += rounds * roundMs;
-    if (this.upstream.slowdown >= PACE_SLOWDOWN)
-      this.level = Math.max(INITIAL_PACE, this.level / 2);
-    else this.level *= 2 ** Math.min(rounds, MAX_PACE_MS / PACE_ROUND_MS);
+    if (this.upstream.slowdown >= PACE_SLOWDOWN) this.setLevel(this.level / 2);
+    else this.setLevel(this.level * 2 ** Math.min(rounds, MAX_ROUNDS_AT_ONCE));
     return nowMs - this.beganAtMs >= MAX_PACE_MS || this.level >= getMeanLoad();
   }
 
@@ -74,10 +79,14 @@
 
   recordFailure(): void {
     this.hasAnswered = false;
-    this.level = Math.max(INITIAL_PACE, this.level / 2);
+    this.setLevel(this.level / 2);
     this.steppedAtMs = performance.now();
   }
 
+  private setLevel(level: number): void {
+    this.level = Math.max(this.initialLevel, level);
+  }
+
   /** Computes how many requests this VM may have in flight. */
   private computePart(): number {
     this.senders ??= this.findSenders();
--- a/packages/core/src/promptRouting/__tests__/promptRouter.spec.ts
+++ b/packages/core/src/promptRouting/__tests__/promptRouter.spec.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
-import { makeTracked } from '../../fleet/__tests__/fixtures.js';
-import type { TrackedUpstream } from '../../fleet/index.js';
+import { makeTracked, makeUpstream } from '../../fleet/__tests__/fixtures.js';
+import { PeerLoads, ServiceSpeed, TrackedUpstream } from '../../fleet/index.js';
 import { toId, toWeightNumber } from '../../ids.js';
 import type { BlockStoreSettings } from '../../deployment/index.js';
 import type { AvailabilityZoneId, ModelId, PromptPartId } from '../../ids.js';
@@ -231,3 +231,38 @@
   const next = chooseEngine(createRouter(), request, others.concat(home)).upstream;
   expect(next.upstreamId === 'near' || home.upstreamId === 'near').toBe(true);
 });
+
+/** Makes engines of which the first is slow for a while, as their reports say. */
+const makeUnevenEngines = (slowMs: number): readonly TrackedUpstream[] => {
+  const [serviceSpeed, peerLoads] = [new ServiceSpeed(), new PeerLoads(1_000)];
+  const engines = Array.from(
+    { length: 8 },
+    (_, index) => new TrackedUpstream(makeUpstream(`e${index}`), peerLoads, serviceSpeed),
+  );
+  for (let elapsedMs = 0; elapsedMs < 12_000; elapsedMs += 200) {
+    vi.advanceTimersByTime(200);
+    engines.forEach(({ speed }, index) => {
+      const reported = index === 0 && elapsedMs >= 12_000 - slowMs ? 3.5 : 1;
+      speed.recordAnswer({ reported, kind: 'prefill', units: 0, elapsedMs: 50 });
+    });
+  }
+  return engines;
+};
+
+test('cached sessions leave an engine that is slow for long, and not one in a noise of 600 ms', () => {
+  const request = makeRequest(makePrompt('s1', 8_000, 6_000));
+  const staysAt = (slowMs: number): boolean => {
+    const engines = makeUnevenEngines(slowMs);
+    const sentParts = new SentParts();
+    sentParts.recordSent('0/s1', engines[0]!.upstreamId);
+    sentParts.recordSent('1/s1', engines[0]!.upstreamId);
+    const router = new PromptRouter(sentParts, new PrefillRate());
+    // By the moment alone, it would be read in again elsewhere.
+    if (slowMs > 0) expect(6_000 * engines[0]!.slowdown).toBeGreaterThan(14_000);
+    return chooseEngine(router, request, engines).upstream === engines[0];
+  };
+  expect(staysAt(0)).toBe(true);
+  expect(staysAt(600)).toBe(true);
+  // With one rate for all engines, it stays whatever it does.
+  expect(staysAt(12_000)).toBe(false);
+});
--- a/packages/core/src/promptRouting/promptRouter.ts
+++ b/packages/core/src/promptRouting/promptRouter.ts
@@ -211,7 +211,7 @@
     upstream: TrackedUpstream,
     { prefillTokens, fetchMs }: MissingPartsEstimate,
   ): PromptChoice & { readonly queueMs: number } {
-    const tokensPerMs = this.prefill.tokensPerMs / upstream.slowdown;
+    const tokensPerMs = this.prefill.tokensPerMs / upstream.lastingSlowdown;
     const queueMs =
       upstream.estimateLoad() * COST_PER_REQUEST_MS +
       (upstream.estimatePendingTokens() + countOverflowTokens(request, upstream)) / tokensPerMs;
