--- a/packages/core/src/fleet/__tests__/zoneRelays.spec.ts
+++ b/packages/core/src/fleet/__tests__/zoneRelays.spec.ts
@@ -132,8 +132,9 @@
 
 test('callers get the VMs of their own zone if there are enough', () => {
   const serving = fillRoster(90).listServing();
-  expect(pickCallerEntries(serving, 'z2')).toHaveLength(30);
-  expect(pickCallerEntries(serving, 'elsewhere')).toHaveLength(64);
+  const question = { nowMs: 0, isSilent: () => false };
+  expect(pickCallerEntries(serving, { ...question, zone: 'z2' })).toHaveLength(30);
+  expect(pickCallerEntries(serving, { ...question, zone: 'elsewhere' })).toHaveLength(64);
   const few = fillRoster(9).listServing();
-  expect(pickCallerEntries(few, 'z2')).toHaveLength(9);
+  expect(pickCallerEntries(few, { ...question, zone: 'z2' })).toHaveLength(9);
 });
--- a/packages/core/src/fleet/constants.ts
+++ b/packages/core/src/fleet/constants.ts
@@ -31,6 +31,12 @@
 /** Time without heartbeats after which an entry VM counts as failed, in milliseconds. */
 export const ENTRY_HEARTBEAT_TIMEOUT_MS = 3_400;
 
+/**
+ * Time after which a VM that no relay names any more counts as silent while the log is down, in
+ * milliseconds; a relay names it until its last report has expired.
+ */
+export const SILENCE_TIMEOUT_MS = 1_000;
+
 /**
  * Time without heartbeats for which an entry VM may still be sending and is counted when limits are
  * divided, in milliseconds.
@@ -82,6 +88,21 @@
 /** Maximum number of entry VMs per directory response; callers read no more than this. */
 export const MAX_CALLER_ENTRIES = 64;
 
+/** Time for which the directory's answers leave out the same VMs: that for which callers keep one. */
+export const CALLER_WINDOW_MS = 1_000;
+
+/** Utilization above which an entry VM wants fewer callers; queues are then more than three times as long. */
+export const MAX_CALLER_UTILIZATION = 0.7;
+
+/** Utilization below which it wants more again. */
+export const RESTORING_UTILIZATION = 0.3;
+
+/** Smallest share of the directory's answers; with less, a ready VM may be out of two in a row. */
+export const MIN_CALLER_SHARE = 0.5;
+
+/** Step in which shares of the directory's answers change. */
+export const CALLER_SHARE_STEP = 1 / 8;
+
 /**
  * Minimum fleet size for relays to aggregate the load of their zones; below it, direct all-to-all
  * load reports cost less.
--- a/packages/core/src/fleet/entryRoster.ts
+++ b/packages/core/src/fleet/entryRoster.ts
@@ -7,6 +7,7 @@
   MAX_ENTRIES,
   ROSTER_PRUNE_INTERVAL_MS,
   ROSTER_SETTLE_MS,
+  SILENCE_TIMEOUT_MS,
   SNAPSHOT_HEARTBEAT_AGE_MS,
   UNANNOUNCED_LOSS_TIMEOUT_MS,
 } from './constants.js';
@@ -28,6 +29,10 @@
   readonly size: number;
   /** Bandwidth of its link, in Mbit/s; undefined if its version does not tell. */
   readonly linkMbps?: number | undefined;
+  /** Part of the directory's answers in which it wants to be, from 0.5 to 1; undefined for all. */
+  readonly callerShare?: number | undefined;
+  /** False while it can't serve callers; undefined if it can, or if its version does not tell. */
+  readonly isReady?: boolean | undefined;
   /** Software versions of upstreams that it has seen; undefined if its version does not tell. */
   readonly versions?: readonly VersionSighting[] | undefined;
 }
@@ -59,6 +64,12 @@
 
   private logDownAtMs: number | undefined;
 
+  /** When VMs were last heard of in the mesh, since the log is down. */
+  private readonly heardAtMs = new Map<VmId, number>();
+
+  /** VMs that were silent when the log came back, until their next heartbeats. */
+  private silent: ReadonlySet<VmId> = new Set();
+
   private firstSnapshotAtMs: number | undefined;
 
   /**
@@ -78,11 +89,31 @@
   }
 
   recordLogOutage(): void {
-    this.logDownAtMs ??= performance.now();
+    if (this.logDownAtMs !== undefined) return;
+    this.logDownAtMs = performance.now();
+    this.heardAtMs.clear();
+  }
+
+  /** Records VMs that a relay of their group hears, which tells who lives while the log is down. */
+  recordHeard(vmIds: readonly VmId[]): void {
+    if (this.logDownAtMs === undefined) return;
+    const nowMs = performance.now();
+    vmIds.forEach((vmId) => this.heardAtMs.set(vmId, nowMs));
+  }
+
+  /**
+   * Whether a VM was heard of while the log was down, and then not any more: it has ended, or started
+   * again and can't read the log, or is cut off.
+   */
+  isSilent(vmId: VmId): boolean {
+    if (this.logDownAtMs === undefined) return this.silent.has(vmId);
+    const heardAtMs = this.heardAtMs.get(vmId);
+    return heardAtMs !== undefined && performance.now() - heardAtMs >= SILENCE_TIMEOUT_MS;
   }
 
   recordLogRecovery(): void {
     if (this.logDownAtMs === undefined) return;
+    this.silent = new Set([...this.heardAtMs.keys()].filter((vmId) => this.isSilent(vmId)));
     this.outageMs += performance.now() - this.logDownAtMs;
     this.logDownAtMs = undefined;
   }
@@ -90,6 +121,8 @@
   recordHeartbeat(heartbeat: EntryHeartbeat): void {
     if (!this.entries.has(heartbeat.vmId) && !this.hasRoom()) return;
     this.entries.set(heartbeat.vmId, { heartbeat, lastSeenAtMs: this.readOutageAdjustedMs() });
+    if (this.silent.has(heartbeat.vmId))
+      this.silent = new Set([...this.silent].filter((vmId) => vmId !== heartbeat.vmId));
   }
 
   /** Gives the number of heartbeats that were ignored since the last call, because the roster is full. */
--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -3,9 +3,11 @@
   ENTRY_SENDER_TIMEOUT_MS,
   ENTRY_HEARTBEAT_TIMEOUT_MS,
   LOG_OUTAGE_GRACE_MS,
+  MIN_CALLER_SHARE,
   REQUESTS_STALL_TIMEOUT_MS,
   ROSTER_LAG_MS,
 } from './constants.js';
+export { CallerShare } from './callerShare.js';
 export { pickCallerEntries } from './callerEntries.js';
 export { EntryRoster } from './entryRoster.js';
 export type { EntryHeartbeat } from './entryRoster.js';
--- a/packages/gateway/src/__tests__/gossipRelay.spec.ts
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -110,9 +110,11 @@
     logger,
     faults: createTestFaults().faults,
   });
-  await gossip.start(signal);
+  const endController = new AbortController();
+  await gossip.start(AbortSignal.any([signal, endController.signal]));
   const sumPeers = (): number => peerLoads.getTotals(upstreamId).inFlight;
-  return { sumPeers, quarantine, announcedRates, rateLimits, gossip };
+  const end = (): void => endController.abort();
+  return { sumPeers, quarantine, announcedRates, rateLimits, gossip, roster, end };
 };
 
 /**
@@ -158,6 +160,21 @@
   },
 );
 
+// Guards against VMs that ended while the log is down and are in the directory's answers on and on.
+test('each VM of a zone learns who falls silent while the log is down', async () => {
+  const vms = await startRelayedFleet();
+  const [relay, second, member] = vms;
+  vms.forEach(({ roster }) => roster.recordLogOutage());
+  await pause(3 * RELAYED_GOSSIP_INTERVAL_MS);
+  second!.end();
+  const listSilent = ({ roster }: (typeof vms)[number]) =>
+    ['relay', 'second', 'member', 'silent-0'].filter((name) => roster.isSilent(toId<VmId>(name)));
+  await vi.waitFor(
+    () => expect([relay!, member!].map(listSilent)).toEqual([['second'], ['second']]),
+    { timeout: 5_000, interval: 50 },
+  );
+});
+
 // Guards against a VM behind a relay that keeps sending prompts which crash engines elsewhere.
 test('relays a crashing prompt part to each VM', async () => {
   const vms = await startRelayedFleet();
--- a/packages/gateway/src/__tests__/streamFleet.ts
+++ b/packages/gateway/src/__tests__/streamFleet.ts
@@ -8,7 +8,12 @@
   UpstreamId,
   VmId,
 } from '@goldcrestscale/core';
-import { PauseMonitor, createLogger, createMetricsRegistry } from '@goldcrestscale/runtime';
+import {
+  ByteBudget,
+  PauseMonitor,
+  createLogger,
+  createMetricsRegistry,
+} from '@goldcrestscale/runtime';
 import { createControllers } from '../compose/createControllers.js';
 import { createStreamContinuity } from '../compose/createDataPath.js';
 import { createFleetState } from '../compose/createFleetState.js';
@@ -64,7 +69,14 @@
       signal,
     },
     fleetState,
-    { faults, pauseMonitor, upstreamShare, isLeaving: () => false },
+    {
+      faults,
+      pauseMonitor,
+      upstreamShare,
+      callerShare: upstreamShare,
+      budget: new ByteBudget(Infinity),
+      isLeaving: () => false,
+    },
     () => undefined,
   );
   const { upstreams, entries, streamRecords } = controllers;
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -155,7 +155,7 @@
   });
   const gateway = createCallerServer({
     protocol,
-    isLeaving: options.isLeaving ?? (() => false),
+    isTurningAway: options.isLeaving ?? (() => false),
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts: { requestsRead: 0, callersLeft: 0 },
     budget,
--- a/packages/gateway/src/compose/createConnections.ts
+++ b/packages/gateway/src/compose/createConnections.ts
@@ -58,5 +58,6 @@
     readiness: createListenerConnections('readiness'),
     metrics: createListenerConnections('metrics'),
   };
-  return { connections, serverConnections, upstreamShare: shares.upstreams };
+  const { upstreams: upstreamShare, callers: callerShare } = shares;
+  return { connections, serverConnections, upstreamShare, callerShare };
 };
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -1,10 +1,11 @@
 import { randomBytes, randomUUID } from 'node:crypto';
 import { ConditionalLease, pickByRendezvous, toId } from '@goldcrestscale/core';
 import type { BootId, OperatorState } from '@goldcrestscale/core';
-import type { PauseMonitor, SocketShare } from '@goldcrestscale/runtime';
+import type { ByteBudget, PauseMonitor, SocketShare } from '@goldcrestscale/runtime';
 import { FIRST_START_DISCOVERY_MS, FOLLOWER_TIMEOUT_MS } from '../constants.js';
 import { BlockStoresController } from '../controllers/blockStoresController.js';
 import { EntriesController } from '../controllers/entriesController.js';
+import type { EntriesOptions } from '../controllers/entriesController.js';
 import { LogLeaseStream } from '../controllers/logLeaseStream.js';
 import { ReachProbe } from '../controllers/reachProbe.js';
 import { OperatorsController } from '../controllers/operatorsController.js';
@@ -23,6 +24,7 @@
 import { TunnelServer } from '../mesh/tunnelServer.js';
 import type { KeyedRecord, LogTopic } from '../ports/index.js';
 import type { FleetState } from './createFleetState.js';
+import { createUtilizationReader } from './createUtilizationReader.js';
 
 /** The holder of a lease stops using it this long before it expires. */
 const LEASE_MARGIN_MS = 400;
@@ -106,6 +108,10 @@
   readonly upstreamShare: SocketShare;
   /** Whether this VM shuts down. */
   readonly isLeaving: () => boolean;
+  /** Memory for what is held for callers. */
+  readonly budget: ByteBudget;
+  /** Sockets of callers. */
+  readonly callerShare: SocketShare;
 }
 
 /** The sources and the receivers of the messages of the mesh. */
@@ -233,6 +239,35 @@
     onLoadingChange,
   });
 
+/** Creates the controller of this VM's heartbeats and of the directory. */
+const createEntries = (
+  { settings, logger, log, metrics }: GatewayOptions,
+  fleetState: FleetState,
+  { budget, callerShare, faults }: ProcessState,
+  callbacks: Pick<
+    EntriesOptions,
+    | 'bootId'
+    | 'meshKey'
+    | 'onNewEra'
+    | 'canServe'
+    | 'onBatch'
+    | 'forwardHeartbeat'
+    | 'listForwardedHeartbeats'
+  >,
+): EntriesController =>
+  new EntriesController({
+    ...fleetState,
+    ...callbacks,
+    log,
+    logger: logger.createPartLogger('entries'),
+    settings,
+    faults,
+    isReportingRefusals: () =>
+      fleetState.relays.listOwnFeed().length === 0 || fleetState.relays.isFeedRelay,
+    readUtilization: createUtilizationReader(budget, callerShare),
+    onShareChange: (share) => metrics.setCallerShare(share),
+  });
+
 /** Creates the controllers; `onDeployment` is called on each new configuration. */
 export const createControllers = (
   options: GatewayOptions,
@@ -240,8 +275,6 @@
   processState: ProcessState,
   onDeployment: () => void,
 ) => {
-  const { settings, logger, log } = options;
-  const { roster, relays, quarantine } = fleetState;
   const bootId = toId<BootId>(randomUUID());
   const meshKey = randomBytes(MESH_KEY_BYTES).toString('base64');
   /* eslint-disable @typescript-eslint/no-use-before-define -- called later */
@@ -249,13 +282,18 @@
     onChange: () => rollout.check(),
     onVersions(hasNewVersion) {
       if (hasNewVersion) entries.publishHeartbeat();
+      else entries.checkReady();
       streamRecords.checkVersions();
     },
     onBatch: (batch) => mesh.feedServer.publish({ kind: 'batch', batch }),
     onBlockChanges: (blocks) => mesh.feedServer.publish({ kind: 'blocks', blocks }),
   };
   const { faults } = processState;
-  const readers = createReaders(options, fleetState, callbacks, faults, onDeployment);
+  const readers = createReaders(options, fleetState, callbacks, faults, () => {
+    entries.checkReady();
+    onDeployment();
+  });
+  const canServe = (): boolean => !!readers.operators.state.view && readers.upstreams.hasListed;
   const rollout: RolloutController = createRollout(options, fleetState, readers.operators.state, {
     bootId,
     onLoadingChange: () => mesh.gossip.send(),
@@ -263,19 +301,11 @@
   const streamRecords = createStreamRecords(options, fleetState, faults, (record) =>
     mesh.feedClient.forwardStreams(record),
   );
-  const entries = new EntriesController({
-    log,
-    logger: logger.createPartLogger('entries'),
-    settings,
+  const entries = createEntries(options, fleetState, processState, {
     bootId,
-    roster,
-    quarantine,
-    versions: fleetState.versions,
-    onNewEra: () => streamRecords.rewrite(),
-    isReportingRefusals: () => relays.listOwnFeed().length === 0 || relays.isFeedRelay,
     meshKey,
-    faults,
-    readPhase: fleetState.readPhase,
+    onNewEra: () => streamRecords.rewrite(),
+    canServe,
     onBatch: callbacks.onBatch,
     forwardHeartbeat: (record) => mesh.feedClient.forwardHeartbeat(record),
     listForwardedHeartbeats: () => mesh.feedServer.listFollowerHeartbeats(),
@@ -289,7 +319,7 @@
   });
   /* eslint-enable @typescript-eslint/no-use-before-define */
   const reachProbe = new ReachProbe(fleetState);
-  return { ...readers, ...mesh, reachProbe, bootId, rollout, entries, streamRecords };
+  return { ...readers, ...mesh, reachProbe, bootId, rollout, entries, streamRecords, canServe };
 };
 
 export type Controllers = ReturnType<typeof createControllers>;
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -28,6 +28,7 @@
   readonly streamRecords: Controllers['streamRecords'];
   readonly upstreams: Controllers['upstreams'];
   readonly entries: Controllers['entries'];
+  readonly canServe: Controllers['canServe'];
   readonly pauseMonitor: PauseMonitor;
   /** Running counts for reports of pauses. */
   readonly counts: CallerCounts;
@@ -99,7 +100,7 @@
   { settings, metrics, callerProtocol, logger, upstreamProtocol }: GatewayOptions,
   dependencies: DataPathOptions,
 ): CallerServer => {
-  const { fleetState, operators, shutdown, connections, gossip } = dependencies;
+  const { fleetState, operators, shutdown, connections, gossip, canServe } = dependencies;
   const { pauseMonitor, counts, budget, faults } = dependencies;
   const { roster } = fleetState;
   const getConnectionShare = (service: ServiceName): number => {
@@ -142,7 +143,7 @@
   return createCallerServer({
     protocol: callerProtocol,
     filters,
-    isLeaving: () => shutdown.isLeaving,
+    isTurningAway: () => shutdown.isLeaving || !canServe(),
     estimateArrivalMs: () => pauseMonitor.estimateArrivalMs(),
     counts,
     budget,
--- a/packages/gateway/src/controllers/__tests__/heartbeatRecord.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/heartbeatRecord.spec.ts
@@ -45,6 +45,9 @@
   ['size', -1],
   ['linkMbps', 0],
   ['linkMbps', '140'],
+  ['callerShare', 0.1],
+  ['callerShare', 1.5],
+  ['isReady', 'yes'],
 ])('a heartbeat whose %s is %j is ignored', (name, value) => {
   const record = { ...heartbeat, [name]: value };
   const bytes = Buffer.from(JSON.stringify(record));
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -1,9 +1,10 @@
-import { pickCallerEntries, sleep, waitForAbort } from '@goldcrestscale/core';
+import { CallerShare, pickCallerEntries, sleep, waitForAbort } from '@goldcrestscale/core';
 import type {
   BootId,
   EntryHeartbeat,
   EntryRoster,
   CrashQuarantine,
+  VmId,
   VersionsInUse,
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
@@ -19,6 +20,9 @@
 import { ENTRY_FACT_TIMING } from './factTiming.js';
 import { TopicReader } from './topicReader.js';
 
+/** Part of the interval between heartbeats for which the utilization is measured at least. */
+const MIN_MEASURED_FRACTION = 0.9;
+
 /** Dependencies of the controller. */
 export interface EntriesOptions {
   readonly log: SharedLog;
@@ -32,6 +36,12 @@
   readonly onNewEra: () => void;
   /** Whether this VM reports refused patterns in its heartbeats; of a group, the relays do. */
   readonly isReportingRefusals: () => boolean;
+  /** Whether this VM knows enough to serve callers. */
+  readonly canServe: () => boolean;
+  /** Reads what part of this VM's scarcest resource was in use since the last call, from 0 to 1. */
+  readonly readUtilization: () => number;
+  /** Called when this VM wants to be in another part of the directory's answers. */
+  readonly onShareChange: (share: number) => void;
   /** Key with which other VMs authenticate this VM's messages. */
   readonly meshKey: string;
   readonly faults: FaultRecorder;
@@ -57,6 +67,13 @@
 
   private isLeaving = false;
 
+  private readonly callerShare = new CallerShare();
+
+  private shareDueAtMs = -Infinity;
+
+  /** Whether the last heartbeat told that this VM can't serve. */
+  private isReportedUnready = false;
+
   private pauseController = new AbortController();
 
   private hasSnapshot = false;
@@ -110,13 +127,20 @@
     this.pauseController.abort();
   }
 
-  /** Lists the addresses that callers of an availability zone may use. */
+  /** Publishes at once that this VM can serve, if its last heartbeat told otherwise. */
+  checkReady(): void {
+    if (this.isReportedUnready && this.options.canServe()) this.publishHeartbeat();
+  }
+
+  /** Lists the addresses that callers of an availability zone may use; empty if it knows of no ready VM. */
   listAddresses(zone: string | undefined): readonly string[] {
     const { roster, settings } = this.options;
     const self = this.buildHeartbeat();
     const others = roster.listServing().filter(({ vmId }) => vmId !== settings.vmId);
     const serving = this.isLeaving && others.length > 0 ? others : [self, ...others];
-    return pickCallerEntries(serving, zone).map(({ address }) => address);
+    const isSilent = (vmId: VmId): boolean => roster.isSilent(vmId);
+    const picked = pickCallerEntries(serving, { zone, nowMs: Date.now(), isSilent });
+    return picked.map(({ address }) => address);
   }
 
   private applySnapshot(records: readonly KeyedRecord[]): void {
@@ -162,7 +186,10 @@
     const { log, forwardHeartbeat, listForwardedHeartbeats } = this.options;
     const { quarantine, isReportingRefusals } = this.options;
     const refused = isReportingRefusals() ? quarantine.listRefused() : [];
-    const ownRecord = encodeHeartbeat(this.buildHeartbeat(), refused);
+    this.updateCallerShare();
+    const heartbeat = this.buildHeartbeat();
+    this.isReportedUnready = heartbeat.isReady === false;
+    const ownRecord = encodeHeartbeat(heartbeat, refused);
     // Also while it shuts down; otherwise the relay would go on writing the record from before.
     const isForwarded = forwardHeartbeat(ownRecord);
     // A VM that shuts down writes to the log itself too, without the delay of a relay.
@@ -170,8 +197,22 @@
     await log.append('entries', [ownRecord, ...listForwardedHeartbeats()], signal);
   }
 
+  /** Heartbeats that are published early would measure too short a time. */
+  private updateCallerShare(): void {
+    const { readUtilization, onShareChange } = this.options;
+    const nowMs = performance.now();
+    if (nowMs < this.shareDueAtMs) return;
+    this.shareDueAtMs = nowMs + HEARTBEAT_INTERVAL_MS * MIN_MEASURED_FRACTION;
+    const utilization = readUtilization();
+    if (!this.callerShare.update(utilization)) return;
+    const share = this.callerShare.value;
+    this.recordLog.log('share of callers changed', { share, utilization });
+    onShareChange(share);
+  }
+
   private buildHeartbeat(): EntryHeartbeat {
-    const { settings, bootId, meshKey } = this.options;
+    const { settings, bootId, meshKey, canServe } = this.options;
+    const share = this.callerShare.value;
     return {
       vmId: settings.vmId,
       bootId,
@@ -182,6 +223,8 @@
       leaving: this.isLeaving,
       size: settings.capacityScore,
       linkMbps: settings.linkMbps,
+      callerShare: share < 1 ? share : undefined,
+      isReady: canServe() ? undefined : false,
       versions: this.options.versions.listOwn(),
     };
   }
--- a/packages/gateway/src/controllers/heartbeatRecord.ts
+++ b/packages/gateway/src/controllers/heartbeatRecord.ts
@@ -1,4 +1,4 @@
-import { isSocketAddress } from '@goldcrestscale/core';
+import { MIN_CALLER_SHARE, isSocketAddress } from '@goldcrestscale/core';
 import type { EntryHeartbeat, QuarantineRow, VersionSighting } from '@goldcrestscale/core';
 import { decodeQuarantineRow, encodeQuarantineRow } from '../mesh/quarantineRow.js';
 import type { KeyedRecord } from '../ports/index.js';
@@ -43,6 +43,9 @@
   );
 };
 
+const isCallerShare = (value: unknown): boolean =>
+  value === undefined || (typeof value === 'number' && value >= MIN_CALLER_SHARE && value <= 1);
+
 const isHeartbeat = (value: unknown): value is EntryHeartbeat => {
   if (typeof value !== 'object' || value === null) return false;
   const fields = value as Partial<Record<keyof EntryHeartbeat, unknown>>;
@@ -61,6 +64,8 @@
     // VMs of an earlier version don't tell the following fields.
     (fields.versions === undefined ||
       (Array.isArray(fields.versions) && fields.versions.every(isSighting))) &&
+    (fields.isReady === undefined || typeof fields.isReady === 'boolean') &&
+    isCallerShare(fields.callerShare) &&
     (fields.linkMbps === undefined || (typeof fields.linkMbps === 'number' && fields.linkMbps > 0))
   );
 };
--- a/packages/gateway/src/controllers/upstreamsController.ts
+++ b/packages/gateway/src/controllers/upstreamsController.ts
@@ -42,6 +42,8 @@
   /** Bounds the number of lines about entries of other writers. */
   private readonly entryLog: RequestLog;
 
+  private hasListedUpstream = false;
+
   constructor(private readonly options: GatewayUpstreamsOptions) {
     const { registry } = options;
     this.entryLog = new RequestLog(options.logger);
@@ -62,9 +64,9 @@
     });
   }
 
-  /** Whether the snapshot of the registry has been read. */
-  get hasSnapshot(): boolean {
-    return this.reader.hasSnapshot;
+  /** Whether the registry has listed an upstream since the start; without one, no caller can be served. */
+  get hasListed(): boolean {
+    return this.hasListedUpstream;
   }
 
   run(signal: AbortSignal): Promise<void> {
@@ -116,10 +118,12 @@
   /** An upstream may have come and gone within the changes, and begun streams meanwhile. */
   private recordVersions(changes: readonly RegistryChange[]): void {
     const { registry, versions, onVersions } = this.options;
+    const upstreams = registry.list();
+    this.hasListedUpstream ||= upstreams.length > 0;
     const newVersions = changes
       .flatMap((change) => (change.kind === 'present' ? listVersion(change.upstream) : []))
       .filter(({ service, version }) => versions.recordRegistered(service, version));
-    versions.updateListed(registry.list().flatMap(({ registered }) => listVersion(registered)));
+    versions.updateListed(upstreams.flatMap(({ registered }) => listVersion(registered)));
     onVersions(newVersions.length > 0);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -158,7 +158,7 @@
 /** Creates the servers for the directory, readiness checks and metrics. */
 const createAuxiliaryServers = (
   { settings, callerProtocol, metrics: counters }: GatewayOptions,
-  { operators, upstreams, entries }: Controllers,
+  { canServe, entries }: Controllers,
   shutdown: Shutdown,
   {
     operated,
@@ -174,7 +174,7 @@
 ): { readonly directory: Server; readonly readiness: Server; readonly metrics: Server } => {
   const commonOptions = {
     protocol: callerProtocol,
-    isReady: () => !shutdown.isLeaving && !!operators.state.view && upstreams.hasSnapshot,
+    isReady: () => !shutdown.isLeaving && canServe(),
     ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
     renderMetrics: () => {
       counters.setBufferedBytes(budget.heldBytes);
@@ -285,7 +285,7 @@
     (granter, request) => controllers.gossip.sendPermitRequest(granter, request),
     (durationMs) => pauseMonitor.hasReadFor(durationMs),
   );
-  const { connections, serverConnections, upstreamShare } = await createConnections(
+  const { connections, serverConnections, upstreamShare, callerShare } = await createConnections(
     options,
     fleetState.reach,
     () => controllers.paths,
@@ -296,7 +296,7 @@
   const counts = { requestsRead: 0, callersLeft: 0 };
   const pauseMonitor = createPauseMonitor(options, () => ({ ...counts }));
   const isLeaving = (): boolean => shutdown.isLeaving;
-  const processState = { pauseMonitor, faults, budget, upstreamShare, isLeaving };
+  const processState = { pauseMonitor, faults, budget, upstreamShare, callerShare, isLeaving };
   const controllers: Controllers = createControllers(options, fleetState, processState, () => {
     controllers.stores.refresh(workController.signal);
     const limits = controllers.operators.state.view?.deployment.callerLimits;
--- a/packages/gateway/src/http/auxiliaryServer.ts
+++ b/packages/gateway/src/http/auxiliaryServer.ts
@@ -70,6 +70,11 @@
   const query = options.listAddresses && protocol.parseDirectoryQuery(request);
   if (query) {
     const addresses = options.listAddresses?.(query.zone) ?? [];
+    if (addresses.length === 0) {
+      // The caller asks another VM, which may know of one that can serve.
+      response.writeHead(503).end();
+      return;
+    }
     response.writeHead(200, { 'content-type': 'application/json' });
     response.end(protocol.encodeDirectoryResponse(addresses, options.ttlMs));
   } else if (protocol.isReadinessCheck(request)) {
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -29,8 +29,8 @@
 export interface CallerServerOptions {
   readonly protocol: CallerProtocol;
   readonly filters: readonly GatewayFilter[];
-  /** Whether responses close their connections, because this VM is shutting down. */
-  readonly isLeaving: () => boolean;
+  /** Whether responses close their connections, because this VM shuts down or can't serve yet. */
+  readonly isTurningAway: () => boolean;
   /** Returns the earliest monotonic time at which input that is being read now may have arrived. */
   readonly estimateArrivalMs: () => number;
   readonly counts: CallerCounts;
@@ -172,7 +172,7 @@
         response.destroy();
       });
     };
-    const isClosing = (): boolean => options.isLeaving() && order.tryEnd(request);
+    const isClosing = (): boolean => options.isTurningAway() && order.tryEnd(request);
     const state = { receivedAtMs, signal, reservation, isClosing, watchSending };
     void handleRequest(options, request, response, state).finally(releasePart);
   });
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -170,10 +170,11 @@
 
   /** Sends reports to the group's relays even when they are empty, as a sign of liveness. */
   private sendWithinGroup(report: GossipMessage): void {
-    const { relays } = this.options;
+    const { relays, roster } = this.options;
     this.ownReports.push(report);
     if (this.ownReports.length > MAX_OWN_REPORTS) this.ownReports.shift();
     this.socket.send(report, relays.listOwnGroup());
+    if (relays.isGroupRelay) roster.recordHeard(this.aggregator.listReporting());
     const remoteAggregates = this.remoteAggregates.takeAll();
     if (!this.isActiveRelay()) {
       this.aggregator.discardSent();
@@ -259,6 +260,7 @@
     }
     // A relay receives the individual reports of its group.
     if (relays.isGroupRelay) return;
+    roster.recordHeard(members.map(({ vmId }) => vmId));
     const ownSequence = members.find(({ vmId }) => vmId === self)?.sequence;
     const ownReport = this.ownReports.find(({ sequence }) => sequence === ownSequence);
     peerLoads.recordReport(
--- a/packages/gateway/src/mesh/zoneAggregator.ts
+++ b/packages/gateway/src/mesh/zoneAggregator.ts
@@ -105,6 +105,12 @@
     return performance.now() - receivedAtMs < withinMs;
   }
 
+  /** Lists the VMs whose last reports have not expired. */
+  listReporting(): readonly VmId[] {
+    this.expire();
+    return [...this.reports.keys()];
+  }
+
   /** @param own the report of this VM, which is included in the aggregate */
   build(own: GossipMessage, sequence: number): GossipMessage {
     this.expire();
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -57,6 +57,8 @@
   setHeldBytes(purposes: Readonly<Record<BytePurpose, number>>): void;
   /** Sets whether this VM reaches no upstream by itself. */
   setCutOff(isCutOff: boolean): void;
+  /** Sets the part of the directory's answers in which this VM wants to be. */
+  setCallerShare(share: number): void;
   /** Counts a request of another VM for a connection to an upstream, by the reply. */
   countTunnel(reply: string): void;
   /** Sets the number of connections to upstreams that are open for other VMs. */
@@ -224,6 +226,17 @@
   };
 };
 
+const createDirectoryMetrics = (
+  metrics: MetricsRegistry,
+): Pick<GatewayMetrics, 'setCallerShare'> => {
+  const callerShare = metrics.createGauge({
+    name: 'goldcrest_gateway_caller_share',
+    help: "Part of the directory's answers in which this VM wants to be; below 1 it has too much to do.",
+  });
+  callerShare.set(1);
+  return { setCallerShare: (share) => callerShare.set(share) };
+};
+
 const createRetryMetrics = (
   metrics: MetricsRegistry,
 ): Pick<GatewayMetrics, 'countRepeat' | 'setAllowanceVms'> => {
@@ -291,6 +304,7 @@
     countConnection: () => connections.inc(),
     ...createCallMetrics(metrics),
     ...createConnectionMetrics(metrics),
+    ...createDirectoryMetrics(metrics),
     ...createEjectionMetrics(metrics),
     ...createFaultMetrics(metrics),
     ...createFeedMetrics(metrics),
