--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -51,6 +51,15 @@
 /** Maximum size of the body of a response; a longer one is taken for one without end. */
 export const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 
+/** Bytes of responses that are passed on within a span until large reads take turns: one read of a connection. */
+export const RELAY_TURN_BYTES = 64 * 1024;
+
+/** That span, in milliseconds: a short turn of the event loop. */
+export const RELAY_TURN_MS = 5;
+
+/** Size of a read from which its response waits for others; events of sound streams are smaller. */
+export const MIN_WAITING_READ_BYTES = 16 * 1024;
+
 /** Maximum size of one event of a stream. */
 export const MAX_EVENT_BYTES = 1024 * 1024;
 
