fix(gateway): count a response that its upstream closes during the upload as cut

A response without a length ends with its connection. An upstream that closes before it has read the request resets the connection with the rest of it, before or after the end as the timing has it, and the part that came until then reached the caller as a complete answer.

ConnectionExchange now ends such a response with an error unless the request has been handed to the kernel whole; responses without a body, with a length or in chunks are whole as before. The connector of entry does the same.

Over a tunnel a reset and a close during an upload end in an error.

--- a/packages/entry/src/__tests__/entryHarness.ts
+++ b/packages/entry/src/__tests__/entryHarness.ts
@@ -300,11 +300,12 @@
 export const callService = async (
   { baseUrl }: Pick<Harness, 'baseUrl'>,
   method: 'GET' | 'POST',
+  body = '{}',
 ): Promise<ReceivedResponse> =>
   readResponse(
     await fetch(`${baseUrl}/v1/services/tickets/tickets/1`, {
       method,
       headers: { authorization: `Bearer ${API_KEY}` },
-      ...(method === 'POST' ? { body: '{}' } : {}),
+      ...(method === 'POST' ? { body } : {}),
     }),
   );
--- a/packages/entry/src/__tests__/invalidResponses.spec.ts
+++ b/packages/entry/src/__tests__/invalidResponses.spec.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { expect, onTestFinished, test } from 'vitest';
 import { callService, startHarness } from './entryHarness.js';
 import { buildRawResponse, startRawService } from './rawService.js';
@@ -45,3 +46,30 @@
   },
   8_000,
 );
+
+/** More than the buffers of a connection take. */
+const UPLOAD = 'x'.repeat(12_000_000);
+
+const ENDINGS = {
+  'reset at once': (socket: Socket) => socket.resetAndDestroy(),
+  'reset later': (socket: Socket) => setTimeout(() => socket.resetAndDestroy(), 30),
+  'closed unread': (socket: Socket) => socket.pause().end(),
+  'closed and read on': (socket: Socket) => socket.end(),
+} as const;
+
+// Guards against a part of an answer that counts as a whole one, because it ends with its connection.
+test.each(Object.keys(ENDINGS) as (keyof typeof ENDINGS)[])(
+  'a response without a length that is %s during the upload ends its request with a typed error',
+  async (ending) => {
+    const address = await startRawService(({ id, socket }) => {
+      socket.write(`HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\n\r\npart`);
+      ENDINGS[ending](socket);
+    });
+    const harness = await startHarness({ upstreams: [address] });
+    onTestFinished(() => harness.close());
+    const response = await callService(harness, 'POST', UPLOAD);
+    expect(response.errorCode).toBeDefined();
+    expect(response.status).toBeGreaterThanOrEqual(500);
+  },
+  15_000,
+);
--- a/packages/entry/src/upstream/createUpstreamConnector.ts
+++ b/packages/entry/src/upstream/createUpstreamConnector.ts
@@ -6,7 +6,7 @@
 /**
  * Makes every reset of a connection an error that undici does not take for the end of a body without
  * a length: it accepts `ECONNRESET` as such, and Node emits a clean end if data and a reset arrive
- * together.
+ * together. A close during the upload counts as one, because it discards the rest of the request.
  */
 const reportReset = (socket: Socket): void => {
   socket.on('error', (error: NodeJS.ErrnoException) => {
@@ -15,8 +15,10 @@
   const push = socket.push.bind(socket);
   Object.assign(socket, {
     push: (chunk: unknown, encoding?: BufferEncoding): boolean => {
-      // A connection that ended in order still has a peer address.
-      if (chunk !== null || socket.remoteAddress !== undefined) return push(chunk, encoding);
+      if (chunk !== null) return push(chunk, encoding);
+      // A connection that ended in order had taken all of the request, and still has a peer address. Only
+      // the first read of the address asks the kernel.
+      if (socket.writableLength === 0 && socket.remoteAddress !== undefined) return push(chunk);
       socket.destroy(createCodedError('connection reset', CONNECTION_RESET_CODE));
       return false;
     },
--- a/packages/gateway/src/__tests__/fakeUpstream.ts
+++ b/packages/gateway/src/__tests__/fakeUpstream.ts
@@ -20,8 +20,14 @@
 
   private readonly sockets = new Set<Socket>();
 
-  /** @param onRequest writes the response to the request's socket */
-  constructor(private readonly onRequest: (request: TestRequest) => void) {
+  /**
+   * @param onRequest writes the response to the request's socket
+   * @param answersAfterBytes bytes of a body after which it is called, for responses before the end of the request
+   */
+  constructor(
+    private readonly onRequest: (request: TestRequest) => void,
+    private readonly answersAfterBytes = Infinity,
+  ) {
     this.server = createServer((socket) => this.accept(socket));
   }
 
@@ -54,11 +60,14 @@
         const head = buffered.slice(0, end);
         const bodyBytes = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
         const next = end + HEAD_END.length + bodyBytes;
-        if (buffered.length < next) return;
+        const neededBytes = end + HEAD_END.length + Math.min(bodyBytes, this.answersAfterBytes);
+        if (buffered.length < neededBytes) return;
         buffered = buffered.slice(next);
         const request = { head, id: /x-id: (\S*)/i.exec(head)?.[1] ?? '', socket };
         this.received.push(request);
         this.onRequest(request);
+        // The rest of a body that was answered early is skipped.
+        if (bodyBytes > this.answersAfterBytes) return;
       }
     });
   }
--- a/packages/gateway/src/__tests__/gatewayHarness.ts
+++ b/packages/gateway/src/__tests__/gatewayHarness.ts
@@ -27,6 +27,8 @@
 export interface HarnessOptions extends Omit<TestGatewayOptions, 'addresses'> {
   /** The request handler of each upstream. */
   readonly upstreams: readonly ((request: TestRequest) => void)[];
+  /** Bytes of a body after which the upstreams respond, before the end of the request. */
+  readonly answersAfterBytes?: number;
   /** Number of upstreams in the log whose addresses nobody serves. */
   readonly deadUpstreams?: number;
 }
@@ -72,7 +74,9 @@
 
 /** Starts a gateway with scripted upstreams; closes everything when the test ends. */
 export const startGateway = async (options: HarnessOptions) => {
-  const upstreams = options.upstreams.map((handleRequest) => new FakeUpstream(handleRequest));
+  const upstreams = options.upstreams.map(
+    (handleRequest) => new FakeUpstream(handleRequest, options.answersAfterBytes),
+  );
   const soundAddresses = await Promise.all(upstreams.map((upstream) => upstream.listen()));
   const deadAddresses = listDeadAddresses(options.deadUpstreams ?? 0);
   const addresses = [...deadAddresses, ...soundAddresses];
--- a/packages/gateway/src/__tests__/tunnels.spec.ts
+++ b/packages/gateway/src/__tests__/tunnels.spec.ts
@@ -131,18 +131,21 @@
 };
 
 /** Sends a request. @returns the length of the response's body, or the error that ended it */
-const send = (connection: ReturnType<ReturnType<typeof createAsker>['acquire']>) =>
+const send = (connection: ReturnType<ReturnType<typeof createAsker>['acquire']>, body = '') =>
   new Promise<number | string>((resolve) => {
     let bytes = 0;
-    connection.send(request, {
-      onSend: () => undefined,
-      onHead: () => undefined,
-      onData(chunk) {
-        bytes += chunk.length;
+    connection.send(
+      { ...request, body: Buffer.from(body) },
+      {
+        onSend: () => undefined,
+        onHead: () => undefined,
+        onData(chunk) {
+          bytes += chunk.length;
+        },
+        onEnd: () => resolve(bytes),
+        onError: (error) => resolve(error.message),
       },
-      onEnd: () => resolve(bytes),
-      onError: (error) => resolve(error.message),
-    });
+    );
   });
 
 const formatResponse = (body: string): string =>
@@ -179,20 +182,27 @@
 });
 
 // Guards against a response that is cut short and looks complete, because it ends with its connection.
-test('a reset by the upstream is a reset behind another VM', async () => {
-  const address = await startUpstream((socket) => {
-    socket.once('data', () => {
-      socket.write('HTTP/1.1 200 OK\r\n\r\npart', () =>
-        setTimeout(() => socket.resetAndDestroy(), 50),
-      );
+test.each([
+  ['reset', ''],
+  ['reset', LARGE_BODY.repeat(5)],
+  ['closed', LARGE_BODY.repeat(5)],
+] as const)(
+  'a response that is %s in its middle is not whole behind another VM',
+  async (end, body) => {
+    const address = await startUpstream((socket) => {
+      socket.once('data', () => {
+        if (body !== '') socket.pause();
+        socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+        setTimeout(() => (end === 'reset' ? socket.resetAndDestroy() : socket.end()), 50);
+      });
     });
-  });
-  const { port } = await startPeer(address);
-  const { acquire } = createAsker([port]);
-  const connection = acquire();
-  await connection.waitForOpen();
-  expect(await send(connection)).toEqual(expect.any(String));
-});
+    const { port } = await startPeer(address);
+    const { acquire } = createAsker([port]);
+    const connection = acquire();
+    await connection.waitForOpen();
+    expect(await send(connection, body)).toEqual(expect.any(String));
+  },
+);
 
 // Guards against upstreams that work on for callers who have left.
 test('an abandoned request is abandoned behind another VM', async () => {
--- a/packages/gateway/src/dispatch/connectionExchange.ts
+++ b/packages/gateway/src/dispatch/connectionExchange.ts
@@ -23,6 +23,9 @@
   return headers['content-length'] === undefined ? 'connection' : 'length';
 };
 
+/** Statuses whose responses end with their heads. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** Controls a response that is being received. */
 export interface ResponseFlow {
   /** Reads no more; what has been read still comes. */
@@ -146,11 +149,21 @@
       this.failIfOpen('response cut short');
       return;
     }
+    // The close discards the rest of the request, so that it looks the same as a reset in the response.
+    if (this.isEndedByClose(response) && !this.request.writableFinished) {
+      this.abort(new ConnectionError('response ended before its request was sent'));
+      return;
+    }
     this.guard(() => this.handler.onEnd());
     this.isDone = true;
     this.resume();
   }
 
+  private isEndedByClose({ headers, statusCode = 0 }: IncomingMessage): boolean {
+    const hasBody = this.request.method !== 'HEAD' && !BODILESS_STATUSES.has(statusCode);
+    return hasBody && findFraming(headers) === 'connection';
+  }
+
   /** Every exchange closes; the error is created only for one that has not ended. */
   private failIfOpen(reason: string): void {
     if (!this.isDone) this.fail(new ConnectionError(reason));
