fix(gateway): bound the heads of open requests, and what clients send ahead

Crowds of clients ended the process of a VM with 250 MB: heads of 900 small fields, or of 60 KB, before bodies that stop short of their end (out of heap), and pipelined requests for metrics at the readiness port (20 clients). Only heads that were not complete were bounded, by the memory for bodies instead of the heap, and the auxiliary listeners bounded neither heads nor requests ahead.

RequestIntake bounds heads, complete or not, by a fraction of the heap, and requests of one connection, for the caller port and the auxiliary listeners. Requests that were read together are begun once all of them have been parsed. A body that goes on after its response ends with the idle timeout.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,8 @@
 } from '@goldcrestscale/core';
 import { ByteBudget, EventLoopBarrier, PauseMonitor, listen } from '@goldcrestscale/runtime';
 import type { EventCounts, Logger } from '@goldcrestscale/runtime';
+import { createAuxiliaryServers } from './compose/createAuxiliaryServers.js';
+import type { GatewayServers } from './compose/createAuxiliaryServers.js';
 import { createConnections } from './compose/createConnections.js';
 import type { ServerConnections } from './compose/createConnections.js';
 import { createControllers } from './compose/createControllers.js';
@@ -19,13 +21,10 @@
 import { createDataPath } from './compose/createDataPath.js';
 import { createFleetState } from './compose/createFleetState.js';
 import type { FleetState } from './compose/createFleetState.js';
-import { DIRECTORY_TTL_MS } from './constants.js';
 import { Shutdown } from './controllers/shutdown.js';
 import { FaultRecorder } from './faultRecorder.js';
 import type { GatewayOptions } from './gatewayOptions.js';
 import type { CallerServer } from './http/callerServer.js';
-import { createAuxiliaryServer } from './http/auxiliaryServer.js';
-import type { OperatedState } from './http/auxiliaryServer.js';
 import type { TunnelServer } from './mesh/tunnelServer.js';
 import { RequestLog } from './requestLog.js';
 import { runTask } from './runTask.js';
@@ -116,14 +115,6 @@
 /** Polling interval while a shutdown drains. */
 const DRAIN_POLL_MS = 50;
 
-/** Servers that start with the gateway. */
-interface GatewayServers {
-  readonly callers: Server;
-  readonly directory: Server;
-  readonly readiness: Server;
-  readonly metrics: Server;
-}
-
 /** Starts the servers; the signal that stops the gateway ends the wait for their addresses. */
 const startServers = async (
   servers: GatewayServers,
@@ -155,49 +146,6 @@
   });
 };
 
-/** Creates the servers for the directory, readiness checks and metrics. */
-const createAuxiliaryServers = (
-  { settings, callerProtocol, metrics: counters }: GatewayOptions,
-  { operators, upstreams, entries }: Controllers,
-  shutdown: Shutdown,
-  {
-    operated,
-    faults,
-    budget,
-    serverConnections,
-  }: {
-    readonly operated: OperatedState & Pick<FleetState, 'roster'>;
-    readonly faults: FaultRecorder;
-    readonly budget: ByteBudget;
-    readonly serverConnections: ServerConnections;
-  },
-): { readonly directory: Server; readonly readiness: Server; readonly metrics: Server } => {
-  const commonOptions = {
-    protocol: callerProtocol,
-    isReady: () => !shutdown.isLeaving && !!operators.state.view && upstreams.hasSnapshot,
-    ttlMs: Math.min(DIRECTORY_TTL_MS, settings.bounds.directoryTtlMs),
-    renderMetrics: () => {
-      counters.setBufferedBytes(budget.heldBytes);
-      Object.entries(serverConnections).forEach(([name, { openCount }]) =>
-        counters.setOpenConnections(name as keyof GatewayServers, openCount),
-      );
-      counters.setHeldBytes(budget.purposes);
-      counters.setAllowanceVms(operated.roster.countAllSenders());
-      return counters.render();
-    },
-    operated: undefined,
-    faults,
-  };
-  return {
-    directory: createAuxiliaryServer({
-      ...commonOptions,
-      listAddresses: (zone) => entries.listAddresses(zone),
-    }),
-    readiness: createAuxiliaryServer({ ...commonOptions, listAddresses: undefined }),
-    metrics: createAuxiliaryServer({ ...commonOptions, listAddresses: undefined, operated }),
-  };
-};
-
 /** Creates the monitor that reports how long this process stood still, and what it found then. */
 const createPauseMonitor = (
   { logger, metrics }: GatewayOptions,
--- a/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
+++ b/packages/gateway/src/http/__tests__/auxiliaryServer.spec.ts
@@ -21,6 +21,7 @@
 
 const startServer = async (operated: OperatedState | undefined): Promise<number> => {
   const server = createAuxiliaryServer({
+    onClose: () => undefined,
     protocol: new TestCallerProtocol(),
     isReady: () => true,
     listAddresses: undefined,
--- a/packages/gateway/src/http/callerServer.ts
+++ b/packages/gateway/src/http/callerServer.ts
@@ -16,7 +16,7 @@
 import type { CallerProtocol } from '../ports/index.js';
 import { CallerResponse } from './callerResponse.js';
 import { getConnectionOrder } from './connectionOrder.js';
-import { HeadMemory } from './headMemory.js';
+import { RequestIntake } from './requestIntake.js';
 
 /** Running counts of what callers did. */
 export interface CallerCounts {
@@ -43,7 +43,7 @@
   readonly onUnreadResponse: (unreadBytes: number) => void;
   /** Called when a connection is closed because its caller sends more and more requests before it has responses. */
   readonly onTooManyPipelined: () => void;
-  /** Called with the bytes of a head that was not complete, and for which there is no memory. */
+  /** Called with the bytes of a head for which there is no memory. */
   readonly onHeadDropped: (headBytes: number) => void;
 }
 
@@ -61,6 +61,12 @@
 /** Margin added to the configured timeouts of callers' connections. */
 const TIMEOUT_MARGIN_MS = 1_000;
 
+/** Fraction of the heap that the heads of callers may take. */
+const HEAD_HEAP_FRACTION = 0.2;
+
+/** Maximum number of requests of one connection that wait for their responses. */
+const MAX_OPEN_REQUESTS = 100;
+
 /** Users of a request's memory: the filters, and the connection until the response has been sent. */
 const REQUEST_PARTS = 2;
 
@@ -123,45 +129,42 @@
   }
 };
 
-/** Creates the HTTP server for callers. */
-export const createCallerServer = (options: CallerServerOptions): CallerServer => {
-  const { counts } = options;
-  let openCount = 0;
-  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
-  server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + TIMEOUT_MARGIN_MS;
-  const callerTimes = new CallerTimes(new EventLoopBarrier(), { headMs: DEFAULT_HEAD_TIMEOUT_MS });
-  callerTimes.watch(server);
-  const arrivals = new ConnectionArrivals({ estimateInputMs: options.estimateArrivalMs });
-  arrivals.watch(server);
-  const { budget, onHeadDropped: onDrop } = options;
-  new HeadMemory({ budget, maxHeadBytes: MAX_HEADER_BYTES, onDrop }).watch(server);
-  server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-    const order = getConnectionOrder(request.socket);
-    if (order.isEnding) {
-      // Its caller sent it before it knew of the close, and nobody runs it.
-      request.resume();
-      return;
-    }
-    if (!order.tryAdd(request)) {
-      // The parser reads the rest of its input before it notices the close.
-      order.abandon();
-      request.resume();
-      request.socket.destroy();
-      options.onTooManyPipelined();
-      return;
-    }
-    openCount += 1;
+/** The requests whose responses have not ended. */
+class OpenRequests {
+  private openCount = 0;
+
+  constructor(
+    private readonly options: CallerServerOptions,
+    private readonly server: Server,
+  ) {}
+
+  get count(): number {
+    return this.openCount;
+  }
+
+  /** Begins a request whose head has been read; the last function gives back the memory of its head. */
+  begin(
+    request: IncomingMessage,
+    response: ServerResponse,
+    receivedAtMs: number,
+    releaseHead: () => void,
+  ): void {
+    const { options, server } = this;
+    const { counts } = options;
+    this.openCount += 1;
     counts.requestsRead += 1;
-    const receivedAtMs = arrivals.estimateRequestMs(request.socket);
     options.onHeadRead(performance.now() - receivedAtMs);
+    const order = getConnectionOrder(request.socket);
     const reservation = new ByteReservation(options.budget);
     let parts = REQUEST_PARTS;
     const releasePart = (): void => {
       parts -= 1;
-      if (parts === 0) reservation.release();
+      if (parts > 0) return;
+      reservation.release();
+      releaseHead();
     };
     const signal = trackCaller(request, response, (hasLeft) => {
-      openCount -= 1;
+      this.openCount -= 1;
       order.remove();
       if (hasLeft) counts.callersLeft += 1;
       releasePart();
@@ -175,10 +178,47 @@
     const isClosing = (): boolean => options.isLeaving() && order.tryEnd(request);
     const state = { receivedAtMs, signal, reservation, isClosing, watchSending };
     void handleRequest(options, request, response, state).finally(releasePart);
+  }
+}
+
+/** Creates the HTTP server for callers. */
+export const createCallerServer = (options: CallerServerOptions): CallerServer => {
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true });
+  server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS + TIMEOUT_MARGIN_MS;
+  const callerTimes = new CallerTimes(new EventLoopBarrier(), { headMs: DEFAULT_HEAD_TIMEOUT_MS });
+  callerTimes.watch(server);
+  const arrivals = new ConnectionArrivals({ estimateInputMs: options.estimateArrivalMs });
+  arrivals.watch(server);
+  const intake = new RequestIntake({
+    headHeapFraction: HEAD_HEAP_FRACTION,
+    maxHeadBytes: MAX_HEADER_BYTES,
+    maxOpenRequests: MAX_OPEN_REQUESTS,
+    ...options,
+  });
+  intake.watch(server);
+  const openRequests = new OpenRequests(options, server);
+  server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    const taken = intake.tryTake(request);
+    if (!taken) return;
+    const { isPipelined, releaseHead } = taken;
+    const receivedAtMs = arrivals.estimateRequestMs(request.socket);
+    if (!isPipelined) {
+      openRequests.begin(request, response, receivedAtMs, releaseHead);
+      return;
+    }
+    // Once all that was read with it has been parsed, which may end the connection.
+    queueMicrotask(() => {
+      if (!getConnectionOrder(request.socket).isEnding) {
+        openRequests.begin(request, response, receivedAtMs, releaseHead);
+        return;
+      }
+      releaseHead();
+      request.resume();
+    });
   });
   return {
     server,
-    countOpenRequests: () => openCount,
+    countOpenRequests: () => openRequests.count,
     applyLimits({ headerTimeoutMs, idleTimeoutMs }) {
       server.keepAliveTimeout = idleTimeoutMs + TIMEOUT_MARGIN_MS;
       callerTimes.setLimits({ headMs: headerTimeoutMs + TIMEOUT_MARGIN_MS });
--- a/packages/gateway/src/http/connectionOrder.ts
+++ b/packages/gateway/src/http/connectionOrder.ts
@@ -1,9 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
-/** Maximum number of requests of one connection that wait for their responses. */
-const MAX_OPEN_REQUESTS = 100;
-
 /** Requests of one connection, whose responses are sent in the order in which they came. */
 export class ConnectionOrder {
   private newest: IncomingMessage | undefined;
@@ -17,9 +14,14 @@
     return this.ending;
   }
 
+  /** Whether requests wait for their responses. */
+  get hasOpen(): boolean {
+    return this.openCount > 0;
+  }
+
   /** @returns whether it was added; false if the connection has too many open requests */
-  tryAdd(request: IncomingMessage): boolean {
-    if (this.openCount >= MAX_OPEN_REQUESTS) return false;
+  tryAdd(request: IncomingMessage, maxOpen: number): boolean {
+    if (this.openCount >= maxOpen) return false;
     this.openCount += 1;
     this.newest = request;
     return true;
--- a/packages/runtime/src/http/__tests__/callerTimes.spec.ts
+++ b/packages/runtime/src/http/__tests__/callerTimes.spec.ts
@@ -145,6 +145,18 @@
   expect(read()).toMatch(/^HTTP\/1\.1 200 /);
 });
 
+// Guards against connections that are kept for ever by a byte now and then, behind a response.
+test('a body that goes on after its response is cut off after the idle timeout', async () => {
+  const server = await startServer();
+  server.keepAliveTimeout = 500;
+  const { socket, read } = await openCaller(server);
+  socket.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1000\r\n\r\nx');
+  const timer = setInterval(() => socket.write('x'), 100);
+  await vi.waitUntil(() => socket.closed, { timeout: 5_000 });
+  clearInterval(timer);
+  expect(read()).toContain('fine');
+});
+
 test('a long response is no late request', async () => {
   const server = await startServer({ bodyMs: HEAD_MS }, (_request, response) => {
     setTimeout(() => response.end('fine'), HEAD_MS + LATE_MS);
--- a/packages/runtime/src/http/callerTimes.ts
+++ b/packages/runtime/src/http/callerTimes.ts
@@ -17,8 +17,8 @@
   readonly sinceMs: number;
   /** Request whose body is read; undefined for a head. */
   readonly request?: IncomingMessage;
-  /** Whether the response has been sent before the end of the request. */
-  readonly isAnswered?: boolean;
+  /** When the response had been sent; undefined unless that was before the end of the request. */
+  readonly answeredAtMs?: number;
   /** Bytes read before the head of an idle connection; its time begins with the first byte. */
   readonly idleBytes?: number;
   /** Whether the runtime bounds the idle time no more, because a body was read on after the response. */
@@ -84,7 +84,7 @@
   private handleResponseEnd(socket: Socket): void {
     const part = this.parts.get(socket);
     if (part?.request && !part.request.complete) {
-      this.parts.set(socket, { ...part, isAnswered: true });
+      this.parts.set(socket, { ...part, answeredAtMs: performance.now() });
     } else this.parts.set(socket, { sinceMs: performance.now(), idleBytes: socket.bytesRead });
   }
 
@@ -92,12 +92,15 @@
     const nowMs = performance.now();
     const { headMs, bodyMs = Infinity } = this.limits;
     for (const [socket, part] of this.parts) {
-      const { sinceMs, request, isAnswered, idleBytes, isUnbounded } = part;
+      const { sinceMs, request, answeredAtMs, idleBytes, isUnbounded } = part;
       const elapsedMs = nowMs - sinceMs;
       if (request?.complete) {
-        if (isAnswered) this.parts.set(socket, { sinceMs: nowMs, isUnbounded: true });
+        if (answeredAtMs !== undefined)
+          this.parts.set(socket, { sinceMs: nowMs, isUnbounded: true });
       } else if (request) {
-        if (elapsedMs > bodyMs) socket.destroy();
+        // Nobody waits for the rest of a request that has its response.
+        const isAbandoned = nowMs - (answeredAtMs ?? nowMs) > keepAliveTimeout;
+        if (elapsedMs > bodyMs || isAbandoned) socket.destroy();
       } else if (idleBytes !== undefined) {
         if (socket.bytesRead !== idleBytes) this.parts.set(socket, { sinceMs: nowMs });
       } else if (elapsedMs > (isUnbounded ? Math.max(headMs, keepAliveTimeout) : headMs)) {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,6 +1,8 @@
 import { fileURLToPath } from 'node:url';
 import { defineConfig } from 'vitest/config';
 
+const CROWDS = 'platform/src/__tests__/processCrowds.spec.ts';
+
 export default defineConfig({
   resolve: {
     alias: [
@@ -24,6 +26,7 @@
             'soak/**/__tests__/**/*.spec.ts',
             'tests/docs/**/*.spec.ts',
           ],
+          exclude: [CROWDS, '**/node_modules/**'],
           sequence: { groupOrder: 0 },
         },
       },
@@ -39,6 +42,17 @@
           sequence: { groupOrder: 1 },
         },
       },
+      {
+        // Crowds of clients against one process: apart from everything else.
+        extends: true,
+        test: {
+          name: 'crowds',
+          include: [CROWDS],
+          maxWorkers: 1,
+          fileParallelism: false,
+          sequence: { groupOrder: 2 },
+        },
+      },
     ],
   },
 });
