fix(entry): end streams that stand still and send a byte now and then

The time of a silent stream began anew with each byte, so that a stalled stream that trickled bytes without an event was kept until it had sent 1 MB. The time now runs from the last event that was passed on.

--- a/packages/entry/src/upstream/eventStream.ts
+++ b/packages/entry/src/upstream/eventStream.ts
@@ -1,6 +1,6 @@
 import { createParser } from 'eventsource-parser';
 import { ByteReservation } from '@goldcrestscale/runtime';
-import { MAX_EVENT_BYTES } from '../constants.js';
+import { BODY_IDLE_TIMEOUT_MS, MAX_EVENT_BYTES } from '../constants.js';
 import { ByteCollector } from './byteCollector.js';
 import { ResponseBodyError } from './responseBodyError.js';
 import type { ResponseMemory } from './responseBodyReader.js';
@@ -47,10 +47,13 @@
   const collector = new ByteCollector(MAX_EVENT_BYTES, reservation);
   let isComplete = false;
   let bytesSinceEvent = 0;
+  let eventAtMs = performance.now();
   try {
     for (;;) {
       const chunk = await iterator.next().catch(() => undefined);
       if (chunk === undefined || chunk.done) return 'broken';
+      // The connection's own timeout begins anew with each byte.
+      if (performance.now() - eventAtMs > BODY_IDLE_TIMEOUT_MS) return 'broken';
       bytesSinceEvent += chunk.value.length;
       if (bytesSinceEvent > MAX_EVENT_BYTES) throw new ResponseBodyError('too large');
       const isWhole = collector.isEmpty && hasLineEnd(chunk.value);
@@ -72,6 +75,7 @@
           return 'whole';
         }
         await onData(data);
+        eventAtMs = performance.now();
       }
     }
   } catch (cause) {
