feat(platform): check a configuration before it is sent

Operators learned only from callers that a route never matches, that a service has no settings or that limits contradict each other, once the version was in force.

--- a/packages/core/src/deployment/index.ts
+++ b/packages/core/src/deployment/index.ts
@@ -7,6 +7,10 @@
   EngineSettings,
   ServiceSettings,
 } from './deployment.js';
+export { checkDeployment } from './deploymentCheck.js';
+export type { DeploymentFinding, FindingSeverity } from './deploymentCheck.js';
+export { diffDeployments } from './deploymentDiff.js';
+export type { DeploymentChange } from './deploymentDiff.js';
 export { DeploymentView, pickDestination } from './deploymentView.js';
 export { OperatorState, computeMaxWeightsAgeMs } from './operatorState.js';
 export type { OperatorChange, WantedWeights } from './operatorState.js';
