--- a/packages/gateway/src/__tests__/streamFleet.ts
+++ b/packages/gateway/src/__tests__/streamFleet.ts
@@ -73,7 +73,7 @@
       faults,
       pauseMonitor,
       upstreamShare,
-      callerShare: upstreamShare,
+      callerSockets: upstreamShare,
       budget: new ByteBudget(Infinity),
       isLeaving: () => false,
     },
--- a/packages/gateway/src/compose/createConnections.ts
+++ b/packages/gateway/src/compose/createConnections.ts
@@ -58,6 +58,6 @@
     readiness: createListenerConnections('readiness'),
     metrics: createListenerConnections('metrics'),
   };
-  const { upstreams: upstreamShare, callers: callerShare } = shares;
-  return { connections, serverConnections, upstreamShare, callerShare };
+  const { upstreams: upstreamShare, callers: callerSockets } = shares;
+  return { connections, serverConnections, upstreamShare, callerSockets };
 };
--- a/packages/gateway/src/compose/createControllers.ts
+++ b/packages/gateway/src/compose/createControllers.ts
@@ -111,7 +111,7 @@
   /** Memory for what is held for callers. */
   readonly budget: ByteBudget;
   /** Sockets of callers. */
-  readonly callerShare: SocketShare;
+  readonly callerSockets: SocketShare;
 }
 
 /** The sources and the receivers of the messages of the mesh. */
@@ -243,7 +243,7 @@
 const createEntries = (
   { settings, logger, log, metrics }: GatewayOptions,
   fleetState: FleetState,
-  { budget, callerShare, faults }: ProcessState,
+  { budget, callerSockets, faults }: ProcessState,
   callbacks: Pick<
     EntriesOptions,
     | 'bootId'
@@ -264,7 +264,7 @@
     faults,
     isReportingRefusals: () =>
       fleetState.relays.listOwnFeed().length === 0 || fleetState.relays.isFeedRelay,
-    readUtilization: createUtilizationReader(budget, callerShare),
+    readUtilization: createUtilizationReader(budget, callerSockets),
     onShareChange: (share) => metrics.setCallerShare(share),
   });
 
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -129,6 +129,9 @@
 /** Interval at which entry VMs write and read heartbeats. */
 export const HEARTBEAT_INTERVAL_MS = 1_400;
 
+/** Longest time for which the first heartbeat waits until the VM can serve. */
+export const FIRST_HEARTBEAT_DELAY_MS = 200;
+
 /** Gossip interval of a small fleet. */
 export const GOSSIP_INTERVAL_MS = 100;
 
--- a/packages/gateway/src/controllers/entriesController.ts
+++ b/packages/gateway/src/controllers/entriesController.ts
@@ -9,7 +9,11 @@
 } from '@goldcrestscale/core';
 import type { Logger } from '@goldcrestscale/runtime';
 import type { GatewaySettings } from '../config.js';
-import { HEARTBEAT_INTERVAL_MS, LOG_RETRY_DELAY_MS } from '../constants.js';
+import {
+  FIRST_HEARTBEAT_DELAY_MS,
+  HEARTBEAT_INTERVAL_MS,
+  LOG_RETRY_DELAY_MS,
+} from '../constants.js';
 import type { KeyedRecord, SharedLog } from '../ports/index.js';
 import type { FaultRecorder } from '../faultRecorder.js';
 import { RequestLog } from '../requestLog.js';
@@ -168,6 +172,12 @@
 
   private async writeHeartbeats(signal: AbortSignal): Promise<void> {
     await this.waitForSnapshot(signal);
+    if (!this.options.canServe()) {
+      // The rest of what a start reads comes at about the same time, and a second heartbeat costs a call.
+      this.isReportedUnready = true;
+      const pauseSignal = this.pauseController.signal;
+      await sleep(FIRST_HEARTBEAT_DELAY_MS, AbortSignal.any([signal, pauseSignal]));
+    }
     while (!signal.aborted) {
       this.pauseController = new AbortController();
       try {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -285,7 +285,7 @@
     (granter, request) => controllers.gossip.sendPermitRequest(granter, request),
     (durationMs) => pauseMonitor.hasReadFor(durationMs),
   );
-  const { connections, serverConnections, upstreamShare, callerShare } = await createConnections(
+  const { connections, serverConnections, upstreamShare, callerSockets } = await createConnections(
     options,
     fleetState.reach,
     () => controllers.paths,
@@ -296,7 +296,7 @@
   const counts = { requestsRead: 0, callersLeft: 0 };
   const pauseMonitor = createPauseMonitor(options, () => ({ ...counts }));
   const isLeaving = (): boolean => shutdown.isLeaving;
-  const processState = { pauseMonitor, faults, budget, upstreamShare, callerShare, isLeaving };
+  const processState = { pauseMonitor, faults, budget, upstreamShare, callerSockets, isLeaving };
   const controllers: Controllers = createControllers(options, fleetState, processState, () => {
     controllers.stores.refresh(workController.signal);
     const limits = controllers.operators.state.view?.deployment.callerLimits;
