--- a/packages/core/src/deployment/__tests__/deployment.spec.ts
+++ b/packages/core/src/deployment/__tests__/deployment.spec.ts
@@ -64,6 +64,20 @@
   expect(view.findShortestObjectiveMs(toServiceName('none'))).toBeUndefined();
 });
 
+// With that of all routes, engines are kept free for short prompts against more urgent long ones.
+test('the shortest objective for a priority leaves out less urgent routes', () => {
+  const view = new DeploymentView(
+    makeDeployment({
+      routes: [
+        makeRoute({ objectiveMs: 800, priority: 0 }),
+        makeRoute({ objectiveMs: 250, priority: 2 }),
+      ],
+    }),
+  );
+  expect(view.findShortestObjectiveMs(toServiceName('engines'), 0)).toBe(800);
+  expect(view.findShortestObjectiveMs(toServiceName('engines'), 2)).toBe(250);
+});
+
 test('records in any order never roll the state back', () => {
   fc.assert(
     fc.property(fc.array(fc.nat(50), { minLength: 1 }), (versions) => {
--- a/packages/core/src/deployment/deploymentView.ts
+++ b/packages/core/src/deployment/deploymentView.ts
@@ -10,7 +10,7 @@
 
   private readonly accountsByApiKey = new Map<string, DeployedAccount>();
 
-  private readonly shortestObjectivesMs = new Map<ServiceName, number>();
+  private readonly routesByService = new Map<ServiceName, RouteRule[]>();
 
   private readonly services = new Map<ServiceName, ServiceSettings>();
 
@@ -45,9 +45,16 @@
     return this.services.get(name);
   }
 
-  /** Returns the shortest latency objective of the routes to a service, in milliseconds. */
-  findShortestObjectiveMs(name: ServiceName): number | undefined {
-    return this.shortestObjectivesMs.get(name);
+  /**
+   * Returns the shortest latency objective of the routes to a service, in milliseconds.
+   *
+   * @param priority counts only routes that are as urgent or more so
+   */
+  findShortestObjectiveMs(name: ServiceName, priority = Infinity): number | undefined {
+    const objectives = this.routesByService
+      .get(name)
+      ?.flatMap((route) => (route.priority <= priority ? [route.objectiveMs] : []));
+    return objectives?.length ? Math.min(...objectives) : undefined;
   }
 
   private addRoute(route: RouteRule): void {
@@ -56,8 +63,7 @@
     routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     this.routesByHost.set(route.host, routes);
     route.destinations.forEach(({ service }) => {
-      const shortestMs = this.shortestObjectivesMs.get(service) ?? Infinity;
-      this.shortestObjectivesMs.set(service, Math.min(shortestMs, route.objectiveMs));
+      this.routesByService.set(service, [...(this.routesByService.get(service) ?? []), route]);
     });
   }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from './random.js';
 export * from './prefix/index.js';
 export * from './quarantine/index.js';
+export * from './places/index.js';
 export * from './promptRouting/index.js';
 export * from './rateLimit/index.js';
 export * from './rejections/index.js';
--- a/packages/core/src/log/arrivalRate.ts
+++ b/packages/core/src/log/arrivalRate.ts
@@ -1,3 +1,4 @@
+import { DecayedSum } from '../decayedSum.js';
 import { ARRIVAL_RATE_TIME_CONSTANT_MS } from './constants.js';
 
 /** Moving average of the record arrival rate. */
@@ -9,21 +10,9 @@
 
 /** Creates an exponentially weighted moving average. */
 export const createArrivalRate = (): ArrivalRate => {
-  let decayedCount = 0;
-  let updatedAtMs = performance.now();
-  const applyDecay = (): void => {
-    const nowMs = performance.now();
-    decayedCount *= Math.exp((updatedAtMs - nowMs) / ARRIVAL_RATE_TIME_CONSTANT_MS);
-    updatedAtMs = nowMs;
-  };
+  const arrivals = new DecayedSum(ARRIVAL_RATE_TIME_CONSTANT_MS);
   return {
-    record() {
-      applyDecay();
-      decayedCount += 1;
-    },
-    getRatePerMs() {
-      applyDecay();
-      return decayedCount / ARRIVAL_RATE_TIME_CONSTANT_MS;
-    },
+    record: () => arrivals.add(1),
+    getRatePerMs: () => arrivals.perMs,
   };
 };
--- a/packages/gateway/src/__tests__/gossipMessage.spec.ts
+++ b/packages/gateway/src/__tests__/gossipMessage.spec.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import { toId, toWeightNumber } from '@goldcrestscale/core';
-import type { ModelId, UpstreamId, VmId } from '@goldcrestscale/core';
+import type { ModelId, ServiceName, UpstreamId, VmId } from '@goldcrestscale/core';
 import { decodeGossip, encodeGossip } from '../mesh/gossipMessage.js';
 import type { GossipMessage } from '../mesh/gossipMessage.js';
 
@@ -39,6 +39,16 @@
   expect(decodeGossip(encodeGossip(message, 'key'), findKey)).toEqual(message);
 });
 
+test('waiting requests are told only while there are any, and old messages lack them', () => {
+  const service = toId<ServiceName>('service');
+  const waiting = [{ service, priority: 2, places: 7 }];
+  const told = decodeGossip(encodeGossip({ ...message, waiting }, 'key'), findKey);
+  expect(told?.waiting).toEqual(waiting);
+  const calm = encodeGossip({ ...message, waiting: [] }, 'key');
+  expect(calm).toEqual(encodeGossip(message, 'key'));
+  expect(decodeGossip(calm, findKey)?.waiting).toBeUndefined();
+});
+
 test('drops a message with a wrong MAC or from an unknown VM', () => {
   expect(decodeGossip(encodeGossip(message, 'wrong'), findKey)).toBeUndefined();
   const unknownSender = { ...message, vmId: toId<VmId>('vm-2') };
--- a/packages/gateway/src/__tests__/gossipRelay.spec.ts
+++ b/packages/gateway/src/__tests__/gossipRelay.spec.ts
@@ -7,6 +7,7 @@
   FleetRateLimits,
   CrashQuarantine,
   PeerLoads,
+  PeerWaiting,
   SentParts,
   UpstreamRegistry,
   ZoneRelays,
@@ -22,6 +23,7 @@
   ServiceName,
   UpstreamId,
   VmId,
+  WaitingRow,
   WholeRequest,
 } from '@goldcrestscale/core';
 import { createLogger } from '@goldcrestscale/runtime';
@@ -62,10 +64,12 @@
   entries: readonly EntryHeartbeat[],
   inFlight: number,
   signal: AbortSignal,
+  waiting: readonly WaitingRow[] = [],
 ) => {
   const roster = new EntryRoster();
   entries.forEach((heartbeat) => roster.recordHeartbeat(heartbeat));
   const peerLoads = new PeerLoads(1_500);
+  const peerWaiting = new PeerWaiting(1_500);
   const registry = new UpstreamRegistry(peerLoads);
   registry.apply({
     kind: 'present',
@@ -100,6 +104,8 @@
     relays: new ZoneRelays(roster, entry.vmId, entry.availabilityZone),
     registry,
     peerLoads,
+    peerWaiting,
+    places: { listWaiting: () => waiting },
     sentParts: new SentParts(),
     quarantine,
     announcedRates,
@@ -112,7 +118,7 @@
   });
   await gossip.start(signal);
   const sumPeers = (): number => peerLoads.getTotals(upstreamId).inFlight;
-  return { sumPeers, quarantine, announcedRates, rateLimits, gossip };
+  return { sumPeers, peerWaiting, quarantine, announcedRates, rateLimits, gossip };
 };
 
 /**
--- a/packages/gateway/src/__tests__/reportBuilder.spec.ts
+++ b/packages/gateway/src/__tests__/reportBuilder.spec.ts
@@ -51,6 +51,7 @@
     sentParts: new SentParts(),
     quarantine: new CrashQuarantine(),
     announcedRates: new AnnouncedRates(),
+    places: { listWaiting: () => [] },
     listLoading: () => [],
     hasReadFor: (durationMs) => readingForMs >= durationMs,
     reach,
--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -187,6 +187,7 @@
         rateLimits: fleetState.rateLimits,
         rejectionLimits: fleetState.rejectionLimits,
         runTimes: fleetState.runTimes,
+        places: fleetState.places,
         quarantine: fleetState.quarantine,
         requestLog,
         streamContinuity: new StreamContinuity({
--- a/packages/gateway/src/__tests__/zoneAggregator.spec.ts
+++ b/packages/gateway/src/__tests__/zoneAggregator.spec.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { toId } from '@goldcrestscale/core';
-import type { AvailabilityZoneId, UpstreamId, VmId } from '@goldcrestscale/core';
+import type { AvailabilityZoneId, ServiceName, UpstreamId, VmId } from '@goldcrestscale/core';
 import type { GossipMessage } from '../mesh/gossipMessage.js';
 import { encodeGossip } from '../mesh/gossipMessage.js';
 import { RemoteAggregates } from '../mesh/remoteAggregates.js';
@@ -33,6 +33,21 @@
   vi.useRealTimers();
 });
 
+test('sums what waits in the VMs of a zone, and in other zones', () => {
+  const service = toId<ServiceName>('service');
+  const makeWaiting = (name: string, places: number): GossipMessage => ({
+    ...makeReport(name, {}),
+    waiting: [{ service, priority: 1, places }],
+  });
+  const aggregator = new ZoneAggregator(1_500);
+  aggregator.add(makeWaiting('vm-1', 3));
+  aggregator.add(makeReport('old-vm', {}));
+  const aggregate = aggregator.build(makeWaiting('relay', 2), 9);
+  expect(aggregate.waiting).toEqual([{ service, priority: 1, places: 5 }]);
+  const merged = mergeAggregates(aggregate, [makeWaiting('other-relay', 4)], 10);
+  expect(merged.waiting).toEqual([{ service, priority: 1, places: 9 }]);
+});
+
 test('sums the loads of a zone with many VMs and lists the included reports', () => {
   const aggregator = new ZoneAggregator(1_500);
   for (let index = 0; index < 50; index += 1) aggregator.add(makeReport(`vm-${index}`, { a: 2 }));
--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -131,6 +131,7 @@
       retryBudget: createRetryBudget(settings, roster),
       requestLog,
       streamContinuity: createStreamContinuity(dependencies, requestLog),
+      estimateOutageMs: () => operators.reader.outageMs ?? dependencies.upstreams.reader.outageMs,
       faults,
       fetchWindow: operators.fetchWindow,
       metrics,
--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -7,6 +7,8 @@
   FleetRateLimits,
   CrashQuarantine,
   PeerLoads,
+  PeerWaiting,
+  PlaceAdmission,
   RejectionLimits,
   RunTimes,
   SentParts,
@@ -29,6 +31,7 @@
 } from '@goldcrestscale/core';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { PEER_LOAD_TTL_MS } from '../constants.js';
+import { PlaceFleetView } from '../dispatch/placeFleetView.js';
 
 /** Callbacks of the fleet state. */
 export interface FleetStateCallbacks {
@@ -91,13 +94,18 @@
       limits.rejectionLimits.remove(upstreamId);
     },
   });
+  const relays = new ZoneRelays(roster, self, zone);
+  const peerWaiting = new PeerWaiting(PEER_LOAD_TTL_MS);
+  const fleet = new PlaceFleetView(roster, relays, random);
   return {
     random,
+    peerWaiting,
+    places: new PlaceAdmission({ fleet, peers: peerWaiting }),
     /** When this VM begins to read among the followers of a relay, in [0, 1). */
     readPhase: uniformFloat64(random),
     peerLoads,
     roster,
-    relays: new ZoneRelays(roster, self, zone),
+    relays,
     registry,
     reach: new UpstreamReach({
       countUpstreams: () => registry.list().length,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -1,9 +1,6 @@
 /** Maximum size of a request body before the configuration is known. */
 export const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
-/** Retry-after while no configuration is known: about one read of the log. */
-export const NO_CONFIGURATION_RETRY_AFTER_MS = 500;
-
 /** Delay of a record of begun streams, which batches them; a VM that is lost takes those with it. */
 export const STREAM_RECORD_DELAY_MS = 200;
 
--- a/packages/gateway/src/controllers/logHealthMonitor.ts
+++ b/packages/gateway/src/controllers/logHealthMonitor.ts
@@ -20,6 +20,11 @@
     return this.downSinceMs !== undefined;
   }
 
+  /** Time since it became unavailable, in milliseconds; undefined while it is available. */
+  get downMs(): number | undefined {
+    return this.downSinceMs === undefined ? undefined : performance.now() - this.downSinceMs;
+  }
+
   /** @returns whether this call ends an outage */
   recordSuccess(): boolean {
     if (this.downSinceMs === undefined) return false;
--- a/packages/gateway/src/controllers/topicReader.ts
+++ b/packages/gateway/src/controllers/topicReader.ts
@@ -51,6 +51,9 @@
 /** Part of its long-poll timeout that an empty read takes at least if the log waited for records. */
 const MIN_WAITED_FRACTION = 0.9;
 
+/** Time after which a first read takes longer than usual, in milliseconds. */
+const USUAL_FIRST_READ_MS = 800;
+
 /**
  * Computes how long after the beginning of a read the log still had no records. An empty batch was
  * returned after the full timeout, however late it arrived; one that came early tells nothing.
@@ -70,6 +73,8 @@
  * appended after it. It does not read the log while a relay keeps it up to date.
  */
 export class TopicReader {
+  private readonly createdAtMs = performance.now();
+
   private readonly logHealth: LogHealthMonitor;
 
   private position: number | undefined;
@@ -111,6 +116,17 @@
     return this.logHealth.isDown;
   }
 
+  /**
+   * Time for which the log has been unavailable, or a first read takes longer than usual, in
+   * milliseconds; undefined if neither is so.
+   */
+  get outageMs(): number | undefined {
+    if (this.hasSnapshot) return this.logHealth.downMs;
+    const sinceStartMs = performance.now() - this.createdAtMs;
+    const isLate = this.isDown || sinceStartMs > USUAL_FIRST_READ_MS;
+    return isLate ? sinceStartMs : undefined;
+  }
+
   /** Whether it reads the log itself, and the last read was answered not long ago. */
   get isReading(): boolean {
     if (this.isRelayed || this.isDown || !this.caughtUpAt) return false;
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -37,7 +37,7 @@
 import { ColdStartLimits } from './coldStartLimits.js';
 import { computeMaxFirstEventWaitMs, computeOutdatedWeightsLimitMs } from './firstEventWait.js';
 import type { GatewayExchange } from '../filters/gatewayExchange.js';
-import { requireRoute } from '../filters/gatewayExchange.js';
+import { getPriority, requireRoute } from '../filters/gatewayExchange.js';
 import { SoundUpstreams } from './soundUpstreams.js';
 import type { FleetBounds } from '../config.js';
 
@@ -300,7 +300,11 @@
         callerTimeoutMs: computeMaxFirstEventWaitMs(route),
         engineCapacityTokens: this.findEngineSettings(service)?.capacityTokens ?? Infinity,
         senderCount: sendingVms,
-        shortestObjectiveMs: this.findShortestObjective(service),
+        // Engines are kept free for prompts that are as urgent, not for shorter ones that are less so.
+        shortestObjectiveMs: Math.min(
+          route.objectiveMs,
+          this.findShortestObjective(service, getPriority(exchange)),
+        ),
         wantedWeightsAgeMs: weights ? computeMaxWeightsAgeMs(weights) : 0,
         buildCacheKey: (partId, loadedWeights) =>
           buildBlockKey(buildSalt(exchange, loadedWeights), partId),
@@ -326,8 +330,8 @@
     return best;
   }
 
-  private findShortestObjective(service: ServiceName): number {
-    return this.options.operators.view?.findShortestObjectiveMs(service) ?? Infinity;
+  private findShortestObjective(service: ServiceName, priority?: number): number {
+    return this.options.operators.view?.findShortestObjectiveMs(service, priority) ?? Infinity;
   }
 
   private findEngineSettings(service: ServiceName): EngineSettings | undefined {
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -6,6 +6,9 @@
   FleetRateLimits,
   FleetRetryBudget,
   CrashQuarantine,
+  DeploymentView,
+  NewPlaceRequest,
+  PlaceAdmission,
   RejectionLimits,
   RunTimes,
   ServiceName,
@@ -19,10 +22,10 @@
   MAX_RATE_WAIT_MS,
   RATE_WAIT_OBJECTIVE_FRACTION,
 } from '../constants.js';
+import { createAttemptLogEntry, describeResult } from '../dispatch/attemptLogEntry.js';
 import { AttemptMetadataBuilder } from '../dispatch/attemptMetadataBuilder.js';
 import { findSendEnd } from '../dispatch/attemptResult.js';
 import type { AttemptResult } from '../dispatch/attemptResult.js';
-import { findExpectedWeights } from '../dispatch/cacheIdentity.js';
 import type { ConnectionPool } from '../dispatch/connectionPool.js';
 import { CrashObserver } from '../dispatch/crashObserver.js';
 import {
@@ -33,6 +36,7 @@
 } from '../dispatch/dispatchErrors.js';
 import { LoadReservation } from '../dispatch/loadReservation.js';
 import { OutcomeRecorder } from '../dispatch/outcomeRecorder.js';
+import { PlaceGate } from '../dispatch/placeGate.js';
 import { RequestProgress } from '../dispatch/requestProgress.js';
 import { ResendPolicy } from '../dispatch/resendPolicy.js';
 import { ResponseReporter } from '../dispatch/responseReporter.js';
@@ -51,8 +55,8 @@
 import type { UpstreamProtocol } from '../ports/index.js';
 import type { FaultRecorder } from '../faultRecorder.js';
 import type { RequestLog } from '../requestLog.js';
-import type { AttemptLogEntry, GatewayExchange } from './gatewayExchange.js';
-import { requireRoute } from './gatewayExchange.js';
+import type { GatewayExchange } from './gatewayExchange.js';
+import { getPriority, requireRoute } from './gatewayExchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
 import { assertPromptAllowed, assertRequestAllowed } from './quarantineFilter.js';
 
@@ -73,6 +77,10 @@
   readonly rateLimits: FleetRateLimits;
   readonly rejectionLimits: RejectionLimits;
   readonly runTimes: RunTimes;
+  readonly places: PlaceAdmission;
+  readonly getView?: () => DeploymentView | undefined;
+  /** Returns the time for which the log has been unavailable; undefined while it answers. */
+  readonly estimateOutageMs?: (() => number | undefined) | undefined;
   readonly quarantine: CrashQuarantine;
   readonly requestLog: RequestLog;
   readonly streamContinuity: StreamContinuity;
@@ -87,26 +95,6 @@
   readonly onPromptSent: (tokens: number) => void;
 }
 
-const describeResult = (result: AttemptResult): string => {
-  if (result.kind === 'failed') return `status ${result.head.status}`;
-  return 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind;
-};
-
-const createAttemptLogEntry = (
-  exchange: GatewayExchange,
-  { upstream, prefillTokens, firstTokenMs }: UpstreamChoice,
-): AttemptLogEntry => ({
-  upstreamId: upstream.upstreamId,
-  version: upstream.registered.softwareVersion,
-  weights: findExpectedWeights(exchange, upstream),
-  load: upstream.estimateLoad(),
-  pendingTokens: Math.round(upstream.estimatePendingTokens()),
-  readTokens: prefillTokens,
-  expectedMs: Math.round(firstTokenMs),
-  startedAtMs: Math.round(performance.now() - exchange.receivedAtMs),
-  outcome: 'open',
-});
-
 /** Chooses an upstream, sends the request and retries it if the result allows. */
 export class GatewayDispatchFilter extends GatewayFilter {
   override readonly name = 'dispatch';
@@ -117,6 +105,8 @@
 
   private readonly roomWait: RoomWait;
 
+  private readonly placeGate: PlaceGate;
+
   private readonly outcomeRecorder: OutcomeRecorder;
 
   private readonly crashObserver: CrashObserver;
@@ -128,6 +118,7 @@
     this.sendGate = new SendGate(options, new AttemptMetadataBuilder(options));
     this.resendPolicy = new ResendPolicy(options.retryBudget);
     this.roomWait = new RoomWait(options);
+    this.placeGate = new PlaceGate(options);
     this.outcomeRecorder = new OutcomeRecorder(options);
     this.responseReporter = new ResponseReporter(options);
     this.crashObserver = new CrashObserver({
@@ -157,9 +148,12 @@
     }, remainingMs);
     if (exchange.signal.aborted) abort();
     else exchange.signal.addEventListener('abort', abort, { once: true });
+    let place: NewPlaceRequest | undefined;
     try {
-      await this.runAttempts(exchange, progress, controller.signal);
+      place = await this.placeGate.acquire(exchange, service, controller.signal);
+      await this.runAttempts(exchange, progress, place, controller.signal);
     } finally {
+      if (place) this.placeGate.release(place);
       clearTimeout(timer);
       exchange.signal.removeEventListener('abort', abort);
     }
@@ -168,6 +162,7 @@
   private async runAttempts(
     exchange: GatewayExchange,
     progress: RequestProgress,
+    place: NewPlaceRequest,
     signal: AbortSignal,
   ): Promise<void> {
     const { chooser } = this.options;
@@ -181,10 +176,13 @@
         choice = this.chooseUpstream(exchange, progress);
       }
       if (choice && 'retryAfterMs' in choice && progress.sends.arrivals === 0) {
-        throw createOverloadError(choice);
+        throw createOverloadError(this.placeGate.scheduleReturn(place, choice));
       }
       if (!choice || 'retryAfterMs' in choice) {
-        sendFailure(exchange, progress, choice?.retryAfterMs);
+        const { retryAfterMs } = choice ?? {
+          retryAfterMs: this.placeGate.computeOutageRetryAfterMs(exchange, progress.service),
+        };
+        sendFailure(exchange, progress, retryAfterMs);
         return;
       }
       if (!chooser.hasPermit(choice.upstream)) {
@@ -203,6 +201,7 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     const chosenAtMs = performance.now();
+    this.placeGate.recordChoice(exchange, progress.service, choice);
     const result = await this.runAttempt(exchange, choice, progress, signal);
     this.options.metrics.countAttempt(progress.service, result.kind);
     progress.sends.recordEnd(findSendEnd(result));
@@ -242,11 +241,11 @@
     { registered }: TrackedUpstream,
     progress: RequestProgress,
   ): Promise<void> {
-    const { objectiveMs, priority } = requireRoute(exchange);
+    const { objectiveMs } = requireRoute(exchange);
     progress.recordPermitRequest();
     await this.options.rateLimits.acquire(registered, {
       maxWaitMs: Math.min(MAX_RATE_WAIT_MS, objectiveMs * RATE_WAIT_OBJECTIVE_FRACTION),
-      priority: exchange.account?.priority ?? priority,
+      priority: getPriority(exchange),
     });
   }
 
--- a/packages/gateway/src/filters/gatewayExchange.ts
+++ b/packages/gateway/src/filters/gatewayExchange.ts
@@ -64,6 +64,10 @@
   outcome: string;
 }
 
+/** Returns the priority of a request: the account's before the route's; 0 is the highest. */
+export const getPriority = ({ account, route }: GatewayExchange): number =>
+  account?.priority ?? route?.priority ?? 0;
+
 /** @throws TypeError if the route filter has not run */
 export const requireRoute = ({ route }: GatewayExchange): RouteRule => {
   if (!route) throw new TypeError('the route filter has not run');
--- a/packages/gateway/src/filters/index.ts
+++ b/packages/gateway/src/filters/index.ts
@@ -23,10 +23,10 @@
 export const createGatewayFilters = (options: GatewayFilterOptions): readonly GatewayFilter[] => [
   new ErrorResponseFilter(options.errorResponse),
   new ShutdownFilter(options.dispatch.isRefusing),
-  new RouteFilter(options.getView),
+  new RouteFilter(options.getView, options.dispatch.estimateOutageMs),
   new AccountFilter(options.getView),
   new QuarantineFilter(options.dispatch.quarantine),
   new DeadlineFilter(),
   new BodyFilter(options.getView),
-  new GatewayDispatchFilter(options.dispatch),
+  new GatewayDispatchFilter({ ...options.dispatch, getView: options.getView }),
 ];
--- a/packages/gateway/src/filters/routeFilter.ts
+++ b/packages/gateway/src/filters/routeFilter.ts
@@ -1,6 +1,5 @@
-import { createRefusal } from '@goldcrestscale/core';
+import { computeOutageRetryAfterMs, createRefusal } from '@goldcrestscale/core';
 import type { DeploymentView } from '@goldcrestscale/core';
-import { NO_CONFIGURATION_RETRY_AFTER_MS } from '../constants.js';
 import type { GatewayExchange } from './gatewayExchange.js';
 import { GatewayFilter } from './gatewayFilter.js';
 import type { NextFilter } from './gatewayFilter.js';
@@ -9,17 +8,27 @@
 export class RouteFilter extends GatewayFilter {
   override readonly name = 'route';
 
-  constructor(private readonly getView: () => DeploymentView | undefined) {
+  /** @param estimateOutageMs returns the time since the log has been unavailable, if it is */
+  constructor(
+    private readonly getView: () => DeploymentView | undefined,
+    private readonly estimateOutageMs: () => number | undefined = () => undefined,
+  ) {
     super();
   }
 
   override async handle(exchange: GatewayExchange, next: NextFilter): Promise<void> {
     const view = this.getView();
     if (!view) {
+      const { timeoutMs } = exchange.head;
+      const elapsedMs = performance.now() - exchange.receivedAtMs;
       throw createRefusal('The configuration is not known yet; try again.', {
         code: 'stale_configuration',
         status: 503,
-        retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS,
+        retryAfterMs: computeOutageRetryAfterMs({
+          outageMs: this.estimateOutageMs(),
+          leftMs: timeoutMs === undefined ? undefined : timeoutMs - elapsedMs,
+          random: Math.random(),
+        }),
       });
     }
     const path = exchange.target.split('?', 1)[0] ?? '';
--- a/packages/gateway/src/mesh/gossip.ts
+++ b/packages/gateway/src/mesh/gossip.ts
@@ -1,3 +1,4 @@
+import { subtractWaiting } from '@goldcrestscale/core';
 import type {
   AnnouncedRates,
   EntryHeartbeat,
@@ -5,7 +6,9 @@
   FleetRateLimits,
   CrashQuarantine,
   PeerLoads,
+  PeerWaiting,
   PermitRequest,
+  PlaceAdmission,
   SentParts,
   UpstreamId,
   UpstreamReach,
@@ -19,13 +22,12 @@
   CRASH_REPORT_INTERVAL_MS,
   EARLY_GOSSIP_DELAY_MS,
   EARLY_GOSSIP_MIN_TOKENS,
-  GOSSIP_BASE_PEER_COUNT,
   GOSSIP_INTERVAL_MS,
   PEER_LOAD_TTL_MS,
-  RELAYED_GOSSIP_INTERVAL_MS,
   RELAY_FAILOVER_MS,
 } from '../constants.js';
 import type { FaultRecorder } from '../faultRecorder.js';
+import { computeGossipIntervalMs } from './gossipInterval.js';
 import { RemoteAggregates } from './remoteAggregates.js';
 import type { GossipMessage } from './gossipMessage.js';
 import { MeshSocket } from './meshSocket.js';
@@ -44,6 +46,8 @@
   readonly relays: ZoneRelays;
   readonly registry: UpstreamRegistry;
   readonly peerLoads: PeerLoads;
+  readonly peerWaiting: PeerWaiting;
+  readonly places: Pick<PlaceAdmission, 'listWaiting'>;
   readonly sentParts: SentParts;
   readonly quarantine: CrashQuarantine;
   readonly announcedRates: AnnouncedRates;
@@ -160,12 +164,9 @@
     this.socket.send(report, roster.listLive());
   }
 
-  /** The interval grows with the number of peers, so that the message rate of a VM is constant. */
   private computeIntervalMs(): number {
     const { roster, relays } = this.options;
-    if (relays.isAggregating) return RELAYED_GOSSIP_INTERVAL_MS;
-    const peerCount = roster.listServing().length;
-    return GOSSIP_INTERVAL_MS * Math.max(1, peerCount / GOSSIP_BASE_PEER_COUNT);
+    return computeGossipIntervalMs(relays, roster.listServing().length);
   }
 
   /** Sends reports to the group's relays even when they are empty, as a sign of liveness. */
@@ -239,8 +240,9 @@
   }
 
   private recordReport(message: GossipMessage): void {
-    const { peerLoads, relays, roster } = this.options;
+    const { peerLoads, peerWaiting, relays, roster } = this.options;
     peerLoads.recordReport(message.vmId, message.loads);
+    peerWaiting.recordReport(message.vmId, message.waiting ?? []);
     const senderZone = roster.findHeartbeat(message.vmId)?.availabilityZone;
     if (relays.isGroupRelay && relays.isOwnGroup(senderZone)) this.aggregator.add(message);
   }
@@ -249,11 +251,13 @@
     message: GossipMessage,
     members: NonNullable<GossipMessage['members']>,
   ): void {
-    const { roster, peerLoads, relays, self } = this.options;
+    const { roster, peerLoads, peerWaiting, relays, self } = this.options;
+    const { waiting = [] } = message;
     const senderZone = roster.findHeartbeat(message.vmId)?.availabilityZone;
     if (senderZone === undefined) return;
     if (!relays.isOwnGroup(senderZone)) {
       peerLoads.recordReport(senderZone, message.loads);
+      peerWaiting.recordReport(senderZone, waiting);
       this.remoteAggregates.add(senderZone, message);
       return;
     }
@@ -265,5 +269,6 @@
       senderZone,
       ownReport ? subtractLoads(message.loads, ownReport.loads) : message.loads,
     );
+    peerWaiting.recordReport(senderZone, subtractWaiting(waiting, ownReport?.waiting ?? []));
   }
 }
--- a/packages/gateway/src/mesh/gossipMessage.ts
+++ b/packages/gateway/src/mesh/gossipMessage.ts
@@ -7,8 +7,10 @@
   RateRow,
   SentPart,
   UpstreamBoot,
+  ServiceName,
   UpstreamId,
   VmId,
+  WaitingRow,
 } from '@goldcrestscale/core';
 import { decodeDatagram, encodeDatagram } from './meshDatagram.js';
 import type { MeshDatagram } from './meshDatagram.js';
@@ -35,6 +37,8 @@
   readonly quarantine: readonly QuarantineRow[];
   /** Rate limits that upstreams announced, as known to the sender. */
   readonly rates: readonly RateRow[];
+  /** Places for which requests wait; left out while none does. */
+  readonly waiting?: readonly WaitingRow[] | undefined;
   /** Only in aggregates: the last message of each VM that is included in the sums. */
   readonly members?: readonly MemberSequence[] | undefined;
 }
@@ -50,6 +54,12 @@
   readonly upstreamId: UpstreamId;
 }
 
+const encodeWaiting = ({ service, priority, places }: WaitingRow) => [
+  service,
+  priority,
+  Math.round(places),
+];
+
 /** Encodes a message and prepends a MAC computed with the sender's key. */
 export const encodeGossip = (message: GossipMessage, key: string): Buffer => {
   const { vmId, sequence, loads, loading, down, weights, sentParts, members, leaving } = message;
@@ -79,6 +89,7 @@
     leavingRows,
     quarantineRows,
     message.rates.map(encodeRateRow),
+    ...(message.waiting?.length ? [message.waiting.map(encodeWaiting)] : []),
   ];
   return encodeDatagram(vmId, fields, key);
 };
@@ -122,6 +133,14 @@
   return [{ upstreamId: toId<UpstreamId>(upstreamId), startedAtMs }];
 };
 
+const decodeWaiting = (row: unknown): WaitingRow[] => {
+  if (!Array.isArray(row)) return [];
+  const [service, priority, places] = row as unknown[];
+  if (typeof service !== 'string' || typeof priority !== 'number') return [];
+  if (typeof places !== 'number' || !(places > 0)) return [];
+  return [{ service: toId<ServiceName>(service), priority, places }];
+};
+
 const decodeMember = (row: unknown): MemberSequence[] => {
   if (!Array.isArray(row)) return [];
   const [vmId, sequence] = row as unknown[];
@@ -132,7 +151,7 @@
 /** Decodes the fields of a datagram. @returns undefined if it is another message or invalid */
 export const decodeGossipFields = ({ sender, fields }: MeshDatagram): GossipMessage | undefined => {
   const [sequence, loads, loading, weights, down, sentParts, members, ...added] = fields;
-  const [leaving, quarantine, rates] = added;
+  const [leaving, quarantine, rates, waiting] = added;
   if (typeof sequence !== 'number') return undefined;
   if (!Array.isArray(loads) || !Array.isArray(loading)) return undefined;
   if (!Array.isArray(weights) || !Array.isArray(down) || !Array.isArray(sentParts))
@@ -149,6 +168,7 @@
     leaving: Array.isArray(leaving) ? leaving.flatMap(decodeLeaving) : [],
     quarantine: Array.isArray(quarantine) ? quarantine.flatMap(decodeQuarantineRow) : [],
     rates: Array.isArray(rates) ? rates.flatMap(decodeRateRow) : [],
+    ...(Array.isArray(waiting) ? { waiting: waiting.flatMap(decodeWaiting) } : {}),
     ...(Array.isArray(members) ? { members: members.flatMap(decodeMember) } : {}),
   };
 };
--- a/packages/gateway/src/mesh/reportBuilder.ts
+++ b/packages/gateway/src/mesh/reportBuilder.ts
@@ -2,6 +2,7 @@
 import type {
   AnnouncedRates,
   CrashQuarantine,
+  PlaceAdmission,
   SentParts,
   UpstreamId,
   UpstreamReach,
@@ -18,6 +19,7 @@
   readonly sentParts: SentParts;
   readonly quarantine: CrashQuarantine;
   readonly announcedRates: AnnouncedRates;
+  readonly places: Pick<PlaceAdmission, 'listWaiting'>;
   readonly listLoading: () => readonly UpstreamId[];
   /** Whether this VM has read its input without a pause for a duration. */
   readonly hasReadFor: (durationMs: number) => boolean;
@@ -35,8 +37,9 @@
   leaving,
   quarantine,
   rates,
+  waiting = [],
 }: GossipMessage): boolean =>
-  [loads, loading, weights, down, sentParts, leaving, quarantine, rates].some(
+  [loads, loading, weights, down, sentParts, leaving, quarantine, rates, waiting].some(
     (list) => list.length > 0,
   );
 
@@ -82,6 +85,7 @@
       sentParts: sentParts.takeUnannounced(),
       quarantine: quarantine.takeRows(),
       rates: announcedRates.takeRows(),
+      waiting: this.options.places.listWaiting(),
     };
   }
 
--- a/packages/gateway/src/mesh/zoneAggregator.ts
+++ b/packages/gateway/src/mesh/zoneAggregator.ts
@@ -1,3 +1,4 @@
+import { sumWaiting } from '@goldcrestscale/core';
 import type { PeerLoad, SentPart, UpstreamBoot, UpstreamId, VmId } from '@goldcrestscale/core';
 import { MAX_FORWARDED_PARTS } from '../constants.js';
 import type { GossipMessage, LearnedWeights } from './gossipMessage.js';
@@ -57,12 +58,13 @@
 /** Combines all fields of several messages except for the sent parts, which are forwarded only once. */
 const combineMessages = (
   messages: readonly GossipMessage[],
-): Pick<GossipMessage, 'loads' | 'loading' | 'down' | 'weights' | 'leaving'> => ({
+): Pick<GossipMessage, 'loads' | 'loading' | 'down' | 'weights' | 'leaving' | 'waiting'> => ({
   loads: sumLoads(messages.map(({ loads }) => loads)),
   loading: listDistinct(messages.map(({ loading }) => loading)),
   down: listDistinct(messages.map(({ down }) => down)),
   weights: pickNewestWeights(messages.map(({ weights }) => weights)),
   leaving: listDistinctBoots(messages.flatMap(({ leaving }) => leaving)),
+  waiting: sumWaiting(messages.map(({ waiting = [] }) => waiting)),
 });
 
 /** Adds the aggregates of other zones to that of this VM's zone, for the VMs of this zone. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -5,11 +5,13 @@
 import { createConnectionMetrics } from './connectionMetrics.js';
 import type { ConnectionMetrics } from './connectionMetrics.js';
 import type { AbandonReason } from './dispatch/invalidResponseError.js';
+import { createPlaceMetrics } from './placeMetrics.js';
+import type { PlaceMetrics } from './placeMetrics.js';
 import { createRateMetrics } from './rateMetrics.js';
 import type { RateMetrics } from './rateMetrics.js';
 
 /** Counters and latency histograms of the gateway. */
-export interface GatewayMetrics extends CallMetrics, ConnectionMetrics, RateMetrics {
+export interface GatewayMetrics extends CallMetrics, ConnectionMetrics, PlaceMetrics, RateMetrics {
   /** Counts a response to a caller by route and outcome. */
   countResponse(route: string | undefined, outcome: string): void;
   /** Counts an attempt at an upstream by its outcome. */
@@ -296,6 +298,7 @@
     ...createFeedMetrics(metrics),
     ...createMemoryMetrics(metrics),
     ...createPresenceMetrics(metrics),
+    ...createPlaceMetrics(metrics),
     ...createRateMetrics(metrics),
     ...createReachMetrics(metrics),
     ...createRetryMetrics(metrics),
