--- a/packages/gateway/src/__tests__/testGateway.ts
+++ b/packages/gateway/src/__tests__/testGateway.ts
@@ -188,6 +188,7 @@
         rejectionLimits: fleetState.rejectionLimits,
         runTimes: fleetState.runTimes,
         paces: fleetState.paces,
+        places: fleetState.places,
         quarantine: fleetState.quarantine,
         requestLog,
         streamContinuity: new StreamContinuity({
--- a/packages/gateway/src/dispatch/attemptLogEntry.ts
+++ b/packages/gateway/src/dispatch/attemptLogEntry.ts
@@ -1,8 +1,15 @@
 import type { AttemptLogEntry, GatewayExchange } from '../filters/gatewayExchange.js';
+import type { AttemptResult } from './attemptResult.js';
 import { findExpectedWeights } from './cacheIdentity.js';
 import type { UpstreamChoice } from './upstreamChooser.js';
 
-/** Creates the log record of an attempt that is about to be made. */
+/** Describes how an attempt ended. */
+export const describeResult = (result: AttemptResult): string => {
+  if (result.kind === 'failed') return `status ${result.head.status}`;
+  return 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind;
+};
+
+/** Creates the log record of an attempt that is about to be sent. */
 export const createAttemptLogEntry = (
   exchange: GatewayExchange,
   { upstream, prefillTokens, firstTokenMs }: UpstreamChoice,
