--- a/packages/gateway/src/compose/createFleetState.ts
+++ b/packages/gateway/src/compose/createFleetState.ts
@@ -7,6 +7,8 @@
   FleetRateLimits,
   CrashQuarantine,
   PeerLoads,
+  PeerWaiting,
+  PlaceAdmission,
   RejectionLimits,
   RunTimes,
   SentParts,
@@ -30,7 +32,9 @@
   VmId,
 } from '@goldcrestscale/core';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { PEER_LOAD_TTL_MS } from '../constants.js';
+import { PlaceFleetView } from '../dispatch/placeFleetView.js';
 
 /** Callbacks of the fleet state. */
 export interface FleetStateCallbacks {
@@ -71,6 +75,13 @@
   };
 };
 
+/** Creates the admission to the places of services, and what other VMs tell of theirs. */
+const createPlaces = (roster: EntryRoster, relays: ZoneRelays, random: RandomGenerator) => {
+  const peerWaiting = new PeerWaiting(PEER_LOAD_TTL_MS);
+  const fleet = new PlaceFleetView(roster, relays, random);
+  return { peerWaiting, places: new PlaceAdmission({ fleet, peers: peerWaiting }) };
+};
+
 /** Creates the gateway's view of the fleet, which controllers update and filters read. */
 export const createFleetState = (
   self: VmId,
@@ -95,13 +106,15 @@
       limits.rejectionLimits.remove(upstreamId);
     },
   });
+  const relays = new ZoneRelays(roster, self, zone);
   return {
     random,
+    ...createPlaces(roster, relays, random),
     /** When this VM begins to read among the followers of a relay, in [0, 1). */
     readPhase: uniformFloat64(random),
     peerLoads,
     roster,
-    relays: new ZoneRelays(roster, self, zone),
+    relays,
     registry,
     reach: new UpstreamReach({
       countUpstreams: () => registry.list().length,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -5,13 +5,16 @@
 import { createConnectionMetrics } from './connectionMetrics.js';
 import type { ConnectionMetrics } from './connectionMetrics.js';
 import type { AbandonReason } from './dispatch/invalidResponseError.js';
+import { createPlaceMetrics } from './placeMetrics.js';
+import type { PlaceMetrics } from './placeMetrics.js';
 import { createRateMetrics } from './rateMetrics.js';
 import type { RateMetrics } from './rateMetrics.js';
 import { createSpeedMetrics } from './speedMetrics.js';
 import type { SpeedMetrics } from './speedMetrics.js';
 
 /** Counters and latency histograms of the gateway. */
-export interface GatewayMetrics extends CallMetrics, ConnectionMetrics, RateMetrics, SpeedMetrics {
+export interface GatewayMetrics
+  extends CallMetrics, ConnectionMetrics, PlaceMetrics, RateMetrics, SpeedMetrics {
   /** Counts a response to a caller by route and outcome. */
   countResponse(route: string | undefined, outcome: string): void;
   /** Counts an attempt at an upstream by its outcome. */
@@ -257,6 +260,28 @@
   };
 };
 
+const createLatencyMetrics = (
+  metrics: MetricsRegistry,
+): Pick<GatewayMetrics, 'observeResponse' | 'observeFirstByte' | 'observeUnread'> => {
+  const responseLatency = metrics.createLatencyHistogram({
+    name: 'goldcrest_gateway_answer_ms',
+    help: 'Time from a request to the end of its answer.',
+  });
+  const firstByteLatency = metrics.createLatencyHistogram({
+    name: 'goldcrest_gateway_first_byte_ms',
+    help: 'Time from a request to the first byte of its answer.',
+  });
+  const unreadLatency = metrics.createLatencyHistogram({
+    name: 'goldcrest_gateway_unread_ms',
+    help: 'Longest time for which a request may have waited until its head was read.',
+  });
+  return {
+    observeResponse: (elapsedMs) => responseLatency.observe(elapsedMs),
+    observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
+    observeUnread: (waitedMs) => unreadLatency.observe(waitedMs),
+  };
+};
+
 /** Creates the metrics of the gateway. */
 export const createGatewayMetrics = (metrics: MetricsRegistry): GatewayMetrics => {
   const responses = metrics.createCounter({
@@ -283,26 +308,11 @@
     name: 'goldcrest_gateway_connections_total',
     help: 'Connections opened to upstreams.',
   });
-  const responseLatency = metrics.createLatencyHistogram({
-    name: 'goldcrest_gateway_answer_ms',
-    help: 'Time from a request to the end of its answer.',
-  });
-  const firstByteLatency = metrics.createLatencyHistogram({
-    name: 'goldcrest_gateway_first_byte_ms',
-    help: 'Time from a request to the first byte of its answer.',
-  });
-  const unreadLatency = metrics.createLatencyHistogram({
-    name: 'goldcrest_gateway_unread_ms',
-    help: 'Longest time for which a request may have waited until its head was read.',
-  });
   return {
     countResponse: (route, outcome) => responses.inc({ route: route ?? 'none', outcome }),
     countLateResponse: (route) => lateResponses.inc({ route }),
     countAttempt: (service, outcome) => attempts.inc({ service, outcome }),
     countUnframedResponse: (outcome) => unframedResponses.inc({ outcome }),
-    observeResponse: (elapsedMs) => responseLatency.observe(elapsedMs),
-    observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
-    observeUnread: (waitedMs) => unreadLatency.observe(waitedMs),
     countConnection: () => connections.inc(),
     ...createCallMetrics(metrics),
     ...createConnectionMetrics(metrics),
@@ -310,8 +320,10 @@
     ...createEjectionMetrics(metrics),
     ...createFaultMetrics(metrics),
     ...createFeedMetrics(metrics),
+    ...createLatencyMetrics(metrics),
     ...createMemoryMetrics(metrics),
     ...createPresenceMetrics(metrics),
+    ...createPlaceMetrics(metrics),
     ...createRateMetrics(metrics),
     ...createReachMetrics(metrics),
     ...createRetryMetrics(metrics),
