--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,6 +1,5 @@
 /** Stand-ins for the platform services, model engines, store VMs and plain services. */
 export * from './engine/index.js';
-export { findFreePorts } from './freePorts.js';
 export * from './http/index.js';
 export * from './log/index.js';
 export { createRole, roleNames } from './roles.js';
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -20,7 +20,7 @@
     ? process.argv[folderIndex + 1]
     : resolvePath(isReadable ? 'target/readable' : 'target');
 
-const packages = ['core', 'runtime', 'gateway', 'standin'];
+const packages = ['core', 'runtime', 'gateway'];
 
 const commonOptions = {
   bundle: true,
--- a/scripts/site/site.ts
+++ b/scripts/site/site.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { VmRecord } from '@goldcrestscale/core';
-import { findFreePorts } from '@goldcrestscale/standin';
+import { findFreePorts } from '@goldcrestscale/runtime';
 import { createEntryProcess } from './entryProcess.js';
 import type { PlatformUrls, SiteSecrets } from './entryProcess.js';
 import { requestJson, waitUntil } from './httpJson.js';
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -1,7 +1,7 @@
 import { join } from 'node:path';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { createRandomGenerator, sleep } from '@goldcrestscale/core';
-import { findFreePorts } from '@goldcrestscale/standin';
+import { findFreePorts } from '@goldcrestscale/runtime';
 import { RETRY_LIMITS } from './checks/checkRepeats.js';
 import type { DaemonCommand } from './daemonProcess.js';
 import type { FaultPlan, PlanStep } from './planStep.js';
