--- a/packages/gateway/src/dispatch/placeGate.ts
+++ b/packages/gateway/src/dispatch/placeGate.ts
@@ -149,7 +149,9 @@
     };
   }
 
+  /** Plain upstreams queue a few requests and order them by themselves, so that none waits for them here. */
   private isMostUrgent(exchange: GatewayExchange, service: ServiceName): boolean {
+    if (!exchange.head.prompt) return true;
     const highest = this.options.getView?.()?.findHighestPriority(service);
     return highest !== undefined && getPriority(exchange) <= highest;
   }
--- a/packages/gateway/src/dispatch/upstreamChooser.ts
+++ b/packages/gateway/src/dispatch/upstreamChooser.ts
@@ -69,7 +69,7 @@
 /** An upstream, or the time for which none will be able to serve the request in time. */
 export type UpstreamDecision = PromptDecision;
 
-const isCurrentChoice = (decision: UpstreamDecision | undefined): boolean =>
+const isCurrentChoice = (decision: UpstreamDecision | undefined): decision is UpstreamChoice =>
   decision !== undefined && !('retryAfterMs' in decision) && !decision.isOutdated;
 
 /** Chooses the upstream of an attempt from the eligible ones. */
@@ -249,10 +249,7 @@
         decision = this.chooseEngine(exchange, prompt, service, { engines: eligible, sendingVms });
       }
       const isInTime =
-        decision &&
-        !('retryAfterMs' in decision) &&
-        !decision.isOutdated &&
-        decision.firstTokenMs <= objectiveMs * objectiveFraction;
+        isCurrentChoice(decision) && decision.firstTokenMs <= objectiveMs * objectiveFraction;
       if (isInTime) break;
     }
     if (decision && !('retryAfterMs' in decision)) {
