--- a/packages/core/src/places/__tests__/placeAdmission.spec.ts
+++ b/packages/core/src/places/__tests__/placeAdmission.spec.ts
@@ -199,10 +199,16 @@
 
 test('the most urgent requests never wait, and less urgent ones leave them room', () => {
   const { ask } = createVm({ total: 10, free: 0 });
-  expect(ask('urgent', { priority: 0, isMostUrgent: true }).isAtOnce).toBe(true);
+  expect(ask('urgent', { priority: 0, isPassing: true }).isAtOnce).toBe(true);
   expect(ask('late').isAtOnce).toBe(false);
   const vm = createVm({ total: 10, free: 3 });
-  for (let index = 0; index < 40; index += 1) vm.ask('urgent', { priority: 0, isMostUrgent: true });
+  for (let index = 0; index < 40; index += 1) vm.ask('urgent', { priority: 0, isPassing: true });
   vm.setFree(3);
   expect(vm.ask('late').isAtOnce).toBe(false);
 });
+
+test('figures of other VMs that are too old decide nothing', () => {
+  const { admission } = createVm({ total: 10, free: 0 });
+  expect(admission.canDecide(800)).toBe(true);
+  expect(admission.canDecide(790)).toBe(false);
+});
--- a/packages/core/src/places/constants.ts
+++ b/packages/core/src/places/constants.ts
@@ -7,6 +7,12 @@
 /** Fraction of the objective for which a request may wait for a place in the VM. */
 export const WAIT_OBJECTIVE_FRACTION = 0.5;
 
+/**
+ * Reports of the other VMs that must come while a request waits; with fewer, what is free by figures of
+ * different age says little, and requests pass as they come.
+ */
+export const REPORTS_PER_WAIT = 2;
+
 /** Fraction of the places that must be free for a request to start without the order. */
 export const AMPLE_FRACTION = 0.1;
 
--- a/packages/core/src/places/placeAdmission.ts
+++ b/packages/core/src/places/placeAdmission.ts
@@ -6,6 +6,7 @@
   MAX_REFUSING_FREE_FRACTION,
   MAX_WAITING,
   PLACE_POLL_MS,
+  REPORTS_PER_WAIT,
   WAIT_OBJECTIVE_FRACTION,
 } from './constants.js';
 import type { PeerWaiting, WaitingRow } from './peerWaiting.js';
@@ -139,8 +140,7 @@
     const request: PlaceRequest = { ...asked, isReturn };
     service.recordArrival(request);
     const room = service.readRoom(request);
-    // Others leave room for the most urgent ones; an engine's own queue orders those by itself.
-    if (!room || request.isMostUrgent || service.hasAmpleRoom(request, room)) {
+    if (!room || request.isPassing || service.hasAmpleRoom(request, room)) {
       service.recordStart(request);
       return undefined;
     }
@@ -162,6 +162,12 @@
     this.services.get(service)?.recordEnd(places);
   }
 
+  /** Whether the figures of the other VMs change while a request with this objective may wait. */
+  canDecide(objectiveMs: number): boolean {
+    const { reportDelayMs } = this.options.fleet;
+    return reportDelayMs * REPORTS_PER_WAIT <= objectiveMs * WAIT_OBJECTIVE_FRACTION;
+  }
+
   /** Lists the places for which requests wait in this VM, to be told to the others. */
   listWaiting(): readonly WaitingRow[] {
     const rows: WaitingRow[] = [];
--- a/packages/core/src/places/placeRequest.ts
+++ b/packages/core/src/places/placeRequest.ts
@@ -8,8 +8,8 @@
   /** Names the upstreams that may serve it: requests with the same key share their room. */
   readonly reachKey: string;
   readonly objectiveMs: number;
-  /** Whether no request of its service is more urgent. Such a request never waits for a place. */
-  readonly isMostUrgent?: boolean;
+  /** Whether it never waits for a place; others leave room for it all the same. */
+  readonly isPassing?: boolean;
   /** Mean time that such a request occupies its places, in milliseconds. */
   readonly runMs: number;
   /** Computes the room at the upstreams that may serve it; undefined if it is not known. */
--- a/packages/gateway/src/dispatch/placeGate.ts
+++ b/packages/gateway/src/dispatch/placeGate.ts
@@ -139,7 +139,7 @@
       places: sample ? computePlaces(work, findCapacity(sample)) : 1,
       deadlineAtMs,
       objectiveMs: route.objectiveMs,
-      isMostUrgent: this.isMostUrgent(exchange, service),
+      isPassing: this.isPassing(exchange, service),
       reachKey: [prompt?.model, route.regions.join(), account?.regions.join(), streamVersion].join(
         '/',
       ),
@@ -149,9 +149,13 @@
     };
   }
 
-  /** Plain upstreams queue a few requests and order them by themselves, so that none waits for them here. */
-  private isMostUrgent(exchange: GatewayExchange, service: ServiceName): boolean {
+  /**
+   * Whether a request never waits here: a plain one, since its service queues a few and orders them by
+   * itself; a most urgent one, for which engines preempt others; and one with too little time to decide.
+   */
+  private isPassing(exchange: GatewayExchange, service: ServiceName): boolean {
     if (!exchange.head.prompt) return true;
+    if (!this.options.places.canDecide(requireRoute(exchange).objectiveMs)) return true;
     const highest = this.options.getView?.()?.findHighestPriority(service);
     return highest !== undefined && getPriority(exchange) <= highest;
   }
