--- a/packages/gateway/src/compose/createDataPath.ts
+++ b/packages/gateway/src/compose/createDataPath.ts
@@ -132,6 +132,7 @@
       retryBudget: createRetryBudget(settings, roster),
       requestLog,
       streamContinuity: createStreamContinuity(dependencies, requestLog),
+      admission: settings.admission,
       estimateOutageMs: () => operators.reader.outageMs ?? dependencies.upstreams.reader.outageMs,
       faults,
       fetchWindow: operators.fetchWindow,
--- a/packages/gateway/src/config.ts
+++ b/packages/gateway/src/config.ts
@@ -35,6 +35,8 @@
   zones: z.record(z.string(), z.string()),
   /** Whether the whole fleet starts for the first time. */
   firstStart: z.optional(z.boolean()),
+  /** Whether prompts wait for places while engines are short of them; off by default. */
+  admission: z.optional(z.boolean()),
   machine: z.optional(
     z.object({
       cores: positive,
@@ -116,6 +118,8 @@
   readonly fileDescriptors: number | undefined;
   /** Limit of the bytes that are buffered for all callers together. */
   readonly bufferBytes: number;
+  /** Whether prompts wait for places while engines are short of them. */
+  readonly admission: boolean;
   readonly logAddress: string;
   readonly leaseMs: number;
   readonly bounds: FleetBounds;
@@ -161,6 +165,7 @@
     capacityScore: machine.cores * machine.coreShare * machine.linkMbps,
     linkMbps: machine.linkMbps,
     bufferBytes: computeBufferBytes(machine.memoryMb ?? DEFAULT_MEMORY_MB),
+    admission: parsed.data.admission ?? false,
     fileDescriptors: machine.fileDescriptors,
     listen: { ...listen, metrics: listen.metrics },
     logAddress: log.address,
--- a/packages/gateway/src/dispatch/placeGate.ts
+++ b/packages/gateway/src/dispatch/placeGate.ts
@@ -35,6 +35,8 @@
   readonly runTimes: RunTimes;
   readonly metrics: GatewayMetrics;
   readonly requestLog: RequestLog;
+  /** Whether prompts wait for places. @default true */
+  readonly admission?: boolean;
   readonly getView?: () => DeploymentView | undefined;
   /** Returns the time for which the log has been unavailable; undefined while it answers. */
   readonly estimateOutageMs?: (() => number | undefined) | undefined;
@@ -154,7 +156,7 @@
    * itself; a most urgent one, for which engines preempt others; and one with too little time to decide.
    */
   private isPassing(exchange: GatewayExchange, service: ServiceName): boolean {
-    if (!exchange.head.prompt) return true;
+    if (this.options.admission === false || !exchange.head.prompt) return true;
     if (!this.options.places.canDecide(requireRoute(exchange).objectiveMs)) return true;
     const highest = this.options.getView?.()?.findHighestPriority(service);
     return highest !== undefined && getPriority(exchange) <= highest;
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -81,6 +81,8 @@
   readonly runTimes: RunTimes;
   readonly paces: UpstreamPaces;
   readonly places: PlaceAdmission;
+  /** Whether prompts wait for places. @default true */
+  readonly admission?: boolean;
   readonly getView?: () => DeploymentView | undefined;
   /** Returns the time for which the log has been unavailable; undefined while it answers. */
   readonly estimateOutageMs?: (() => number | undefined) | undefined;
