--- a/packages/core/src/places/placeAdmission.ts
+++ b/packages/core/src/places/placeAdmission.ts
@@ -139,8 +139,9 @@
     const isReturn = service.getLedger(asked.priority).isReturn(asked.spentMs);
     const request: PlaceRequest = { ...asked, isReturn };
     service.recordArrival(request);
-    const room = service.readRoom(request);
-    if (!room || request.isPassing || service.hasAmpleRoom(request, room)) {
+    // The room of all upstreams is computed only for those who may have to wait.
+    const room = request.isPassing ? undefined : service.readRoom(request);
+    if (!room || service.hasAmpleRoom(request, room)) {
       service.recordStart(request);
       return undefined;
     }
