Review: end the daemons also when a script is killed

Cause: the scripts end their daemons on exit, SIGTERM and SIGINT, but not on SIGKILL; the daemons then lived on. What callers see: nothing.

--- a/review/stand-ins/site.mjs
+++ b/review/stand-ins/site.mjs
@@ -1,4 +1,5 @@
 /** A small site: the daemons of the deploy file as processes, and what a script records. */
+import { spawn } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -16,6 +17,12 @@
 export class Site {
   daemons = [];
 
+  /** Ends the daemons if this process is killed. */
+  #guard = spawn(process.execPath, [fileURLToPath(new URL('guard.mjs', import.meta.url))], {
+    stdio: ['pipe', 'ignore', 'ignore'],
+    detached: true,
+  });
+
   #startedAtMs = performance.now();
 
   #lines = [];
@@ -23,6 +30,7 @@
   /** @param scriptUrl URL of the script, in whose folder the record is written */
   constructor(scriptUrl) {
     this.recordPath = fileURLToPath(new URL('record.txt', scriptUrl));
+    this.#guard.stdin.on('error', () => undefined);
     // Whatever happens, no process is left.
     process.on('exit', () => this.#killAll());
     ['SIGTERM', 'SIGINT'].forEach((name) =>
@@ -44,6 +52,9 @@
     const daemon = new Daemon(this, name, zone, logAddress, ports);
     this.daemons.push(daemon);
     await daemon.start();
+    const { pid } = daemon.child;
+    this.#guard.stdin.write(`${pid}\n`);
+    daemon.child.once('exit', () => this.#guard.stdin.write(`-${pid}\n`));
     await daemon.waitUntilReady();
     return daemon;
   }
