--- a/packages/gateway/src/__tests__/tunnels.spec.ts
+++ b/packages/gateway/src/__tests__/tunnels.spec.ts
@@ -162,6 +162,7 @@
   await connection.waitForOpen();
   expect(await send(connection)).toBe(LARGE_BODY.length);
   expect(countTunnels()).toBe(1);
+  expect(connection.via).toBe('vm-2');
 });
 
 test('a connection through another VM is kept for the next request', async () => {
--- a/packages/gateway/src/dispatch/directLink.ts
+++ b/packages/gateway/src/dispatch/directLink.ts
@@ -5,6 +5,8 @@
 
 /** Connects to the upstream's address. */
 export class DirectLink extends UpstreamLink {
+  override readonly via = undefined;
+
   /** @param reach undefined if nobody asks whether upstreams can be reached */
   constructor(
     private readonly address: string,
--- a/packages/gateway/src/dispatch/responseReporter.ts
+++ b/packages/gateway/src/dispatch/responseReporter.ts
@@ -23,12 +23,12 @@
 
   report(
     { head, route }: GatewayExchange,
-    { upstreamId, outcome }: AttemptLogEntry,
+    { upstreamId, via, outcome }: AttemptLogEntry,
     { attempt, result }: EndedAttempt,
   ): void {
     const { requestLog, metrics, faults } = this.options;
     const { fault, abandonment, framing, partialEventBytes } = attempt;
-    const fields = { id: head.requestId, route: route?.name, upstreamId };
+    const fields = { id: head.requestId, route: route?.name, upstreamId, via };
     if (fault) faults.record('upstream response', fault.cause, fields);
     if (abandonment) {
       const { reason, message } = abandonment;
--- a/packages/gateway/src/dispatch/tunnelLink.ts
+++ b/packages/gateway/src/dispatch/tunnelLink.ts
@@ -1,5 +1,5 @@
 import { Socket } from 'node:net';
-import type { UpstreamId } from '@goldcrestscale/core';
+import type { UpstreamId, VmId } from '@goldcrestscale/core';
 import type { PeerPath, PeerPaths } from '../mesh/peerPaths.js';
 import { PathError } from './pathError.js';
 import { UpstreamLink } from './upstreamLink.js';
@@ -15,6 +15,10 @@
     super();
   }
 
+  override get via(): VmId | undefined {
+    return this.path?.vmId;
+  }
+
   override connect(): Socket {
     this.path = this.paths.openPath();
     if (this.path) return this.path.socket;
--- a/packages/gateway/src/dispatch/upstreamConnection.ts
+++ b/packages/gateway/src/dispatch/upstreamConnection.ts
@@ -1,4 +1,5 @@
 import { request as openRequest } from 'node:http';
+import type { VmId } from '@goldcrestscale/core';
 import { splitAddress } from '../socketAddress.js';
 import { KEEP_ALIVE_MARGIN_MS, MAX_CONNECTION_IDLE_MS } from '../constants.js';
 import { ConnectionExchange } from './connectionExchange.js';
@@ -59,6 +60,11 @@
     });
   }
 
+  /** The VM through which it leads; undefined if it leads to the upstream directly. */
+  get via(): VmId | undefined {
+    return this.link.via;
+  }
+
   /** Whether requests can still be sent on it. */
   get isOpen(): boolean {
     return this.open;
--- a/packages/gateway/src/dispatch/upstreamLink.ts
+++ b/packages/gateway/src/dispatch/upstreamLink.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import type { VmId } from '@goldcrestscale/core';
 import { splitAddress } from '../socketAddress.js';
 import { ConnectionError } from './connectionError.js';
 
@@ -25,6 +26,9 @@
 
 /** A way to an upstream, for one connection. */
 export abstract class UpstreamLink {
+  /** The VM through which it leads; undefined if it leads to the upstream directly. */
+  abstract readonly via: VmId | undefined;
+
   /** Begins to connect. */
   abstract connect(): Socket;
 
--- a/packages/gateway/src/filters/dispatchFilter.ts
+++ b/packages/gateway/src/filters/dispatchFilter.ts
@@ -314,6 +314,7 @@
     exchange.attempts.push(logEntry);
     try {
       const result = await attempt.run();
+      logEntry.via = connection.via;
       logEntry.outcome = describeResult(result);
       this.responseReporter.report(exchange, logEntry, { attempt, result });
       this.crashObserver.recordOutcome(exchange, upstream, attempt, progress);
--- a/packages/gateway/src/filters/gatewayExchange.ts
+++ b/packages/gateway/src/filters/gatewayExchange.ts
@@ -5,6 +5,7 @@
   SoftwareVersion,
   UpstreamId,
   Verdict,
+  VmId,
   WeightNumber,
 } from '@goldcrestscale/core';
 import type { ByteReservation } from '@goldcrestscale/runtime';
@@ -61,6 +62,8 @@
   /** Estimated slowdown of the upstream when the attempt was sent. */
   readonly slowdown: number;
   readonly startedAtMs: number;
+  /** The VM through which the connection led; undefined if it led to the upstream directly. */
+  via?: VmId | undefined;
   /** Time from sending the request to the response head. */
   headMs?: number;
   outcome: string;
--- a/packages/gateway/src/mesh/peerPaths.ts
+++ b/packages/gateway/src/mesh/peerPaths.ts
@@ -27,6 +27,7 @@
 
 /** A connection to another VM, which extends it to an upstream. */
 export interface PeerPath {
+  readonly vmId: VmId;
   readonly socket: Socket;
   /**
    * Asks for the connection to an upstream.
@@ -53,7 +54,11 @@
     if (peers.length === 0) return undefined;
     const peer = peers[uniformInt(this.options.random, 0, peers.length - 1)]!;
     const socket = connect({ ...splitAddress(peer.meshAddress), noDelay: true });
-    return { socket, requestUpstream: (upstreamId) => this.request(socket, peer, upstreamId) };
+    return {
+      vmId: peer.vmId,
+      socket,
+      requestUpstream: (upstreamId) => this.request(socket, peer, upstreamId),
+    };
   }
 
   private listPeers(): readonly EntryHeartbeat[] {
