--- a/packages/gateway/src/dispatch/directLink.ts
+++ b/packages/gateway/src/dispatch/directLink.ts
@@ -2,6 +2,7 @@
 import type { UpstreamReach } from '@goldcrestscale/core';
 import { findConnectFailure } from './connectionError.js';
 import { UpstreamLink, connectSocket, waitForConnect } from './upstreamLink.js';
+import type { UpstreamSocket } from './upstreamLink.js';
 
 /** Connects to the upstream's address. */
 export class DirectLink extends UpstreamLink {
@@ -25,7 +26,7 @@
     return socket;
   }
 
-  override async waitUntilOpen(socket: Socket): Promise<void> {
+  override async waitUntilOpen(socket: UpstreamSocket): Promise<void> {
     await waitForConnect(socket);
     this.reach?.recordConnect();
   }
--- a/packages/gateway/src/dispatch/singleConnectionAgent.ts
+++ b/packages/gateway/src/dispatch/singleConnectionAgent.ts
@@ -1,10 +1,9 @@
 import { Agent } from 'node:http';
 import type { ClientRequestArgs } from 'node:http';
-import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { EventLoopBarrier } from '@goldcrestscale/runtime';
 import { ConnectionError } from './connectionError.js';
-import type { UpstreamLink } from './upstreamLink.js';
+import type { UpstreamLink, UpstreamSocket } from './upstreamLink.js';
 import { UPSTREAM_CONNECT_TIMEOUT_MS } from '../constants.js';
 
 /** Callbacks of the connection of an agent. */
@@ -20,7 +19,7 @@
  * never replaced silently.
  */
 export class SingleConnectionAgent extends Agent {
-  private socket: Socket | undefined;
+  private socket: UpstreamSocket | undefined;
 
   private opening: Promise<void> | undefined;
 
@@ -57,7 +56,7 @@
   override createConnection(
     _options: ClientRequestArgs,
     callback?: (error: Error | null, stream: Duplex) => void,
-  ): Socket | undefined {
+  ): UpstreamSocket | undefined {
     if (this.socket && (this.isHandedOver || this.socket.destroyed)) {
       callback?.(new ConnectionError('the connection is closed'), this.socket);
       return undefined;
--- a/packages/gateway/src/dispatch/tunnelLink.ts
+++ b/packages/gateway/src/dispatch/tunnelLink.ts
@@ -3,8 +3,9 @@
 import type { PeerPath, PeerPaths } from '../mesh/peerPaths.js';
 import { PathError } from './pathError.js';
 import { UpstreamLink } from './upstreamLink.js';
+import type { UpstreamSocket } from './upstreamLink.js';
 
-/** Connects to the upstream through another VM, which passes the bytes on as they are. */
+/** Connects to the upstream through another VM, which passes on its bytes and says how it ended. */
 export class TunnelLink extends UpstreamLink {
   private path: PeerPath | undefined;
 
@@ -19,7 +20,7 @@
     return this.path?.vmId;
   }
 
-  override connect(): Socket {
+  override connect(): UpstreamSocket {
     this.path = this.paths.openPath();
     if (this.path) return this.path.socket;
     const socket = new Socket();
@@ -27,7 +28,7 @@
     return socket;
   }
 
-  override waitUntilOpen(socket: Socket): Promise<void> {
+  override waitUntilOpen(socket: UpstreamSocket): Promise<void> {
     if (this.path) return this.path.requestUpstream(this.upstreamId);
     return new Promise((_resolve, reject) => {
       socket.once('error', reject);
--- a/packages/gateway/src/dispatch/upstreamAttempt.ts
+++ b/packages/gateway/src/dispatch/upstreamAttempt.ts
@@ -14,6 +14,7 @@
 import { FaultError } from './faultError.js';
 import { InvalidResponseError } from './invalidResponseError.js';
 import type { AbandonReason } from './invalidResponseError.js';
+import { isOwnError } from './ownError.js';
 import { ResponseBuffer } from './responseBuffer.js';
 import { ResponseMemoryError } from './responseMemoryError.js';
 import { ResponseSize } from './responseSize.js';
@@ -85,7 +86,7 @@
 
   private readonly eventScanner = new EventScanner();
 
-  /** Whether the connection ended during the exchange, by no doing of this VM. */
+  /** Whether the connection ended during the exchange, by no doing of this VM or one between. */
   private isConnectionLost = false;
 
   /** Whether this VM ended the exchange itself. */
@@ -257,7 +258,7 @@
     const reason = findAbandonReason(error);
     if (reason !== undefined) this.abandonment = { reason, message: error.message };
     const isEndedHere =
-      this.isAbandoned || error instanceof FaultError || error instanceof InvalidResponseError;
+      this.isAbandoned || isOwnError(error) || error instanceof InvalidResponseError;
     this.isConnectionLost = this.phase !== 'offered' && !isEndedHere;
     this.fail(error);
   }
@@ -384,7 +385,7 @@
     if (this.phase === 'dropped') return { kind: 'not-run', reason: 'cancelled' };
     if (this.phase === 'offered') return { kind: 'not-run', reason: findConnectFailure(error) };
     const neededBytes = error instanceof ResponseMemoryError ? error.neededBytes : undefined;
-    const isOwnFailure = error instanceof FaultError || neededBytes !== undefined;
+    const isOwnFailure = isOwnError(error) || neededBytes !== undefined;
     const kind = this.phase === 'stream' ? 'broken' : 'unknown';
     return { kind, reason: error.message, isOwnFailure, neededBytes };
   }
--- a/packages/gateway/src/dispatch/upstreamLink.ts
+++ b/packages/gateway/src/dispatch/upstreamLink.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import type { VmId } from '@goldcrestscale/core';
 import { splitAddress } from '../socketAddress.js';
 import { ConnectionError } from './connectionError.js';
@@ -17,23 +18,31 @@
   });
 
 /** Resolves when a socket is connected. @throws the error that prevents it */
-export const waitForConnect = (socket: Socket): Promise<void> =>
+export const waitForConnect = (socket: UpstreamSocket): Promise<void> =>
   new Promise((resolve, reject) => {
     socket.once('connect', resolve);
     socket.once('error', reject);
     socket.once('close', () => reject(new ConnectionError('the connection is closed')));
   });
 
+/** What a connection to an upstream uses of its socket. */
+export interface UpstreamSocket extends Duplex {
+  readonly connecting: boolean;
+  /** Undefined once the connection has no peer. */
+  readonly remoteAddress?: string | undefined;
+  resetAndDestroy(): this;
+}
+
 /** A way to an upstream, for one connection. */
 export abstract class UpstreamLink {
   /** The VM through which it leads; undefined if it leads to the upstream directly. */
   abstract readonly via: VmId | undefined;
 
   /** Begins to connect. */
-  abstract connect(): Socket;
+  abstract connect(): UpstreamSocket;
 
   /** Resolves once the bytes of the socket are those of the upstream. @throws the error that prevents it */
-  abstract waitUntilOpen(socket: Socket): Promise<void>;
+  abstract waitUntilOpen(socket: UpstreamSocket): Promise<void>;
 
   /** Called with each read of the upstream's bytes. */
   abstract recordRead(): void;
--- a/packages/gateway/src/mesh/assertFeedMessage.ts
+++ b/packages/gateway/src/mesh/assertFeedMessage.ts
@@ -64,7 +64,10 @@
   (fields: Fields) => boolean
 >([
   ['hello', ({ vmId, nonce }) => isText(vmId) && isText(nonce)],
-  ['tunnel', ({ vmId, nonce, upstreamId }) => isText(vmId) && isText(nonce) && isText(upstreamId)],
+  [
+    'framedTunnel',
+    ({ vmId, nonce, upstreamId }) => isText(vmId) && isText(nonce) && isText(upstreamId),
+  ],
   ['ask', ({ question }) => isAmount(question)],
   ['heartbeat', ({ record }) => isRecord(record)],
   ['streams', ({ record }) => isRecord(record)],
--- a/packages/gateway/src/mesh/feedMessage.ts
+++ b/packages/gateway/src/mesh/feedMessage.ts
@@ -44,9 +44,13 @@
 export type FeedMessage =
   /** First message of a follower; the MACs of both directions cover the nonce. */
   | { readonly kind: 'hello'; readonly vmId: VmId; readonly nonce: string }
-  /** Only message of a VM that asks for a connection to an upstream; the bytes that follow are no messages. */
+  /**
+   * Only message of a VM that asks for a connection to an upstream. The bytes that follow are the
+   * upstream's; back come the frames of a tunnel. Earlier versions asked with `tunnel`, and took the
+   * end of this connection for that of the upstream's.
+   */
   | {
-      readonly kind: 'tunnel';
+      readonly kind: 'framedTunnel';
       readonly vmId: VmId;
       readonly nonce: string;
       readonly upstreamId: UpstreamId;
--- a/packages/gateway/src/mesh/feedServer.ts
+++ b/packages/gateway/src/mesh/feedServer.ts
@@ -208,7 +208,7 @@
   }
 
   private findSenderAuth(first: FeedMessage): FrameAuth | undefined {
-    if (first.kind !== 'hello' && first.kind !== 'tunnel') return undefined;
+    if (first.kind !== 'hello' && first.kind !== 'framedTunnel') return undefined;
     const key = this.options.roster.findMeshKey(first.vmId);
     return key === undefined ? undefined : { key, nonce: first.nonce };
   }
@@ -219,7 +219,7 @@
     if (message.kind === 'hello') {
       if (follower) throw new FeedError('repeated first message');
       this.acceptFollower(socket, message);
-    } else if (message.kind === 'tunnel') {
+    } else if (message.kind === 'framedTunnel') {
       if (follower) throw new FeedError('a follower asks for a tunnel');
       this.connections.release(socket);
       this.options.onTunnel(socket, message.upstreamId);
--- a/packages/gateway/src/mesh/peerPaths.ts
+++ b/packages/gateway/src/mesh/peerPaths.ts
@@ -9,7 +9,8 @@
 import { splitAddress } from '../socketAddress.js';
 import { encodeFeedContent } from './feedMessage.js';
 import { FeedWriter } from './feedWriter.js';
-import { TUNNEL_REPLIES } from './tunnelReply.js';
+import { TunnelSocket } from './tunnelSocket.js';
+import type { TunnelPeer, TunnelReply } from './tunnelSocket.js';
 
 /** Time for which a VM is not asked again after it could not help, in milliseconds. */
 const PEER_PAUSE_MS = 1_000;
@@ -28,7 +29,7 @@
 /** A connection to another VM, which extends it to an upstream. */
 export interface PeerPath {
   readonly vmId: VmId;
-  readonly socket: Socket;
+  readonly socket: TunnelSocket;
   /**
    * Asks for the connection to an upstream.
    *
@@ -41,7 +42,11 @@
 export class PeerPaths {
   private readonly pausedUntilMs = new Map<VmId, number>();
 
-  constructor(private readonly options: PeerPathsOptions) {}
+  constructor(
+    private readonly options: PeerPathsOptions,
+    private readonly createSocket = (connection: Socket, peer: TunnelPeer) =>
+      new TunnelSocket(connection, peer),
+  ) {}
 
   /** Whether there is a VM to ask. */
   get hasPeer(): boolean {
@@ -53,11 +58,12 @@
     const peers = this.listPeers();
     if (peers.length === 0) return undefined;
     const peer = peers[uniformInt(this.options.random, 0, peers.length - 1)]!;
-    const socket = connect({ ...splitAddress(peer.meshAddress), noDelay: true });
+    const connection = connect({ ...splitAddress(peer.meshAddress), noDelay: true });
+    const socket = this.createSocket(connection, { vmId: peer.vmId, address: peer.meshAddress });
     return {
       vmId: peer.vmId,
       socket,
-      requestUpstream: (upstreamId) => this.request(socket, peer, upstreamId),
+      requestUpstream: (upstreamId) => this.request(socket, peer.vmId, upstreamId),
     };
   }
 
@@ -71,37 +77,31 @@
       );
   }
 
-  private request(socket: Socket, { vmId }: EntryHeartbeat, upstreamId: UpstreamId): Promise<void> {
+  private request(socket: TunnelSocket, vmId: VmId, upstreamId: UpstreamId): Promise<void> {
     const { self, key, onTunnelOpen } = this.options;
     const nonce = randomUUID();
     return new Promise((resolve, reject) => {
-      let isOver = false;
       const fail = (reason: string): void => {
-        if (isOver) return;
-        isOver = true;
         this.pausedUntilMs.set(vmId, performance.now() + PEER_PAUSE_MS);
         reject(new PathError(`${vmId} can not help: ${reason}`));
       };
-      socket.once('connect', () => {
-        const writer = new FeedWriter({ key, nonce });
-        const content = encodeFeedContent({ kind: 'tunnel', vmId: self, nonce, upstreamId });
-        socket.write(writer.encode(content));
-      });
-      socket.once('data', (reply: Buffer) => {
-        const text = reply.toString();
-        if (text === TUNNEL_REPLIES.open) {
-          isOver = true;
-          onTunnelOpen();
-          resolve();
-        } else if (text === TUNNEL_REPLIES.unreachable) {
-          isOver = true;
-          reject(new ConnectionError(`${vmId} can not reach the upstream`));
-        } else fail('unavailable');
-      });
-      socket.once('error', (error) => fail(String(error)));
-      // A VM of an earlier version knows no such question and closes the connection.
-      socket.once('end', () => fail('closed'));
+      const failWith = ({ message }: Error): void => fail(message);
+      // A VM of an earlier version doesn't know the question and closes the connection.
+      socket.once('error', failWith);
       socket.once('close', () => reject(new PathError('the connection is closed')));
+      Object.assign(socket, {
+        onReply: (reply: TunnelReply): void => {
+          socket.off('error', failWith);
+          if (reply === 'open') {
+            onTunnelOpen();
+            resolve();
+          } else if (reply === 'unreachable') {
+            reject(new ConnectionError(`${vmId} can not reach the upstream`));
+          } else fail('unavailable');
+        },
+      });
+      const content = encodeFeedContent({ kind: 'framedTunnel', vmId: self, nonce, upstreamId });
+      socket.write(new FeedWriter({ key, nonce }).encode(content));
     });
   }
 }
--- a/packages/gateway/src/mesh/tunnelServer.ts
+++ b/packages/gateway/src/mesh/tunnelServer.ts
@@ -4,7 +4,8 @@
 import { UPSTREAM_CONNECT_TIMEOUT_MS } from '../constants.js';
 import { connectSocket } from '../dispatch/upstreamLink.js';
 import type { GatewayMetrics } from '../metrics.js';
-import { TUNNEL_REPLIES } from './tunnelReply.js';
+import { encodeSentBytes, encodeTunnelHead } from './tunnelFrames.js';
+import type { TunnelFrameType } from './tunnelFrames.js';
 
 /** Maximum number of connections that this VM extends to upstreams for others. */
 const MAX_TUNNELS = 512;
@@ -30,21 +31,51 @@
   readonly metrics: Pick<GatewayMetrics, 'countTunnel' | 'setTunnels'>;
 }
 
-/** Passes the end of one socket on to another: a reset as a reset, an end as an end. */
-const passEnd = (from: Socket, to: Socket): void => {
-  from.on('error', () => {
-    if (to.connecting) to.destroy();
-    else to.resetAndDestroy();
+/** Passes the requests on: a reset as a reset, an end as an end. */
+const relayRequests = (socket: Socket, upstream: Socket): void => {
+  socket.pipe(upstream);
+  socket.on('error', () => {
+    if (upstream.connecting) upstream.destroy();
+    else upstream.resetAndDestroy();
   });
-  from.once('close', () => {
-    // What has been read of it is still written.
-    to.destroySoon();
+  // What has been read of it is still written.
+  socket.once('close', () => upstream.destroySoon());
+};
+
+const NO_BYTES: Buffer = Buffer.alloc(0);
+
+/** @returns whether there is room for more */
+const sendFrame = (socket: Socket, type: TunnelFrameType, content = NO_BYTES): boolean => {
+  socket.cork();
+  let hasRoom = socket.write(encodeTunnelHead(type, content.length));
+  if (content.length > 0) hasRoom = socket.write(content);
+  socket.uncork();
+  return hasRoom;
+};
+
+/** Passes the responses on, and says how the upstream ended its connection. */
+const relayResponses = (upstream: Socket, socket: Socket): void => {
+  upstream.on('data', (content: Buffer) => {
+    if (sendFrame(socket, 'data', content)) return;
+    upstream.pause();
+    socket.once('drain', () => upstream.resume());
+  });
+  upstream.once('end', () => {
+    // If data and a reset arrive together, Node emits a clean end, but the socket has no peer.
+    if (upstream.remoteAddress === undefined) sendFrame(socket, 'reset');
+    else sendFrame(socket, 'end', encodeSentBytes(upstream.bytesWritten - upstream.writableLength));
+  });
+  upstream.on('error', () => sendFrame(socket, 'reset'));
+  upstream.once('close', () => {
+    socket.end();
+    // What still comes has nowhere to go, but hides the other end's close until it is read.
+    socket.resume();
   });
 };
 
 /**
- * Extends connections of VMs that are cut off from the upstreams to these. The bytes pass as they are:
- * the VM that asked decides on requests, and answers for them.
+ * Extends connections of VMs that are cut off from the upstreams to these. The VM that asked decides on
+ * requests and answers for them; it learns of an upstream's end only in a frame that says so.
  */
 export class TunnelServer {
   private readonly open = new Set<Tunnel>();
@@ -87,7 +118,7 @@
   private refuse(socket: Socket, reply: 'unavailable' | 'unreachable'): void {
     this.options.metrics.countTunnel(reply);
     socket.on('error', () => socket.destroy());
-    socket.end(TUNNEL_REPLIES[reply]);
+    socket.end(encodeTunnelHead(reply));
   }
 
   private connectUpstream(socket: Socket, address: string): void {
@@ -101,13 +132,9 @@
     upstream.once('connect', () => {
       clearTimeout(timer);
       isConnected = true;
-      socket.write(TUNNEL_REPLIES.open);
-      upstream.once('end', () => {
-        // If data and a reset arrive together, Node emits a clean end, but the socket has no peer.
-        if (upstream.remoteAddress === undefined) socket.resetAndDestroy();
-      });
-      socket.pipe(upstream);
-      upstream.pipe(socket);
+      sendFrame(socket, 'open');
+      relayRequests(socket, upstream);
+      relayResponses(upstream, socket);
       socket.on('data', () => {
         Object.assign(tunnel, { isAwaiting: true, bytesAtMs: performance.now() });
       });
@@ -115,8 +142,6 @@
         reach.recordContact();
         Object.assign(tunnel, { isAwaiting: false, bytesAtMs: performance.now() });
       });
-      passEnd(socket, upstream);
-      passEnd(upstream, socket);
     });
     upstream.on('error', () => undefined);
     upstream.once('close', () => {
--- a/packages/runtime/src/http/pauseSocket.ts
+++ b/packages/runtime/src/http/pauseSocket.ts
@@ -1,4 +1,4 @@
-import type { Socket } from 'node:net';
+import type { Readable } from 'node:stream';
 
 /**
  * Stops reading from a socket, also if the HTTP parser on it asks for more: a paused message would go on
@@ -6,7 +6,7 @@
  *
  * @returns a function that goes on reading
  */
-export const pauseSocket = (socket: Socket): (() => void) => {
+export const pauseSocket = (socket: Readable): (() => void) => {
   const pause = (): void => {
     socket.pause();
   };
