--- a/packages/core/src/blockStores/blockDirectory.ts
+++ b/packages/core/src/blockStores/blockDirectory.ts
@@ -1,6 +1,8 @@
 import type { BlockStoreSettings } from '../deployment/index.js';
 import type { AvailabilityZoneId } from '../ids.js';
 import { hashString } from '../membership/rendezvous.js';
+import { EpochWindow } from './epochWindow.js';
+import type { EpochProof } from './epochWindow.js';
 
 /** Change of a block, as reported by a block store. */
 export interface StoredBlockChange {
@@ -42,7 +44,9 @@
 
 interface StoreState {
   settings: BlockStoreSettings;
+  /** Undefined while the store does not respond. */
   epoch: number | undefined;
+  readonly window: EpochWindow;
   readonly blocks: Map<string, number>;
   usedTokens: number;
 }
@@ -69,6 +73,7 @@
         this.stores.set(store.address, {
           settings: store,
           epoch: undefined,
+          window: new EpochWindow(),
           blocks: new Map(),
           usedTokens: 0,
         });
@@ -87,12 +92,31 @@
   updateEpoch(address: string, epoch: number): boolean {
     const store = this.stores.get(address);
     if (!store || store.epoch === epoch) return false;
+    store.window.recordEpoch(epoch);
     store.epoch = epoch;
     store.blocks.clear();
     store.usedTokens = 0;
     return true;
   }
 
+  /**
+   * Records that a store was in the epoch that is known of it.
+   *
+   * @param clockMs time on the servers' clock
+   */
+  recordConfirmation(address: string, clockMs: number): void {
+    this.stores.get(address)?.window.recordConfirmation(clockMs);
+  }
+
+  /** Finds out on what a fetch from a store relies; undefined if nothing is known of it. */
+  findProof(address: string): EpochProof | undefined {
+    const window = this.stores.get(address)?.window;
+    const serverTimeMs = this.computeServerTimeMs(0);
+    if (window?.epoch === undefined || window.confirmedAtMs === undefined) return undefined;
+    if (serverTimeMs === undefined) return undefined;
+    return { epoch: window.epoch, ageMs: serverTimeMs - window.confirmedAtMs };
+  }
+
   /** Updates the offset of the servers' clock; the least delayed reading is the most accurate. */
   updateServerClock(clockMs: number): void {
     const offsetMs = clockMs - performance.now();
--- a/packages/gateway/src/controllers/blockStoresController.ts
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -72,6 +72,7 @@
     this.recordCompleteness(relayed, isNewEpoch);
     if (epoch === undefined) return;
     if (next !== undefined && !this.incomplete.has(address)) this.nextOffsets.set(address, next);
+    if (clockMs !== undefined) blocks.recordConfirmation(address, clockMs);
     changes.forEach((change) => blocks.applyChange(address, change));
     const excess = blocks.explainExcess(address);
     if (excess === undefined) return;
@@ -183,6 +184,7 @@
     const excess = blocks.explainExcess(address);
     if (excess !== undefined) throw new FaultyStoreError(excess);
     const { epoch, clockMs, changes, nextOffset: next } = events;
+    if (clockMs !== undefined) blocks.recordConfirmation(address, clockMs);
     this.nextOffsets.set(address, next);
     if (changes.length > 0) this.publish({ address, epoch, clockMs, changes, next });
     await this.releaseOutdatedBlocks(address, events.epoch, signal);
--- a/packages/gateway/src/dispatch/attemptMetadataBuilder.ts
+++ b/packages/gateway/src/dispatch/attemptMetadataBuilder.ts
@@ -78,6 +78,12 @@
     // Without a deadline on the servers' clock, a block could be freed while it is being fetched.
     const canFetch =
       fetchDeadlineMs !== undefined && fetchMs >= prefillMs * MIN_FETCH_PREFILL_RATIO;
-    return { fetchAddresses: canFetch ? fetchAddresses : [], saveAddresses, fetchDeadlineMs };
+    const sources = canFetch ? fetchAddresses : [];
+    const proofs = new Map(
+      sources.flatMap((address) =>
+        address === undefined ? [] : [[address, blocks.findProof(address)] as const],
+      ),
+    );
+    return { fetchAddresses: sources, saveAddresses, fetchDeadlineMs, proofs };
   }
 }
--- a/packages/gateway/src/dispatch/sendGate.ts
+++ b/packages/gateway/src/dispatch/sendGate.ts
@@ -10,7 +10,8 @@
 import { assertPromptAllowed, assertRequestAllowed } from '../filters/quarantineFilter.js';
 import { assertServing } from '../filters/shutdownFilter.js';
 import type { GatewayMetrics } from '../metrics.js';
-import type { AttemptMetadata } from '../ports/index.js';
+import type { AttemptMetadata, BlockTransfers } from '../ports/index.js';
+import type { RequestLog } from '../requestLog.js';
 import type { AttemptMetadataBuilder } from './attemptMetadataBuilder.js';
 import { assertWaiting } from './dispatchErrors.js';
 import type { RequestProgress } from './requestProgress.js';
@@ -26,6 +27,7 @@
   readonly ejection: EjectionPolicy;
   readonly retryBudget: FleetRetryBudget;
   readonly metrics: GatewayMetrics;
+  readonly requestLog: RequestLog;
   /** Whether this VM shuts down and takes no requests any more. */
   readonly isRefusing: () => boolean;
   /** Called with the tokens that an engine has to prefill for a prompt that is being sent. */
@@ -75,10 +77,29 @@
     if (!chooser.takePermit(upstream)) return { withheld: 'no permit is left' };
     const metadata = this.metadataBuilder.build(exchange, choice, progress);
     this.recordSend(exchange, choice, progress);
+    this.recordFetch(exchange, choice, metadata.transfers);
     exchange.isSent = true;
     return metadata;
   }
 
+  private recordFetch(
+    { head }: GatewayExchange,
+    { upstream: { upstreamId } }: UpstreamChoice,
+    transfers: BlockTransfers | undefined,
+  ): void {
+    if (!transfers || transfers.proofs.size === 0) return;
+    const { metrics, requestLog } = this.options;
+    const { proofs, fetchDeadlineMs: untilMs } = transfers;
+    proofs.forEach((proof) => proof && metrics.observeEpochAge(proof.ageMs));
+    const stores = [...proofs].map(([address, proof]) => ({ address, ...proof }));
+    requestLog.logDetail('cached parts are fetched', {
+      id: head.requestId,
+      upstreamId,
+      stores,
+      untilMs,
+    });
+  }
+
   private recordSend(
     exchange: GatewayExchange,
     { upstream, prefillTokens }: UpstreamChoice,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -5,6 +5,8 @@
 import { createConnectionMetrics } from './connectionMetrics.js';
 import type { ConnectionMetrics } from './connectionMetrics.js';
 import type { AbandonReason } from './dispatch/invalidResponseError.js';
+import { createLatencyMetrics } from './latencyMetrics.js';
+import type { LatencyMetrics } from './latencyMetrics.js';
 import { createPlaceMetrics } from './placeMetrics.js';
 import type { PlaceMetrics } from './placeMetrics.js';
 import { createRateMetrics } from './rateMetrics.js';
@@ -14,7 +16,7 @@
 
 /** Counters and latency histograms of the gateway. */
 export interface GatewayMetrics
-  extends CallMetrics, ConnectionMetrics, PlaceMetrics, RateMetrics, SpeedMetrics {
+  extends CallMetrics, ConnectionMetrics, LatencyMetrics, PlaceMetrics, RateMetrics, SpeedMetrics {
   /** Counts a response to a caller by route and outcome. */
   countResponse(route: string | undefined, outcome: string): void;
   /** Counts an attempt at an upstream by its outcome. */
@@ -35,10 +37,6 @@
   countFault(part: string): void;
   /** Counts a signal to stop while the process was stopping already. */
   countRepeatedStop(): void;
-  observeResponse(elapsedMs: number): void;
-  observeFirstByte(elapsedMs: number): void;
-  /** Observes the time for which a request may have waited until its head was read. */
-  observeUnread(waitedMs: number): void;
   countConnection(): void;
   /** Counts a request whose caller left, by whether it had been sent to an upstream. */
   countDeparture(route: string | undefined, isSent: boolean): void;
@@ -260,28 +258,6 @@
   };
 };
 
-const createLatencyMetrics = (
-  metrics: MetricsRegistry,
-): Pick<GatewayMetrics, 'observeResponse' | 'observeFirstByte' | 'observeUnread'> => {
-  const responseLatency = metrics.createLatencyHistogram({
-    name: 'goldcrest_gateway_answer_ms',
-    help: 'Time from a request to the end of its answer.',
-  });
-  const firstByteLatency = metrics.createLatencyHistogram({
-    name: 'goldcrest_gateway_first_byte_ms',
-    help: 'Time from a request to the first byte of its answer.',
-  });
-  const unreadLatency = metrics.createLatencyHistogram({
-    name: 'goldcrest_gateway_unread_ms',
-    help: 'Longest time for which a request may have waited until its head was read.',
-  });
-  return {
-    observeResponse: (elapsedMs) => responseLatency.observe(elapsedMs),
-    observeFirstByte: (elapsedMs) => firstByteLatency.observe(elapsedMs),
-    observeUnread: (waitedMs) => unreadLatency.observe(waitedMs),
-  };
-};
-
 /** Creates the metrics of the gateway. */
 export const createGatewayMetrics = (metrics: MetricsRegistry): GatewayMetrics => {
   const responses = metrics.createCounter({
--- a/packages/gateway/src/ports/upstreamProtocol.ts
+++ b/packages/gateway/src/ports/upstreamProtocol.ts
@@ -1,4 +1,5 @@
 import type {
+  EpochProof,
   ModelId,
   StoredBlockChange,
   ReportedLoad,
@@ -15,6 +16,8 @@
   readonly saveAddresses: readonly (string | undefined)[];
   /** Time on the servers' clock at which an unfinished fetch is abandoned and the part recomputed. */
   readonly fetchDeadlineMs: number | undefined;
+  /** What was known of the stores that are fetched from, for the log. */
+  readonly proofs: ReadonlyMap<string, EpochProof | undefined>;
 }
 
 /** Metadata that the gateway adds to an attempt at an upstream. */
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -54,6 +54,11 @@
     bucket.leftOut = 0;
   }
 
+  /** Logs what explains a request that went well; written only at the debug level. */
+  logDetail(message: string, fields: Readonly<Record<string, unknown>>): void {
+    this.logger.debug(message, fields);
+  }
+
   private updateBucket(message: string): TokenBucket {
     const nowMs = performance.now();
     const bucket = this.buckets.get(message) ?? {
