--- a/packages/core/src/blockStores/__tests__/blockStores.spec.ts
+++ b/packages/core/src/blockStores/__tests__/blockStores.spec.ts
@@ -7,8 +7,10 @@
 import type { AvailabilityZoneId, ClientAccountId, ModelId } from '../../ids.js';
 import {
   BlockDirectory,
+  CLOCK_DRIFT_MARGIN_MS,
   FETCH_WINDOW_MS,
   FetchWindow,
+  MAX_SAVE_AGE_MS,
   buildBlockKey,
   buildCacheSalt,
   computeFetchTimeMs,
@@ -39,10 +41,24 @@
 
 const ZONE = toId<AvailabilityZoneId>('z1');
 
+/** Time after the begin of an epoch from which parts are saved, with an allowance for clocks that drift. */
+const SAVE_DELAY_MS = (FETCH_WINDOW_MS + CLOCK_DRIFT_MARGIN_MS) * 1.02;
+
+/** Lets time pass, at the end of which the stores are known to be in their epochs still. */
+const advanceBy = (directory: BlockDirectory, ms: number): void => {
+  vi.advanceTimersByTime(ms);
+  directory
+    .listStores()
+    .forEach(({ address }) => directory.recordConfirmation(address, performance.now()));
+};
+
+/** Creates a directory of stores whose epoch has been known for longer than the fetch window. */
 const createDirectory = (stores: readonly BlockStoreSettings[]): BlockDirectory => {
   const directory = new BlockDirectory();
   directory.updateStores(stores);
   stores.forEach(({ address }) => directory.updateEpoch(address, 1));
+  if (stores.length > 0) directory.updateServerClock(performance.now());
+  advanceBy(directory, SAVE_DELAY_MS);
   return directory;
 };
 
@@ -55,10 +71,10 @@
   const directory = createDirectory([makeStore('a')]);
   expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBe('a');
   expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBeUndefined();
-  vi.advanceTimersByTime(4_001);
+  advanceBy(directory, 4_001);
   expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBe('a');
   put(directory, 'a', 'p1', 500);
-  vi.advanceTimersByTime(4_001);
+  advanceBy(directory, 4_001);
   expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBeUndefined();
 });
 
@@ -92,6 +108,49 @@
   expect(directory.findFetchSource(KEY, 500)).toBeUndefined();
 });
 
+// Guards against a part that is saved while another VM fetches what the store held before (MIXED).
+test.each(['the first', 'another'])('nothing is saved at once in %s epoch', (text) => {
+  const directory = createDirectory(text === 'another' ? [makeStore('a')] : []);
+  directory.updateServerClock(performance.now());
+  directory.updateStores([makeStore('a')]);
+  directory.updateEpoch('a', 2);
+  advanceBy(directory, FETCH_WINDOW_MS + CLOCK_DRIFT_MARGIN_MS);
+  expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBeUndefined();
+  advanceBy(directory, SAVE_DELAY_MS);
+  expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBe('a');
+});
+
+// Guards against saves of a VM that is cut off and has not learnt what the store holds by now.
+test('nothing is saved to a store of which nothing has been heard for long', () => {
+  const directory = createDirectory([makeStore('a')]);
+  vi.advanceTimersByTime(MAX_SAVE_AGE_MS + 10);
+  expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBeUndefined();
+  advanceBy(directory, 0);
+  expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBe('a');
+});
+
+test('a store that did not respond for a while, but did not restart, is saved to at once', () => {
+  const directory = createDirectory([makeStore('a')]);
+  directory.clearStore('a');
+  expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBeUndefined();
+  directory.updateEpoch('a', 1);
+  expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBe('a');
+});
+
+test('a fetch ends within the fetch window, on the clock of the store', () => {
+  const directory = createDirectory([makeStore('a')]);
+  put(directory, 'a', 'p1', 500);
+  vi.advanceTimersByTime(1_000);
+  expect(directory.computeMaxFetchMs('a')).toBeCloseTo(FETCH_WINDOW_MS - 1_000, 0);
+  expect(directory.findProof('a')?.epoch).toBe(1);
+  expect(directory.findProof('a')?.ageMs).toBeCloseTo(1_000, 0);
+  vi.advanceTimersByTime(FETCH_WINDOW_MS - 999);
+  expect(directory.computeMaxFetchMs('a')).toBe(0);
+  expect(directory.findFetchSource(KEY, 500)).toBeUndefined();
+  advanceBy(directory, 0);
+  expect(directory.findFetchSource(KEY, 500)?.address).toBe('a');
+});
+
 test('the server clock is taken from the least delayed reading', () => {
   const directory = createDirectory([]);
   expect(directory.computeServerTimeMs(0)).toBeUndefined();
--- a/packages/core/src/blockStores/blockDirectory.ts
+++ b/packages/core/src/blockStores/blockDirectory.ts
@@ -63,6 +63,8 @@
   /** Offset of the servers' clock from this process's monotonic clock, in milliseconds. */
   private clockOffsetMs: number | undefined;
 
+  constructor(private readonly createWindow = () => new EpochWindow()) {}
+
   /** Applies the list of stores of the newest configuration; known stores keep their blocks. */
   updateStores(settings: readonly BlockStoreSettings[]): void {
     const listed = new Set(settings.map(({ address }) => address));
@@ -73,7 +75,7 @@
         this.stores.set(store.address, {
           settings: store,
           epoch: undefined,
-          window: new EpochWindow(),
+          window: this.createWindow(),
           blocks: new Map(),
           usedTokens: 0,
         });
@@ -108,6 +110,15 @@
     this.stores.get(address)?.window.recordConfirmation(clockMs);
   }
 
+  /**
+   * Computes how long a fetch from a store may take from now, in milliseconds: until then, nothing is
+   * saved there if it has restarted meanwhile.
+   */
+  computeMaxFetchMs(address: string): number {
+    const limitMs = this.stores.get(address)?.window.fetchLimitMs ?? -Infinity;
+    return Math.max(0, limitMs - (this.computeServerTimeMs(0) ?? Infinity));
+  }
+
   /** Finds out on what a fetch from a store relies; undefined if nothing is known of it. */
   findProof(address: string): EpochProof | undefined {
     const window = this.stores.get(address)?.window;
@@ -169,11 +180,14 @@
     return false;
   }
 
-  /** Finds the store with the fastest link among those that hold the complete part. */
+  /** Finds the store with the fastest link among those that hold the complete part, as far as is known. */
   findFetchSource(key: string, tokens: number): BlockStoreSettings | undefined {
+    const serverTimeMs = this.computeServerTimeMs(0) ?? -Infinity;
     let best: StoreState | undefined;
     this.stores.forEach((store) => {
       if ((store.blocks.get(key) ?? 0) < tokens) return;
+      // What it holds may have been lost by now, or even be saved again.
+      if (store.window.fetchLimitMs <= serverTimeMs) return;
       if (!best || store.settings.linkMbps > best.settings.linkMbps) best = store;
     });
     return best?.settings;
@@ -182,17 +196,19 @@
   /**
    * Selects the store to save a part in, by rendezvous hashing weighted by free capacity, with a
    * preference for the engine's zone. Returns undefined if the part is already stored, was saved
-   * within the last `RESAVE_DELAY_MS`, or fits in no store.
+   * within the last `RESAVE_DELAY_MS`, or fits in no store that may be written to.
    */
   reserveSaveTarget(key: string, tokens: number, zone: AvailabilityZoneId): string | undefined {
     const nowMs = performance.now();
     if (nowMs - (this.savedAtMs.get(key) ?? -Infinity) < RESAVE_DELAY_MS) return undefined;
     if (this.isStored(key)) return undefined;
+    const serverTimeMs = this.computeServerTimeMs(0) ?? Infinity;
     let best: StoreState | undefined;
     let bestScore = -Infinity;
     this.stores.forEach((store) => {
       const freeTokens = store.settings.capacityTokens * MAX_FILL_RATIO - store.usedTokens;
       if (store.epoch === undefined || freeTokens < tokens) return;
+      if (!store.window.canSave(serverTimeMs)) return;
       const unitHash = (hashString(`${key}@${store.settings.address}`) + 1) / (UINT32_RANGE + 1);
       const zoneWeight = store.settings.availabilityZone === zone ? SAME_ZONE_WEIGHT : 1;
       const score = (freeTokens * zoneWeight) / -Math.log(unitHash);
--- a/packages/core/src/blockStores/fetchWindow.ts
+++ b/packages/core/src/blockStores/fetchWindow.ts
@@ -3,15 +3,7 @@
 import { computeMaxElapsedMs, computeMinElapsedMs } from '../lease/index.js';
 import type { ClockReading } from '../lease/index.js';
 import { parseCacheSalt } from './cacheSalt.js';
-
-/**
- * Time in milliseconds after the last read of the operator records that confirmed a weight
- * version as current, within which every fetch of its blocks must end.
- */
-export const FETCH_WINDOW_MS = 3_000;
-
-/** Extra wait in milliseconds before blocks are freed, to tolerate clock drift between VMs. */
-const CLOCK_DRIFT_MARGIN_MS = 300;
+import { CLOCK_DRIFT_MARGIN_MS, FETCH_WINDOW_MS } from './constants.js';
 
 /** Lower than any weight number that an operator can configure. */
 const NO_WANTED_WEIGHTS = 0;
--- a/packages/gateway/src/controllers/__tests__/blockStoresController.spec.ts
+++ b/packages/gateway/src/controllers/__tests__/blockStoresController.spec.ts
@@ -22,6 +22,8 @@
 
   tokens = 1;
 
+  clockMs: number | undefined;
+
   override async readBlockEvents({ since }: BlockEventsQuery): Promise<BlockEvents> {
     this.queries.push(since);
     await new Promise((resolve) => {
@@ -31,7 +33,7 @@
     return {
       epoch: this.epoch,
       nextOffset: END_OFFSET,
-      clockMs: undefined,
+      clockMs: this.clockMs,
       hasGap: false,
       changes: Array.from({ length: count }, (_, index) => ({
         isPresent: true,
@@ -110,6 +112,28 @@
   expect(countChanges(relayed)).toBe(END_OFFSET);
 });
 
+// Guards against followers that fetch what a restarted store does not hold any more (MIXED).
+test('followers learn that a store has restarted before it holds anything', async () => {
+  const { protocol, relayed, becomeRelay } = startFollower();
+  await becomeRelay();
+  relayed.length = 0;
+  protocol.epoch = 2;
+  await vi.advanceTimersByTimeAsync(3 * POLL_MS);
+  const [first] = relayed.filter(({ epoch }) => epoch === 2);
+  expect(first).toMatchObject({ epoch: 2, isWhole: false, changes: [] });
+});
+
+// Guards against followers for which a store without changes becomes too old to be fetched from.
+test('followers learn that a store without changes is in the same epoch', async () => {
+  const { protocol, relayed, becomeRelay } = startFollower();
+  await becomeRelay();
+  relayed.length = 0;
+  protocol.clockMs = 77;
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(relayed.length).toBeGreaterThan(1);
+  expect(relayed.at(-1)).toMatchObject({ epoch: 1, clockMs: 77, changes: [], next: END_OFFSET });
+});
+
 // Guards against a store whose list grows with each read until it fills the memory of the VM.
 test('a store that lists more tokens than it holds is not used, and read again after a pause', async () => {
   const { blocks, protocol, relayed, becomeRelay } = startFollower();
--- a/packages/gateway/src/controllers/blockStoresController.ts
+++ b/packages/gateway/src/controllers/blockStoresController.ts
@@ -178,7 +178,11 @@
       logger.info('block store restarted', { address, epoch: events.epoch });
       // A restarted store numbers its events from the beginning.
       this.nextOffsets.delete(address);
-      if (since !== START_OFFSET) return;
+      if (since !== START_OFFSET) {
+        // Its followers must not wait for the first part that it holds again.
+        this.publish({ address, epoch: events.epoch, clockMs: events.clockMs });
+        return;
+      }
     }
     events.changes.forEach((change) => blocks.applyChange(address, change));
     const excess = blocks.explainExcess(address);
@@ -186,7 +190,8 @@
     const { epoch, clockMs, changes, nextOffset: next } = events;
     if (clockMs !== undefined) blocks.recordConfirmation(address, clockMs);
     this.nextOffsets.set(address, next);
-    if (changes.length > 0) this.publish({ address, epoch, clockMs, changes, next });
+    // Without changes, it still tells followers which epoch the store is in.
+    this.publish({ address, epoch, clockMs, changes, next });
     await this.releaseOutdatedBlocks(address, events.epoch, signal);
     if (changes.length > 0) await sleep(BLOCK_EVENTS_BATCH_DELAY_MS, signal);
   }
--- a/packages/gateway/src/dispatch/attemptMetadataBuilder.ts
+++ b/packages/gateway/src/dispatch/attemptMetadataBuilder.ts
@@ -70,20 +70,23 @@
       saveAddresses.push(isShared ? blocks.reserveSaveTarget(key, part.tokens, zone) : undefined);
     });
     const prefillMs = fetchTokens / chooser.prefillRate.tokensPerMs;
-    const safeFetchMs = fetchWindow.computeMaxFetchMs(prompt.model, weights);
+    const sources = [...new Set(fetchAddresses)].filter((address) => address !== undefined);
+    const safeFetchMs = Math.min(
+      fetchWindow.computeMaxFetchMs(prompt.model, weights),
+      ...sources.map((address) => blocks.computeMaxFetchMs(address)),
+    );
     const slackMs = requireRoute(exchange).objectiveMs * FETCH_WAIT_OBJECTIVE_FRACTION;
     const maxWaitMs = firstTokenMs + prefillMs * MAX_FETCH_PREFILL_RATIO + slackMs;
     const fetchMs = Math.min(safeFetchMs, maxWaitMs);
     const fetchDeadlineMs = blocks.computeServerTimeMs(fetchMs);
-    // Without a deadline on the servers' clock, a block could be freed while it is being fetched.
+    // Without a deadline on the servers' clock, a block could be freed or written while it is fetched.
     const canFetch =
       fetchDeadlineMs !== undefined && fetchMs >= prefillMs * MIN_FETCH_PREFILL_RATIO;
-    const sources = canFetch ? fetchAddresses : [];
-    const proofs = new Map(
-      sources.flatMap((address) =>
-        address === undefined ? [] : [[address, blocks.findProof(address)] as const],
-      ),
-    );
-    return { fetchAddresses: sources, saveAddresses, fetchDeadlineMs, proofs };
+    return {
+      fetchAddresses: canFetch ? fetchAddresses : [],
+      saveAddresses,
+      fetchDeadlineMs,
+      proofs: new Map(canFetch ? sources.map((one) => [one, blocks.findProof(one)]) : []),
+    };
   }
 }
