--- a/packages/gateway/src/__tests__/tunnelEnds.spec.ts
+++ b/packages/gateway/src/__tests__/tunnelEnds.spec.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { Packr } from 'msgpackr';
 import { expect, onTestFinished, test, vi } from 'vitest';
+import { sleep } from '@goldcrestscale/core';
 import { FeedWriter } from '../mesh/feedWriter.js';
 import { TunnelFrameReader, encodeTunnelHead } from '../mesh/tunnelFrames.js';
 import { TunnelSocket } from '../mesh/tunnelSocket.js';
@@ -80,7 +81,7 @@
   await new Promise((resolve) => {
     setTimeout(resolve, 20);
   });
-  return { sent, upstream: upstreamSockets[0]!, peer: peer.sockets[0]! };
+  return { sent, upstream: upstreamSockets[0]!, peer: peer.sockets[0]!, tunnels: peer.tunnels };
 };
 
 const CASES = FRAMINGS.flatMap((framing) =>
@@ -114,6 +115,29 @@
   },
 );
 
+/** Time for which a response pauses. */
+const PAUSE_MS = 1_700;
+
+// Guards against responses that are cut because they pause while the VM between stops (ORDER).
+test.each(FRAMINGS)(
+  'a response delimited by %s that pauses is whole behind a VM that stops',
+  async (framing) => {
+    const lengths = MOMENTS.map(async (moment) => {
+      const { sent, upstream, tunnels } = await startSending(framing, moment);
+      tunnels.leave();
+      await sleep(PAUSE_MS);
+      upstream.write(
+        buildParts(framing)
+          .slice(MOMENTS.indexOf(moment) + 1)
+          .join(''),
+      );
+      if (framing === 'connection') upstream.end();
+      return sent;
+    });
+    expect(await Promise.all(lengths)).toEqual(MOMENTS.map(() => BODY.length));
+  },
+);
+
 test.each(['killed', 'stopped'] as const)(
   'a socket that trusts the end of its connection is caught when the other VM is %s',
   async (end) => {
--- a/packages/gateway/src/__tests__/tunnels.spec.ts
+++ b/packages/gateway/src/__tests__/tunnels.spec.ts
@@ -149,7 +149,7 @@
 });
 
 // Guards against requests of other VMs that are cut because this one stops.
-test('a VM that leaves closes the connections that carry nothing, and no others', async () => {
+test('a VM that leaves has the connections closed that carry nothing, and no others', async () => {
   let answer = (): void => undefined;
   const address = await startUpstream((socket) => {
     socket.once('data', () => {
@@ -157,15 +157,30 @@
     });
   });
   const { port, tunnels } = await startPeer(address);
-  const { acquire } = createAsker([port]);
+  const { acquire, pool } = createAsker([port]);
   const [idle, busy] = [acquire(), acquire()];
   await Promise.all([idle.waitForOpen(), busy.waitForOpen()]);
   const sent = send(busy);
+  await sleep(100);
+  tunnels.leave();
+  await vi.waitFor(() => expect(tunnels.countOpen()).toBe(1));
+  expect([idle.isOpen, busy.isOpen]).toEqual([false, true]);
   await sleep(1_600);
-  expect(tunnels.closeIdle()).toBe(1);
-  await vi.waitFor(() => expect(idle.isOpen).toBe(false));
   answer();
   expect(await sent).toBe(5);
-  expect(tunnels.closeIdle()).toBe(1);
-  await vi.waitFor(() => expect(tunnels.closeIdle()).toBe(0), { timeout: 3_000 });
+  expect(tunnels.countOpen()).toBe(1);
+  pool.release('127.0.0.1:1', busy);
+  await vi.waitFor(() => expect(tunnels.countOpen()).toBe(0));
+});
+
+test('a connection that a VM opens while it begins to leave is closed by the one that asked', async () => {
+  const { port, tunnels } = await startPeer(await startUpstream(answerAll('whole')));
+  const { acquire } = createAsker([port]);
+  const connection = acquire();
+  const opened = connection.waitForOpen();
+  await vi.waitFor(() => expect(tunnels.countOpen()).toBe(1));
+  tunnels.leave();
+  await opened.catch(() => undefined);
+  await vi.waitFor(() => expect(tunnels.countOpen()).toBe(0));
+  expect(connection.isOpen).toBe(false);
 });
--- a/packages/gateway/src/dispatch/connectionPool.ts
+++ b/packages/gateway/src/dispatch/connectionPool.ts
@@ -109,7 +109,7 @@
   /** Returns a connection to the pool after a complete response. */
   release(address: string, connection: UpstreamConnection): void {
     if (!connection.isOpen) return;
-    if (!this.isUseful(connection, this.updateTunneling())) {
+    if (connection.isRetired || !this.isUseful(connection, this.updateTunneling())) {
       connection.close();
       return;
     }
--- a/packages/gateway/src/dispatch/singleConnectionAgent.ts
+++ b/packages/gateway/src/dispatch/singleConnectionAgent.ts
@@ -12,6 +12,8 @@
   readonly onClose: () => void;
   /** The connection was reset, although the response on it may look complete. */
   readonly onReset: () => void;
+  /** The connection is to carry no further exchange. */
+  readonly onRetire: () => void;
 }
 
 /**
@@ -68,7 +70,7 @@
   }
 
   private async connect(): Promise<void> {
-    const socket = this.link.connect();
+    const socket = this.link.connect(this.events.onRetire);
     this.socket = socket;
     const timer = setTimeout(() => {
       // After a pause of the process, the connection may be there and not have been noticed yet.
--- a/packages/gateway/src/dispatch/tunnelLink.ts
+++ b/packages/gateway/src/dispatch/tunnelLink.ts
@@ -20,9 +20,12 @@
     return this.path?.vmId;
   }
 
-  override connect(): UpstreamSocket {
+  override connect(onRetire: () => void): UpstreamSocket {
     this.path = this.paths.openPath();
-    if (this.path) return this.path.socket;
+    if (this.path) {
+      this.path.socket.onLeaving = onRetire;
+      return this.path.socket;
+    }
     const socket = new Socket();
     process.nextTick(() => socket.destroy(new PathError('no other VM can be asked')));
     return socket;
--- a/packages/gateway/src/dispatch/upstreamConnection.ts
+++ b/packages/gateway/src/dispatch/upstreamConnection.ts
@@ -45,6 +45,8 @@
 
   private hasBeenReset = false;
 
+  private retired = false;
+
   /** @param onClose called once, when either side has closed it or it could not be opened */
   constructor(
     address: string,
@@ -57,6 +59,7 @@
       onReset: () => {
         this.hasBeenReset = true;
       },
+      onRetire: () => this.retire(),
     });
   }
 
@@ -75,6 +78,11 @@
     return this.hasBeenReset;
   }
 
+  /** Whether it is to be closed in place of kept for another request. */
+  get isRetired(): boolean {
+    return this.retired;
+  }
+
   /** Whether it has been idle for so long that the upstream may have closed it. */
   get isStale(): boolean {
     return performance.now() - this.idleSinceMs > this.idleLimitMs;
@@ -130,6 +138,12 @@
     this.agent.resetConnection();
   }
 
+  /** Closes it now, or leaves that to the end of the exchange on it. */
+  private retire(): void {
+    this.retired = true;
+    if (!this.agent.isInUse) this.close();
+  }
+
   private markClosed(): void {
     if (!this.open) return;
     this.open = false;
--- a/packages/gateway/src/dispatch/upstreamLink.ts
+++ b/packages/gateway/src/dispatch/upstreamLink.ts
@@ -5,8 +5,8 @@
 import { splitAddress } from '../socketAddress.js';
 import { ConnectionError } from './connectionError.js';
 
-/** Idle time after which the kernel sends TCP keep-alive probes. */
-const KEEP_ALIVE_PROBE_MS = 1_000;
+/** Idle time after which the kernel sends TCP keep-alive probes, in milliseconds. */
+export const KEEP_ALIVE_PROBE_MS = 1_000;
 
 /** Opens a TCP connection whose loss the kernel notices. */
 export const connectSocket = (address: string): Socket =>
@@ -38,8 +38,12 @@
   /** The VM through which it leads; undefined if it leads to the upstream directly. */
   abstract readonly via: VmId | undefined;
 
-  /** Begins to connect. */
-  abstract connect(): UpstreamSocket;
+  /**
+   * Begins to connect.
+   *
+   * @param onRetire called when the connection is to carry no further exchange
+   */
+  abstract connect(onRetire: () => void): UpstreamSocket;
 
   /** Resolves once the bytes of the socket are those of the upstream. @throws the error that prevents it */
   abstract waitUntilOpen(socket: UpstreamSocket): Promise<void>;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -176,7 +176,7 @@
   callers.server.on('connection', recordArrival).on('request', recordArrival);
   const isDone = (): boolean =>
     shutdown.isOver ||
-    (shutdown.isRefusing && callers.countOpenRequests() === 0 && tunnels.closeIdle() === 0);
+    (shutdown.isRefusing && callers.countOpenRequests() === 0 && tunnels.countOpen() === 0);
   let readUntilMs: number | undefined;
   // After a pause, timers run before what came in it is read, and each turn accepts one connection.
   const hasReadAll = async (): Promise<boolean> => {
@@ -253,6 +253,7 @@
   logger.info('draining', { openRequests: callers.countOpenRequests() });
   shutdown.start();
   controllers.entries.leave();
+  controllers.tunnels.leave();
   // Nobody has connected if the start ended before callers could.
   if (callers.server.listening) await drain(callers, shutdown, controllers.tunnels);
   workController.abort();
--- a/packages/gateway/src/mesh/peerPaths.ts
+++ b/packages/gateway/src/mesh/peerPaths.ts
@@ -1,12 +1,11 @@
 import { randomUUID } from 'node:crypto';
-import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import type { EntryHeartbeat, EntryRoster, UpstreamId, VmId } from '@goldcrestscale/core';
 import { ConnectionError } from '../dispatch/connectionError.js';
 import { PathError } from '../dispatch/pathError.js';
-import { splitAddress } from '../socketAddress.js';
+import { connectSocket } from '../dispatch/upstreamLink.js';
 import { encodeFeedContent } from './feedMessage.js';
 import { FeedWriter } from './feedWriter.js';
 import { TunnelSocket } from './tunnelSocket.js';
@@ -58,7 +57,7 @@
     const peers = this.listPeers();
     if (peers.length === 0) return undefined;
     const peer = peers[uniformInt(this.options.random, 0, peers.length - 1)]!;
-    const connection = connect({ ...splitAddress(peer.meshAddress), noDelay: true });
+    const connection = connectSocket(peer.meshAddress);
     const socket = this.createSocket(connection, { vmId: peer.vmId, address: peer.meshAddress });
     return {
       vmId: peer.vmId,
--- a/packages/gateway/src/mesh/tunnelFrames.ts
+++ b/packages/gateway/src/mesh/tunnelFrames.ts
@@ -12,6 +12,8 @@
   end: 5,
   /** The upstream's connection was reset or failed. */
   reset: 6,
+  /** This VM stops; the connection is to be closed once it carries no exchange. */
+  leaving: 7,
 } as const;
 
 export type TunnelFrameType = keyof typeof FRAME_TYPES;
--- a/packages/gateway/src/mesh/tunnelServer.ts
+++ b/packages/gateway/src/mesh/tunnelServer.ts
@@ -2,7 +2,7 @@
 import type { UpstreamId, UpstreamReach, UpstreamRegistry } from '@goldcrestscale/core';
 import type { SocketShare } from '@goldcrestscale/runtime';
 import { UPSTREAM_CONNECT_TIMEOUT_MS } from '../constants.js';
-import { connectSocket } from '../dispatch/upstreamLink.js';
+import { KEEP_ALIVE_PROBE_MS, connectSocket } from '../dispatch/upstreamLink.js';
 import type { GatewayMetrics } from '../metrics.js';
 import { encodeSentBytes, encodeTunnelHead } from './tunnelFrames.js';
 import type { TunnelFrameType } from './tunnelFrames.js';
@@ -10,17 +10,6 @@
 /** Maximum number of connections that this VM extends to upstreams for others. */
 const MAX_TUNNELS = 512;
 
-/** Time without bytes after which a connection that awaits no response carries nothing, in milliseconds. */
-const IDLE_MS = 1_500;
-
-/** A connection of another VM, and what it was extended to. */
-interface Tunnel {
-  readonly socket: Socket;
-  /** Whether the last bytes were those of a request. */
-  isAwaiting: boolean;
-  bytesAtMs: number;
-}
-
 /** Dependencies of the server. */
 export interface TunnelServerOptions {
   readonly registry: UpstreamRegistry;
@@ -78,7 +67,9 @@
  * requests and answers for them; it learns of an upstream's end only in a frame that says so.
  */
 export class TunnelServer {
-  private readonly open = new Set<Tunnel>();
+  private readonly open = new Set<Socket>();
+
+  private isRetiring = false;
 
   constructor(private readonly options: TunnelServerOptions) {}
 
@@ -95,19 +86,23 @@
     }
   }
 
-  /** Closes the connections that carry nothing. @returns the number of the others */
-  closeIdle(): number {
-    const idleSinceMs = performance.now() - IDLE_MS;
-    const idle = [...this.open].filter(
-      ({ isAwaiting, bytesAtMs }) => !isAwaiting && bytesAtMs <= idleSinceMs,
-    );
-    idle.forEach(({ socket }) => socket.end());
-    return this.open.size - idle.length;
+  /** Counts the connections that are being extended, or have bytes to send. */
+  countOpen(): number {
+    return this.open.size;
+  }
+
+  /**
+   * Has the other VMs close their connections, each once it carries no exchange. Only they can tell: a
+   * response may pause for seconds, and the next request may be under way.
+   */
+  leave(): void {
+    this.isRetiring = true;
+    this.open.forEach((socket) => sendFrame(socket, 'leaving'));
   }
 
   /** Closes all connections. */
   close(): void {
-    this.open.forEach(({ socket }) => socket.destroy());
+    this.open.forEach((socket) => socket.destroy());
   }
 
   private tryTakeTunnel(): boolean {
@@ -124,8 +119,8 @@
   private connectUpstream(socket: Socket, address: string): void {
     const { reach, share, metrics } = this.options;
     const upstream = connectSocket(address);
-    const tunnel = { socket, isAwaiting: false, bytesAtMs: performance.now() };
-    this.open.add(tunnel);
+    socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
+    this.open.add(socket);
     metrics.setTunnels(this.open.size);
     const timer = setTimeout(() => upstream.destroy(), UPSTREAM_CONNECT_TIMEOUT_MS);
     let isConnected = false;
@@ -135,24 +130,19 @@
       sendFrame(socket, 'open');
       relayRequests(socket, upstream);
       relayResponses(upstream, socket);
-      socket.on('data', () => {
-        Object.assign(tunnel, { isAwaiting: true, bytesAtMs: performance.now() });
-      });
-      upstream.on('data', () => {
-        reach.recordContact();
-        Object.assign(tunnel, { isAwaiting: false, bytesAtMs: performance.now() });
-      });
+      upstream.on('data', () => reach.recordContact());
+      if (this.isRetiring) sendFrame(socket, 'leaving');
     });
     upstream.on('error', () => undefined);
     upstream.once('close', () => {
       clearTimeout(timer);
       share.release();
-      this.open.delete(tunnel);
-      metrics.setTunnels(this.open.size);
       if (!isConnected) this.refuse(socket, 'unreachable');
     });
     socket.on('error', () => undefined);
     socket.once('close', () => {
+      this.open.delete(socket);
+      metrics.setTunnels(this.open.size);
       if (!isConnected) upstream.destroy();
     });
   }
--- a/packages/gateway/src/mesh/tunnelSocket.ts
+++ b/packages/gateway/src/mesh/tunnelSocket.ts
@@ -32,6 +32,9 @@
   /** Called when the other VM replies. */
   onReply: ((reply: TunnelReply) => void) | undefined;
 
+  /** Called when the other VM stops, which only the end of the exchange may follow. */
+  onLeaving: (() => void) | undefined;
+
   private readonly reader = new TunnelFrameReader();
 
   private isOpen = false;
@@ -122,7 +125,8 @@
     else if (type === 'reset') {
       this.hasUpstreamEnded = true;
       this.destroy(new ConnectionError('connection reset by the upstream'));
-    } else {
+    } else if (type === 'leaving') this.onLeaving?.();
+    else {
       this.isOpen = type === 'open';
       this.onReply?.(type);
     }
