--- a/packages/core/src/blockStores/__tests__/blockStores.spec.ts
+++ b/packages/core/src/blockStores/__tests__/blockStores.spec.ts
@@ -120,7 +120,7 @@
   expect(directory.reserveSaveTarget(KEY, 500, ZONE)).toBe('a');
 });
 
-// Guards against saves of a VM that is cut off and has not learnt what the store holds by now.
+// Guards against saves of a VM that is cut off and has not learned what the store holds by now.
 test('nothing is saved to a store of which nothing has been heard for long', () => {
   const directory = createDirectory([makeStore('a')]);
   vi.advanceTimersByTime(MAX_SAVE_AGE_MS + 10);
--- a/packages/core/src/blockStores/epochWindow.ts
+++ b/packages/core/src/blockStores/epochWindow.ts
@@ -11,7 +11,7 @@
 
 /**
  * Keeps saves into a store that has restarted apart from fetches of what it held before. A store starts
- * empty and with a new epoch; a VM that has not learnt so would fetch a part while another VM has it
+ * empty and with a new epoch; a VM that has not learned so would fetch a part while another VM has it
  * saved again.
  *
  * Every fetch ends within the fetch window, which starts at the last time at which the store was known
@@ -21,7 +21,7 @@
 export class EpochWindow {
   private lastEpoch: number | undefined;
 
-  private learntAt: ClockReading | undefined;
+  private learnedAt: ClockReading | undefined;
 
   private confirmedMs: number | undefined;
 
@@ -47,17 +47,17 @@
    * @param serverTimeMs time on the servers' clock
    */
   canSave(serverTimeMs: number): boolean {
-    if (!this.learntAt || serverTimeMs - (this.confirmedMs ?? -Infinity) > MAX_SAVE_AGE_MS) {
+    if (!this.learnedAt || serverTimeMs - (this.confirmedMs ?? -Infinity) > MAX_SAVE_AGE_MS) {
       return false;
     }
-    return computeMinElapsedMs(this.learntAt) > FETCH_WINDOW_MS + CLOCK_DRIFT_MARGIN_MS;
+    return computeMinElapsedMs(this.learnedAt) > FETCH_WINDOW_MS + CLOCK_DRIFT_MARGIN_MS;
   }
 
   /** Records which epoch the store is in, or was in when another VM read it. */
   recordEpoch(epoch: number): void {
     if (epoch === this.lastEpoch) return;
     this.lastEpoch = epoch;
-    this.learntAt = readClocks();
+    this.learnedAt = readClocks();
     this.confirmedMs = undefined;
   }
 
--- a/packages/gateway/src/dispatch/tunnelLink.ts
+++ b/packages/gateway/src/dispatch/tunnelLink.ts
@@ -23,7 +23,7 @@
   override connect(onRetire: () => void): UpstreamSocket {
     this.path = this.paths.openPath();
     if (this.path) {
-      this.path.socket.onLeaving = onRetire;
+      this.path.socket.once('leaving', onRetire);
       return this.path.socket;
     }
     const socket = new Socket();
--- a/packages/gateway/src/mesh/peerPaths.ts
+++ b/packages/gateway/src/mesh/peerPaths.ts
@@ -88,16 +88,14 @@
       // A VM of an earlier version doesn't know the question and closes the connection.
       socket.once('error', failWith);
       socket.once('close', () => reject(new PathError('the connection is closed')));
-      Object.assign(socket, {
-        onReply: (reply: TunnelReply): void => {
-          socket.off('error', failWith);
-          if (reply === 'open') {
-            onTunnelOpen();
-            resolve();
-          } else if (reply === 'unreachable') {
-            reject(new ConnectionError(`${vmId} can not reach the upstream`));
-          } else fail('unavailable');
-        },
+      socket.once('reply', (reply: TunnelReply) => {
+        socket.off('error', failWith);
+        if (reply === 'open') {
+          onTunnelOpen();
+          resolve();
+        } else if (reply === 'unreachable') {
+          reject(new ConnectionError(`${vmId} can not reach the upstream`));
+        } else fail('unavailable');
       });
       const content = encodeFeedContent({ kind: 'framedTunnel', vmId: self, nonce, upstreamId });
       socket.write(new FeedWriter({ key, nonce }).encode(content));
--- a/packages/gateway/src/mesh/tunnelSocket.ts
+++ b/packages/gateway/src/mesh/tunnelSocket.ts
@@ -24,17 +24,14 @@
 /**
  * A connection to an upstream through another VM. It ends only when that VM says that the upstream has
  * ended it: the kernel closes the connections of a killed process in order as well.
+ *
+ * Emits `reply` with the other VM's `TunnelReply`, and `leaving` when that VM stops and the connection is
+ * to be closed once it carries no exchange.
  */
 export class TunnelSocket extends Duplex implements UpstreamSocket {
   /** Stays after the connection has closed, since what the other VM said of the upstream holds. */
   readonly remoteAddress: string;
 
-  /** Called when the other VM replies. */
-  onReply: ((reply: TunnelReply) => void) | undefined;
-
-  /** Called when the other VM stops, which only the end of the exchange may follow. */
-  onLeaving: (() => void) | undefined;
-
   private readonly reader = new TunnelFrameReader();
 
   private isOpen = false;
@@ -125,10 +122,10 @@
     else if (type === 'reset') {
       this.hasUpstreamEnded = true;
       this.destroy(new ConnectionError('connection reset by the upstream'));
-    } else if (type === 'leaving') this.onLeaving?.();
+    } else if (type === 'leaving') this.emit('leaving');
     else {
       this.isOpen = type === 'open';
-      this.onReply?.(type);
+      this.emit('reply', type);
     }
   }
 
