--- a/packages/gateway/src/__tests__/tunnelEnds.spec.ts
+++ b/packages/gateway/src/__tests__/tunnelEnds.spec.ts
@@ -1,11 +1,13 @@
-import { connect, createServer } from 'node:net';
-import type { AddressInfo, Socket } from 'node:net';
-import { Packr } from 'msgpackr';
-import { expect, onTestFinished, test, vi } from 'vitest';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { expect, test, vi } from 'vitest';
 import { sleep } from '@goldcrestscale/core';
+import { encodeFeedContent } from '../mesh/feedMessage.js';
+import type { FeedMessage } from '../mesh/feedMessage.js';
 import { FeedWriter } from '../mesh/feedWriter.js';
 import { TunnelFrameReader, encodeTunnelHead } from '../mesh/tunnelFrames.js';
 import { TunnelSocket } from '../mesh/tunnelSocket.js';
+import { splitAddress } from '../socketAddress.js';
 import { UPSTREAM, createAsker, send, startPeer, startUpstream } from './tunnelFixtures.js';
 
 /** What marks the end of the response's body. */
@@ -78,9 +80,7 @@
     expect(upstreamSockets[0]?.bytesWritten).toBe(sentBytes);
   });
   // What the upstream has sent passes the other VM.
-  await new Promise((resolve) => {
-    setTimeout(resolve, 20);
-  });
+  await sleep(20);
   return { sent, upstream: upstreamSockets[0]!, peer: peer.sockets[0]!, tunnels: peer.tunnels };
 };
 
@@ -167,12 +167,8 @@
   const { port } = await startPeer(address);
   const socket = connect(port, '127.0.0.1');
   const nonce = 'nonce';
-  const content = new Packr({ useRecords: false }).pack({
-    kind: 'tunnel',
-    vmId: 'vm-1',
-    nonce,
-    upstreamId: UPSTREAM,
-  });
+  const question: unknown = { kind: 'tunnel', vmId: 'vm-1', nonce, upstreamId: UPSTREAM };
+  const content = encodeFeedContent(question as FeedMessage);
   socket.write(new FeedWriter({ key: 'key of vm-1', nonce }).encode(content));
   const received: Buffer[] = [];
   socket.on('data', (chunk) => received.push(chunk)).on('error', () => undefined);
@@ -184,16 +180,10 @@
 
 test('a VM of the build before is not asked again at once', async () => {
   // It closes a connection whose first message it does not know.
-  const server = createServer((socket) => {
-    socket.on('error', () => undefined).once('data', () => socket.resetAndDestroy());
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  onTestFinished(() => {
-    server.close();
+  const address = await startUpstream((socket) => {
+    socket.once('data', () => socket.resetAndDestroy());
   });
-  const { acquire, paths } = createAsker([(server.address() as AddressInfo).port]);
+  const { acquire, paths } = createAsker([splitAddress(address).port]);
   await expect(acquire().waitForOpen()).rejects.toThrow('vm-2 can not help');
   expect(paths.hasPeer).toBe(false);
 });
--- a/packages/gateway/src/__tests__/tunnelFixtures.ts
+++ b/packages/gateway/src/__tests__/tunnelFixtures.ts
@@ -27,7 +27,7 @@
 /** The upstream that the other VMs know. */
 export const UPSTREAM = toId<UpstreamId>('up-1');
 
-/** Starts an upstream that handles connections by itself. */
+/** Starts an upstream that handles connections by itself. @returns its HOST:PORT */
 export const startUpstream = async (handle: (socket: Socket) => void): Promise<string> => {
   const sockets: Socket[] = [];
   const server = createServer((socket) => {
--- a/packages/gateway/src/dispatch/attemptResult.ts
+++ b/packages/gateway/src/dispatch/attemptResult.ts
@@ -24,7 +24,10 @@
   readonly neededBytes?: number | undefined;
 }
 
-/** Result of one attempt at an upstream; an own failure is one of this VM, such as a lack of memory, or of one between. */
+/**
+ * Result of one attempt at an upstream; an own failure is one of this VM, such as a lack of memory, or of
+ * the VM between.
+ */
 export type AttemptResult =
   /** The upstream's response was passed to the caller in full. */
   | { readonly kind: 'answered' }
--- a/packages/gateway/src/mesh/feedMessage.ts
+++ b/packages/gateway/src/mesh/feedMessage.ts
@@ -45,9 +45,9 @@
   /** First message of a follower; the MACs of both directions cover the nonce. */
   | { readonly kind: 'hello'; readonly vmId: VmId; readonly nonce: string }
   /**
-   * Only message of a VM that asks for a connection to an upstream. The bytes that follow are the
-   * upstream's; back come the frames of a tunnel. Earlier versions asked with `tunnel`, and took the
-   * end of this connection for that of the upstream's.
+   * Only message of a VM that asks for a connection to an upstream. The bytes that follow are requests
+   * to the upstream, and the replies are the frames of a tunnel. Earlier versions asked with `tunnel`,
+   * and took the end of this connection for that of the upstream's.
    */
   | {
       readonly kind: 'framedTunnel';
