test(review): processes end with their script, however it ends

The daemons of a script that was killed lived on. A daemon that is started again no longer has the setting of the first start of the whole system, as DEPLOY.md says of bootstrap.

Measured: a script was killed by SIGKILL, and both of its daemons ended.

--- a/review/kit-3/daemon.mjs
+++ b/review/kit-3/daemon.mjs
@@ -46,8 +46,9 @@
 
   end = undefined;
 
-  constructor({ name, zone, zones, storeAddress, folder, memoryMb = 200, isFirstStart = true }) {
-    Object.assign(this, { name, zone, zones, storeAddress, folder, memoryMb, isFirstStart });
+  constructor({ name, zone, zones, storeAddress, folder, guard, memoryMb = 200 }) {
+    Object.assign(this, { name, zone, zones, storeAddress, folder, guard, memoryMb });
+    this.isFirstStart = true;
   }
 
   async start() {
@@ -63,6 +64,8 @@
     const settingsPath = join(this.folder, `${this.name}.json`);
     await writeFile(settingsPath, JSON.stringify(this.buildSettings()));
     const [, ...args] = await readCommand();
+    // Only the first start of all is one of the whole system.
+    this.isFirstStart = false;
     this.end = undefined;
     this.output = '';
     this.child = spawn(process.execPath, args, {
@@ -70,6 +73,8 @@
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { PATH: process.env.PATH, GOLDCRESTSCALE_NODE_FILE: settingsPath },
     });
+    const { pid } = this.child;
+    this.guard.watch(pid);
     [this.child.stdout, this.child.stderr].forEach((stream) =>
       stream.on('data', (chunk) => {
         this.output += chunk;
@@ -78,6 +83,7 @@
     this.exited = new Promise((resolve) => {
       this.child.once('exit', (code, signal) => {
         this.end = { code, signal };
+        this.guard.forget(pid);
         resolve();
       });
     });
--- a/review/kit-3/site.mjs
+++ b/review/kit-3/site.mjs
@@ -2,6 +2,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { Daemon } from './daemon.mjs';
+import { Guard } from './guard.mjs';
 import { Server } from './server.mjs';
 import { Store } from './store.mjs';
 
@@ -83,6 +84,8 @@
 
   store = new Store();
 
+  guard = new Guard();
+
   constructor(recorder) {
     this.recorder = recorder;
   }
@@ -115,6 +118,7 @@
       zones: REGIONS,
       storeAddress: await this.store.open(name),
       folder: this.folder,
+      guard: this.guard,
     });
     this.daemons.push(daemon);
   }
@@ -124,6 +128,7 @@
     await Promise.all(this.daemons.map((daemon) => daemon.kill()));
     this.servers.forEach((server) => server.end());
     this.store.close();
-    await rm(this.folder, { recursive: true, force: true });
+    this.guard.close();
+    if (this.folder) await rm(this.folder, { recursive: true, force: true });
   }
 }
